Add the whole path: chat over a chain of engines and calls through a record

Cause: nothing existed. One process serves callers, follows the platform's list, decides in a deterministic tick and drives engines stage by stage. Shown by the daemon's tests: an answer over overlapping layer ranges equals the one-machine run; a payment sent twice runs once.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+FUMPT := mvdan.cc/gofumpt@v0.12.0
+IMPORTS := golang.org/x/tools/cmd/goimports@v0.52.0
+STRINGER := golang.org/x/tools/cmd/stringer@v0.52.0
+PACKAGES := ./...
+# Packages with property tests know the flags that fix their seed.
+RAPID := $(addprefix ./,$(sort $(dir $(shell grep -rl pgregory.net/rapid --include=*_test.go internal))))
+PLAIN := $(filter-out $(RAPID),$(addsuffix /,$(addprefix ./,$(sort $(patsubst %/,%,$(dir $(shell find internal -name '*.go')))))))
+
+.PHONY: build test check format lint generate fresh bench tools
+
+build:
+	go build -o fulmarwick .
+
+test:
+	go test -race -count=1 $(PLAIN)
+	$(if $(RAPID),go test -race -count=1 $(RAPID) -rapid.seed=1 -rapid.nofailfile)
+
+check: fresh lint build test
+
+format:
+	go run $(IMPORTS) -local fulmarwick -w main.go internal
+	go run $(FUMPT) -w main.go internal
+
+lint:
+	@out=$$(go run $(IMPORTS) -local fulmarwick -l main.go internal && go run $(FUMPT) -l main.go internal); test -z "$$out" || { echo "not formatted: $$out"; exit 1; }
+	go vet $(PACKAGES)
+	go run $(LINT) run
+
+tools:
+	go install $(STRINGER)
+
+generate: tools
+	PATH="$$(go env GOPATH)/bin:$$PATH" go generate $(PACKAGES)
+
+fresh: generate
+	@git diff --exit-code --stat -- '*_string.go' || { echo "generated code is stale: run make generate"; exit 1; }
+
+bench:
+	go test -run '^$$' -bench . -benchtime 1x $(PACKAGES)
--- /dev/null
+++ b/internal/app/cmds/trial.go
@@ -0,0 +1,89 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"fulmarwick/internal/app/daemon"
+	"fulmarwick/internal/app/setup"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fakes/trial"
+	"fulmarwick/internal/state/config"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+)
+
+const (
+	trialKey   = "trial-key"
+	trialLayer = 200 * time.Microsecond
+	trialBody  = 1 << 20
+	trialLimit = 4096
+	trialWatch = 500 * time.Millisecond
+)
+
+func newTrial() *cobra.Command {
+	var listen string
+	c := &cobra.Command{
+		Use:     "trial",
+		Short:   "Serve the whole system on loopback, with stand-ins, to try it",
+		Example: "  fulmarwick trial --listen 127.0.0.1:8080",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runTrial(cmd, listen)
+		},
+	}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:8080", "address for callers")
+	return c
+}
+
+func runTrial(cmd *cobra.Command, listen string) error {
+	site := &trial.Site{Layer: trialLayer}
+	if err := site.Start(cmd.Context()); err != nil {
+		return err
+	}
+	defer site.Close()
+	l, err := new(net.ListenConfig).Listen(cmd.Context(), "tcp", listen)
+	if err != nil {
+		return errors.Wrap(err, "trial: listen")
+	}
+	log, err := newLog()
+	if err != nil {
+		return err
+	}
+	d := &daemon.Daemon{
+		Log: log, Listener: l, Config: trialConfig(),
+		Settings: setup.File{
+			Instance: setup.Instance{Name: "trial-1", DataCentre: trial.Centre},
+			Platform: setup.Platform{URL: site.URL(), Watch: trialWatch},
+			Limits:   setup.Limits{Body: trialBody, Tokens: trialLimit},
+		},
+	}
+	printTrial(cmd.OutOrStdout(), l.Addr().String())
+	return d.Run(cmd.Context())
+}
+
+func trialConfig() *config.Snapshot {
+	classes := []spec.Class{
+		spec.NewModelClass("answer", trial.Model, spec.NewTarget(time.Second, 50*time.Millisecond, 0, 95)),
+		spec.NewPlainClass("payment", trial.Service, false, spec.NewTarget(0, 0, 5*time.Second, 99)),
+	}
+	teams := []spec.Team{spec.NewTeam(config.HashKey(trialKey), "trial", 1)}
+	return config.NewSnapshot(1, classes, teams)
+}
+
+func printTrial(out io.Writer, address string) {
+	_, _ = fmt.Fprintf(out, `Serving on http://%[1]s with stand-in engines, service and platform.
+
+A streamed answer over a chain of engines:
+  curl -N http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' \
+    -d '{"model":"%[3]s","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"Explain my levy notice"}]}'
+
+A payment that runs at most once; send it twice:
+  curl http://%[1]s/v1/calls/payment -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: instalment-7' -d '{"amount":120}'
+  curl http://%[1]s/v1/calls/payment/instalment-7 -H 'Authorization: Bearer %[2]s'
+
+`, address, trialKey, trial.Model)
+}
--- /dev/null
+++ b/internal/app/daemon/daemon_test.go
@@ -0,0 +1,134 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/app/daemon"
+	"fulmarwick/internal/app/setup"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fakes/layer"
+	"fulmarwick/internal/fakes/trial"
+	"fulmarwick/internal/state/config"
+
+	"go.uber.org/zap"
+)
+
+const key = "test-key"
+
+func snapshot() *config.Snapshot {
+	classes := []spec.Class{
+		spec.NewModelClass("answer", trial.Model, spec.NewTarget(time.Second, time.Second, 0, 95)),
+		spec.NewPlainClass("payment", trial.Service, false, spec.NewTarget(0, 0, time.Second, 99)),
+	}
+	return config.NewSnapshot(1, classes, []spec.Team{spec.NewTeam(config.HashKey(key), "t", 1)})
+}
+
+// start runs an instance before stand-ins and returns its base URL.
+func start(t *testing.T) (*trial.Site, string) {
+	t.Helper()
+	site := &trial.Site{}
+	if err := site.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &daemon.Daemon{
+		Log: zap.NewNop(), Listener: l, Config: snapshot(),
+		Settings: setup.File{
+			Instance: setup.Instance{Name: "t-1", DataCentre: trial.Centre},
+			Platform: setup.Platform{URL: site.URL(), Watch: 20 * time.Millisecond},
+			Limits:   setup.Limits{Body: 1 << 20, Tokens: 1000},
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("got %v from Run, want nil", err)
+		}
+		site.Close()
+	})
+	return site, "http://" + l.Addr().String()
+}
+
+func post(t *testing.T, url, idem, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	if idem != "" {
+		req.Header.Set("Idempotency-Key", idem)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(data)
+}
+
+// answer asks until the instance has seen the engines.
+func answer(t *testing.T, base, body string) string {
+	t.Helper()
+	for {
+		status, text := post(t, base+"/v1/chat/completions", "", body)
+		if status == http.StatusServiceUnavailable {
+			continue
+		}
+		if status != http.StatusOK {
+			t.Fatalf("got status %d (%s), want 200", status, text)
+		}
+		return text
+	}
+}
+
+// The caller sees the answer that one machine with all layers would give,
+// although no engine of the site holds the whole model.
+func TestAnswerEqualsOneMachine(t *testing.T) {
+	_, base := start(t)
+	text := answer(t, base, `{"model":"levy-13b","max_tokens":50,"messages":[{"role":"user","content":"Explain my levy notice"}]}`)
+	var got struct {
+		Choices []struct {
+			Message struct{ Content string }
+		}
+	}
+	if err := json.Unmarshal([]byte(text), &got); err != nil {
+		t.Fatal(err)
+	}
+	want := layer.Text(layer.Whole("user: Explain my levy notice\n", trial.Depth, 50))
+	if got.Choices[0].Message.Content != want {
+		t.Errorf("got %q, want %q", got.Choices[0].Message.Content, want)
+	}
+}
+
+// The caller sends a payment twice and sees the same answer; the service
+// recorded it once.
+func TestPaymentSentTwiceRunsOnce(t *testing.T) {
+	site, base := start(t)
+	answer(t, base, `{"model":"levy-13b","max_tokens":1,"messages":[{"role":"user","content":"x"}]}`)
+	_, first := post(t, base+"/v1/calls/payment", "k1", `{"amount":1}`)
+	_, second := post(t, base+"/v1/calls/payment", "k1", `{"amount":1}`)
+	if second != first {
+		t.Errorf("got %q for the second call, want %q", second, first)
+	}
+	if got := site.Desk().Runs("k1"); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
--- /dev/null
+++ b/internal/base/spec/chain.go
@@ -0,0 +1,49 @@
+package spec
+
+import "fmt"
+
+// Stage is one link of a chain: an engine and the layers that it runs.
+type Stage struct {
+	engine UpstreamID
+	layers Layers
+}
+
+// NewStage returns the stage that runs layers on engine.
+func NewStage(engine UpstreamID, layers Layers) Stage {
+	return Stage{engine: engine, layers: layers}
+}
+
+// Engine names the engine that runs the stage.
+func (s Stage) Engine() UpstreamID { return s.engine }
+
+// Layers is the range that the stage runs.
+func (s Stage) Layers() Layers { return s.layers }
+
+// Chain is the ordered stages that together run a model once per token.
+type Chain []Stage
+
+// Check returns an error unless the chain covers [0, depth) with no gap and
+// no overlap, which is what makes each layer run exactly once per token.
+func (c Chain) Check(depth int) error {
+	next := 0
+	for i, s := range c {
+		if s.layers.from != next || s.layers.Len() == 0 {
+			return fmt.Errorf("spec: stage %d runs layers %s, want a range from %d", i, s.layers, next)
+		}
+		next = s.layers.to
+	}
+	if next != depth {
+		return fmt.Errorf("spec: chain ends at layer %d, want %d", next, depth)
+	}
+	return nil
+}
+
+// Uses reports whether one of the stages runs on engine.
+func (c Chain) Uses(engine UpstreamID) bool {
+	for _, s := range c {
+		if s.engine == engine {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/base/spec/layers.go
@@ -0,0 +1,35 @@
+package spec
+
+import "fmt"
+
+// Layers is a half-open range of model layers [From, To).
+type Layers struct {
+	from, to int
+}
+
+// NewLayers returns the range [from, to).
+func NewLayers(from, to int) Layers {
+	return Layers{from: from, to: to}
+}
+
+// From is the first layer of the range.
+func (l Layers) From() int { return l.from }
+
+// To is the layer after the last one of the range.
+func (l Layers) To() int { return l.to }
+
+// Len is the number of layers in the range; an inverted range has none.
+func (l Layers) Len() int { return max(0, l.to-l.from) }
+
+// Covers reports whether every layer of other is in l.
+func (l Layers) Covers(other Layers) bool {
+	return l.from <= other.from && other.to <= l.to
+}
+
+// Has reports whether layer n is in l.
+func (l Layers) Has(n int) bool { return l.from <= n && n < l.to }
+
+// String writes the range as "from-to", the end excluded.
+func (l Layers) String() string {
+	return fmt.Sprintf("%d-%d", l.from, l.to)
+}
--- /dev/null
+++ b/internal/fakes/infra/server.go
@@ -0,0 +1,119 @@
+package infra
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"fulmarwick/internal/state/store"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+)
+
+// Server serves a Table and a list of instances over HTTP.
+type Server struct {
+	Table *Table
+
+	mu   sync.Mutex
+	list []store.ListedBody
+}
+
+// List sets what the platform lists.
+func (s *Server) List(entries []store.ListedBody) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append([]store.ListedBody(nil), entries...)
+}
+
+// Handler serves the platform's protocol.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/row", s.row).Methods(http.MethodGet)
+	r.HandleFunc("/v1/table", s.scan).Methods(http.MethodGet)
+	r.HandleFunc("/v1/commit", s.commit).Methods(http.MethodPost)
+	r.HandleFunc("/v1/instances", s.instances).Methods(http.MethodGet)
+	return r
+}
+
+func (s *Server) row(w http.ResponseWriter, req *http.Request) {
+	row, err := s.Table.Get(req.Context(), req.URL.Query().Get("key"))
+	if err != nil {
+		reject(w, err)
+		return
+	}
+	reply(w, body(row))
+}
+
+func (s *Server) scan(w http.ResponseWriter, req *http.Request) {
+	q := req.URL.Query()
+	since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil {
+		http.Error(w, "limit is not a number", http.StatusBadRequest)
+		return
+	}
+	rows, err := s.Table.Scan(req.Context(), q.Get("prefix"), since, limit)
+	if err != nil {
+		reject(w, err)
+		return
+	}
+	out := store.ScanBody{}
+	for _, r := range rows {
+		out.Rows = append(out.Rows, body(r))
+	}
+	reply(w, out)
+}
+
+func (s *Server) commit(w http.ResponseWriter, req *http.Request) {
+	var in store.CommitBody
+	if err := json.NewDecoder(req.Body).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var writes []store.Write
+	for _, b := range in.Writes {
+		if b.Remove {
+			writes = append(writes, store.Remove(b.Key, b.If))
+			continue
+		}
+		writes = append(writes, store.Put(b.Key, b.If, b.Value))
+	}
+	version, err := s.Table.Commit(req.Context(), writes)
+	if err != nil {
+		reject(w, err)
+		return
+	}
+	reply(w, store.CommitDone{Version: version})
+}
+
+func (s *Server) instances(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply(w, s.list)
+}
+
+func body(r store.Row) store.RowBody {
+	return store.RowBody{Key: r.Key(), Version: r.Version(), Value: r.Value()}
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// reject turns a fault into what a caller would see; a lost answer cuts the
+// connection.
+func reject(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, store.ErrMissing):
+		http.Error(w, "missing", http.StatusNotFound)
+	case errors.Is(err, store.ErrConflict):
+		http.Error(w, "conflict", http.StatusConflict)
+	case errors.Is(err, store.ErrDown):
+		http.Error(w, "down", http.StatusServiceUnavailable)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/fakes/infra/table.go
@@ -0,0 +1,177 @@
+// Package infra is a stand-in for the platform: its table, its object store
+// and its list of instances, in memory, with faults to order.
+//
+// It imports state/store for the bodies on the wire. The trial command and
+// tests run it, over HTTP or in the process.
+package infra
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"fulmarwick/internal/state/store"
+)
+
+// Table is the platform's table in memory. The zero value is ready.
+type Table struct {
+	mu      sync.Mutex
+	rows    map[string]store.Row
+	old     map[string]store.Row
+	version uint64
+	faults  Faults
+	reads   int
+	writes  int
+}
+
+// Faults are what the platform does wrong, until set anew.
+type Faults struct {
+	// Down refuses every call without effect.
+	Down bool
+	// Slow delays every call.
+	Slow time.Duration
+	// Lose drops the answers of this many commits after they took effect.
+	Lose int
+	// Drop loses this many commits before they take effect, with no answer.
+	Drop int
+	// Stale answers reads with what each row was before its last change.
+	Stale bool
+}
+
+// Fault sets the faults from now on.
+func (t *Table) Fault(f Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+}
+
+// Counts returns the reads and the rows written so far.
+func (t *Table) Counts() (reads, writes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads, t.writes
+}
+
+// Get returns the row under key, or store.ErrMissing.
+func (t *Table) Get(ctx context.Context, key string) (store.Row, error) {
+	if err := t.enter(ctx); err != nil {
+		return store.Row{}, err
+	}
+	defer t.mu.Unlock()
+	t.reads++
+	r, ok := t.view()[key]
+	if !ok {
+		return store.Row{}, store.ErrMissing
+	}
+	return r, nil
+}
+
+// Scan returns rows under prefix above version since, in order of version.
+func (t *Table) Scan(ctx context.Context, prefix string, since uint64, limit int) ([]store.Row, error) {
+	if err := t.enter(ctx); err != nil {
+		return nil, err
+	}
+	defer t.mu.Unlock()
+	t.reads++
+	var out []store.Row
+	for k, r := range t.view() {
+		if strings.HasPrefix(k, prefix) && r.Version() > since {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Version() != out[j].Version() {
+			return out[i].Version() < out[j].Version()
+		}
+		return out[i].Key() < out[j].Key()
+	})
+	return out[:min(limit, len(out))], nil
+}
+
+// Commit takes all writes or none.
+func (t *Table) Commit(ctx context.Context, writes []store.Write) (uint64, error) {
+	if err := t.enter(ctx); err != nil {
+		return 0, err
+	}
+	defer t.mu.Unlock()
+	if t.faults.Drop > 0 {
+		t.faults.Drop--
+		return 0, store.ErrUnsure
+	}
+	for _, w := range writes {
+		if t.rows[w.Key()].Version() != w.If() {
+			return 0, store.ErrConflict
+		}
+	}
+	t.take(writes)
+	if t.faults.Lose > 0 {
+		t.faults.Lose--
+		return 0, store.ErrUnsure
+	}
+	return t.version, nil
+}
+
+func (t *Table) take(writes []store.Write) {
+	if t.rows == nil {
+		t.rows = map[string]store.Row{}
+		t.old = map[string]store.Row{}
+	}
+	t.version++
+	for _, w := range writes {
+		t.writes++
+		t.remember(w.Key())
+		if w.Removes() {
+			delete(t.rows, w.Key())
+			continue
+		}
+		t.rows[w.Key()] = store.NewRow(w.Key(), t.version, append([]byte(nil), w.Value()...))
+	}
+}
+
+// remember keeps what a stale read answers.
+func (t *Table) remember(key string) {
+	if r, ok := t.rows[key]; ok {
+		t.old[key] = r
+		return
+	}
+	delete(t.old, key)
+}
+
+func (t *Table) view() map[string]store.Row {
+	if t.faults.Stale {
+		return t.old
+	}
+	return t.rows
+}
+
+// enter waits out the faults and returns with the lock held, or an error.
+func (t *Table) enter(ctx context.Context) error {
+	t.mu.Lock()
+	slow := t.faults.Slow
+	t.mu.Unlock()
+	if err := pause(ctx, slow); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	if t.faults.Down {
+		t.mu.Unlock()
+		return store.ErrDown
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return store.ErrDown
+	}
+}
--- /dev/null
+++ b/internal/fakes/layer/layer.go
@@ -0,0 +1,115 @@
+// Package layer is the function of the stand-in model: it is sensitive to
+// every layer, position and request, so that a layer that is skipped, doubled,
+// reordered or crossed with another request changes every later token.
+//
+// It imports xxhash only. The stand-in engine runs ranges of it; tests run it
+// whole as the oracle.
+package layer
+
+import (
+	"encoding/binary"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Vocabulary is the number of tokens; token 0 ends an answer.
+const Vocabulary = 4096
+
+// State is the cache of a range of layers for one request: one number per
+// layer that depends on all earlier tokens.
+type State struct {
+	from int
+	kv   []uint64
+	pos  int
+}
+
+// NewState returns the empty cache of layers [from, to).
+func NewState(from, to int) *State {
+	return &State{from: from, kv: make([]uint64, to-from)}
+}
+
+// Pos is how many tokens ran through the range.
+func (s *State) Pos() int { return s.pos }
+
+// Run puts one hidden value through the range and into the cache.
+func (s *State) Run(hidden uint64) uint64 {
+	for i := range s.kv {
+		layer := uint64(s.from + i)
+		hidden = mix(hidden, layer+1, s.kv[i])
+		s.kv[i] = mix(s.kv[i], hidden, layer+7)
+	}
+	s.pos++
+	return hidden
+}
+
+// Split turns a prompt into tokens; it never returns none.
+func Split(text string) []uint32 {
+	words := strings.Fields(text)
+	if len(words) == 0 {
+		words = []string{""}
+	}
+	out := make([]uint32, 0, len(words))
+	for _, w := range words {
+		out = append(out, uint32(1+xxhash.Sum64String(w)%(Vocabulary-1)))
+	}
+	return out
+}
+
+// Embed is the hidden value of a token before layer 0.
+func Embed(token uint32) uint64 { return mix(uint64(token), 0x9e37, 0x79b9) }
+
+// Pick is the token that a final hidden value stands for.
+func Pick(hidden uint64) uint32 { return uint32(hidden % Vocabulary) }
+
+// Word is the text of a token.
+func Word(token uint32) string { return "w" + strconv.Itoa(int(token)) + " " }
+
+// Whole runs the model of depth layers on one machine: the oracle. It returns
+// the tokens after the prompt, at most limit, without the ending token.
+func Whole(text string, depth, limit int) []uint32 {
+	s := NewState(0, depth)
+	var hidden uint64
+	for _, t := range Split(text) {
+		hidden = s.Run(Embed(t))
+	}
+	var out []uint32
+	for len(out) < limit {
+		t := Pick(hidden)
+		if t == 0 {
+			break
+		}
+		out = append(out, t)
+		hidden = s.Run(Embed(t))
+	}
+	return out
+}
+
+// Text is the answer that tokens stand for.
+func Text(tokens []uint32) string {
+	var b strings.Builder
+	for _, t := range tokens {
+		b.WriteString(Word(t))
+	}
+	return b.String()
+}
+
+// Encode and Decode carry a hidden value as bytes.
+func Encode(hidden uint64) []byte { return binary.BigEndian.AppendUint64(nil, hidden) }
+
+// Decode reads what Encode wrote; other lengths give false.
+func Decode(data []byte) (uint64, bool) {
+	if len(data) != 8 {
+		return 0, false
+	}
+	return binary.BigEndian.Uint64(data), true
+}
+
+func mix(a, b, c uint64) uint64 {
+	var buf [24]byte
+	binary.LittleEndian.PutUint64(buf[0:], a)
+	binary.LittleEndian.PutUint64(buf[8:], b)
+	binary.LittleEndian.PutUint64(buf[16:], c)
+	return xxhash.Sum64(buf[:])
+}
--- /dev/null
+++ b/internal/fakes/trial/trial.go
@@ -0,0 +1,130 @@
+// Package trial sets up the stand-ins of a small deployment on loopback.
+//
+// It imports the other stand-ins. The trial command and end-to-end tests
+// start a Site and point instances at it.
+package trial
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/fakes/desk"
+	"fulmarwick/internal/fakes/infra"
+	"fulmarwick/internal/fakes/stage"
+	"fulmarwick/internal/state/store"
+
+	"github.com/go-faster/errors"
+)
+
+// Names of the stand-in deployment.
+const (
+	Model   = "levy-13b"
+	Depth   = 24
+	Service = "payments"
+	Centre  = "klang"
+)
+
+// Site is a running set of stand-ins. Set Layer before Start.
+type Site struct {
+	// Layer is the time of a layer on the fastest engine.
+	Layer time.Duration
+
+	engines []*stage.Engine
+	desk    *desk.Desk
+	server  *infra.Server
+	listed  []store.ListedBody
+	url     string
+	closers []net.Listener
+}
+
+// Engines are the stand-in engines.
+func (s *Site) Engines() []*stage.Engine { return s.engines }
+
+// Desk is the stand-in plain service.
+func (s *Site) Desk() *desk.Desk { return s.desk }
+
+// Table is the stand-in platform's table.
+func (s *Site) Table() *infra.Table { return s.server.Table }
+
+// URL is where the platform answers.
+func (s *Site) URL() string { return s.url }
+
+// Start serves all stand-ins on free loopback ports.
+func (s *Site) Start(ctx context.Context) error {
+	s.server = &infra.Server{Table: &infra.Table{}}
+	s.engines = engines(s.Layer)
+	for _, e := range s.engines {
+		if err := s.add(ctx, e.Name, store.RoleEngine, "", e.Handler()); err != nil {
+			return err
+		}
+	}
+	s.desk = &desk.Desk{Name: Service}
+	if err := s.add(ctx, Service+"-1", store.RoleService, Service, s.desk.Handler()); err != nil {
+		return err
+	}
+	url, err := s.serve(ctx, s.server.Handler())
+	if err != nil {
+		return err
+	}
+	s.url = url
+	s.server.List(s.listed)
+	return nil
+}
+
+// Close stops all stand-ins.
+func (s *Site) Close() {
+	for _, l := range s.closers {
+		_ = l.Close()
+	}
+}
+
+// engines are of three speeds and hold overlapping ranges; no one of them
+// holds the whole model.
+func engines(unit time.Duration) []*stage.Engine {
+	ranges := []struct {
+		name, kind string
+		from, to   int
+		slow       time.Duration
+	}{
+		{"fast-1", "h200", 0, 12, 1},
+		{"fast-2", "h200", 8, 20, 1},
+		{"mid-1", "l40s", 0, 10, 2},
+		{"mid-2", "l40s", 10, 18, 2},
+		{"slow-1", "t4", 16, 24, 4},
+		{"slow-2", "t4", 18, 24, 4},
+	}
+	var out []*stage.Engine
+	for _, r := range ranges {
+		hold := frame.Hold{Model: Model, Version: "1", Depth: Depth, From: r.from, To: r.to}
+		out = append(out, &stage.Engine{
+			Name: r.name, DataCentre: Centre, Kind: r.kind, Holds: []frame.Hold{hold},
+			Layer: unit * r.slow, Slots: 16,
+		})
+	}
+	return out
+}
+
+func (s *Site) add(ctx context.Context, id, role, service string, h http.Handler) error {
+	url, err := s.serve(ctx, h)
+	if err != nil {
+		return err
+	}
+	s.listed = append(s.listed, store.ListedBody{
+		ID: id, Role: role, Service: service, URL: url, DataCentre: Centre, State: frame.StateLive,
+	})
+	return nil
+}
+
+func (s *Site) serve(ctx context.Context, h http.Handler) (string, error) {
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "trial: listen")
+	}
+	s.closers = append(s.closers, l)
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	return "http://" + l.Addr().String(), nil
+}
--- /dev/null
+++ b/internal/route/world/command.go
@@ -0,0 +1,81 @@
+package world
+
+import (
+	"time"
+
+	"fulmarwick/internal/base/spec"
+)
+
+// Command is something that the logic wants done outside.
+type Command interface{ command() }
+
+// Start begins or continues a request on a chain. Attempt rises with each
+// Start of the same request; stages that stand unchanged in the new chain
+// keep their state, the others are rebuilt.
+type Start struct {
+	Request spec.RequestID
+	Attempt uint32
+	Chain   spec.Chain
+	Depth   int
+	// Prio is the engine priority; a lower number runs first.
+	Prio int
+}
+
+// Refuse ends a request with its final answer. Nothing runs for it after.
+type Refuse struct {
+	Request spec.RequestID
+	Reason  Reason
+	// After is when the caller should try again; zero if that cannot help.
+	After time.Duration
+	// Ran reports whether any engine ran part of the request.
+	Ran bool
+}
+
+// Place asks for an engine to hold just these ranges in the end.
+type Place struct {
+	Engine spec.UpstreamID
+	Holds  []Hold
+}
+
+// Warn tells the other instances about a poison suspect.
+type Warn struct {
+	Print   uint64
+	Crashes int
+}
+
+// Forward ends a request here and has the instance named run it, since the
+// own data centre cannot meet its target. It is never given for a request
+// that was forwarded already.
+type Forward struct {
+	Request spec.RequestID
+	To      spec.InstanceID
+}
+
+// OwnLoad tells the other instances what this one has in flight on an engine.
+type OwnLoad struct {
+	Engine spec.UpstreamID
+	Active int
+	Tokens int
+}
+
+// OwnRate tells the other instances this one's use by a heavy team, in tokens
+// a second.
+type OwnRate struct {
+	Team spec.TeamID
+	Rate float64
+}
+
+// OwnSum tells the other data centres what this one can still take of a model.
+type OwnSum struct {
+	Model spec.ModelName
+	Free  float64
+}
+
+func (Start) command()   {}
+func (Refuse) command()  {}
+func (Place) command()   {}
+func (Warn) command()    {}
+func (Forward) command() {}
+func (OwnLoad) command() {}
+func (OwnRate) command() {}
+func (OwnSum) command()  {}
--- /dev/null
+++ b/internal/state/config/book.go
@@ -0,0 +1,110 @@
+// Package config keeps the classes and teams in force.
+//
+// It imports base/spec. Package entry reads the Book; the daemon sets it.
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sync/atomic"
+
+	"fulmarwick/internal/base/spec"
+)
+
+// Book gives the classes and teams in force. The zero value is empty.
+type Book struct {
+	now atomic.Pointer[Snapshot]
+}
+
+// Snapshot is one version of the configuration. It never changes.
+type Snapshot struct {
+	version uint64
+	classes []spec.Class
+	teams   []spec.Team
+	byName  map[spec.ClassName]spec.Class
+	byModel map[spec.ModelName]spec.Class
+	byTeam  map[spec.TeamID]spec.Team
+}
+
+// NewSnapshot returns a snapshot. The first class of a model is its default.
+func NewSnapshot(version uint64, classes []spec.Class, teams []spec.Team) *Snapshot {
+	s := &Snapshot{
+		version: version, classes: classes, teams: teams,
+		byName:  make(map[spec.ClassName]spec.Class, len(classes)),
+		byModel: map[spec.ModelName]spec.Class{},
+		byTeam:  make(map[spec.TeamID]spec.Team, len(teams)),
+	}
+	for _, c := range classes {
+		s.byName[c.Name()] = c
+		if _, ok := s.byModel[c.Model()]; !ok && c.Kind() == spec.KindModel {
+			s.byModel[c.Model()] = c
+		}
+	}
+	for _, t := range teams {
+		s.byTeam[t.ID()] = t
+	}
+	return s
+}
+
+// Version is the version of the snapshot.
+func (s *Snapshot) Version() uint64 { return s.version }
+
+// Classes are the classes, in the order of their definition.
+func (s *Snapshot) Classes() []spec.Class { return s.classes }
+
+// Teams are the teams.
+func (s *Snapshot) Teams() []spec.Team { return s.teams }
+
+// Take puts s in force unless a version at least as high is in force already,
+// and reports whether it did. A stale read or an old peer so never reverts an
+// accepted configuration.
+func (b *Book) Take(s *Snapshot) bool {
+	for {
+		old := b.now.Load()
+		if old != nil && old.version >= s.version {
+			return false
+		}
+		if b.now.CompareAndSwap(old, s) {
+			return true
+		}
+	}
+}
+
+// Now is the snapshot in force, or nil before the first.
+func (b *Book) Now() *Snapshot { return b.now.Load() }
+
+// Class returns the class under name.
+func (b *Book) Class(name spec.ClassName) (spec.Class, bool) {
+	s := b.now.Load()
+	if s == nil {
+		return spec.Class{}, false
+	}
+	c, ok := s.byName[name]
+	return c, ok
+}
+
+// ClassOf returns the default class of a model.
+func (b *Book) ClassOf(model spec.ModelName) (spec.Class, bool) {
+	s := b.now.Load()
+	if s == nil {
+		return spec.Class{}, false
+	}
+	c, ok := s.byModel[model]
+	return c, ok
+}
+
+// Team returns the team whose key is key.
+func (b *Book) Team(key string) (spec.Team, bool) {
+	s := b.now.Load()
+	if s == nil {
+		return spec.Team{}, false
+	}
+	t, ok := s.byTeam[HashKey(key)]
+	return t, ok
+}
+
+// HashKey is the hash under which a team's key is kept.
+func HashKey(key string) spec.TeamID {
+	sum := sha256.Sum256([]byte(key))
+	return spec.TeamID(hex.EncodeToString(sum[:]))
+}
--- /dev/null
+++ b/internal/state/ledger/call.go
@@ -0,0 +1,90 @@
+package ledger
+
+import (
+	"fulmarwick/internal/base/spec"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+//go:generate stringer -type=State -linecomment -output=state_string.go
+
+// State is what is known of a call.
+type State int
+
+// The states.
+const (
+	StateNone    State = iota // none
+	StateRunning              // running
+	StateDone                 // done
+	StateNotRun               // notrun
+	StateUnsure               // unsure
+)
+
+// Call is one call of a plain service.
+type Call struct {
+	team    spec.TeamID
+	class   spec.ClassName
+	service spec.ServiceName
+	key     string
+	kind    string
+	body    []byte
+}
+
+// NewCall returns a call. Key is the caller's idempotency key, kind the
+// content type of body.
+func NewCall(team spec.TeamID, class spec.ClassName, service spec.ServiceName, key, kind string, body []byte) Call {
+	return Call{team: team, class: class, service: service, key: key, kind: kind, body: body}
+}
+
+// Team is the team that calls.
+func (c Call) Team() spec.TeamID { return c.team }
+
+// Class is the class of the call.
+func (c Call) Class() spec.ClassName { return c.class }
+
+// Service is the service that runs the call.
+func (c Call) Service() spec.ServiceName { return c.service }
+
+// Key is the caller's idempotency key.
+func (c Call) Key() string { return c.key }
+
+// Type is the content type of the body.
+func (c Call) Type() string { return c.kind }
+
+// Body is what the service gets.
+func (c Call) Body() []byte { return c.body }
+
+func (c Call) sum() uint64 { return xxhash.Sum64(c.body) }
+
+// Answer is what a service answered.
+type Answer struct {
+	status int
+	kind   string
+	body   []byte
+}
+
+// NewAnswer returns an answer.
+func NewAnswer(status int, kind string, body []byte) Answer {
+	return Answer{status: status, kind: kind, body: body}
+}
+
+// Status is the HTTP status.
+func (a Answer) Status() int { return a.status }
+
+// Type is the content type of the body.
+func (a Answer) Type() string { return a.kind }
+
+// Body is the answer's body.
+func (a Answer) Body() []byte { return a.body }
+
+// Outcome is the state of a call and, if it is done, its answer.
+type Outcome struct {
+	state  State
+	answer Answer
+}
+
+// State is what is known of the call.
+func (o Outcome) State() State { return o.state }
+
+// Answer is the stored answer of a call that is done.
+func (o Outcome) Answer() Answer { return o.answer }
--- /dev/null
+++ b/internal/state/store/client.go
@@ -0,0 +1,129 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	callTimeout = 3 * time.Second
+	maxBody     = 8 << 20
+)
+
+// Client is the HTTP adapter of the platform's services. Set the exported
+// fields before the first call.
+type Client struct {
+	// Base is such as "http://10.0.0.2:7000".
+	Base string
+	HTTP *http.Client
+}
+
+// Get returns the row under key, or ErrMissing.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	var b RowBody
+	err := c.read(ctx, "/v1/row?key="+url.QueryEscape(key), &b)
+	if err != nil {
+		return Row{}, err
+	}
+	return NewRow(b.Key, b.Version, b.Value), nil
+}
+
+// Scan returns at most limit rows under prefix with a version above since, in
+// order of version.
+func (c *Client) Scan(ctx context.Context, prefix string, since uint64, limit int) ([]Row, error) {
+	q := url.Values{}
+	q.Set("prefix", prefix)
+	q.Set("since", strconv.FormatUint(since, 10))
+	q.Set("limit", strconv.Itoa(limit))
+	var b ScanBody
+	if err := c.read(ctx, "/v1/table?"+q.Encode(), &b); err != nil {
+		return nil, err
+	}
+	rows := make([]Row, 0, len(b.Rows))
+	for _, r := range b.Rows {
+		rows = append(rows, NewRow(r.Key, r.Version, r.Value))
+	}
+	return rows, nil
+}
+
+// Commit takes all writes or none and returns the new version.
+func (c *Client) Commit(ctx context.Context, writes []Write) (uint64, error) {
+	var body CommitBody
+	for _, w := range writes {
+		body.Writes = append(body.Writes, WriteBody{Key: w.key, If: w.ifVer, Value: w.value, Remove: w.remove})
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, errors.Wrap(err, "store: encode")
+	}
+	var done CommitDone
+	if err := c.call(ctx, http.MethodPost, "/v1/commit", data, &done); err != nil {
+		return 0, err
+	}
+	return done.Version, nil
+}
+
+// List returns the platform's lagging list of instances and upstreams.
+func (c *Client) List(ctx context.Context) ([]ListedBody, error) {
+	var out []ListedBody
+	if err := c.read(ctx, "/v1/instances", &out); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// read is a call without effect: a lost answer is only an outage.
+func (c *Client) read(ctx context.Context, path string, into any) error {
+	err := c.call(ctx, http.MethodGet, path, nil, into)
+	if errors.Is(err, ErrUnsure) {
+		return errors.Wrap(ErrDown, err.Error())
+	}
+	return err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, data []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	// The reader hides its type from net/http, so that the request has no
+	// GetBody and a broken connection is never answered by sending it again.
+	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, io.NopCloser(bytes.NewReader(data)))
+	if err != nil {
+		return errors.Wrap(err, "store: request")
+	}
+	req.ContentLength = int64(len(data))
+	if len(data) == 0 {
+		req.Body = http.NoBody
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return errors.Wrap(ErrUnsure, err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return answer(resp, into)
+}
+
+func answer(resp *http.Response, into any) error {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return ErrMissing
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return errors.Wrapf(ErrDown, "status %d", resp.StatusCode)
+	default:
+		return errors.Wrapf(ErrUnsure, "status %d", resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(into); err != nil {
+		return errors.Wrap(ErrUnsure, err.Error())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/store/store.go
@@ -0,0 +1,76 @@
+// Package store is the client of the platform's table and object services.
+//
+// It imports the standard library and the errors library. Packages ledger,
+// lease, config and order use it through small interfaces of their own.
+package store
+
+import "github.com/go-faster/errors"
+
+// Errors of this package. Callers tell them apart by errors.Is.
+var (
+	// ErrMissing means that no row or object has the key.
+	ErrMissing = errors.New("store: missing")
+	// ErrConflict means that a condition of a commit did not hold, so the
+	// commit had no effect.
+	ErrConflict = errors.New("store: conflict")
+	// ErrDown means that the service refused or could not be reached before
+	// the request left, so it had no effect.
+	ErrDown = errors.New("store: down")
+	// ErrUnsure means that the answer was lost: the commit may have taken
+	// effect, and only reading back can tell.
+	ErrUnsure = errors.New("store: unsure")
+)
+
+// Row is a row of the table. Versions rise with each commit over the whole
+// table, so a version also orders rows among each other.
+type Row struct {
+	key     string
+	version uint64
+	value   []byte
+}
+
+// NewRow returns a row.
+func NewRow(key string, version uint64, value []byte) Row {
+	return Row{key: key, version: version, value: value}
+}
+
+// Key is the row's key.
+func (r Row) Key() string { return r.key }
+
+// Version is the version of the commit that last wrote the row.
+func (r Row) Version() uint64 { return r.version }
+
+// Value is the row's content.
+func (r Row) Value() []byte { return r.value }
+
+// Write is one conditional write of a commit. The row must have the version
+// If; zero means that it must not exist. A commit takes effect whole or not
+// at all.
+type Write struct {
+	key    string
+	ifVer  uint64
+	value  []byte
+	remove bool
+}
+
+// Put returns a write that stores value.
+func Put(key string, ifVersion uint64, value []byte) Write {
+	return Write{key: key, ifVer: ifVersion, value: value}
+}
+
+// Remove returns a write that removes the row.
+func Remove(key string, ifVersion uint64) Write {
+	return Write{key: key, ifVer: ifVersion, remove: true}
+}
+
+// Key is the key of the row to write.
+func (w Write) Key() string { return w.key }
+
+// If is the version that the row must have.
+func (w Write) If() uint64 { return w.ifVer }
+
+// Value is the new content.
+func (w Write) Value() []byte { return w.value }
+
+// Removes reports whether the row is to go.
+func (w Write) Removes() bool { return w.remove }
