Add admission, fair queueing, picking, retries and poison to the routing logic

The thin core started every request at once on the chain with the least reported load. It now keeps an index of engines per layer range, predicts the finish from reports corrected by own and peers' draws, queues by start-time fair queueing, refuses what cannot meet its target, resumes on what survives, and keeps poison suspects apart.

--- /dev/null
+++ b/internal/route/pick/naive.go
@@ -0,0 +1,78 @@
+package pick
+
+import (
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+)
+
+// RoundRobin takes the engines of each layer range in turn, whatever their
+// speed and load. It is the naive side of comparisons.
+type RoundRobin struct {
+	next map[*world.Group]int
+}
+
+// Choose implements Chooser; the chain always fits.
+func (n *RoundRobin) Choose(w *world.World, r *world.Request, ask Ask) (Choice, bool) {
+	if n.next == nil {
+		n.next = map[*world.Group]int{}
+	}
+	return naive(w, r, ask, func(g *world.Group) *world.Engine {
+		n.next[g]++
+		return g.Engines()[n.next[g]%len(g.Engines())]
+	})
+}
+
+// Least takes the engine of each layer range with the least load in its last
+// report, as queue length. It is the naive side of comparisons.
+type Least struct{}
+
+// Choose implements Chooser; the chain always fits.
+func (Least) Choose(w *world.World, r *world.Request, ask Ask) (Choice, bool) {
+	return naive(w, r, ask, func(g *world.Group) *world.Engine {
+		var best *world.Engine
+		for _, e := range g.Engines() {
+			if best == nil || e.Active+e.Queued < best.Active+best.Queued {
+				best = e
+			}
+		}
+		return best
+	})
+}
+
+// naive walks the layers from the first to the last, each time with the range
+// that reaches furthest.
+func naive(w *world.World, r *world.Request, ask Ask, pick func(*world.Group) *world.Engine) (Choice, bool) {
+	versions := w.Engines().Index().Versions(r.Arrived().Model)
+	if len(versions) == 0 {
+		return Choice{}, false
+	}
+	m := versions[0]
+	out := Choice{Fits: true, Plan: world.Plan{Depth: m.Depth(), Version: m.Version()}}
+	for at := 0; at < m.Depth(); {
+		g := furthest(m, at)
+		if g == nil {
+			return Choice{}, false
+		}
+		e := pick(g)
+		layers := spec.NewLayers(at, g.Layers().To())
+		out.Plan.Chain = append(out.Plan.Chain, spec.NewStage(e.ID, layers))
+		out.Plan.Token += time.Duration(layers.Len())*e.Pace() + e.HopTime()
+		out.Plan.Fresh = append(out.Plan.Fresh, e.ID)
+		at = g.Layers().To()
+	}
+	out.Plan.First = out.Plan.Token * chunks(positions(r))
+	out.Plan.Whole = out.Plan.First + time.Duration(ask.Out)*out.Plan.Token
+	return out, true
+}
+
+func furthest(m *world.Model, at int) *world.Group {
+	var best *world.Group
+	for _, g := range m.Groups() {
+		if g.Layers().Has(at) && (best == nil || g.Layers().To() > best.Layers().To()) {
+			best = g
+		}
+	}
+	return best
+}
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -1,115 +1,191 @@
-// Package pick chooses the chain of engines for a request by predicted finish.
-//
-// It imports base/spec and route/world. Package core calls it for requests
-// that were admitted or whose stage was lost.
 package pick
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/world"
 )
 
-// Choice is a chain for a request with its predicted cost.
-type Choice struct {
-	Chain spec.Chain
-	Depth int
-	// Token is the predicted time for one token through the whole chain.
-	Token time.Duration
+const (
+	// DefaultTries is how many engines of a group are drawn and compared.
+	DefaultTries = 3
+	// scanMost is the size of a group that is read whole when none of the
+	// engines drawn has room; of a larger one wideTries are drawn.
+	scanMost  = 32
+	wideTries = 16
+	cachedTry = 4
+)
+
+// Picker chooses among a few engines per layer range, drawn at random in
+// proportion to their capacity, by predicted finish. Drawing keeps instances
+// that read the same late report from all choosing the engine that looks best
+// in it. Set the exported fields before use.
+type Picker struct {
+	// Rand is the instance's own seeded source; required.
+	Rand *rand.Rand
+	// Cache is what engines have of prompt prefixes; nil knows nothing.
+	Cache *Cache
+	// Tries is how many engines are drawn per range; zero is DefaultTries.
+	Tries int
+
+	typical map[spec.ModelName]time.Duration
 }
 
-// Choose returns the chain with the least predicted time for a token that
-// covers the request's model and avoids the engines that it lost. It reports
-// false if no set of serving engines covers the model.
-//
-// The search is a shortest path over layer boundaries: an engine that holds
-// [from, to) may run any [from, end) within it, so overlaps are trimmed.
-func Choose(w *world.World, r *world.Request) (Choice, bool) {
-	holds := usable(w, r)
-	if len(holds) == 0 {
-		return Choice{}, false
-	}
-	depth := holds[0].hold.Depth
-	best := make([]step, depth+1)
-	best[0].ok = true
-	for at := 0; at < depth; at++ {
-		if best[at].ok {
-			extend(best, holds, at)
+// call is the state of one choice.
+type call struct {
+	*Picker
+	w         *world.World
+	r         *world.Request
+	ask       Ask
+	typical   time.Duration
+	positions int
+	cached    []cached
+}
+
+// Choose returns the chain with the least predicted finish that covers one
+// version of the model. A request that made tokens stays on its version and
+// keeps the stages that live, unless rebuilding them elsewhere is faster.
+func (p *Picker) Choose(w *world.World, r *world.Request, ask Ask) (Choice, bool) {
+	c := &call{Picker: p, w: w, r: r, ask: ask, positions: positions(r)}
+	if p.Cache != nil {
+		c.cached = p.Cache.Find(w, r.Arrived().Blocks)
+	}
+	best, rank, found := Choice{}, time.Duration(0), false
+	for _, m := range w.Engines().Index().Versions(r.Arrived().Model) {
+		if v := r.Plan().Version; v != "" && v != m.Version() {
+			continue
+		}
+		c.typical = p.usual(m)
+		got, cost, ok := c.version(m)
+		if ok && (!found || cost < rank) {
+			best, rank, found = got, cost, true
 		}
 	}
-	if !best[depth].ok {
-		return Choice{}, false
+	if found {
+		p.learn(r.Arrived().Model, best.Plan.Token)
 	}
-	return trace(best, depth), true
+	return best, found
 }
 
-type offer struct {
-	engine *world.Engine
-	hold   world.Hold
+// version searches one version, first among few engines and then, if those
+// have no room, among more.
+func (c *call) version(m *world.Model) (Choice, time.Duration, bool) {
+	tries := c.Tries
+	if tries == 0 {
+		tries = DefaultTries
+	}
+	got, rank, ok := c.search(m, c.offers(m, tries, false))
+	if ok && got.Fits {
+		return got, rank, true
+	}
+	return c.search(m, c.offers(m, wideTries, true))
 }
 
-type step struct {
-	ok     bool
-	cost   time.Duration
-	prev   int
-	engine spec.UpstreamID
+func (c *call) offers(m *world.Model, tries int, wide bool) []offer {
+	out := c.keepable(m)
+	for _, g := range m.Groups() {
+		c.group(g, tries, wide, &out)
+	}
+	return out
 }
 
-func usable(w *world.World, r *world.Request) []offer {
+// keepable are the stages of the request that live still.
+func (c *call) keepable(m *world.Model) []offer {
+	if c.r.Attempt() == 0 {
+		return nil
+	}
 	var out []offer
-	for _, e := range w.Engines().Rows() {
-		if e.State() != world.StateServing || lost(r, e.ID) {
+	for _, s := range c.r.Chain() {
+		e := c.w.Engines().Get(s.Engine())
+		if e == nil || e.State() != world.StateServing || c.r.Avoids(e.ID) {
 			continue
 		}
-		for _, h := range e.Holds {
-			if h.Model == r.Arrived().Model {
-				out = append(out, offer{engine: e, hold: h})
-			}
+		if h, ok := e.Hold(m.Name(), m.Version(), s.Layers()); ok {
+			out = append(out, offer{engine: e, layers: s.Layers(), width: h.Width, kept: true})
 		}
 	}
 	return out
 }
 
-func lost(r *world.Request, id spec.UpstreamID) bool {
-	for _, l := range r.Lost() {
-		if l == id {
-			return true
+// group adds the best engine of those drawn and the best of those that have
+// some of the prompt cached.
+func (c *call) group(g *world.Group, tries int, wide bool, out *[]offer) {
+	n := g.Layers().Len()
+	var best, warm offer
+	var bestRank, warmRank time.Duration
+	consider := func(e *world.Engine, hit int) {
+		if e == nil || !c.usable(e) {
+			return
+		}
+		o := offer{engine: e, layers: g.Layers(), width: g.Width(), hit: hit}
+		rank := c.price(&o, n).rank
+		if hit > 0 && (warm.engine == nil || rank < warmRank) {
+			warm, warmRank = o, rank
 		}
+		if hit == 0 && (best.engine == nil || rank < bestRank) {
+			best, bestRank = o, rank
+		}
+	}
+	c.draw(g, tries, wide, func(e *world.Engine) { consider(e, 0) })
+	for _, h := range c.cached {
+		if g.Has(h.engine) {
+			consider(h.engine, h.tokens)
+		}
+	}
+	if best.engine != nil {
+		*out = append(*out, best)
+	}
+	if warm.engine != nil {
+		*out = append(*out, warm)
 	}
-	return false
 }
 
-func extend(best []step, holds []offer, at int) {
-	for _, o := range holds {
-		if !o.hold.Layers.Has(at) {
-			continue
+func (c *call) draw(g *world.Group, tries int, wide bool, take func(*world.Engine)) {
+	engines := g.Engines()
+	if len(engines) <= tries || (wide && len(engines) <= scanMost) {
+		for _, e := range engines {
+			take(e)
 		}
-		for end := at + 1; end <= o.hold.Layers.To(); end++ {
-			cost := best[at].cost + tokenTime(o.engine, end-at)
-			if !best[end].ok || cost < best[end].cost {
-				best[end] = step{ok: true, cost: cost, prev: at, engine: o.engine.ID}
-			}
+		return
+	}
+	for range tries {
+		take(g.Sample(c.Rand))
+	}
+	if wide {
+		for _, e := range g.Freed() {
+			take(e)
 		}
 	}
 }
 
-// tokenTime is the predicted time of a token through n layers of e.
-func tokenTime(e *world.Engine, n int) time.Duration {
-	slots := max(1, e.Slots)
-	load := max(e.Active+e.Queued, e.Own())
-	waves := time.Duration(1 + load/slots)
-	return e.Hop + waves*time.Duration(n)*e.Layer
+func (c *call) usable(e *world.Engine) bool {
+	if !e.Usable(c.w.Now()) || c.r.Avoids(e.ID) {
+		return false
+	}
+	return c.ask.Solo == nil || c.ask.Solo(e.ID)
+}
+
+// usual is the time that a token of the model usually takes.
+func (p *Picker) usual(m *world.Model) time.Duration {
+	if t := p.typical[m.Name()]; t > 0 {
+		return t
+	}
+	sum := time.Duration(0)
+	for _, g := range m.Groups() {
+		e := g.Engines()[0]
+		sum += time.Duration(g.Layers().Len())*e.Pace() + e.HopTime()
+	}
+	return max(sum, time.Microsecond)
 }
 
-func trace(best []step, depth int) Choice {
-	var back []spec.Stage
-	for at := depth; at > 0; at = best[at].prev {
-		back = append(back, spec.NewStage(best[at].engine, spec.NewLayers(best[at].prev, at)))
+func (p *Picker) learn(model spec.ModelName, token time.Duration) {
+	if p.typical == nil {
+		p.typical = map[spec.ModelName]time.Duration{}
 	}
-	chain := make(spec.Chain, 0, len(back))
-	for i := len(back) - 1; i >= 0; i-- {
-		chain = append(chain, back[i])
+	if old := p.typical[model]; old > 0 {
+		token = (7*old + token) / 8
 	}
-	return Choice{Chain: chain, Depth: depth, Token: best[depth].cost}
+	p.typical[model] = max(token, time.Microsecond)
 }
--- a/internal/route/world/apply.go
+++ b/internal/route/world/apply.go
@@ -1,6 +1,8 @@
 package world
 
-import "fulmarwick/internal/base/spec"
+import (
+	"fulmarwick/internal/base/spec"
+)
 
 // Apply takes an event into the tables.
 func (w *World) Apply(ev Event) {
@@ -12,19 +14,36 @@
 	case StageLost:
 		w.stageLost(ev)
 	case Finished:
-		w.finished(ev.Request)
+		w.finished(ev)
 	case Canceled:
-		w.finished(ev.Request)
+		w.ended(ev.Request)
+	case ConfigSet:
+		w.configSet(ev)
+	default:
+		w.applyEngine(ev)
+	}
+}
+
+func (w *World) applyEngine(ev Event) {
+	switch ev := ev.(type) {
 	case EngineSeen:
-		w.engines.see(ev.Engine)
+		w.engines.see(w.now, ev.Engine)
 	case EngineDown:
-		w.engines.mark(ev.Engine, StateDown)
+		w.engines.mark(w.now, ev.Engine, StateDown)
 	case EngineLeaving:
-		w.engines.mark(ev.Engine, StateLeaving)
+		w.engines.mark(w.now, ev.Engine, StateLeaving)
 	case EngineGone:
-		w.engines.remove(ev.Engine)
-	case ConfigSet:
-		w.configSet(ev)
+		w.engineGone(ev.Engine)
+	case HopTimed:
+		if e := w.engines.Get(ev.Engine); e != nil {
+			e.timed(ev)
+		}
+	case PeerLoad:
+		w.peerLoad(ev)
+	case PeerGone:
+		w.peerGone(ev.Peer)
+	case CentreSum:
+		w.centreSum(ev)
 	}
 }
 
@@ -48,14 +67,48 @@
 	if r == nil || r.attempt != ev.Attempt {
 		return
 	}
-	r.lost = append(r.lost, ev.Engine)
-	if ev.Cause == CauseBroken {
-		w.engines.mark(ev.Engine, StateDown)
+	r.cause = ev.Cause
+	e := w.engines.Get(ev.Engine)
+	r.died = ev.Cause == CauseBroken || (e != nil && e.state == StateDown)
+	// An engine that lost only this request's state can rebuild it.
+	if ev.Cause != CauseState {
+		r.lost = append(r.lost, ev.Engine)
+	}
+	if e != nil {
+		w.failed(e, ev.Cause)
 	}
 	w.requests.wait(r)
 }
 
-func (w *World) finished(id spec.RequestID) {
+func (w *World) failed(e *Engine, cause Cause) {
+	switch cause {
+	case CauseBroken:
+		w.engines.mark(w.now, e.ID, StateDown)
+	case CauseTimeout, CauseRefused, CauseLeaving:
+		// Leaving is also what a full engine answers, so it is not marked for
+		// good: its report or the list confirm it while it is shunned.
+		e.Shun(w.now)
+	case CauseState:
+	}
+}
+
+func (w *World) finished(ev Finished) {
+	r := w.requests.Get(ev.Request)
+	if r == nil {
+		return
+	}
+	r.done = ev.OK
+	if ev.OK {
+		for _, s := range r.plan.Chain {
+			if e := w.engines.Get(s.Engine()); e != nil {
+				e.Proved()
+			}
+		}
+	}
+	w.forget(r)
+}
+
+func (w *World) ended(id spec.RequestID) {
 	if r := w.requests.Get(id); r != nil {
 		w.forget(r)
 	}
--- a/internal/route/world/command.go
+++ b/internal/route/world/command.go
@@ -19,6 +19,11 @@
 	Depth   int
 	// Prio is the engine priority; a lower number runs first.
 	Prio int
+	// Patience is how long a step for one token may take before its stage
+	// counts as lost, Prefill the same for the first step of a new stage.
+	// Zero leaves it to the wire.
+	Patience time.Duration
+	Prefill  time.Duration
 }
 
 // Refuse ends a request with its final answer. Nothing runs for it after.
@@ -39,8 +44,12 @@
 
 // Warn tells the other instances about a poison suspect.
 type Warn struct {
-	Print   uint64
+	Print uint64
+	// Crashes is how many engines died while running it, as known here.
 	Crashes int
+	// Engine is the last that died, so that two instances which saw the same
+	// death count it once; "" if not known.
+	Engine spec.UpstreamID
 }
 
 // Forward ends a request here and has the instance named run it, since the
@@ -54,6 +63,8 @@
 // OwnLoad tells the other instances what this one has in flight on an engine.
 type OwnLoad struct {
 	Engine spec.UpstreamID
+	// Active counts requests; Tokens is what they draw, in layer-tokens a
+	// second.
 	Active int
 	Tokens int
 }
--- a/internal/route/world/engine.go
+++ b/internal/route/world/engine.go
@@ -38,12 +38,20 @@
 	// Bandwidth of the link to the engine is in bytes a second; zero is
 	// unbounded.
 	Bandwidth int64
-	// Seq orders reports: one with a lower number is ignored.
+	// Incarnation changes when the engine restarts; zero if it does not tell.
+	Incarnation uint64
+	// Seq orders the reports of one incarnation: a lower number is ignored.
 	Seq uint64
 
 	state State
 	// own is how many requests of this instance run on the engine.
-	own int
+	own  int
+	load load
+	hop  hop
+	shun shun
+	// downAt is when the engine was last marked down.
+	downAt time.Duration
+	groups []*Group
 }
 
 // State is how routing sees the engine.
@@ -52,64 +60,55 @@
 // Own is how many requests of this instance use the engine.
 func (e *Engine) Own() int { return e.own }
 
-// Engines is the table of engines in order of ID.
-type Engines struct {
-	rows  []*Engine
-	index map[spec.UpstreamID]*Engine
+// Usable reports whether new work may go to the engine at now.
+func (e *Engine) Usable(now time.Duration) bool {
+	return e.state == StateServing && now >= e.shun.until
 }
 
-// Rows are all engines in order of ID; the caller must not change the slice.
-func (t *Engines) Rows() []*Engine { return t.rows }
-
-// Get returns the engine, or nil if it is not known.
-func (t *Engines) Get(id spec.UpstreamID) *Engine { return t.index[id] }
-
-func (t *Engines) see(report Engine) {
-	old := t.index[report.ID]
-	if old == nil {
-		t.insert(&report)
-		return
-	}
-	if report.Seq <= old.Seq {
-		return
-	}
-	report.state = old.state
-	report.own = old.own
-	if old.state == StateDown {
-		report.state = StateServing
+// Hold returns the engine's hold that covers layers of the model version.
+func (e *Engine) Hold(model spec.ModelName, version string, layers spec.Layers) (Hold, bool) {
+	for _, h := range e.Holds {
+		if h.Model == model && h.Version == version && h.Layers.Covers(layers) {
+			return h, true
+		}
 	}
-	*old = report
+	return Hold{}, false
 }
 
-func (t *Engines) insert(e *Engine) {
-	if t.index == nil {
-		t.index = map[spec.UpstreamID]*Engine{}
-	}
-	t.index[e.ID] = e
-	at := 0
-	for at < len(t.rows) && t.rows[at].ID < e.ID {
-		at++
-	}
-	t.rows = append(t.rows, nil)
-	copy(t.rows[at+1:], t.rows[at:])
-	t.rows[at] = e
+// shun is how long new work avoids an engine that failed without dying.
+type shun struct {
+	until   time.Duration
+	strikes int
 }
 
-func (t *Engines) remove(id spec.UpstreamID) {
-	if t.index[id] == nil {
+const (
+	shunFirst = time.Second
+	shunMost  = 32 * time.Second
+)
+
+// Shun keeps new work off the engine for a time that doubles with each strike
+// in a row, so that an engine that fails now and then is tried less and less
+// and never in step with its recovery.
+func (e *Engine) Shun(now time.Duration) {
+	if now < e.shun.until {
 		return
 	}
-	delete(t.index, id)
-	for i, e := range t.rows {
-		if e.ID == id {
-			t.rows = append(t.rows[:i], t.rows[i+1:]...)
-			return
-		}
-	}
+	wait := min(shunFirst<<min(e.shun.strikes, 10), shunMost)
+	e.shun.strikes++
+	e.shun.until = now + wait
 }
 
-func (t *Engines) mark(id spec.UpstreamID, s State) {
-	if e := t.index[id]; e != nil {
-		e.state = s
+// Proved forgets the strikes of an engine that finished work.
+func (e *Engine) Proved() { e.shun.strikes = 0 }
+
+func sameHolds(a, b []Hold) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
 	}
+	return true
 }
--- /dev/null
+++ b/internal/route/world/engines.go
@@ -0,0 +1,115 @@
+package world
+
+import (
+	"sort"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+)
+
+// downHold is how long an engine that died stays out although reports of it
+// arrive: they may have been under way when it died, and believing one would
+// send work to a dead engine until the next death notice.
+const downHold = time.Second
+
+// Engines is the table of engines in order of ID.
+type Engines struct {
+	rows  []*Engine
+	byID  map[spec.UpstreamID]*Engine
+	index Index
+}
+
+// Rows are all engines in order of ID; the caller must not change the slice.
+func (t *Engines) Rows() []*Engine { return t.rows }
+
+// Get returns the engine, or nil if it is not known.
+func (t *Engines) Get(id spec.UpstreamID) *Engine { return t.byID[id] }
+
+// Index finds the engines of a model.
+func (t *Engines) Index() *Index { return &t.index }
+
+func (t *Engines) see(now time.Duration, report Engine) {
+	e := t.byID[report.ID]
+	if e == nil {
+		e = &report
+		t.insert(e)
+		t.index.link(e)
+		e.sample()
+		return
+	}
+	restarted := report.Incarnation != e.Incarnation
+	if e.state == StateDown {
+		if now < e.downAt+downHold {
+			return
+		}
+		// Engines that tell no incarnation count their reports from one
+		// again after a restart.
+		restarted = restarted || report.Seq < e.Seq
+	}
+	if !restarted && report.Seq <= e.Seq {
+		return
+	}
+	t.update(e, &report, restarted)
+}
+
+func (t *Engines) update(e, report *Engine, restarted bool) {
+	moved := !sameHolds(e.Holds, report.Holds) || e.Layer != report.Layer || e.Slots != report.Slots
+	state := e.state
+	// A leaving engine that still reports is leaving still: only a restart or
+	// its removal from the list ends that, else a late report of before the
+	// signal would bring new work back.
+	if restarted || state == StateDown {
+		state = StateServing
+	}
+	if moved || state != e.state {
+		t.index.unlink(e)
+	}
+	report.state, report.own, report.load = state, e.own, e.load
+	report.hop, report.shun, report.downAt, report.groups = e.hop, e.shun, e.downAt, e.groups
+	*e = *report
+	if moved || len(e.groups) == 0 {
+		t.index.link(e)
+	}
+	e.sample()
+}
+
+func (t *Engines) insert(e *Engine) {
+	if t.byID == nil {
+		t.byID = map[spec.UpstreamID]*Engine{}
+	}
+	t.byID[e.ID] = e
+	at := t.place(e.ID)
+	t.rows = append(t.rows, nil)
+	copy(t.rows[at+1:], t.rows[at:])
+	t.rows[at] = e
+}
+
+func (t *Engines) place(id spec.UpstreamID) int {
+	return sort.Search(len(t.rows), func(i int) bool { return t.rows[i].ID >= id })
+}
+
+func (t *Engines) remove(id spec.UpstreamID) {
+	e := t.byID[id]
+	if e == nil {
+		return
+	}
+	t.index.unlink(e)
+	delete(t.byID, id)
+	at := t.place(id)
+	t.rows = append(t.rows[:at], t.rows[at+1:]...)
+}
+
+func (t *Engines) mark(now time.Duration, id spec.UpstreamID, s State) {
+	e := t.byID[id]
+	if e == nil {
+		return
+	}
+	if s == StateDown {
+		e.downAt = now
+	}
+	if e.state == s || (e.state == StateLeaving && s == StateDown) {
+		return
+	}
+	e.state = s
+	t.index.unlink(e)
+}
--- a/internal/route/world/event.go
+++ b/internal/route/world/event.go
@@ -95,7 +95,8 @@
 	Teams   []spec.Team
 }
 
-// PeerLoad tells what another instance has in flight on an engine.
+// PeerLoad tells what another instance has in flight on an engine, as its
+// OwnLoad gave it.
 type PeerLoad struct {
 	Peer   spec.InstanceID
 	Engine spec.UpstreamID
@@ -113,6 +114,8 @@
 	Print uint64
 	// Crashes is how many engines died while running it, fleet-wide.
 	Crashes int
+	// Engine is the last that died; "" if not known.
+	Engine spec.UpstreamID
 }
 
 // TeamUsed tells the fleet-wide use of a heavy team, in tokens a second.
--- a/internal/route/world/world.go
+++ b/internal/route/world/world.go
@@ -11,9 +11,13 @@
 	now      time.Duration
 	engines  Engines
 	requests Requests
+	peers    peers
+	centres  map[spec.ModelName][]*Centre
 	classes  map[spec.ClassName]spec.Class
 	teams    map[spec.TeamID]spec.Team
 	version  uint64
+	paces    map[spec.ModelName]int64
+	touched  []*Engine
 	out      []Command
 }
 
@@ -53,18 +57,27 @@
 // Emit adds a command that concerns no request.
 func (w *World) Emit(c Command) { w.out = append(w.out, c) }
 
-// Start settles a request by running it on chain under a new attempt.
-func (w *World) Start(r *Request, chain spec.Chain, depth, prio int) {
+// Touched takes the engines whose own load changed since the last call; an
+// engine may come twice.
+func (w *World) Touched() []*Engine {
+	t := w.touched
+	w.touched = nil
+	return t
+}
+
+// Start settles a request by running it by plan under a new attempt. The
+// times say how long the wire waits before a stage counts as lost.
+func (w *World) Start(r *Request, plan Plan, prio int, patience, prefill time.Duration) {
 	w.release(r)
 	r.attempt++
-	r.chain = chain
-	for _, s := range chain {
-		if e := w.engines.Get(s.Engine()); e != nil {
-			e.own++
-		}
-	}
-	w.requests.settled(r)
-	w.Emit(Start{Request: r.arrived.Request, Attempt: r.attempt, Chain: chain, Depth: depth, Prio: prio})
+	r.plan = plan
+	r.started = w.now
+	r.from = r.tokens
+	w.charge(r)
+	w.Emit(Start{
+		Request: r.arrived.Request, Attempt: r.attempt, Chain: plan.Chain, Depth: plan.Depth,
+		Prio: prio, Patience: patience, Prefill: prefill,
+	})
 }
 
 // Refuse settles a request by its final refusal and forgets it.
@@ -73,17 +86,66 @@
 	w.forget(r)
 }
 
+// Forward settles a request by having the instance to run it.
+func (w *World) Forward(r *Request, to spec.InstanceID) {
+	w.Emit(Forward{Request: r.arrived.Request, To: to})
+	w.forget(r)
+}
+
 func (w *World) forget(r *Request) {
 	w.release(r)
-	w.requests.settled(r)
+	r.gone = true
 	delete(w.requests.index, r.arrived.Request)
 }
 
+func (w *World) charge(r *Request) {
+	for i, s := range r.plan.Chain {
+		e := w.engines.Get(s.Engine())
+		if e == nil {
+			continue
+		}
+		draw := int64(0)
+		if i < len(r.plan.Draws) {
+			draw = r.plan.Draws[i]
+		}
+		e.own++
+		e.addOwn(draw)
+		r.charges = append(r.charges, charge{engine: e, draw: draw})
+		w.touched = append(w.touched, e)
+	}
+	w.paced(r.arrived.Model, r.plan.Token, 1)
+}
+
+// release takes back what charge added, from the same rows: an engine that
+// was removed and came back is another row and owes nothing.
 func (w *World) release(r *Request) {
-	for _, s := range r.chain {
-		if e := w.engines.Get(s.Engine()); e != nil && e.own > 0 {
-			e.own--
+	if len(r.charges) == 0 {
+		return
+	}
+	for _, c := range r.charges {
+		c.engine.own--
+		c.engine.addOwn(-c.draw)
+		for _, g := range c.engine.groups {
+			g.free(c.engine)
 		}
+		w.touched = append(w.touched, c.engine)
 	}
-	r.chain = nil
+	w.paced(r.arrived.Model, r.plan.Token, -1)
+	r.charges = nil
+	r.plan = Plan{Version: r.plan.Version}
+}
+
+func (w *World) paced(model spec.ModelName, token time.Duration, sign int64) {
+	if w.paces == nil {
+		w.paces = map[spec.ModelName]int64{}
+	}
+	w.paces[model] += sign * milli * int64(time.Second) / int64(max(token, time.Microsecond))
+}
+
+const milli = 1000
+
+// Pace is how many tokens a second this instance's requests of the model make
+// as predicted.
+func (w *World) Pace(model spec.ModelName) float64 {
+	return float64(w.paces[model]) / milli
 }
