--- /dev/null
+++ b/internal/fakes/bench/prefix.go
@@ -0,0 +1,68 @@
+package bench
+
+import (
+	"container/list"
+
+	"fulmarwick/internal/route/world"
+)
+
+// prefix is the prefix cache of an engine: blocks, the one used longest ago
+// going first.
+type prefix struct {
+	most   int
+	index  map[uint64]*list.Element
+	recent *list.List
+	seq    uint64
+	added  []uint64
+	gone   []uint64
+}
+
+func newPrefix(most int) *prefix {
+	return &prefix{most: most, index: map[uint64]*list.Element{}, recent: list.New()}
+}
+
+// hits is how many blocks from the first on are cached.
+func (p *prefix) hits(blocks []uint64) int {
+	n := 0
+	for _, b := range blocks {
+		el := p.index[b]
+		if el == nil {
+			break
+		}
+		p.recent.MoveToFront(el)
+		n++
+	}
+	return n
+}
+
+func (p *prefix) put(blocks []uint64) {
+	for _, b := range blocks {
+		if el := p.index[b]; el != nil {
+			p.recent.MoveToFront(el)
+			continue
+		}
+		p.index[b] = p.recent.PushFront(b)
+		p.added = append(p.added, b)
+	}
+	for p.recent.Len() > p.most {
+		last := p.recent.Back()
+		b := p.recent.Remove(last).(uint64)
+		delete(p.index, b)
+		p.gone = append(p.gone, b)
+	}
+}
+
+// news are the cache events since the last call; whole makes them the whole
+// content.
+func (p *prefix) news(e *engine, whole bool) world.CacheSeen {
+	p.seq++
+	ev := world.CacheSeen{Engine: e.row.ID, Seq: p.seq, Added: p.added, Removed: p.gone, Reset: whole}
+	p.added, p.gone = nil, nil
+	if whole {
+		ev.Added, ev.Removed = nil, nil
+		for el := p.recent.Front(); el != nil; el = el.Next() {
+			ev.Added = append(ev.Added, el.Value.(uint64))
+		}
+	}
+	return ev
+}
--- /dev/null
+++ b/internal/fakes/bench/run.go
@@ -0,0 +1,288 @@
+package bench
+
+import (
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/pick"
+	"fulmarwick/internal/route/world"
+)
+
+// Outcome says how a request ended.
+type Outcome int
+
+// The outcomes.
+const (
+	OutcomeOpen Outcome = iota
+	OutcomeDone
+	OutcomeRefused
+	OutcomeLost
+	OutcomeForwarded
+)
+
+// run is a request as the wire would run it: stages that are behind are
+// brought up to date in order.
+type run struct {
+	site    *Site
+	on      *instance
+	ask     world.Arrived
+	target  spec.Target
+	out     int
+	poison  bool
+	attempt uint32
+	stages  []*stage
+	step    *step
+	start   world.Start
+	tokens  int
+	came    time.Duration
+	first   time.Duration
+	last    time.Duration
+	longest time.Duration
+	over    int
+	waiting bool
+	dog     time.Duration
+	barking bool
+	outcome Outcome
+	reason  world.Reason
+	ended   time.Duration
+	hit     int
+	prefill int
+	work    int
+	// hurt is when a fault last hit the request; healed the time to its next
+	// token, and found the time to the notice of the loss.
+	hurt   time.Duration
+	healed time.Duration
+	found  time.Duration
+}
+
+func (r *run) take(c world.Start) {
+	if r.outcome != OutcomeOpen {
+		return
+	}
+	old := r.stages
+	r.attempt = c.Attempt
+	r.start = c
+	r.waiting = false
+	r.stages = make([]*stage, 0, len(c.Chain))
+	for _, want := range c.Chain {
+		r.stages = append(r.stages, r.keep(&old, want))
+	}
+	for _, s := range old {
+		r.leave(s)
+	}
+	r.advance()
+}
+
+func (r *run) keep(old *[]*stage, want spec.Stage) *stage {
+	for i, s := range *old {
+		if s.is == want && s.done > 0 && !r.behind(s) {
+			*old = append((*old)[:i], (*old)[i+1:]...)
+			return s
+		}
+	}
+	e := r.site.engine(want.Engine())
+	return &stage{is: want, engine: e, life: e.life}
+}
+
+// behind reports whether s was the stage that was lost.
+func (r *run) behind(s *stage) bool { return r.step != nil && r.step.stage == s }
+
+func (r *run) leave(s *stage) {
+	if s.opened && s.engine.life == s.life {
+		s.engine.kv -= r.ask.Prompt + r.ask.Limit
+	}
+	s.opened = false
+}
+
+func (r *run) positions() int { return r.ask.Prompt + r.tokens }
+
+// advance submits the next step, or ends the request.
+func (r *run) advance() {
+	for _, s := range r.stages {
+		if s.done < r.positions() {
+			r.submit(s)
+			return
+		}
+	}
+	r.token()
+}
+
+func (r *run) submit(s *stage) {
+	e := s.engine
+	hop := e.hop + r.carry(s)
+	st := &step{run: r, attempt: r.attempt, stage: s, prio: r.start.Prio}
+	st.done = func() { r.stepped(st) }
+	r.step = st
+	wait := r.start.Patience
+	if s.done == 0 {
+		wait = r.start.Prefill
+	}
+	r.watch(wait)
+	r.site.clock.after(hop, func() {
+		if r.step != st || st.canceled {
+			return
+		}
+		r.arrive(st)
+	})
+}
+
+// carry is the time that the inputs of a step take on the link.
+func (r *run) carry(s *stage) time.Duration {
+	if s.engine.row.Bandwidth <= 0 || s.is.Layers().From() == 0 {
+		return 0
+	}
+	bytes := float64((r.positions() - s.done) * s.engine.row.Holds[0].Width)
+	return time.Duration(bytes / float64(s.engine.row.Bandwidth) * float64(time.Second))
+}
+
+// arrive puts a step on its engine, or tells at once that the connection was
+// refused or is broken. An engine that hangs tells nothing.
+func (r *run) arrive(st *step) {
+	s := st.stage
+	e := s.engine
+	switch {
+	case e.dead && e.silent:
+		return
+	case e.dead && !s.opened:
+		r.lose(s, world.CauseRefused)
+		return
+	case s.lost():
+		r.lose(s, world.CauseBroken)
+		return
+	case e.leaving && !s.opened:
+		r.lose(s, world.CauseLeaving)
+		return
+	}
+	if !s.opened {
+		s.opened = true
+		e.kv += r.ask.Prompt + r.ask.Limit
+	}
+	todo := r.positions() - s.done
+	if s.done == 0 {
+		hit := min(e.cache.hits(r.ask.Blocks)*pick.BlockTokens, r.ask.Prompt-1)
+		r.hit += hit
+		r.prefill += r.ask.Prompt
+		todo -= hit
+	}
+	chunks := max(1, (todo+pick.Chunk-1)/pick.Chunk)
+	r.work += chunks * s.is.Layers().Len()
+	st.took = time.Duration(s.is.Layers().Len()) * e.row.Layer
+	st.chunks = chunks
+	e.submit(st)
+}
+
+func (r *run) stepped(st *step) {
+	if r.step != st || r.outcome != OutcomeOpen {
+		return
+	}
+	s := st.stage
+	if s.done == 0 {
+		s.engine.cache.put(r.ask.Blocks)
+	}
+	s.done = r.positions()
+	r.step = nil
+	r.advance()
+}
+
+// token is the end of a pass through all stages.
+func (r *run) token() {
+	now := r.site.clock.now
+	r.tokens++
+	if r.tokens == 1 {
+		r.first = now - r.came
+	} else {
+		gap := now - r.last
+		r.longest = max(r.longest, gap)
+		if limit := r.target.Gap(); limit > 0 && gap > limit {
+			r.over++
+		}
+	}
+	r.last = now
+	if r.hurt > 0 && r.healed == 0 {
+		r.healed = now - r.hurt
+	}
+	if r.attempt > 1 && r.tokens == int(r.progressed())+1 {
+		r.on.post(world.Progress{Request: r.ask.Request, Tokens: r.tokens})
+	}
+	if r.tokens >= r.out {
+		r.end(OutcomeDone)
+		return
+	}
+	r.advance()
+}
+
+// progressed is the tokens at the last start.
+func (r *run) progressed() int { return r.on.logic.World().Requests().Get(r.ask.Request).From() }
+
+// watch loses the stage of the running step unless it ends in time.
+func (r *run) watch(wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	r.dog = r.site.clock.now + wait
+	if !r.barking {
+		r.barking = true
+		r.site.clock.after(wait, r.bark)
+	}
+}
+
+func (r *run) bark() {
+	r.barking = false
+	if r.outcome != OutcomeOpen || r.waiting || r.step == nil {
+		return
+	}
+	if left := r.dog - r.site.clock.now; left > 0 {
+		r.barking = true
+		r.site.clock.after(left, r.bark)
+		return
+	}
+	r.site.timeouts++
+	r.lose(r.step.stage, world.CauseTimeout)
+}
+
+// lose gives up a stage and asks for a decision.
+func (r *run) lose(s *stage, cause world.Cause) {
+	if r.waiting || r.outcome != OutcomeOpen {
+		return
+	}
+	r.waiting = true
+	if r.step != nil {
+		r.step.canceled = true
+	}
+	if r.hurt > 0 && r.found == 0 {
+		r.found = r.site.clock.now - r.hurt
+	}
+	r.on.post(world.StageLost{Request: r.ask.Request, Attempt: r.attempt, Engine: s.is.Engine(), Cause: cause})
+}
+
+func (r *run) end(o Outcome) {
+	r.outcome = o
+	r.ended = r.site.clock.now
+	for _, s := range r.stages {
+		r.leave(s)
+	}
+	r.site.ended(r)
+	if o != OutcomeDone {
+		return
+	}
+	r.on.post(world.Finished{
+		Request: r.ask.Request, Tokens: r.tokens, First: r.first, Gap: r.longest,
+		Whole: r.ended - r.came, OK: true,
+	})
+}
+
+// held reports whether the answer met its target: the first token, the whole
+// answer, and each gap but the part that the percentage leaves.
+func (r *run) held() bool {
+	t := r.target
+	if r.outcome != OutcomeDone {
+		return false
+	}
+	if t.First() > 0 && r.first > t.First() {
+		return false
+	}
+	if t.Whole() > 0 && r.ended-r.came > t.Whole() {
+		return false
+	}
+	return float64(r.over) <= (1-t.Percent()/100)*float64(r.tokens)
+}
--- /dev/null
+++ b/internal/fakes/bench/scenario.go
@@ -0,0 +1,71 @@
+package bench
+
+import (
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/core"
+	"fulmarwick/internal/route/pick"
+)
+
+// Scenario is a deployment with its usual load.
+type Scenario struct {
+	Name   string
+	Layout Layout
+	Load   Load
+}
+
+// Scenarios are the deployments that are measured.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{"association", Association(), Load{
+			Sizes: sizes(10, 3, 6), Prompt: 512, Out: 64, Burst: 3,
+			Target: spec.NewTarget(5*time.Second, 200*time.Millisecond, 0, 95),
+		}},
+		{"coast", Coast(), Load{
+			Sizes: sizes(10, 3, 6), Prompt: 256, Out: 48, Burst: 3,
+			Target: spec.NewTarget(4*time.Second, 0, 20*time.Second, 95),
+		}},
+		{"centre", Centre(), Load{
+			Sizes: sizes(200, 10, 10), Prompt: 256, Out: 64, Burst: 3,
+			Target: spec.NewTarget(5*time.Second, 400*time.Millisecond, 0, 95),
+		}},
+	}
+}
+
+// sizes are n teams of which the first few are large.
+func sizes(n, large int, times float64) []float64 {
+	out := make([]float64, n)
+	for i := range out {
+		out[i] = 1
+		if i < large {
+			out[i] = times
+		}
+	}
+	return out
+}
+
+// Policy makes the logic of an instance.
+type Policy struct {
+	Name  string
+	Logic func(i int) *core.Logic
+}
+
+// Policies are the logic as served and its naive baselines.
+func Policies() []Policy {
+	return []Policy{
+		{"served", func(int) *core.Logic { return &core.Logic{} }},
+		{"roundrobin", func(int) *core.Logic { return &core.Logic{Open: true, Pick: &pick.RoundRobin{}} }},
+		{"least", func(int) *core.Logic { return &core.Logic{Open: true, Pick: pick.Least{}} }},
+	}
+}
+
+// Site puts a scenario together with a policy at a part of the bound.
+func (c Scenario) Site(p Policy, part float64, seed uint64) *Site {
+	s := &Site{
+		Layout: c.Layout, Load: c.Load, Logic: p.Logic, Seed: seed,
+		Length: 90 * time.Second, Warm: 30 * time.Second,
+	}
+	s.Load.Part = part
+	return s
+}
--- a/internal/route/core/core.go
+++ b/internal/route/core/core.go
@@ -33,7 +33,7 @@
 	// Pick chooses chains; nil is a pick.Picker.
 	Pick pick.Chooser
 	// Limit is the part of an engine's capacity up to which it takes new
-	// work; zero is DefaultLimit.
+	// work; zero lets the targets decide.
 	Limit float64
 	// Open starts every request at once. It is the naive side of comparisons.
 	Open bool
@@ -45,6 +45,7 @@
 	rand     *rand.Rand
 	cache    pick.Cache
 	margins  admit.Margins
+	fill     admit.Fill
 	rates    fair.Rates
 	budget   retry.Budget
 	patience retry.Patience
@@ -55,10 +56,6 @@
 	tell     tell
 }
 
-// DefaultLimit is a little over full: requests in a chain wait for each other
-// now and then, and an engine that is planned just full would idle meanwhile.
-const DefaultLimit = 1.05
-
 // World gives the tables for reading.
 func (l *Logic) World() *world.World { return &l.world }
 
@@ -102,9 +99,6 @@
 	if l.Pick == nil {
 		l.Pick = &pick.Picker{Rand: l.rand, Cache: &l.cache}
 	}
-	if l.Limit == 0 {
-		l.Limit = DefaultLimit
-	}
 	l.queues = map[spec.ModelName]*queue{}
 }
 
@@ -145,6 +139,7 @@
 		return
 	}
 	l.margins.Saw(r, ev)
+	l.fill.Saw(r, ev, l.queue(r.Arrived().Model).fair.Len() > 0)
 	l.patience.Saw(r.Arrived().Class, ev.Gap)
 }
 
@@ -153,7 +148,7 @@
 func (l *Logic) crashed(ev world.StageLost) {
 	w := &l.world
 	r := w.Requests().Get(ev.Request)
-	if r == nil || r.Attempt() != ev.Attempt {
+	if r == nil || r.Attempt() != ev.Attempt || r.Asking() {
 		return
 	}
 	l.book.Lost(r)
--- /dev/null
+++ b/internal/route/core/core_test.go
@@ -0,0 +1,346 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/core"
+	"fulmarwick/internal/route/world"
+)
+
+const model = "m"
+
+// rig drives a Logic by hand.
+type rig struct {
+	t     *testing.T
+	logic *core.Logic
+	now   time.Duration
+	n     int
+}
+
+func newRig(t *testing.T, target spec.Target, engines ...world.Engine) *rig {
+	g := &rig{t: t, logic: &core.Logic{ID: "a", Seed: 1}, now: time.Second}
+	events := []world.Event{world.ConfigSet{
+		Version: 1, Classes: []spec.Class{spec.NewModelClass("c", model, target)},
+		Teams: []spec.Team{spec.NewTeam("big", "big", 1), spec.NewTeam("small", "small", 1)},
+	}}
+	for _, e := range engines {
+		events = append(events, world.EngineSeen{Engine: e})
+	}
+	g.tick(events...)
+	return g
+}
+
+func (g *rig) tick(events ...world.Event) []world.Command {
+	g.now += 20 * time.Millisecond
+	return g.logic.Tick(g.now, events)
+}
+
+// pass ticks for d and returns all commands.
+func (g *rig) pass(d time.Duration) []world.Command {
+	var out []world.Command
+	for end := g.now + d; g.now < end; {
+		out = append(out, g.tick()...)
+	}
+	return out
+}
+
+func (g *rig) ask(team spec.TeamID) world.Arrived {
+	g.n++
+	return world.Arrived{
+		Request: spec.RequestID(fmt.Sprint(g.n)), Team: team, Class: "c", Model: model,
+		Prompt: 32, Limit: 50, Print: uint64(100 + g.n),
+	}
+}
+
+func started(cs []world.Command, id spec.RequestID) (world.Start, bool) {
+	for _, c := range cs {
+		if s, ok := c.(world.Start); ok && s.Request == id {
+			return s, true
+		}
+	}
+	return world.Start{}, false
+}
+
+func refused(cs []world.Command, id spec.RequestID) (world.Refuse, bool) {
+	for _, c := range cs {
+		if s, ok := c.(world.Refuse); ok && s.Request == id {
+			return s, true
+		}
+	}
+	return world.Refuse{}, false
+}
+
+// start sends a and wants it started at once.
+func (g *rig) start(a world.Arrived) world.Start {
+	g.t.Helper()
+	s, ok := started(g.tick(a), a.Request)
+	if !ok {
+		g.t.Fatalf("request %s: got no start, want one at once", a.Request)
+	}
+	return s
+}
+
+func engine(id string, from, to int) world.Engine {
+	return world.Engine{
+		ID: spec.UpstreamID(id), Layer: time.Millisecond, Slots: 4, Hop: time.Millisecond, Seq: 1,
+		Holds: []world.Hold{{Model: model, Version: "1", Depth: 8, Layers: spec.NewLayers(from, to)}},
+	}
+}
+
+func lax() spec.Target { return spec.NewTarget(5*time.Second, 0, 0, 95) }
+
+// The caller of an answer that is half done sees the next token, not a new
+// answer: the engine of the second stage dies, and the new chain keeps the
+// first stage with its state and replaces only the range that was lost.
+func TestDeathReplacesOnlyTheLostRange(t *testing.T) {
+	g := newRig(t, lax(), engine("a1", 0, 4), engine("a2", 0, 4), engine("b1", 4, 8), engine("b2", 4, 8))
+	a := g.ask("big")
+	first := g.start(a)
+	dead := first.Chain[1].Engine()
+	cs := g.tick(
+		world.Progress{Request: a.Request, Tokens: 5},
+		world.StageLost{Request: a.Request, Attempt: 1, Engine: dead, Cause: world.CauseBroken},
+	)
+	second, ok := started(cs, a.Request)
+	if !ok {
+		t.Fatalf("got %v, want a start in the tick of the loss", cs)
+	}
+	if got, want := second.Chain[0], first.Chain[0]; got != want {
+		t.Errorf("first stage: got %v, want the kept %v", got, want)
+	}
+	if got := second.Chain[1].Engine(); got == dead {
+		t.Errorf("second stage: got the dead engine %v", got)
+	}
+	if got, want := second.Attempt, uint32(2); got != want {
+		t.Errorf("attempt: got %d, want %d", got, want)
+	}
+}
+
+// The caller of a request whose last engine died waits while nothing covers
+// the model, and goes on when the engine is back. The report that was under
+// way when the engine died does not bring it back.
+func TestRunningRequestWaitsForCover(t *testing.T) {
+	only := engine("a1", 0, 8)
+	g := newRig(t, lax(), only)
+	a := g.ask("big")
+	g.start(a)
+	late := only
+	late.Seq = 2
+	cs := g.tick(
+		world.StageLost{Request: a.Request, Attempt: 1, Engine: "a1", Cause: world.CauseBroken},
+		world.EngineSeen{Engine: late},
+	)
+	if len(cs) > 0 {
+		if _, ok := started(cs, a.Request); ok {
+			t.Fatal("started on a dead engine by a late report")
+		}
+	}
+	g.pass(2 * time.Second)
+	other := engine("a2", 0, 8)
+	if _, ok := started(g.tick(world.EngineSeen{Engine: other}), a.Request); !ok {
+		t.Error("got no start when an engine covers the model again")
+	}
+}
+
+// A caller who comes while no engines cover the model is refused at once, is
+// told that nothing ran, and when to come back.
+func TestNoCoverIsRefusedAtOnce(t *testing.T) {
+	g := newRig(t, lax(), engine("a1", 0, 4))
+	a := g.ask("big")
+	r, ok := refused(g.tick(a), a.Request)
+	if !ok || r.Reason != world.ReasonNoEngine || r.Ran || r.After <= 0 {
+		t.Errorf("got %+v (%v), want a refusal no-engine that did not run, with a time", r, ok)
+	}
+}
+
+// Callers that come while the engines are full wait only if their target
+// still holds; the others are refused in the tick in which they come, with the
+// time after which the backlog is worked off, and what waits is started when
+// there is room.
+func TestOverloadRefusesAtOnceAndQueuesTheRest(t *testing.T) {
+	g := newRig(t, spec.NewTarget(time.Second, 0, 0, 95), engine("a1", 0, 8))
+	var ran []spec.RequestID
+	starts, refusals := 0, 0
+	for range 60 {
+		a := g.ask("big")
+		cs := g.tick(a)
+		if _, ok := started(cs, a.Request); ok {
+			starts++
+			ran = append(ran, a.Request)
+		}
+		if r, ok := refused(cs, a.Request); ok {
+			refusals++
+			if r.After < time.Second || r.Ran {
+				t.Errorf("refusal: got %+v, want a time of at least 1s and not ran", r)
+			}
+		}
+	}
+	waiting := g.logic.Waiting()
+	if starts == 0 || refusals == 0 || waiting == 0 {
+		t.Fatalf("got %d started, %d refused, %d waiting; want some of each", starts, refusals, waiting)
+	}
+	cs := g.tick(world.Finished{Request: ran[0], Tokens: 50, OK: true})
+	if g.logic.Waiting() >= waiting {
+		t.Errorf("got %v, want one of the queue settled when room came", cs)
+	}
+}
+
+// A caller who waits in the queue learns in the moment in which the target
+// cannot hold any more that it is refused, not at its deadline.
+func TestHopelessWaitEndsEarly(t *testing.T) {
+	g := newRig(t, spec.NewTarget(2*time.Second, 0, 0, 95), engine("a1", 0, 8))
+	asked := map[spec.RequestID]time.Duration{}
+	for range 30 {
+		a := g.ask("big")
+		g.tick(a)
+		asked[a.Request] = g.now
+	}
+	waiting := g.logic.Waiting()
+	if waiting == 0 {
+		t.Fatal("nothing waits")
+	}
+	ended := 0
+	for g.now < time.Minute && ended < waiting {
+		for _, c := range g.tick() {
+			r, ok := c.(world.Refuse)
+			if !ok {
+				continue
+			}
+			ended++
+			if got := g.now - asked[r.Request]; got > 2*time.Second {
+				t.Errorf("request %s refused after %v, want within its 2s", r.Request, got)
+			}
+		}
+	}
+	if ended != waiting {
+		t.Errorf("got %d refused of %d that waited behind work that never ends", ended, waiting)
+	}
+}
+
+// A small team's caller does not wait behind the backlog of a large team: its
+// request is the next one that starts.
+func TestSmallTeamGoesAheadOfBacklog(t *testing.T) {
+	g := newRig(t, lax(), engine("a1", 0, 8))
+	var ran []spec.RequestID
+	for range 40 {
+		a := g.ask("big")
+		if _, ok := started(g.tick(a), a.Request); ok {
+			ran = append(ran, a.Request)
+		}
+	}
+	small := g.ask("small")
+	cs := g.tick(small)
+	for i := 0; i < len(ran); i++ {
+		if _, ok := started(cs, small.Request); ok {
+			return
+		}
+		cs = g.tick(world.Finished{Request: ran[i], Tokens: 50, OK: true})
+		for _, c := range cs {
+			if s, ok := c.(world.Start); ok && s.Request != small.Request {
+				t.Fatalf("got %s of the large team started before the small one", s.Request)
+			}
+		}
+	}
+	t.Error("the small team's request never started")
+}
+
+// A caller whose own data centre is full is sent to another that has room, at
+// most once: a request that came from another instance is refused instead.
+func TestForwardOnceToWhereThereIsRoom(t *testing.T) {
+	g := newRig(t, spec.NewTarget(time.Second, 0, 0, 95))
+	g.tick(world.CentreSum{DataCentre: "other", Model: model, Instance: "far", Free: 1000})
+	a := g.ask("big")
+	cs := g.tick(a)
+	if f, ok := cs[0].(world.Forward); !ok || f.To != "far" {
+		t.Fatalf("got %v, want it forwarded to far", cs)
+	}
+	b := g.ask("big")
+	b.Hops = 1
+	if _, ok := refused(g.tick(b), b.Request); !ok {
+		t.Error("a request that was forwarded already: want it refused")
+	}
+	g.tick(world.PeerGone{Peer: "far"})
+	c := g.ask("big")
+	if _, ok := refused(g.tick(c), c.Request); !ok {
+		t.Error("the other instance is gone: want a refusal")
+	}
+}
+
+// A leaving engine gets nothing in the tick of the first signal or after,
+// though its late reports call it live, until it comes back restarted.
+func TestLeavingEngineGetsNothingNew(t *testing.T) {
+	one, two := engine("a1", 0, 8), engine("a2", 0, 8)
+	one.Slots, two.Slots = 64, 64
+	g := newRig(t, lax(), one, two)
+	late := one
+	late.Seq = 9
+	g.tick(world.EngineLeaving{Engine: "a1"}, world.EngineSeen{Engine: late})
+	for range 8 {
+		a := g.ask("big")
+		if s := g.start(a); s.Chain.Uses("a1") {
+			t.Fatalf("got chain %v, want none over the leaving engine", s.Chain)
+		}
+	}
+	late.Incarnation, late.Seq = 7, 1
+	g.tick(world.EngineSeen{Engine: late})
+	used := false
+	for range 8 {
+		used = used || g.start(g.ask("big")).Chain.Uses("a1")
+	}
+	if !used {
+		t.Error("a restarted engine was never used")
+	}
+}
+
+// A caller whose request timed out is tried elsewhere, but a class in which
+// everything times out stops retrying: its bank of retries is spent, and the
+// load is not multiplied.
+func TestTimeoutsSpendABudget(t *testing.T) {
+	var engines []world.Engine
+	for i := range 20 {
+		engines = append(engines, engine(fmt.Sprint("e", i), 0, 8))
+	}
+	g := newRig(t, lax(), engines...)
+	starts, retries := 0, 0
+	for range 60 {
+		a := g.ask("big")
+		s, ok := started(g.tick(a), a.Request)
+		for ok {
+			starts++
+			lost := s.Chain[0].Engine()
+			cs := g.tick(world.StageLost{Request: a.Request, Attempt: s.Attempt, Engine: lost, Cause: world.CauseTimeout})
+			if s, ok = started(cs, a.Request); ok {
+				retries++
+			} else {
+				g.tick(world.Canceled{Request: a.Request})
+			}
+		}
+	}
+	if got, most := retries, 20+starts/10+1; got == 0 || got > most {
+		t.Errorf("got %d retries of %d starts, want some and at most %d", got, starts, most)
+	}
+}
+
+// An engine that was removed, and a peer that went, leave nothing behind.
+func TestGoneLeavesNothing(t *testing.T) {
+	g := newRig(t, lax(), engine("a1", 0, 8))
+	a := g.ask("big")
+	g.start(a)
+	g.tick(world.PeerLoad{Peer: "p", Engine: "a1", Active: 3, Tokens: 900})
+	e := g.logic.World().Engines().Get("a1")
+	busy := e.Draw()
+	g.tick(world.PeerGone{Peer: "p"})
+	if got, want := busy-e.Draw(), int64(900); got != want {
+		t.Errorf("draw that went with the peer: got %d, want %d", got, want)
+	}
+	g.tick(world.EngineGone{Engine: "a1"}, world.EngineSeen{Engine: engine("a1", 0, 8)}, world.Canceled{Request: a.Request})
+	if got := g.logic.World().Engines().Get("a1").Draw(); got != 0 {
+		t.Errorf("draw on the engine of the same name: got %d, want 0", got)
+	}
+	if got := g.logic.World().Requests().Len(); got != 0 {
+		t.Errorf("requests: got %d, want 0", got)
+	}
+}
--- a/internal/route/core/fresh.go
+++ b/internal/route/core/fresh.go
@@ -9,6 +9,7 @@
 	"fulmarwick/internal/route/fair"
 	"fulmarwick/internal/route/pick"
 	"fulmarwick/internal/route/poison"
+	"fulmarwick/internal/route/retry"
 	"fulmarwick/internal/route/world"
 )
 
@@ -18,6 +19,8 @@
 	coverRetry = 5 * time.Second
 	// readyRetry is the same while this instance knows no engine of it yet.
 	readyRetry = 2 * time.Second
+	// openPatience is the fixed timeout of the naive side.
+	openPatience = 30 * time.Second
 	// smallExtra is how much over the limit a team may go that is within its
 	// share, so that it does not wait behind a burst that filled the engines.
 	smallExtra = 0.10
@@ -65,6 +68,9 @@
 // limit is how full an engine may be for this request.
 func (l *Logic) limit(r *world.Request, q *queue) float64 {
 	limit := l.Limit
+	if limit == 0 {
+		limit = l.fill.Limit(r.Arrived().Model)
+	}
 	if q.fair.Lead(r.Arrived().Team) <= 0 {
 		limit += smallExtra
 	}
@@ -97,7 +103,7 @@
 	latest := admit.Latest(class.Target(), margin, r.At(), choice.Plan)
 	drain := l.drain(r.Arrived().Model)
 	team := r.Arrived().Team
-	ahead := q.fair.Ahead(w.Now(), q.fair.Start(team), latest)
+	ahead := q.fair.Ahead(team, latest)
 	est := admit.Estimate{Elapsed: w.Now() - r.At(), Plan: choice.Plan}
 	cost := l.cost(r)
 	if ahead > 0 || !choice.Fits {
@@ -108,14 +114,13 @@
 		l.refuse(r, reason, over, 1/choice.Plan.Token.Seconds())
 		return
 	}
-	it := &fair.Item{Request: r, Cost: cost, Charge: l.charge(r, cost), Latest: latest}
-	it.Tag = q.fair.Tag(team, it.Charge)
+	charge := l.charge(r, cost)
 	if ahead == 0 && choice.Fits {
-		q.fair.Began(it.Tag)
+		q.fair.Began(team, charge)
 		l.start(r, choice)
 		return
 	}
-	q.fair.Push(w.Now(), it)
+	q.fair.Push(&fair.Item{Request: r, Cost: cost, Charge: charge, Latest: latest})
 }
 
 // reason tells whether the request is late because of its own team's backlog:
@@ -125,8 +130,7 @@
 	if q.fair.Lead(team) <= 0 {
 		return world.ReasonOverload
 	}
-	alone := q.fair.Ahead(l.world.Now(), q.fair.Virtual(), latest)
-	est.Wait = seconds(alone / drain)
+	est.Wait = seconds(q.fair.AheadOfNew(latest) / drain)
 	if _, late := admit.Late(r.Class().Target(), l.margins.Of(r.Class()), est); late {
 		return world.ReasonOverload
 	}
@@ -176,6 +180,9 @@
 		l.cache.Ran(now, e, r.Arrived().Blocks)
 	}
 	times := l.patience.Times(r, choice.Plan)
+	if l.Open {
+		times = retry.Times{Step: openPatience, Prefill: openPatience}
+	}
 	w.Start(r, choice.Plan, prio(r), times.Step, times.Prefill)
 }
 
--- /dev/null
+++ b/internal/route/core/poison_test.go
@@ -0,0 +1,148 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+)
+
+// kill ends engine under the requests that ran on it.
+func kill(g *rig, engine spec.UpstreamID, running map[spec.RequestID]world.Start) []world.Command {
+	var events []world.Event
+	for n := 1; n <= g.n; n++ {
+		id := spec.RequestID(fmt.Sprint(n))
+		if s, ok := running[id]; ok && s.Chain.Uses(engine) {
+			events = append(events, world.StageLost{Request: id, Attempt: s.Attempt, Engine: engine, Cause: world.CauseBroken})
+		}
+	}
+	return g.tick(events...)
+}
+
+// A poison request is batched with innocent ones on an engine, which dies. Its
+// caller sees an error after the second death; the callers of the others see
+// their whole answers. Each suspect runs again with no other suspect beside
+// it, so the second death names one request only.
+func TestPoisonKillsTwoEnginesAndNoInnocent(t *testing.T) {
+	var engines []world.Engine
+	for i := range 4 {
+		e := engine(fmt.Sprint("e", i), 0, 8)
+		e.Slots = 64
+		engines = append(engines, e)
+	}
+	g := newRig(t, lax(), engines...)
+	running := map[spec.RequestID]world.Start{}
+	for range 24 {
+		a := g.ask("big")
+		running[a.Request] = g.start(a)
+	}
+	const guilty = spec.RequestID("7")
+	deaths := 0
+	var refusals []world.Refuse
+	for range 40 {
+		s, ok := running[guilty]
+		var cs []world.Command
+		if ok {
+			deaths++
+			engine := s.Chain[0].Engine()
+			cs = kill(g, engine, running)
+			for id, s := range running {
+				if s.Chain.Uses(engine) {
+					delete(running, id)
+				}
+			}
+		}
+		for range 10 {
+			for _, c := range cs {
+				switch c := c.(type) {
+				case world.Start:
+					running[c.Request] = c
+				case world.Refuse:
+					refusals = append(refusals, c)
+				}
+			}
+			var progress []world.Event
+			for n := 1; n <= g.n; n++ {
+				id := spec.RequestID(fmt.Sprint(n))
+				if s, ok := running[id]; ok && s.Attempt > 1 && id != guilty {
+					progress = append(progress, world.Progress{Request: id, Tokens: 9})
+				}
+			}
+			cs = g.tick(progress...)
+		}
+	}
+	if deaths != 2 {
+		t.Errorf("engines lost: got %d, want 2", deaths)
+	}
+	if len(refusals) != 1 || refusals[0].Request != guilty || refusals[0].Reason != world.ReasonPoison {
+		t.Errorf("refusals: got %v, want just that of the poison", refusals)
+	}
+	if got, want := len(running), 23; got != want {
+		t.Errorf("innocent requests that run: got %d, want %d", got, want)
+	}
+}
+
+// The caller of a poison request sends it again to another instance, which
+// heard of two deaths: it is refused before it runs. After one death heard it
+// waits until the first instance must have settled it.
+func TestPoisonResentElsewhereIsCaught(t *testing.T) {
+	g := newRig(t, lax(), engine("e1", 0, 8), engine("e2", 0, 8))
+	a := g.ask("big")
+	g.tick(world.Suspected{Print: a.Print, Crashes: 1, Engine: "x"})
+	if _, ok := started(g.tick(a), a.Request); ok {
+		t.Fatal("started while another instance may have it on probation")
+	}
+	r, ok := refused(g.tick(world.Suspected{Print: a.Print, Crashes: 1, Engine: "y"}), a.Request)
+	if !ok || r.Reason != world.ReasonPoison || r.Ran {
+		t.Errorf("got %+v (%v), want it refused as poison before it ran", r, ok)
+	}
+	b := a
+	b.Request = "again"
+	if r, ok := refused(g.tick(b), b.Request); !ok || r.Reason != world.ReasonPoison {
+		t.Errorf("sent again: got %+v (%v), want the same", r, ok)
+	}
+	g.pass(11 * time.Minute)
+	c := a
+	c.Request = "later"
+	g.start(c)
+}
+
+// Two engines of one chain die at once, one after the other noticed. The
+// caller's request is innocent: the second stage was kept from before and had
+// run the whole request, so its death counts nothing and the answer goes on.
+func TestCoincidentDeathsCondemnNobody(t *testing.T) {
+	g := newRig(t, lax(), engine("a1", 0, 4), engine("a2", 0, 4), engine("b1", 4, 8), engine("b2", 4, 8))
+	a := g.ask("big")
+	first := g.start(a)
+	cs := g.tick(world.StageLost{Request: a.Request, Attempt: 1, Engine: first.Chain[0].Engine(), Cause: world.CauseBroken})
+	second, ok := started(cs, a.Request)
+	if !ok {
+		t.Fatalf("got %v, want a second start", cs)
+	}
+	cs = g.tick(world.StageLost{Request: a.Request, Attempt: 2, Engine: second.Chain[1].Engine(), Cause: world.CauseBroken})
+	if _, ok := started(cs, a.Request); !ok {
+		t.Errorf("got %v, want a third start", cs)
+	}
+}
+
+// A suspect that got past the point where its engine died is cleared: when
+// another engine dies under it much later, it is a first death again.
+func TestClearedSuspectStartsAnew(t *testing.T) {
+	var engines []world.Engine
+	for i := range 6 {
+		engines = append(engines, engine(fmt.Sprint("e", i), 0, 8))
+	}
+	g := newRig(t, lax(), engines...)
+	a := g.ask("big")
+	s := g.start(a)
+	for n := range 4 {
+		cs := g.tick(world.StageLost{Request: a.Request, Attempt: s.Attempt, Engine: s.Chain[0].Engine(), Cause: world.CauseBroken})
+		var ok bool
+		if s, ok = started(cs, a.Request); !ok {
+			t.Fatalf("death %d: got %v, want a start", n, cs)
+		}
+		g.tick(world.Progress{Request: a.Request, Tokens: 10 * (n + 1)})
+	}
+}
--- a/internal/route/core/queue.go
+++ b/internal/route/core/queue.go
@@ -49,33 +49,33 @@
 	}
 	q.check = now + checkEvery
 	for _, it := range q.fair.Hopeless(now, l.drain(model)) {
-		l.giveUp(q, it, world.ReasonOverload, time.Second)
+		l.giveUp(it, world.ReasonOverload, time.Second)
 	}
 }
 
 func (l *Logic) runQueue(q *queue) {
 	w := &l.world
 	for {
-		it := q.fair.Head(w.Now())
+		it := q.fair.Head()
 		if it == nil {
 			return
 		}
 		r := it.Request
 		choice, ok := l.choose(r, q)
 		if !ok {
-			q.fair.Pop()
-			l.giveUp(q, it, world.ReasonNoEngine, coverRetry)
+			q.fair.Take(it)
+			l.giveUp(it, world.ReasonNoEngine, coverRetry)
 			continue
 		}
 		est := admit.Estimate{Elapsed: w.Now() - r.At(), Plan: choice.Plan}
 		over, late := admit.Late(r.Class().Target(), l.margins.Of(r.Class()), est)
 		switch {
 		case late:
-			q.fair.Pop()
-			l.giveUp(q, it, world.ReasonOverload, over)
+			q.fair.Take(it)
+			l.giveUp(it, world.ReasonOverload, over)
 		case choice.Fits:
-			q.fair.Pop()
-			q.fair.Began(it.Tag)
+			q.fair.Take(it)
+			q.fair.Began(r.Arrived().Team, it.Charge)
 			l.start(r, choice)
 		default:
 			return
@@ -83,8 +83,6 @@
 	}
 }
 
-func (l *Logic) giveUp(q *queue, it *fair.Item, reason world.Reason, over time.Duration) {
-	r := it.Request
-	q.fair.Refund(r.Arrived().Team, it.Charge)
-	l.refuse(r, reason, over, 0)
+func (l *Logic) giveUp(it *fair.Item, reason world.Reason, over time.Duration) {
+	l.refuse(it.Request, reason, over, 0)
 }
--- /dev/null
+++ b/internal/route/core/same_test.go
@@ -0,0 +1,118 @@
+package core_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/core"
+	"fulmarwick/internal/route/world"
+
+	"pgregory.net/rapid"
+)
+
+// drawEvent draws any event over a few names, so that events meet.
+func drawEvent(t *rapid.T) world.Event {
+	engineID := spec.UpstreamID(rapid.SampledFrom([]string{"a1", "a2", "b1", "b2", "b3"}).Draw(t, "engine"))
+	request := spec.RequestID(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "request")))
+	n := rapid.IntRange(0, 40).Draw(t, "n")
+	switch rapid.IntRange(0, 17).Draw(t, "kind") {
+	case 0, 1, 2, 3:
+		return world.Arrived{
+			Request: request, Team: spec.TeamID(fmt.Sprint("t", n%3)), Class: "c", Model: model,
+			Prompt: 1 + n*10, Limit: 1 + n, Print: uint64(n % 5), Hops: n % 2, Blocks: []uint64{uint64(n % 3), 7},
+		}
+	case 4:
+		return world.Progress{Request: request, Tokens: n}
+	case 5, 6:
+		return world.StageLost{Request: request, Attempt: uint32(1 + n%3), Engine: engineID, Cause: world.Cause(n % 5)}
+	case 7:
+		return world.Finished{Request: request, Tokens: n, First: time.Duration(n) * time.Millisecond, Whole: time.Second, OK: n%4 > 0}
+	case 8:
+		return world.Canceled{Request: request}
+	case 9, 10:
+		e := engine(string(engineID), 0, 4)
+		if engineID[0] == 'b' {
+			e = engine(string(engineID), 4, 8)
+		}
+		e.Seq, e.Active, e.Queued, e.Incarnation = uint64(n), n%5, n%3, uint64(n%2)
+		return world.EngineSeen{Engine: e}
+	case 11:
+		return world.EngineDown{Engine: engineID}
+	case 12:
+		return world.EngineGone{Engine: engineID}
+	case 13:
+		return world.HopTimed{Engine: engineID, P50: time.Duration(n) * time.Millisecond, Count: 1}
+	case 14:
+		return world.PeerLoad{Peer: spec.InstanceID(fmt.Sprint("p", n%3)), Engine: engineID, Active: n, Tokens: n * 50}
+	case 15:
+		return world.PeerGone{Peer: spec.InstanceID(fmt.Sprint("p", n%3))}
+	case 16:
+		return world.Suspected{Print: uint64(n % 5), Crashes: n % 3, Engine: engineID}
+	default:
+		return world.CacheSeen{Engine: engineID, Seq: uint64(n), Added: []uint64{uint64(n % 3)}, Reset: n%7 == 0}
+	}
+}
+
+// The same events give the same commands, byte for byte, and whatever comes:
+// every chain covers the model once, no request is settled twice without
+// another attempt between, and none is forwarded that came by forwarding.
+func TestSameEventsSameCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, two := &core.Logic{ID: "i", Seed: 3}, &core.Logic{ID: "i", Seed: 3}
+		config := world.ConfigSet{Version: 1, Classes: []spec.Class{spec.NewModelClass("c", model, spec.NewTarget(time.Second, 0, 0, 90))}}
+		first := []world.Event{config, world.EngineSeen{Engine: engine("a1", 0, 4)}, world.EngineSeen{Engine: engine("b1", 4, 8)}}
+		one.Tick(0, first)
+		two.Tick(0, first)
+		now := time.Duration(0)
+		hops := map[spec.RequestID]int{}
+		for range rapid.IntRange(1, 40).Draw(t, "ticks") {
+			now += time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond
+			var events []world.Event
+			for range rapid.IntRange(0, 6).Draw(t, "events") {
+				ev := drawEvent(t)
+				if a, ok := ev.(world.Arrived); ok && one.World().Requests().Get(a.Request) == nil {
+					if _, twice := hops[a.Request]; twice {
+						continue
+					}
+					hops[a.Request] = a.Hops
+				}
+				events = append(events, ev)
+			}
+			got, want := one.Tick(now, events), two.Tick(now, events)
+			if !reflect.DeepEqual(got, want) {
+				t.Fatalf("got %v, want %v", got, want)
+			}
+			check(t, got, hops)
+		}
+	})
+}
+
+func check(t *rapid.T, cs []world.Command, hops map[spec.RequestID]int) {
+	settled := map[spec.RequestID]bool{}
+	for _, c := range cs {
+		var id spec.RequestID
+		switch c := c.(type) {
+		case world.Start:
+			id = c.Request
+			if err := c.Chain.Check(c.Depth); err != nil {
+				t.Fatalf("request %s: %v", id, err)
+			}
+		case world.Refuse:
+			id = c.Request
+		case world.Forward:
+			id = c.Request
+			if hops[id] > 0 {
+				t.Fatalf("request %s came by forwarding and was forwarded", id)
+			}
+		default:
+			continue
+		}
+		if settled[id] {
+			t.Fatalf("request %s was settled twice in one tick: %+v", id, cs)
+		}
+		settled[id] = true
+	}
+}
--- a/internal/route/fair/queue.go
+++ b/internal/route/fair/queue.go
@@ -6,183 +6,261 @@
 package fair
 
 import (
-	"container/heap"
+	"sort"
 	"time"
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/world"
 )
 
-// Horizon is how long before its latest start a request becomes urgent. Until
-// then it yields to urgent ones, so that work with a lax target fills the room
-// that work with a tight one leaves.
-const Horizon = 2 * time.Second
-
 const (
 	// Most bounds the requests that wait, and with them the memory.
 	Most = 2048
 	// tidyAt is how many teams are kept before idle ones are dropped.
 	tidyAt = 64
+	// quantum is how far, in tokens, a team may be ahead of the virtual time
+	// and still compete by deadline: about one usual request.
+	quantum = 32
 )
 
 // Item is a request that waits.
 type Item struct {
 	Request *world.Request
-	// Cost is in tokens; Charge is what the team was charged for it, and Tag
-	// the virtual time at which it starts.
+	// Cost is in tokens through the whole model; Charge is what the team is
+	// charged for it.
 	Cost   float64
 	Charge float64
-	Tag    float64
 	// Latest is when the request must start to meet its target.
 	Latest time.Duration
 	seq    uint64
 }
 
-// Queue is start-time fair queueing over cost in tokens: an item's tag is the
-// later of the virtual time and its team's last finish, and the lowest tag
-// goes first. A team that asks for less than its share always finds its finish
-// behind the virtual time and so goes ahead of a team with a backlog.
+// Queue is start-time fair queueing over cost in tokens, with deadlines among
+// equals. Each team has a virtual start, the later of the queue's virtual time
+// and the end of what it was charged for. A team that asks for less than its
+// share starts at the virtual time, a team with a backlog after it. Of the
+// teams within a quantum of the virtual time the one with the earliest latest
+// start goes first, and so does, within a team, the request.
 type Queue struct {
 	virtual float64
-	finish  map[spec.TeamID]float64
+	flows   map[spec.TeamID]*flow
+	active  []*flow
+	length  int
 	tidy    int
 	seq     uint64
-	urgent  order
-	lax     latest
+}
+
+// flow is a team's part of the queue.
+type flow struct {
+	team   spec.TeamID
+	finish float64
+	items  []*Item
+	cost   float64
+	charge float64
 }
 
 // Len is how many requests wait.
-func (q *Queue) Len() int { return len(q.urgent) + len(q.lax) }
+func (q *Queue) Len() int { return q.length }
 
-// Tag charges the team for cost and returns the item's virtual start.
-func (q *Queue) Tag(team spec.TeamID, cost float64) float64 {
-	if q.finish == nil {
-		q.finish = map[spec.TeamID]float64{}
-	}
-	start := max(q.virtual, q.finish[team])
-	q.finish[team] = start + cost
+// Began charges a team for a request that starts.
+func (q *Queue) Began(team spec.TeamID, charge float64) {
+	f := q.flow(team)
+	start := q.start(f)
+	f.finish = start + charge
+	q.virtual = max(q.virtual, start)
 	q.drop()
-	return start
 }
 
-// Refund takes back the charge of a request that never ran.
-func (q *Queue) Refund(team spec.TeamID, cost float64) {
-	if f, ok := q.finish[team]; ok {
-		q.finish[team] = f - cost
+// Lead is how far a team is ahead of its share: what it was charged beyond the
+// virtual time, and its backlog.
+func (q *Queue) Lead(team spec.TeamID) float64 {
+	f := q.flows[team]
+	if f == nil {
+		return 0
 	}
+	return max(0, f.finish-q.virtual) + f.charge
 }
 
-// Start is the tag that the team's next request would get.
-func (q *Queue) Start(team spec.TeamID) float64 { return max(q.virtual, q.finish[team]) }
-
-// Lead is how far the team is ahead of the virtual time: its own backlog.
-func (q *Queue) Lead(team spec.TeamID) float64 { return q.Start(team) - q.virtual }
-
-// Virtual is the virtual time.
-func (q *Queue) Virtual() float64 { return q.virtual }
-
-// Began tells that the request with this tag started.
-func (q *Queue) Began(tag float64) { q.virtual = max(q.virtual, tag) }
-
-// drop forgets teams that are idle: their finish lies behind the virtual time
-// and is worth nothing. Small teams so cost no memory between requests.
-func (q *Queue) drop() {
-	if len(q.finish) < max(tidyAt, 2*q.tidy) {
-		return
+// Push lets a request wait.
+func (q *Queue) Push(it *Item) {
+	f := q.flow(it.Request.Arrived().Team)
+	q.seq++
+	it.seq = q.seq
+	if len(f.items) == 0 {
+		q.active = append(q.active, f)
 	}
-	for team, f := range q.finish {
-		if f <= q.virtual {
-			delete(q.finish, team)
-		}
+	at := f.place(it.Latest)
+	f.items = append(f.items, nil)
+	copy(f.items[at+1:], f.items[at:])
+	f.items[at] = it
+	f.cost += it.Cost
+	f.charge += it.Charge
+	q.length++
+}
+
+// Head returns the request to start next, or nil.
+func (q *Queue) Head() *Item {
+	f := q.next()
+	if f == nil {
+		return nil
 	}
-	q.tidy = len(q.finish)
+	return f.items[0]
 }
 
-// Push lets a request wait.
-func (q *Queue) Push(now time.Duration, it *Item) {
-	q.seq++
-	it.seq = q.seq
-	if it.Latest-now <= Horizon {
-		heap.Push(&q.urgent, it)
-		return
+// Take removes a request that waits; if it starts, Began follows.
+func (q *Queue) Take(it *Item) {
+	f := q.flows[it.Request.Arrived().Team]
+	for i, o := range f.items {
+		if o == it {
+			q.cut(f, i)
+			return
+		}
 	}
-	heap.Push(&q.lax, it)
 }
 
-// Head returns the request to start next, or nil. Requests that ended while
-// they waited are passed over.
-func (q *Queue) Head(now time.Duration) *Item {
-	for len(q.lax) > 0 && (q.lax[0].Request.Gone() || q.lax[0].Latest-now <= Horizon) {
-		it := heap.Pop(&q.lax).(*Item)
-		if !it.Request.Gone() {
-			heap.Push(&q.urgent, it)
+// next is the team to serve, after requests that ended were dropped.
+func (q *Queue) next() *flow {
+	for i := 0; i < len(q.active); {
+		f := q.active[i]
+		if f.items[0].Request.Gone() {
+			q.cut(f, 0)
+			continue
 		}
+		i++
 	}
-	for len(q.urgent) > 0 && q.urgent[0].Request.Gone() {
-		heap.Pop(&q.urgent)
+	var best *flow
+	for _, f := range q.active {
+		if best == nil || q.before(f, best) {
+			best = f
+		}
 	}
-	if len(q.urgent) > 0 {
-		return q.urgent[0]
+	return best
+}
+
+func (q *Queue) before(a, b *flow) bool {
+	x, y := q.start(a), q.start(b)
+	near := q.virtual + quantum
+	if x <= near && y <= near {
+		return a.items[0].before(b.items[0])
 	}
-	if len(q.lax) > 0 {
-		return q.lax[0]
+	if x != y {
+		return x < y
 	}
-	return nil
+	return a.items[0].before(b.items[0])
 }
 
-// Pop removes what Head returned.
-func (q *Queue) Pop() {
-	if len(q.urgent) > 0 {
-		heap.Pop(&q.urgent)
-		return
+func (it *Item) before(o *Item) bool {
+	if it.Latest != o.Latest {
+		return it.Latest < o.Latest
 	}
-	heap.Pop(&q.lax)
+	return it.seq < o.seq
+}
+
+// Ahead is the cost in tokens that goes before a request of team that must
+// start by latest: what its team has with an earlier start, and what the
+// others may have until their virtual start passes that of the request.
+func (q *Queue) Ahead(team spec.TeamID, latest time.Duration) float64 {
+	return q.ahead(q.flows[team], latest)
 }
 
-// Ahead is the cost in tokens that goes before an item with this tag and
-// latest start.
-func (q *Queue) Ahead(now time.Duration, tag float64, last time.Duration) float64 {
-	sum := 0.0
-	lax := last-now > Horizon
-	for _, it := range q.urgent {
-		if !it.Request.Gone() && (lax || it.Tag <= tag) {
+// AheadOfNew is Ahead for a team that has used nothing.
+func (q *Queue) AheadOfNew(latest time.Duration) float64 { return q.ahead(nil, latest) }
+
+func (q *Queue) ahead(f *flow, latest time.Duration) float64 {
+	sum, start := 0.0, q.virtual
+	if f != nil {
+		start = q.start(f)
+		for _, it := range f.items[:f.place(latest)] {
 			sum += it.Cost
+			start += it.Charge
 		}
 	}
-	if !lax {
-		return sum
-	}
-	for _, it := range q.lax {
-		if !it.Request.Gone() && it.Latest <= last {
-			sum += it.Cost
+	near := q.virtual + quantum
+	for _, o := range q.active {
+		if o == f {
+			continue
+		}
+		until := start - q.start(o)
+		if start <= near && o.items[0].Latest > latest {
+			until = 0
+		}
+		if until > 0 {
+			sum += min(o.cost, until*o.cost/o.charge)
 		}
 	}
 	return sum
 }
 
-// Hopeless takes out, in order, the requests that will not start in time if
-// rate tokens a second drain the queue.
+// Hopeless takes out the requests that will not start in time if rate tokens a
+// second drain the queue.
 func (q *Queue) Hopeless(now time.Duration, rate float64) []*Item {
 	var out []*Item
-	kept := make(order, 0, len(q.urgent))
-	ahead := 0.0
-	for len(q.urgent) > 0 {
-		it := heap.Pop(&q.urgent).(*Item)
-		if it.Request.Gone() {
-			continue
+	for _, f := range append([]*flow(nil), q.active...) {
+		for _, it := range append([]*Item(nil), f.items...) {
+			wait := time.Duration(q.ahead(f, it.Latest-1) / rate * float64(time.Second))
+			if !it.Request.Gone() && now+wait <= it.Latest {
+				continue
+			}
+			q.Take(it)
+			if !it.Request.Gone() {
+				out = append(out, it)
+			}
 		}
-		if now+seconds(ahead/rate) > it.Latest {
-			out = append(out, it)
-			continue
-		}
-		ahead += it.Cost
-		kept = append(kept, it)
 	}
-	// Popped in order, kept is a heap already.
-	q.urgent = kept
 	return out
 }
 
-func seconds(s float64) time.Duration {
-	return time.Duration(min(s, 3600) * float64(time.Second))
+func (q *Queue) start(f *flow) float64 { return max(q.virtual, f.finish) }
+
+// place is where a request with this latest start goes: after those that must
+// start no later.
+func (f *flow) place(latest time.Duration) int {
+	return sort.Search(len(f.items), func(i int) bool { return f.items[i].Latest > latest })
+}
+
+func (q *Queue) cut(f *flow, i int) {
+	it := f.items[i]
+	f.items = append(f.items[:i], f.items[i+1:]...)
+	f.cost -= it.Cost
+	f.charge -= it.Charge
+	q.length--
+	if len(f.items) > 0 {
+		return
+	}
+	f.cost, f.charge = 0, 0
+	for n, o := range q.active {
+		if o == f {
+			q.active = append(q.active[:n], q.active[n+1:]...)
+			return
+		}
+	}
+}
+
+func (q *Queue) flow(team spec.TeamID) *flow {
+	if f := q.flows[team]; f != nil {
+		return f
+	}
+	if q.flows == nil {
+		q.flows = map[spec.TeamID]*flow{}
+	}
+	f := &flow{team: team}
+	q.flows[team] = f
+	return f
 }
+
+// drop forgets teams that are idle: their finish lies behind the virtual time
+// and is worth nothing. Small teams so cost no memory between requests.
+func (q *Queue) drop() {
+	if len(q.flows) < max(tidyAt, 2*q.tidy) {
+		return
+	}
+	for team, f := range q.flows {
+		if f.finish <= q.virtual && len(f.items) == 0 {
+			delete(q.flows, team)
+		}
+	}
+	q.tidy = len(q.flows)
+}
+
+// Teams is how many teams are remembered.
+func (q *Queue) Teams() int { return len(q.flows) }
--- a/internal/route/pick/cost.go
+++ b/internal/route/pick/cost.go
@@ -13,8 +13,10 @@
 	// still let it be found if there is no other.
 	fullPenalty = time.Hour
 	slowPenalty = 10 * time.Second
-	// busiest is the use above which the queueing formula gives way to a line.
-	busiest = 0.97
+	// waitFull is the wait over the work at full use, waitOver how much it
+	// grows with use above that.
+	waitFull = 0.25
+	waitOver = 0.6
 )
 
 // offer is an engine that may run layers within a range.
@@ -74,17 +76,14 @@
 }
 
 // stretch is how much longer a step takes on an engine with this use than
-// alone. Below saturation it is Sakasegawa's approximation of the wait before
-// slots servers; above, requests share what there is.
+// alone. Up to full it grows with the chance that all slots are taken at once,
+// which is less the more slots there are; above, requests share what there is.
+// The factors fit the closed set of requests that admission lets in; an open
+// queue's formula has no end at full use.
 func stretch(use float64, slots int) float64 {
-	s := float64(max(1, slots))
 	if use <= 0 {
 		return 1
 	}
-	calm := min(use, busiest)
-	wait := math.Pow(calm, math.Sqrt(2*(s+1))-1) / (s * (1 - calm))
-	// Within a batch a request waits for itself never, so a closed set of
-	// requests waits less than the open formula says near saturation.
-	wait = min(wait, 0.5)
-	return 1 + wait + max(0, use-busiest)
+	power := math.Sqrt(2 * float64(max(1, slots)+1))
+	return 1 + waitFull*math.Pow(min(use, 1), power) + waitOver*max(0, use-1)
 }
--- a/internal/route/world/apply.go
+++ b/internal/route/world/apply.go
@@ -67,8 +67,17 @@
 	if r == nil || r.attempt != ev.Attempt {
 		return
 	}
-	r.cause = ev.Cause
 	e := w.engines.Get(ev.Engine)
+	// A second loss of the same attempt says more about the engine, but the
+	// request has its decision open already; two would start it twice.
+	if r.asking {
+		if e != nil {
+			w.failed(e, ev.Cause)
+		}
+		return
+	}
+	r.asking = true
+	r.cause = ev.Cause
 	r.died = ev.Cause == CauseBroken || (e != nil && e.state == StateDown)
 	// An engine that lost only this request's state can rebuild it.
 	if ev.Cause != CauseState {
--- a/internal/route/world/request.go
+++ b/internal/route/world/request.go
@@ -17,6 +17,8 @@
 	// started is when the last Start was given, and from how many tokens.
 	started time.Duration
 	from    int
+	// asking is set from a loss to the next start.
+	asking bool
 	// due is set while the request waits for a decision.
 	due  bool
 	gone bool
@@ -97,6 +99,9 @@
 // Done reports whether the request ended with its whole answer.
 func (r *Request) Done() bool { return r.done }
 
+// Asking reports whether the request lost a stage and was not started since.
+func (r *Request) Asking() bool { return r.asking }
+
 // Avoids reports whether the engine failed under this request.
 func (r *Request) Avoids(id spec.UpstreamID) bool {
 	for _, l := range r.lost {
--- a/internal/route/world/world.go
+++ b/internal/route/world/world.go
@@ -70,6 +70,7 @@
 func (w *World) Start(r *Request, plan Plan, prio int, patience, prefill time.Duration) {
 	w.release(r)
 	r.attempt++
+	r.asking = false
 	r.plan = plan
 	r.started = w.now
 	r.from = r.tokens
