Let requests wait for faster engines when only slow ones have room

Before, a request that only slow engines could take now, and too late for its target, was refused although faster ones would be free in time, and slow engines idled behind it. It now waits, and one with a shorter prompt passes.

--- a/internal/route/admit/fill.go
+++ b/internal/route/admit/fill.go
@@ -15,13 +15,13 @@
 	// meanwhile.
 	fillStart = 1.1
 	// fillUp is what one answer within its target adds while work waits.
-	fillUp = 0.002
+	fillUp = 0.001
 	// aim is the part of the misses that a class's percentage allows that the
 	// filling settles at.
-	aim = 0.5
+	aim = 0.3
 	// gapPart is the part of the limit between tokens that the mean gap may
 	// take: single gaps spread around it, and the target is on those.
-	gapPart = 0.75
+	gapPart = 0.65
 )
 
 // Fill finds per model how full engines may be planned. More fill hides the
@@ -29,7 +29,7 @@
 // throughput near the bound, but stretches each token; how far that may go
 // depends on the targets, so the answers' own misses decide: each answer in
 // time adds a little while work waits, each miss takes away so much that the
-// two balance where half of the misses that the percentage allows occur.
+// two balance at a part of the misses that the percentage allows.
 type Fill struct {
 	limits map[spec.ModelName]float64
 }
--- a/internal/route/core/fresh.go
+++ b/internal/route/core/fresh.go
@@ -21,6 +21,8 @@
 	readyRetry = 2 * time.Second
 	// openPatience is the fixed timeout of the naive side.
 	openPatience = 30 * time.Second
+	// anyLimit lets every engine have room.
+	anyLimit = 1e9
 	// smallExtra is how much over the limit a team may go that is within its
 	// share, so that it does not wait behind a burst that filled the engines.
 	smallExtra = 0.10
@@ -97,41 +99,61 @@
 
 // weigh starts the request, lets it wait, or refuses it at once.
 func (l *Logic) weigh(r *world.Request, q *queue, choice pick.Choice) {
-	w := &l.world
-	class := r.Class()
-	margin := l.margins.Of(class)
-	latest := admit.Latest(class.Target(), margin, r.At(), choice.Plan)
 	drain := l.drain(r.Arrived().Model)
 	team := r.Arrived().Team
-	ahead := q.fair.Ahead(team, latest)
-	est := admit.Estimate{Elapsed: w.Now() - r.At(), Plan: choice.Plan}
 	cost := l.cost(r)
-	if ahead > 0 || !choice.Fits {
-		est.Wait = seconds((ahead + cost/2) / drain)
-	}
-	if over, late := admit.Late(class.Target(), margin, est); late || q.fair.Len() >= fair.Most {
-		reason := l.reason(r, q, est, latest, drain)
-		l.refuse(r, reason, over, 1/choice.Plan.Token.Seconds())
-		return
-	}
 	charge := l.charge(r, cost)
-	if ahead == 0 && choice.Fits {
+	v := l.view(r, q, choice, drain, cost)
+	if v.ahead == 0 && choice.Fits && !v.late {
 		q.fair.Began(team, charge)
 		l.start(r, choice)
 		return
 	}
-	q.fair.Push(&fair.Item{Request: r, Cost: cost, Charge: charge, Latest: latest})
+	if v.late && choice.Fits {
+		// Only slow engines have room now; faster ones may have it in time.
+		if fast, ok := l.Pick.Choose(&l.world, r, pick.Ask{Limit: anyLimit, Out: l.margins.Length(r)}); ok {
+			choice = pick.Choice{Plan: fast.Plan}
+			v = l.view(r, q, choice, drain, cost)
+		}
+	}
+	if v.late || q.fair.Len() >= fair.Most {
+		reason := l.reason(r, q, v, drain)
+		l.refuse(r, reason, v.over, 1/choice.Plan.Token.Seconds())
+		return
+	}
+	q.fair.Push(&fair.Item{Request: r, Cost: cost, Charge: charge, Latest: v.latest})
+}
+
+// view is how a request stands with a plan.
+type view struct {
+	est    admit.Estimate
+	latest time.Duration
+	ahead  float64
+	over   time.Duration
+	late   bool
+}
+
+func (l *Logic) view(r *world.Request, q *queue, choice pick.Choice, drain, cost float64) view {
+	class := r.Class()
+	margin := l.margins.Of(class)
+	v := view{latest: admit.Latest(class.Target(), margin, r.At(), choice.Plan)}
+	v.ahead = q.fair.Ahead(r.Arrived().Team, v.latest)
+	v.est = admit.Estimate{Elapsed: l.world.Now() - r.At(), Plan: choice.Plan}
+	if v.ahead > 0 || !choice.Fits {
+		v.est.Wait = seconds((v.ahead + cost/2) / drain)
+	}
+	v.over, v.late = admit.Late(class.Target(), margin, v.est)
+	return v
 }
 
 // reason tells whether the request is late because of its own team's backlog:
 // it would be in time if the team were within its share.
-func (l *Logic) reason(r *world.Request, q *queue, est admit.Estimate, latest time.Duration, drain float64) world.Reason {
-	team := r.Arrived().Team
-	if q.fair.Lead(team) <= 0 {
+func (l *Logic) reason(r *world.Request, q *queue, v view, drain float64) world.Reason {
+	if q.fair.Lead(r.Arrived().Team) <= 0 {
 		return world.ReasonOverload
 	}
-	est.Wait = seconds(q.fair.AheadOfNew(latest) / drain)
-	if _, late := admit.Late(r.Class().Target(), l.margins.Of(r.Class()), est); late {
+	v.est.Wait = seconds(q.fair.AheadOfNew(v.latest) / drain)
+	if _, late := admit.Late(r.Class().Target(), l.margins.Of(r.Class()), v.est); late {
 		return world.ReasonOverload
 	}
 	return world.ReasonTeam
--- a/internal/route/core/queue.go
+++ b/internal/route/core/queue.go
@@ -53,34 +53,67 @@
 	}
 }
 
+// runQueue starts from the front what has room. A request for which only
+// engines too slow for it have room is passed over, a few at a time, so that
+// one with a shorter prompt can use them.
 func (l *Logic) runQueue(q *queue) {
-	w := &l.world
-	for {
+	var passed []*fair.Item
+	for len(passed) < passMost {
 		it := q.fair.Head()
 		if it == nil {
-			return
+			break
 		}
-		r := it.Request
-		choice, ok := l.choose(r, q)
-		if !ok {
-			q.fair.Take(it)
-			l.giveUp(it, world.ReasonNoEngine, coverRetry)
-			continue
+		verdict := l.front(q, it)
+		if verdict == frontFull {
+			break
 		}
-		est := admit.Estimate{Elapsed: w.Now() - r.At(), Plan: choice.Plan}
-		over, late := admit.Late(r.Class().Target(), l.margins.Of(r.Class()), est)
-		switch {
-		case late:
-			q.fair.Take(it)
-			l.giveUp(it, world.ReasonOverload, over)
-		case choice.Fits:
+		if verdict == frontSlow {
 			q.fair.Take(it)
-			q.fair.Began(r.Arrived().Team, it.Charge)
-			l.start(r, choice)
-		default:
-			return
+			passed = append(passed, it)
 		}
 	}
+	for _, it := range passed {
+		q.fair.Push(it)
+	}
+}
+
+// passMost is how many requests are passed over in a tick.
+const passMost = 4
+
+// front says what became of the request at the front.
+type front int
+
+const (
+	frontTaken front = iota
+	frontFull
+	frontSlow
+)
+
+func (l *Logic) front(q *queue, it *fair.Item) front {
+	w := &l.world
+	r := it.Request
+	choice, ok := l.choose(r, q)
+	if !ok {
+		q.fair.Take(it)
+		l.giveUp(it, world.ReasonNoEngine, coverRetry)
+		return frontTaken
+	}
+	if w.Now() > it.Latest {
+		q.fair.Take(it)
+		l.giveUp(it, world.ReasonOverload, w.Now()-it.Latest)
+		return frontTaken
+	}
+	if !choice.Fits {
+		return frontFull
+	}
+	est := admit.Estimate{Elapsed: w.Now() - r.At(), Plan: choice.Plan}
+	if _, late := admit.Late(r.Class().Target(), l.margins.Of(r.Class()), est); late {
+		return frontSlow
+	}
+	q.fair.Take(it)
+	q.fair.Began(r.Arrived().Team, it.Charge)
+	l.start(r, choice)
+	return frontTaken
 }
 
 func (l *Logic) giveUp(it *fair.Item, reason world.Reason, over time.Duration) {
