Hold poison to two engines and deal engines out among instances

A suspect that made no token now waits 0.4 s. Two instances also tried suspects on the same engine, which condemned innocents; engines are now dealt out by name.

--- /dev/null
+++ b/internal/fakes/bench/bench_test.go
@@ -0,0 +1,198 @@
+package bench_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/fakes/bench"
+	"fulmarwick/internal/route/core"
+	"fulmarwick/internal/route/pick"
+)
+
+const seed = 1
+
+// each runs a benchmark per scenario and policy.
+func each(b *testing.B, run func(b *testing.B, c bench.Scenario, p bench.Policy)) {
+	for _, c := range bench.Scenarios() {
+		for _, p := range bench.Policies() {
+			b.Run(c.Name+"/"+p.Name, func(b *testing.B) { run(b, c, p) })
+		}
+	}
+}
+
+func report(b *testing.B, r bench.Result) {
+	b.ReportMetric(r.Through, "work/bound")
+	b.ReportMetric(r.Good, "good/bound")
+	b.ReportMetric(100*r.Held, "%held")
+	b.ReportMetric(100*r.HeldOf, "%heldofadmitted")
+	b.ReportMetric(0, "ns/op")
+}
+
+// Saturation is 1.3 of the bound, overload 2.
+func BenchmarkSaturation(b *testing.B) { parts(b, 1.3) }
+func BenchmarkOverload(b *testing.B)   { parts(b, 2.0) }
+func BenchmarkTargets70(b *testing.B)  { parts(b, 0.7) }
+func BenchmarkTargets90(b *testing.B)  { parts(b, 0.9) }
+
+func parts(b *testing.B, part float64) {
+	each(b, func(b *testing.B, c bench.Scenario, p bench.Policy) {
+		for range b.N {
+			report(b, c.Site(p, part, seed).Run())
+		}
+	})
+}
+
+// One team asks for ten times as much as each of nine small ones, whose sum is
+// 0.45 of the bound; in all it is 0.95, and in bursts far more.
+func BenchmarkSmallTeams(b *testing.B) {
+	each(b, func(b *testing.B, c bench.Scenario, p bench.Policy) {
+		for range b.N {
+			s := c.Site(p, 0.95, seed)
+			s.Load.Sizes = []float64{10, 1, 1, 1, 1, 1, 1, 1, 1, 1}
+			r := s.Run()
+			b.ReportMetric(100*r.Others(0), "%held-small")
+			b.ReportMetric(100*r.Teams["team-000"], "%held-large")
+			b.ReportMetric(0, "ns/op")
+		}
+	})
+}
+
+func BenchmarkFaults(b *testing.B) {
+	const at = 50 * time.Second
+	faults := []struct {
+		name  string
+		fault []bench.Fault
+	}{
+		{"death", []bench.Fault{bench.Kill(at, 4, false)}},
+		{"hang", []bench.Fault{bench.Kill(at, 4, true)}},
+		{"two", []bench.Fault{bench.Kill(at, 4, false), bench.Kill(at, 5, false)}},
+		{"link", []bench.Fault{bench.Degrade(at, 4, 400*time.Millisecond)}},
+	}
+	for _, c := range bench.Scenarios() {
+		for _, f := range faults {
+			b.Run(c.Name+"/"+f.name, func(b *testing.B) {
+				for range b.N {
+					s := c.Site(bench.Policies()[0], 0.6, seed)
+					s.Faults = f.fault
+					r := s.Run()
+					b.ReportMetric(float64(r.Hurt), "hit")
+					b.ReportMetric(float64(r.Lost), "lost")
+					b.ReportMetric(float64(r.Found.Milliseconds()), "ms-found")
+					b.ReportMetric(float64(r.Healed50.Milliseconds()), "ms-p50")
+					b.ReportMetric(float64(r.Healed95.Milliseconds()), "ms-p95")
+					b.ReportMetric(float64(r.HealedMost.Milliseconds()), "ms-max")
+					b.ReportMetric(100*r.HeldOf, "%heldofadmitted")
+					b.ReportMetric(0, "ns/op")
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkPoison(b *testing.B) {
+	for _, c := range bench.Scenarios() {
+		for _, p := range bench.Policies()[:2] {
+			b.Run(c.Name+"/"+p.Name, func(b *testing.B) {
+				for range b.N {
+					s := c.Site(p, 0.6, seed)
+					s.Load.Poison = 50 * time.Second
+					r := s.Run()
+					b.ReportMetric(float64(r.Kills), "engines")
+					b.ReportMetric(float64(r.Lost), "lost")
+					b.ReportMetric(float64(r.Hurt), "hit")
+					b.ReportMetric(float64(r.HealedMost.Milliseconds()), "ms-max")
+					b.ReportMetric(0, "ns/op")
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkCache(b *testing.B) {
+	policies := bench.Policies()
+	policies = append(policies, bench.Policy{Name: "blind", Logic: func(i int) *core.Logic {
+		return &core.Logic{Pick: &pick.Picker{Rand: bench.Rand(uint64(i))}}
+	}})
+	for _, c := range bench.Scenarios() {
+		for _, p := range policies {
+			b.Run(c.Name+"/"+p.Name, func(b *testing.B) {
+				for range b.N {
+					s := c.Site(p, 0.7, seed)
+					// Sixty teams with long shared beginnings: four times what
+					// the engines of one range can cache apiece.
+					s.Load.Shared, s.Load.Prompt, s.Load.Sizes = 0.8, 1024, make([]float64, 60)
+					for i := range s.Load.Sizes {
+						s.Load.Sizes[i] = 1
+					}
+					s.Layout.Blocks = 200
+					r := s.Run()
+					b.ReportMetric(100*r.Hits, "%hit")
+					b.ReportMetric(float64(r.First50.Milliseconds()), "ms-first50")
+					b.ReportMetric(float64(r.First99.Milliseconds()), "ms-first99")
+					b.ReportMetric(100*r.Held, "%held")
+					b.ReportMetric(0, "ns/op")
+				}
+			})
+		}
+	}
+}
+
+// A poison request comes while others run. Its caller sends it again to the
+// next instance each time it ends, and sees it refused for good once it killed
+// two engines; every other answer that ran with it ends whole.
+func TestPoisonCostsTwoEngines(t *testing.T) {
+	for _, c := range bench.Scenarios()[:2] {
+		s := c.Site(bench.Policies()[0], 0.3, seed)
+		s.Load.Poison = 15 * time.Second
+		s.Load.Again = 20 * time.Millisecond
+		s.Length, s.Warm = 40*time.Second, time.Second
+		r := s.Run()
+		if r.Kills > 2 || r.Lost > 0 || r.Hurt == 0 {
+			t.Errorf("%s: got %d engines lost and %d answers lost of %d hit, want at most 2, none, and some", c.Name, r.Kills, r.Lost, r.Hurt)
+		}
+	}
+}
+
+// Two engines die at once under load, one of them without a word. No caller
+// loses an answer: each gets its next token from other engines.
+func TestTwoDeathsLoseNoAnswer(t *testing.T) {
+	for _, c := range bench.Scenarios()[:2] {
+		s := c.Site(bench.Policies()[0], 0.3, seed)
+		s.Faults = []bench.Fault{bench.Kill(15*time.Second, 0, false), bench.Kill(15*time.Second, 1, true)}
+		s.Length, s.Warm = 45*time.Second, time.Second
+		r := s.Run()
+		if r.Lost > 0 || r.Hurt == 0 {
+			t.Errorf("%s: got %d answers lost of %d hit, want none of some", c.Name, r.Lost, r.Hurt)
+		}
+	}
+}
+
+// An engine tells that it leaves. From two seconds after on it gets nothing
+// new from any instance, and what ran on it ends there.
+func TestLeavingEngineDrains(t *testing.T) {
+	c := bench.Scenarios()[0]
+	s := c.Site(bench.Policies()[0], 0.3, seed)
+	const at = 15 * time.Second
+	s.Faults = []bench.Fault{bench.Leave(at, 0)}
+	s.Length, s.Warm = 40*time.Second, time.Second
+	r := s.Run()
+	if last := s.LastNew(0); last > at+2*time.Second || last == 0 {
+		t.Errorf("last new work: got at %v, want within 2s after %v", last, at)
+	}
+	if r.Lost > 0 {
+		t.Errorf("got %d answers lost, want none", r.Lost)
+	}
+}
+
+// The same seed gives the same figures.
+func TestSameSeedSameFigures(t *testing.T) {
+	run := func() string {
+		s := bench.Scenarios()[0].Site(bench.Policies()[0], 0.5, 7)
+		s.Length, s.Warm = 12*time.Second, time.Second
+		return fmt.Sprintf("%+v", s.Run())
+	}
+	if got, want := run(), run(); got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/internal/fakes/bench/engine.go
+++ b/internal/fakes/bench/engine.go
@@ -63,6 +63,8 @@
 	seq     uint64
 	work    time.Duration
 	cache   *prefix
+	// opened is when it last got a new stage.
+	opened time.Duration
 }
 
 // submit queues a step; a dead engine never answers.
--- a/internal/fakes/bench/load.go
+++ b/internal/fakes/bench/load.go
@@ -28,6 +28,8 @@
 	// Poison is when a poison request comes first; its caller sends it again
 	// to the next instance each time it ends. Zero is none.
 	Poison time.Duration
+	// Again is how soon after its end the poison request is sent again.
+	Again time.Duration
 }
 
 // ClassName is the class of all requests.
@@ -36,7 +38,6 @@
 const (
 	limitTimes  = 1
 	poisonPrint = 666
-	again       = 50 * time.Millisecond
 	burstLength = time.Second
 	poisonTries = 12
 )
@@ -86,7 +87,7 @@
 	r.poison = true
 	r.ask.Print = poisonPrint
 	s.send(r)
-	s.clock.every(again, func() bool {
+	s.clock.every(max(l.Again, time.Millisecond), func() bool {
 		if r.outcome == OutcomeOpen {
 			return true
 		}
--- a/internal/fakes/bench/result.go
+++ b/internal/fakes/bench/result.go
@@ -24,14 +24,14 @@
 	Hits float64
 	// First50 and First99 are of the first token.
 	First50, First99 time.Duration
-	// Hurt counts requests hit by a fault; Healed50 and HealedMost are the time
-	// to their next token, Found the longest time to the notice of it.
-	Hurt                 int
-	Healed50, HealedMost time.Duration
-	Found                time.Duration
-	Kills                int
-	Timeouts             int
-	Reasons              map[world.Reason]int
+	// Hurt counts requests hit by a fault; Healed50 and so on are the time to
+	// their next token, Found the longest time to the notice of it.
+	Hurt                           int
+	Healed50, Healed95, HealedMost time.Duration
+	Found                          time.Duration
+	Kills                          int
+	Timeouts                       int
+	Reasons                        map[world.Reason]int
 	// MissFirst and MissGap count answers that missed that part of the target.
 	MissFirst, MissGap int
 	// Use is per kind of accelerator the part of its slots' time that ran.
@@ -83,13 +83,28 @@
 	out.Hits = part(hit, prefill)
 	out.Use = s.use()
 	out.First50, out.First99 = at(firsts, 50), at(firsts, 99)
-	out.Healed50, out.HealedMost = at(healed, 50), at(healed, 100)
+	out.Healed50, out.Healed95, out.HealedMost = at(healed, 50), at(healed, 95), at(healed, 100)
 	for t, n := range came {
 		out.Teams[t] = held[t] / n
 	}
 	return out
 }
 
+// Others is the part held of all teams but one, each counting alike.
+func (r *Result) Others(but int) float64 {
+	sum, n := 0.0, 0
+	for i := range len(r.Teams) {
+		if i != but {
+			sum += r.Teams[teamID(i)]
+			n++
+		}
+	}
+	return sum / float64(max(1, n))
+}
+
+// LastNew is when the nth engine last got a new stage.
+func (s *Site) LastNew(n int) time.Duration { return s.engines[n].opened }
+
 func (s *Site) use() map[string]float64 {
 	ran, all := map[string]float64{}, map[string]float64{}
 	for _, e := range s.engines {
--- a/internal/fakes/bench/run.go
+++ b/internal/fakes/bench/run.go
@@ -155,6 +155,7 @@
 	}
 	if !s.opened {
 		s.opened = true
+		e.opened = r.site.clock.now
 		e.kv += r.ask.Prompt + r.ask.Limit
 	}
 	todo := r.positions() - s.done
@@ -201,7 +202,7 @@
 	if r.hurt > 0 && r.healed == 0 {
 		r.healed = now - r.hurt
 	}
-	if r.attempt > 1 && r.tokens == int(r.progressed())+1 {
+	if r.attempt > 1 && r.tokens == r.progressed()+1 {
 		r.on.post(world.Progress{Request: r.ask.Request, Tokens: r.tokens})
 	}
 	if r.tokens >= r.out {
@@ -252,7 +253,7 @@
 	if r.hurt > 0 && r.found == 0 {
 		r.found = r.site.clock.now - r.hurt
 	}
-	r.on.post(world.StageLost{Request: r.ask.Request, Attempt: r.attempt, Engine: s.is.Engine(), Cause: cause})
+	r.on.post(world.StageLost{Request: r.ask.Request, Attempt: r.attempt, Engine: s.is.Engine(), Cause: cause, Tokens: r.tokens})
 }
 
 func (r *run) end(o Outcome) {
--- a/internal/fakes/bench/scenario.go
+++ b/internal/fakes/bench/scenario.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"fulmarwick/internal/base/spec"
@@ -60,6 +61,9 @@
 	}
 }
 
+// Rand is a seeded source.
+func Rand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 3)) }
+
 // Site puts a scenario together with a policy at a part of the bound.
 func (c Scenario) Site(p Policy, part float64, seed uint64) *Site {
 	s := &Site{
--- a/internal/fakes/bench/site.go
+++ b/internal/fakes/bench/site.go
@@ -114,7 +114,7 @@
 	case world.OwnRate:
 		i.site.rate(c, i.id)
 	case world.Warn:
-		i.tell(world.Suspected{Print: c.Print, Crashes: c.Crashes, Engine: c.Engine})
+		i.tell(world.Suspected(c))
 	}
 }
 
@@ -244,6 +244,11 @@
 	s.clock.after(reportLag, func() { s.tellAll(ev) })
 }
 
+// leave tells the signal of a leaving engine to all.
+func (s *Site) leave(e *engine) {
+	s.clock.after(peerLag, func() { s.tellAll(world.EngineLeaving{Engine: e.row.ID}) })
+}
+
 func (s *Site) tellAll(ev world.Event) {
 	for _, i := range s.instances {
 		i.post(ev)
--- a/internal/route/core/core.go
+++ b/internal/route/core/core.go
@@ -140,7 +140,7 @@
 	}
 	l.margins.Saw(r, ev)
 	l.fill.Saw(r, ev, l.queue(r.Arrived().Model).fair.Len() > 0)
-	l.patience.Saw(r.Arrived().Class, ev.Gap)
+	l.patience.Saw(r, ev)
 }
 
 // crashed counts a death against the request before the tables forget on
--- a/internal/route/core/poison_test.go
+++ b/internal/route/core/poison_test.go
@@ -54,7 +54,7 @@
 				}
 			}
 		}
-		for range 10 {
+		for range 40 {
 			for _, c := range cs {
 				switch c := c.(type) {
 				case world.Start:
@@ -116,13 +116,15 @@
 	g := newRig(t, lax(), engine("a1", 0, 4), engine("a2", 0, 4), engine("b1", 4, 8), engine("b2", 4, 8))
 	a := g.ask("big")
 	first := g.start(a)
-	cs := g.tick(world.StageLost{Request: a.Request, Attempt: 1, Engine: first.Chain[0].Engine(), Cause: world.CauseBroken})
+	cs := g.tick(world.StageLost{Request: a.Request, Attempt: 1, Engine: first.Chain[0].Engine(), Cause: world.CauseBroken, Tokens: 5})
 	second, ok := started(cs, a.Request)
 	if !ok {
 		t.Fatalf("got %v, want a second start", cs)
 	}
-	cs = g.tick(world.StageLost{Request: a.Request, Attempt: 2, Engine: second.Chain[1].Engine(), Cause: world.CauseBroken})
-	if _, ok := started(cs, a.Request); !ok {
+	g.tick(world.StageLost{Request: a.Request, Attempt: 2, Engine: second.Chain[1].Engine(), Cause: world.CauseBroken})
+	if cs := g.pass(time.Second); len(cs) == 0 {
+		t.Error("got nothing, want a third start")
+	} else if _, ok := started(cs, a.Request); !ok {
 		t.Errorf("got %v, want a third start", cs)
 	}
 }
@@ -138,11 +140,11 @@
 	a := g.ask("big")
 	s := g.start(a)
 	for n := range 4 {
-		cs := g.tick(world.StageLost{Request: a.Request, Attempt: s.Attempt, Engine: s.Chain[0].Engine(), Cause: world.CauseBroken})
+		cs := g.tick(world.StageLost{Request: a.Request, Attempt: s.Attempt, Engine: s.Chain[0].Engine(), Cause: world.CauseBroken, Tokens: 10*n + 1})
 		var ok bool
 		if s, ok = started(cs, a.Request); !ok {
 			t.Fatalf("death %d: got %v, want a start", n, cs)
 		}
-		g.tick(world.Progress{Request: a.Request, Tokens: 10 * (n + 1)})
+		g.tick(world.Progress{Request: a.Request, Tokens: 10*n + 2})
 	}
 }
--- a/internal/route/core/resume.go
+++ b/internal/route/core/resume.go
@@ -1,14 +1,13 @@
 package core
 
 import (
+	"sort"
 	"time"
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/pick"
 	"fulmarwick/internal/route/poison"
 	"fulmarwick/internal/route/world"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -22,7 +21,7 @@
 	soloWait = 60 * time.Second
 	// mineWait is how long a suspect waits for an engine of this instance's
 	// part before it takes any without a suspect of this instance.
-	mineWait = time.Second
+	mineWait = 1500 * time.Millisecond
 )
 
 // held is a request that waits for an engine that may run it, ahead of the
@@ -77,7 +76,7 @@
 	case poison.VerdictWait:
 		return l.outOfTime(r, waited, soloWait)
 	case poison.VerdictSolo:
-		ask.Solo = l.solo(r, waited < mineWait)
+		ask.Solo = l.solo(r, waited < mineWait+poison.Hold(r))
 	}
 	choice, ok := l.Pick.Choose(w, r, ask)
 	if !ok && verdict == poison.VerdictSolo {
@@ -109,18 +108,32 @@
 // is on probation, and on this instance's part of the engines, so that two
 // instances do not try suspects on the same engine at once.
 func (l *Logic) solo(r *world.Request, part bool) func(spec.UpstreamID) bool {
-	return func(engine spec.UpstreamID) bool {
-		return l.book.Solo(engine, r) && (!part || l.mine(engine))
+	if !part {
+		return func(engine spec.UpstreamID) bool { return l.book.Solo(engine, r) }
 	}
+	mine := l.mine(r.Arrived().Model)
+	return func(engine spec.UpstreamID) bool { return mine[engine] && l.book.Solo(engine, r) }
 }
 
-// mine shares the engines out among the instances known by rendezvous hashing.
-func (l *Logic) mine(engine spec.UpstreamID) bool {
-	own := xxhash.Sum64String(string(l.ID) + "/" + string(engine))
-	for _, peer := range l.world.Peers() {
-		if xxhash.Sum64String(string(peer)+"/"+string(engine)) > own {
-			return false
+// mine deals the engines of each range of a model out among the instances
+// known, in the order of their names, engines that are down included: so all
+// instances deal alike while an engine's death spreads.
+func (l *Logic) mine(model spec.ModelName) map[spec.UpstreamID]bool {
+	ids := append([]spec.InstanceID{l.ID}, l.world.Peers()...)
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	own := sort.Search(len(ids), func(i int) bool { return ids[i] >= l.ID })
+	dealt := map[spec.Layers]int{}
+	out := map[spec.UpstreamID]bool{}
+	for _, e := range l.world.Engines().Rows() {
+		for _, h := range e.Holds {
+			if h.Model != model {
+				continue
+			}
+			if dealt[h.Layers]%len(ids) == own {
+				out[e.ID] = true
+			}
+			dealt[h.Layers]++
 		}
 	}
-	return true
+	return out
 }
--- a/internal/route/pick/cache.go
+++ b/internal/route/pick/cache.go
@@ -113,8 +113,8 @@
 	f.epoch = c.epochs
 }
 
-// Find returns the engines with the longest cached prefixes of a prompt.
-func (c *Cache) Find(w *world.World, blocks []uint64) []cached {
+// find returns the engines with the longest cached prefixes of a prompt.
+func (c *Cache) find(w *world.World, blocks []uint64) []cached {
 	var out []cached
 	for i := len(blocks) - 1; i >= 0 && len(out) < cachedTry; i-- {
 		el := c.blocks[blocks[i]]
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -50,7 +50,7 @@
 func (p *Picker) Choose(w *world.World, r *world.Request, ask Ask) (Choice, bool) {
 	c := &call{Picker: p, w: w, r: r, ask: ask, positions: positions(r)}
 	if p.Cache != nil {
-		c.cached = p.Cache.Find(w, r.Arrived().Blocks)
+		c.cached = p.Cache.find(w, r.Arrived().Blocks)
 	}
 	best, rank, found := Choice{}, time.Duration(0), false
 	for _, m := range w.Engines().Index().Versions(r.Arrived().Model) {
@@ -112,33 +112,36 @@
 // group adds the best engine of those drawn and the best of those that have
 // some of the prompt cached.
 func (c *call) group(g *world.Group, tries int, wide bool, out *[]offer) {
-	n := g.Layers().Len()
-	var best, warm offer
-	var bestRank, warmRank time.Duration
-	consider := func(e *world.Engine, hit int) {
-		if e == nil || !c.usable(e) {
-			return
-		}
-		o := offer{engine: e, layers: g.Layers(), width: g.Width(), hit: hit}
-		rank := c.price(&o, n).rank
-		if hit > 0 && (warm.engine == nil || rank < warmRank) {
-			warm, warmRank = o, rank
-		}
-		if hit == 0 && (best.engine == nil || rank < bestRank) {
-			best, bestRank = o, rank
-		}
-	}
-	c.draw(g, tries, wide, func(e *world.Engine) { consider(e, 0) })
+	cold, warm := bestOf{call: c, group: g}, bestOf{call: c, group: g}
+	c.draw(g, tries, wide, func(e *world.Engine) { cold.consider(e, 0) })
 	for _, h := range c.cached {
 		if g.Has(h.engine) {
-			consider(h.engine, h.tokens)
+			warm.consider(h.engine, h.tokens)
+		}
+	}
+	for _, b := range []bestOf{cold, warm} {
+		if b.offer.engine != nil {
+			*out = append(*out, b.offer)
 		}
 	}
-	if best.engine != nil {
-		*out = append(*out, best)
+}
+
+// bestOf keeps the offer of a group with the least predicted finish.
+type bestOf struct {
+	call  *call
+	group *world.Group
+	offer offer
+	rank  time.Duration
+}
+
+func (b *bestOf) consider(e *world.Engine, hit int) {
+	if e == nil || !b.call.usable(e) {
+		return
 	}
-	if warm.engine != nil {
-		*out = append(*out, warm)
+	o := offer{engine: e, layers: b.group.Layers(), width: b.group.Width(), hit: hit}
+	rank := b.call.price(&o, o.layers.Len()).rank
+	if b.offer.engine == nil || rank < b.rank {
+		b.offer, b.rank = o, rank
 	}
 }
 
--- a/internal/route/pick/search.go
+++ b/internal/route/pick/search.go
@@ -14,9 +14,12 @@
 	rank  time.Duration
 	first time.Duration
 	token time.Duration
-	prev  int
-	offer *offer
-	full  bool
+	// long and longFirst are the longest step of one stage so far.
+	long      time.Duration
+	longFirst time.Duration
+	prev      int
+	offer     *offer
+	full      bool
 }
 
 // search is a shortest path over the layer boundaries: an engine that holds
@@ -81,6 +84,7 @@
 		best[j] = step{
 			ok: true, rank: rank, prev: i, offer: o,
 			first: best[i].first + cost.first, token: best[i].token + cost.token,
+			long: max(best[i].long, cost.token), longFirst: max(best[i].longFirst, cost.first),
 			full: best[i].full || cost.full,
 		}
 	}
@@ -94,6 +98,7 @@
 	end := best[len(bounds)-1]
 	out := Choice{Fits: !end.full}
 	plan := world.Plan{Depth: m.Depth(), Version: m.Version(), First: end.first, Token: end.token}
+	plan.Step, plan.Prefill = end.long, end.longFirst
 	plan.Whole = end.first + time.Duration(max(0, c.ask.Out-1))*end.token
 	saved := 0
 	for k := len(path) - 1; k >= 0; k-- {
--- a/internal/route/poison/poison.go
+++ b/internal/route/poison/poison.go
@@ -24,6 +24,10 @@
 	// heardHold is how long a request waits here while another instance has
 	// the same one on probation.
 	heardHold = 2 * time.Second
+	// spread is how long a suspect that made no token waits before it runs
+	// again: its second run may end in milliseconds, and its caller could send
+	// it to an instance that has not heard of the first death.
+	spread = 400 * time.Millisecond
 	// clearAfter ends a probation of which no progress is told, and clearTimes
 	// the same as a multiple of the predicted time.
 	clearAfter = 2 * time.Second
@@ -133,6 +137,9 @@
 	if s.runs != nil && s.runs != r && !s.runs.Gone() {
 		return VerdictWait
 	}
+	if r.Attempt() > 0 && now-s.at < Hold(r) {
+		return VerdictWait
+	}
 	// Another instance may have it on probation now: two at once could kill
 	// two more engines before either hears of the other.
 	if s.told && r.Attempt() == 0 && now-s.heard < heardHold {
@@ -141,6 +148,14 @@
 	return VerdictSolo
 }
 
+// Hold is how long a suspect that runs here waits after the death.
+func Hold(r *world.Request) time.Duration {
+	if r.Tokens() > r.From() {
+		return 0
+	}
+	return spread
+}
+
 // Solo reports whether engine has no other suspect on probation.
 func (b *Book) Solo(engine spec.UpstreamID, r *world.Request) bool {
 	on := b.solo[engine]
--- a/internal/route/retry/patience.go
+++ b/internal/route/retry/patience.go
@@ -12,57 +12,62 @@
 const (
 	stepLeast    = 250 * time.Millisecond
 	stepMost     = 10 * time.Second
-	prefillLeast = time.Second
+	prefillLeast = 500 * time.Millisecond
 	prefillMost  = 60 * time.Second
-	// stepTimes is the patience over the 99th percentile of the longest gap,
-	// planTimes over the predicted time.
-	stepTimes = 2
-	planTimes = 6
-	quantile  = 99
+	// times is the patience over the quantile of what was seen, unseen the
+	// same over the prediction while too little was seen.
+	times    = 2
+	unseen   = 8
+	quantile = 99
 	// samples is after how many answers a histogram starts anew; the one
-	// before it is read meanwhile.
+	// before it is read until the new one has enough.
 	samples = 512
-	// enough answers make the observed distribution count.
 	enough  = 32
-	ticks   = 100 * time.Microsecond
+	unit    = 100
+	top     = 50 * unit
 	digits  = 2
-	topTick = int64(120 * time.Second / ticks)
 )
 
-// Patience learns per class how long steps take.
+// Patience learns per class how much longer than predicted steps take, and
+// from it how long the wire should wait for one. It is kept as a ratio, so that
+// what is learnt on slow engines does not make callers on fast ones wait.
 type Patience struct {
-	classes map[spec.ClassName]*gaps
+	classes map[spec.ClassName]*seen
 }
 
-type gaps struct {
+type seen struct {
+	step, prefill ratios
+}
+
+type ratios struct {
 	now, last *hdrhistogram.Histogram
 }
 
 // Saw notes an answer that ran on one chain to its end.
-func (p *Patience) Saw(class spec.ClassName, longest time.Duration) {
-	if longest <= 0 {
+func (p *Patience) Saw(r *world.Request, ev world.Finished) {
+	plan := r.Plan()
+	if plan.Token <= 0 || plan.First <= 0 || ev.Gap <= 0 {
 		return
 	}
 	if p.classes == nil {
-		p.classes = map[spec.ClassName]*gaps{}
+		p.classes = map[spec.ClassName]*seen{}
 	}
-	g := p.classes[class]
-	if g == nil {
-		g = &gaps{now: hdrhistogram.New(1, topTick, digits)}
-		p.classes[class] = g
+	class := r.Arrived().Class
+	s := p.classes[class]
+	if s == nil {
+		s = &seen{}
+		p.classes[class] = s
 	}
-	if g.now.TotalCount() >= samples {
-		g.now, g.last = hdrhistogram.New(1, topTick, digits), g.now
-	}
-	_ = g.now.RecordValue(min(max(1, int64(longest/ticks)), topTick))
+	s.step.add(float64(ev.Gap) / float64(plan.Token))
+	s.prefill.add(float64(ev.First-(r.Started()-r.At())) / float64(plan.First))
 }
 
 // Keep drops what was learnt for classes that are no longer in force.
 func (p *Patience) Keep(classes []spec.Class) {
-	kept := map[spec.ClassName]*gaps{}
+	kept := map[spec.ClassName]*seen{}
 	for _, c := range classes {
-		if g := p.classes[c.Name()]; g != nil {
-			kept[c.Name()] = g
+		if s := p.classes[c.Name()]; s != nil {
+			kept[c.Name()] = s
 		}
 	}
 	p.classes = kept
@@ -72,30 +77,41 @@
 // Each timeout that the request met doubles it: where a step is slow and not
 // lost, trying again just as soon would only repeat the work.
 func (p *Patience) Times(r *world.Request, plan world.Plan) Times {
-	step := max(stepLeast, planTimes*plan.Token)
-	if seen := p.longest(r.Arrived().Class); seen > 0 {
-		step = max(step, stepTimes*seen)
+	step, prefill := float64(unseen), float64(unseen)
+	if s := p.classes[r.Arrived().Class]; s != nil {
+		step, prefill = s.step.limit(), s.prefill.limit()
+	}
+	out := Times{
+		Step:    max(stepLeast, time.Duration(step*float64(plan.Step))),
+		Prefill: max(prefillLeast, time.Duration(prefill*float64(plan.Prefill))),
 	}
-	prefill := max(prefillLeast, planTimes*plan.First)
 	if r.Cause() == world.CauseTimeout && r.Attempt() > 0 {
 		shift := min(len(r.Lost()), 5)
-		step <<= shift
-		prefill <<= shift
+		out.Step <<= shift
+		out.Prefill <<= shift
 	}
-	return Times{Step: min(step, stepMost), Prefill: min(prefill, prefillMost)}
+	out.Step = min(out.Step, stepMost)
+	out.Prefill = min(out.Prefill, prefillMost)
+	return out
 }
 
-func (p *Patience) longest(class spec.ClassName) time.Duration {
-	g := p.classes[class]
-	if g == nil {
-		return 0
+func (r *ratios) add(ratio float64) {
+	if r.now == nil {
+		r.now = hdrhistogram.New(1, top, digits)
 	}
-	h := g.now
-	if h.TotalCount() < enough && g.last != nil {
-		h = g.last
+	if r.now.TotalCount() >= samples {
+		r.now, r.last = hdrhistogram.New(1, top, digits), r.now
+	}
+	_ = r.now.RecordValue(min(max(1, int64(ratio*unit)), top))
+}
+
+func (r *ratios) limit() float64 {
+	h := r.now
+	if h.TotalCount() < enough && r.last != nil {
+		h = r.last
 	}
 	if h.TotalCount() < enough {
-		return 0
+		return unseen
 	}
-	return time.Duration(h.ValueAtQuantile(quantile)) * ticks
+	return times * max(1, float64(h.ValueAtQuantile(quantile))/unit)
 }
--- a/internal/route/world/apply.go
+++ b/internal/route/world/apply.go
@@ -77,6 +77,7 @@
 		return
 	}
 	r.asking = true
+	r.tokens = max(r.tokens, ev.Tokens)
 	r.cause = ev.Cause
 	r.died = ev.Cause == CauseBroken || (e != nil && e.state == StateDown)
 	// An engine that lost only this request's state can rebuild it.
--- a/internal/route/world/event.go
+++ b/internal/route/world/event.go
@@ -41,6 +41,9 @@
 	Attempt uint32
 	Engine  spec.UpstreamID
 	Cause   Cause
+	// Tokens is how many tokens the request has made; what is rebuilt and
+	// where a poison suspect died follow from it.
+	Tokens int
 }
 
 // Finished tells that a request ended, for whatever reason.
--- a/internal/route/world/request.go
+++ b/internal/route/world/request.go
@@ -50,6 +50,10 @@
 	First time.Duration
 	Token time.Duration
 	Whole time.Duration
+	// Step and Prefill are the longest predicted step of one stage, for a
+	// token and for a stage without state.
+	Step    time.Duration
+	Prefill time.Duration
 	// Fresh are the engines of stages that the request did not have before.
 	Fresh []spec.UpstreamID
 	// Hit is the part of the prompt's work that cached prefixes save.
