--- /dev/null
+++ b/internal/route/admit/admit_test.go
@@ -0,0 +1,152 @@
+package admit_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/admit"
+	"fulmarwick/internal/route/world"
+)
+
+func TestLate(t *testing.T) {
+	plan := world.Plan{First: time.Second, Token: 10 * time.Millisecond, Whole: 3 * time.Second}
+	plain := admit.Margin{First: 1, Token: 1}
+	tests := []struct {
+		name   string
+		target spec.Target
+		margin admit.Margin
+		wait   time.Duration
+		want   time.Duration
+	}{
+		{"holds", spec.NewTarget(2*time.Second, 0, 0, 95), plain, time.Second, 0},
+		{"waits too long", spec.NewTarget(2*time.Second, 0, 0, 95), plain, 1500 * time.Millisecond, 500 * time.Millisecond},
+		{"margin", spec.NewTarget(2*time.Second, 0, 0, 95), admit.Margin{First: 2.5, Token: 1}, 0, 500 * time.Millisecond},
+		{"whole", spec.NewTarget(0, 0, 3*time.Second, 95), plain, time.Second, time.Second},
+		{"gap", spec.NewTarget(0, 8*time.Millisecond, 0, 95), plain, 0, 2 * time.Millisecond},
+		{"no limit waits long", spec.NewTarget(0, 0, 0, 95), plain, 20 * time.Second, 0},
+		{"no limit ends", spec.NewTarget(0, 0, 0, 95), plain, 31 * time.Second, time.Second},
+	}
+	for _, test := range tests {
+		got, late := admit.Late(test.target, test.margin, admit.Estimate{Wait: test.wait, Plan: plan})
+		if got != test.want || late != (test.want > 0) {
+			t.Errorf("%s: got %v %v, want %v", test.name, got, late, test.want)
+		}
+	}
+}
+
+// flows are teams that burst independently to four times their low rate.
+func flows(n int, seed uint64, bins int) []admit.Flow {
+	r := rand.New(rand.NewPCG(seed, 0))
+	out := make([]admit.Flow, n)
+	for i := range out {
+		out[i].Bin = 250 * time.Millisecond
+		high := false
+		for range bins {
+			if r.Float64() < map[bool]float64{true: 0.25, false: 0.0625}[high] {
+				high = !high
+			}
+			rate := map[bool]float64{true: 100, false: 25}[high]
+			out[i].Bins = append(out[i].Bins, 80*float64(poisson(r, rate*0.25/80)))
+		}
+	}
+	return out
+}
+
+func poisson(r *rand.Rand, mean float64) int {
+	limit, p, n := math.Exp(-mean), 1.0, 0
+	for {
+		p *= r.Float64()
+		if p <= limit {
+			return n
+		}
+		n++
+	}
+}
+
+// held is the part of the tokens that a first-come queue at rate would start
+// within limit.
+func held(flows []admit.Flow, rate float64, limit time.Duration) float64 {
+	queue, good, all := 0.0, 0.0, 0.0
+	for b := range flows[0].Bins {
+		sum := 0.0
+		for _, f := range flows {
+			sum += f.Bins[b]
+		}
+		all += sum
+		room := max(0, rate*limit.Seconds()-queue)
+		good += min(sum, room)
+		queue = max(0, queue+sum-rate*flows[0].Bin.Seconds())
+	}
+	return good / all
+}
+
+// perRequest is what the decision per request makes of all flows: tokens that
+// would wait longer than the limit are refused, the others are served.
+func perRequest(flows []admit.Flow, rate float64, limit time.Duration) float64 {
+	queue, good := 0.0, 0.0
+	for b := range flows[0].Bins {
+		sum := 0.0
+		for _, f := range flows {
+			sum += f.Bins[b]
+		}
+		taken := min(sum, max(0, rate*limit.Seconds()-queue))
+		good += taken
+		queue = max(0, queue+taken-rate*flows[0].Bin.Seconds())
+	}
+	return good
+}
+
+// A rule that admits by the past must not let the future's callers wait: on
+// other draws of the same teams the target holds for what each rule admits.
+func TestRulesHoldTheirTarget(t *testing.T) {
+	const rate, limit = 2000.0, time.Second
+	past, future := flows(80, 1, 2400), flows(80, 2, 2400)
+	for _, rule := range []admit.Rule{admit.Headroom{Free: 0.2}, admit.Worst{}, admit.Bound{}} {
+		n := rule.Admits(past, rate, limit, 95)
+		if n == 0 {
+			t.Errorf("%T: admits nobody", rule)
+			continue
+		}
+		if got := held(future[:n], rate, limit); got < 0.95 {
+			t.Errorf("%T: got %d teams with %.3f in time, want at least 0.95", rule, n, got)
+		}
+	}
+}
+
+func BenchmarkRules(b *testing.B) {
+	const rate = 2000.0
+	past, future := flows(80, 1, 2400), flows(80, 2, 2400)
+	for _, limit := range []time.Duration{500 * time.Millisecond, time.Second, 3 * time.Second} {
+		for _, rule := range []admit.Rule{admit.Headroom{Free: 0.1}, admit.Headroom{Free: 0.2}, admit.Worst{}, admit.Bound{}} {
+			b.Run(fmt.Sprintf("%v/%T%v", limit, rule, rule), func(b *testing.B) {
+				n := 0
+				for range b.N {
+					n = rule.Admits(past, rate, limit, 95)
+				}
+				served := 0.0
+				for _, f := range future[:n] {
+					served += f.Mean()
+				}
+				b.ReportMetric(float64(n), "teams")
+				b.ReportMetric(100*served/rate, "%used")
+				if n > 0 {
+					b.ReportMetric(100*held(future[:n], rate, limit), "%held")
+				}
+			})
+		}
+		b.Run(fmt.Sprintf("%v/per-request", limit), func(b *testing.B) {
+			all := 0.0
+			for range b.N {
+				all = perRequest(future, rate, limit)
+			}
+			seconds := float64(len(future[0].Bins)) * 0.25
+			b.ReportMetric(80, "teams")
+			b.ReportMetric(100*all/seconds/rate, "%used")
+			b.ReportMetric(100, "%held")
+		})
+	}
+}
--- /dev/null
+++ b/internal/route/fair/fair_test.go
@@ -0,0 +1,141 @@
+package fair_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/fair"
+	"fulmarwick/internal/route/world"
+
+	"pgregory.net/rapid"
+)
+
+// requests makes a request per team name, in order.
+func requests(teams ...string) []*world.Request {
+	w := &world.World{}
+	w.Begin(0)
+	for i, team := range teams {
+		w.Apply(world.Arrived{Request: spec.RequestID(fmt.Sprint(i)), Team: spec.TeamID(team)})
+	}
+	return w.Requests().Due()
+}
+
+func item(r *world.Request, latest time.Duration) *fair.Item {
+	return &fair.Item{Request: r, Cost: 100, Charge: 100, Latest: latest}
+}
+
+// serve takes n requests from the queue and counts them per team.
+func serve(q *fair.Queue, n int) map[spec.TeamID]int {
+	out := map[spec.TeamID]int{}
+	for range n {
+		it := q.Head()
+		if it == nil {
+			break
+		}
+		q.Take(it)
+		team := it.Request.Arrived().Team
+		q.Began(team, it.Charge)
+		out[team]++
+	}
+	return out
+}
+
+func TestTeamsShareAlikeWhateverTheyAskFor(t *testing.T) {
+	q := &fair.Queue{}
+	var teams []string
+	for i := range 120 {
+		teams = append(teams, []string{"big", "big", "big", "big", "big", "small"}[i%6])
+	}
+	for i, r := range requests(teams...) {
+		q.Push(item(r, time.Duration(i)))
+	}
+	got := serve(q, 40)
+	if got["small"] < 19 {
+		t.Errorf("got %v of 40, want 20 each", got)
+	}
+	if got := serve(q, 200); got["big"] != 80 {
+		t.Errorf("rest: got %v, want 80 of the large team", got)
+	}
+}
+
+func TestDeadlinesOrderWithinATeamAndAmongEquals(t *testing.T) {
+	q := &fair.Queue{}
+	rs := requests("a", "a", "b")
+	q.Push(item(rs[0], 30))
+	q.Push(item(rs[1], 10))
+	q.Push(item(rs[2], 20))
+	for _, want := range []*world.Request{rs[1], rs[2], rs[0]} {
+		it := q.Head()
+		if it.Request != want {
+			t.Fatalf("got %s, want %s", it.Request.Arrived().Request, want.Arrived().Request)
+		}
+		q.Take(it)
+	}
+}
+
+func TestIdleTeamsCostNothing(t *testing.T) {
+	q := &fair.Queue{}
+	rates := &fair.Rates{}
+	w := &world.World{}
+	for i := range 37000 {
+		now := time.Duration(i) * time.Millisecond
+		team := spec.TeamID(fmt.Sprint(i))
+		q.Began(team, 10)
+		rates.Use(now, team, 10)
+		w.Begin(now)
+		rates.Run(w)
+	}
+	if got := q.Teams(); got > 200 {
+		t.Errorf("teams in the queue: got %d, want at most 200", got)
+	}
+	w.Begin(2 * time.Minute)
+	rates.Run(w)
+	if got := rates.Len(); got != 0 {
+		t.Errorf("teams followed: got %d, want 0", got)
+	}
+}
+
+func TestUseElsewhereCounts(t *testing.T) {
+	rates := &fair.Rates{}
+	rates.Use(0, "big", 500)
+	rates.Heard(0, world.TeamUsed{Team: "big", Rate: 400})
+	if got := rates.Factor(0, "big"); got != 4 {
+		t.Errorf("factor: got %v, want 4", got)
+	}
+	if got := rates.Factor(time.Minute, "big"); got != 1 {
+		t.Errorf("factor of an old rate: got %v, want 1", got)
+	}
+}
+
+// Whatever is pushed and taken: every request comes out once, and no team that
+// waits throughout gets more than two requests less than another.
+func TestQueueIsFairAndLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 60).Draw(t, "teams")
+		q := &fair.Queue{}
+		left := map[spec.TeamID]int{}
+		for i, r := range requests(names...) {
+			q.Push(item(r, time.Duration(rapid.IntRange(0, 1000).Draw(t, "latest")+i)))
+			left[r.Arrived().Team]++
+		}
+		served := map[spec.TeamID]int{}
+		for range names {
+			it := q.Head()
+			q.Take(it)
+			team := it.Request.Arrived().Team
+			q.Began(team, it.Charge)
+			served[team]++
+			left[team]--
+			for other, n := range left {
+				if n > 0 && served[team] > served[other]+2 {
+					t.Fatalf("team %s: got %d served, want at most 2 more than %d of %s", team, served[team], served[other], other)
+				}
+			}
+		}
+		if q.Len() != 0 || q.Head() != nil {
+			t.Fatalf("got %d left, want none", q.Len())
+		}
+	})
+}
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -10,7 +10,7 @@
 
 const (
 	// DefaultTries is how many engines of a group are drawn and compared.
-	DefaultTries = 3
+	DefaultTries = 2
 	// scanMost is the size of a group that is read whole when none of the
 	// engines drawn has room; of a larger one wideTries are drawn.
 	scanMost  = 32
--- a/internal/route/poison/poison.go
+++ b/internal/route/poison/poison.go
@@ -128,24 +128,28 @@
 // Judge says what may be done with a request that is about to start.
 func (b *Book) Judge(now time.Duration, r *world.Request) Verdict {
 	s := b.prints[r.Arrived().Print]
-	if s == nil || now-s.at > Expiry || s.crashes == 0 {
+	switch {
+	case s == nil || now-s.at > Expiry || s.crashes == 0:
 		return VerdictFree
-	}
-	if s.crashes >= guilty {
+	case s.crashes >= guilty:
 		return VerdictGuilty
+	case b.early(now, s, r):
+		return VerdictWait
 	}
+	return VerdictSolo
+}
+
+// early reports whether the suspect must wait before it runs again.
+func (b *Book) early(now time.Duration, s *suspect, r *world.Request) bool {
 	if s.runs != nil && s.runs != r && !s.runs.Gone() {
-		return VerdictWait
+		return true
 	}
-	if r.Attempt() > 0 && now-s.at < Hold(r) {
-		return VerdictWait
+	if r.Attempt() > 0 {
+		return now-s.at < Hold(r)
 	}
 	// Another instance may have it on probation now: two at once could kill
 	// two more engines before either hears of the other.
-	if s.told && r.Attempt() == 0 && now-s.heard < heardHold {
-		return VerdictWait
-	}
-	return VerdictSolo
+	return s.told && now-s.heard < heardHold
 }
 
 // Hold is how long a suspect that runs here waits after the death.
