--- a/internal/fakes/bench/bench_test.go
+++ b/internal/fakes/bench/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fakes/bench"
 	"fulmarwick/internal/route/core"
 	"fulmarwick/internal/route/pick"
@@ -35,6 +36,18 @@
 func BenchmarkTargets70(b *testing.B)  { parts(b, 0.7) }
 func BenchmarkTargets90(b *testing.B)  { parts(b, 0.9) }
 
+// Reach is saturation with a target that any engine can meet while it is full.
+func BenchmarkReach(b *testing.B) {
+	each(b, func(b *testing.B, c bench.Scenario, p bench.Policy) {
+		for range b.N {
+			c.Load.Target = spec.NewTarget(0, 0, 60*time.Second, 95)
+			s := c.Site(p, 1.3, seed)
+			s.Length, s.Warm = 180*time.Second, 110*time.Second
+			report(b, s.Run())
+		}
+	})
+}
+
 func parts(b *testing.B, part float64) {
 	each(b, func(b *testing.B, c bench.Scenario, p bench.Policy) {
 		for range b.N {
@@ -90,6 +103,29 @@
 	}
 }
 
+// Hedged requests run twice once they waited as long as 95 of 100 do.
+func BenchmarkHedge(b *testing.B) {
+	for _, c := range bench.Scenarios() {
+		for _, part := range []float64{0.5, 0.7, 0.9} {
+			plain := c.Site(bench.Policies()[0], part, seed).Run()
+			for _, hedge := range []time.Duration{0, plain.First95} {
+				b.Run(fmt.Sprintf("%s/%.1f/after=%v", c.Name, part, hedge.Round(time.Millisecond)), func(b *testing.B) {
+					for range b.N {
+						s := c.Site(bench.Policies()[0], part, seed)
+						s.Hedge = hedge
+						r := s.Run()
+						b.ReportMetric(float64(r.First95.Milliseconds()), "ms-first95")
+						b.ReportMetric(float64(r.First99.Milliseconds()), "ms-first99")
+						b.ReportMetric(100*r.Held, "%held")
+						b.ReportMetric(float64(r.Hedges), "hedges")
+						b.ReportMetric(0, "ns/op")
+					}
+				})
+			}
+		}
+	}
+}
+
 func BenchmarkPoison(b *testing.B) {
 	for _, c := range bench.Scenarios() {
 		for _, p := range bench.Policies()[:2] {
--- a/internal/fakes/bench/result.go
+++ b/internal/fakes/bench/result.go
@@ -22,8 +22,10 @@
 	Teams map[spec.TeamID]float64
 	// Hits is the part of prompt positions served from prefix caches.
 	Hits float64
+	// Hedges counts requests that ran twice.
+	Hedges int
 	// First50 and First99 are of the first token.
-	First50, First99 time.Duration
+	First50, First95, First99 time.Duration
 	// Hurt counts requests hit by a fault; Healed50 and so on are the time to
 	// their next token, Found the longest time to the notice of it.
 	Hurt                           int
@@ -42,7 +44,7 @@
 // and came too late to have met their target are left out.
 func (s *Site) result() Result {
 	out := Result{
-		Kills: s.kills, Timeouts: s.timeouts,
+		Kills: s.kills, Timeouts: s.timeouts, Hedges: s.hedges,
 		Teams: map[spec.TeamID]float64{}, Reasons: map[world.Reason]int{},
 	}
 	came := map[spec.TeamID]float64{}
@@ -57,7 +59,7 @@
 				good += s.units(r)
 			}
 		}
-		if r.came >= s.Warm && r.came <= s.Length-tail && !r.poison {
+		if r.came >= s.Warm && r.came <= s.Length-tail && !r.poison && r.outcome != OutcomeHedged {
 			g.take(r)
 		}
 	}
@@ -67,7 +69,7 @@
 	out.HeldOf = part(g.heldAll, out.Came-out.Refused)
 	out.Hits = part(g.hit, g.prefill)
 	out.Use = s.use()
-	out.First50, out.First99 = at(g.firsts, 50), at(g.firsts, 99)
+	out.First50, out.First95, out.First99 = at(g.firsts, 50), at(g.firsts, 95), at(g.firsts, 99)
 	out.Healed50, out.Healed95, out.HealedMost = at(g.healed, 50), at(g.healed, 95), at(g.healed, 100)
 	for t, n := range came {
 		out.Teams[t] = held[t] / n
--- a/internal/fakes/bench/run.go
+++ b/internal/fakes/bench/run.go
@@ -18,6 +18,8 @@
 	OutcomeRefused
 	OutcomeLost
 	OutcomeForwarded
+	// OutcomeHedged is the slower of two runs of one request.
+	OutcomeHedged
 )
 
 // run is a request as the wire would run it: stages that are behind are
@@ -50,7 +52,9 @@
 	work    int
 	// hurt is when a fault last hit the request; healed the time to its next
 	// token, and found the time to the notice of the loss.
-	hurt   time.Duration
+	hurt time.Duration
+	// twin is the other run of a hedged request.
+	twin   *run
 	healed time.Duration
 	found  time.Duration
 }
@@ -63,6 +67,9 @@
 	r.attempt = c.Attempt
 	r.start = c
 	r.waiting = false
+	if r.site.Hedge > 0 && c.Attempt == 1 && r.twin == nil {
+		r.site.clock.after(r.site.Hedge-(r.site.clock.now-r.came), r.hedge)
+	}
 	r.stages = make([]*stage, 0, len(c.Chain))
 	for _, want := range c.Chain {
 		r.stages = append(r.stages, r.keep(&old, want))
@@ -191,6 +198,7 @@
 	r.tokens++
 	if r.tokens == 1 {
 		r.first = now - r.came
+		r.won()
 	} else {
 		gap := now - r.last
 		r.longest = max(r.longest, gap)
--- a/internal/fakes/bench/site.go
+++ b/internal/fakes/bench/site.go
@@ -39,6 +39,9 @@
 	// Length is the virtual time simulated; Warm is left out of the figures.
 	Length time.Duration
 	Warm   time.Duration
+	// Hedge is the time without a first token after which a request runs twice
+	// until one of the runs has it; zero never.
+	Hedge time.Duration
 	// Faults happen at their times.
 	Faults []Fault
 
@@ -54,6 +57,7 @@
 	open      map[*run]bool
 	kills     int
 	timeouts  int
+	hedges    int
 	rates     map[spec.TeamID]map[spec.InstanceID]float64
 }
 
@@ -102,6 +106,10 @@
 	case world.Refuse:
 		r := i.waits[c.Request]
 		r.reason = c.Reason
+		if r.twin != nil && r.twin.outcome == OutcomeOpen {
+			r.end(OutcomeHedged)
+			return
+		}
 		if c.Ran {
 			r.end(OutcomeLost)
 		} else {
--- a/internal/route/pick/cache_test.go
+++ b/internal/route/pick/cache_test.go
@@ -34,15 +34,15 @@
 	g.n++
 	id := spec.RequestID(rune('0' + g.n))
 	g.w.Apply(world.Arrived{Request: id, Model: model, Prompt: 640, Limit: 10, Blocks: blocks})
-	for _, r := range g.w.Requests().Due() {
-		c, ok := g.pick.Choose(g.w, r, pick.Ask{Limit: 1, Out: 10})
-		if !ok {
-			t.Fatal("no chain")
-		}
-		return c.Plan.Chain[0].Engine(), c.Plan.Hit
+	due := g.w.Requests().Due()
+	if len(due) != 1 {
+		t.Fatalf("due: got %d, want 1", len(due))
 	}
-	t.Fatal("nothing due")
-	return "", 0
+	c, ok := g.pick.Choose(g.w, due[0], pick.Ask{Limit: 1, Out: 10})
+	if !ok {
+		t.Fatal("no chain")
+	}
+	return c.Plan.Chain[0].Engine(), c.Plan.Hit
 }
 
 var prompt = []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}
--- a/internal/route/pick/search_test.go
+++ b/internal/route/pick/search_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/pick"
 	"fulmarwick/internal/route/world"
 
@@ -99,7 +98,7 @@
 	if !ok || again.Plan.Version != "1" {
 		t.Errorf("got %v %v, want version 1 still", again.Plan, ok)
 	}
-	if got := spec.Chain(again.Plan.Chain).Uses("new2"); got {
+	if again.Plan.Chain.Uses("new2") {
 		t.Error("got an engine of version 2 in it")
 	}
 }
--- a/internal/route/retry/patience.go
+++ b/internal/route/retry/patience.go
@@ -16,7 +16,7 @@
 	prefillMost  = 60 * time.Second
 	// times is the patience over the quantile of what was seen, unseen the
 	// same over the prediction while too little was seen.
-	times    = 2
+	times    = 3
 	unseen   = 8
 	quantile = 99
 	// samples is after how many answers a histogram starts anew; the one
