Forget idle teams, respect KV memory, and keep a peer's early load

A test of 37,000 teams that each ask once showed that the virtual time stood still and every team was kept; it now advances with the service given. KV memory of an engine bounds what is sent to it. A peer's load heard before the engine's first report was dropped; it now counts. Stages on a leaving engine are kept when another stage dies: the engine finishes what runs on it.

--- a/internal/fakes/bench/run.go
+++ b/internal/fakes/bench/run.go
@@ -160,6 +160,10 @@
 		r.lose(s, world.CauseLeaving)
 		return
 	}
+	if !s.opened && e.kv+r.ask.Prompt+r.ask.Limit > e.row.Cache {
+		r.lose(s, world.CauseLeaving)
+		return
+	}
 	if !s.opened {
 		s.opened = true
 		e.opened = r.site.clock.now
--- a/internal/route/core/core_test.go
+++ b/internal/route/core/core_test.go
@@ -336,7 +336,7 @@
 	if got, want := busy-e.Draw(), int64(900); got != want {
 		t.Errorf("draw that went with the peer: got %d, want %d", got, want)
 	}
-	g.tick(world.EngineGone{Engine: "a1"}, world.EngineSeen{Engine: engine("a1", 0, 8)}, world.Canceled{Request: a.Request})
+	g.tick(world.EngineGone{Engine: "a1"}, world.PeerLoad{Peer: "q", Engine: "a1", Active: 1, Tokens: 0}, world.EngineSeen{Engine: engine("a1", 0, 8)}, world.Canceled{Request: a.Request})
 	if got := g.logic.World().Engines().Get("a1").Draw(); got != 0 {
 		t.Errorf("draw on the engine of the same name: got %d, want 0", got)
 	}
--- a/internal/route/core/fresh.go
+++ b/internal/route/core/fresh.go
@@ -121,7 +121,9 @@
 		l.refuse(r, reason, v.over, 1/choice.Plan.Token.Seconds())
 		return
 	}
-	q.fair.Push(&fair.Item{Request: r, Cost: cost, Charge: charge, Latest: v.latest})
+	q.fair.Push(&fair.Item{
+		Request: r, Cost: cost, Charge: charge, Latest: v.latest, Rate: 1 / choice.Plan.Token.Seconds(),
+	})
 }
 
 // view is how a request stands with a plan.
--- a/internal/route/core/queue.go
+++ b/internal/route/core/queue.go
@@ -17,6 +17,7 @@
 type queue struct {
 	fair  fair.Queue
 	check time.Duration
+	ran   time.Duration
 }
 
 func (l *Logic) queue(model spec.ModelName) *queue {
@@ -34,6 +35,9 @@
 func (l *Logic) runQueues() {
 	for _, model := range l.order {
 		q := l.queues[model]
+		now := l.world.Now()
+		q.fair.Advance(l.drain(model) * (now - q.ran).Seconds())
+		q.ran = now
 		if q.fair.Len() == 0 {
 			continue
 		}
@@ -117,5 +121,5 @@
 }
 
 func (l *Logic) giveUp(it *fair.Item, reason world.Reason, over time.Duration) {
-	l.refuse(it.Request, reason, over, 0)
+	l.refuse(it.Request, reason, over, it.Rate)
 }
--- a/internal/route/fair/fair_test.go
+++ b/internal/route/fair/fair_test.go
@@ -82,6 +82,7 @@
 	for i := range 37000 {
 		now := time.Duration(i) * time.Millisecond
 		team := spec.TeamID(fmt.Sprint(i))
+		q.Advance(20)
 		q.Began(team, 10)
 		rates.Use(now, team, 10)
 		w.Begin(now)
--- a/internal/route/fair/queue.go
+++ b/internal/route/fair/queue.go
@@ -30,6 +30,8 @@
 	// charged for it.
 	Cost   float64
 	Charge float64
+	// Rate is the tokens a second that it makes once it runs.
+	Rate float64
 	// Latest is when the request must start to meet its target.
 	Latest time.Duration
 	seq    uint64
@@ -71,6 +73,21 @@
 	q.drop()
 }
 
+// Advance moves the virtual time on by what tokens of service give each team.
+// Without it the virtual time would stand still while each request is of
+// another team, and no team would ever count as idle. A team that waits is
+// never overtaken.
+func (q *Queue) Advance(tokens float64) {
+	if len(q.flows) == 0 {
+		return
+	}
+	next := q.virtual + tokens/float64(len(q.flows))
+	for _, f := range q.active {
+		next = min(next, max(f.finish, q.virtual))
+	}
+	q.virtual = next
+}
+
 // Lead is how far a team is ahead of its share: what it was charged beyond the
 // virtual time, and its backlog.
 func (q *Queue) Lead(team spec.TeamID) float64 {
--- a/internal/route/pick/cost.go
+++ b/internal/route/pick/cost.go
@@ -56,7 +56,7 @@
 		out.first = work*chunks(run) + hop + wire(o, run)
 	}
 	out.rank = out.first + time.Duration(c.ask.Out)*out.token
-	out.full = !o.kept && use > c.ask.Limit
+	out.full = !o.kept && (use > c.ask.Limit || !e.Room(int64(c.r.KV())))
 	if out.full {
 		out.rank += fullPenalty
 	}
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -91,7 +91,8 @@
 	return out
 }
 
-// keepable are the stages of the request that live still.
+// keepable are the stages of the request that live still. Those of a leaving
+// engine stay: it finishes what runs on it.
 func (c *call) keepable(m *world.Model) []offer {
 	if c.r.Attempt() == 0 {
 		return nil
@@ -99,7 +100,7 @@
 	var out []offer
 	for _, s := range c.r.Chain() {
 		e := c.w.Engines().Get(s.Engine())
-		if e == nil || e.State() != world.StateServing || c.r.Avoids(e.ID) {
+		if e == nil || e.State() == world.StateDown || c.r.Avoids(e.ID) {
 			continue
 		}
 		if h, ok := e.Hold(m.Name(), m.Version(), s.Layers()); ok {
--- a/internal/route/world/apply.go
+++ b/internal/route/world/apply.go
@@ -27,7 +27,7 @@
 func (w *World) applyEngine(ev Event) {
 	switch ev := ev.(type) {
 	case EngineSeen:
-		w.engines.see(w.now, ev.Engine)
+		w.engineSeen(ev)
 	case EngineDown:
 		w.engines.mark(w.now, ev.Engine, StateDown)
 	case EngineLeaving:
--- a/internal/route/world/load.go
+++ b/internal/route/world/load.go
@@ -15,6 +15,10 @@
 	// less than was predicted.
 	other int64
 	known bool
+	// kv is the KV tokens that own requests may come to take, others how many
+	// requests of other instances there are.
+	kv     int64
+	others int
 }
 
 const (
@@ -62,18 +66,33 @@
 	e.moved(before)
 }
 
-func (e *Engine) addOwn(d int64) {
+func (e *Engine) addOwn(draw, kv int64) {
 	before := e.Draw()
-	e.load.own += d
+	e.load.own += draw
+	e.load.kv += kv
 	e.moved(before)
 }
 
-func (e *Engine) addPeer(d int64) {
+func (e *Engine) addPeer(now, old peerLoad) {
 	before := e.Draw()
-	e.load.peers += d
+	e.load.peers += now.draw - old.draw
+	e.load.others += now.active - old.active
 	e.moved(before)
 }
 
+// Room reports whether the engine has memory for need KV tokens more. What the
+// requests of other instances take is guessed from those of this one.
+func (e *Engine) Room(need int64) bool {
+	if e.Cache <= 0 {
+		return true
+	}
+	each := need
+	if e.own > 0 {
+		each = e.load.kv / int64(e.own)
+	}
+	return e.load.kv+int64(e.load.others)*each+need <= int64(e.Cache)
+}
+
 // moved keeps the sums of the engine's groups in step with its draw.
 func (e *Engine) moved(before int64) {
 	d := e.Draw() - before
--- a/internal/route/world/peer.go
+++ b/internal/route/world/peer.go
@@ -8,10 +8,16 @@
 
 // peers is what other instances told.
 type peers struct {
-	loads map[spec.InstanceID]map[spec.UpstreamID]int64
+	loads map[spec.InstanceID]map[spec.UpstreamID]peerLoad
 	ids   []spec.InstanceID
 }
 
+// peerLoad is what one peer has on one engine.
+type peerLoad struct {
+	draw   int64
+	active int
+}
+
 // Peers are the other instances that told their load, in order of hearing.
 func (w *World) Peers() []spec.InstanceID { return w.peers.ids }
 
@@ -20,33 +26,47 @@
 func (w *World) peerLoad(ev PeerLoad) {
 	p := &w.peers
 	if p.loads == nil {
-		p.loads = map[spec.InstanceID]map[spec.UpstreamID]int64{}
+		p.loads = map[spec.InstanceID]map[spec.UpstreamID]peerLoad{}
 	}
 	loads := p.loads[ev.Peer]
 	if loads == nil {
-		loads = map[spec.UpstreamID]int64{}
+		loads = map[spec.UpstreamID]peerLoad{}
 		p.loads[ev.Peer] = loads
 		p.ids = append(p.ids, ev.Peer)
 	}
-	now := int64(max(0, ev.Tokens))
-	e := w.engines.Get(ev.Engine)
-	if e == nil {
-		return
+	now := peerLoad{draw: int64(max(0, ev.Tokens)), active: max(0, ev.Active)}
+	if e := w.engines.Get(ev.Engine); e != nil {
+		e.addPeer(now, loads[ev.Engine])
 	}
-	e.addPeer(now - loads[ev.Engine])
-	if now == 0 {
+	if now == (peerLoad{}) {
 		delete(loads, ev.Engine)
 		return
 	}
 	loads[ev.Engine] = now
 }
 
+// engineSeen takes a report. A new engine starts with what peers told of it
+// before.
+func (w *World) engineSeen(ev EngineSeen) {
+	known := w.engines.Get(ev.Engine.ID) != nil
+	w.engines.see(w.now, ev.Engine)
+	if known {
+		return
+	}
+	e := w.engines.Get(ev.Engine.ID)
+	for _, peer := range w.peers.ids {
+		if l, ok := w.peers.loads[peer][e.ID]; ok {
+			e.addPeer(l, peerLoad{})
+		}
+	}
+}
+
 // peerGone forgets a peer. The sums are of integers, so the order of the map
 // does not show.
 func (w *World) peerGone(id spec.InstanceID) {
 	for engine, d := range w.peers.loads[id] {
 		if e := w.engines.Get(engine); e != nil {
-			e.addPeer(-d)
+			e.addPeer(peerLoad{}, d)
 		}
 	}
 	delete(w.peers.loads, id)
--- a/internal/route/world/request.go
+++ b/internal/route/world/request.go
@@ -35,6 +35,7 @@
 type charge struct {
 	engine *Engine
 	draw   int64
+	kv     int64
 }
 
 // Plan is a chosen chain with what was predicted for it.
@@ -78,6 +79,9 @@
 // Plan is what the last Start ran.
 func (r *Request) Plan() Plan { return r.plan }
 
+// KV is how many KV tokens the request may come to take on an engine.
+func (r *Request) KV() int { return r.arrived.Prompt + r.arrived.Limit }
+
 // Chain is the chain of the last Start.
 func (r *Request) Chain() spec.Chain { return r.plan.Chain }
 
--- a/internal/route/world/world.go
+++ b/internal/route/world/world.go
@@ -110,8 +110,9 @@
 			draw = r.plan.Draws[i]
 		}
 		e.own++
-		e.addOwn(draw)
-		r.charges = append(r.charges, charge{engine: e, draw: draw})
+		kv := int64(r.KV())
+		e.addOwn(draw, kv)
+		r.charges = append(r.charges, charge{engine: e, draw: draw, kv: kv})
 		w.touched = append(w.touched, e)
 	}
 	w.paced(r.arrived.Model, r.plan.Token, 1)
@@ -125,7 +126,7 @@
 	}
 	for _, c := range r.charges {
 		c.engine.own--
-		c.engine.addOwn(-c.draw)
+		c.engine.addOwn(-c.draw, -c.kv)
 		for _, g := range c.engine.groups {
 			g.free(c.engine)
 		}
