Check every setting at once, with file, line and reason

The first settings reader named one missing key per run, took unknown keys and bad numbers in silence and let a doubled key win by its place. A schema of sections and keys now gives bounds and defaults; a line scan beside the INI library finds doubled names and positions.

--- a/internal/app/cmds/root.go
+++ b/internal/app/cmds/root.go
@@ -37,7 +37,7 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	root.AddCommand(newServe(), newTrial())
+	root.AddCommand(newServe(), newTrial(), newCheck())
 	if err := root.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintln(errOut, "fulmarwick:", err)
 		return exitCode(err)
--- a/internal/app/cmds/trial.go
+++ b/internal/app/cmds/trial.go
@@ -57,7 +57,7 @@
 		Log: log, Listener: l, Config: trialConfig(),
 		Settings: setup.File{
 			Instance: setup.Instance{Name: "trial-1", DataCentre: trial.Centre},
-			Platform: setup.Platform{URL: site.URL(), Watch: trialWatch},
+			Platform: setup.Platform{Table: site.URL(), Watch: trialWatch},
 			Limits:   setup.Limits{Body: trialBody, Tokens: trialLimit},
 		},
 	}
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	table := &store.Client{Base: d.Settings.Platform.URL, HTTP: &http.Client{}}
+	table := &store.Client{Base: d.Settings.Platform.Table, HTTP: &http.Client{}}
 	pool := &engine.Pool{}
 	defer pool.Close()
 	sender := &plain.Sender{HTTP: plain.NewHTTP()}
@@ -72,7 +72,7 @@
 	if d.Listener != nil {
 		return d.Listener, nil
 	}
-	l, err := new(net.ListenConfig).Listen(ctx, "tcp", d.Settings.Instance.Listen)
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", d.Settings.Listen.Callers)
 	if err != nil {
 		return nil, errors.Wrap(err, "daemon: listen")
 	}
--- a/internal/app/daemon/daemon_test.go
+++ b/internal/app/daemon/daemon_test.go
@@ -45,7 +45,7 @@
 		Log: zap.NewNop(), Listener: l, Config: snapshot(),
 		Settings: setup.File{
 			Instance: setup.Instance{Name: "t-1", DataCentre: trial.Centre},
-			Platform: setup.Platform{URL: site.URL(), Watch: 20 * time.Millisecond},
+			Platform: setup.Platform{Table: site.URL(), Watch: 20 * time.Millisecond},
 			Limits:   setup.Limits{Body: 1 << 20, Tokens: 1000},
 		},
 	}
--- /dev/null
+++ b/internal/app/setup/load.go
@@ -0,0 +1,153 @@
+package setup
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/go-faster/errors"
+	"gopkg.in/ini.v1"
+)
+
+// maxFile is the most bytes of a settings file.
+const maxFile = 1 << 20
+
+// Load reads and checks the settings at path. Paths in the file are relative
+// to its directory. The error matches ErrBad and lists every problem at once.
+func Load(path string) (File, error) {
+	return load(path, true)
+}
+
+// LoadElsewhere is Load for a file that is meant for another machine: the
+// files that it names need not exist here.
+func LoadElsewhere(path string) (File, error) {
+	return load(path, false)
+}
+
+func load(path string, files bool) (File, error) {
+	data, err := readFile(path)
+	if err != nil {
+		bad := &BadError{}
+		bad.add(Problem{file: path, text: err.Error()})
+		return File{}, bad.orNil()
+	}
+	p := &parser{name: path, dir: filepath.Dir(path), files: files}
+	return p.parse(data)
+}
+
+// Parse checks settings held in memory; name stands for the file's name in
+// problems. Files that the settings name are not looked at.
+func Parse(name string, data []byte) (File, error) {
+	p := &parser{name: name}
+	return p.parse(data)
+}
+
+func readFile(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		var pe *os.PathError
+		if errors.As(err, &pe) {
+			err = pe.Err
+		}
+		return nil, errors.Wrap(err, "cannot be read")
+	}
+	defer func() { _ = f.Close() }()
+	data, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "cannot be read")
+	}
+	if len(data) > maxFile {
+		return nil, errors.New("is larger than 1 MiB")
+	}
+	return data, nil
+}
+
+// parser holds one file while it is read.
+type parser struct {
+	name  string
+	dir   string
+	files bool
+	out   File
+	bad   BadError
+	lines map[entry]int
+}
+
+func (p *parser) parse(data []byte) (File, error) {
+	p.out = Default()
+	at := scan(p.name, data, &p.bad)
+	values, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreContinuation: true, IgnoreInlineComment: true,
+		SkipUnrecognizableLines: true, KeyValueDelimiters: "=", AllowShadows: true,
+	}, data)
+	if err != nil {
+		p.bad.add(Problem{file: p.name, text: err.Error()})
+		return File{}, p.bad.orNil()
+	}
+	p.lines = map[entry]int{}
+	p.unknown(at)
+	for _, e := range at.entries {
+		p.set(e, values.Section(e.section).Key(e.key).Value())
+	}
+	p.missing(at)
+	p.together()
+	if err := p.bad.orNil(); err != nil {
+		return File{}, err
+	}
+	return p.out, nil
+}
+
+// unknown refuses the sections that no setting has.
+func (p *parser) unknown(at layout) {
+	for name, line := range at.sections {
+		if find(name) == nil {
+			p.bad.add(Problem{file: p.name, line: line, section: name, text: "no such section"})
+		}
+	}
+}
+
+func (p *parser) set(e entry, value string) {
+	section := find(e.section)
+	if section == nil {
+		return
+	}
+	line := e.line
+	e.line = 0
+	p.lines[e] = line
+	at := Problem{file: p.name, line: line, section: e.section, key: e.key}
+	set := section.setter(e.key)
+	if set == nil {
+		at.text = "no such key"
+		p.bad.add(at)
+		return
+	}
+	if reason := set(p, value); reason != "" {
+		at.text = reason
+		p.bad.add(at)
+	}
+}
+
+// missing refuses a file without the keys that have no default. A section
+// that may be left out asks for its keys only where it stands.
+func (p *parser) missing(at layout) {
+	for _, s := range sections {
+		if s.spare && at.sections[s.name] == 0 {
+			continue
+		}
+		for _, k := range s.keys {
+			e := entry{section: s.name, key: k.name}
+			if k.must && p.lines[e] == 0 {
+				p.bad.add(Problem{file: p.name, line: at.sections[s.name], section: s.name, key: k.name, text: "missing"})
+			}
+		}
+	}
+}
+
+// fault adds a problem that concerns the key of a section, if need be one that
+// is not in the file.
+func (p *parser) fault(section, key, text string) {
+	line := p.lines[entry{section: section, key: key}]
+	p.bad.add(Problem{file: p.name, line: line, section: section, key: key, text: text})
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/internal/app/setup/scan.go
@@ -0,0 +1,94 @@
+package setup
+
+import (
+	"bufio"
+	"bytes"
+	"strings"
+)
+
+// entry is the position of one key. The INI library gives the values; it
+// hides where they stand, and keeps the last of two equal keys.
+type entry struct {
+	section string
+	key     string
+	line    int
+}
+
+// layout is where the sections and keys of a file stand.
+type layout struct {
+	sections map[string]int
+	entries  []entry
+}
+
+// scan finds the positions in data and reports what the INI library would
+// pass over in silence: doubled sections and keys, lines that are neither,
+// keys outside sections, values over several lines.
+func scan(file string, data []byte, bad *BadError) layout {
+	out := layout{sections: map[string]int{}}
+	seen := map[entry]int{}
+	section := ""
+	lines := bufio.NewScanner(bytes.NewReader(bytes.TrimPrefix(data, []byte("\xef\xbb\xbf"))))
+	lines.Buffer(nil, maxFile)
+	for n := 1; lines.Scan(); n++ {
+		text := strings.TrimSpace(lines.Text())
+		if text == "" || text[0] == '#' || text[0] == ';' {
+			continue
+		}
+		at := Problem{file: file, line: n, section: section}
+		if text[0] == '[' {
+			section = out.open(text, at, bad)
+			continue
+		}
+		e, reason := readEntry(section, text)
+		if reason != "" {
+			at.text = reason
+			bad.add(at)
+			continue
+		}
+		at.key = e.key
+		if first := seen[e]; first > 0 {
+			at.text = "given twice, first on line " + itoa(first)
+			bad.add(at)
+			continue
+		}
+		seen[e] = n
+		e.line = n
+		out.entries = append(out.entries, e)
+	}
+	return out
+}
+
+// open takes the header of a section and returns its name.
+func (l *layout) open(text string, at Problem, bad *BadError) string {
+	name, ok := strings.CutSuffix(text[1:], "]")
+	name = strings.TrimSpace(name)
+	at.section = name
+	switch first := l.sections[name]; {
+	case !ok || name == "":
+		at.section = ""
+		at.text = "the section's name must stand in [ and ]"
+		bad.add(at)
+	case first > 0:
+		at.text = "section given twice, first on line " + itoa(first)
+		bad.add(at)
+	default:
+		l.sections[name] = at.line
+	}
+	return name
+}
+
+func readEntry(section, text string) (entry, string) {
+	key, value, ok := strings.Cut(text, "=")
+	key, value = strings.TrimSpace(key), strings.TrimSpace(value)
+	switch {
+	case !ok || key == "":
+		return entry{}, "the line is neither a [section], a key = value nor a comment"
+	case section == "":
+		return entry{}, "the key " + key + " stands before any section"
+	case strings.HasPrefix(value, `"""`) || strings.HasPrefix(value, "`"):
+		return entry{}, "values over several lines are not read"
+	case strings.ContainsAny(key, "\"`"):
+		return entry{}, "the name of a key has no quotes"
+	}
+	return entry{section: section, key: key}, ""
+}
--- /dev/null
+++ b/internal/app/setup/schema.go
@@ -0,0 +1,121 @@
+package setup
+
+import "time"
+
+// setter takes a value into the settings or returns why it is refused.
+type setter func(p *parser, value string) string
+
+// key is one key of a section.
+type key struct {
+	name string
+	must bool
+	set  setter
+}
+
+// section is one section of the file. A section with any takes keys of the
+// operator's own naming.
+type section struct {
+	name string
+	keys []key
+	// spare marks a section that may be left out though it has a key that
+	// must be given.
+	spare bool
+	any   func(key string) setter
+}
+
+func (s *section) setter(name string) setter {
+	for _, k := range s.keys {
+		if k.name == name {
+			return k.set
+		}
+	}
+	if s.any != nil {
+		return s.any(name)
+	}
+	return nil
+}
+
+func find(name string) *section {
+	for i := range sections {
+		if sections[i].name == name {
+			return &sections[i]
+		}
+	}
+	return nil
+}
+
+// Bounds of settings.
+const (
+	minBody    = 1 << 10
+	maxBody    = 256 << 20
+	minHeader  = 4 << 10
+	maxHeader  = 1 << 20
+	minBuffer  = 4 << 10
+	maxBuffer  = 64 << 20
+	maxTokens  = 1 << 20
+	maxStreams = 1 << 20
+	minWatch   = 50 * time.Millisecond
+	maxWatch   = time.Minute
+	minTime    = 100 * time.Millisecond
+	maxTime    = time.Hour
+)
+
+// sections is every section and key that a settings file may have.
+var sections = []section{
+	{name: "instance", keys: []key{
+		{"name", true, name(func(f *File) *string { return &f.Instance.Name })},
+		{"datacentre", true, name(func(f *File) *string { return &f.Instance.DataCentre })},
+		{"region", true, name(func(f *File) *string { return &f.Instance.Region })},
+	}},
+	{name: "listen", keys: []key{
+		{"callers", true, address(func(f *File) *string { return &f.Listen.Callers })},
+		{"peers", false, address(func(f *File) *string { return &f.Listen.Peers })},
+		{"operators", false, address(func(f *File) *string { return &f.Listen.Operators })},
+	}},
+	{name: "peers", any: peer},
+	{name: "platform", keys: []key{
+		{"table", true, link(func(f *File) *string { return &f.Platform.Table })},
+		{"objects", false, link(func(f *File) *string { return &f.Platform.Objects })},
+		{"list", false, link(func(f *File) *string { return &f.Platform.List })},
+		{"watch", false, span(func(f *File) *time.Duration { return &f.Platform.Watch }, minWatch, maxWatch)},
+	}},
+	pair("tls callers", func(f *File) *Pair { return &f.TLS.Callers }),
+	pair("tls peers", func(f *File) *Pair { return &f.TLS.Peers }),
+	pair("tls operators", func(f *File) *Pair { return &f.TLS.Operators }),
+	{name: "limits", keys: []key{
+		{"body", false, size(func(f *File) *int64 { return &f.Limits.Body }, minBody, maxBody)},
+		{"header", false, size(func(f *File) *int64 { return &f.Limits.Header }, minHeader, maxHeader)},
+		{"tokens", false, count(func(f *File) *int { return &f.Limits.Tokens }, maxTokens)},
+		{"streams", false, count(func(f *File) *int { return &f.Limits.Streams }, maxStreams)},
+		{"team", false, count(func(f *File) *int { return &f.Limits.Team }, maxStreams)},
+		{"connection", false, count(func(f *File) *int { return &f.Limits.Connection }, maxStreams)},
+		{"buffer", false, size(func(f *File) *int64 { return &f.Limits.Buffer }, minBuffer, maxBuffer)},
+		{"queue", false, count(func(f *File) *int { return &f.Limits.Queue }, maxStreams)},
+	}},
+	{name: "times", keys: []key{
+		{"header", false, span(func(f *File) *time.Duration { return &f.Times.Header }, minTime, maxTime)},
+		{"body", false, span(func(f *File) *time.Duration { return &f.Times.Body }, minTime, maxTime)},
+		{"write", false, span(func(f *File) *time.Duration { return &f.Times.Write }, minTime, maxTime)},
+		{"idle", false, span(func(f *File) *time.Duration { return &f.Times.Idle }, minTime, maxTime)},
+		{"comment", false, span(func(f *File) *time.Duration { return &f.Times.Comment }, minTime, maxTime)},
+		{"grace", false, span(func(f *File) *time.Duration { return &f.Times.Grace }, 0, maxTime)},
+	}},
+	{name: "log", keys: []key{
+		{"level", false, choice(func(f *File) *string { return &f.Log.Level }, "debug", "info", "warn", "error")},
+		{"format", false, choice(func(f *File) *string { return &f.Log.Format }, "json", "console")},
+	}},
+	{name: "trace", keys: []key{
+		{"url", false, link(func(f *File) *string { return &f.Trace.URL })},
+		{"part", false, part(func(f *File) *float64 { return &f.Trace.Part })},
+	}},
+	{name: "goal", keys: []key{{"weigh", false, goal}}},
+	{name: "fencing", any: fencing},
+}
+
+func pair(title string, at func(*File) *Pair) section {
+	return section{name: title, spare: true, keys: []key{
+		{"cert", true, path(func(f *File) *string { return &at(f).Cert })},
+		{"key", true, path(func(f *File) *string { return &at(f).Key })},
+		{"ca", false, path(func(f *File) *string { return &at(f).CA })},
+	}}
+}
--- a/internal/app/setup/setup.go
+++ b/internal/app/setup/setup.go
@@ -1,80 +1,160 @@
 // Package setup reads and checks the INI settings of an instance.
 //
-// It imports the INI library. The commands load a File and hand it to the
-// daemon.
+// It imports the INI library and the standard library. The commands load a
+// File and hand it to the daemon; nothing later checks a setting again.
 package setup
 
-import (
-	"time"
+import "time"
 
-	"github.com/go-faster/errors"
-	"gopkg.in/ini.v1"
-)
+//go:generate stringer -type=Goal -linecomment -output=goal_string.go
 
-// ErrBad means that the settings were refused; its text lists every reason.
-var ErrBad = errors.New("setup: bad settings")
+// Goal is what a deployment weighs more where throughput and recovery time
+// pull apart.
+type Goal int
 
-// Defaults of the settings that may be left out.
+// The goals.
 const (
-	defaultWatch  = time.Second
-	defaultBody   = 4 << 20
-	defaultTokens = 32768
+	GoalThroughput Goal = iota // throughput
+	GoalRecovery               // recovery
 )
 
 // File is the settings of one instance.
 type File struct {
 	Instance Instance
+	Listen   Listen
+	Peers    []Peer
 	Platform Platform
+	TLS      TLS
 	Limits   Limits
+	Times    Times
+	Log      Log
+	Trace    Trace
+	Goal     Goal
+	// Fenced says of each engine kind named whether its engines refuse an
+	// order with an old fencing number. A kind that is not named is taken to
+	// ignore the numbers.
+	Fenced map[string]bool
 }
 
 // Instance is the section [instance].
 type Instance struct {
 	Name       string
 	DataCentre string
-	Listen     string
+	Region     string
+}
+
+// Listen is the section [listen]: an IP number and port each. Peers may be
+// empty for an instance that stands alone.
+type Listen struct {
+	Callers   string
+	Peers     string
+	Operators string
+}
+
+// Peer is one line of the section [peers]: an instance and its address for
+// other instances. The platform's list adds to these.
+type Peer struct {
+	Name    string
+	Address string
 }
 
 // Platform is the section [platform].
 type Platform struct {
-	URL   string
+	// Table, Objects and List are base URLs; Objects and List are that of the
+	// table if they are left out.
+	Table   string
+	Objects string
+	List    string
+	// Watch is the time between two reads of the list and of the reports.
 	Watch time.Duration
 }
 
+// TLS is the sections [tls callers], [tls peers] and [tls operators].
+type TLS struct {
+	Callers   Pair
+	Peers     Pair
+	Operators Pair
+}
+
+// Pair names the PEM files of one endpoint. With CA, the other side must show
+// a certificate that it signed.
+type Pair struct {
+	Cert string
+	Key  string
+	CA   string
+}
+
+// Set reports whether the endpoint uses TLS.
+func (p Pair) Set() bool { return p.Cert != "" }
+
 // Limits is the section [limits].
 type Limits struct {
+	// Body and Header are the most bytes of a request's body and headers.
 	Body   int64
+	Header int64
+	// Tokens is the most tokens of one answer.
 	Tokens int
+	// Streams is how many requests run at once on the instance, Team how many
+	// of one team, and Connection how many on one HTTP/2 connection.
+	Streams    int
+	Team       int
+	Connection int
+	// Buffer is the most bytes kept for a caller that reads slower than its
+	// answer is made.
+	Buffer int64
+	// Queue is the most model requests that wait for the routing logic.
+	Queue int
 }
 
-// Load reads the settings from path.
-func Load(path string) (File, error) {
-	f, err := ini.Load(path)
-	if err != nil {
-		return File{}, errors.Wrap(ErrBad, err.Error())
-	}
-	var out File
-	instance := f.Section("instance")
-	out.Instance.Name = instance.Key("name").String()
-	out.Instance.DataCentre = instance.Key("datacentre").String()
-	out.Instance.Listen = instance.Key("listen").String()
-	platform := f.Section("platform")
-	out.Platform.URL = platform.Key("url").String()
-	out.Platform.Watch = platform.Key("watch").MustDuration(defaultWatch)
-	limits := f.Section("limits")
-	out.Limits.Body = limits.Key("body").MustInt64(defaultBody)
-	out.Limits.Tokens = limits.Key("tokens").MustInt(defaultTokens)
-	return out, out.check()
+// Times is the section [times]. None of them cuts a request that moves.
+type Times struct {
+	// Header is the longest wait for a request's headers.
+	Header time.Duration
+	// Body is the longest pause inside a request's body.
+	Body time.Duration
+	// Write is the longest pause of a caller that takes none of its answer.
+	Write time.Duration
+	// Idle is how long an unused connection stays open.
+	Idle time.Duration
+	// Comment is how long a stream is silent before a comment is sent, so
+	// that proxies keep it open.
+	Comment time.Duration
+	// Grace is how long no new request must come before a stopping instance
+	// closes its listener.
+	Grace time.Duration
+}
+
+// Log is the section [log].
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string
+	// Format is json or console.
+	Format string
+}
+
+// Trace is the section [trace]. Spans are off without a URL.
+type Trace struct {
+	// URL is where spans go by OTLP over HTTP.
+	URL string
+	// Part is the share of requests that are traced if the caller does not
+	// say; from 0 to 1.
+	Part float64
 }
 
-func (f File) check() error {
-	switch {
-	case f.Instance.Name == "":
-		return errors.Wrap(ErrBad, "[instance] name is missing")
-	case f.Instance.Listen == "":
-		return errors.Wrap(ErrBad, "[instance] listen is missing")
-	case f.Platform.URL == "":
-		return errors.Wrap(ErrBad, "[platform] url is missing")
+// Default returns the settings that hold where a file is silent.
+func Default() File {
+	return File{
+		Listen:   Listen{Operators: "127.0.0.1:7070"},
+		Platform: Platform{Watch: time.Second},
+		Limits: Limits{
+			Body: 4 << 20, Header: 32 << 10, Tokens: 32768,
+			Streams: 4096, Team: 1024, Connection: 128, Buffer: 256 << 10, Queue: 8192,
+		},
+		Times: Times{
+			Header: 10 * time.Second, Body: 15 * time.Second, Write: 30 * time.Second,
+			Idle: 2 * time.Minute, Comment: 15 * time.Second, Grace: 5 * time.Second,
+		},
+		Log:   Log{Level: "info", Format: "json"},
+		Trace: Trace{Part: 0.01},
 	}
-	return nil
 }
--- /dev/null
+++ b/internal/app/setup/setup_test.go
@@ -0,0 +1,248 @@
+package setup_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/app/setup"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	instance = "[instance]\nname = klang-1\ndatacentre = klang\nregion = my-west\n"
+	listen   = "[listen]\ncallers = 127.0.0.1:8080\n"
+	platform = "[platform]\ntable = http://127.0.0.1:7000\n"
+	least    = instance + listen + platform
+)
+
+func TestLeastSettingsTakeDefaults(t *testing.T) {
+	got, err := setup.Parse("least.ini", []byte(least))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := setup.Default().Limits; got.Limits != want {
+		t.Errorf("got limits %+v, want %+v", got.Limits, want)
+	}
+	if got.Platform.List != "http://127.0.0.1:7000" {
+		t.Errorf("got list %q, want that of the table", got.Platform.List)
+	}
+}
+
+func TestValuesAreTaken(t *testing.T) {
+	text := least + "[limits]\nbody = 2MiB\ntokens = 7\n[times]\ngrace = 90s\n[goal]\nweigh = recovery\n" +
+		"[fencing]\nh200 = refuse\nt4 = ignore\n[trace]\nurl = http://127.0.0.1:4318/\npart = 0.5\n"
+	got, err := setup.Parse("full.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Limits.Body != 2<<20 || got.Limits.Tokens != 7 || got.Times.Grace != 90*time.Second {
+		t.Errorf("got %+v %+v, want the values of the file", got.Limits, got.Times)
+	}
+	if got.Goal != setup.GoalRecovery || !got.Fenced["h200"] || got.Fenced["t4"] || len(got.Fenced) != 2 {
+		t.Errorf("got goal %s and fencing %v, want recovery, h200 refusing, t4 not", got.Goal, got.Fenced)
+	}
+	if got.Trace.URL != "http://127.0.0.1:4318" || got.Trace.Part != 0.5 {
+		t.Errorf("got %+v, want the trace settings of the file", got.Trace)
+	}
+}
+
+// Each refusal names file, line or section, and the reason.
+func TestRefusals(t *testing.T) {
+	tests := []struct{ name, text, want string }{
+		{"unknown section", least + "[extra]\na = 1\n", "x.ini:9: [extra] no such section"},
+		{"unknown key", least + "[limits]\nbodi = 1\n", "x.ini:10: [limits] bodi: no such key"},
+		{"doubled key", least + "[log]\nlevel = info\nlevel = warn\n", "x.ini:11: [log] level: given twice, first on line 10"},
+		{"doubled section", least + "[log]\n[log]\n", "x.ini:10: [log] section given twice, first on line 9"},
+		{"doubled peer", least + "[peers]\na = 127.0.0.1:1\na = 127.0.0.1:2\n", "x.ini:11: [peers] a: given twice"},
+		{"doubled address", least + "[peers]\na = 127.0.0.1:1\nb = 127.0.0.1:1\n", "x.ini:11: [peers] b: 127.0.0.1:1 is the address of a already"},
+		{"number", least + "[limits]\ntokens = many\n", `x.ini:10: [limits] tokens: "many" is not a whole number`},
+		{"range", least + "[limits]\ntokens = 0\n", "x.ini:10: [limits] tokens: 0 is out of range, want 1 to 1048576"},
+		{"size range", least + "[limits]\nbody = 1GiB\n", `"1GiB" is not a size`},
+		{"size overflow", least + "[limits]\nbody = 9000000000000000MiB\n", "is not a size"},
+		{"time", least + "[times]\nbody = 5\n", `[times] body: "5" is not a time`},
+		{"time range", least + "[times]\nbody = -5s\n", "-5s is out of range, want 100ms to 1h0m0s"},
+		{"part", least + "[trace]\npart = NaN\n", `"NaN" is not a number from 0 to 1`},
+		{"choice", least + "[log]\nlevel = loud\n", `"loud" is none of debug, info, warn, error`},
+		{"goal", least + "[goal]\nweigh = both\n", `"both" is none of throughput, recovery`},
+		{"fencing", least + "[fencing]\nt4 = yes\n", `[fencing] t4: "yes" is none of refuse, ignore`},
+		{"host name", strings.Replace(least, "127.0.0.1:8080", "localhost:8080", 1), `"localhost:8080" is not an IP number and port`},
+		{"url", strings.Replace(least, "http://", "ftp://", 1), "is not a URL that begins with http:// or https://"},
+		{"no line form", least + "what\n", "x.ini:9: [platform] the line is neither"},
+		{"no section", "a = 1\n" + least, "x.ini:1: the key a stands before any section"},
+		{"several lines", least + "[log]\nlevel = \"\"\"\ninfo\"\"\"\n", "values over several lines"},
+		{"name", strings.Replace(least, "klang-1", "Klang 1", 1), `"Klang 1" is not a name`},
+		{"missing key", "[instance]\nname = a\nregion = b\n" + listen + platform, "x.ini:1: [instance] datacentre: missing"},
+		{"missing section", instance + listen, "x.ini: [platform] table: missing"},
+		{"tls without key", least + "[tls callers]\ncert = a\n", "x.ini:9: [tls callers] key: missing"},
+		{"same address", strings.Replace(least, "[platform]", "peers = 127.0.0.1:8080\n[platform]", 1), "127.0.0.1:8080 is the address for callers already"},
+		{"operators exposed", strings.Replace(least, "[platform]", "operators = 10.0.0.1:7070\n[platform]", 1), "needs [tls operators] with ca"},
+		{"peers exposed", strings.Replace(least, "[platform]", "peers = 10.0.0.1:7070\n[platform]", 1), "needs [tls peers] with ca"},
+		{"peers without listener", least + "[peers]\na = 127.0.0.1:1\n", "[listen] peers: missing, though [peers] names others"},
+		{"self", least + "[peers]\nklang-1 = 127.0.0.1:1\n", "x.ini:10: [peers] klang-1: is this instance itself"},
+		{"team above streams", least + "[limits]\nstreams = 10\nteam = 11\nconnection = 5\n", "team: 11 is above streams, which is 10"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := setup.Parse("x.ini", []byte(tt.text))
+			if !errors.Is(err, setup.ErrBad) {
+				t.Fatalf("got %v, want ErrBad", err)
+			}
+			if !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("got %q, want it to contain %q", err, tt.want)
+			}
+		})
+	}
+}
+
+// The operator sees every problem of a file in one run, in order of line.
+func TestAllProblemsAtOnce(t *testing.T) {
+	text := "stray\n[instance]\nname = A B\nname = b\n[limits]\ntokens = -1\nfoo = 1\n[nothing]\n"
+	_, err := setup.Parse("x.ini", []byte(text))
+	var bad *setup.BadError
+	if !errors.As(err, &bad) {
+		t.Fatalf("got %v, want a BadError", err)
+	}
+	var lines []int
+	for _, p := range bad.Problems() {
+		lines = append(lines, p.Line())
+	}
+	// Missing: datacentre and region (line of their section), callers, table.
+	want := []int{1, 2, 2, 3, 4, 6, 7, 8, 0, 0}
+	if len(lines) != len(want) {
+		t.Fatalf("got %d problems (%v), want %d", len(lines), err, len(want))
+	}
+	for i := range want {
+		if lines[i] != want[i] {
+			t.Errorf("got lines %v, want %v", lines, want)
+			break
+		}
+	}
+}
+
+func TestMissingFilesAreRefused(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "a.ini")
+	write(t, path, least+"[tls callers]\ncert = no.crt\nkey = no.key\n")
+	_, err := setup.Load(path)
+	for _, want := range []string{":10: [tls callers] cert: cannot be read", ":11: [tls callers] key: cannot be read"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want it to contain %q", err, want)
+		}
+	}
+	if _, err := setup.LoadElsewhere(path); err != nil {
+		t.Errorf("got %v for a file meant for another machine, want nil", err)
+	}
+	if _, err := setup.Load(filepath.Join(dir, "none.ini")); !errors.Is(err, setup.ErrBad) {
+		t.Errorf("got %v for a missing settings file, want ErrBad", err)
+	}
+}
+
+func TestBadCertificateIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	write(t, filepath.Join(dir, "a.crt"), "no PEM")
+	write(t, filepath.Join(dir, "a.key"), "no PEM")
+	path := filepath.Join(dir, "a.ini")
+	write(t, path, least+"[tls callers]\ncert = a.crt\nkey = a.key\nca = a.crt\n")
+	_, err := setup.Load(path)
+	for _, want := range []string{"certificate and key do not load", "ca: holds no certificate"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want it to contain %q", err, want)
+		}
+	}
+}
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// certificate writes a self-signed certificate and its key.
+func certificate(t *testing.T, crt, key string) {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalECPrivateKey(private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, crt, string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})))
+	write(t, key, string(pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER})))
+}
+
+// The examples of both deployments load as they stand once their certificates
+// exist, and agree about each other.
+func TestExamplesLoad(t *testing.T) {
+	for deployment, want := range map[string][]string{
+		"association": {"johor-1", "klang-1", "klang-2", "penang-1"},
+		"coral":       {"lautoka-b-1", "nadi-a-1", "nadi-a-2", "sigatoka-c-1"},
+	} {
+		dir := t.TempDir()
+		certificate(t, filepath.Join(dir, "tls/ca.crt"), filepath.Join(dir, "tls/ca.key"))
+		loaded := map[string]setup.File{}
+		for _, name := range want {
+			data, err := os.ReadFile(filepath.Join("../../../examples", deployment, name+".ini"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			certificate(t, filepath.Join(dir, "tls", name+".crt"), filepath.Join(dir, "tls", name+".key"))
+			write(t, filepath.Join(dir, name+".ini"), string(data))
+			f, err := setup.Load(filepath.Join(dir, name+".ini"))
+			if err != nil {
+				t.Fatalf("got %v for %s, want nil", err, name)
+			}
+			loaded[name] = f
+		}
+		agree(t, loaded)
+	}
+}
+
+func agree(t *testing.T, loaded map[string]setup.File) {
+	t.Helper()
+	for name, f := range loaded {
+		if f.Instance.Name != name || len(f.Peers) != len(loaded)-1 {
+			t.Errorf("got instance %s with %d peers, want %s with %d", f.Instance.Name, len(f.Peers), name, len(loaded)-1)
+		}
+		for _, p := range f.Peers {
+			if got, want := p.Address, loaded[p.Name].Listen.Peers; got != want {
+				t.Errorf("%s: got address %s of %s, want %s", name, got, p.Name, want)
+			}
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(least))
+	f.Add([]byte("[limits]\nbody = 1MiB\n[peers]\na = `x\n"))
+	f.Add([]byte("\xef\xbb\xbf[a]\n\"q\"=1\n-=2\n[]\n[x\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := setup.Parse("x.ini", data)
+		if err != nil && !errors.Is(err, setup.ErrBad) {
+			t.Errorf("got %v, want ErrBad or nil", err)
+		}
+		if err == nil && (got.Instance.Name == "" || got.Listen.Callers == "" || got.Platform.Table == "") {
+			t.Errorf("got %+v accepted, want every required setting", got)
+		}
+	})
+}
