Serve the published chat shape whole, with limits, resume and sealed tokens

Cause: the first path made a chunk by encoding/json per token, wrote to the caller from the goroutine that reads the engine, took any resume token as true and reused its request id, and set no limit but the body's size.

Now a writer goroutine with a bounded buffer stands between engine and caller; tokens are appended without reflection; resume tokens are sealed with the team's key and hold to the request; bodies, headers, streams and pauses are bounded; unsupported fields are refused by name; trace headers pass on.

Found by the new tests: a stalled body kept its connection for ever, since the server reads what is left of a body before it answers; the buffer handed to the writer could be given away twice; a burst of tokens cut a caller who was not slow.

--- a/internal/app/setup/schema.go
+++ b/internal/app/setup/schema.go
@@ -46,18 +46,17 @@
 
 // Bounds of settings.
 const (
-	minBody    = 1 << 10
-	maxBody    = 256 << 20
-	minHeader  = 4 << 10
-	maxHeader  = 1 << 20
-	minBuffer  = 4 << 10
-	maxBuffer  = 64 << 20
-	maxTokens  = 1 << 20
-	maxStreams = 1 << 20
-	minWatch   = 50 * time.Millisecond
-	maxWatch   = time.Minute
-	minTime    = 100 * time.Millisecond
-	maxTime    = time.Hour
+	minBody   = 1 << 10
+	maxBody   = 256 << 20
+	minHeader = 4 << 10
+	maxHeader = 1 << 20
+	minBuffer = 4 << 10
+	maxBuffer = 64 << 20
+	maxCount  = 1 << 20
+	minWatch  = 50 * time.Millisecond
+	maxWatch  = time.Minute
+	minTime   = 100 * time.Millisecond
+	maxTime   = time.Hour
 )
 
 // sections is every section and key that a settings file may have.
@@ -85,12 +84,12 @@
 	{name: "limits", keys: []key{
 		{"body", false, size(func(f *File) *int64 { return &f.Limits.Body }, minBody, maxBody)},
 		{"header", false, size(func(f *File) *int64 { return &f.Limits.Header }, minHeader, maxHeader)},
-		{"tokens", false, count(func(f *File) *int { return &f.Limits.Tokens }, maxTokens)},
-		{"streams", false, count(func(f *File) *int { return &f.Limits.Streams }, maxStreams)},
-		{"team", false, count(func(f *File) *int { return &f.Limits.Team }, maxStreams)},
-		{"connection", false, count(func(f *File) *int { return &f.Limits.Connection }, maxStreams)},
+		{"tokens", false, count(func(f *File) *int { return &f.Limits.Tokens })},
+		{"streams", false, count(func(f *File) *int { return &f.Limits.Streams })},
+		{"team", false, count(func(f *File) *int { return &f.Limits.Team })},
+		{"connection", false, count(func(f *File) *int { return &f.Limits.Connection })},
 		{"buffer", false, size(func(f *File) *int64 { return &f.Limits.Buffer }, minBuffer, maxBuffer)},
-		{"queue", false, count(func(f *File) *int { return &f.Limits.Queue }, maxStreams)},
+		{"queue", false, count(func(f *File) *int { return &f.Limits.Queue })},
 	}},
 	{name: "times", keys: []key{
 		{"header", false, span(func(f *File) *time.Duration { return &f.Times.Header }, minTime, maxTime)},
--- a/internal/app/setup/value.go
+++ b/internal/app/setup/value.go
@@ -72,15 +72,15 @@
 	}
 }
 
-// count is a whole number from 1 to high.
-func count(at func(*File) *int, high int) setter {
+// count is a whole number from 1 to maxCount.
+func count(at func(*File) *int) setter {
 	return func(p *parser, value string) string {
 		n, err := strconv.Atoi(value)
 		if err != nil {
 			return fmt.Sprintf("%q is not a whole number", value)
 		}
-		if n < 1 || n > high {
-			return fmt.Sprintf("%d is out of range, want 1 to %d", n, high)
+		if n < 1 || n > maxCount {
+			return fmt.Sprintf("%d is out of range, want 1 to %d", n, maxCount)
 		}
 		*at(&p.out) = n
 		return ""
--- a/internal/wire/entry/call.go
+++ b/internal/wire/entry/call.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
+	"net/url"
+	"time"
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/state/ledger"
@@ -23,43 +26,89 @@
 }
 
 func (s *Server) call(w http.ResponseWriter, req *http.Request) {
-	c, err := s.readCall(w, req)
+	began := time.Now()
+	class, c, err := s.readCall(w, req)
+	if err == nil {
+		err = s.gate.enter(c.Team())
+	}
 	if err != nil {
-		faultOf(err).write(w)
+		s.refuse(w, req, class.Name(), err)
 		return
 	}
-	out, err := s.Calls.Do(req.Context(), c)
+	defer s.gate.leave(c.Team())
+	// A caller that goes away must not cut a payment in the middle: its
+	// answer would be lost and the outcome unsure.
+	out, err := s.Calls.Do(context.WithoutCancel(req.Context()), c)
+	s.called(req, class, out, err, time.Since(began))
 	if err != nil {
-		s.Log.Info("entry: call failed", zap.String("class", string(c.Class())), zap.Error(err))
 		faultOf(err).write(w)
 		return
 	}
 	writeOutcome(w, out)
 }
 
-func (s *Server) readCall(w http.ResponseWriter, req *http.Request) (ledger.Call, error) {
+// called counts a call and tells its end to whoever wants to know.
+func (s *Server) called(req *http.Request, class spec.Class, out ledger.Outcome, err error, whole time.Duration) {
+	code := out.State().String()
+	if err != nil {
+		code = faultOf(err).Code
+		s.Log.Info("entry: call failed", zap.String("class", string(class.Name())), zap.String("code", code), zap.Error(err))
+	}
+	s.meter.ended(class.Name(), code)
+	s.meter.took("whole", class.Name(), whole)
+	noted(req, class.Name(), 0, err)
+	if s.Observer != nil {
+		s.Observer.Served(class, 0, 0, whole, err == nil && out.State() == ledger.StateDone)
+	}
+}
+
+func (s *Server) readCall(w http.ResponseWriter, req *http.Request) (spec.Class, ledger.Call, error) {
 	team, err := s.team(req)
 	if err != nil {
-		return ledger.Call{}, err
+		return spec.Class{}, ledger.Call{}, err
 	}
 	class, err := s.plainClass(req)
 	if err != nil {
-		return ledger.Call{}, err
+		return spec.Class{}, ledger.Call{}, err
 	}
+	key, err := callKey(req, class)
+	if err != nil {
+		return class, ledger.Call{}, err
+	}
+	body, err := s.read(w, req)
+	if err != nil {
+		return class, ledger.Call{}, err
+	}
+	kind := req.Header.Get("Content-Type")
+	return class, ledger.NewCall(team.ID(), class.Name(), class.Service(), key, kind, body), nil
+}
+
+// callKey is the caller's idempotency key. A call that may be repeated needs
+// none and gets one of its own.
+func callKey(req *http.Request, class spec.Class) (string, error) {
 	key := req.Header.Get("Idempotency-Key")
 	switch {
 	case key == "" && !class.Repeatable():
-		return ledger.Call{}, newFault(http.StatusBadRequest, "no-key", "A call of this class needs an Idempotency-Key.", RanNo)
+		return "", newFault(http.StatusBadRequest, "no-idempotency-key", "A call of this class needs an Idempotency-Key.", RanNo)
 	case key == "":
-		key = uuid.NewString()
-	case len(key) > maxKey:
-		return ledger.Call{}, newFault(http.StatusBadRequest, "bad-key", "The Idempotency-Key is longer than 255 bytes.", RanNo)
+		return uuid.NewString(), nil
+	case !goodKey(key):
+		return "", newFault(http.StatusBadRequest, "bad-idempotency-key", "The Idempotency-Key is longer than 255 bytes or not of printable ASCII.", RanNo)
 	}
-	body, err := s.read(w, req)
-	if err != nil {
-		return ledger.Call{}, err
+	return key, nil
+}
+
+// goodKey keeps what cannot stand in a row's key or a log line out of them.
+func goodKey(key string) bool {
+	if key == "" || len(key) > maxKey {
+		return false
 	}
-	return ledger.NewCall(team.ID(), class.Name(), class.Service(), key, req.Header.Get("Content-Type"), body), nil
+	for i := range len(key) {
+		if key[i] <= ' ' || key[i] > '~' {
+			return false
+		}
+	}
+	return true
 }
 
 func (s *Server) plainClass(req *http.Request) (spec.Class, error) {
@@ -76,8 +125,17 @@
 		faultOf(err).write(w)
 		return
 	}
-	vars := mux.Vars(req)
-	out, err := s.Calls.Look(req.Context(), team.ID(), spec.ClassName(vars["class"]), vars["key"])
+	class, err := s.plainClass(req)
+	if err != nil {
+		faultOf(err).write(w)
+		return
+	}
+	key, err := url.PathUnescape(mux.Vars(req)["key"])
+	if err != nil || !goodKey(key) {
+		newFault(http.StatusBadRequest, "bad-idempotency-key", "The key in the path is none that a call may have.", RanNo).write(w)
+		return
+	}
+	out, err := s.Calls.Look(req.Context(), team.ID(), class.Name(), key)
 	if err != nil {
 		faultOf(err).write(w)
 		return
@@ -99,8 +157,10 @@
 		_, _ = w.Write(a.Body())
 	case ledger.StateNotRun:
 		f := newFault(http.StatusServiceUnavailable, "not-run", "The service could not be reached, so the call did not run.", RanNo)
+		f.After = storeRetry
 		f.write(w)
 	case ledger.StateRunning:
+		w.Header().Set("Retry-After", "1")
 		writeState(w, http.StatusConflict, out)
 	default:
 		f := newFault(http.StatusBadGateway, "unsure", "The answer of the service was lost; the call may have run. Ask for its outcome.", RanUnsure)
--- /dev/null
+++ b/internal/wire/entry/call_test.go
@@ -0,0 +1,111 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"fulmarwick/internal/state/ledger"
+
+	"github.com/go-faster/errors"
+)
+
+func call(t *testing.T, c *calls, path, idem string) (int, string) {
+	t.Helper()
+	s := newServer(&models{})
+	s.Calls = c
+	req := request(path, `{"amount":1}`)
+	if idem != "" {
+		req.Header.Set("Idempotency-Key", idem)
+	}
+	w := serve(s, req)
+	return w.Code, w.Body.String()
+}
+
+func TestCallsNeedGoodKeys(t *testing.T) {
+	tests := []struct {
+		path, idem string
+		status     int
+		want       string
+	}{
+		{"/v1/calls/payment", "", 400, "no-idempotency-key"},
+		{"/v1/calls/payment", strings.Repeat("k", 256), 400, "bad-idempotency-key"},
+		{"/v1/calls/payment", "a b", 400, "bad-idempotency-key"},
+		{"/v1/calls/payment", "a\x00b", 400, "bad-idempotency-key"},
+		{"/v1/calls/answer", "k", 404, "unknown-class"},
+		{"/v1/calls/nothing", "k", 404, "unknown-class"},
+	}
+	for _, tt := range tests {
+		ran := false
+		c := &calls{do: func(context.Context, ledger.Call) { ran = true }}
+		if got, body := call(t, c, tt.path, tt.idem); got != tt.status || !strings.Contains(body, tt.want) || ran {
+			t.Errorf("got %d %s (ran %v) for %q, want %d %s and not run", got, body, ran, tt.idem, tt.status, tt.want)
+		}
+	}
+}
+
+func TestRepeatableCallNeedsNoKey(t *testing.T) {
+	var keys []string
+	c := &calls{do: func(_ context.Context, c ledger.Call) { keys = append(keys, c.Key()) }}
+	call(t, c, "/v1/calls/lookup", "")
+	call(t, c, "/v1/calls/lookup", "")
+	if len(keys) != 2 || keys[0] == "" || keys[0] == keys[1] {
+		t.Errorf("got keys %q, want two of their own", keys)
+	}
+}
+
+// What the caller is told of a call's end, and whether it ran.
+func TestErrorsOfCalls(t *testing.T) {
+	tests := []struct {
+		err    error
+		status int
+		want   string
+	}{
+		{ledger.ErrBody, 422, `"code":"key-reused"`},
+		{errors.Wrap(ledger.ErrStore, "x"), 503, `"ran":"no","after":2`},
+		{errors.New("other"), 500, `"ran":"unsure"`},
+	}
+	for _, tt := range tests {
+		if got, body := call(t, &calls{err: tt.err}, "/v1/calls/payment", "k"); got != tt.status || !strings.Contains(body, tt.want) {
+			t.Errorf("got %d %s, want %d with %s", got, body, tt.status, tt.want)
+		}
+	}
+}
+
+// The caller goes away while their payment is under way. The payment goes on
+// to its end and its outcome is recorded; cut in the middle, nobody could tell
+// whether it ran.
+func TestCallOutlivesItsCaller(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var got error
+	c := &calls{do: func(ctx context.Context, _ ledger.Call) {
+		cancel()
+		got = ctx.Err()
+	}}
+	s := newServer(&models{})
+	s.Calls = c
+	req := request("/v1/calls/payment", "{}").WithContext(ctx)
+	req.Header.Set("Idempotency-Key", "k")
+	serve(s, req)
+	if got != nil {
+		t.Errorf("got %v under way, want the call to go on", got)
+	}
+}
+
+func TestOutcomeOfAnUnknownCall(t *testing.T) {
+	s := newServer(&models{})
+	for path, status := range map[string]int{
+		"/v1/calls/payment/a%2Fb":   http.StatusNotFound,
+		"/v1/calls/payment/a%20b":   http.StatusBadRequest,
+		"/v1/calls/nothing/a":       http.StatusNotFound,
+		"/v1/calls/payment/ab%0a":   http.StatusBadRequest,
+		"/v1/calls/payment/" + "k1": http.StatusNotFound,
+	} {
+		req := request(path, "")
+		req.Method = http.MethodGet
+		if w := serve(s, req); w.Code != status {
+			t.Errorf("got %d %s for %s, want %d", w.Code, w.Body, path, status)
+		}
+	}
+}
--- a/internal/wire/entry/chat.go
+++ b/internal/wire/entry/chat.go
@@ -1,17 +1,16 @@
 package entry
 
 import (
-	"encoding/json"
-	"io"
+	"encoding/binary"
 	"net/http"
 	"strings"
+	"time"
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/world"
 	"fulmarwick/internal/wire/chain"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 )
 
 const (
@@ -23,38 +22,43 @@
 	defaultTokens = 256
 )
 
-// chatBody is the published chat-completions request, as far as it is used.
-type chatBody struct {
-	Model    string        `json:"model"`
-	Messages []chatMessage `json:"messages"`
-	Stream   bool          `json:"stream"`
-	Max      int           `json:"max_tokens"`
-	MaxNew   int           `json:"max_completion_tokens"`
-}
-
-type chatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+// ask is a checked chat request.
+type ask struct {
+	team   spec.Team
+	class  spec.Class
+	job    chain.Job
+	stream bool
+	usage  bool
+	from   Position
+	sealer *Sealer
+	times  times
 }
 
 func (s *Server) chat(w http.ResponseWriter, req *http.Request) {
-	ask, err := s.readChat(w, req)
+	began := time.Now()
+	a, err := s.readChat(w, req)
+	if err == nil {
+		err = s.gate.enter(a.team.ID())
+	}
 	if err != nil {
-		faultOf(err).write(w)
+		s.refuse(w, req, a.class.Name(), err)
 		return
 	}
-	if ask.stream {
-		s.stream(w, req, ask)
+	defer s.gate.leave(a.team.ID())
+	a.times.began = began
+	if a.stream {
+		s.stream(w, req, &a)
 		return
 	}
-	s.whole(w, req, ask)
+	s.whole(w, req, &a)
 }
 
-// ask is a checked chat request.
-type ask struct {
-	job    chain.Job
-	stream bool
-	resume resume
+// refuse answers a request that ends before it ran.
+func (s *Server) refuse(w http.ResponseWriter, req *http.Request, class spec.ClassName, err error) {
+	f := faultOf(err)
+	s.meter.ended(class, f.Code)
+	noted(req, class, 0, err)
+	f.write(w)
 }
 
 func (s *Server) readChat(w http.ResponseWriter, req *http.Request) (ask, error) {
@@ -62,95 +66,93 @@
 	if err != nil {
 		return ask{}, err
 	}
-	var body chatBody
-	if err := s.decode(w, req, &body); err != nil {
-		return ask{}, err
-	}
-	if err := s.checkChat(&body); err != nil {
-		return ask{}, err
-	}
-	class, err := s.modelClass(req, spec.ModelName(body.Model))
+	data, err := s.read(w, req)
 	if err != nil {
 		return ask{}, err
 	}
-	from, err := readResume(req)
+	body, err := parseChat(data)
 	if err != nil {
 		return ask{}, err
 	}
-	return ask{job: job(team, class, &body, from), stream: body.Stream, resume: from}, nil
-}
-
-func (s *Server) team(req *http.Request) (spec.Team, error) {
-	key, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return spec.Team{}, newFault(http.StatusUnauthorized, "no-key", "The Authorization header must carry the team's bearer key.", RanNo)
-	}
-	team, ok := s.Book.Team(key)
-	if !ok {
-		return spec.Team{}, newFault(http.StatusUnauthorized, "unknown-key", "The key belongs to no team.", RanNo)
+	if err := s.checkChat(&body); err != nil {
+		return ask{}, err
 	}
-	return team, nil
-}
-
-func (s *Server) decode(w http.ResponseWriter, req *http.Request, into any) error {
-	data, err := s.read(w, req)
+	class, err := s.modelClass(req, spec.ModelName(body.Model))
 	if err != nil {
-		return err
-	}
-	if err := json.Unmarshal(data, into); err != nil {
-		return newFault(http.StatusBadRequest, "bad-json", "The body is not the JSON expected: "+err.Error()+".", RanNo)
+		return ask{}, err
 	}
-	return nil
+	a := ask{team: team, class: class, stream: body.Stream, usage: body.Options.Usage}
+	a.job = job(requestID(req), team, class, &body)
+	key, _ := bearer(req)
+	a.sealer = NewSealer(key, fingerprint(&a.job))
+	if !body.Stream {
+		a.from, err = readWhole(req)
+	} else {
+		a.from, err = readResume(req, a.sealer, body.Max)
+	}
+	a.job.Arrived.Done = a.from.count
+	return a, err
 }
 
-func (s *Server) read(w http.ResponseWriter, req *http.Request) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, req.Body, s.Limits.Body))
-	if err != nil {
-		return nil, newFault(http.StatusRequestEntityTooLarge, "body-size", "The body is too large or was cut.", RanNo)
-	}
-	return data, nil
+// fingerprint is what a resume token holds to: another prompt or limit is
+// another answer.
+func fingerprint(j *chain.Job) uint64 {
+	var limit [8]byte
+	binary.BigEndian.PutUint64(limit[:], uint64(j.Arrived.Limit))
+	h := xxhash.New()
+	_, _ = h.WriteString(string(j.Arrived.Model) + "\n" + j.Text)
+	_, _ = h.Write(limit[:])
+	return h.Sum64()
 }
 
 func (s *Server) checkChat(b *chatBody) error {
-	b.Max = max(b.Max, b.MaxNew)
-	if b.Max == 0 {
-		b.Max = min(defaultTokens, s.Limits.Tokens)
-	}
+	limit := s.Limits.Tokens
 	switch {
 	case b.Model == "":
 		return newFault(http.StatusBadRequest, "no-model", "The field model is missing.", RanNo)
 	case len(b.Messages) == 0:
 		return newFault(http.StatusBadRequest, "no-messages", "The field messages is empty.", RanNo)
-	case b.Max < 0 || b.Max > s.Limits.Tokens:
+	case b.Max < 0 || b.MaxNew < 0 || b.Max > limit || b.MaxNew > limit:
 		return newFault(http.StatusBadRequest, "bad-tokens", "The field max_tokens is out of range.", RanNo)
+	case b.Options.Usage && !b.Stream:
+		return badField("bad-field", "stream_options", "needs stream")
+	}
+	b.Max = max(b.Max, b.MaxNew)
+	if b.Max == 0 {
+		b.Max = min(defaultTokens, limit)
 	}
 	return nil
 }
 
+// modelClass finds the class of a request: the one that it names, else the
+// model's default.
 func (s *Server) modelClass(req *http.Request, model spec.ModelName) (spec.Class, error) {
 	name := spec.ClassName(req.Header.Get("X-Class"))
-	class, ok := s.Book.Class(name)
 	if name == "" {
-		class, ok = s.Book.ClassOf(model)
+		class, ok := s.Book.ClassOf(model)
+		if !ok {
+			return spec.Class{}, newFault(http.StatusNotFound, "unknown-model", "No class serves the model.", RanNo)
+		}
+		return class, nil
 	}
+	class, ok := s.Book.Class(name)
 	if !ok || class.Kind() != spec.KindModel || class.Model() != model {
 		return spec.Class{}, newFault(http.StatusBadRequest, "unknown-class", "No class of that name serves the model.", RanNo)
 	}
 	return class, nil
 }
 
-func job(team spec.Team, class spec.Class, b *chatBody, from resume) chain.Job {
+// job is what the layers below run. Its id is new for every request, also for
+// one that resumes an answer: engines may hold state under the former id, and
+// a caller must not be able to name the request of another.
+func job(id string, team spec.Team, class spec.Class, b *chatBody) chain.Job {
 	text := prompt(b.Messages)
-	id := from.Request
-	if id == "" {
-		id = uuid.NewString()
-	}
 	return chain.Job{
 		Text: text,
 		Arrived: world.Arrived{
 			Request: spec.RequestID(id), Team: team.ID(), Class: class.Name(), Model: class.Model(),
 			Prompt: 1 + len(text)/bytesPerToken, Limit: b.Max, Blocks: blocks(text),
-			Print: xxhash.Sum64String(string(class.Model()) + "\n" + text), Done: from.Count,
+			Print: xxhash.Sum64String(string(class.Model()) + "\n" + text),
 		},
 	}
 }
@@ -160,7 +162,7 @@
 	for _, m := range messages {
 		b.WriteString(m.Role)
 		b.WriteString(": ")
-		b.WriteString(m.Content)
+		b.WriteString(m.Text)
 		b.WriteByte('\n')
 	}
 	return b.String()
--- /dev/null
+++ b/internal/wire/entry/entry_test.go
@@ -0,0 +1,198 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/state/config"
+	"fulmarwick/internal/state/ledger"
+	"fulmarwick/internal/wire/chain"
+	"fulmarwick/internal/wire/entry"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+const (
+	key   = "key-of-one"
+	other = "key-of-two"
+	ask   = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+)
+
+func testBook() *config.Book {
+	classes := []spec.Class{
+		spec.NewModelClass("answer", "m", spec.NewTarget(time.Second, 0, 0, 95)),
+		spec.NewModelClass("draft", "m", spec.NewTarget(time.Minute, 0, 0, 95)),
+		spec.NewPlainClass("payment", "payments", false, spec.NewTarget(0, 0, time.Second, 99)),
+		spec.NewPlainClass("lookup", "records", true, spec.NewTarget(0, 0, time.Second, 99)),
+	}
+	teams := []spec.Team{
+		spec.NewTeam(config.HashKey(key), "one", 1), spec.NewTeam(config.HashKey(other), "two", 1),
+	}
+	book := &config.Book{}
+	book.Take(config.NewSnapshot(1, classes, teams))
+	return book
+}
+
+// models answers with words, at once.
+type models struct {
+	words []string
+	err   error
+	// seen gets each job, if it is set.
+	seen func(ctx context.Context, job chain.Job)
+	// before runs ahead of each word, if it is set.
+	before func(i int)
+}
+
+func (m *models) Run(ctx context.Context, job chain.Job, sink chain.Sink) (chain.Result, error) {
+	if m.seen != nil {
+		m.seen(ctx, job)
+	}
+	for i, w := range m.words {
+		if m.before != nil {
+			m.before(i)
+		}
+		if err := ctx.Err(); err != nil {
+			return chain.Result{Tokens: i}, err
+		}
+		if err := sink(chain.Token{Index: i, Text: w}); err != nil {
+			return chain.Result{Tokens: i}, err
+		}
+	}
+	return chain.Result{Tokens: len(m.words), Stop: true}, m.err
+}
+
+// calls answers every call with out and err.
+type calls struct {
+	out ledger.Outcome
+	err error
+	do  func(ctx context.Context, c ledger.Call)
+}
+
+func (c *calls) Do(ctx context.Context, call ledger.Call) (ledger.Outcome, error) {
+	if c.do != nil {
+		c.do(ctx, call)
+	}
+	return c.out, c.err
+}
+
+func (c *calls) Look(context.Context, spec.TeamID, spec.ClassName, string) (ledger.Outcome, error) {
+	return c.out, c.err
+}
+
+func newServer(m entry.Models) *entry.Server {
+	return &entry.Server{
+		Models: m, Calls: &calls{}, Book: testBook(), Log: zap.NewNop(), Meters: metrics.NewSet(),
+		Limits: entry.Limits{Body: 4096, Header: 8192, Tokens: 100, Buffer: 4096},
+	}
+}
+
+// request is a POST of body with the key of the first team.
+func request(path, body string) *http.Request {
+	req := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+key)
+	return req
+}
+
+func serve(s *entry.Server, req *http.Request) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, req)
+	return w
+}
+
+func chat(s *entry.Server, body string) *httptest.ResponseRecorder {
+	return serve(s, request("/v1/chat/completions", body))
+}
+
+func readAll(t *testing.T, r io.Reader) string {
+	t.Helper()
+	data, err := io.ReadAll(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func wantFault(t *testing.T, w *httptest.ResponseRecorder, status int, code string) {
+	t.Helper()
+	if w.Code != status || !strings.Contains(w.Body.String(), `"code":"`+code+`"`) {
+		t.Errorf("got %d %s, want %d with code %s", w.Code, w.Body, status, code)
+	}
+}
+
+func TestRequestWithoutKnownKey(t *testing.T) {
+	tests := []struct{ name, header, code string }{
+		{"none", "", "no-key"},
+		{"other scheme", "Basic abc", "no-key"},
+		{"empty", "Bearer ", "no-key"},
+		{"long", "Bearer " + strings.Repeat("x", 600), "no-key"},
+		{"unknown", "Bearer nobody", "unknown-key"},
+	}
+	for _, tt := range tests {
+		req := request("/v1/chat/completions", ask)
+		req.Header.Set("Authorization", tt.header)
+		wantFault(t, serve(newServer(&models{}), req), http.StatusUnauthorized, tt.code)
+	}
+}
+
+// The caller sees 503 and when to come back, not that their key is bad, while
+// the instance has read no configuration: it knows no team yet.
+func TestNoConfigurationYet(t *testing.T) {
+	s := newServer(&models{})
+	s.Book = &config.Book{}
+	w := chat(s, ask)
+	wantFault(t, w, http.StatusServiceUnavailable, "not-ready")
+	if w.Header().Get("Retry-After") == "" {
+		t.Errorf("got no Retry-After, want one")
+	}
+}
+
+// The caller sees the refusal at once, with its reason, whether it ran and
+// when to come back.
+func TestRefusalIsTheFinalAnswer(t *testing.T) {
+	tests := []struct {
+		reason world.Reason
+		ran    bool
+		status int
+		want   string
+	}{
+		{world.ReasonOverload, false, http.StatusServiceUnavailable, `"code":"overload","message":"The target of the class cannot be met now.","ran":"no","after":3`},
+		{world.ReasonTeam, false, http.StatusTooManyRequests, `"ran":"no","after":3`},
+		{world.ReasonPoison, true, http.StatusUnprocessableEntity, `"ran":"yes"`},
+		{world.ReasonClass, false, http.StatusBadRequest, `"ran":"no"`},
+	}
+	for _, stream := range []string{"true", "false"} {
+		for _, tt := range tests {
+			m := &models{err: &chain.RefusedError{Reason: tt.reason, Ran: tt.ran, After: 2100 * time.Millisecond}}
+			w := chat(newServer(m), strings.Replace(ask, "true", stream, 1))
+			if w.Code != tt.status || !strings.Contains(w.Body.String(), tt.want) {
+				t.Errorf("got %d %s, want %d with %s", w.Code, w.Body, tt.status, tt.want)
+			}
+			if got := w.Header().Get("Retry-After"); got != "3" {
+				t.Errorf("got Retry-After %q, want 3", got)
+			}
+		}
+	}
+}
+
+func TestModelsAreListedOnce(t *testing.T) {
+	req := request("/v1/models", "")
+	req.Method = http.MethodGet
+	got := serve(newServer(&models{}), req).Body.String()
+	want := `{"object":"list","data":[{"id":"m","object":"model","created":0,"owned_by":"fulmarwick"}]}` + "\n"
+	if got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+func TestUnknownPathAndMethod(t *testing.T) {
+	wantFault(t, serve(newServer(&models{}), request("/v2/x", "")), http.StatusNotFound, "no-path")
+	wantFault(t, serve(newServer(&models{}), request("/v1/models", "")), http.StatusMethodNotAllowed, "no-method")
+}
--- /dev/null
+++ b/internal/wire/entry/escape.go
@@ -0,0 +1,68 @@
+package entry
+
+import "unicode/utf8"
+
+const hexDigits = "0123456789abcdef"
+
+// appendString appends text as a JSON string. It writes what encoding/json
+// writes with HTML escaping off; a test holds the two equal. It exists because
+// it runs for each token and takes no memory.
+func appendString(dst []byte, text string) []byte {
+	dst = append(dst, '"')
+	start := 0
+	for i := 0; i < len(text); {
+		b := text[i]
+		if b < utf8.RuneSelf {
+			if b >= ' ' && b != '"' && b != '\\' {
+				i++
+				continue
+			}
+			dst = append(dst, text[start:i]...)
+			dst = appendEscape(dst, b)
+			i++
+			start = i
+			continue
+		}
+		r, size := utf8.DecodeRuneInString(text[i:])
+		if escaped := special(r, size); escaped != "" {
+			dst = append(dst, text[start:i]...)
+			dst = append(dst, escaped...)
+			start = i + size
+		}
+		i += size
+	}
+	dst = append(dst, text[start:]...)
+	return append(dst, '"')
+}
+
+// special is the escape of a rune that may not stand as it is: bytes that are
+// no UTF-8, and the two line ends that end a string in JavaScript.
+func special(r rune, size int) string {
+	switch {
+	case r == utf8.RuneError && size == 1:
+		return `\ufffd`
+	case r == '\u2028':
+		return `\u2028`
+	case r == '\u2029':
+		return `\u2029`
+	}
+	return ""
+}
+
+func appendEscape(dst []byte, b byte) []byte {
+	switch b {
+	case '"', '\\':
+		return append(dst, '\\', b)
+	case '\b':
+		return append(dst, '\\', 'b')
+	case '\f':
+		return append(dst, '\\', 'f')
+	case '\n':
+		return append(dst, '\\', 'n')
+	case '\r':
+		return append(dst, '\\', 'r')
+	case '\t':
+		return append(dst, '\\', 't')
+	}
+	return append(dst, '\\', 'u', '0', '0', hexDigits[b>>4], hexDigits[b&0xf])
+}
--- /dev/null
+++ b/internal/wire/entry/export_test.go
@@ -0,0 +1,4 @@
+package entry
+
+// AppendString lets tests compare the encoder with encoding/json.
+var AppendString = appendString
--- a/internal/wire/entry/fault.go
+++ b/internal/wire/entry/fault.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"math"
 	"net/http"
@@ -26,32 +27,49 @@
 
 // FaultError is an error as callers see it. Code is stable.
 type FaultError struct {
-	Status int           `json:"-"`
-	Code   string        `json:"code"`
-	Text   string        `json:"message"`
-	Ran    Ran           `json:"ran"`
-	After  time.Duration `json:"-"`
+	Status int
+	Code   string
+	// Text is a sentence for people.
+	Text string
+	Ran  Ran
+	// After is when to come back; zero if waiting does not help.
+	After time.Duration
 }
 
 // Error is the sentence of the fault.
 func (f *FaultError) Error() string { return f.Text }
 
-type faultBody struct {
-	Error *FaultError `json:"error"`
-}
+// The JSON of a fault. After repeats Retry-After in seconds, for streams that
+// have sent their headers.
+type (
+	faultBody struct {
+		Error faultJSON `json:"error"`
+	}
+	faultJSON struct {
+		Code  string `json:"code"`
+		Text  string `json:"message"`
+		Ran   Ran    `json:"ran"`
+		After int    `json:"after,omitempty"`
+	}
+)
 
 func newFault(status int, code, text string, ran Ran) *FaultError {
 	return &FaultError{Status: status, Code: code, Text: text, Ran: ran}
 }
 
+func (f *FaultError) seconds() int { return int(math.Ceil(f.After.Seconds())) }
+
+func (f *FaultError) body() faultBody {
+	return faultBody{Error: faultJSON{Code: f.Code, Text: f.Text, Ran: f.Ran, After: f.seconds()}}
+}
+
 func (f *FaultError) write(w http.ResponseWriter) {
 	if f.After > 0 {
-		seconds := int(math.Ceil(f.After.Seconds()))
-		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+		w.Header().Set("Retry-After", strconv.Itoa(f.seconds()))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(f.Status)
-	_ = json.NewEncoder(w).Encode(faultBody{Error: f})
+	_ = json.NewEncoder(w).Encode(f.body())
 }
 
 // faultOf turns an error of the layers below into what the caller sees.
@@ -71,15 +89,26 @@
 		f := newFault(http.StatusServiceUnavailable, "store-down", "The record of the call could not be written, so the call was not sent.", RanNo)
 		f.After = storeRetry
 		return f
+	case errors.Is(err, context.Canceled):
+		return newFault(statusGone, "caller-gone", "The caller went away.", RanUnsure)
 	default:
 		return newFault(http.StatusInternalServerError, "internal", "The request failed inside the router.", RanUnsure)
 	}
 }
 
-const storeRetry = 2 * time.Second
+const (
+	storeRetry = 2 * time.Second
+	// statusGone is what logs and metrics show for a caller that went away;
+	// nobody is there to see it.
+	statusGone = 499
+)
 
 func refusedFault(r *chain.RefusedError) *FaultError {
-	f := newFault(http.StatusServiceUnavailable, r.Reason.String(), refusals[r.Reason], RanNo)
+	text, ok := refusals[r.Reason]
+	if !ok {
+		text = "The request was refused."
+	}
+	f := newFault(http.StatusServiceUnavailable, r.Reason.String(), text, RanNo)
 	if r.Ran {
 		f.Ran = RanYes
 	}
--- /dev/null
+++ b/internal/wire/entry/models.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"fulmarwick/internal/base/spec"
+)
+
+// The published shape of the list of models.
+type (
+	modelList struct {
+		Object string      `json:"object"`
+		Data   []modelBody `json:"data"`
+	}
+	modelBody struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		Owner   string `json:"owned_by"`
+	}
+)
+
+// owner is what the list names as the owner of every model.
+const owner = "fulmarwick"
+
+// models lists each model that a class in force serves.
+func (s *Server) models(w http.ResponseWriter, req *http.Request) {
+	if _, err := s.team(req); err != nil {
+		faultOf(err).write(w)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelBody{}}
+	seen := map[spec.ModelName]bool{}
+	for _, c := range s.Book.Now().Classes() {
+		if c.Kind() != spec.KindModel || seen[c.Model()] {
+			continue
+		}
+		seen[c.Model()] = true
+		// The router does not know when a model was made; zero says so.
+		list.Data = append(list.Data, modelBody{ID: string(c.Model()), Object: "model", Owner: owner})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/internal/wire/entry/stream_test.go
@@ -0,0 +1,177 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/fakes/inmem"
+	"fulmarwick/internal/wire/chain"
+	"fulmarwick/internal/wire/entry"
+)
+
+// open serves s on a network in the process and posts ask to it.
+func open(t *testing.T, s *entry.Server) *http.Response {
+	t.Helper()
+	l := inmem.Listen()
+	server := s.HTTP(s.Handler(), nil)
+	go func() { _ = server.Serve(l) }()
+	client := l.Client()
+	t.Cleanup(func() {
+		client.CloseIdleConnections()
+		_ = server.Close()
+	})
+	req, err := http.NewRequest(http.MethodPost, "http://in/v1/chat/completions", strings.NewReader(ask))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := client.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// The caller stops reading a stream in the middle. The engine goes on making
+// tokens until the bounded buffer is full; then the request ends and the
+// connection is cut without an ending. The caller takes up what they had with
+// the last whole event's id on another instance and sees every token once.
+func TestSlowReaderIsCutAndCanResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		many := make([]string, 400)
+		for i := range many {
+			many[i] = strings.Repeat(string(rune('a'+i%26)), 50)
+		}
+		made := 0
+		s := newServer(&models{words: many, before: func(i int) { made = i }})
+		s.Limits.WriteTime = time.Minute
+		resp := open(t, s)
+		head := make([]byte, 3000)
+		n, _ := resp.Body.Read(head)
+		synctest.Wait()
+		if made > 100 {
+			t.Errorf("got %d tokens made for a caller that reads none, want them bounded", made)
+		}
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+		var rest strings.Builder
+		_, err := copyTo(&rest, resp)
+		if err == nil {
+			t.Error("got a stream that ends as a whole one, want it cut")
+		}
+		had := parse(string(head[:n]) + rest.String())
+		if len(had) == 0 || strings.Contains(rest.String(), "[DONE]") {
+			t.Fatalf("got %d events, want some and no [DONE]", len(had))
+		}
+		again := newServer(&models{words: many})
+		again.Limits.Buffer = 1 << 20
+		more := parse(resume(again, key, had[len(had)-1].id, ask).Body.String())
+		if got, want := text(had)+text(more), strings.Join(many, ""); got != want {
+			t.Errorf("got %d bytes after the resume, want the %d of the answer", len(got), len(want))
+		}
+	})
+}
+
+func copyTo(b *strings.Builder, resp *http.Response) (int, error) {
+	buf := make([]byte, 1024)
+	total := 0
+	for {
+		n, err := resp.Body.Read(buf)
+		b.Write(buf[:n])
+		total += n
+		if err != nil {
+			if err.Error() == "EOF" {
+				err = nil
+			}
+			return total, err
+		}
+	}
+}
+
+// The caller's proxy closes connections that are silent for a minute. An
+// answer whose next token takes ten minutes reaches the caller whole, since
+// comments go out meanwhile; clients pass them over.
+func TestCommentsKeepASilentStreamOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &models{words: []string{"a", "b"}, before: func(i int) { time.Sleep(time.Duration(i) * 10 * time.Minute) }}
+		s := newServer(m)
+		s.Limits.Comment = 15 * time.Second
+		resp := open(t, s)
+		got := readAll(t, resp.Body)
+		if n := strings.Count(got, ": wait\n\n"); n < 38 || n > 40 {
+			t.Errorf("got %d comments in ten minutes, want one in 15 s", n)
+		}
+		if text(parse(got)) != "ab" || !strings.HasSuffix(got, "data: [DONE]\n\n") {
+			t.Errorf("got %q, want both tokens and [DONE]", got)
+		}
+	})
+}
+
+// The caller goes away in the middle of a stream. The work behind it must end,
+// or engines would go on for nobody; no class is blamed for the caller's doing.
+func TestCallerGoesAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan error, 1)
+		s := newServer(nil)
+		s.Models = runFunc(func(ctx context.Context, _ chain.Job, sink chain.Sink) (chain.Result, error) {
+			_ = sink(chain.Token{Text: "a"})
+			<-ctx.Done()
+			ended <- ctx.Err()
+			return chain.Result{}, ctx.Err()
+		})
+		seen := &served{}
+		s.Observer = seen
+		resp := open(t, s)
+		if _, err := resp.Body.Read(make([]byte, 10)); err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if err := <-ended; err == nil {
+			t.Error("got no end of the work, want its context ended")
+		}
+		synctest.Wait()
+		if seen.count() != 0 {
+			t.Errorf("got %d observed ends, want 0", seen.count())
+		}
+	})
+}
+
+type runFunc func(ctx context.Context, job chain.Job, sink chain.Sink) (chain.Result, error)
+
+func (f runFunc) Run(ctx context.Context, job chain.Job, sink chain.Sink) (chain.Result, error) {
+	return f(ctx, job, sink)
+}
+
+// Each token takes no memory, however long the answer: encoder, resume token
+// and buffer are reused. The counts are of whole streams of two lengths.
+func TestMemoryDoesNotGrowWithTheAnswer(t *testing.T) {
+	allocs := func(n int) float64 {
+		many := make([]string, n)
+		for i := range many {
+			many[i] = "word "
+		}
+		s := newServer(&models{words: many})
+		s.Limits.Buffer = 1 << 20
+		h := s.Handler()
+		return testing.AllocsPerRun(20, func() {
+			h.ServeHTTP(&discard{header: http.Header{}}, request("/v1/chat/completions", ask))
+		})
+	}
+	short, long := allocs(10), allocs(2010)
+	if perToken := (long - short) / 2000; perToken > 0.05 {
+		t.Errorf("got %.3f allocations per token (%.0f and %.0f in all), want none", perToken, short, long)
+	}
+}
+
+// discard is a response that takes everything and keeps nothing.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d *discard) WriteHeader(int)             {}
+func (d *discard) Flush()                      {}
