--- /dev/null
+++ b/internal/app/meters/meters.go
@@ -0,0 +1,207 @@
+// Package meters keeps, per class, how well its target was met of late.
+//
+// It imports base/spec, the histogram library and the metrics library. Package
+// entry tells it how requests ended; the status of the instance reads it.
+//
+// What it keeps per class does not depend on how many requests there are: the
+// counts and three histograms of each of a few past minutes.
+package meters
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// windows of windowTime each are what "of late" means.
+	windows    = 5
+	windowTime = time.Minute
+	// unit is the finest time kept; longest the longest told apart.
+	unit    = 100 * time.Microsecond
+	longest = time.Hour
+	digits  = 2
+)
+
+// Board is the record of all classes. Set the exported fields before use.
+type Board struct {
+	// Meters takes the metrics; nil makes a private set.
+	Meters *metrics.Set
+
+	once    sync.Once
+	mu      sync.Mutex
+	start   time.Time
+	classes map[spec.ClassName]*row
+}
+
+// row is one class.
+type row struct {
+	class spec.Class
+	// at numbers the newest window since the start.
+	at     int64
+	counts [windows]counts
+	first  *hdrhistogram.WindowedHistogram
+	gap    *hdrhistogram.WindowedHistogram
+	whole  *hdrhistogram.WindowedHistogram
+	seen   *metrics.Counter
+	met    *metrics.Counter
+}
+
+type counts struct{ seen, met int64 }
+
+// Times are percentiles of one kind of time.
+type Times struct {
+	P50 time.Duration
+	P95 time.Duration
+	P99 time.Duration
+}
+
+// Attained is how a class was served of late.
+type Attained struct {
+	Class spec.Class
+	// Seen is how many requests ended, Met how many of them met the target.
+	Seen  int64
+	Met   int64
+	First Times
+	Gap   Times
+	Whole Times
+}
+
+// Percent is how many of 100 requests met the target; 100 if there were none.
+func (a Attained) Percent() float64 {
+	if a.Seen == 0 {
+		return 100
+	}
+	return 100 * float64(a.Met) / float64(a.Seen)
+}
+
+// Holds reports whether the class meets its target.
+func (a Attained) Holds() bool { return a.Percent() >= a.Class.Target().Percent() }
+
+func (b *Board) init() {
+	b.once.Do(func() {
+		if b.Meters == nil {
+			b.Meters = metrics.NewSet()
+		}
+		b.start = time.Now()
+		b.classes = map[spec.ClassName]*row{}
+	})
+}
+
+// Served takes the end of a request. A request that failed or was refused met
+// no target.
+func (b *Board) Served(class spec.Class, first, gap, whole time.Duration, ok bool) {
+	b.init()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.row(class)
+	r.turn(b.window())
+	c := &r.counts[r.at%windows]
+	c.seen++
+	r.seen.Inc()
+	if ok && meets(class.Target(), first, gap, whole) {
+		c.met++
+		r.met.Inc()
+	}
+	record(r.first, first)
+	record(r.gap, gap)
+	record(r.whole, whole)
+}
+
+// meets reports whether the times are within each limit of the target.
+func meets(t spec.Target, first, gap, whole time.Duration) bool {
+	return within(first, t.First()) && within(gap, t.Gap()) && within(whole, t.Whole())
+}
+
+func within(took, limit time.Duration) bool { return limit == 0 || took <= limit }
+
+func record(h *hdrhistogram.WindowedHistogram, d time.Duration) {
+	if d > 0 {
+		// Times above the longest are kept as the longest.
+		_ = h.Current.RecordValue(int64(min(d, longest) / unit))
+	}
+}
+
+// All is every class in order of name.
+func (b *Board) All() []Attained {
+	b.init()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Attained, 0, len(b.classes))
+	for _, r := range b.classes {
+		r.turn(b.window())
+		out = append(out, r.attained())
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Class.Name() < out[j].Class.Name() })
+	return out
+}
+
+// Keep forgets the classes that are not in force any more.
+func (b *Board) Keep(classes []spec.Class) {
+	b.init()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	keep := make(map[spec.ClassName]bool, len(classes))
+	for _, c := range classes {
+		keep[c.Name()] = true
+	}
+	for name := range b.classes {
+		if !keep[name] {
+			delete(b.classes, name)
+		}
+	}
+}
+
+func (b *Board) window() int64 { return int64(time.Since(b.start) / windowTime) }
+
+func (b *Board) row(class spec.Class) *row {
+	r := b.classes[class.Name()]
+	if r != nil {
+		r.class = class
+		return r
+	}
+	r = &row{class: class, at: b.window()}
+	for _, h := range []**hdrhistogram.WindowedHistogram{&r.first, &r.gap, &r.whole} {
+		*h = hdrhistogram.NewWindowed(windows, 1, int64(longest/unit), digits)
+	}
+	r.seen = b.Meters.GetOrCreateCounter(fmt.Sprintf(`fulmarwick_target_seen_total{class=%q}`, class.Name()))
+	r.met = b.Meters.GetOrCreateCounter(fmt.Sprintf(`fulmarwick_target_met_total{class=%q}`, class.Name()))
+	b.classes[class.Name()] = r
+	return r
+}
+
+// turn moves on to window at; windows that nobody used are empty.
+func (r *row) turn(at int64) {
+	for steps := 0; r.at < at && steps < windows; steps++ {
+		r.at++
+		r.counts[r.at%windows] = counts{}
+		r.first.Rotate()
+		r.gap.Rotate()
+		r.whole.Rotate()
+	}
+	if r.at < at {
+		// All windows were emptied; the rest would empty them again.
+		r.at = at
+	}
+}
+
+func (r *row) attained() Attained {
+	a := Attained{Class: r.class, First: times(r.first), Gap: times(r.gap), Whole: times(r.whole)}
+	for _, c := range r.counts {
+		a.Seen += c.seen
+		a.Met += c.met
+	}
+	return a
+}
+
+func times(h *hdrhistogram.WindowedHistogram) Times {
+	all := h.Merge()
+	at := func(q float64) time.Duration { return time.Duration(all.ValueAtQuantile(q)) * unit }
+	return Times{P50: at(50), P95: at(95), P99: at(99)}
+}
