--- /dev/null
+++ b/internal/wire/loop/loop_test.go
@@ -0,0 +1,251 @@
+package loop_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/core"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/wire/loop"
+)
+
+// echo starts every request that arrives and counts its ticks.
+type echo struct {
+	mu    sync.Mutex
+	ticks int
+	seen  []world.Event
+}
+
+func (e *echo) Tick(_ time.Duration, events []world.Event) []world.Command {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ticks++
+	var out []world.Command
+	for _, ev := range events {
+		e.seen = append(e.seen, ev)
+		if a, ok := ev.(world.Arrived); ok {
+			out = append(out, world.Start{Request: a.Request, Attempt: 1})
+		}
+	}
+	return out
+}
+
+func (e *echo) counts() (ticks, seen int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ticks, len(e.seen)
+}
+
+// run starts l in the bubble of the test.
+func run(t *testing.T, l *loop.Loop) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = l.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func TestDecisionReachesItsRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &loop.Loop{Logic: &echo{}}
+		run(t, l)
+		for _, id := range []spec.RequestID{"a", "b"} {
+			ch := l.Watch(id)
+			l.Post(world.Arrived{Request: id})
+			got, ok := (<-ch).(world.Start)
+			if !ok || got.Request != id {
+				t.Errorf("got %+v, want the start of %s", got, id)
+			}
+			l.Forget(id)
+		}
+		if got := l.Waiting(); got != 0 {
+			t.Errorf("got %d watched, want 0", got)
+		}
+	})
+}
+
+func TestTicksWithoutEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logic := &echo{}
+		run(t, &loop.Loop{Logic: logic})
+		time.Sleep(time.Second + time.Millisecond)
+		synctest.Wait()
+		if got, _ := logic.counts(); got != 50 {
+			t.Errorf("got %d ticks in a second, want 50", got)
+		}
+	})
+}
+
+// Callers flood the instance with more requests than a tick can take. Those
+// above the bound see their refusal at once, with a time to come back, and
+// never reach the logic; the events that end requests are kept all the same.
+func TestFloodIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logic := &echo{}
+		l := &loop.Loop{Logic: logic, Queue: 3}
+		var refused int
+		var chans []<-chan world.Command
+		for i := range 5 {
+			id := spec.RequestID(fmt.Sprint(i))
+			chans = append(chans, l.Watch(id))
+			l.Post(world.Arrived{Request: id})
+			l.Post(world.Finished{Request: id})
+		}
+		for _, ch := range chans {
+			select {
+			case c := <-ch:
+				if r, ok := c.(world.Refuse); ok && r.Reason == world.ReasonOverload && r.After > 0 && !r.Ran {
+					refused++
+				}
+			default:
+			}
+		}
+		if refused != 2 {
+			t.Errorf("got %d refused before the loop ran, want 2", refused)
+		}
+		run(t, l)
+		synctest.Wait()
+		if _, got := logic.counts(); got != 3+5 {
+			t.Errorf("got %d events in the logic, want 3 arrivals and 5 ends", got)
+		}
+	})
+}
+
+// A request's goroutine ended, or reads no more, when commands for it come.
+// The loop goes on for the others and keeps nothing.
+func TestEndedRequestHoldsNothingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &loop.Loop{Logic: &echo{}}
+		run(t, l)
+		l.Watch("deaf")
+		for range 100 {
+			l.Post(world.Arrived{Request: "deaf"})
+			l.Post(world.Arrived{Request: "gone"})
+			synctest.Wait()
+		}
+		ch := l.Watch("a")
+		l.Post(world.Arrived{Request: "a"})
+		<-ch
+		l.Forget("a")
+		l.Forget("deaf")
+		if got := l.Waiting(); got != 0 {
+			t.Errorf("got %d watched, want 0", got)
+		}
+	})
+}
+
+func TestLookRunsBetweenTicks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &loop.Loop{Logic: &echo{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- l.Run(ctx) }()
+		ran := false
+		if err := l.Look(ctx, func() { ran = true }); err != nil || !ran {
+			t.Errorf("got %v and ran %v, want nil and true", err, ran)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("got %v from Run, want nil", err)
+		}
+		if err := l.Look(context.Background(), func() {}); err == nil {
+			t.Error("got nil from a loop that ended, want an error")
+		}
+	})
+}
+
+func TestOtherCommandsGoOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got := make(chan world.Command, 1)
+		l := &loop.Loop{Logic: warner{}, Other: func(c world.Command) {
+			select {
+			case got <- c:
+			default:
+			}
+		}}
+		run(t, l)
+		if c, ok := (<-got).(world.Warn); !ok || c.Print != 7 {
+			t.Errorf("got %+v, want the warning", c)
+		}
+	})
+}
+
+type warner struct{}
+
+func (warner) Tick(time.Duration, []world.Event) []world.Command {
+	return []world.Command{world.Warn{Print: 7}}
+}
+
+// known fills the logic with engines of one model, each of which holds all.
+func known(engines int) *core.Logic {
+	logic := &core.Logic{}
+	var events []world.Event
+	for i := range engines {
+		events = append(events, world.EngineSeen{Engine: world.Engine{
+			ID: spec.UpstreamID(fmt.Sprintf("e%05d", i)), DataCentre: "klang", Kind: "l40s", Layer: time.Microsecond,
+			Slots: 1 << 20, Cache: 1 << 40, Seq: 1,
+			Holds: []world.Hold{{Model: "m", Version: "1", Depth: 24, Layers: spec.NewLayers(0, 24)}},
+		}})
+	}
+	target := spec.NewTarget(time.Minute, time.Minute, 0, 95)
+	events = append(events, world.ConfigSet{
+		Version: 1, Classes: []spec.Class{spec.NewModelClass("answer", "m", target)},
+		Teams: []spec.Team{spec.NewTeam("t", "t", 1)},
+	})
+	logic.Tick(0, events)
+	return logic
+}
+
+// BenchmarkDecision is the time from Post to the decision in the hands of the
+// request's goroutine.
+func BenchmarkDecision(b *testing.B) {
+	for _, engines := range []int{33, 600} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			l := &loop.Loop{Logic: known(engines)}
+			ctx, cancel := context.WithCancel(b.Context())
+			done := make(chan struct{})
+			go func() { _ = l.Run(ctx); close(done) }()
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				n++
+				id := spec.RequestID(fmt.Sprint(n))
+				ch := l.Watch(id)
+				l.Post(world.Arrived{Request: id, Team: "t", Class: "answer", Model: "m", Prompt: 10, Limit: 10, Print: uint64(n)})
+				if _, ok := (<-ch).(world.Start); !ok {
+					b.Fatal("got no start")
+				}
+				l.Forget(id)
+				l.Post(world.Finished{Request: id, Tokens: 10, OK: true})
+			}
+			cancel()
+			<-done
+		})
+	}
+}
+
+// BenchmarkIdle is the cost of a tick with nothing to do.
+func BenchmarkIdle(b *testing.B) {
+	for _, engines := range []int{33, 600} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			logic := known(engines)
+			now := time.Second
+			b.ReportAllocs()
+			for b.Loop() {
+				now += loop.Every
+				logic.Tick(now, nil)
+			}
+		})
+	}
+}
