--- /dev/null
+++ b/internal/wire/admin/server.go
@@ -0,0 +1,208 @@
+// Package admin serves operators and is the client of their commands.
+//
+// It imports the router, metrics and log libraries. The daemon serves its
+// Handler at the operators' address; the commands apply, show, status and
+// drain use Client.
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+)
+
+const (
+	// maxDraft bounds the body of a change in bytes.
+	maxDraft = 16 << 20
+	// defaultHistory and maxHistory bound how many changes are listed.
+	defaultHistory = 20
+	maxHistory     = 1000
+	// maxBy bounds the name of an operator.
+	maxBy = 100
+)
+
+// Server serves operators. Set the exported fields before Handler.
+type Server struct {
+	Viewer  Viewer
+	Drainer Drainer
+	// Config may be nil: then the configuration can be neither shown nor
+	// changed here.
+	Config Config
+	Meters *metrics.Set
+	Log    *zap.Logger
+	// Ready reports whether callers should be sent here.
+	Ready func() bool
+}
+
+// draftBody is the body of POST /v1/config.
+type draftBody struct {
+	Base      uint64     `json:"base"`
+	By        string     `json:"by"`
+	Documents []Document `json:"documents"`
+}
+
+// drained answers POST /v1/drain.
+type drained struct {
+	Running int `json:"running"`
+}
+
+// fault is what operators see of an error. Winner and Problems go with their
+// codes only.
+type fault struct {
+	Code     string   `json:"code"`
+	Text     string   `json:"message"`
+	Winner   *Change  `json:"winner,omitempty"`
+	Problems []string `json:"problems,omitempty"`
+}
+
+// The codes of faults.
+const (
+	codeConflict = "conflict"
+	codeRefused  = "refused"
+	codeDown     = "store-down"
+	codeUnsure   = "unsure"
+	codeNone     = "not-served"
+	codeBad      = "bad-request"
+	codeInternal = "internal"
+)
+
+// Handler serves the operators' endpoints.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/status", s.status).Methods(http.MethodGet)
+	r.HandleFunc("/v1/config", s.show).Methods(http.MethodGet)
+	r.HandleFunc("/v1/config", s.apply).Methods(http.MethodPost)
+	r.HandleFunc("/v1/config/history", s.history).Methods(http.MethodGet)
+	r.HandleFunc("/v1/drain", s.drain).Methods(http.MethodPost)
+	r.HandleFunc("/metrics", s.metrics).Methods(http.MethodGet)
+	Health(r, s.Ready)
+	return r
+}
+
+// Health adds /healthz, which says that the process answers, and /readyz,
+// which says whether callers should be sent to it.
+func Health(r *mux.Router, ready func() bool) {
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	}).Methods(http.MethodGet)
+}
+
+func (s *Server) status(w http.ResponseWriter, req *http.Request) {
+	status, err := s.Viewer.Status(req.Context())
+	s.answer(w, status, err)
+}
+
+func (s *Server) show(w http.ResponseWriter, req *http.Request) {
+	if s.Config == nil {
+		s.none(w)
+		return
+	}
+	shown, err := s.Config.Show(req.Context())
+	s.answer(w, shown, err)
+}
+
+func (s *Server) history(w http.ResponseWriter, req *http.Request) {
+	if s.Config == nil {
+		s.none(w)
+		return
+	}
+	limit := defaultHistory
+	if text := req.URL.Query().Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxHistory {
+			write(w, http.StatusBadRequest, fault{Code: codeBad, Text: "limit is no number from 1 to " + strconv.Itoa(maxHistory)})
+			return
+		}
+		limit = n
+	}
+	changes, err := s.Config.History(req.Context(), limit)
+	s.answer(w, changes, err)
+}
+
+func (s *Server) apply(w http.ResponseWriter, req *http.Request) {
+	if s.Config == nil {
+		s.none(w)
+		return
+	}
+	var body draftBody
+	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxDraft)).Decode(&body); err != nil {
+		write(w, http.StatusBadRequest, fault{Code: codeBad, Text: "the body is not the JSON expected: " + err.Error()})
+		return
+	}
+	by := operator(req, body.By)
+	if by == "" || len(by) > maxBy {
+		write(w, http.StatusBadRequest, fault{Code: codeBad, Text: "the operator's name is missing or too long"})
+		return
+	}
+	applied, err := s.Config.Apply(req.Context(), Draft{Base: body.Base, By: by, Documents: body.Documents})
+	if err == nil {
+		s.Log.Info("admin: configuration accepted", zap.Uint64("version", applied.Version), zap.String("by", by))
+	}
+	s.answer(w, applied, err)
+}
+
+// operator is who asks: the name in their certificate if they showed one,
+// else the name that they give.
+func operator(req *http.Request, given string) string {
+	if req.TLS != nil && len(req.TLS.VerifiedChains) > 0 {
+		return req.TLS.VerifiedChains[0][0].Subject.CommonName
+	}
+	return given
+}
+
+func (s *Server) drain(w http.ResponseWriter, req *http.Request) {
+	s.Log.Info("admin: drain asked for", zap.String("by", operator(req, req.RemoteAddr)))
+	s.Drainer.Begin()
+	s.answer(w, drained{Running: s.Drainer.Running()}, nil)
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	s.Meters.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func (s *Server) none(w http.ResponseWriter) {
+	write(w, http.StatusNotFound, fault{Code: codeNone, Text: "this instance keeps no shared configuration"})
+}
+
+// answer writes body, or the error as operators see it.
+func (s *Server) answer(w http.ResponseWriter, body any, err error) {
+	if err == nil {
+		write(w, http.StatusOK, body)
+		return
+	}
+	var conflict *ConflictError
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &conflict):
+		write(w, http.StatusConflict, fault{Code: codeConflict, Text: conflict.Error(), Winner: &conflict.Winner})
+	case errors.As(err, &refused):
+		write(w, http.StatusUnprocessableEntity, fault{Code: codeRefused, Text: "the change was refused", Problems: refused.Problems})
+	case errors.Is(err, ErrDown):
+		write(w, http.StatusServiceUnavailable, fault{Code: codeDown, Text: ErrDown.Error()})
+	case errors.Is(err, ErrUnsure):
+		write(w, http.StatusBadGateway, fault{Code: codeUnsure, Text: ErrUnsure.Error()})
+	default:
+		s.Log.Warn("admin: request failed", zap.Error(err))
+		write(w, http.StatusInternalServerError, fault{Code: codeInternal, Text: err.Error()})
+	}
+}
+
+func write(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/wire/admin/types.go
@@ -0,0 +1,173 @@
+package admin
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// Status is the body of GET /v1/status: one instance as it sees itself and the
+// rest. Times are in milliseconds.
+type Status struct {
+	Instance   string `json:"instance"`
+	DataCentre string `json:"datacentre"`
+	Region     string `json:"region"`
+	// Build is the version of the program.
+	Build string `json:"build"`
+	// Goal is what the deployment weighs more.
+	Goal  string `json:"goal"`
+	Ready bool   `json:"ready"`
+	// Stopping is true once the graceful stop began.
+	Stopping bool `json:"stopping"`
+	// Running is how many requests of callers are in progress.
+	Running int `json:"running"`
+	// Version is the configuration version in force.
+	Version uint64   `json:"version"`
+	Classes []Class  `json:"classes"`
+	Engines []Engine `json:"engines"`
+	// Leaving names the upstreams that get no new work.
+	Leaving []string `json:"leaving"`
+	// Instances are the others that this one knows of.
+	Instances []Instance `json:"instances"`
+}
+
+// Class is how a class was served over the last minutes.
+type Class struct {
+	Name string `json:"name"`
+	Kind string `json:"kind"`
+	// Percent is the target's, Attained what was reached of it.
+	Percent  float64 `json:"percent"`
+	Attained float64 `json:"attained"`
+	Holds    bool    `json:"holds"`
+	// Requests is how many ended over the last minutes.
+	Requests int64 `json:"requests"`
+	First    Times `json:"first"`
+	Gap      Times `json:"gap"`
+	Whole    Times `json:"whole"`
+}
+
+// Times are a limit and what was measured against it, in milliseconds. A
+// limit of zero is none.
+type Times struct {
+	Limit float64 `json:"limit"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+}
+
+// Engine is one engine as routing sees it.
+type Engine struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"datacentre"`
+	Kind       string `json:"kind"`
+	// State is serving, leaving or down.
+	State  string `json:"state"`
+	Layers string `json:"layers"`
+	Active int    `json:"active"`
+	Queued int    `json:"queued"`
+	Slots  int    `json:"slots"`
+	// Use is the share of the engine's slots that work, 0 to 1.
+	Use float64 `json:"use"`
+}
+
+// Instance is another instance.
+type Instance struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"datacentre"`
+	State      string `json:"state"`
+	// Version is the configuration version in force there, as last heard.
+	Version uint64 `json:"version"`
+}
+
+// Shown is the body of GET /v1/config: what is in force.
+type Shown struct {
+	Instance string `json:"instance"`
+	Version  uint64 `json:"version"`
+	// Document is the classes and teams as an INI document.
+	Document string `json:"document"`
+	// Instances tells the version in force on the others.
+	Instances []Instance `json:"instances"`
+}
+
+// Change is one accepted change of the configuration.
+type Change struct {
+	Version uint64 `json:"version"`
+	By      string `json:"by"`
+	// At is when it was accepted, in RFC 3339.
+	At string `json:"at"`
+	// Text says what changed, such as "class answer, team haulage".
+	Text string `json:"text"`
+}
+
+// Draft is a change that an operator asks for.
+type Draft struct {
+	// Base is the version that the operator looked at. A row that changed
+	// since makes a conflict.
+	Base uint64
+	By   string
+	// Documents are INI documents by file name.
+	Documents []Document
+}
+
+// Document is one INI document.
+type Document struct {
+	Name string `json:"name"`
+	Text string `json:"text"`
+}
+
+// Applied is the answer to an accepted change.
+type Applied struct {
+	Version uint64 `json:"version"`
+}
+
+// Viewer gives the status of this instance.
+type Viewer interface {
+	Status(ctx context.Context) (Status, error)
+}
+
+// Drainer begins the graceful stop of this instance.
+type Drainer interface {
+	Begin()
+	Running() int
+}
+
+// Config shows and changes the configuration. Errors of Apply are
+// *ConflictError, *RefusedError, or match ErrDown or ErrUnsure.
+type Config interface {
+	Show(ctx context.Context) (Shown, error)
+	History(ctx context.Context, limit int) ([]Change, error)
+	Apply(ctx context.Context, d Draft) (Applied, error)
+}
+
+// Errors of this package.
+var (
+	// ErrDown means that the platform's store is out of reach; nothing
+	// changed.
+	ErrDown = errors.New("admin: store out of reach")
+	// ErrUnsure means that the store's answer was lost: the change may have
+	// been accepted. Show tells.
+	ErrUnsure = errors.New("admin: store's answer lost, ask show whether the change is in force")
+	// ErrReach means that no instance answered at the URL.
+	ErrReach = errors.New("admin: instance out of reach")
+)
+
+// ConflictError says that another change came first.
+type ConflictError struct {
+	Winner Change `json:"winner"`
+}
+
+// Error names the winner.
+func (e *ConflictError) Error() string {
+	w := e.Winner
+	return "admin: conflict with version " + strconv.FormatUint(w.Version, 10) + " by " + w.By + " at " + w.At + ": " + w.Text
+}
+
+// RefusedError lists all that is wrong with a change.
+type RefusedError struct {
+	Problems []string `json:"problems"`
+}
+
+// Error has a line per problem.
+func (e *RefusedError) Error() string { return strings.Join(e.Problems, "\n") }
