Add show, status, apply, drain and version, with documented exit codes

Commands ask an instance's operator endpoint. Codes: 0 done, 1 failed, 2 usage or refused, 3 conflict, 4 out of reach; a table test holds them. The first signal begins the graceful stop, a second hurries it, none cuts. The daemon serves operators on their own address, readiness on both, and ends by halt.

--- /dev/null
+++ b/internal/app/cmds/apply.go
@@ -0,0 +1,83 @@
+package cmds
+
+import (
+	"fmt"
+	"os"
+	"os/user"
+	"path/filepath"
+
+	"fulmarwick/internal/wire/admin"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+)
+
+func newApply() *cobra.Command {
+	var r remote
+	var by string
+	var base uint64
+	c := &cobra.Command{
+		Use:   "apply FILE...",
+		Short: "Change classes and teams",
+		Long: `Apply sends documents of classes and teams to an instance, which checks them and
+puts them in force everywhere within seconds, or refuses them whole.
+
+The change is compared with the version that it builds on: the one given by
+--version, else the one in force when the command starts. If someone changed the
+same class or team since, the command shows their change and ends with code 3.`,
+		Example: `  fulmarwick apply examples/association/classes.ini examples/association/teams.ini
+  fulmarwick apply --url http://127.0.0.1:7070 --version 41 classes.ini`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			documents, err := readDocuments(args)
+			if err != nil {
+				return err
+			}
+			client, err := r.one()
+			if err != nil {
+				return err
+			}
+			if !cmd.Flags().Changed("version") {
+				shown, err := client.Show(cmd.Context())
+				if err != nil {
+					return err
+				}
+				base = shown.Version
+			}
+			applied, err := client.Apply(cmd.Context(), admin.Draft{Base: base, By: by, Documents: documents})
+			if errors.Is(err, admin.ErrDown) {
+				return errors.Wrap(err, "nothing changed")
+			}
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "accepted as version %d\n", applied.Version)
+			return nil
+		},
+	}
+	r.add(c)
+	c.Flags().StringVar(&by, "by", login(), "name of the operator; a certificate's name goes before it")
+	c.Flags().Uint64Var(&base, "version", 0, "version that the change builds on")
+	return c
+}
+
+func readDocuments(paths []string) ([]admin.Document, error) {
+	var out []admin.Document
+	for _, p := range paths {
+		data, err := os.ReadFile(p)
+		if err != nil {
+			return nil, errors.Wrap(errUsage, err.Error())
+		}
+		out = append(out, admin.Document{Name: filepath.Base(p), Text: string(data)})
+	}
+	return out, nil
+}
+
+// login is the name of who runs the command, if it is known.
+func login() string {
+	u, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return u.Username
+}
--- /dev/null
+++ b/internal/app/cmds/cmds_test.go
@@ -0,0 +1,252 @@
+package cmds_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+
+	"fulmarwick/internal/app/cmds"
+	"fulmarwick/internal/wire/admin"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+)
+
+// site is an instance as the commands see it.
+type site struct {
+	err    error
+	draft  admin.Draft
+	drains int
+}
+
+func (s *site) Status(context.Context) (admin.Status, error) {
+	return admin.Status{
+		Instance: "klang-1", DataCentre: "klang", Goal: "throughput", Ready: true, Version: 7, Running: 2,
+		Classes:   []admin.Class{{Name: "answer", Percent: 95, Attained: 91.5, Requests: 200, First: admin.Times{Limit: 770, P95: 801}}},
+		Engines:   []admin.Engine{{Name: "fast-1", State: "leaving", Layers: "m:0-12", Active: 4, Slots: 16, Use: 0.25}},
+		Leaving:   []string{"fast-1"},
+		Instances: []admin.Instance{{Name: "johor-1", DataCentre: "johor", State: "live", Version: 7}},
+	}, s.err
+}
+func (s *site) Begin()       { s.drains++ }
+func (s *site) Running() int { return 2 }
+
+func (s *site) Show(context.Context) (admin.Shown, error) {
+	return admin.Shown{Instance: "klang-1", Version: 7, Document: "[class answer]\n", Instances: []admin.Instance{{Name: "johor-1", State: "live", Version: 6}}}, nil
+}
+
+func (s *site) History(context.Context, int) ([]admin.Change, error) {
+	return []admin.Change{{Version: 7, By: "siti", At: "2026-01-02T03:04:05Z", Text: "class answer"}}, nil
+}
+
+func (s *site) Apply(_ context.Context, d admin.Draft) (admin.Applied, error) {
+	s.draft = d
+	return admin.Applied{Version: 8}, s.err
+}
+
+func serve(t *testing.T, s *site) string {
+	t.Helper()
+	server := &admin.Server{Viewer: s, Drainer: s, Config: s, Meters: metrics.NewSet(), Log: zap.NewNop(), Ready: func() bool { return true }}
+	h := httptest.NewServer(server.Handler())
+	t.Cleanup(h.Close)
+	return h.URL
+}
+
+func execute(t *testing.T, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	code = cmds.Execute(t.Context(), args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const good = "[instance]\nname = a\ndatacentre = b\nregion = c\n[listen]\ncallers = 127.0.0.1:0\n[platform]\ntable = http://127.0.0.1:1\n"
+
+// The codes that the pages promise to scripts.
+func TestExitCodes(t *testing.T) {
+	conflict := serve(t, &site{err: &admin.ConflictError{Winner: admin.Change{Version: 9, By: "siti", Text: "class answer"}}})
+	refused := serve(t, &site{err: &admin.RefusedError{Problems: []string{"classes.ini:3: percent: 200 is out of range"}}})
+	down := serve(t, &site{err: admin.ErrDown})
+	unsure := serve(t, &site{err: admin.ErrUnsure})
+	ok := serve(t, &site{})
+	doc := write(t, "classes.ini", "[class answer]\n")
+	tests := []struct {
+		args []string
+		want int
+		text string
+	}{
+		{[]string{"version"}, cmds.ExitOK, "fulmarwick"},
+		{[]string{"status", "--url", ok}, cmds.ExitOK, "klang-1"},
+		{[]string{"status", "--url", down}, cmds.ExitReach, "out of reach"},
+		{[]string{"status", "--url", "http://127.0.0.1:1"}, cmds.ExitReach, "out of reach"},
+		{[]string{"status", "--url", "nowhere"}, cmds.ExitUsage, "--url"},
+		{[]string{"status", "--url", "https://127.0.0.1:1"}, cmds.ExitUsage, "--cert"},
+		{[]string{"status", "--unknown"}, cmds.ExitUsage, "unknown flag"},
+		{[]string{"nonsense"}, cmds.ExitUsage, "unknown command"},
+		{[]string{"check"}, cmds.ExitUsage, "requires at least 1 arg"},
+		{[]string{"check", write(t, "a.ini", good)}, cmds.ExitOK, "good"},
+		{[]string{"check", write(t, "a.ini", "[a]\n")}, cmds.ExitUsage, "no such section"},
+		{[]string{"check", "none.ini"}, cmds.ExitUsage, "cannot be read"},
+		{[]string{"serve", "--settings", "none.ini"}, cmds.ExitUsage, "cannot be read"},
+		{[]string{"apply", "--url", ok, doc}, cmds.ExitOK, "accepted as version 8"},
+		{[]string{"apply", "--url", conflict, doc}, cmds.ExitConflict, "version 9 by siti"},
+		{[]string{"apply", "--url", refused, doc}, cmds.ExitUsage, "200 is out of range"},
+		{[]string{"apply", "--url", down, doc}, cmds.ExitReach, "nothing changed"},
+		{[]string{"apply", "--url", unsure, doc}, cmds.ExitFail, "ask show"},
+		{[]string{"apply", "--url", ok, "none.ini"}, cmds.ExitUsage, "none.ini"},
+		{[]string{"apply", "--url", ok, "--url", down, doc}, cmds.ExitUsage, "one --url"},
+		{[]string{"drain", "--url", ok}, cmds.ExitOK, "2 requests in progress"},
+		{[]string{"show", "--url", ok, "--history", "3"}, cmds.ExitOK, "siti"},
+	}
+	for _, tt := range tests {
+		code, out, errOut := execute(t, tt.args...)
+		if code != tt.want || !strings.Contains(out+errOut, tt.text) {
+			t.Errorf("got code %d and %q from %v, want %d and %q", code, out+errOut, tt.args, tt.want, tt.text)
+		}
+	}
+}
+
+// Check prints the problems of every file in one run.
+func TestCheckTellsOfAllFiles(t *testing.T) {
+	code, out, _ := execute(t, "check", write(t, "a.ini", good+"[log]\nlevel = x\ncolour = y\n"), write(t, "b.ini", good), write(t, "c.ini", "[z]\n"))
+	if code != cmds.ExitUsage {
+		t.Errorf("got code %d, want %d", code, cmds.ExitUsage)
+	}
+	for _, want := range []string{"a.ini:10: [log] level", "a.ini:11: [log] colour: no such key", "b.ini: good", "c.ini:1: [z] no such section"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("got %q, want %q in it", out, want)
+		}
+	}
+}
+
+func TestStatusAsTableAndJSON(t *testing.T) {
+	url := serve(t, &site{})
+	_, out, _ := execute(t, "status", "--url", url)
+	for _, want := range []string{"klang-1 in klang: ready, 2 running, configuration 7", "answer  95.0%", "91.5%", "NO", "801.0/770", "fast-1", "25%", "leaving: fast-1", "johor-1"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("got %q, want %q in it", out, want)
+		}
+	}
+	// An instance that does not answer hides none of the others.
+	code, out, _ := execute(t, "status", "--json", "--url", "http://127.0.0.1:1,"+url)
+	var list []admin.Status
+	if err := json.Unmarshal([]byte(out), &list); err != nil {
+		t.Fatal(err)
+	}
+	if code != cmds.ExitReach || len(list) != 1 || list[0].Classes[0].First.Limit != 770 {
+		t.Errorf("got code %d and %+v, want %d and the one that answered", code, list, cmds.ExitReach)
+	}
+}
+
+// What show prints is a document that apply takes; the versions of the
+// instances stand in it as comments.
+func TestShowPrintsADocument(t *testing.T) {
+	s := &site{}
+	_, out, _ := execute(t, "show", "--url", serve(t, s))
+	want := "# klang-1: version 7 (asked)\n# johor-1: version 6 (live)\n\n[class answer]\n"
+	if out != want {
+		t.Errorf("got %q, want %q", out, want)
+	}
+}
+
+func TestApplyBuildsOnTheVersionInForce(t *testing.T) {
+	s := &site{}
+	url := serve(t, s)
+	doc := write(t, "classes.ini", "[class answer]\n")
+	execute(t, "apply", "--url", url, "--by", "ani", doc)
+	if s.draft.Base != 7 || s.draft.By != "ani" || len(s.draft.Documents) != 1 || s.draft.Documents[0].Name != "classes.ini" {
+		t.Errorf("got %+v, want the document on version 7 by ani", s.draft)
+	}
+	execute(t, "apply", "--url", url, "--version", "5", doc)
+	if s.draft.Base != 5 {
+		t.Errorf("got base %d, want 5", s.draft.Base)
+	}
+}
+
+func TestEveryCommandHasHelpAndExamples(t *testing.T) {
+	names := map[string]bool{}
+	for _, c := range cmds.NewRoot().Commands() {
+		names[c.Name()] = true
+		if c.Short == "" || c.Example == "" {
+			t.Errorf("got %s without help or example, want both", c.Name())
+		}
+		examplesParse(t, c)
+	}
+	for _, want := range strings.Fields("serve trial check apply show status drain version") {
+		if !names[want] {
+			t.Errorf("got no command %s, want it", want)
+		}
+	}
+}
+
+// examplesParse reads the flags of each example as the command would.
+func examplesParse(t *testing.T, c *cobra.Command) {
+	t.Helper()
+	for _, line := range strings.Split(c.Example, "\n") {
+		words := strings.Fields(line)
+		if len(words) < 2 || words[0] != "fulmarwick" || words[1] != c.Name() {
+			t.Errorf("got example %q of %s, want a line that runs it", line, c.Name())
+			continue
+		}
+		if err := c.ParseFlags(words[2:]); err != nil {
+			t.Errorf("got %v from example %q, want its flags known", err, line)
+		}
+	}
+}
+
+// stops counts what signals asked for.
+type stops struct {
+	mu   sync.Mutex
+	asks []string
+}
+
+func (s *stops) Stop()  { s.add("stop") }
+func (s *stops) Hurry() { s.add("hurry") }
+
+func (s *stops) add(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asks = append(s.asks, what)
+}
+
+func (s *stops) all() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(s.asks, " ")
+}
+
+// The platform sends SIGTERM, and again when it grows impatient. The first
+// begins the graceful stop, the second only hurries it: neither ends the
+// process, which would cut every request in progress.
+func TestSignalsNeverCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		signals, ended := make(chan os.Signal, 2), make(chan struct{})
+		s := &stops{}
+		go cmds.Heed(t.Context(), signals, ended, s)
+		for _, want := range []string{"stop", "stop hurry", "stop hurry hurry"} {
+			signals <- syscall.SIGTERM
+			synctest.Wait()
+			if got := s.all(); got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		}
+		close(ended)
+	})
+}
--- /dev/null
+++ b/internal/app/cmds/export_test.go
@@ -0,0 +1,7 @@
+package cmds
+
+// Heed, NewRoot and the parts that tests drive by themselves.
+var (
+	Heed    = heed
+	NewRoot = newRoot
+)
--- a/internal/app/cmds/root.go
+++ b/internal/app/cmds/root.go
@@ -1,52 +1,57 @@
 // Package cmds holds the commands of the program, one file each.
 //
-// It imports app/daemon, app/setup and, for trial, the stand-ins. main calls
-// Execute.
+// It imports app/daemon, app/setup, wire/admin and, for trial, the stand-ins.
+// main calls Execute.
 package cmds
 
 import (
 	"context"
 	"fmt"
 	"io"
-	"os/signal"
-	"syscall"
 
+	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
-	"go.uber.org/zap"
 )
 
-// Exit codes of the program.
-const (
-	ExitOK = 0
-	// ExitFail is any failure that is not the user's input.
-	ExitFail = 1
-	// ExitUsage is a wrong command line or refused settings.
-	ExitUsage = 2
-)
+const codesText = `Exit codes: 0 done; 1 failed; 2 wrong usage, or settings or documents refused;
+3 conflict with another operator's change; 4 instance or store out of reach.`
 
-// Execute runs the command line args and returns the exit code.
-func Execute(args []string, out, errOut io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	root := &cobra.Command{
-		Use:           "fulmarwick",
-		Short:         "Route requests over pipelines of mixed accelerators",
-		SilenceErrors: true,
-		SilenceUsage:  true,
-	}
+// Execute runs the command line args until it ends or ctx does, and returns
+// the exit code.
+func Execute(ctx context.Context, args []string, out, errOut io.Writer) int {
+	root := newRoot()
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	root.AddCommand(newServe(), newTrial(), newCheck())
-	if err := root.ExecuteContext(ctx); err != nil {
+	started := false
+	root.PersistentPreRun = func(*cobra.Command, []string) { started = true }
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	if !started {
+		// Only a command that runs can fail otherwise.
+		err = errors.Wrap(errUsage, err.Error())
+	}
+	if !errors.Is(err, errChecked) {
 		_, _ = fmt.Fprintln(errOut, "fulmarwick:", err)
-		return exitCode(err)
 	}
-	return ExitOK
+	return exitCode(err)
 }
 
-func newLog() (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	c.DisableStacktrace = true
-	return c.Build()
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "fulmarwick",
+		Short:         "Route requests over pipelines of mixed accelerators",
+		Long:          "Fulmarwick routes requests over pipelines of mixed accelerators and meets the\ntargets that operators set for each class of work.\n\n" + codesText,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		// Without a command there is nothing to do.
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	root.AddCommand(
+		newServe(), newTrial(), newCheck(), newApply(), newShow(), newStatus(), newDrain(), newVersion(),
+	)
+	return root
 }
--- /dev/null
+++ b/internal/app/cmds/status.go
@@ -0,0 +1,139 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"fulmarwick/internal/wire/admin"
+
+	"github.com/spf13/cobra"
+)
+
+func newStatus() *cobra.Command {
+	var r remote
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "status",
+		Short: "Show targets against what is attained, engines and instances",
+		Long: `Status asks instances how they are: each class's target against what was
+attained over the last five minutes, each engine's use, what is leaving, and the
+configuration version in force. Times are in milliseconds.
+
+It ends with code 4 if an instance does not answer; the others are shown all the
+same.`,
+		Example: `  fulmarwick status
+  fulmarwick status --url http://127.0.0.1:7070 --json
+  fulmarwick status --url https://10.1.1.11:7070,https://10.1.1.12:7070 --cert ani.crt --key ani.key --ca ca.crt`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			clients, err := r.clients()
+			if err != nil {
+				return err
+			}
+			replies := statuses(cmd.Context(), clients)
+			if asJSON {
+				return printJSON(cmd.OutOrStdout(), replies)
+			}
+			return printStatus(cmd.OutOrStdout(), replies)
+		},
+	}
+	r.add(c)
+	c.Flags().BoolVar(&asJSON, "json", false, "print JSON: a list with one entry per instance that answered")
+	return c
+}
+
+func printJSON(out io.Writer, replies []reply) error {
+	list := []admin.Status{}
+	for _, r := range replies {
+		if r.err == nil {
+			list = append(list, r.status)
+		}
+	}
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	if err := e.Encode(list); err != nil {
+		return err
+	}
+	return firstError(replies)
+}
+
+func firstError(replies []reply) error {
+	for _, r := range replies {
+		if r.err != nil {
+			return r.err
+		}
+	}
+	return nil
+}
+
+func printStatus(out io.Writer, replies []reply) error {
+	for i, r := range replies {
+		if i > 0 {
+			_, _ = fmt.Fprintln(out)
+		}
+		if r.err != nil {
+			_, _ = fmt.Fprintf(out, "%s: %v\n", r.url, r.err)
+			continue
+		}
+		printOne(out, &r.status)
+	}
+	return firstError(replies)
+}
+
+func printOne(out io.Writer, s *admin.Status) {
+	_, _ = fmt.Fprintf(out, "instance %s in %s: %s, %d running, configuration %d, goal %s\n",
+		s.Instance, s.DataCentre, mood(s), s.Running, s.Version, s.Goal)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	defer func() { _ = w.Flush() }()
+	if len(s.Classes) > 0 {
+		_, _ = fmt.Fprintln(w, "\nCLASS\tTARGET\tATTAINED\tHOLDS\tREQUESTS\tFIRST P95/LIMIT\tGAP P95/LIMIT\tWHOLE P95/LIMIT")
+	}
+	for _, c := range s.Classes {
+		_, _ = fmt.Fprintf(w, "%s\t%.1f%%\t%.1f%%\t%s\t%d\t%s\t%s\t%s\n",
+			c.Name, c.Percent, c.Attained, yes(c.Holds), c.Requests, against(c.First), against(c.Gap), against(c.Whole))
+	}
+	if len(s.Engines) > 0 {
+		_, _ = fmt.Fprintln(w, "\nENGINE\tDATA CENTRE\tKIND\tSTATE\tLAYERS\tACTIVE\tQUEUED\tSLOTS\tUSE")
+	}
+	for _, e := range s.Engines {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.0f%%\n",
+			e.Name, e.DataCentre, e.Kind, e.State, e.Layers, e.Active, e.Queued, e.Slots, 100*e.Use)
+	}
+	if len(s.Instances) > 0 {
+		_, _ = fmt.Fprintln(w, "\nINSTANCE\tDATA CENTRE\tSTATE\tCONFIGURATION")
+	}
+	for _, i := range s.Instances {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", i.Name, i.DataCentre, i.State, i.Version)
+	}
+	if len(s.Leaving) > 0 {
+		_, _ = fmt.Fprintf(w, "\nleaving: %s\n", strings.Join(s.Leaving, ", "))
+	}
+}
+
+func mood(s *admin.Status) string {
+	switch {
+	case s.Stopping:
+		return "stopping"
+	case s.Ready:
+		return "ready"
+	}
+	return "not ready"
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "NO"
+}
+
+// against writes a percentile beside its limit.
+func against(t admin.Times) string {
+	if t.Limit == 0 {
+		return fmt.Sprintf("%.1f/-", t.P95)
+	}
+	return fmt.Sprintf("%.1f/%.0f", t.P95, t.Limit)
+}
--- a/internal/app/cmds/trial.go
+++ b/internal/app/cmds/trial.go
@@ -19,27 +19,26 @@
 const (
 	trialKey   = "trial-key"
 	trialLayer = 200 * time.Microsecond
-	trialBody  = 1 << 20
-	trialLimit = 4096
 	trialWatch = 500 * time.Millisecond
 )
 
 func newTrial() *cobra.Command {
-	var listen string
+	var listen, operators string
 	c := &cobra.Command{
 		Use:     "trial",
 		Short:   "Serve the whole system on loopback, with stand-ins, to try it",
 		Example: "  fulmarwick trial --listen 127.0.0.1:8080",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runTrial(cmd, listen)
+			return runTrial(cmd, listen, operators)
 		},
 	}
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:8080", "address for callers")
+	c.Flags().StringVar(&operators, "operators", "127.0.0.1:7070", "address for operators")
 	return c
 }
 
-func runTrial(cmd *cobra.Command, listen string) error {
+func runTrial(cmd *cobra.Command, listen, operators string) error {
 	site := &trial.Site{Layer: trialLayer}
 	if err := site.Start(cmd.Context()); err != nil {
 		return err
@@ -49,20 +48,20 @@
 	if err != nil {
 		return errors.Wrap(err, "trial: listen")
 	}
-	log, err := newLog()
+	settings := setup.Default()
+	settings.Instance = setup.Instance{Name: "trial-1", DataCentre: trial.Centre, Region: "trial"}
+	settings.Listen.Operators = operators
+	settings.Platform.Table = site.URL()
+	settings.Platform.Watch = trialWatch
+	settings.Times.Grace = 0
+	settings.Log = setup.Log{Level: "info", Format: "console"}
+	log, err := newLog(settings.Log)
 	if err != nil {
 		return err
 	}
-	d := &daemon.Daemon{
-		Log: log, Listener: l, Config: trialConfig(),
-		Settings: setup.File{
-			Instance: setup.Instance{Name: "trial-1", DataCentre: trial.Centre},
-			Platform: setup.Platform{Table: site.URL(), Watch: trialWatch},
-			Limits:   setup.Limits{Body: trialBody, Tokens: trialLimit},
-		},
-	}
-	printTrial(cmd.OutOrStdout(), l.Addr().String())
-	return d.Run(cmd.Context())
+	d := &daemon.Daemon{Log: log, Listener: l, Config: trialConfig(), Settings: settings, Build: build()}
+	printTrial(cmd.OutOrStdout(), l.Addr().String(), operators)
+	return runDaemon(cmd.Context(), d)
 }
 
 func trialConfig() *config.Snapshot {
@@ -74,7 +73,7 @@
 	return config.NewSnapshot(1, classes, teams)
 }
 
-func printTrial(out io.Writer, address string) {
+func printTrial(out io.Writer, address, operators string) {
 	_, _ = fmt.Fprintf(out, `Serving on http://%[1]s with stand-in engines, service and platform.
 
 A streamed answer over a chain of engines:
@@ -85,5 +84,10 @@
   curl http://%[1]s/v1/calls/payment -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: instalment-7' -d '{"amount":120}'
   curl http://%[1]s/v1/calls/payment/instalment-7 -H 'Authorization: Bearer %[2]s'
 
-`, address, trialKey, trial.Model)
+Targets, engines and metrics, and a stop that cuts nothing:
+  go run . status --url http://%[4]s
+  curl http://%[4]s/metrics
+  go run . drain --url http://%[4]s
+
+`, address, trialKey, trial.Model, operators)
 }
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -7,9 +7,12 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
+	"sync"
 
+	"fulmarwick/internal/app/halt"
+	"fulmarwick/internal/app/meters"
 	"fulmarwick/internal/app/setup"
+	"fulmarwick/internal/app/spans"
 	"fulmarwick/internal/route/core"
 	"fulmarwick/internal/route/world"
 	"fulmarwick/internal/state/config"
@@ -22,94 +25,160 @@
 	"fulmarwick/internal/wire/plain"
 	"fulmarwick/internal/wire/watch"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
-	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
 
-const headerTimeout = 10 * time.Second
-
 // Daemon is one instance. Set the exported fields before Run.
 type Daemon struct {
 	Settings setup.File
 	Log      *zap.Logger
-	// Listener serves callers; nil listens where the settings say.
-	Listener net.Listener
+	// Build is the version of the program, for the status.
+	Build string
+	// Listener serves callers and Operators operators; nil listens where the
+	// settings say.
+	Listener  net.Listener
+	Operators net.Listener
 	// Config is put in force at start.
 	Config *config.Snapshot
+
+	once  sync.Once
+	parts parts
 }
 
-// Run serves until ctx ends, then finishes every request in progress.
-func (d *Daemon) Run(ctx context.Context) error {
-	listener, err := d.listen(ctx)
-	if err != nil {
-		return err
-	}
-	table := &store.Client{Base: d.Settings.Platform.Table, HTTP: &http.Client{}}
-	pool := &engine.Pool{}
-	defer pool.Close()
-	sender := &plain.Sender{HTTP: plain.NewHTTP()}
-	lp := &loop.Loop{Logic: &core.Logic{}}
-	book := &config.Book{}
-	d.configure(book, lp)
-	watcher := &watch.Watcher{
-		List: table, Loop: lp, Engines: pool, Services: sender,
-		HTTP: &http.Client{}, Log: d.Log, Every: d.Settings.Platform.Watch,
-	}
-	callers := &entry.Server{
-		Models: &chain.Runner{Engines: pool, Router: lp},
-		Calls:  &ledger.Ledger{Table: table, Sender: sender},
-		Book:   book,
-		Limits: entry.Limits{Body: d.Settings.Limits.Body, Tokens: d.Settings.Limits.Tokens},
-		Log:    d.Log,
+// parts are what an instance consists of.
+type parts struct {
+	halt    *halt.Halt
+	meters  *metrics.Set
+	board   *meters.Board
+	spans   *spans.Sender
+	book    *config.Book
+	logic   *core.Logic
+	loop    *loop.Loop
+	pool    *engine.Pool
+	watcher *watch.Watcher
+	callers *entry.Server
+}
+
+// Stop begins the graceful stop; Run returns once the last request ended.
+func (d *Daemon) Stop() {
+	d.build()
+	d.parts.halt.Begin()
+}
+
+// Hurry closes the listeners without waiting for the balancer to turn away.
+// Requests in progress go on.
+func (d *Daemon) Hurry() {
+	d.build()
+	d.parts.halt.Hurry()
+}
+
+// build makes the parts, once.
+func (d *Daemon) build() {
+	d.once.Do(func() {
+		set := metrics.NewSet()
+		table := &store.Client{Base: d.Settings.Platform.Table, HTTP: &http.Client{}}
+		sender := &plain.Sender{HTTP: plain.NewHTTP()}
+		p := parts{
+			halt:   &halt.Halt{Grace: d.Settings.Times.Grace, Log: d.Log},
+			meters: set, board: &meters.Board{Meters: set}, book: &config.Book{},
+			spans: &spans.Sender{
+				URL: d.Settings.Trace.URL, Part: d.Settings.Trace.Part,
+				Instance: d.Settings.Instance.Name, DataCentre: d.Settings.Instance.DataCentre,
+			},
+			logic: &core.Logic{}, pool: &engine.Pool{},
+		}
+		p.loop = &loop.Loop{Logic: p.logic, Queue: d.Settings.Limits.Queue, Meters: set}
+		p.watcher = &watch.Watcher{
+			List: table, Loop: p.loop, Engines: p.pool, Services: sender,
+			HTTP: &http.Client{}, Log: d.Log, Every: d.Settings.Platform.Watch,
+		}
+		p.callers = &entry.Server{
+			Models: &chain.Runner{Engines: p.pool, Router: p.loop},
+			Calls:  &ledger.Ledger{Table: table, Sender: sender},
+			Book:   p.book, Limits: limits(d.Settings), Log: d.Log, Meters: set, Observer: p.board,
+		}
+		d.parts = p
+	})
+}
+
+func limits(s setup.File) entry.Limits {
+	return entry.Limits{
+		Body: s.Limits.Body, Header: s.Limits.Header, Tokens: s.Limits.Tokens,
+		Streams: s.Limits.Streams, Team: s.Limits.Team, Connection: s.Limits.Connection, Buffer: s.Limits.Buffer,
+		HeaderTime: s.Times.Header, BodyTime: s.Times.Body, WriteTime: s.Times.Write,
+		IdleTime: s.Times.Idle, Comment: s.Times.Comment,
 	}
-	server := &http.Server{Handler: d.handler(callers), ReadHeaderTimeout: headerTimeout}
-	return d.run(ctx, listener, server, lp, watcher)
 }
 
-func (d *Daemon) listen(ctx context.Context) (net.Listener, error) {
-	if d.Listener != nil {
-		return d.Listener, nil
+// Run serves until it is told to stop or ctx ends, then finishes every request
+// in progress.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.build()
+	p := &d.parts
+	defer p.pool.Close()
+	if err := p.spans.Open(ctx); err != nil {
+		return err
 	}
-	l, err := new(net.ListenConfig).Listen(ctx, "tcp", d.Settings.Listen.Callers)
+	p.callers.Spans = p.spans.Provider()
+	ends, err := d.listen(ctx)
 	if err != nil {
-		return nil, errors.Wrap(err, "daemon: listen")
+		return err
+	}
+	d.configure()
+	d.Log.Info("daemon: serving", zap.String("instance", d.Settings.Instance.Name), zap.Stringer("address", ends.callersAt))
+	err = d.run(ctx, ends)
+	if closed := p.spans.Close(); closed != nil {
+		d.Log.Warn("daemon: last spans lost", zap.Error(closed))
 	}
-	return l, nil
+	return err
 }
 
-func (d *Daemon) configure(book *config.Book, lp *loop.Loop) {
-	if d.Config == nil || !book.Take(d.Config) {
+func (d *Daemon) configure() {
+	if d.Config == nil || !d.parts.book.Take(d.Config) {
 		return
 	}
-	lp.Post(world.ConfigSet{Version: d.Config.Version(), Classes: d.Config.Classes(), Teams: d.Config.Teams()})
+	d.parts.loop.Post(world.ConfigSet{Version: d.Config.Version(), Classes: d.Config.Classes(), Teams: d.Config.Teams()})
 }
 
-func (d *Daemon) handler(callers *entry.Server) http.Handler {
-	r := mux.NewRouter()
-	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	r.PathPrefix("/v1/").Handler(callers.Handler())
-	return r
+// ready reports whether the balancer should send callers here.
+func (d *Daemon) ready() bool {
+	return d.parts.book.Now() != nil && !d.parts.halt.Stopping()
 }
 
-// run keeps the loop and the watcher alive until the last request ended.
-func (d *Daemon) run(ctx context.Context, l net.Listener, s *http.Server, lp *loop.Loop, w *watch.Watcher) error {
+// run keeps the parts alive until the last request ended.
+func (d *Daemon) run(ctx context.Context, ends *ends) error {
+	p := &d.parts
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	context.AfterFunc(ctx, p.halt.Begin)
 	var g errgroup.Group
-	g.Go(func() error { return lp.Run(inner) })
-	g.Go(func() error { return w.Run(inner) })
+	g.Go(func() error { return p.loop.Run(inner) })
+	g.Go(func() error { return p.watcher.Run(inner) })
+	g.Go(func() error { return d.serve(ends.callers, ends.callersAt) })
+	if ends.operators != nil {
+		g.Go(func() error { return d.serve(ends.operators, ends.operatorsAt) })
+	}
 	g.Go(func() error {
 		defer stop()
-		<-ctx.Done()
-		d.Log.Info("daemon: stopping, requests in progress go on")
-		return s.Shutdown(context.WithoutCancel(ctx))
+		defer ends.closeOperators()
+		return p.halt.Run(inner, ends.callers)
 	})
-	d.Log.Info("daemon: serving", zap.String("instance", d.Settings.Instance.Name), zap.Stringer("address", l.Addr()))
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		stop()
+	return g.Wait()
+}
+
+// serve serves one endpoint. One that fails ends the instance, since an
+// instance that looks alive but answers nobody would never be replaced.
+func (d *Daemon) serve(s *http.Server, l net.Listener) error {
+	serve := s.Serve
+	if s.TLSConfig != nil {
+		serve = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
+	}
+	if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
+		d.parts.halt.Hurry()
 		return errors.Wrap(err, "daemon: serve")
 	}
-	return g.Wait()
+	return nil
 }
--- a/internal/app/daemon/daemon_test.go
+++ b/internal/app/daemon/daemon_test.go
@@ -41,14 +41,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &daemon.Daemon{
-		Log: zap.NewNop(), Listener: l, Config: snapshot(),
-		Settings: setup.File{
-			Instance: setup.Instance{Name: "t-1", DataCentre: trial.Centre},
-			Platform: setup.Platform{Table: site.URL(), Watch: 20 * time.Millisecond},
-			Limits:   setup.Limits{Body: 1 << 20, Tokens: 1000},
-		},
-	}
+	settings := setup.Default()
+	settings.Instance = setup.Instance{Name: "t-1", DataCentre: trial.Centre}
+	settings.Listen = setup.Listen{}
+	settings.Platform = setup.Platform{Table: site.URL(), Watch: 20 * time.Millisecond}
+	settings.Times.Grace = 0
+	d := &daemon.Daemon{Log: zap.NewNop(), Listener: l, Config: snapshot(), Settings: settings}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- d.Run(ctx) }()
--- /dev/null
+++ b/internal/app/daemon/status.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"fulmarwick/internal/app/meters"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/wire/admin"
+)
+
+// Status is how the instance sees itself and its engines.
+func (d *Daemon) Status(ctx context.Context) (admin.Status, error) {
+	p := &d.parts
+	out := admin.Status{
+		Instance: d.Settings.Instance.Name, DataCentre: d.Settings.Instance.DataCentre,
+		Region: d.Settings.Instance.Region, Build: d.Build, Goal: d.Settings.Goal.String(),
+		Ready: d.ready(), Stopping: p.halt.Stopping(), Running: p.halt.Running(),
+		Classes: d.classes(), Engines: []admin.Engine{}, Leaving: []string{}, Instances: []admin.Instance{},
+	}
+	if now := p.book.Now(); now != nil {
+		out.Version = now.Version()
+	}
+	err := p.loop.Look(ctx, func() {
+		for _, e := range p.logic.World().Engines().Rows() {
+			out.Engines = append(out.Engines, engineStatus(e))
+			if e.State() == world.StateLeaving {
+				out.Leaving = append(out.Leaving, string(e.ID))
+			}
+		}
+	})
+	return out, err
+}
+
+// classes are the classes in force, also those that nobody has asked for.
+func (d *Daemon) classes() []admin.Class {
+	out := []admin.Class{}
+	now := d.parts.book.Now()
+	if now == nil {
+		return out
+	}
+	d.parts.board.Keep(now.Classes())
+	seen := map[string]meters.Attained{}
+	for _, a := range d.parts.board.All() {
+		seen[string(a.Class.Name())] = a
+	}
+	for _, c := range now.Classes() {
+		a := seen[string(c.Name())]
+		a.Class = c
+		t := c.Target()
+		out = append(out, admin.Class{
+			Name: string(c.Name()), Kind: c.Kind().String(), Percent: t.Percent(),
+			Attained: a.Percent(), Holds: a.Holds(), Requests: a.Seen,
+			First: timesStatus(t.First(), a.First), Gap: timesStatus(t.Gap(), a.Gap), Whole: timesStatus(t.Whole(), a.Whole),
+		})
+	}
+	return out
+}
+
+func timesStatus(limit time.Duration, t meters.Times) admin.Times {
+	return admin.Times{Limit: millis(limit), P50: millis(t.P50), P95: millis(t.P95), P99: millis(t.P99)}
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func engineStatus(e *world.Engine) admin.Engine {
+	layers := make([]string, 0, len(e.Holds))
+	for _, h := range e.Holds {
+		layers = append(layers, string(h.Model)+":"+h.Layers.String())
+	}
+	out := admin.Engine{
+		Name: string(e.ID), DataCentre: string(e.DataCentre), Kind: e.Kind, State: e.State().String(),
+		Layers: strings.Join(layers, ","), Active: e.Active, Queued: e.Queued, Slots: e.Slots,
+	}
+	if e.Slots > 0 {
+		out.Use = float64(e.Active) / float64(e.Slots)
+	}
+	return out
+}
