Add the logic of instances acting together: membership, gossip, sums, watches, join and drain

Instances watch a few ring neighbours, exchange digests with them once a second and push what is urgent; two gateways of each data centre do so with the others.

--- a/internal/base/news/kind_string.go
+++ b/internal/base/news/kind_string.go
@@ -15,11 +15,17 @@
 	_ = x[KindLoad-4]
 	_ = x[KindSum-5]
 	_ = x[KindReport-6]
+	_ = x[KindLevel-7]
+	_ = x[KindDoubt-8]
+	_ = x[KindDown-9]
+	_ = x[KindReach-10]
+	_ = x[KindLoads-11]
+	_ = x[KindRates-12]
 }
 
-const _Kind_name = "headleavingprintrateloadsumreport"
+const _Kind_name = "headleavingprintrateloadsumreportleveldoubtdownreachloadsrates"
 
-var _Kind_index = [...]uint8{0, 4, 11, 16, 20, 24, 27, 33}
+var _Kind_index = [...]uint8{0, 4, 11, 16, 20, 24, 27, 33, 38, 43, 47, 52, 57, 62}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/base/news/news.go
+++ b/internal/base/news/news.go
@@ -19,8 +19,17 @@
 	KindLoad                // load
 	KindSum                 // sum
 	KindReport              // report
+	KindLevel               // level
+	KindDoubt               // doubt
+	KindDown                // down
+	KindReach               // reach
+	KindLoads               // loads
+	KindRates               // rates
 )
 
+// Kinds is how many kinds there are.
+const Kinds = KindRates + 1
+
 // Scope says how far an item goes.
 type Scope int
 
@@ -87,4 +96,52 @@
 		URL    string `cbor:"2,keyasint"`
 		Data   []byte `cbor:"3,keyasint"`
 	}
+	// Level is what changes all the time in an engine's report.
+	Level struct {
+		Engine string `cbor:"1,keyasint"`
+		// Born is the engine's incarnation: another one means that it lost all.
+		Born   uint64 `cbor:"2,keyasint,omitempty"`
+		Seq    uint64 `cbor:"3,keyasint"`
+		Queued int    `cbor:"4,keyasint,omitempty"`
+		Active int    `cbor:"5,keyasint,omitempty"`
+		Cached int    `cbor:"6,keyasint,omitempty"`
+	}
+	// Doubt tells how many of the origin's polls in a row an engine missed;
+	// zero takes an earlier doubt back.
+	Doubt struct {
+		Engine string `cbor:"1,keyasint"`
+		Misses int    `cbor:"2,keyasint,omitempty"`
+	}
+	// Down tells that an engine is lost. Reports of incarnation Born up to Seq
+	// are from before and bring it back nowhere.
+	Down struct {
+		Engine string `cbor:"1,keyasint"`
+		Born   uint64 `cbor:"2,keyasint,omitempty"`
+		Seq    uint64 `cbor:"3,keyasint"`
+	}
+	// Reach tells whether a gateway can reach the data centre, the key.
+	Reach struct {
+		Cut bool `cbor:"1,keyasint,omitempty"`
+	}
+	// Loads adds up what a data centre's instances have in flight.
+	Loads struct {
+		Sums []LoadSum `cbor:"1,keyasint"`
+	}
+	// LoadSum is the sum for one engine.
+	LoadSum struct {
+		_      struct{} `cbor:",toarray"`
+		Engine string
+		Active int
+		Tokens int
+	}
+	// Rates adds up a data centre's use by its heaviest teams.
+	Rates struct {
+		Sums []RateSum `cbor:"1,keyasint"`
+	}
+	// RateSum is the sum for one team, named by its hash, in tokens a second.
+	RateSum struct {
+		_    struct{} `cbor:",toarray"`
+		Team uint64
+		Rate float32
+	}
 )
--- /dev/null
+++ b/internal/fleet/gossip/store.go
@@ -0,0 +1,221 @@
+// Package gossip holds the items that spread and finds what another instance
+// lacks, after the reconciliation of Scuttlebutt (van Renesse, Dumitriu, Gough
+// and Thomas, LADIS 2008): the items of one origin, birth and scope form a
+// stream ordered by stamp, and one number per stream, the mark, says how far
+// an instance has it. A superseded item leaves its stream, so what is sent is
+// bounded by what counts now and not by what happened.
+//
+// It imports base/news, base/spec and fleet/talk. Package node feeds it.
+package gossip
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fulmarwick/internal/base/news"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/talk"
+)
+
+// Bounds of the store.
+const (
+	// MaxItems and MaxBytes bound all items together.
+	MaxItems = 16384
+	MaxBytes = 8 << 20
+	// MaxOrigin bounds the items of one origin, so that one faulty instance
+	// cannot crowd out the rest.
+	MaxOrigin = 1024
+	// idle is how long an empty stream is remembered, so that late copies of
+	// its items are known as old.
+	idle = time.Hour
+)
+
+// Store holds items by stream. Set Self and Born, then call Init.
+type Store struct {
+	Self spec.InstanceID
+	Born uint32
+
+	streams []*stream
+	index   map[streamKey]*stream
+	byHash  map[uint32]*stream
+	// latest finds the item that counts for a name whatever its birth.
+	latest  map[itemKey]*entry
+	items   int
+	bytes   int
+	refused int
+	swept   time.Duration
+}
+
+type streamKey struct {
+	origin spec.InstanceID
+	born   uint32
+	scope  news.Scope
+}
+
+type itemKey struct {
+	kind   news.Kind
+	origin spec.InstanceID
+	key    string
+}
+
+// stream is the items of one origin, birth and scope in order of stamp.
+type stream struct {
+	key  streamKey
+	hash uint32
+	// mark says that all items up to it were taken here.
+	mark  uint64
+	items []*entry
+	// clash marks a stream whose hash another stream has too.
+	clash bool
+	used  time.Duration
+}
+
+type entry struct {
+	item   news.Item
+	stream *stream
+	until  time.Duration
+	// half is when an origin says an unchanged item again.
+	half time.Duration
+}
+
+// Init empties the store.
+func (s *Store) Init() {
+	s.index = map[streamKey]*stream{}
+	s.byHash = map[uint32]*stream{}
+	s.latest = map[itemKey]*entry{}
+}
+
+// Items is how many items the store holds.
+func (s *Store) Items() int { return s.items }
+
+// Refused is how many items found no room.
+func (s *Store) Refused() int { return s.refused }
+
+// Get returns the item that counts for a name.
+func (s *Store) Get(kind news.Kind, origin spec.InstanceID, key string) (news.Item, bool) {
+	e := s.latest[itemKey{kind: kind, origin: origin, key: key}]
+	if e == nil {
+		return news.Item{}, false
+	}
+	return e.item, true
+}
+
+// Each calls f for every item of kind, in a fixed order.
+func (s *Store) Each(kind news.Kind, f func(news.Item)) {
+	for _, st := range s.streams {
+		for _, e := range st.items {
+			if e.item.Kind == kind {
+				f(e.item)
+			}
+		}
+	}
+}
+
+// Say puts in an item of the own instance. It returns false if the same is
+// said already and still fresh, which costs nothing.
+func (s *Store) Say(now time.Duration, item news.Item) (news.Item, bool) {
+	old := s.latest[itemKey{kind: item.Kind, origin: s.Self, key: item.Key}]
+	if old != nil && now < old.half && slices.Equal(old.item.Body, item.Body) && old.item.Scope == item.Scope {
+		return old.item, false
+	}
+	st := s.stream(streamKey{origin: s.Self, born: s.Born, scope: item.Scope})
+	item.Origin = string(s.Self)
+	item.Stamp = st.mark + 1
+	if !s.put(now, st, item) {
+		return item, false
+	}
+	st.mark = item.Stamp
+	return item, true
+}
+
+// Take puts in the items of a block and returns those that are new here.
+func (s *Store) Take(now time.Duration, b *talk.Block) []news.Item {
+	if b.Origin == s.Self {
+		return nil
+	}
+	st := s.stream(streamKey{origin: b.Origin, born: b.Born, scope: b.Scope})
+	st.used = now
+	var fresh []news.Item
+	for i := range b.Items {
+		e := &b.Items[i]
+		item := news.Item{
+			Kind: e.Kind, Key: e.Key, Origin: string(b.Origin), Stamp: e.Stamp,
+			Scope: b.Scope, Life: e.Life, Body: e.Body,
+		}
+		if e.Stamp > st.mark && s.put(now, st, item) {
+			fresh = append(fresh, item)
+		}
+	}
+	st.mark = max(st.mark, b.Upto)
+	return fresh
+}
+
+// Reborn gives the own instance a later birth: its items start new streams.
+func (s *Store) Reborn(now time.Duration, born uint32) {
+	var own []news.Item
+	for _, st := range s.streams {
+		if st.key.origin != s.Self {
+			continue
+		}
+		for _, e := range st.items {
+			own = append(own, e.item)
+		}
+	}
+	s.Born = born
+	for _, item := range own {
+		if e := s.latest[itemKey{kind: item.Kind, origin: s.Self, key: item.Key}]; e != nil {
+			s.drop(e)
+			_, _ = s.Say(now, item)
+		}
+	}
+}
+
+// put adds an item unless one that counts more is there. It returns whether
+// the item is now held.
+func (s *Store) put(now time.Duration, st *stream, item news.Item) bool {
+	k := itemKey{kind: item.Kind, origin: st.key.origin, key: item.Key}
+	if old := s.latest[k]; old != nil {
+		if !later(st, item.Stamp, old) {
+			return false
+		}
+		s.drop(old)
+	}
+	if s.full(st, item) {
+		s.refused++
+		return false
+	}
+	life := time.Duration(item.Life) * time.Millisecond
+	e := &entry{item: item, stream: st, until: now + life, half: now + life/2}
+	at, _ := slices.BinarySearchFunc(st.items, item.Stamp, func(e *entry, stamp uint64) int {
+		return cmp.Compare(e.item.Stamp, stamp)
+	})
+	st.items = slices.Insert(st.items, at, e)
+	s.latest[k] = e
+	s.items++
+	s.bytes += size(&item)
+	return true
+}
+
+func (s *Store) full(st *stream, item news.Item) bool {
+	return s.items >= MaxItems || len(st.items) >= MaxOrigin || s.bytes+size(&item) > MaxBytes
+}
+
+func (s *Store) drop(e *entry) {
+	st := e.stream
+	if at := slices.Index(st.items, e); at >= 0 {
+		st.items = slices.Delete(st.items, at, at+1)
+	}
+	delete(s.latest, itemKey{kind: e.item.Kind, origin: st.key.origin, key: e.item.Key})
+	s.items--
+	s.bytes -= size(&e.item)
+}
+
+func later(st *stream, stamp uint64, old *entry) bool {
+	if st.key.born != old.stream.key.born {
+		return st.key.born > old.stream.key.born
+	}
+	return stamp > old.item.Stamp
+}
+
+func size(i *news.Item) int { return len(i.Key) + len(i.Body) }
--- /dev/null
+++ b/internal/fleet/gossip/stream.go
@@ -0,0 +1,105 @@
+package gossip
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fulmarwick/internal/base/news"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/talk"
+)
+
+const sweepEvery = 100 * time.Millisecond
+
+// stream finds or makes a stream.
+func (s *Store) stream(k streamKey) *stream {
+	if st := s.index[k]; st != nil {
+		return st
+	}
+	st := &stream{key: k, hash: talk.StreamHash(k.origin, k.born, k.scope)}
+	at, _ := slices.BinarySearchFunc(s.streams, k, func(st *stream, k streamKey) int { return compare(st.key, k) })
+	s.streams = slices.Insert(s.streams, at, st)
+	s.index[k] = st
+	if other := s.byHash[st.hash]; other != nil {
+		other.clash, st.clash = true, true
+	}
+	s.byHash[st.hash] = st
+	return st
+}
+
+func compare(a, b streamKey) int {
+	return cmp.Or(
+		cmp.Compare(a.origin, b.origin),
+		cmp.Compare(a.born, b.born),
+		cmp.Compare(a.scope, b.scope),
+	)
+}
+
+// Forget drops the items of an origin that count only while it lives, such as
+// its loads. What it told of others, such as a leaving upstream or a poison
+// fingerprint, stays until its own life is over.
+func (s *Store) Forget(origin spec.InstanceID, bornBefore uint32) {
+	for _, st := range s.streams {
+		if st.key.origin != origin || st.key.born >= bornBefore {
+			continue
+		}
+		for _, e := range slices.Clone(st.items) {
+			if Mortal(e.item.Kind) {
+				s.drop(e)
+			}
+		}
+	}
+}
+
+// Mortal reports whether items of a kind end with their origin.
+func Mortal(k news.Kind) bool {
+	switch k {
+	case news.KindHead, news.KindLeaving, news.KindPrint, news.KindDown:
+		return false
+	default:
+		return true
+	}
+}
+
+// Urgent reports whether items of a kind are pushed at once.
+func Urgent(k news.Kind) bool {
+	switch k {
+	case news.KindHead, news.KindLeaving, news.KindPrint, news.KindDown, news.KindDoubt:
+		return true
+	default:
+		return false
+	}
+}
+
+// Tick drops the items whose life is over and, after long, empty streams.
+func (s *Store) Tick(now time.Duration) {
+	if now-s.swept < sweepEvery {
+		return
+	}
+	s.swept = now
+	for _, st := range s.streams {
+		st.items = slices.DeleteFunc(st.items, func(e *entry) bool {
+			if now < e.until {
+				return false
+			}
+			delete(s.latest, itemKey{kind: e.item.Kind, origin: st.key.origin, key: e.item.Key})
+			s.items--
+			s.bytes -= size(&e.item)
+			return true
+		})
+		if len(st.items) > 0 {
+			st.used = now
+		}
+	}
+	s.streams = slices.DeleteFunc(s.streams, func(st *stream) bool {
+		if len(st.items) > 0 || now-st.used < idle || st.key.origin == s.Self {
+			return false
+		}
+		delete(s.index, st.key)
+		if s.byHash[st.hash] == st {
+			delete(s.byHash, st.hash)
+		}
+		return true
+	})
+}
--- a/internal/fleet/node/api.go
+++ b/internal/fleet/node/api.go
@@ -42,20 +42,49 @@
 	Peer spec.InstanceID
 }
 
-// Say spreads an item. Origin and Stamp are filled in.
+// Say spreads an item. Origin and Stamp are filled in. An item of KindLoad or
+// KindRate is added to those of the others and comes back to them as
+// EngineLoad and TeamUse. An item that still counts must be said again before
+// its Life is over; saying it unchanged costs nothing before half of it.
 type Say struct {
 	Item news.Item
 }
 
-// Stop begins the graceful stop: duties and watches pass on and the others
-// are told before this instance falls silent.
+// Used tells that a team used tokens here. The heaviest teams are found among
+// all by a bounded sketch.
+type Used struct {
+	Team   spec.TeamID
+	Tokens int
+}
+
+// Duties tells which duties there are; it replaces the former ones.
+type Duties struct {
+	Duties []DutySpec
+}
+
+// DutySpec is a duty and among whom it is spread: the own data centre or all
+// that can be reached.
+type DutySpec struct {
+	Name  string
+	Scope news.Scope
+}
+
+// Stop begins the graceful stop: duties and watches pass on. HandedOver tells
+// when that is done; the instance goes on speaking with the others.
 type Stop struct{}
 
+// Quit ends the graceful stop once nothing is in progress: the others are
+// told before this instance falls silent. Done tells when they know.
+type Quit struct{}
+
 func (Listed) event() {}
 func (Heard) event()  {}
 func (Lost) event()   {}
 func (Say) event()    {}
+func (Used) event()   {}
+func (Duties) event() {}
 func (Stop) event()   {}
+func (Quit) event()   {}
 
 // Command is something that the logic wants done outside.
 type Command interface{ command() }
@@ -81,6 +110,9 @@
 // Watch tells which engines this instance reads the reports of from now on.
 type Watch struct {
 	Engines []spec.UpstreamID
+	// First are those of Engines of which it also tells the others; for the
+	// rest it stands by.
+	First []spec.UpstreamID
 }
 
 // Duty tells whether this instance should hold a duty, by rendezvous over the
@@ -90,6 +122,32 @@
 	Mine bool
 }
 
+// TeamUse tells the use of a heavy team over the fleet, the own use among it,
+// in tokens a second.
+type TeamUse struct {
+	Team spec.TeamID
+	Rate float64
+}
+
+// EngineLoad tells what all other instances of the data centre have in flight
+// on an engine.
+type EngineLoad struct {
+	Engine spec.UpstreamID
+	Active int
+	Tokens int
+}
+
+// Members tells which other instances live, after each change.
+type Members struct {
+	Peers []Peer
+}
+
+// HandedOver tells that duties and watches passed on after Stop.
+type HandedOver struct{}
+
+// Done tells that the others know of the end after Quit.
+type Done struct{}
+
 // Ready tells that this instance knows what its peers know, so that it may
 // take decisions.
 type Ready struct{}
@@ -100,3 +158,9 @@
 func (Watch) command()   {}
 func (Duty) command()    {}
 func (Ready) command()   {}
+
+func (TeamUse) command()    {}
+func (EngineLoad) command() {}
+func (Members) command()    {}
+func (HandedOver) command() {}
+func (Done) command()       {}
--- /dev/null
+++ b/internal/fleet/node/join_test.go
@@ -0,0 +1,158 @@
+package node_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/news"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/node"
+)
+
+func duty(i int) node.DutySpec {
+	return node.DutySpec{Name: fmt.Sprintf("d%02d", i), Scope: news.ScopeFleet}
+}
+
+// holders lists "duty instance" for every duty held by those that ok accepts.
+func (f *fleet) holders(ok func(*inst) bool) []string {
+	var out []string
+	for _, x := range f.nodes {
+		for name, mine := range x.duty {
+			if mine && x.up && ok(x) {
+				out = append(out, name+" "+string(x.self.ID))
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// watched counts the watchers of each engine, and how many speak for it.
+func (f *fleet) watched() (all, first map[spec.UpstreamID]int) {
+	all, first = map[spec.UpstreamID]int{}, map[spec.UpstreamID]int{}
+	for _, x := range f.nodes {
+		for _, e := range x.watch.Engines {
+			all[e]++
+		}
+		for _, e := range x.watch.First {
+			first[e]++
+		}
+	}
+	return all, first
+}
+
+func (f *fleet) wantWatched(engines int) {
+	f.t.Helper()
+	all, first := f.watched()
+	if len(all) != engines || len(first) != engines {
+		f.t.Errorf("got %d engines watched and %d spoken for, want %d", len(all), len(first), engines)
+	}
+	for e, n := range all {
+		if n != 2 || first[e] != 1 {
+			f.t.Errorf("got %d watchers and %d speakers of %s, want 2 and 1", n, first[e], e)
+		}
+	}
+}
+
+func TestEnginesHaveTwoWatchers(t *testing.T) {
+	f := newFleet(t, 6, 1, 30)
+	f.settle()
+	f.wantWatched(30)
+	f.kill(f.nodes[0])
+	f.run(10 * time.Second)
+	f.wantWatched(30)
+}
+
+// A new instance joins while work is in flight. It takes no decision before it
+// knows what its peers know, and its duties are about one in n.
+func TestJoinCatchesUpBeforeReady(t *testing.T) {
+	f := newFleet(t, 8, 1, 0)
+	for i := range 200 {
+		f.duties = append(f.duties, duty(i))
+	}
+	late := f.nodes[7]
+	for _, x := range f.nodes {
+		f.start(x)
+	}
+	f.kill(late)
+	f.settle()
+	var items []string
+	for i := range 300 {
+		items = append(items, f.say(f.nodes[i%7], news.KindPrint, fmt.Sprintf("p%d", i), news.ScopeFleet, news.Print{Print: uint64(i), Crashes: 1}))
+	}
+	f.run(5 * time.Second)
+	before := f.holders(everyone)
+	f.start(late)
+	f.until(20*time.Second, "ready joiner", func() bool { return late.ready != 0 })
+	for _, i := range items {
+		if late.got[i] == 0 {
+			t.Fatalf("got no %s before Ready, want all items", i)
+		}
+	}
+	f.run(5 * time.Second)
+	after := f.holders(everyone)
+	moved := 0
+	for _, h := range before {
+		if !slices.Contains(after, h) {
+			moved++
+		}
+	}
+	if len(after) != 200 || moved > 50 {
+		t.Errorf("got %d duties held and %d moved, want 200 and about 25", len(after), moved)
+	}
+}
+
+// All four instances are restarted one after another. Every duty and engine is
+// held but for the moments between a hand-over and the next holder, and
+// nobody counts a planned stop as a death before its goodbye.
+func TestRollingRestartKeepsDuties(t *testing.T) {
+	f := newFleet(t, 4, 2, 10)
+	for i := range 20 {
+		f.duties = append(f.duties, duty(i))
+	}
+	for _, x := range f.nodes {
+		f.start(x)
+	}
+	f.settle()
+	for _, x := range f.nodes {
+		x.events = append(x.events, node.Stop{})
+		f.until(6*time.Second, "hand-over", func() bool { return x.handed })
+		if got := f.holders(everyone); len(got) != 20 {
+			t.Errorf("got %d duties held after a hand-over, want 20", len(got))
+		}
+		if got := len(x.watch.Engines); got != 0 {
+			t.Errorf("got %d watches after the hand-over, want 0", got)
+		}
+		x.events = append(x.events, node.Quit{})
+		f.until(3*time.Second, "goodbye", func() bool { return x.done })
+		for _, p := range f.nodes {
+			if p != x && p.self.DataCentre == x.self.DataCentre && p.expired[x.self.ID] == 0 {
+				t.Errorf("got no end of %s at %s once it was done, want one", x.self.ID, p.self.ID)
+			}
+		}
+		f.kill(x)
+		f.run(2 * time.Second)
+		f.start(x)
+		f.until(20*time.Second, "ready again", func() bool { return x.ready != 0 })
+		f.run(3 * time.Second)
+	}
+	if got := f.holders(everyone); len(got) != 20 {
+		t.Errorf("got %d duties held at the end, want 20", len(got))
+	}
+}
+
+func TestFirstInstanceBecomesReadyAlone(t *testing.T) {
+	f := newFleet(t, 4, 1, 2)
+	for _, x := range f.nodes[1:] {
+		f.kill(x)
+	}
+	took := f.until(20*time.Second, "ready", func() bool { return f.nodes[0].ready != 0 })
+	if got, want := took, node.DefaultAlone; got < want {
+		t.Errorf("got ready after %v, want at least %v to look for others", got, want)
+	}
+	if got := len(f.nodes[0].watch.Engines); got != 2 {
+		t.Errorf("got %d engines watched, want 2", got)
+	}
+}
--- /dev/null
+++ b/internal/fleet/node/share.go
@@ -0,0 +1,276 @@
+package node
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"fulmarwick/internal/base/news"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/quota"
+	"fulmarwick/internal/fleet/rank"
+	"fulmarwick/internal/fleet/talk"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Times of the sums.
+const (
+	shareEvery = time.Second
+	ratesEvery = 2 * time.Second
+	loadsLife  = 4 * time.Second
+	ratesLife  = 8 * time.Second
+	// perGroup is how many instances there are for each that adds up loads;
+	// it bounds what one of them receives.
+	perGroup = 6
+	// sketchHalf is the time in which old use fades to half.
+	sketchHalf = 10 * time.Second
+)
+
+// shares is what instances use, told and heard.
+type shares struct {
+	own    quota.Own
+	sums   quota.Sums
+	view   quota.View
+	sketch quota.Sketch
+	next   time.Duration
+	rates  time.Duration
+	// told is what was last told of an engine here, out what others use.
+	told map[spec.UpstreamID]talk.Load
+	out  map[spec.UpstreamID]EngineLoad
+	// groups are the engines whose sums were heard, by group.
+	groups map[string][]spec.UpstreamID
+}
+
+// use takes the own use from the routing logic.
+func (l *Logic) use(item news.Item) {
+	if item.Kind == news.KindRate {
+		var r news.Rate
+		if news.Decode(item, &r) == nil && r.Rate >= 0 {
+			l.share.own.Rate(l.now, spec.TeamID(r.Team), r.Rate)
+		}
+		return
+	}
+	var b news.Load
+	if news.Decode(item, &b) == nil {
+		l.share.own.Load(talk.Load{Engine: spec.UpstreamID(b.Engine), Active: max(0, b.Active), Tokens: max(0, b.Tokens)})
+	}
+}
+
+// tickShares tells the own use to those that add it up, and their sums on.
+func (l *Logic) tickShares() {
+	s := &l.share
+	if l.now < s.next {
+		return
+	}
+	s.next = l.now + l.jitter(shareEvery)
+	l.tickSketch()
+	s.own.Tick(l.now)
+	s.sums.Tick(l.now)
+	s.view.Tick(l.now)
+	l.tell()
+	for _, u := range s.view.Teams(&s.own) {
+		l.emit(TeamUse{Team: u.Team, Rate: u.Rate})
+	}
+}
+
+// tickSketch makes rates of the heaviest teams of the sketch: decayed use over
+// the mean time that it lasts.
+func (l *Logic) tickSketch() {
+	s := &l.share
+	mean := sketchHalf.Seconds() / math.Ln2
+	for _, c := range s.sketch.Top(quota.Heavy) {
+		if rate := (c.Tokens() - c.Error()) / mean; rate > 0 {
+			s.own.Rate(l.now, c.Team(), rate)
+		}
+	}
+	s.sketch.Decay(math.Exp2(-shareEvery.Seconds() / sketchHalf.Seconds()))
+}
+
+// group names the engines whose loads one instance adds up.
+func group(e spec.UpstreamID, groups int) string {
+	return fmt.Sprintf("%d/%d", xxhash.Sum64String(string(e))%uint64(groups), groups)
+}
+
+// letters are the shares of one tick, one per instance that adds up.
+type letters struct {
+	to     []spec.InstanceID
+	shares []*talk.Share
+}
+
+func (t *letters) share(to spec.InstanceID) *talk.Share {
+	if at := slices.Index(t.to, to); at >= 0 {
+		return t.shares[at]
+	}
+	t.to = append(t.to, to)
+	t.shares = append(t.shares, &talk.Share{})
+	return t.shares[len(t.shares)-1]
+}
+
+// tell sends the own loads and, now and then, rates to those that add them
+// up, and says the sums that are added up here.
+func (l *Logic) tell() {
+	able := l.active(l.Self.DataCentre)
+	if len(able) == 0 {
+		return
+	}
+	var out letters
+	groups := max(1, (len(able)+perGroup-1)/perGroup)
+	var mine []string
+	for i := range groups {
+		name := fmt.Sprintf("%d/%d", i, groups)
+		to := rank.Top("load/"+name, able, 1)[0]
+		if to == l.Self.ID {
+			mine = append(mine, name)
+		}
+		l.addLoads(out.share(to), in(name, groups))
+	}
+	rates := l.now >= l.share.rates
+	if rates {
+		l.share.rates = l.now + ratesEvery
+		share := out.share(l.adder(able))
+		share.HasRates, share.Rates = true, l.share.own.Rates()
+	}
+	l.sendShares(out)
+	for _, name := range mine {
+		l.sayLoads(name, in(name, groups))
+	}
+	if rates && l.adder(able) == l.Self.ID {
+		l.sayRates()
+	}
+}
+
+// adder is who adds up the rates of the data centre: its first gateway.
+func (l *Logic) adder(able []spec.InstanceID) spec.InstanceID {
+	return rank.Top(gateKey(l.Self.DataCentre), able, 1)[0]
+}
+
+func in(name string, groups int) func(spec.UpstreamID) bool {
+	return func(e spec.UpstreamID) bool { return group(e, groups) == name }
+}
+
+// addLoads puts the own loads of a group into a share. An empty share is sent
+// only to take back a former one.
+func (l *Logic) addLoads(share *talk.Share, in func(spec.UpstreamID) bool) {
+	loads := l.share.own.Loads(in)
+	had := l.noteTold(in, loads)
+	share.HasLoads = share.HasLoads || had || len(loads) > 0
+	share.Loads = append(share.Loads, loads...)
+}
+
+func (l *Logic) sendShares(out letters) {
+	for i, to := range out.to {
+		share := out.shares[i]
+		switch {
+		case !share.HasLoads && len(share.Rates) == 0:
+		case to == l.Self.ID:
+			l.share.sums.Take(l.now, to, *share)
+		default:
+			l.to(to).Share = share
+		}
+	}
+}
+
+// noteTold notes what is told of a group and reports whether anything was
+// told before.
+func (l *Logic) noteTold(in func(spec.UpstreamID) bool, loads []talk.Load) bool {
+	had := false
+	told := l.share.told
+	if told == nil {
+		told = map[spec.UpstreamID]talk.Load{}
+		l.share.told = told
+	}
+	for e := range told {
+		if in(e) {
+			had = true
+			delete(told, e)
+		}
+	}
+	for _, load := range loads {
+		told[load.Engine] = load
+	}
+	return had
+}
+
+func (l *Logic) sayLoads(name string, in func(spec.UpstreamID) bool) {
+	body := news.Loads{Sums: l.share.sums.Loads(in)}
+	item, err := news.Make(news.KindLoads, name, news.ScopeCentre, loadsLife.Milliseconds(), body)
+	if err != nil {
+		return
+	}
+	if item, fresh := l.items.Say(l.now, item); fresh {
+		l.takeLoads(item)
+	}
+}
+
+func (l *Logic) sayRates() {
+	body := news.Rates{Sums: l.share.sums.Rates()}
+	item, err := news.Make(news.KindRates, string(l.Self.DataCentre), news.ScopeFleet, ratesLife.Milliseconds(), body)
+	if err != nil {
+		return
+	}
+	if item, fresh := l.items.Say(l.now, item); fresh {
+		l.takeRates(item)
+	}
+}
+
+func (l *Logic) takeRates(item news.Item) {
+	var body news.Rates
+	if news.Decode(item, &body) == nil {
+		l.share.view.TakeRates(l.now, item.Key, time.Duration(item.Life)*time.Millisecond, body.Sums)
+	}
+}
+
+// takeLoads passes on what others have in flight: the sum less what was told
+// of here.
+func (l *Logic) takeLoads(item news.Item) {
+	var body news.Loads
+	if news.Decode(item, &body) != nil {
+		return
+	}
+	s := &l.share
+	if s.groups == nil {
+		s.groups = map[string][]spec.UpstreamID{}
+		s.out = map[spec.UpstreamID]EngineLoad{}
+	}
+	before := s.groups[item.Key]
+	engines := make([]spec.UpstreamID, 0, len(body.Sums))
+	for _, sum := range body.Sums {
+		e := spec.UpstreamID(sum.Engine)
+		engines = append(engines, e)
+		told := s.told[e]
+		l.engineLoad(EngineLoad{Engine: e, Active: max(0, sum.Active-told.Active), Tokens: max(0, sum.Tokens-told.Tokens)})
+	}
+	for _, e := range before {
+		if !slices.Contains(engines, e) {
+			l.engineLoad(EngineLoad{Engine: e})
+		}
+	}
+	s.keepGroup(item.Key, engines)
+}
+
+// keepGroup notes a group's engines and forgets groups of another number of
+// groups, which nobody adds up any more.
+func (s *shares) keepGroup(name string, engines []spec.UpstreamID) {
+	_, count, _ := strings.Cut(name, "/")
+	for other := range s.groups {
+		if !strings.HasSuffix(other, "/"+count) {
+			delete(s.groups, other)
+		}
+	}
+	s.groups[name] = engines
+}
+
+func (l *Logic) engineLoad(e EngineLoad) {
+	if l.share.out[e.Engine] == e {
+		return
+	}
+	if e.Active == 0 && e.Tokens == 0 {
+		delete(l.share.out, e.Engine)
+	} else {
+		l.share.out[e.Engine] = e
+	}
+	l.emit(e)
+}
--- /dev/null
+++ b/internal/fleet/rank/rank.go
@@ -0,0 +1,63 @@
+// Package rank spreads keys over instances by rendezvous hashing: each key
+// ranks all names by a hash of both, so one name more or less moves only the
+// keys that it wins or held, about 1/n of them.
+//
+// It imports base/spec and the hash library. The other packages of the fleet
+// call it.
+package rank
+
+import (
+	"cmp"
+	"slices"
+
+	"fulmarwick/internal/base/spec"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score is the weight of id for key; the highest wins.
+func Score(key string, id spec.InstanceID) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(id))
+	return d.Sum64()
+}
+
+// Top returns the n best names for key, best first; fewer if there are fewer.
+func Top(key string, ids []spec.InstanceID, n int) []spec.InstanceID {
+	best := make([]scored, 0, n+1)
+	for _, id := range ids {
+		s := scored{id: id, score: Score(key, id)}
+		at, _ := slices.BinarySearchFunc(best, s, before)
+		if at == n {
+			continue
+		}
+		best = slices.Insert(best, at, s)
+		best = best[:min(len(best), n)]
+	}
+	out := make([]spec.InstanceID, len(best))
+	for i, b := range best {
+		out[i] = b.id
+	}
+	return out
+}
+
+// First reports whether id is the best name for key.
+func First(key string, ids []spec.InstanceID, id spec.InstanceID) bool {
+	top := Top(key, ids, 1)
+	return len(top) == 1 && top[0] == id
+}
+
+type scored struct {
+	id    spec.InstanceID
+	score uint64
+}
+
+func before(a, b scored) int {
+	if a.score != b.score {
+		return cmp.Compare(b.score, a.score)
+	}
+	return cmp.Compare(a.id, b.id)
+}
--- /dev/null
+++ b/internal/fleet/talk/codec.go
@@ -0,0 +1,173 @@
+package talk
+
+import (
+	"math"
+
+	"fulmarwick/internal/base/news"
+	"fulmarwick/internal/base/spec"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+)
+
+// Limits of one message.
+const (
+	MaxBytes   = 64 << 10
+	maxName    = 255
+	maxBody    = 16 << 10
+	maxEntries = 4096
+	maxLife    = 24 * 60 * 60 * 1000
+	// maxKind leaves room for the kinds of a newer version: an older instance
+	// passes them on unread.
+	maxKind = 64
+	maxInc  = 1 << 31
+	// MaxStamp keeps a hostile stamp from using up the number range: no
+	// stream reaches it in use.
+	MaxStamp = 1 << 48
+)
+
+// ErrBad is returned for bytes that are not a message of an instance.
+var ErrBad = errors.New("talk: not a message")
+
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+func newEncoder() cbor.EncMode {
+	m, err := cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func newDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden,
+		TagsMd: cbor.TagsForbidden, MaxNestedLevels: 8,
+		MaxArrayElements: maxEntries, MaxMapPairs: 64,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Encode returns the bytes of m.
+func Encode(m *Message) ([]byte, error) {
+	data, err := encoder.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrap(ErrBad, err.Error())
+	}
+	return data, nil
+}
+
+// Decode reads a message. It returns ErrBad for anything that is malformed,
+// too large or out of range; nothing of such a message counts.
+func Decode(data []byte) (*Message, error) {
+	if len(data) > MaxBytes {
+		return nil, errors.Wrap(ErrBad, "too large")
+	}
+	var m Message
+	if err := decoder.Unmarshal(data, &m); err != nil {
+		return nil, errors.Wrap(ErrBad, err.Error())
+	}
+	if !m.valid() {
+		return nil, errors.Wrap(ErrBad, "value out of range")
+	}
+	return &m, nil
+}
+
+func (m *Message) valid() bool {
+	if len(m.Target) > maxName || len(m.Sums) > maxName {
+		return false
+	}
+	for i := range m.Records {
+		if !m.Records[i].valid() {
+			return false
+		}
+	}
+	for i := range m.Blocks {
+		if !m.Blocks[i].valid() {
+			return false
+		}
+	}
+	return validMarks(m.Marks) && validMarks(m.Wants) && m.Share.valid()
+}
+
+func validMarks(marks []Mark) bool {
+	for _, k := range marks {
+		if k.Count >= MaxStamp {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Record) valid() bool {
+	return named(string(r.ID)) && len(r.DataCentre) <= maxName && len(r.URL) <= maxName &&
+		len(r.By) <= maxName && r.Born < math.MaxUint32 && r.Inc < maxInc && r.State >= StateAlive && r.State <= StateLeft
+}
+
+func (b *Block) valid() bool {
+	if !named(string(b.Origin)) || b.Upto >= MaxStamp {
+		return false
+	}
+	if b.Scope != news.ScopeCentre && b.Scope != news.ScopeFleet {
+		return false
+	}
+	for i := range b.Items {
+		if !b.Items[i].valid() {
+			return false
+		}
+	}
+	return true
+}
+
+func (e *Entry) valid() bool {
+	return e.Kind >= 0 && e.Kind < maxKind && len(e.Key) <= maxName && len(e.Body) <= maxBody &&
+		e.Stamp > 0 && e.Stamp < MaxStamp && e.Life > 0 && e.Life <= maxLife
+}
+
+func (s *Share) valid() bool {
+	if s == nil {
+		return true
+	}
+	for _, l := range s.Loads {
+		if !named(string(l.Engine)) || l.Active < 0 || l.Tokens < 0 || l.Active > 1<<30 || l.Tokens > 1<<40 {
+			return false
+		}
+	}
+	for _, r := range s.Rates {
+		// The comparison also refuses a rate that is not a number.
+		if !(r.Rate >= 0 && r.Rate < 1e12) {
+			return false
+		}
+	}
+	return true
+}
+
+func named(s string) bool { return s != "" && len(s) <= maxName }
+
+// Sizes of the parts, for sharing out a byte budget. They are upper bounds
+// but for the strings, which are counted.
+const (
+	entryBytes  = 16
+	blockBytes  = 22
+	recordBytes = 18
+)
+
+// Bytes is about how much e takes on the wire.
+func (e *Entry) Bytes() int { return entryBytes + len(e.Key) + len(e.Body) }
+
+// Bytes is about how much the head of b takes on the wire.
+func (b *Block) Bytes() int { return blockBytes + len(b.Origin) }
+
+// Bytes is about how much r takes on the wire.
+func (r *Record) Bytes() int {
+	return recordBytes + len(r.ID) + len(r.DataCentre) + len(r.URL) + len(r.By)
+}
+
+// TeamHash is the short name of a team in messages.
+func TeamHash(team spec.TeamID) uint64 { return hash(string(team)) }
