--- a/internal/fleet/node/remote.go
+++ b/internal/fleet/node/remote.go
@@ -22,6 +22,8 @@
 	avoidFor = 10 * time.Second
 	// cutAfter is the silence after which a data centre counts as cut off.
 	cutAfter = 6 * time.Second
+	// reachEvery is the time between two looks at which data centres are cut.
+	reachEvery = 500 * time.Millisecond
 	// reachLife is the life of a gateway's word on a data centre.
 	reachLife = 15 * time.Second
 )
@@ -31,8 +33,10 @@
 	rows    []*remote
 	version uint64
 	listed  int
+	gates   []spec.InstanceID
 	isGate  bool
 	rank    int
+	reach   time.Duration
 	avoid   map[spec.InstanceID]time.Duration
 }
 
@@ -72,8 +76,8 @@
 // setRemotes finds the other data centres and whether this is a gateway.
 func (l *Logic) setRemotes() {
 	r := &l.remotes
-	top := rank.Top(gateKey(l.Self.DataCentre), l.active(l.Self.DataCentre), gateways)
-	r.rank = slices.Index(top, l.Self.ID)
+	r.gates = rank.Top(gateKey(l.Self.DataCentre), l.active(l.Self.DataCentre), gateways)
+	r.rank = slices.Index(r.gates, l.Self.ID)
 	was := r.isGate
 	r.isGate = r.rank >= 0
 	l.members.Each(func(rec talk.Record) { l.addRemote(rec.DataCentre) })
@@ -182,7 +186,7 @@
 	if centre == l.Self.DataCentre {
 		return true
 	}
-	for _, id := range rank.Top(gateKey(l.Self.DataCentre), l.active(l.Self.DataCentre), gateways) {
+	for _, id := range l.remotes.gates {
 		item, ok := l.items.Get(news.KindReach, id, string(centre))
 		var word news.Reach
 		if !ok || news.Decode(item, &word) != nil || !word.Cut {
@@ -194,6 +198,10 @@
 
 // tickReach follows which data centres can be reached.
 func (l *Logic) tickReach() {
+	if l.now < l.remotes.reach {
+		return
+	}
+	l.remotes.reach = l.now + reachEvery
 	for _, c := range l.remotes.rows {
 		if out := !l.reachable(c.centre); out != c.unreachable {
 			c.unreachable = out
