--- a/internal/app/cmds/cmds_test.go
+++ b/internal/app/cmds/cmds_test.go
@@ -64,7 +64,7 @@
 func execute(t *testing.T, args ...string) (code int, out, errOut string) {
 	t.Helper()
 	var o, e bytes.Buffer
-	code = cmds.Execute(t.Context(), args, &o, &e)
+	code = cmds.Execute(args, &o, &e)
 	return code, o.String(), e.String()
 }
 
--- a/internal/app/cmds/root.go
+++ b/internal/app/cmds/root.go
@@ -16,16 +16,15 @@
 const codesText = `Exit codes: 0 done; 1 failed; 2 wrong usage, or settings or documents refused;
 3 conflict with another operator's change; 4 instance or store out of reach.`
 
-// Execute runs the command line args until it ends or ctx does, and returns
-// the exit code.
-func Execute(ctx context.Context, args []string, out, errOut io.Writer) int {
+// Execute runs the command line args and returns the exit code.
+func Execute(args []string, out, errOut io.Writer) int {
 	root := newRoot()
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
 	started := false
 	root.PersistentPreRun = func(*cobra.Command, []string) { started = true }
-	err := root.ExecuteContext(ctx)
+	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return ExitOK
 	}
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -129,6 +129,9 @@
 	}
 	d.configure()
 	d.Log.Info("daemon: serving", zap.String("instance", d.Settings.Instance.Name), zap.Stringer("address", ends.callersAt))
+	if ends.operators != nil {
+		d.Log.Info("daemon: serving operators", zap.Stringer("address", ends.operatorsAt))
+	}
 	err = d.run(ctx, ends)
 	if closed := p.spans.Close(); closed != nil {
 		d.Log.Warn("daemon: last spans lost", zap.Error(closed))
--- a/internal/app/setup/setup_test.go
+++ b/internal/app/setup/setup_test.go
@@ -38,6 +38,13 @@
 	}
 }
 
+func TestPortsThatTheSystemPicksDoNotClash(t *testing.T) {
+	text := instance + "[listen]\ncallers = 127.0.0.1:0\noperators = 127.0.0.1:0\n" + platform
+	if _, err := setup.Parse("ports.ini", []byte(text)); err != nil {
+		t.Errorf("got %v, want nil", err)
+	}
+}
+
 func TestValuesAreTaken(t *testing.T) {
 	text := least + "[limits]\nbody = 2MiB\ntokens = 7\n[times]\ngrace = 90s\n[goal]\nweigh = recovery\n" +
 		"[fencing]\nh200 = refuse\nt4 = ignore\n[trace]\nurl = http://127.0.0.1:4318/\npart = 0.5\n"
--- a/internal/app/setup/together.go
+++ b/internal/app/setup/together.go
@@ -36,7 +36,7 @@
 	ends := []struct{ key, at string }{{"callers", l.Callers}, {"peers", l.Peers}, {"operators", l.Operators}}
 	for i, a := range ends {
 		for _, b := range ends[:i] {
-			if a.at != "" && a.at == b.at {
+			if a.at != "" && a.at == b.at && !anyPort(a.at) {
 				p.fault("listen", a.key, fmt.Sprintf("%s is the address for %s already", a.at, b.key))
 			}
 		}
@@ -49,6 +49,12 @@
 	}
 }
 
+// anyPort reports whether the system picks the port, a new one each time.
+func anyPort(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Port() == 0
+}
+
 func exposed(address string) bool {
 	a, err := netip.ParseAddrPort(address)
 	return err == nil && !a.Addr().IsLoopback()
--- a/main.go
+++ b/main.go
@@ -2,12 +2,11 @@
 package main
 
 import (
-	"context"
 	"os"
 
 	"fulmarwick/internal/app/cmds"
 )
 
 func main() {
-	os.Exit(cmds.Execute(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cmds.Execute(os.Args[1:], os.Stdout, os.Stderr))
 }
