--- /dev/null
+++ b/internal/fakes/trial/bench_test.go
@@ -0,0 +1,285 @@
+package trial_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/app/daemon"
+	"fulmarwick/internal/app/setup"
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fakes/infra"
+	"fulmarwick/internal/state/config"
+	"fulmarwick/internal/state/store"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
+)
+
+// routerVariable makes the test binary act as an instance before the platform
+// that it names. The router so runs in a process of its own, and the processor
+// time that it reports is its own and not that of stand-ins and clients.
+const routerVariable = "FULMARWICK_BENCH_PLATFORM"
+
+const benchKey = "bench-key"
+
+func TestMain(m *testing.M) {
+	if platform := os.Getenv(routerVariable); platform != "" {
+		if err := router(platform); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// router runs an instance until its standard input ends. It writes its two
+// addresses first.
+func router(platform string) error {
+	var at [2]net.Listener
+	for i := range at {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		at[i] = l
+	}
+	settings := setup.Default()
+	settings.Instance = setup.Instance{Name: "bench-1", DataCentre: "klang", Region: "bench"}
+	settings.Platform = setup.Platform{Table: platform, Watch: 100 * time.Millisecond}
+	settings.Times.Grace = 0
+	loose := spec.NewTarget(time.Minute, time.Minute, 0, 95)
+	d := &daemon.Daemon{
+		Settings: settings, Log: zap.NewNop(), Listener: at[0], Operators: at[1],
+		Config: config.NewSnapshot(1, []spec.Class{spec.NewModelClass("bench", benchModel, loose)},
+			[]spec.Team{spec.NewTeam(config.HashKey(benchKey), "bench", 1)}),
+	}
+	_, _ = fmt.Fprintf(os.Stdout, "%s %s\n", at[0].Addr(), at[1].Addr())
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		cancel()
+	}()
+	return d.Run(ctx)
+}
+
+// bed is a router in its own process before one engine that answers at once.
+type bed struct {
+	url       string
+	operators string
+	client    *http.Client
+}
+
+func newBed(b *testing.B) *bed {
+	b.Helper()
+	engine := serveClock()
+	b.Cleanup(engine.Close)
+	platform := &infra.Server{Table: &infra.Table{}}
+	platform.List([]store.ListedBody{{ID: "clock", Role: store.RoleEngine, URL: engine.URL, DataCentre: "klang", State: frame.StateLive}})
+	table := httptest.NewServer(platform.Handler())
+	b.Cleanup(table.Close)
+	cmd := exec.CommandContext(b.Context(), os.Args[0])
+	cmd.Env = append(os.Environ(), routerVariable+"="+table.URL)
+	cmd.Stderr = os.Stderr
+	stdin, err := cmd.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	stdout, err := cmd.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = stdin.Close()
+		_ = cmd.Wait()
+	})
+	line, err := bufio.NewReader(stdout).ReadString('\n')
+	if err != nil {
+		b.Fatal(err)
+	}
+	callers, operators, _ := strings.Cut(strings.TrimSpace(line), " ")
+	out := &bed{
+		url: "http://" + callers, operators: "http://" + operators,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}},
+	}
+	for out.stream(b, 1, 0, nil) == http.StatusServiceUnavailable {
+	}
+	return out
+}
+
+// stream asks for tokens spaced by gap and gives each event's data to seen.
+func (b *bed) stream(t testing.TB, tokens int, gap time.Duration, seen func(data string)) int {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"gap=%s"}]}`, benchModel, tokens, gap)
+	req, err := http.NewRequest(http.MethodPost, b.url+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+benchKey)
+	resp, err := b.client.Do(req)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	whole := false
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if ok && seen != nil {
+			seen(data)
+		}
+		whole = whole || data == "[DONE]"
+	}
+	if resp.StatusCode == http.StatusOK && !whole {
+		t.Error("got a stream without [DONE], want it whole")
+	}
+	return resp.StatusCode
+}
+
+// cpu is the processor time that the router's process has used, in seconds.
+func (b *bed) cpu(t testing.TB) float64 {
+	resp, err := b.client.Get(b.operators + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if text, ok := strings.CutPrefix(lines.Text(), "process_cpu_seconds_total "); ok {
+			v, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return v
+		}
+	}
+	t.Fatal("got no process_cpu_seconds_total")
+	return 0
+}
+
+// left is when the token in an event's data left the engine.
+func left(data string) (time.Time, bool) {
+	_, rest, ok := strings.Cut(data, `"content":"`)
+	if !ok {
+		return time.Time{}, false
+	}
+	n, err := strconv.ParseInt(rest[:strings.IndexByte(rest, '"')], 10, 64)
+	return time.Unix(0, n), err == nil
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(time.Minute), 3)
+}
+
+func report(b *testing.B, h *hdrhistogram.Histogram, name string) {
+	for _, q := range []float64{50, 99} {
+		b.ReportMetric(float64(h.ValueAtQuantile(q))/1e3, fmt.Sprintf("%s-p%.0f-us", name, q))
+	}
+}
+
+// many runs work in n goroutines until the benchmark's count is done.
+func many(b *testing.B, n int, work func()) {
+	var all sync.WaitGroup
+	todo := make(chan struct{}, b.N)
+	for range b.N {
+		todo <- struct{}{}
+	}
+	close(todo)
+	b.ResetTimer()
+	for range n {
+		all.Go(func() {
+			for range todo {
+				work()
+			}
+		})
+	}
+	all.Wait()
+	b.StopTimer()
+}
+
+// BenchmarkRequests gives whole requests of one token a second, and per core
+// of the router.
+func BenchmarkRequests(b *testing.B) {
+	bed := newBed(b)
+	before := bed.cpu(b)
+	many(b, 64, func() { bed.stream(b, 1, 0, nil) })
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+	b.ReportMetric(float64(b.N)/(bed.cpu(b)-before), "requests/core-s")
+}
+
+// BenchmarkTokens gives streamed tokens a second, and per core of the router.
+func BenchmarkTokens(b *testing.B) {
+	const tokens = 500
+	bed := newBed(b)
+	before := bed.cpu(b)
+	many(b, 64, func() { bed.stream(b, tokens, 0, nil) })
+	total := float64(b.N * tokens)
+	b.ReportMetric(total/b.Elapsed().Seconds(), "tokens/s")
+	b.ReportMetric(total/(bed.cpu(b)-before), "tokens/core-s")
+}
+
+// BenchmarkFirst gives the time from a request to its first token. The engine
+// answers at once, so all of it is added by the router and loopback.
+func BenchmarkFirst(b *testing.B) {
+	for _, streams := range []int{1, 16} {
+		b.Run(fmt.Sprintf("streams=%d", streams), func(b *testing.B) {
+			bed := newBed(b)
+			h := newHistogram()
+			var mu sync.Mutex
+			many(b, streams, func() {
+				began, first := time.Now(), true
+				bed.stream(b, 1, 0, func(string) {
+					if !first {
+						return
+					}
+					first = false
+					mu.Lock()
+					defer mu.Unlock()
+					_ = h.RecordValue(int64(time.Since(began)))
+				})
+			})
+			report(b, h, "first")
+		})
+	}
+}
+
+// BenchmarkBetween gives how long a token is on its way from the engine to the
+// client while tokens leave every 10 ms, which bounds what the router adds to
+// the time between two tokens.
+func BenchmarkBetween(b *testing.B) {
+	for _, streams := range []int{1, 64, 512} {
+		b.Run(fmt.Sprintf("streams=%d", streams), func(b *testing.B) {
+			bed := newBed(b)
+			h := newHistogram()
+			var mu sync.Mutex
+			before := bed.cpu(b)
+			many(b, streams, func() {
+				bed.stream(b, 100, 10*time.Millisecond, func(data string) {
+					if at, ok := left(data); ok {
+						mu.Lock()
+						defer mu.Unlock()
+						_ = h.RecordValue(int64(time.Since(at)))
+					}
+				})
+			})
+			report(b, h, "between")
+			b.ReportMetric(float64(b.N*100)/(bed.cpu(b)-before), "tokens/core-s")
+		})
+	}
+}
