Reuse stream buffers and move write deadlines less often

Each stream grew two buffers from nothing and set its connection's deadline with every write. Buffers now come from a pool that keeps small ones; a deadline may be an eighth of its pause old.

--- a/internal/fakes/trial/bench_test.go
+++ b/internal/fakes/trial/bench_test.go
@@ -91,7 +91,9 @@
 	platform.List([]store.ListedBody{{ID: "clock", Role: store.RoleEngine, URL: engine.URL, DataCentre: "klang", State: frame.StateLive}})
 	table := httptest.NewServer(platform.Handler())
 	b.Cleanup(table.Close)
-	cmd := exec.CommandContext(b.Context(), os.Args[0])
+	// Not the benchmark's own context: that ends before the clean-up, which
+	// lets the router end by itself.
+	cmd := exec.CommandContext(context.Background(), os.Args[0])
 	cmd.Env = append(os.Environ(), routerVariable+"="+table.URL)
 	cmd.Stderr = os.Stderr
 	stdin, err := cmd.StdinPipe()
--- a/internal/wire/entry/writer.go
+++ b/internal/wire/entry/writer.go
@@ -27,6 +27,27 @@
 // comment is a line of the event stream that clients pass over.
 const comment = ": wait\n\n"
 
+const (
+	// pooled is the most bytes of a buffer that is kept for another stream; a
+	// burst's large one goes back to the memory manager.
+	pooled = 32 << 10
+	// fresh is the size of a new buffer.
+	fresh = 4 << 10
+	// slack is the part of the write pause by which a deadline may be old.
+	// Moving it with each token costs as much as sealing the token's id.
+	slack = 8
+)
+
+// buffers are reused among streams.
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, fresh); return &b }}
+
+func release(b []byte) {
+	if cap(b) > 0 && cap(b) <= pooled {
+		b = b[:0]
+		buffers.Put(&b)
+	}
+}
+
 // writer brings the pieces of a stream to its caller from a goroutine of its
 // own. The request's goroutine only appends to a buffer: were it to wait for
 // the caller's network, the engine's connection behind it would fill up and
@@ -40,6 +61,9 @@
 	// stop ends the request when the caller cannot be written to.
 	stop context.CancelCauseFunc
 
+	// moved is when the write deadline was set last.
+	moved time.Time
+
 	wake chan struct{}
 	room chan struct{}
 	done chan struct{}
@@ -57,6 +81,7 @@
 		pause: l.WriteTime, comment: l.Comment, stop: stop,
 		wake: make(chan struct{}, 1), room: make(chan struct{}, 1), done: make(chan struct{}),
 	}
+	out.pending = (*buffers.Get().(*[]byte))[:0]
 	go out.run()
 	return out
 }
@@ -114,6 +139,8 @@
 	o.mu.Unlock()
 	o.signal()
 	<-o.done
+	release(o.pending)
+	o.pending = nil
 	return o.err
 }
 
@@ -127,7 +154,8 @@
 		defer timer.Stop()
 		quiet = timer.C
 	}
-	var spare []byte
+	spare := (*buffers.Get().(*[]byte))[:0]
+	defer func() { release(spare) }()
 	for {
 		data, ended := o.swap(spare)
 		// The buffer given away is the other's now; only the one got back may
@@ -164,7 +192,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.err != nil {
-		return nil, true
+		return spare, true
 	}
 	data = o.pending
 	o.pending = spare
@@ -176,9 +204,10 @@
 }
 
 func (o *writer) write(data []byte) error {
-	if o.pause > 0 {
+	if now := time.Now(); o.pause > 0 && now.Sub(o.moved) > o.pause/slack {
+		o.moved = now
 		// A writer without deadlines, as in tests, is written without.
-		_ = o.control.SetWriteDeadline(time.Now().Add(o.pause))
+		_ = o.control.SetWriteDeadline(now.Add(o.pause))
 	}
 	if _, err := o.w.Write(data); err != nil {
 		return err
