--- a/internal/fakes/trial/bench_test.go
+++ b/internal/fakes/trial/bench_test.go
@@ -26,6 +26,7 @@
 	"fulmarwick/internal/state/store"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 )
 
@@ -34,6 +35,10 @@
 // time that it reports is its own and not that of stand-ins and clients.
 const routerVariable = "FULMARWICK_BENCH_PLATFORM"
 
+// relayVariable makes the test binary act as a relay of bytes to the address
+// that it names.
+const relayVariable = "FULMARWICK_BENCH_RELAY"
+
 const benchKey = "bench-key"
 
 func TestMain(m *testing.M) {
@@ -44,9 +49,49 @@
 		}
 		return
 	}
+	if to := os.Getenv(relayVariable); to != "" {
+		if err := relay(to); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	os.Exit(m.Run())
 }
 
+// relay copies bytes until its standard input ends. It is the least that any
+// process between engine and client costs.
+func relay(to string) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(os.Stdout, "%s -\n", l.Addr())
+	ended := make(chan struct{})
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		close(ended)
+		_ = l.Close()
+	}()
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			<-ended
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		far, err := net.Dial("tcp", to)
+		if err != nil {
+			return err
+		}
+		// Wrapped, so that the copy is not left to the kernel.
+		go func() { _, _ = io.Copy(struct{ io.Writer }{far}, struct{ io.Reader }{c}) }()
+		go func() { _, _ = io.Copy(struct{ io.Writer }{c}, struct{ io.Reader }{far}) }()
+	}
+}
+
 // router runs an instance until its standard input ends. It writes its two
 // addresses first.
 func router(platform string) error {
@@ -92,10 +137,24 @@
 	platform.List([]store.ListedBody{{ID: "clock", Role: store.RoleEngine, URL: engine.URL, DataCentre: "klang", State: frame.StateLive}})
 	table := httptest.NewServer(platform.Handler())
 	b.Cleanup(table.Close)
+	callers, operators := launch(b, routerVariable+"="+table.URL)
+	out := &bed{
+		url: "http://" + callers, operators: "http://" + operators,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}},
+	}
+	for out.stream(b, 1, 0, nil) == http.StatusServiceUnavailable {
+	}
+	return out
+}
+
+// launch starts the test binary as another process and returns the two words
+// that it writes first.
+func launch(b *testing.B, variable string) (first, second string) {
+	b.Helper()
 	// Not the benchmark's own context: that ends before the clean-up, which
 	// lets the router end by itself.
 	cmd := exec.CommandContext(context.Background(), os.Args[0])
-	cmd.Env = append(os.Environ(), routerVariable+"="+table.URL)
+	cmd.Env = append(os.Environ(), variable)
 	cmd.Stderr = os.Stderr
 	stdin, err := cmd.StdinPipe()
 	if err != nil {
@@ -116,13 +175,16 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	callers, operators, _ := strings.Cut(strings.TrimSpace(line), " ")
-	out := &bed{
-		url: "http://" + callers, operators: "http://" + operators,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}},
-	}
-	for out.stream(b, 1, 0, nil) == http.StatusServiceUnavailable {
-	}
+	first, second, _ = strings.Cut(strings.TrimSpace(line), " ")
+	return first, second
+}
+
+// newRelay is a floor behind a process that only copies bytes.
+func newRelay(b *testing.B) *bed {
+	b.Helper()
+	out := newFloor(b)
+	at, _ := launch(b, relayVariable+"="+strings.TrimPrefix(out.url, "http://"))
+	out.url = "http://" + at
 	return out
 }
 
@@ -261,11 +323,12 @@
 	b.ReportMetric(total/(bed.cpu(b)-before), "tokens/core-s")
 }
 
-// beds are the router and the floor beneath it.
+// beds are the router, a process that only copies bytes in its place, and
+// none.
 var beds = []struct {
 	name string
 	make func(*testing.B) *bed
-}{{"router", newBed}, {"floor", newFloor}}
+}{{"router", newBed}, {"relay", newRelay}, {"floor", newFloor}}
 
 // BenchmarkFirst gives the time from a request to its first token. The engine
 // answers at once, so the router adds what is above the floor.
