--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -79,6 +79,7 @@
 func (d *Daemon) build() {
 	d.once.Do(func() {
 		set := metrics.NewSet()
+		set.RegisterMetricsWriter(d.gauges)
 		table := &store.Client{Base: d.Settings.Platform.Table, HTTP: &http.Client{}}
 		sender := &plain.Sender{HTTP: plain.NewHTTP()}
 		p := parts{
--- a/internal/app/daemon/daemon_test.go
+++ b/internal/app/daemon/daemon_test.go
@@ -16,6 +16,7 @@
 	"fulmarwick/internal/fakes/layer"
 	"fulmarwick/internal/fakes/trial"
 	"fulmarwick/internal/state/config"
+	"fulmarwick/internal/wire/admin"
 
 	"go.uber.org/zap"
 )
@@ -32,6 +33,12 @@
 
 // start runs an instance before stand-ins and returns its base URL.
 func start(t *testing.T) (*trial.Site, string) {
+	site, base, _ := startBoth(t)
+	return site, base
+}
+
+// startBoth returns the operators' base URL too.
+func startBoth(t *testing.T) (*trial.Site, string, string) {
 	t.Helper()
 	site := &trial.Site{}
 	if err := site.Start(t.Context()); err != nil {
@@ -41,12 +48,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	operators, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	settings := setup.Default()
 	settings.Instance = setup.Instance{Name: "t-1", DataCentre: trial.Centre}
 	settings.Listen = setup.Listen{}
 	settings.Platform = setup.Platform{Table: site.URL(), Watch: 20 * time.Millisecond}
 	settings.Times.Grace = 0
-	d := &daemon.Daemon{Log: zap.NewNop(), Listener: l, Config: snapshot(), Settings: settings}
+	d := &daemon.Daemon{Log: zap.NewNop(), Listener: l, Operators: operators, Config: snapshot(), Settings: settings}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- d.Run(ctx) }()
@@ -57,7 +68,7 @@
 		}
 		site.Close()
 	})
-	return site, "http://" + l.Addr().String()
+	return site, "http://" + l.Addr().String(), "http://" + operators.Addr().String()
 }
 
 func post(t *testing.T, url, idem, body string) (int, string) {
@@ -130,3 +141,38 @@
 		t.Errorf("got %d runs, want 1", got)
 	}
 }
+
+// An operator sees in one instance's status and metrics the classes against
+// their targets and every engine, once a request was served.
+func TestOperatorsSeeTargetsAndEngines(t *testing.T) {
+	_, base, operators := startBoth(t)
+	answer(t, base, `{"model":"levy-13b","max_tokens":3,"messages":[{"role":"user","content":"x"}]}`)
+	c := &admin.Client{Base: operators, HTTP: http.DefaultClient}
+	got, err := c.Status(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Instance != "t-1" || !got.Ready || got.Version != 1 || len(got.Classes) != 2 || len(got.Engines) != 6 {
+		t.Errorf("got %+v, want a ready instance with 2 classes and 6 engines", got)
+	}
+	if a := got.Classes[0]; a.Name != "answer" || a.Requests < 1 || a.First.P95 <= 0 || a.First.Limit != 1000 {
+		t.Errorf("got class %+v, want the request that was served", a)
+	}
+	resp, err := http.Get(operators + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		`fulmarwick_target_attained_percent{class="answer"}`, `fulmarwick_engine_use{engine="fast-1",kind="h200"`,
+		"fulmarwick_ready 1", `fulmarwick_requests_total{class="answer",code="ok"}`, "fulmarwick_ticks_total",
+	} {
+		if !strings.Contains(string(text), want) {
+			t.Errorf("got no %s in the metrics, want it", want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/app/daemon/gauges.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"fulmarwick/internal/wire/admin"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+// gaugeTime bounds how long a scrape waits for the routing logic.
+const gaugeTime = time.Second
+
+// gauges writes what stands in the status as metrics, at each scrape. What has
+// gone since leaves no stale line behind.
+func (d *Daemon) gauges(w io.Writer) {
+	ctx, cancel := context.WithTimeout(context.Background(), gaugeTime)
+	defer cancel()
+	s, err := d.Status(ctx)
+	if err != nil {
+		d.Log.Warn("daemon: no gauges, the routing logic does not answer", zap.Error(err))
+		return
+	}
+	gauge(w, "ready", "", number(s.Ready))
+	gauge(w, "stopping", "", number(s.Stopping))
+	gauge(w, "configuration_version", "", float64(s.Version))
+	gauge(w, "leaving", "", float64(len(s.Leaving)))
+	for _, c := range s.Classes {
+		label := fmt.Sprintf("{class=%q}", c.Name)
+		gauge(w, "target_percent", label, c.Percent)
+		gauge(w, "target_attained_percent", label, c.Attained)
+	}
+	for i := range s.Engines {
+		engineGauges(w, &s.Engines[i])
+	}
+}
+
+func engineGauges(w io.Writer, e *admin.Engine) {
+	label := fmt.Sprintf("{engine=%q,kind=%q,datacentre=%q,state=%q}", e.Name, e.Kind, e.DataCentre, e.State)
+	gauge(w, "engine_use", label, e.Use)
+	gauge(w, "engine_active", label, float64(e.Active))
+	gauge(w, "engine_queued", label, float64(e.Queued))
+	gauge(w, "engine_slots", label, float64(e.Slots))
+}
+
+func gauge(w io.Writer, name, label string, value float64) {
+	metrics.WriteGaugeFloat64(w, "fulmarwick_"+name+label, value)
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
