--- a/internal/app/setup/setup_test.go
+++ b/internal/app/setup/setup_test.go
@@ -253,3 +253,25 @@
 		}
 	})
 }
+
+// The operators' page names every section and key.
+func TestSettingsPageIsWhole(t *testing.T) {
+	data, err := os.ReadFile("../../../docs/operate/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(data)
+	for section, keys := range setup.Keys() {
+		_, rest, ok := strings.Cut(page, "| `["+section+"]` |")
+		if !ok {
+			t.Errorf("got no section [%s] in the page, want it", section)
+			continue
+		}
+		rows, _, _ := strings.Cut(rest, "\n| `[")
+		for _, key := range keys {
+			if !strings.Contains(rows, "`"+key+"`") {
+				t.Errorf("got no key %s under [%s] in the page, want it", key, section)
+			}
+		}
+	}
+}
