Bound callers that trickle a body or read none of an answer

Cause: a body of a byte every few seconds, or a whole answer that nobody reads, held a place and the stop of the instance for ever; and a stream left its last write deadline on a kept connection, so that the next question on it that sets none, such as /readyz, failed once that had passed. Each has a test that failed before.

--- a/internal/wire/entry/answer.go
+++ b/internal/wire/entry/answer.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
@@ -49,11 +48,10 @@
 	})
 	s.ended(req, a, result, err)
 	if err != nil {
-		faultOf(err).write(w)
+		s.fault(w, err)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(chatAnswer{
+	s.replyJSON(w, http.StatusOK, chatAnswer{
 		ID: answerID(a.from), Object: "chat.completion", Created: time.Now().Unix(), Model: string(a.class.Model()),
 		Choices: []chatChoice{{Message: answerText{Role: "assistant", Content: text.String()}, Finish: finishReason(result)}},
 		Usage:   usage(a, result),
--- a/internal/wire/entry/body.go
+++ b/internal/wire/entry/body.go
@@ -10,13 +10,18 @@
 	"github.com/go-faster/errors"
 )
 
-// read takes a request's body. A body that stops moving ends with a fault; one
-// that moves, however slowly, is read to its end.
+// bodyPiece is how much of a body must come, on average, within one body pause.
+// A body that brings a byte at a time, just often enough, would hold a place
+// and the instance's stop for ever; the slowest honest link is far above it.
+const bodyPiece = 1 << 10
+
+// read takes a request's body. A body that stops, or hardly moves, ends with a
+// fault; a slow one is read to its end.
 func (s *Server) read(w http.ResponseWriter, req *http.Request) ([]byte, error) {
 	body := http.MaxBytesReader(w, req.Body, s.Limits.Body)
 	control := http.NewResponseController(w)
 	if s.Limits.BodyTime > 0 {
-		body = &paced{ReadCloser: body, control: control, pause: s.Limits.BodyTime}
+		body = &paced{ReadCloser: body, control: control, pause: s.Limits.BodyTime, began: time.Now()}
 	}
 	var out bytes.Buffer
 	if n := req.ContentLength; n > 0 && n <= s.Limits.Body {
@@ -54,11 +59,19 @@
 	io.ReadCloser
 	control *http.ResponseController
 	pause   time.Duration
+	began   time.Time
+	got     int64
 }
 
 // Read reads with a fresh deadline.
 func (p *paced) Read(b []byte) (int, error) {
+	deadline := time.Now().Add(p.pause)
+	if last := p.began.Add(p.pause * time.Duration(1+p.got/bodyPiece)); last.Before(deadline) {
+		deadline = last
+	}
 	// A connection without deadlines, as in tests, is read without.
-	_ = p.control.SetReadDeadline(time.Now().Add(p.pause))
-	return p.ReadCloser.Read(b)
+	_ = p.control.SetReadDeadline(deadline)
+	n, err := p.ReadCloser.Read(b)
+	p.got += int64(n)
+	return n, err
 }
--- a/internal/wire/entry/call.go
+++ b/internal/wire/entry/call.go
@@ -41,10 +41,10 @@
 	out, err := s.Calls.Do(context.WithoutCancel(req.Context()), c)
 	s.called(req, class, out, err, time.Since(began))
 	if err != nil {
-		faultOf(err).write(w)
+		s.fault(w, err)
 		return
 	}
-	writeOutcome(w, out)
+	s.answer(w, out)
 }
 
 // called counts a call and tells its end to whoever wants to know.
@@ -122,53 +122,50 @@
 func (s *Server) outcome(w http.ResponseWriter, req *http.Request) {
 	team, err := s.team(req)
 	if err != nil {
-		faultOf(err).write(w)
+		s.fault(w, err)
 		return
 	}
 	class, err := s.plainClass(req)
 	if err != nil {
-		faultOf(err).write(w)
+		s.fault(w, err)
 		return
 	}
 	key, err := url.PathUnescape(mux.Vars(req)["key"])
 	if err != nil || !goodKey(key) {
-		newFault(http.StatusBadRequest, "bad-idempotency-key", "The key in the path is none that a call may have.", RanNo).write(w)
+		s.fault(w, newFault(http.StatusBadRequest, "bad-idempotency-key", "The key in the path is none that a call may have.", RanNo))
 		return
 	}
 	out, err := s.Calls.Look(req.Context(), team.ID(), class.Name(), key)
 	if err != nil {
-		faultOf(err).write(w)
+		s.fault(w, err)
 		return
 	}
 	status := http.StatusOK
 	if out.State() == ledger.StateNone {
 		status = http.StatusNotFound
 	}
-	writeState(w, status, out)
+	s.state(w, status, out)
 }
 
-// writeOutcome answers a call: with the service's own answer if it is known.
-func writeOutcome(w http.ResponseWriter, out ledger.Outcome) {
+// answer answers a call: with the service's own answer if it is known.
+func (s *Server) answer(w http.ResponseWriter, out ledger.Outcome) {
 	switch out.State() {
 	case ledger.StateDone:
 		a := out.Answer()
-		w.Header().Set("Content-Type", a.Type())
-		w.WriteHeader(a.Status())
-		_, _ = w.Write(a.Body())
+		s.reply(w, a.Status(), a.Type(), a.Body())
 	case ledger.StateNotRun:
 		f := newFault(http.StatusServiceUnavailable, "not-run", "The service could not be reached, so the call did not run.", RanNo)
 		f.After = storeRetry
-		f.write(w)
+		s.fault(w, f)
 	case ledger.StateRunning:
 		w.Header().Set("Retry-After", "1")
-		writeState(w, http.StatusConflict, out)
+		s.state(w, http.StatusConflict, out)
 	default:
-		f := newFault(http.StatusBadGateway, "unsure", "The answer of the service was lost; the call may have run. Ask for its outcome.", RanUnsure)
-		f.write(w)
+		s.fault(w, newFault(http.StatusBadGateway, "unsure", "The answer of the service was lost; the call may have run. Ask for its outcome.", RanUnsure))
 	}
 }
 
-func writeState(w http.ResponseWriter, status int, out ledger.Outcome) {
+func (s *Server) state(w http.ResponseWriter, status int, out ledger.Outcome) {
 	b := outcomeBody{State: out.State().String()}
 	if out.State() == ledger.StateDone {
 		b.Status = out.Answer().Status()
@@ -178,7 +175,5 @@
 			b.Text = string(out.Answer().Body())
 		}
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(b)
+	s.replyJSON(w, status, b)
 }
--- a/internal/wire/entry/chat.go
+++ b/internal/wire/entry/chat.go
@@ -58,7 +58,7 @@
 	f := faultOf(err)
 	s.meter.ended(class, f.Code)
 	noted(req, class, 0, err)
-	f.write(w)
+	s.fault(w, f)
 }
 
 func (s *Server) readChat(w http.ResponseWriter, req *http.Request) (ask, error) {
--- a/internal/wire/entry/entry.go
+++ b/internal/wire/entry/entry.go
@@ -93,8 +93,6 @@
 	Spans trace.TracerProvider
 	// Observer learns how requests ended; nil tells nobody.
 	Observer Observer
-	// Arrived is called for each request of a caller; nil for none.
-	Arrived func()
 
 	once  sync.Once
 	gate  gate
@@ -117,15 +115,15 @@
 	r.HandleFunc("/v1/models", s.hop("models", s.models)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/calls/{class}", s.hop("call", s.call)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/calls/{class}/{key}", s.hop("outcome", s.outcome)).Methods(http.MethodGet)
-	r.NotFoundHandler = http.HandlerFunc(notFound)
-	r.MethodNotAllowedHandler = http.HandlerFunc(notAllowed)
+	r.NotFoundHandler = http.HandlerFunc(s.notFound)
+	r.MethodNotAllowedHandler = http.HandlerFunc(s.notAllowed)
 	return r
 }
 
-func notFound(w http.ResponseWriter, _ *http.Request) {
-	newFault(http.StatusNotFound, "no-path", "Nothing is served under this path.", RanNo).write(w)
+func (s *Server) notFound(w http.ResponseWriter, _ *http.Request) {
+	s.fault(w, newFault(http.StatusNotFound, "no-path", "Nothing is served under this path.", RanNo))
 }
 
-func notAllowed(w http.ResponseWriter, _ *http.Request) {
-	newFault(http.StatusMethodNotAllowed, "no-method", "The path is not served with this method.", RanNo).write(w)
+func (s *Server) notAllowed(w http.ResponseWriter, _ *http.Request) {
+	s.fault(w, newFault(http.StatusMethodNotAllowed, "no-method", "The path is not served with this method.", RanNo))
 }
--- a/internal/wire/entry/fault.go
+++ b/internal/wire/entry/fault.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
@@ -63,13 +62,13 @@
 	return faultBody{Error: faultJSON{Code: f.Code, Text: f.Text, Ran: f.Ran, After: f.seconds()}}
 }
 
-func (f *FaultError) write(w http.ResponseWriter) {
+// fault answers with an error.
+func (s *Server) fault(w http.ResponseWriter, err error) {
+	f := faultOf(err)
 	if f.After > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(f.seconds()))
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(f.Status)
-	_ = json.NewEncoder(w).Encode(f.body())
+	s.replyJSON(w, f.Status, f.body())
 }
 
 // faultOf turns an error of the layers below into what the caller sees.
--- a/internal/wire/entry/hop.go
+++ b/internal/wire/entry/hop.go
@@ -36,9 +36,6 @@
 	}
 	spans := provider.Tracer(tracer)
 	return func(w http.ResponseWriter, req *http.Request) {
-		if s.Arrived != nil {
-			s.Arrived()
-		}
 		id := uuid.NewString()
 		w.Header().Set(headerRequest, id)
 		ctx := propagation.TraceContext{}.Extract(req.Context(), propagation.HeaderCarrier(req.Header))
--- /dev/null
+++ b/internal/wire/entry/reply.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// replyPiece is how much of an answer must go out within one write pause.
+const replyPiece = 32 << 10
+
+// unhurried clears what an earlier request left on a connection. A write deadline
+// stays on it: the next answer on a connection that carried a stream would
+// fail once that deadline has passed, although its caller reads.
+func unhurried(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		// A connection without deadlines, as in tests, has nothing to clear.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+		next.ServeHTTP(w, req)
+	})
+}
+
+// reply writes a whole answer. A caller who takes none of it for the write
+// pause is given up; otherwise it would hold a place among the streams, and
+// the instance's stop, for ever.
+func (s *Server) reply(w http.ResponseWriter, status int, kind string, body []byte) {
+	control := http.NewResponseController(w)
+	w.Header().Set("Content-Type", kind)
+	w.WriteHeader(status)
+	for len(body) > 0 {
+		piece := body[:min(len(body), replyPiece)]
+		body = body[len(piece):]
+		if s.Limits.WriteTime > 0 {
+			_ = control.SetWriteDeadline(time.Now().Add(s.Limits.WriteTime))
+		}
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+	}
+}
+
+// replyJSON writes v, which always encodes.
+func (s *Server) replyJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		status, body = http.StatusInternalServerError, nil
+	}
+	s.reply(w, status, "application/json", append(body, '\n'))
+}
--- a/internal/wire/entry/stream.go
+++ b/internal/wire/entry/stream.go
@@ -134,7 +134,7 @@
 func (e *events) close(result chain.Result, err error) error {
 	if err != nil && e.out == nil {
 		if !errors.Is(err, errGone) {
-			faultOf(err).write(e.w)
+			e.server.fault(e.w, err)
 		}
 		return err
 	}
@@ -144,7 +144,7 @@
 	case err == nil:
 		last = e.out.push(func(b []byte) []byte { return e.end(b, result) })
 	case !errors.Is(err, errSlow) && !errors.Is(err, errGone):
-		_ = e.out.push(func(b []byte) []byte { return fault(b, err) })
+		_ = e.out.push(func(b []byte) []byte { return faultEvent(b, err) })
 	}
 	if wrote := e.out.finish(); wrote != nil {
 		return wrote
@@ -175,7 +175,7 @@
 	return append(b, "data: [DONE]\n\n"...)
 }
 
-func fault(b []byte, err error) []byte {
+func faultEvent(b []byte, err error) []byte {
 	data, failed := json.Marshal(faultOf(err).body())
 	if failed != nil {
 		return b
--- a/internal/wire/entry/stream_test.go
+++ b/internal/wire/entry/stream_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -141,6 +143,70 @@
 	})
 }
 
+// The caller asks for a whole answer and reads none of it. The request ends
+// after the write pause and gives its place back; an instance that stops would
+// otherwise wait for that caller for ever.
+func TestWholeAnswerThatNobodyReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(&models{words: []string{strings.Repeat("x", 1<<20)}})
+		s.Limits.WriteTime = time.Minute
+		s.Limits.Streams = 1
+		whole := strings.Replace(ask, "true", "false", 1)
+		raw(t, s, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+key+
+			"\r\nContent-Length: "+strconv.Itoa(len(whole))+"\r\n\r\n"+whole, false)
+		synctest.Wait()
+		wantFault(t, chat(s, ask), http.StatusServiceUnavailable, "busy")
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+		if w := chat(s, ask); w.Code != http.StatusOK {
+			t.Errorf("got %d after the write pause, want 200", w.Code)
+		}
+	})
+}
+
+// The balancer keeps a connection. Long after a stream on it, when the
+// stream's last write deadline has passed, the next question on it is
+// answered, also by what sets no deadline of its own, such as /readyz.
+func TestConnectionServesAgainAfterAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(&models{words: []string{"a"}})
+		s.Limits.WriteTime = 30 * time.Second
+		mux := http.NewServeMux()
+		mux.Handle("/v1/", s.Handler())
+		mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ready")) })
+		l := inmem.Listen()
+		server := s.HTTP(mux, nil)
+		go func() { _ = server.Serve(l) }()
+		dials := 0
+		transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			dials++
+			return l.Dial(ctx, network, address)
+		}}
+		client := &http.Client{Transport: transport}
+		for _, path := range []string{"/v1/chat/completions", "/readyz", "/v1/chat/completions"} {
+			req, err := http.NewRequest(http.MethodPost, "http://in"+path, strings.NewReader(ask))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("Authorization", "Bearer "+key)
+			resp, err := client.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := readAll(t, resp.Body); resp.StatusCode != http.StatusOK || got == "" {
+				t.Errorf("got %d %q from %s, want an answer", resp.StatusCode, got, path)
+			}
+			_ = resp.Body.Close()
+			time.Sleep(time.Minute)
+		}
+		if dials != 1 {
+			t.Errorf("got %d connections, want 1", dials)
+		}
+		transport.CloseIdleConnections()
+		_ = server.Close()
+	})
+}
+
 type runFunc func(ctx context.Context, job chain.Job, sink chain.Sink) (chain.Result, error)
 
 func (f runFunc) Run(ctx context.Context, job chain.Job, sink chain.Sink) (chain.Result, error) {
