--- a/internal/app/cmds/trial.go
+++ b/internal/app/cmds/trial.go
@@ -19,8 +19,6 @@
 const (
 	trialKey   = "trial-key"
 	trialLayer = 200 * time.Microsecond
-	trialBody  = 1 << 20
-	trialLimit = 4096
 	trialWatch = 500 * time.Millisecond
 )
 
@@ -53,14 +51,11 @@
 	if err != nil {
 		return err
 	}
-	d := &daemon.Daemon{
-		Log: log, Listener: l, Config: trialConfig(),
-		Settings: setup.File{
-			Instance: setup.Instance{Name: "trial-1", DataCentre: trial.Centre},
-			Platform: setup.Platform{Table: site.URL(), Watch: trialWatch},
-			Limits:   setup.Limits{Body: trialBody, Tokens: trialLimit},
-		},
-	}
+	settings := setup.Default()
+	settings.Instance = setup.Instance{Name: "trial-1", DataCentre: trial.Centre}
+	settings.Platform = setup.Platform{Table: site.URL(), Watch: trialWatch}
+	settings.Times.Grace = 0
+	d := &daemon.Daemon{Log: log, Callers: l, Config: trialConfig(), Settings: settings}
 	printTrial(cmd.OutOrStdout(), l.Addr().String())
 	return d.Run(cmd.Context())
 }
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -7,109 +7,95 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 
+	"fulmarwick/internal/app/halt"
 	"fulmarwick/internal/app/setup"
-	"fulmarwick/internal/route/core"
-	"fulmarwick/internal/route/world"
 	"fulmarwick/internal/state/config"
-	"fulmarwick/internal/state/ledger"
-	"fulmarwick/internal/state/store"
-	"fulmarwick/internal/wire/chain"
-	"fulmarwick/internal/wire/engine"
-	"fulmarwick/internal/wire/entry"
-	"fulmarwick/internal/wire/loop"
-	"fulmarwick/internal/wire/plain"
-	"fulmarwick/internal/wire/watch"
 
 	"github.com/go-faster/errors"
-	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
 
-const headerTimeout = 10 * time.Second
-
 // Daemon is one instance. Set the exported fields before Run.
 type Daemon struct {
 	Settings setup.File
 	Log      *zap.Logger
-	// Listener serves callers; nil listens where the settings say.
-	Listener net.Listener
-	// Config is put in force at start.
+	// Build is the version of the program.
+	Build string
+	// Callers, Peers and Operators are listeners to serve on; a nil one is
+	// opened where the settings say.
+	Callers   net.Listener
+	Peers     net.Listener
+	Operators net.Listener
+	// Config is put in force at start, if not nil.
 	Config *config.Snapshot
+
+	halt halt.Halt
 }
 
-// Run serves until ctx ends, then finishes every request in progress.
+// Hurry begins the graceful stop without waiting for the balancer. Requests in
+// progress go on.
+func (d *Daemon) Hurry() { d.halt.Hurry() }
+
+// Run serves until ctx ends or an operator drains the instance, then finishes
+// every request in progress and returns.
 func (d *Daemon) Run(ctx context.Context) error {
-	listener, err := d.listen(ctx)
-	if err != nil {
+	d.halt.Grace = d.Settings.Times.Grace
+	d.halt.Log = d.Log
+	p := &parts{Daemon: d}
+	if err := p.build(ctx); err != nil {
 		return err
 	}
-	table := &store.Client{Base: d.Settings.Platform.Table, HTTP: &http.Client{}}
-	pool := &engine.Pool{}
-	defer pool.Close()
-	sender := &plain.Sender{HTTP: plain.NewHTTP()}
-	lp := &loop.Loop{Logic: &core.Logic{}}
-	book := &config.Book{}
-	d.configure(book, lp)
-	watcher := &watch.Watcher{
-		List: table, Loop: lp, Engines: pool, Services: sender,
-		HTTP: &http.Client{}, Log: d.Log, Every: d.Settings.Platform.Watch,
-	}
-	callers := &entry.Server{
-		Models: &chain.Runner{Engines: pool, Router: lp},
-		Calls:  &ledger.Ledger{Table: table, Sender: sender},
-		Book:   book,
-		Limits: entry.Limits{Body: d.Settings.Limits.Body, Tokens: d.Settings.Limits.Tokens},
-		Log:    d.Log,
-	}
-	server := &http.Server{Handler: d.handler(callers), ReadHeaderTimeout: headerTimeout}
-	return d.run(ctx, listener, server, lp, watcher)
+	defer p.close()
+	go func() {
+		select {
+		case <-ctx.Done():
+			d.halt.Begin()
+		case <-d.halt.Begun():
+		}
+	}()
+	return p.run(context.WithoutCancel(ctx))
 }
 
-func (d *Daemon) listen(ctx context.Context) (net.Listener, error) {
-	if d.Listener != nil {
-		return d.Listener, nil
+// run serves until the graceful stop is over. What serves requests lives until
+// the last request ended, and only then is stopped.
+func (p *parts) run(ctx context.Context) error {
+	inner, stop := context.WithCancel(ctx)
+	defer stop()
+	var g errgroup.Group
+	for _, part := range p.runners() {
+		g.Go(func() error { return part(inner) })
 	}
-	l, err := new(net.ListenConfig).Listen(ctx, "tcp", d.Settings.Listen.Callers)
-	if err != nil {
-		return nil, errors.Wrap(err, "daemon: listen")
+	for _, s := range p.servers {
+		g.Go(func() error { return p.serve(s, stop) })
 	}
-	return l, nil
+	g.Go(func() error {
+		defer stop()
+		return p.stopped(ctx)
+	})
+	return g.Wait()
 }
 
-func (d *Daemon) configure(book *config.Book, lp *loop.Loop) {
-	if d.Config == nil || !book.Take(d.Config) {
-		return
+func (p *parts) serve(s served, stop func()) error {
+	p.Log.Info("daemon: serving "+s.name, zap.Stringer("address", s.listener.Addr()))
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
 	}
-	lp.Post(world.ConfigSet{Version: d.Config.Version(), Classes: d.Config.Classes(), Teams: d.Config.Teams()})
-}
-
-func (d *Daemon) handler(callers *entry.Server) http.Handler {
-	r := mux.NewRouter()
-	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	r.PathPrefix("/v1/").Handler(callers.Handler())
-	return r
+	p.halt.Hurry()
+	stop()
+	return errors.Wrapf(err, "daemon: serve %s", s.name)
 }
 
-// run keeps the loop and the watcher alive until the last request ended.
-func (d *Daemon) run(ctx context.Context, l net.Listener, s *http.Server, lp *loop.Loop, w *watch.Watcher) error {
-	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	var g errgroup.Group
-	g.Go(func() error { return lp.Run(inner) })
-	g.Go(func() error { return w.Run(inner) })
-	g.Go(func() error {
-		defer stop()
-		<-ctx.Done()
-		d.Log.Info("daemon: stopping, requests in progress go on")
-		return s.Shutdown(context.WithoutCancel(ctx))
-	})
-	d.Log.Info("daemon: serving", zap.String("instance", d.Settings.Instance.Name), zap.Stringer("address", l.Addr()))
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		stop()
-		return errors.Wrap(err, "daemon: serve")
+// stopped waits for the end of the graceful stop.
+func (p *parts) stopped(ctx context.Context) error {
+	if err := p.halt.Run(ctx, p.callers); err != nil {
+		return errors.Wrap(err, "daemon: stop")
 	}
-	return g.Wait()
+	for _, s := range p.servers {
+		_ = s.server.Close()
+	}
+	p.Log.Info("daemon: stopped")
+	return nil
 }
--- a/internal/app/daemon/daemon_test.go
+++ b/internal/app/daemon/daemon_test.go
@@ -41,17 +41,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &daemon.Daemon{
-		Log: zap.NewNop(), Listener: l, Config: snapshot(),
-		Settings: setup.File{
-			Instance: setup.Instance{Name: "t-1", DataCentre: trial.Centre},
-			Platform: setup.Platform{Table: site.URL(), Watch: 20 * time.Millisecond},
-			Limits:   setup.Limits{Body: 1 << 20, Tokens: 1000},
-		},
-	}
+	settings := setup.Default()
+	settings.Instance = setup.Instance{Name: "t-1", DataCentre: trial.Centre}
+	settings.Platform = setup.Platform{Table: site.URL(), Watch: 20 * time.Millisecond}
+	settings.Listen.Operators = "127.0.0.1:0"
+	settings.Times.Grace = 0
+	d := &daemon.Daemon{Log: zap.NewNop(), Callers: l, Config: snapshot(), Settings: settings}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
-	go func() { done <- d.Run(ctx) }()
+	go func() {
+		err := d.Run(ctx)
+		// Whoever waits for an instance that ended early learns it at once.
+		_ = l.Close()
+		done <- err
+	}()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
