Make calls run at most once by an explored protocol

Cause: the first record protocol sent nothing twice in the good case, but told ErrStore for duplicates that ran, trusted stale reads, lost settles in an outage and cut sends when the caller left. A plain http.Client is shown to replay a dropped payment; the sender sends once.

--- a/internal/fakes/desk/desk.go
+++ b/internal/fakes/desk/desk.go
@@ -21,9 +21,16 @@
 	// Delay is how long a call takes.
 	Delay time.Duration
 
-	mu   sync.Mutex
-	runs map[string]int
-	cut  int
+	mu    sync.Mutex
+	runs  map[string]int
+	done  map[scope]int
+	cut   int
+	reads int
+}
+
+// scope is what an outcome is kept under: keys of two teams may be equal.
+type scope struct {
+	team, class, key string
 }
 
 // answer is what a call returns.
@@ -47,6 +54,14 @@
 	d.cut = n
 }
 
+// Drop makes the next n calls read their request and drop the connection
+// without running.
+func (d *Desk) Drop(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reads = n
+}
+
 // Handler serves POST /v1/calls/{class} and GET /v1/outcomes/{key}.
 func (d *Desk) Handler() http.Handler {
 	r := mux.NewRouter()
@@ -61,7 +76,10 @@
 	if d.Delay > 0 {
 		time.Sleep(d.Delay)
 	}
-	n, cut := d.record(key)
+	if d.drops() {
+		panic(http.ErrAbortHandler)
+	}
+	n, cut := d.record(scope{team: req.Header.Get("X-Team"), class: mux.Vars(req)["class"], key: key})
 	if cut {
 		panic(http.ErrAbortHandler)
 	}
@@ -69,26 +87,41 @@
 	_ = json.NewEncoder(w).Encode(answer{Service: d.Name, Key: key, Run: n})
 }
 
-func (d *Desk) record(key string) (n int, cut bool) {
+func (d *Desk) drops() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.reads == 0 {
+		return false
+	}
+	d.reads--
+	return true
+}
+
+func (d *Desk) record(sc scope) (n int, cut bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.runs == nil {
 		d.runs = map[string]int{}
+		d.done = map[scope]int{}
 	}
-	d.runs[key]++
+	d.runs[sc.key]++
+	d.done[sc]++
 	if d.cut > 0 {
 		d.cut--
 		cut = true
 	}
-	return d.runs[key], cut
+	return d.runs[sc.key], cut
 }
 
 func (d *Desk) outcome(w http.ResponseWriter, req *http.Request) {
 	key := mux.Vars(req)["key"]
-	if d.Runs(key) == 0 {
-		http.Error(w, "not run", http.StatusNotFound)
+	d.mu.Lock()
+	n := d.done[scope{team: req.Header.Get("X-Team"), class: req.Header.Get("X-Class"), key: key}]
+	d.mu.Unlock()
+	if n == 0 {
+		http.Error(w, "not known", http.StatusNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer{Service: d.Name, Key: key, Run: d.Runs(key)})
+	_ = json.NewEncoder(w).Encode(answer{Service: d.Name, Key: key, Run: n})
 }
--- a/internal/state/ledger/call.go
+++ b/internal/state/ledger/call.go
@@ -81,10 +81,14 @@
 type Outcome struct {
 	state  State
 	answer Answer
+	why    string
 }
 
 // State is what is known of the call.
 func (o Outcome) State() State { return o.state }
 
+// Why is a sentence on how a call came to be notrun or unsure; it may be empty.
+func (o Outcome) Why() string { return o.why }
+
 // Answer is the stored answer of a call that is done.
 func (o Outcome) Answer() Answer { return o.answer }
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -1,18 +1,21 @@
 // Package ledger keeps the records that make a call run at most once.
 //
-// It imports base/spec and state/store. Package entry calls Do and Look.
+// It imports base/spec and state/store. Package entry calls Do and Look; the
+// daemon calls Wait at a stop and Trim as a duty.
 //
 // One conditional commit writes the record before anything is sent. Whoever
-// wrote it sends, once; everybody else reads the record.
+// wrote it sends, once; everybody else reads the record. Attempt has the
+// protocol, Ledger runs it against the store and the service.
 package ledger
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/state/store"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 )
@@ -23,9 +26,24 @@
 	ErrNotSent = errors.New("ledger: not sent")
 	// ErrBody means that the key was used with another body.
 	ErrBody = errors.New("ledger: key was used with another body")
-	// ErrStore means that the record could not be read or written; a call
-	// that ends so was not sent.
+	// ErrStore means that the record could not be written or read back; a
+	// call that ends so was not sent and will not be.
 	ErrStore = errors.New("ledger: records out of reach")
+	// ErrUnread means that a look-up could not read the record. It tells
+	// nothing about the call.
+	ErrUnread = errors.New("ledger: record could not be read")
+	// ErrLeft means that the caller left. The call goes on without it.
+	ErrLeft = errors.New("ledger: caller left")
+)
+
+const (
+	defaultPolls   = 12
+	defaultBacklog = 10000
+	pollFirst      = 20 * time.Millisecond
+	pollMost       = 2 * time.Second
+	retryFirst     = 100 * time.Millisecond
+	retryMost      = 30 * time.Second
+	askTimeout     = 5 * time.Second
 )
 
 // Table is the part of the platform's table that the ledger needs.
@@ -39,130 +57,183 @@
 	Send(ctx context.Context, c Call) (Answer, error)
 }
 
-// Ledger runs calls at most once. Set the exported fields before use.
+// Asker asks an upstream for the outcome of a call by its key. Any error
+// leaves the outcome open.
+type Asker interface {
+	Ask(ctx context.Context, c Call) (Answer, error)
+}
+
+// Ledger runs calls at most once. Set the exported fields before use; Table
+// and Sender are needed.
 type Ledger struct {
 	Table  Table
 	Sender Sender
+	// Asker is for services of which Asks is true; nil asks nobody.
+	Asker Asker
+	Asks  func(spec.ServiceName) bool
+	// Repeats says which classes may run more than once. Their calls are sent
+	// without a record; nil means none.
+	Repeats func(spec.ClassName) bool
+	// Owner names this incarnation of the process; empty makes a name up.
+	Owner string
+	// Gone reports evidence that another incarnation ended; nil knows none.
+	Gone func(owner string) bool
+	// Now is the wall clock for retention; nil is time.Now.
+	Now func() time.Time
+	// Jitter returns a factor around 1 for waits; nil is always 1.
+	Jitter func() float64
+	// Backlog bounds the records to settle or clear in the background; at the
+	// bound new calls are refused. Zero is 10,000.
+	Backlog int
+
+	once    sync.Once
+	running sync.WaitGroup
+	mu      sync.Mutex
+	flights map[string]*flight
+	begun   recent
+	late    int
 }
 
-// record is the row of a call. Fields are exported for the codec.
-type record struct {
-	Sum     uint64 `cbor:"1,keyasint"`
-	Attempt string `cbor:"2,keyasint"`
-	State   State  `cbor:"3,keyasint"`
-	Status  int    `cbor:"4,keyasint,omitempty"`
-	Type    string `cbor:"5,keyasint,omitempty"`
-	Body    []byte `cbor:"6,keyasint,omitempty"`
-}
-
-// Do runs the call unless its record says that it was started before.
+// Do runs the call unless its record says that it was started before. It may
+// return ErrBody, ErrStore or ErrLeft; whatever the caller does, a call that
+// was begun is brought to its end.
 func (l *Ledger) Do(ctx context.Context, c Call) (Outcome, error) {
-	key := rowKey(c.team, c.class, c.key)
-	rec := record{Sum: c.sum(), Attempt: uuid.NewString(), State: StateRunning}
-	version, err := l.begin(ctx, key, rec)
-	if errors.Is(err, store.ErrConflict) {
-		return l.repeat(ctx, c)
+	l.once.Do(l.start)
+	if l.Repeats != nil && l.Repeats(c.class) {
+		return l.plain(ctx, c)
 	}
-	if err != nil {
-		return Outcome{}, errors.Wrap(ErrStore, err.Error())
+	for {
+		f, first := l.enter(c)
+		if first {
+			l.run(f, NewAttempt(l.params(c)))
+		} else if f.sum != c.sum() {
+			return Outcome{}, ErrBody
+		}
+		select {
+		case <-f.told:
+		case <-ctx.Done():
+			return Outcome{}, errors.Wrap(ErrLeft, ctx.Err().Error())
+		}
+		if first || f.err == nil && f.outcome.state != StateNotRun {
+			return f.outcome, f.err
+		}
 	}
-	return l.send(ctx, c, key, rec, version)
 }
 
-// Look returns what is known of the call under key.
+// Look returns what is known of the call under key; StateNone means that
+// there is no record. Its error is ErrUnread.
 func (l *Ledger) Look(ctx context.Context, team spec.TeamID, class spec.ClassName, key string) (Outcome, error) {
-	rec, err := l.load(ctx, rowKey(team, class, key))
-	if errors.Is(err, store.ErrMissing) {
-		return Outcome{state: StateNone}, nil
-	}
-	if err != nil {
-		return Outcome{}, errors.Wrap(ErrStore, err.Error())
-	}
-	return rec.outcome(), nil
+	return l.LookAt(ctx, NewCall(team, class, "", key, "", nil))
 }
 
-func (l *Ledger) begin(ctx context.Context, key string, rec record) (uint64, error) {
-	data, err := cbor.Marshal(rec)
-	if err != nil {
-		return 0, errors.Wrap(err, "ledger: encode")
+// LookAt is Look for a call whose service is known, so that the service can be
+// asked for the outcome of an unsure one.
+func (l *Ledger) LookAt(ctx context.Context, c Call) (Outcome, error) {
+	l.once.Do(l.start)
+	p := l.params(c)
+	p.Polls = 0
+	a := NewLook(p)
+	for {
+		act := a.Next()
+		if act.kind == ActEnd {
+			out, err, _ := a.Told()
+			return out, err
+		}
+		a.Take(l.perform(ctx, c, act))
 	}
-	version, err := l.Table.Commit(ctx, []store.Write{store.Put(key, 0, data)})
-	if !errors.Is(err, store.ErrUnsure) {
-		return version, err
+}
+
+// Wait returns when every call is at its end and its record settled, or with
+// the error of ctx. After that error records stay at running, and others will
+// call them unsure.
+func (l *Ledger) Wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		l.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "ledger: records left unsettled")
 	}
-	return l.readBack(ctx, key, rec.Attempt)
 }
 
-// readBack settles a commit whose answer was lost: the call may be sent only
-// if the row holds this very attempt.
-func (l *Ledger) readBack(ctx context.Context, key, attempt string) (uint64, error) {
-	row, err := l.Table.Get(ctx, key)
-	if err != nil {
-		return 0, err
+// Late is how many records wait in the background to be settled or cleared.
+func (l *Ledger) Late() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.late
+}
+
+func (l *Ledger) start() {
+	if l.Owner == "" {
+		l.Owner = uuid.NewString()
+	}
+	if l.Gone == nil {
+		l.Gone = func(string) bool { return false }
 	}
-	var rec record
-	if err := cbor.Unmarshal(row.Value(), &rec); err != nil {
-		return 0, errors.Wrap(err, "ledger: decode")
+	if l.Now == nil {
+		l.Now = time.Now
 	}
-	if rec.Attempt != attempt {
-		return 0, store.ErrConflict
+	if l.Jitter == nil {
+		l.Jitter = func() float64 { return 1 }
+	}
+	if l.Backlog == 0 {
+		l.Backlog = defaultBacklog
+	}
+	l.flights = map[string]*flight{}
+}
+
+func (l *Ledger) params(c Call) Params {
+	return Params{
+		Call: c, ID: uuid.NewString(), Owner: l.Owner, Gone: l.Gone, Now: l.Now, Polls: defaultPolls,
+		Begun: l.begun.has(rowKey(c.team, c.class, c.key)),
+		Asks:  l.Asker != nil && l.Asks != nil && l.Asks(c.service),
 	}
-	return row.Version(), nil
 }
 
-func (l *Ledger) send(ctx context.Context, c Call, key string, rec record, version uint64) (Outcome, error) {
+// plain sends a call that may be repeated, without a record.
+func (l *Ledger) plain(ctx context.Context, c Call) (Outcome, error) {
 	answer, err := l.Sender.Send(ctx, c)
 	switch {
 	case err == nil:
-		rec.State = StateDone
-		rec.Status, rec.Type, rec.Body = answer.status, answer.kind, answer.body
+		return Outcome{state: StateDone, answer: answer}, nil
 	case errors.Is(err, ErrNotSent):
-		rec.State = StateNotRun
+		return Outcome{state: StateNotRun, why: err.Error()}, nil
 	default:
-		rec.State = StateUnsure
+		return Outcome{state: StateUnsure, why: err.Error()}, nil
 	}
-	l.settle(ctx, key, rec, version)
-	return rec.outcome(), nil
 }
 
-// settle writes the end of a call. If that fails the row stays at running,
-// which is true but vague; the caller has its answer already.
-func (l *Ledger) settle(ctx context.Context, key string, rec record, version uint64) {
-	data, err := cbor.Marshal(rec)
-	if err != nil {
-		return
+// perform does one action and returns its result.
+func (l *Ledger) perform(ctx context.Context, c Call, act Action) Result {
+	var r Result
+	switch act.kind {
+	case ActCommit:
+		r.Version, r.Err = l.Table.Commit(ctx, []store.Write{act.write})
+	case ActRead:
+		r.Row, r.Err = l.Table.Get(ctx, rowKey(c.team, c.class, c.key))
+	case ActSend:
+		r.Answer, r.Err = l.Sender.Send(ctx, c)
+	case ActAsk:
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		r.Answer, r.Err = l.Asker.Ask(ctx, c)
+	case ActWait:
+		l.pause(pollFirst, pollMost, act.tries)
+	case ActRetry:
+		l.pause(retryFirst, retryMost, act.tries)
 	}
-	_, _ = l.Table.Commit(context.WithoutCancel(ctx), []store.Write{store.Put(key, version, data)})
+	return r
 }
 
-// repeat answers a call whose record exists.
-func (l *Ledger) repeat(ctx context.Context, c Call) (Outcome, error) {
-	rec, err := l.load(ctx, rowKey(c.team, c.class, c.key))
-	if err != nil {
-		return Outcome{}, errors.Wrap(ErrStore, err.Error())
+// pause waits twice as long with each try, up to most.
+func (l *Ledger) pause(first, most time.Duration, tries int) {
+	d := most
+	if tries < 16 {
+		d = min(most, first<<max(0, tries-1))
 	}
-	if rec.Sum != c.sum() {
-		return Outcome{}, ErrBody
-	}
-	return rec.outcome(), nil
-}
-
-func (l *Ledger) load(ctx context.Context, key string) (record, error) {
-	var rec record
-	row, err := l.Table.Get(ctx, key)
-	if err != nil {
-		return rec, err
-	}
-	if err := cbor.Unmarshal(row.Value(), &rec); err != nil {
-		return rec, errors.Wrap(err, "ledger: decode")
-	}
-	return rec, nil
-}
-
-func (r record) outcome() Outcome {
-	return Outcome{state: r.State, answer: NewAnswer(r.Status, r.Type, r.Body)}
-}
-
-func rowKey(team spec.TeamID, class spec.ClassName, key string) string {
-	return "call/" + string(team) + "/" + string(class) + "/" + key
+	time.Sleep(time.Duration(float64(d) * l.Jitter()))
 }
--- /dev/null
+++ b/internal/state/ledger/ledger_test.go
@@ -0,0 +1,328 @@
+package ledger_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fakes/infra"
+	"fulmarwick/internal/state/ledger"
+
+	"github.com/go-faster/errors"
+)
+
+// service is a plain service in memory.
+type service struct {
+	mu    sync.Mutex
+	runs  int
+	delay time.Duration
+	// before is called with each send before it runs.
+	before func()
+	// errs are given instead of the answers, first to last; errCut after
+	// running, ErrNotSent without.
+	errs []error
+}
+
+func (s *service) Send(context.Context, ledger.Call) (ledger.Answer, error) {
+	if s.before != nil {
+		s.before()
+	}
+	time.Sleep(s.delay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var err error
+	if len(s.errs) > 0 {
+		err, s.errs = s.errs[0], s.errs[1:]
+	}
+	if !errors.Is(err, ledger.ErrNotSent) {
+		s.runs++
+	}
+	return ledger.NewAnswer(200, "text/plain", []byte("receipt")), err
+}
+
+func (s *service) Ask(context.Context, ledger.Call) (ledger.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs == 0 {
+		return ledger.Answer{}, errCut
+	}
+	return ledger.NewAnswer(200, "text/plain", []byte("receipt")), nil
+}
+
+func payment(body string) ledger.Call {
+	return ledger.NewCall("team", "payment", "payments", "k1", "text/plain", []byte(body))
+}
+
+func do(t *testing.T, l *ledger.Ledger, body string) ledger.State {
+	t.Helper()
+	out, err := l.Do(t.Context(), payment(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out.State()
+}
+
+func look(t *testing.T, l *ledger.Ledger) ledger.State {
+	t.Helper()
+	out, err := l.Look(t.Context(), "team", "payment", "k1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out.State()
+}
+
+func want(t *testing.T, what string, got, want any) {
+	t.Helper()
+	if got != want {
+		t.Errorf("got %v for %s, want %v", got, what, want)
+	}
+}
+
+// A clerk sends a payment, loses patience and sends it again, to the same and
+// to another instance, while the first is running for 3 s. All three see the
+// one receipt: the first sends, the others wait for what it stores.
+func TestDuplicatesGetTheOneAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, svc := &infra.Table{}, &service{delay: 3 * time.Second}
+		a, b := &ledger.Ledger{Table: table, Sender: svc}, &ledger.Ledger{Table: table, Sender: svc}
+		var all sync.WaitGroup
+		for _, l := range []*ledger.Ledger{a, a, b} {
+			all.Go(func() {
+				out, err := l.Do(t.Context(), payment("1"))
+				if err != nil || string(out.Answer().Body()) != "receipt" {
+					t.Errorf("got %v %q %v, want the receipt", out.State(), out.Answer().Body(), err)
+				}
+			})
+			synctest.Wait()
+		}
+		all.Wait()
+		want(t, "runs", svc.runs, 1)
+		_, err := b.Do(t.Context(), payment("2"))
+		want(t, "another body", errors.Is(err, ledger.ErrBody), true)
+	})
+}
+
+// A service hangs for an hour. The duplicate at another instance is told
+// running after its bound, not held back for the hour.
+func TestDuplicateOfLongCallIsToldRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, svc := &infra.Table{}, &service{delay: time.Hour}
+		a, b := &ledger.Ledger{Table: table, Sender: svc}, &ledger.Ledger{Table: table, Sender: svc}
+		go func() { _, _ = a.Do(t.Context(), payment("1")) }()
+		synctest.Wait()
+		start := time.Now()
+		want(t, "the duplicate", do(t, b, "1"), ledger.StateRunning)
+		if got := time.Since(start); got > 30*time.Second {
+			t.Errorf("got the answer after %v, want within 30s", got)
+		}
+		if err := a.Wait(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		want(t, "the look-up after", look(t, b), ledger.StateDone)
+	})
+}
+
+// The caller's connection breaks while its payment runs, and the instance is
+// told to stop. The send is not cut, and Wait returns once it is on record.
+func TestCallerLeavesAndInstanceStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, svc := &infra.Table{}, &service{delay: 5 * time.Second}
+		l := &ledger.Ledger{Table: table, Sender: svc}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := l.Do(ctx, payment("1"))
+		want(t, "the caller that left", errors.Is(err, ledger.ErrLeft), true)
+		if err := l.Wait(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		want(t, "the record", look(t, l), ledger.StateDone)
+		want(t, "runs", svc.runs, 1)
+	})
+}
+
+// The platform's table fails at one step of a payment. The caller sees what
+// is true at that moment, and the record says it in the end.
+func TestStoreFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		before infra.Faults // while the call begins
+		during infra.Faults // while the service runs it
+		told   ledger.State // StateNone for ErrStore
+		after  ledger.State
+		runs   int
+	}{
+		{"down before the send", infra.Faults{Down: true}, infra.Faults{}, ledger.StateNone, ledger.StateNone, 0},
+		{"first answer lost, taken", infra.Faults{Lose: 1}, infra.Faults{}, ledger.StateDone, ledger.StateDone, 1},
+		{"first answer lost, not taken", infra.Faults{Drop: 1}, infra.Faults{}, ledger.StateNone, ledger.StateNotRun, 0},
+		{"first answer lost, read stale", infra.Faults{Lose: 1, Stale: true}, infra.Faults{}, ledger.StateNone, ledger.StateNotRun, 0},
+		{"down after the send", infra.Faults{}, infra.Faults{Down: true}, ledger.StateDone, ledger.StateDone, 1},
+		{"last answer lost, taken", infra.Faults{}, infra.Faults{Lose: 1}, ledger.StateDone, ledger.StateDone, 1},
+		{"last answer lost, not taken", infra.Faults{}, infra.Faults{Drop: 1}, ledger.StateDone, ledger.StateDone, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := &infra.Table{}
+				svc := &service{before: func() { table.Fault(c.during) }}
+				l := &ledger.Ledger{Table: table, Sender: svc}
+				table.Fault(c.before)
+				out, err := l.Do(t.Context(), payment("1"))
+				want(t, "the caller", out.State(), c.told)
+				want(t, "refused", errors.Is(err, ledger.ErrStore), c.told == ledger.StateNone)
+				time.Sleep(time.Minute)
+				table.Fault(infra.Faults{})
+				if err := l.Wait(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				want(t, "the record", look(t, l), c.after)
+				want(t, "runs", svc.runs, c.runs)
+				want(t, "late records", l.Late(), 0)
+			})
+		})
+	}
+}
+
+// The service refuses the connection: the caller is told not run and may send
+// the same key again, which then runs. A later outage of the store makes a
+// third send unsure and not "not run", since this instance saw the key begun.
+func TestNotRunMayRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, svc := &infra.Table{}, &service{errs: []error{ledger.ErrNotSent}}
+		l := &ledger.Ledger{Table: table, Sender: svc}
+		want(t, "the refused send", do(t, l, "1"), ledger.StateNotRun)
+		want(t, "the record", look(t, l), ledger.StateNotRun)
+		want(t, "the second send", do(t, l, "1"), ledger.StateDone)
+		table.Fault(infra.Faults{Down: true})
+		want(t, "the third, store down", do(t, l, "1"), ledger.StateUnsure)
+		_, err := l.Look(t.Context(), "team", "payment", "k1")
+		want(t, "a look-up, store down", errors.Is(err, ledger.ErrUnread), true)
+		want(t, "runs", svc.runs, 1)
+	})
+}
+
+// Stale reads show the row as it was before the payment ran. A look-up that
+// believed them would tell the clerk "not run" of a payment that ran.
+func TestStaleLookNeverSaysNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, svc := &infra.Table{}, &service{errs: []error{ledger.ErrNotSent}}
+		l := &ledger.Ledger{Table: table, Sender: svc}
+		do(t, l, "1")
+		do(t, l, "1")
+		for _, f := range []infra.Faults{{Stale: true}} {
+			table.Fault(f)
+			out, err := l.Look(t.Context(), "team", "payment", "k1")
+			if err == nil && (out.State() == ledger.StateNotRun || out.State() == ledger.StateNone) {
+				t.Errorf("got %v, want an error or a later state", out.State())
+			}
+		}
+	})
+}
+
+// An instance dies with a payment in the service. Others see running, then
+// unsure once its incarnation is known to be gone, then the service's word,
+// where it gives one. When the process was only paused, its own answer still
+// ends up on record.
+func TestDeadInstanceLeavesUnsure(t *testing.T) {
+	for _, asks := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			table, svc := &infra.Table{}, &service{delay: time.Hour}
+			a := &ledger.Ledger{Table: table, Sender: svc, Owner: "a/1"}
+			gone := false
+			b := &ledger.Ledger{
+				Table: table, Sender: svc, Owner: "b/1", Asker: svc,
+				Asks: func(spec.ServiceName) bool { return asks },
+				Gone: func(owner string) bool { return gone && owner == "a/1" },
+			}
+			go func() { _, _ = a.Do(t.Context(), payment("1")) }()
+			synctest.Wait()
+			want(t, "before the evidence", look(t, b), ledger.StateRunning)
+			gone = true
+			want(t, "after the evidence", look(t, b), ledger.StateUnsure)
+			svc.mu.Lock()
+			svc.runs++
+			svc.mu.Unlock()
+			state := ledger.StateUnsure
+			if asks {
+				state = ledger.StateDone
+			}
+			want(t, "the outcome after it ran", do(t, b, "1"), state)
+			if err := a.Wait(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			want(t, "after the paused one woke", look(t, b), ledger.StateDone)
+		})
+	}
+}
+
+// The answer of the service is lost after it ran. The caller is told unsure,
+// or the answer if the service can be asked; a second send runs nothing.
+func TestLostAnswer(t *testing.T) {
+	for _, asks := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			svc := &service{errs: []error{errCut}}
+			l := &ledger.Ledger{Table: &infra.Table{}, Sender: svc, Asker: svc, Asks: func(spec.ServiceName) bool { return asks }}
+			state := ledger.StateUnsure
+			if asks {
+				state = ledger.StateDone
+			}
+			want(t, "the caller", do(t, l, "1"), state)
+			want(t, "the second send", do(t, l, "1"), state)
+			want(t, "runs", svc.runs, 1)
+		})
+	}
+}
+
+// Old records go, young, running and unsure ones stay, and one instance whose
+// clock is years ahead removes nothing that others wrote today.
+func TestTrim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &infra.Table{}
+		svc := &service{errs: []error{nil, ledger.ErrNotSent, errCut}}
+		l := &ledger.Ledger{Table: table, Sender: svc}
+		call := func(key string) {
+			if _, err := l.Do(t.Context(), ledger.NewCall("team", "payment", "payments", key, "", nil)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		call("done")
+		call("notrun")
+		call("unsure")
+		ahead := &ledger.Trimmer{Table: table, Now: func() time.Time { return time.Now().Add(10 * ledger.DefaultKeep) }}
+		n, err := ahead.Trim(t.Context(), 100)
+		if n != 0 || err != nil {
+			t.Errorf("got %d %v with a clock ahead, want 0", n, err)
+		}
+		time.Sleep(ledger.DefaultKeep + time.Minute)
+		call("young")
+		trimmer := &ledger.Trimmer{Table: table}
+		gone := 0
+		for range 6 {
+			n, err := trimmer.Trim(t.Context(), 2)
+			if err != nil {
+				t.Fatal(err)
+			}
+			gone += n
+		}
+		want(t, "records removed", gone, 2)
+	})
+}
+
+// While the store is out for long, the records that wait to be settled stay
+// bounded: new calls are refused before sending.
+func TestBacklogIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, svc := &infra.Table{}, &service{}
+		l := &ledger.Ledger{Table: table, Sender: svc, Backlog: 1}
+		svc.before = func() { table.Fault(infra.Faults{Down: true}) }
+		want(t, "the call that is cut off", do(t, l, "1"), ledger.StateDone)
+		_, err := l.Do(t.Context(), ledger.NewCall("team", "payment", "payments", "k2", "", nil))
+		want(t, "a call at the bound", errors.Is(err, ledger.ErrStore), true)
+		table.Fault(infra.Faults{})
+		if err := l.Wait(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/wire/plain/plain.go
+++ b/internal/wire/plain/plain.go
@@ -1,7 +1,8 @@
 // Package plain is the client of plain services. It sends a call once.
 //
 // It imports base/spec and state/ledger for the call and its answer. The
-// ledger sends calls that may not be repeated through it.
+// ledger sends calls through it and asks it for lost outcomes; the watcher
+// tells it where instances of services are.
 package plain
 
 import (
@@ -10,6 +11,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/url"
 	"sync"
 	"time"
 
@@ -19,20 +22,43 @@
 	"github.com/go-faster/errors"
 )
 
+// Defaults of the fields of Sender.
 const (
-	dialTimeout   = 2 * time.Second
-	answerTimeout = 60 * time.Second
-	maxAnswer     = 1 << 20
+	defaultDial   = 2 * time.Second
+	defaultAnswer = 60 * time.Second
+	defaultMost   = 1 << 20
+	defaultRest   = 5 * time.Second
+	defaultShare  = 0.1
 )
 
-// Sender sends calls to the instances of plain services in turn.
+// Headers that scope an idempotency key: keys of two teams may be equal.
+const (
+	headerKey   = "Idempotency-Key"
+	headerTeam  = "X-Team"
+	headerClass = "X-Class"
+)
+
+// Sender sends calls to the instances of plain services. Set the exported
+// fields before use.
 type Sender struct {
 	// HTTP must not repeat requests; NewHTTP returns one that does not.
 	HTTP *http.Client
+	// Answer bounds the time of one send, dial included; zero is 60 s.
+	Answer time.Duration
+	// Most bounds an answer's body in bytes; zero is 1 MiB.
+	Most int64
+	// Rest is how long an instance that could not be dialled is left alone
+	// while another one can be; zero is 5 s.
+	Rest time.Duration
+	// Repeats says which classes may run more than once; nil means none.
+	Repeats func(spec.ClassName) bool
+	// Share is how many repeats one first send earns; zero is 0.1.
+	Share float64
 
-	mu    sync.Mutex
-	bases map[spec.ServiceName][]string
-	next  int
+	mu     sync.Mutex
+	places places
+	turn   int
+	credit float64
 }
 
 // NewHTTP returns a client that sends each request once.
@@ -40,81 +66,147 @@
 // net/http sends a request again by itself when a reused connection breaks
 // and the request has an Idempotency-Key or a body that it can read anew. The
 // caller would see one payment and the service two. A connection that is
-// never reused cannot break that way, and redirects are not followed.
+// never reused cannot break that way, and redirects are not followed. A fresh
+// connection costs a round trip, and spares the calls that would end unsure
+// because the service closed an idle connection at the same moment.
 func NewHTTP() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			DisableKeepAlives: true,
-			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:       (&net.Dialer{Timeout: defaultDial}).DialContext,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
-// Locate sets the base URLs of a service's instances.
-func (s *Sender) Locate(service spec.ServiceName, bases []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.bases == nil {
-		s.bases = map[spec.ServiceName][]string{}
+// Send sends the call. The error is ledger.ErrNotSent if no byte of it left
+// this process; any other error leaves open whether it ran. An instance that
+// refuses the connection is followed by the next one, since nothing left. A
+// call of a class that may repeat is sent once more after another error, if
+// the budget allows.
+func (s *Sender) Send(ctx context.Context, c ledger.Call) (ledger.Answer, error) {
+	s.earn()
+	answer, err := s.round(ctx, c)
+	if err == nil || errors.Is(err, ledger.ErrNotSent) || !s.mayRepeat(c.Class()) {
+		return answer, err
 	}
-	s.bases[service] = append([]string(nil), bases...)
+	return s.round(ctx, c)
 }
 
-// Send sends the call once. The error is ledger.ErrNotSent if no byte of it
-// left this process; any other error leaves open whether it ran.
-func (s *Sender) Send(ctx context.Context, c ledger.Call) (ledger.Answer, error) {
-	base, ok := s.base(c.Service())
-	if !ok {
-		return ledger.Answer{}, errors.Wrap(ledger.ErrNotSent, "no instance of the service")
+// round tries the instances until one accepts the connection.
+func (s *Sender) round(ctx context.Context, c ledger.Call) (ledger.Answer, error) {
+	tried := map[string]bool{}
+	last := errors.Wrap(ledger.ErrNotSent, "no instance of the service")
+	for {
+		base, ok := s.pick(c.Service(), tried)
+		if !ok {
+			return ledger.Answer{}, last
+		}
+		tried[base] = true
+		answer, err := s.once(ctx, base, c)
+		s.done(c.Service(), base, err)
+		if !errors.Is(err, ledger.ErrNotSent) {
+			return answer, err
+		}
+		last = err
 	}
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+}
+
+// once sends the call to one instance.
+func (s *Sender) once(ctx context.Context, base string, c ledger.Call) (ledger.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout())
 	defer cancel()
-	req, err := request(ctx, base, c)
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	req, err := request(httptrace.WithClientTrace(ctx, trace), base, c)
 	if err != nil {
 		return ledger.Answer{}, errors.Wrap(ledger.ErrNotSent, err.Error())
 	}
 	resp, err := s.HTTP.Do(req)
-	if err != nil {
-		return ledger.Answer{}, sendError(err)
+	switch {
+	case err != nil && !connected:
+		// Without a connection no byte of the request left.
+		return ledger.Answer{}, errors.Wrap(ledger.ErrNotSent, err.Error())
+	case err != nil:
+		return ledger.Answer{}, errors.Wrap(err, "plain: send")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	return s.answer(resp)
+}
+
+// answer reads a whole answer. One that is cut or too long is an error: a part
+// of it must not be stored as what the service said.
+func (s *Sender) answer(resp *http.Response) (ledger.Answer, error) {
+	most := s.Most
+	if most == 0 {
+		most = defaultMost
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
 	if err != nil {
 		return ledger.Answer{}, errors.Wrap(err, "plain: answer cut")
 	}
+	if int64(len(body)) > most {
+		return ledger.Answer{}, errors.Errorf("plain: answer with status %d is longer than %d bytes", resp.StatusCode, most)
+	}
 	return ledger.NewAnswer(resp.StatusCode, resp.Header.Get("Content-Type"), body), nil
 }
 
-func (s *Sender) base(service spec.ServiceName) (string, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	bases := s.bases[service]
-	if len(bases) == 0 {
-		return "", false
+// Ask asks the instances of a service for the outcome of a call. It returns an
+// error unless one of them has its answer.
+func (s *Sender) Ask(ctx context.Context, c ledger.Call) (ledger.Answer, error) {
+	last := errors.New("plain: no instance of the service")
+	for _, base := range s.bases(c.Service()) {
+		answer, err := s.ask(ctx, base, c)
+		if err == nil {
+			return answer, nil
+		}
+		last = err
 	}
-	s.next++
-	return bases[s.next%len(bases)], true
+	return ledger.Answer{}, last
 }
 
+func (s *Sender) ask(ctx context.Context, base string, c ledger.Call) (ledger.Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/outcomes/"+url.PathEscape(c.Key()), http.NoBody)
+	if err != nil {
+		return ledger.Answer{}, errors.Wrap(err, "plain: ask")
+	}
+	scope(req, c)
+	resp, err := s.HTTP.Do(req)
+	if err != nil {
+		return ledger.Answer{}, errors.Wrap(err, "plain: ask")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return ledger.Answer{}, errors.Errorf("plain: outcome not known, status %d", resp.StatusCode)
+	}
+	return s.answer(resp)
+}
+
+func (s *Sender) timeout() time.Duration {
+	if s.Answer == 0 {
+		return defaultAnswer
+	}
+	return s.Answer
+}
+
+// request builds the call as the service gets it. No header of the caller is
+// passed on, so none that concerns one hop only can be.
 func request(ctx context.Context, base string, c ledger.Call) (*http.Request, error) {
 	// NopCloser hides the reader's type, so that the request has no GetBody.
 	body := io.NopCloser(bytes.NewReader(c.Body()))
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/calls/"+string(c.Class()), body)
+	target := base + "/v1/calls/" + url.PathEscape(string(c.Class()))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, body)
 	if err != nil {
 		return nil, err
 	}
 	req.ContentLength = int64(len(c.Body()))
 	req.Header.Set("Content-Type", c.Type())
-	req.Header.Set("Idempotency-Key", c.Key())
+	req.Header.Set(headerKey, c.Key())
+	scope(req, c)
 	return req, nil
 }
 
-// sendError tells a failed dial, after which nothing left, from the rest.
-func sendError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Wrap(ledger.ErrNotSent, err.Error())
-	}
-	return errors.Wrap(err, "plain: send")
+func scope(req *http.Request, c ledger.Call) {
+	req.Header.Set(headerTeam, string(c.Team()))
+	req.Header.Set(headerClass, string(c.Class()))
 }
--- /dev/null
+++ b/internal/wire/plain/plain_test.go
@@ -0,0 +1,249 @@
+package plain_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fakes/desk"
+	"fulmarwick/internal/state/ledger"
+	"fulmarwick/internal/wire/plain"
+
+	"github.com/go-faster/errors"
+)
+
+func payment(key string) ledger.Call {
+	return ledger.NewCall("team", "payment", "payments", key, "text/plain", []byte("42"))
+}
+
+func sender(bases ...string) *plain.Sender {
+	s := &plain.Sender{HTTP: plain.NewHTTP()}
+	s.Locate("payments", bases)
+	return s
+}
+
+func server(t *testing.T, h http.Handler) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// closed is a base URL at which nothing listens.
+func closed(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return "http://" + l.Addr().String()
+}
+
+// dropper answers "warm" requests, so that the connection is kept, and reads
+// and drops every payment, which it counts.
+func dropper(t *testing.T) (string, *atomic.Int32) {
+	var runs atomic.Int32
+	return server(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		if strings.HasPrefix(req.URL.Path, "/warm") {
+			return
+		}
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	})), &runs
+}
+
+func warm(t *testing.T, c *http.Client, base string) {
+	t.Helper()
+	resp, err := c.Get(base + "/warm")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+}
+
+// A service reads a payment, records it and drops a connection that was used
+// before. A plain http.Client sends the payment again by itself, since it has
+// an Idempotency-Key: the service records it twice and the caller never knew.
+// The sender sends it once and says that the outcome is open.
+func TestDroppedConnectionIsNotReplayed(t *testing.T) {
+	base, runs := dropper(t)
+	client := &http.Client{Transport: &http.Transport{}}
+	warm(t, client, base)
+	req, err := http.NewRequest(http.MethodPost, base+"/v1/calls/payment", strings.NewReader("42"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Idempotency-Key", "k1")
+	if _, err := client.Do(req); err == nil {
+		t.Fatal("got an answer, want an error")
+	}
+	if got := runs.Load(); got < 2 {
+		t.Errorf("got %d runs by a plain client, want at least 2 (else this test proves nothing)", got)
+	}
+
+	base, runs = dropper(t)
+	s := sender(base)
+	warm(t, s.HTTP, base)
+	for _, c := range []ledger.Call{payment("k1"), ledger.NewCall("team", "payment", "payments", "k2", "", nil)} {
+		runs.Store(0)
+		_, err = s.Send(t.Context(), c)
+		if err == nil || errors.Is(err, ledger.ErrNotSent) {
+			t.Errorf("got %v, want an error that leaves the outcome open", err)
+		}
+		if got := runs.Load(); got != 1 {
+			t.Errorf("got %d runs by the sender, want 1", got)
+		}
+	}
+}
+
+// The same holds if somebody hands the sender a client that keeps its
+// connections: the request has no GetBody, so net/http cannot send it anew.
+func TestKeptConnectionIsNotReplayed(t *testing.T) {
+	base, runs := dropper(t)
+	s := sender(base)
+	s.HTTP = &http.Client{Transport: &http.Transport{}}
+	warm(t, s.HTTP, base)
+	if _, err := s.Send(t.Context(), payment("k1")); err == nil || errors.Is(err, ledger.ErrNotSent) {
+		t.Errorf("got %v, want an error that leaves the outcome open", err)
+	}
+	if got := runs.Load(); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
+
+// One of two instances of the service refuses connections: the payment goes to
+// the other, and the refusing one is left alone for a while. With all of them
+// refusing the caller hears that it did not run, which is true.
+func TestRefusedConnection(t *testing.T) {
+	d := &desk.Desk{}
+	s := sender(closed(t), server(t, d.Handler()))
+	for range 4 {
+		if _, err := s.Send(t.Context(), payment("k1")); err != nil {
+			t.Errorf("got %v, want an answer", err)
+		}
+	}
+	if got := d.Runs("k1"); got != 4 {
+		t.Errorf("got %d runs, want 4", got)
+	}
+	s = sender(closed(t), closed(t))
+	if _, err := s.Send(t.Context(), payment("k2")); !errors.Is(err, ledger.ErrNotSent) {
+		t.Errorf("got %v, want ErrNotSent", err)
+	}
+	if _, err := sender().Send(t.Context(), payment("k2")); !errors.Is(err, ledger.ErrNotSent) {
+		t.Errorf("got %v without an instance, want ErrNotSent", err)
+	}
+}
+
+// The service redirects, answers too much, cuts its answer or is too slow. In
+// each case it may have run, and no part of an answer passes for the whole.
+func TestUnusableAnswers(t *testing.T) {
+	cases := map[string]http.HandlerFunc{
+		"too long": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 101)) },
+		"cut": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "50")
+			_, _ = w.Write(make([]byte, 10))
+		},
+		"too slow": func(_ http.ResponseWriter, req *http.Request) {
+			_, _ = io.Copy(io.Discard, req.Body)
+			<-req.Context().Done()
+		},
+	}
+	for name, h := range cases {
+		s := sender(server(t, h))
+		s.Most = 100
+		if name == "too slow" {
+			s.Answer = 50 * time.Millisecond
+		}
+		if _, err := s.Send(t.Context(), payment("k1")); err == nil || errors.Is(err, ledger.ErrNotSent) {
+			t.Errorf("%s: got %v, want an error that leaves the outcome open", name, err)
+		}
+	}
+	var hits atomic.Int32
+	base := server(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		hits.Add(1)
+		http.Redirect(w, req, "/elsewhere", http.StatusTemporaryRedirect)
+	}))
+	a, err := sender(base).Send(t.Context(), payment("k1"))
+	if err != nil || a.Status() != http.StatusTemporaryRedirect || hits.Load() != 1 {
+		t.Errorf("got %v %v after %d requests, want the redirect as answer to one", a.Status(), err, hits.Load())
+	}
+}
+
+// Calls go where the least is in flight and reported; a leaving instance gets
+// nothing new at once, and keeps answering what it ran.
+func TestPicksLeastLoadedAndNoLeaving(t *testing.T) {
+	a, b := &desk.Desk{}, &desk.Desk{}
+	baseA, baseB := server(t, a.Handler()), server(t, b.Handler())
+	s := sender(baseA, baseB)
+	send := func(key string, n int) {
+		for range n {
+			if _, err := s.Send(t.Context(), payment(key)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	s.Report("payments", baseA, 5)
+	send("loaded", 3)
+	s.Report("payments", baseA, 0)
+	send("even", 4)
+	s.Leave("payments", baseB)
+	send("left", 3)
+	for _, c := range []struct {
+		what      string
+		got, want int
+	}{
+		{"calls at a while it reports load", a.Runs("loaded"), 0},
+		{"calls at a when both are idle", a.Runs("even"), 2},
+		{"calls at b while it leaves", b.Runs("left"), 0},
+	} {
+		if c.got != c.want {
+			t.Errorf("got %d %s, want %d", c.got, c.what, c.want)
+		}
+	}
+	if _, err := s.Ask(t.Context(), payment("loaded")); err != nil {
+		t.Errorf("got %v from the leaving instance, want the outcome", err)
+	}
+}
+
+// A class that may repeat is sent again after a lost answer, but no more than
+// its budget allows when every answer is lost.
+func TestRepeatsStayInBudget(t *testing.T) {
+	d := &desk.Desk{}
+	s := sender(server(t, d.Handler()))
+	s.Repeats = func(c spec.ClassName) bool { return c == "payment" }
+	s.Share = 0.25
+	d.Cut(1000)
+	const calls = 40
+	for range calls {
+		_, _ = s.Send(context.Background(), payment("k1"))
+	}
+	if got, want := d.Runs("k1"), calls+calls/4; got != want {
+		t.Errorf("got %d sends for %d calls, want %d", got, calls, want)
+	}
+}
+
+// Two teams use the same key. Each hears of its own call only.
+func TestOutcomesAreScopedByTeam(t *testing.T) {
+	d := &desk.Desk{}
+	s := sender(server(t, d.Handler()))
+	if _, err := s.Send(t.Context(), payment("k1")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Ask(t.Context(), payment("k1")); err != nil {
+		t.Errorf("got %v, want the outcome", err)
+	}
+	other := ledger.NewCall("other", "payment", "payments", "k1", "text/plain", []byte("42"))
+	if a, err := s.Ask(t.Context(), other); err == nil {
+		t.Errorf("got %q for another team, want an error", a.Body())
+	}
+}
