Add versioned configuration with a head, history and followers

Rows per item and a head are one commit, so that changes have one order and are checked against the state that they change.

--- /dev/null
+++ b/internal/state/config/apply.go
@@ -0,0 +1,257 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"fulmarwick/internal/state/store"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+)
+
+// maxTries bounds how often a change is tried again behind other changes and
+// lost answers.
+const (
+	maxTries = 16
+	tryFirst = 10 * time.Millisecond
+	tryMost  = time.Second
+)
+
+// CommitTable is the part of the platform's table that Applier needs.
+type CommitTable interface {
+	Table
+	Commit(ctx context.Context, writes []store.Write) (uint64, error)
+}
+
+// Change is documents to put in force.
+type Change struct {
+	Documents []Document
+	// Who makes the change.
+	Who string
+	// Base is the version that the operator looked at; sections that others
+	// changed after it are a conflict. Zero is the version at the start.
+	Base uint64
+	// ID names the change; empty makes one up. The same ID never takes effect
+	// twice while its log entry stands at the version where it was tried.
+	ID string
+}
+
+// Applier changes the configuration. Set the exported fields before use. It
+// follows the table by itself and shares nothing with a Follower.
+type Applier struct {
+	Table CommitTable
+	// Uses reports whether a team that is to be removed is in use, and how;
+	// nil looks at the classes only.
+	Uses func(team string) (string, bool)
+	// Now is the wall clock; nil is time.Now.
+	Now func() time.Time
+}
+
+// attempt is one change on its way.
+type attempt struct {
+	*Applier
+	follower *Follower
+	changes  []change
+	entry    Entry
+	base     uint64
+	open     bool
+}
+
+// Apply puts the documents' sections in force, all or none, and returns the
+// version from which they are. Sections that are not named stay. The error is
+// an *InvalidError, a *ConflictError, an *UnsureError or ErrStore.
+func (a *Applier) Apply(ctx context.Context, c Change) (uint64, error) {
+	changes, problems := parse(c.Documents)
+	t := a.attempt(c, changes)
+	if err := t.follower.Round(ctx); err != nil {
+		return 0, err
+	}
+	t.base = c.Base
+	if t.base == 0 {
+		t.base = t.follower.Version()
+	}
+	if len(problems) > 0 {
+		_, more := t.next()
+		return 0, &InvalidError{Problems: append(problems, more...)}
+	}
+	for n := range maxTries {
+		version, done, err := t.try(ctx)
+		if done || err != nil {
+			return version, err
+		}
+		time.Sleep(min(tryMost, tryFirst<<n))
+	}
+	return 0, t.failed(errors.New("too many tries"))
+}
+
+// Check returns the problems that Apply would refuse the documents for now,
+// as an *InvalidError.
+func (a *Applier) Check(ctx context.Context, docs []Document) error {
+	changes, problems := parse(docs)
+	t := a.attempt(Change{}, changes)
+	if err := t.follower.Round(ctx); err != nil {
+		return err
+	}
+	_, more := t.next()
+	if problems = append(problems, more...); len(problems) > 0 {
+		return &InvalidError{Problems: problems}
+	}
+	return nil
+}
+
+// CheckAlone returns the problems that documents have by themselves, without
+// the table, as an *InvalidError.
+func CheckAlone(docs []Document) error {
+	changes, problems := parse(docs)
+	next := newState()
+	for _, c := range changes {
+		next.rows[c.item.key()] = held{item: c.item}
+	}
+	more := (&checker{next: next, alone: true}).run(changes, nil)
+	if problems = append(problems, more...); len(problems) > 0 {
+		return &InvalidError{Problems: problems}
+	}
+	return nil
+}
+
+func (a *Applier) attempt(c Change, changes []change) *attempt {
+	id := c.ID
+	if id == "" {
+		id = uuid.NewString()
+	}
+	now := time.Now
+	if a.Now != nil {
+		now = a.Now
+	}
+	return &attempt{
+		Applier: a, follower: &Follower{Table: a.Table, Book: &Book{}}, changes: changes,
+		entry: Entry{ID: id, Who: c.Who, At: now().Unix()},
+	}
+}
+
+// try makes one commit on the newest state known. It is done if the change is
+// in force; else the state is read anew, or the same commit made again.
+func (t *attempt) try(ctx context.Context) (version uint64, done bool, err error) {
+	if err := t.conflict(); err != nil {
+		return 0, true, err
+	}
+	next, problems := t.next()
+	if len(problems) > 0 {
+		return 0, true, &InvalidError{Problems: problems}
+	}
+	writes, target := t.writes(next)
+	if len(writes) == 0 {
+		return t.follower.Version(), true, nil
+	}
+	_, err = t.Table.Commit(ctx, writes)
+	switch {
+	case err == nil:
+		return target, true, nil
+	case errors.Is(err, store.ErrConflict):
+		return t.refused(ctx, target)
+	case errors.Is(err, store.ErrDown):
+		return 0, true, t.failed(err)
+	}
+	// The answer was lost. The same commit again takes effect once at most,
+	// since both have the same condition on the head.
+	t.open = true
+	if ctx.Err() != nil {
+		return 0, true, t.failed(err)
+	}
+	return 0, false, nil
+}
+
+// refused goes on after a conflict: it may be this very change, whose first
+// answer was lost, that took the version.
+func (t *attempt) refused(ctx context.Context, target uint64) (uint64, bool, error) {
+	if t.open {
+		entry, err := readEntry(ctx, t.Table, target)
+		switch {
+		case errors.Is(err, store.ErrMissing):
+			// A stale read; the next try finds the entry or the conflict.
+			return 0, false, nil
+		case err != nil:
+			return 0, true, t.failed(err)
+		case entry.ID == t.entry.ID:
+			return target, true, nil
+		}
+		t.open = false
+	}
+	if err := t.follower.Round(ctx); err != nil {
+		return 0, true, t.failed(err)
+	}
+	return 0, false, nil
+}
+
+// failed tells whether the change can still have taken effect.
+func (t *attempt) failed(cause error) error {
+	if t.open {
+		return &UnsureError{Change: t.entry.ID}
+	}
+	return errors.Wrap(ErrStore, cause.Error())
+}
+
+// conflict returns the changes of others that this one would undo.
+func (t *attempt) conflict() error {
+	var winners []Winner
+	st := t.follower.now()
+	for _, c := range t.changes {
+		h, ok := st.rows[c.item.key()]
+		if !ok || h.item.Version <= t.base || h.item.same(c.item) {
+			continue
+		}
+		winners = append(winners, Winner{
+			Section: c.item.section(), Version: h.item.Version, Who: h.item.Who, At: time.Unix(h.item.At, 0),
+		})
+	}
+	if len(winners) > 0 {
+		return &ConflictError{Winners: winners}
+	}
+	return nil
+}
+
+// next is the state after the change and its problems.
+func (t *attempt) next() (*state, []Problem) {
+	next := t.follower.now().clone()
+	for _, c := range t.changes {
+		old, ok := next.rows[c.item.key()]
+		if c.item.Gone && (!ok || old.item.Gone) {
+			continue
+		}
+		next.rows[c.item.key()] = held{version: old.version, item: c.item}
+	}
+	return next, check(next, t.changes, t.Uses)
+}
+
+// writes are the rows that differ, the head and the log entry.
+func (t *attempt) writes(next *state) ([]store.Write, uint64) {
+	now := t.follower.now()
+	target := now.head.Version + 1
+	digest := now.digest
+	var writes []store.Write
+	t.entry.Version, t.entry.Sections = target, nil
+	for _, c := range t.changes {
+		key := c.item.key()
+		old, ok := now.rows[key]
+		i := next.rows[key].item
+		if ok && old.item.same(i) {
+			continue
+		}
+		i.Version, i.Change, i.Who, i.At = target, t.entry.ID, t.entry.Who, t.entry.At
+		value := encode(i)
+		if ok {
+			digest ^= digestOf(key, old.value)
+		}
+		digest ^= digestOf(key, value)
+		writes = append(writes, store.Put(key, old.version, value))
+		t.entry.Sections = append(t.entry.Sections, i.section())
+	}
+	if len(writes) == 0 {
+		return nil, target
+	}
+	h := head{Version: target, Change: t.entry.ID, Digest: digest}
+	return append(writes,
+		store.Put(headKey, now.headRow, encode(h)),
+		store.Put(logKey(target), 0, encode(t.entry))), target
+}
--- a/internal/state/config/book.go
+++ b/internal/state/config/book.go
@@ -1,6 +1,9 @@
-// Package config keeps the classes and teams in force.
+// Package config keeps the classes and teams in force, and changes them.
 //
-// It imports base/spec. Package entry reads the Book; the daemon sets it.
+// It imports base/spec and state/store. Package entry reads the Book, which a
+// Follower keeps up to date; the commands apply, show and check use Applier.
+// Every item is a row of the table; a head row with the version is written
+// with every change, so that changes have one order.
 package config
 
 import (
@@ -24,6 +27,8 @@
 	byName  map[spec.ClassName]spec.Class
 	byModel map[spec.ModelName]spec.Class
 	byTeam  map[spec.TeamID]spec.Team
+	// state is the rows that the snapshot was made of, if it was.
+	state *state
 }
 
 // NewSnapshot returns a snapshot. The first class of a model is its default.
--- /dev/null
+++ b/internal/state/config/follow.go
@@ -0,0 +1,258 @@
+package config
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fulmarwick/internal/state/store"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	defaultEvery = 5 * time.Second
+	// retryAfter is the pause before a head that was heard of is looked for
+	// again in a table that does not show it yet.
+	retryAfter = 500 * time.Millisecond
+	// hintSpread keeps a fleet that hears of a head at once from reading the
+	// table in the same moment.
+	hintSpread = 500 * time.Millisecond
+	pageRows   = 500
+)
+
+// Table is the part of the platform's table that followers read.
+type Table interface {
+	Get(ctx context.Context, key string) (store.Row, error)
+	Scan(ctx context.Context, prefix string, since uint64, limit int) ([]store.Row, error)
+}
+
+// Peers gives encoded snapshots of other instances.
+type Peers interface {
+	Snapshots(ctx context.Context) ([][]byte, error)
+}
+
+// Follower keeps a Book up to date. Set the exported fields before use.
+//
+// It costs one read per Every, and one or more pages when something changed.
+// The version in force only rises: heads that are lower, mixtures of changes
+// and snapshots of old peers are dropped.
+type Follower struct {
+	Table Table
+	Book  *Book
+	// Peers is asked while the table is out and something is missing; nil asks
+	// nobody.
+	Peers Peers
+	// OnChange is called with each snapshot after it is in force.
+	OnChange func(*Snapshot)
+	// OnError is called with what Run meets; nil drops it.
+	OnError func(error)
+	// Every is the time between looks at the head; zero is 5 s.
+	Every time.Duration
+	// Jitter returns a factor around 1 for waits; nil is always 1.
+	Jitter func() float64
+
+	once  sync.Once
+	wake  chan struct{}
+	round sync.Mutex
+
+	mu    sync.Mutex
+	state *state
+	hint  uint64
+	// order keeps OnChange in the order of versions.
+	order sync.Mutex
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.once.Do(f.start)
+	for {
+		if err := f.Round(ctx); err != nil && f.OnError != nil {
+			f.OnError(err)
+		}
+		if !f.sleep(ctx, f.pause(), f.wake) {
+			return
+		}
+	}
+}
+
+// sleep waits for d, or for a hint and then a little more; it reports whether
+// ctx goes on.
+func (f *Follower) sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	case <-wake:
+		return f.sleep(ctx, time.Duration(float64(hintSpread)*f.Jitter()), nil)
+	}
+}
+
+// Hint tells that version was seen in force somewhere. The table is looked at
+// soon, with jitter, since all instances hear of it at about the same time.
+func (f *Follower) Hint(version uint64) {
+	f.once.Do(f.start)
+	f.mu.Lock()
+	news := version > f.hint
+	f.hint = max(f.hint, version)
+	f.mu.Unlock()
+	if !news || version <= f.Version() {
+		return
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Version is the version in force here; zero is none.
+func (f *Follower) Version() uint64 { return f.now().head.Version }
+
+// Ready reports whether a configuration is in force here that is as new as
+// any that this instance has heard of, by the table or by a peer. An instance
+// that reached neither is not ready.
+func (f *Follower) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state != nil && f.state.head.Version >= f.hint
+}
+
+// Round looks at the head once and takes what changed.
+func (f *Follower) Round(ctx context.Context) error {
+	f.once.Do(f.start)
+	f.round.Lock()
+	defer f.round.Unlock()
+	row, err := f.Table.Get(ctx, headKey)
+	if errors.Is(err, store.ErrMissing) {
+		return nil
+	}
+	if err != nil {
+		return f.askPeers(ctx, errors.Wrap(ErrStore, err.Error()))
+	}
+	h, err := decodeHead(row.Value())
+	if err != nil {
+		return err
+	}
+	if h.Version <= f.Version() {
+		return nil
+	}
+	return f.fetch(ctx)
+}
+
+// fetch reads the rows after the last known one and, if they do not fit
+// together, all of them.
+func (f *Follower) fetch(ctx context.Context) error {
+	next := f.now().clone()
+	if err := f.walk(ctx, next); err != nil {
+		return err
+	}
+	if !next.whole() {
+		next = newState()
+		if err := f.walk(ctx, next); err != nil {
+			return err
+		}
+	}
+	if !next.whole() {
+		return errors.Wrap(ErrRow, "the table's rows do not match its head")
+	}
+	f.take(next)
+	return nil
+}
+
+func (f *Follower) walk(ctx context.Context, into *state) error {
+	var bad error
+	err := store.Walk(ctx, f.Table, rowPrefix, into.since, pageRows, func(r store.Row) {
+		if err := into.put(r); err != nil {
+			bad = err
+		}
+	})
+	if err != nil {
+		return errors.Wrap(ErrStore, err.Error())
+	}
+	return bad
+}
+
+// askPeers takes the newest snapshot of the peers while the table is out, if
+// this instance has nothing or has heard of something newer.
+func (f *Follower) askPeers(ctx context.Context, cause error) error {
+	f.mu.Lock()
+	enough := f.state != nil && f.state.head.Version >= f.hint
+	f.mu.Unlock()
+	if f.Peers == nil || enough {
+		return cause
+	}
+	all, err := f.Peers.Snapshots(ctx)
+	if err != nil {
+		return errors.Wrap(cause, err.Error())
+	}
+	for _, data := range all {
+		if err := f.TakePeer(data); err != nil {
+			cause = errors.Wrap(cause, err.Error())
+		}
+	}
+	return cause
+}
+
+// TakePeer takes a snapshot that another instance encoded, unless it is older
+// than what is in force here.
+func (f *Follower) TakePeer(data []byte) error {
+	s, err := DecodeSnapshot(data)
+	if err != nil {
+		return err
+	}
+	f.take(s.state)
+	return nil
+}
+
+// take puts a state in force unless one at least as high is.
+func (f *Follower) take(next *state) {
+	f.order.Lock()
+	defer f.order.Unlock()
+	if f.Version() >= next.head.Version {
+		return
+	}
+	f.mu.Lock()
+	f.state = next
+	f.mu.Unlock()
+	s := next.snapshot()
+	if f.Book.Take(s) && f.OnChange != nil {
+		f.OnChange(s)
+	}
+}
+
+func (f *Follower) now() *state {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state == nil {
+		return newState()
+	}
+	return f.state
+}
+
+func (f *Follower) pause() time.Duration {
+	d := f.Every
+	if f.missing() {
+		d = min(d, retryAfter)
+	}
+	return time.Duration(float64(d) * f.Jitter())
+}
+
+// missing reports whether a newer version is known to exist, or none is known.
+func (f *Follower) missing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state == nil || f.state.head.Version < f.hint
+}
+
+func (f *Follower) start() {
+	f.wake = make(chan struct{}, 1)
+	if f.Every == 0 {
+		f.Every = defaultEvery
+	}
+	if f.Jitter == nil {
+		f.Jitter = func() float64 { return 1 }
+	}
+}
--- /dev/null
+++ b/internal/state/config/snapshot.go
@@ -0,0 +1,131 @@
+package config
+
+import (
+	"slices"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/state/store"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+)
+
+// maxSnapshot bounds an encoded snapshot in bytes; 37,000 teams take about 8 MB.
+const maxSnapshot = 64 << 20
+
+// wireSnapshot is a snapshot between instances. Versions are the table's, so
+// that who starts from a peer reads only later rows when the table returns.
+type wireSnapshot struct {
+	Head    []byte    `cbor:"1,keyasint"`
+	HeadRow uint64    `cbor:"2,keyasint"`
+	Rows    []wireRow `cbor:"3,keyasint"`
+}
+
+type wireRow struct {
+	Key     string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	Value   []byte `cbor:"3,keyasint"`
+}
+
+// snapshot builds what is put in force from the rows.
+func (s *state) snapshot() *Snapshot {
+	var classes []spec.Class
+	var teams []spec.Team
+	items := s.items()
+	for _, i := range items {
+		switch i.Sort {
+		case SortClass:
+			classes = append(classes, i.class())
+		case SortTeam:
+			teams = append(teams, i.team())
+		}
+	}
+	out := NewSnapshot(s.head.Version, classes, teams)
+	out.state = s
+	for _, i := range items {
+		if c, ok := out.byName[spec.ClassName(i.Default)]; ok && i.Sort == SortModel {
+			out.byModel[spec.ModelName(i.Name)] = c
+		}
+	}
+	return out
+}
+
+// Encode returns the snapshot as bytes for another instance, or nil if it was
+// not read from the platform.
+func (s *Snapshot) Encode() []byte {
+	if s.state == nil {
+		return nil
+	}
+	w := wireSnapshot{Head: encode(s.state.head), HeadRow: s.state.headRow}
+	for _, key := range sortedKeys(s.state.rows) {
+		h := s.state.rows[key]
+		w.Rows = append(w.Rows, wireRow{Key: key, Version: h.version, Value: h.value})
+	}
+	return encode(w)
+}
+
+// DecodeSnapshot reads what Encode wrote; ErrRow for anything else, also for
+// rows that are not all and only those of their version.
+func DecodeSnapshot(data []byte) (*Snapshot, error) {
+	if len(data) > maxSnapshot {
+		return nil, errors.Wrap(ErrRow, "snapshot is too large")
+	}
+	var w wireSnapshot
+	if err := cbor.Unmarshal(data, &w); err != nil {
+		return nil, errors.Wrap(ErrRow, err.Error())
+	}
+	s := newState()
+	for _, r := range w.Rows {
+		if r.Key == headKey {
+			return nil, errors.Wrap(ErrRow, "head among the rows")
+		}
+		if err := s.put(store.NewRow(r.Key, r.Version, r.Value)); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.put(store.NewRow(headKey, w.HeadRow, w.Head)); err != nil {
+		return nil, err
+	}
+	if s.head.Version == 0 || !s.whole() {
+		return nil, errors.Wrap(ErrRow, "rows do not match the head")
+	}
+	return s.snapshot(), nil
+}
+
+// Asks reports whether the service can be asked for the outcome of a call.
+func (s *Snapshot) Asks(service spec.ServiceName) bool {
+	if s.state == nil {
+		return false
+	}
+	i, _ := s.state.item(SortService, string(service))
+	return i.Asks
+}
+
+// Reliability is how many of 100 requests of the class must be answered at
+// all; zero if its operators set none.
+func (s *Snapshot) Reliability(class spec.ClassName) float64 {
+	if s.state == nil {
+		return 0
+	}
+	i, _ := s.state.item(SortClass, string(class))
+	return i.Reliability
+}
+
+// Limit is the most that a team may use, in tokens a second; zero is no limit.
+func (s *Snapshot) Limit(team spec.TeamID) float64 {
+	if s.state == nil {
+		return 0
+	}
+	i, _ := s.state.item(SortTeam, s.byTeam[team].Name())
+	return i.Limit
+}
+
+// Allows reports whether the team may use the class. A class that names no
+// teams is open to all.
+func (s *Snapshot) Allows(class spec.ClassName, team spec.TeamID) bool {
+	if s.state == nil {
+		return true
+	}
+	i, _ := s.state.item(SortClass, string(class))
+	return len(i.Teams) == 0 || slices.Contains(i.Teams, s.byTeam[team].Name())
+}
