--- a/internal/state/config/apply.go
+++ b/internal/state/config/apply.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"strings"
 	"time"
+	"unicode"
 
 	"fulmarwick/internal/state/store"
 
@@ -126,7 +128,7 @@
 	}
 	return &attempt{
 		Applier: a, follower: &Follower{Table: a.Table, Book: &Book{}}, changes: changes,
-		entry: Entry{ID: id, Who: c.Who, At: now().Unix()},
+		entry: Entry{ID: id, Who: oneLine(c.Who), At: now().Unix()},
 	}
 }
 
@@ -255,3 +257,13 @@
 		store.Put(headKey, now.headRow, encode(h)),
 		store.Put(logKey(target), 0, encode(t.entry))), target
 }
+
+// oneLine keeps a name from ending the comment in which Text writes it.
+func oneLine(who string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return ' '
+		}
+		return r
+	}, who)
+}
--- a/internal/state/config/check.go
+++ b/internal/state/config/check.go
@@ -87,16 +87,29 @@
 }
 
 func (c *checker) upstream(i item) {
-	switch {
-	case i.Kind == spec.KindModel && i.Model == "":
+	if !validOther(i.Model) || !validOther(i.Service) {
+		c.problem(i, "a model or service has up to 127 letters, digits and any of - . _ : /")
+	}
+	if i.Kind == spec.KindPlain {
+		c.plain(i)
+		return
+	}
+	if i.Model == "" {
 		c.problem(i, "model is missing")
-	case i.Kind == spec.KindModel && i.Service != "":
+	}
+	if i.Service != "" {
 		c.problem(i, "a model class has no service")
-	case i.Kind == spec.KindPlain && i.Service == "":
+	}
+}
+
+func (c *checker) plain(i item) {
+	if i.Service == "" {
 		c.problem(i, "service is missing")
-	case i.Kind == spec.KindPlain && i.Model != "":
+	}
+	if i.Model != "" {
 		c.problem(i, "a plain class has no model")
-	case i.Kind == spec.KindPlain && (i.First > 0 || i.Gap > 0):
+	}
+	if i.First > 0 || i.Gap > 0 {
 		c.problem(i, "a plain class has a target for the whole answer only")
 	}
 }
--- a/internal/state/config/parse.go
+++ b/internal/state/config/parse.go
@@ -207,3 +207,20 @@
 	}
 	return true
 }
+
+// validOther reports whether a name that others gave can be written in a
+// document as it is.
+func validOther(name string) bool {
+	if len(name) > 127 {
+		return false
+	}
+	for _, c := range name {
+		small := c >= 'a' && c <= 'z'
+		large := c >= 'A' && c <= 'Z'
+		digit := c >= '0' && c <= '9'
+		if !small && !large && !digit && !strings.ContainsRune("-._:/", c) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/state/lease/lease_test.go
@@ -0,0 +1,193 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/fakes/infra"
+	"fulmarwick/internal/state/lease"
+
+	"github.com/go-faster/errors"
+	"pgregory.net/rapid"
+)
+
+const second = time.Second
+
+func contender(table lease.Table, owner string) *lease.Lease {
+	return &lease.Lease{Table: table, Name: "place", Owner: owner, Time: 15 * second, Margin: 4 * second}
+}
+
+func step(t *testing.T, l *lease.Lease) {
+	t.Helper()
+	if err := l.Step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// The holder is paused for longer than its lease. Another instance takes over
+// after a whole lease time on its own clock, under a higher number. The paused
+// one wakes, believes that it still holds the lease, and is told no before its
+// first act.
+func TestPausedHolderIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &infra.Table{}
+		a, b := contender(table, "a"), contender(table, "b")
+		step(t, a)
+		start := time.Now()
+		for !b.Held() {
+			step(t, b)
+			time.Sleep(second)
+			if a.Held() && b.Held() {
+				t.Fatal("got two holders, want at most one")
+			}
+		}
+		if got := time.Since(start); got < 16*second || got > 19*second {
+			t.Errorf("got the takeover after %v, want a lease time and a little", got)
+		}
+		if _, _, _, err := a.Guard(t.Context()); !errors.Is(err, lease.ErrLapsed) {
+			t.Errorf("got %v for the paused holder, want ErrLapsed", err)
+		}
+		step(t, a)
+		if a.Fence() != 0 || b.Fence() != 2 {
+			t.Errorf("got numbers %d and %d, want 0 and 2", a.Fence(), b.Fence())
+		}
+	})
+}
+
+// A renewal takes effect and its answer is lost, then the table is out for
+// longer than the lease. The holder acts only while its own time lasts; when
+// the table is back nobody has taken over, and it goes on under its number.
+func TestLostRenewalAndOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &infra.Table{}
+		a, b := contender(table, "a"), contender(table, "b")
+		step(t, a)
+		time.Sleep(5 * second)
+		table.Fault(infra.Faults{Lose: 1})
+		step(t, a)
+		time.Sleep(7 * second)
+		if a.Held() {
+			t.Error("got held 12 s after the last sure renewal, want not with 3 s left")
+		}
+		step(t, b)
+		table.Fault(infra.Faults{Down: true})
+		for range 10 {
+			time.Sleep(3 * second)
+			if err := a.Step(t.Context()); !errors.Is(err, lease.ErrStore) {
+				t.Errorf("got %v in the outage, want ErrStore", err)
+			}
+			_ = b.Step(t.Context())
+			if a.Held() || b.Held() {
+				t.Error("got a holder in the outage, want none")
+			}
+		}
+		table.Fault(infra.Faults{})
+		step(t, a)
+		step(t, b)
+		if !a.Held() || b.Held() || a.Fence() != 1 {
+			t.Errorf("got %v %v with number %d, want the old holder under number 1", a.Held(), b.Held(), a.Fence())
+		}
+	})
+}
+
+// An instance is stopped gracefully: the next one takes the duty at its next
+// step and need not wait for the lease to lapse.
+func TestReleaseHandsOverAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &infra.Table{}
+		a, b := contender(table, "a"), contender(table, "b")
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { a.Run(ctx); close(done) }()
+		synctest.Wait()
+		step(t, b)
+		stop()
+		<-done
+		step(t, b)
+		if a.Held() || !b.Held() || b.Fence() != 2 {
+			t.Errorf("got %v %v with number %d, want the second under number 2", a.Held(), b.Held(), b.Fence())
+		}
+	})
+}
+
+// An act gets a deadline well inside the margin, so that it ends before the
+// lease does.
+func TestActEndsWithinMargin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := contender(&infra.Table{}, "a")
+		step(t, a)
+		time.Sleep(10 * second)
+		ctx, cancel, fence, err := a.Guard(t.Context())
+		if err != nil || fence != 1 {
+			t.Fatalf("got %d %v, want number 1", fence, err)
+		}
+		defer cancel()
+		if d, ok := ctx.Deadline(); !ok || time.Until(d) != 2*second {
+			t.Errorf("got a deadline in %v, want half the margin", time.Until(d))
+		}
+	})
+}
+
+// Three instances step at any times, with refused calls, lost answers and
+// stale reads, and with pauses of any length. At no moment may two of them
+// begin an act, and the numbers under which acts begin never fall.
+func TestOneHolderAndRisingNumbers(t *testing.T) {
+	acts, most := 0, uint64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		table := &infra.Table{}
+		var all []*lease.Lease
+		for i := range 3 {
+			l := contender(table, fmt.Sprint("i", i))
+			l.Now = func() time.Time { return now }
+			all = append(all, l)
+		}
+		highest := uint64(0)
+		for range 120 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "pause") == 0 {
+				now = now.Add(20 * second)
+			}
+			table.Fault(faults(rapid.IntRange(0, 7).Draw(t, "fault")))
+			_ = all[rapid.IntRange(0, 2).Draw(t, "who")].Step(context.Background())
+			holders := 0
+			for _, l := range all {
+				_, cancel, fence, err := l.Guard(context.Background())
+				if err != nil {
+					continue
+				}
+				cancel()
+				holders++
+				acts++
+				if fence < highest {
+					t.Fatalf("got an act under number %d after %d", fence, highest)
+				}
+				highest = fence
+				most = max(most, fence)
+			}
+			if holders > 1 {
+				t.Fatalf("got %d holders, want at most one", holders)
+			}
+		}
+	})
+	if acts < 1000 || most < 5 {
+		t.Errorf("got %d acts up to number %d, want enough of both to prove something", acts, most)
+	}
+}
+
+func faults(n int) infra.Faults {
+	switch n {
+	case 0:
+		return infra.Faults{Down: true}
+	case 1:
+		return infra.Faults{Lose: 1}
+	case 2:
+		return infra.Faults{Drop: 1}
+	case 3:
+		return infra.Faults{Stale: true}
+	}
+	return infra.Faults{}
+}
--- /dev/null
+++ b/internal/state/order/order.go
@@ -0,0 +1,253 @@
+// Package order tells engines what to hold and which role to play, and sees to
+// it until they report just that.
+//
+// It imports base/spec, base/frame and state/store. The daemon runs it under
+// the placement's lease, gives it the planner's wishes and the engines' reports.
+//
+// What an engine must end in is a row of the table. Orders state that end, so
+// repeating one is safe, and an order counts as done only when the engine
+// reports its end. So a change that a former holder left half done is seen and
+// finished, or undone by new wishes, and a late order of a paused holder is
+// put right at the next report, also by engines that ignore fencing numbers.
+package order
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/state/store"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+)
+
+// Errors of this package.
+var (
+	// ErrLapsed means that the lease does not allow an act now.
+	ErrLapsed = errors.New("order: lease not held")
+	// ErrStore means that the desired state could not be read or written.
+	ErrStore = errors.New("order: table out of reach")
+	// ErrTaken means that another holder wrote the rows meanwhile.
+	ErrTaken = errors.New("order: another holder took over")
+)
+
+const (
+	defaultRetry = 10 * time.Second
+	defaultWait  = 4 * time.Second
+	defaultRate  = 4.0
+	pageRows     = 500
+)
+
+// Engine sends an order to an engine.
+type Engine interface {
+	Order(ctx context.Context, upstream spec.UpstreamID, o frame.Order) error
+}
+
+// Lease says whether this instance may act, as lease.Lease does.
+type Lease interface {
+	Guard(ctx context.Context) (context.Context, context.CancelFunc, uint64, error)
+	Since() time.Duration
+}
+
+// Table is the part of the platform's table that orders need.
+type Table interface {
+	Scan(ctx context.Context, prefix string, since uint64, limit int) ([]store.Row, error)
+	Commit(ctx context.Context, writes []store.Write) (uint64, error)
+}
+
+// Orders are the orders of one duty. Set the exported fields before use.
+type Orders struct {
+	Table   Table
+	Engines Engine
+	Lease   Lease
+	// Name names the duty, such as a data centre; rows are "order/NAME/".
+	Name string
+	// Checks says which engines refuse a number lower than one they saw; the
+	// deployment's settings tell. Nil means that none does.
+	Checks func(spec.UpstreamID) bool
+	// Wait is the margin of the lease: engines that check nothing get their
+	// first order of a new holder after it, when the former holder's last act
+	// has ended. Zero is 4 s.
+	Wait time.Duration
+	// Retry is how long an engine has to report the end before the order is
+	// sent again; zero is 10 s.
+	Retry time.Duration
+	// Rate is how many layers a second the weight store gives; zero is 4.
+	Rate float64
+	// Now is the monotonic clock; nil is time.Now.
+	Now func() time.Time
+
+	mu     sync.Mutex
+	fence  uint64
+	wanted map[spec.UpstreamID]*wanted
+	seen   map[spec.UpstreamID]report
+	// free is when the weight store has given what was ordered so far.
+	free time.Time
+}
+
+// desired is the row of an engine.
+type desired struct {
+	Engine string       `cbor:"1,keyasint"`
+	Holds  []frame.Hold `cbor:"2,keyasint"`
+	Role   string       `cbor:"3,keyasint,omitempty"`
+	Fence  uint64       `cbor:"4,keyasint"`
+}
+
+// wanted is a row as this holder knows it.
+type wanted struct {
+	desired desired
+	version uint64
+	sent    time.Time
+	tries   int
+	// accepted is the role of the last order that the engine accepted under
+	// this holder; reports do not tell roles.
+	accepted string
+}
+
+// report is what an engine says that it holds.
+type report struct {
+	holds []frame.Hold
+	seq   uint64
+}
+
+// Adopt reads the desired state that former holders left and writes it anew
+// under the own number, in one commit: from then on a former holder that wakes
+// can write none of it, since the rows' versions have changed. Call it once
+// after the lease was taken.
+func (o *Orders) Adopt(ctx context.Context) error {
+	ctx, cancel, fence, err := o.guard(ctx)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	all, err := o.load(ctx)
+	if err != nil {
+		return err
+	}
+	var writes []store.Write
+	for _, id := range sorted(all) {
+		all[id].desired.Fence = fence
+		writes = append(writes, o.put(all[id]))
+	}
+	if len(writes) > 0 {
+		version, err := o.commit(ctx, writes)
+		if err != nil {
+			return err
+		}
+		for _, w := range all {
+			w.version = version
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.fence, o.wanted = fence, all
+	return nil
+}
+
+// Set wishes that engine holds just holds, in the role if it is not empty. It
+// writes one row, and none if that is wished already.
+func (o *Orders) Set(ctx context.Context, engine spec.UpstreamID, holds []frame.Hold, role string) error {
+	ctx, cancel, fence, err := o.guard(ctx)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	o.mu.Lock()
+	adopted := o.fence == fence
+	next := &wanted{desired: desired{Engine: string(engine), Holds: holds, Role: role, Fence: fence}}
+	old, ok := o.wanted[engine]
+	o.mu.Unlock()
+	switch {
+	case !adopted:
+		return errors.Wrap(ErrLapsed, "desired state not adopted under this number")
+	case ok && same(old.desired.Holds, holds) && old.desired.Role == role:
+		return nil
+	case ok:
+		next.version = old.version
+	}
+	if next.version, err = o.commit(ctx, []store.Write{o.put(next)}); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.wanted[engine] = next
+	return nil
+}
+
+func (o *Orders) guard(ctx context.Context) (context.Context, context.CancelFunc, uint64, error) {
+	ctx, cancel, fence, err := o.Lease.Guard(ctx)
+	if err != nil {
+		return nil, nil, 0, errors.Wrap(ErrLapsed, err.Error())
+	}
+	return ctx, cancel, fence, nil
+}
+
+func (o *Orders) load(ctx context.Context) (map[spec.UpstreamID]*wanted, error) {
+	all := map[spec.UpstreamID]*wanted{}
+	var bad error
+	err := store.Walk(ctx, o.Table, o.prefix(), 0, pageRows, func(r store.Row) {
+		w := &wanted{version: r.Version()}
+		if err := cbor.Unmarshal(r.Value(), &w.desired); err != nil {
+			bad = err
+			return
+		}
+		all[spec.UpstreamID(w.desired.Engine)] = w
+	})
+	if err == nil {
+		err = bad
+	}
+	if err != nil {
+		return nil, errors.Wrap(ErrStore, err.Error())
+	}
+	return all, nil
+}
+
+// commit converts the errors of the table. After a lost answer the rows are
+// not known any more, so the holder has to adopt them again.
+func (o *Orders) commit(ctx context.Context, writes []store.Write) (uint64, error) {
+	version, err := o.Table.Commit(ctx, writes)
+	switch {
+	case err == nil:
+		return version, nil
+	case errors.Is(err, store.ErrDown):
+		return 0, errors.Wrap(ErrStore, err.Error())
+	}
+	o.mu.Lock()
+	o.fence = 0
+	o.mu.Unlock()
+	if errors.Is(err, store.ErrConflict) {
+		return 0, ErrTaken
+	}
+	return 0, errors.Wrap(ErrStore, err.Error())
+}
+
+func (o *Orders) put(w *wanted) store.Write {
+	data, err := cbor.Marshal(w.desired)
+	if err != nil {
+		// The row has no field that can fail to encode.
+		panic(err)
+	}
+	return store.Put(o.prefix()+w.desired.Engine, w.version, data)
+}
+
+func (o *Orders) prefix() string { return "order/" + o.Name + "/" }
+
+func (o *Orders) now() time.Time {
+	if o.Now == nil {
+		return time.Now()
+	}
+	return o.Now()
+}
+
+func sorted(m map[spec.UpstreamID]*wanted) []spec.UpstreamID {
+	var out []spec.UpstreamID
+	for id := range m {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
