--- a/internal/base/frame/engine.go
+++ b/internal/base/frame/engine.go
@@ -27,7 +27,12 @@
 	Cache  int    `json:"cache"`
 	Fenced bool   `json:"fenced"`
 	State  string `json:"state"`
-	Seq    uint64 `json:"seq"`
+	Role   string `json:"role,omitempty"`
+	// Incarnation changes with each restart; all states are gone then.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	Seq         uint64 `json:"seq"`
+	// Fence is the highest fencing number of an order that was taken.
+	Fence  uint64 `json:"fence,omitempty"`
 	Queued int    `json:"queued"`
 	Active int    `json:"active"`
 	Cached int    `json:"cached"`
@@ -51,9 +56,36 @@
 	Role  string `json:"role,omitempty"`
 }
 
-// Event is one cache event of GET /v1/events; Seq has no gaps at the source.
+// Event is one cache event; Seq has no gaps at the source.
 type Event struct {
 	Seq   uint64 `json:"seq"`
 	Added bool   `json:"added"`
 	Block uint64 `json:"block"`
 }
+
+// Events is the body of GET /v1/events?since=N: events with a Seq above N.
+// With Reset, Blocks are the whole content at Seq and there are no Events:
+// the engine no longer has what came after N.
+type Events struct {
+	Seq    uint64   `json:"seq"`
+	Events []Event  `json:"events,omitempty"`
+	Reset  bool     `json:"reset,omitempty"`
+	Blocks []uint64 `json:"blocks,omitempty"`
+}
+
+// KV is the body of GET and PUT /v1/kv: the KV cache of a request's layer
+// range after Pos positions. An import opens the state under Try with no step
+// done, so that the first step after it is Seq 1 at Pos.
+type KV struct {
+	Req   string `json:"req"`
+	Model string `json:"model"`
+	From  int    `json:"from"`
+	To    int    `json:"to"`
+	Try   uint32 `json:"try"`
+	Pos   int    `json:"pos"`
+	Data  []byte `json:"data"`
+}
+
+// HeaderIncarnation is the header of the answer to the WebSocket upgrade that
+// carries the engine's incarnation.
+const HeaderIncarnation = "X-Incarnation"
--- a/internal/base/frame/step.go
+++ b/internal/base/frame/step.go
@@ -2,23 +2,13 @@
 // range on a WebSocket (CBOR), and the JSON bodies of the control calls.
 //
 // Fields are exported because codecs fill them. It imports the CBOR codec
-// only; the engine client and the stand-in engine share it.
+// only; the engine client and the stand-in engine share it. docs/ENGINE.md
+// describes the protocol.
 package frame
 
-import (
-	"github.com/fxamacker/cbor/v2"
-	"github.com/go-faster/errors"
-)
-
 //go:generate stringer -type=Code -linecomment -output=code_string.go
 //go:generate stringer -type=Verb -linecomment -output=verb_string.go
 
-// MaxBytes bounds one encoded frame in either direction.
-const MaxBytes = 8 << 20
-
-// ErrBad is returned for bytes that are not a frame.
-var ErrBad = errors.New("frame: not a frame")
-
 // Verb says what a Step asks of the engine.
 type Verb int
 
@@ -27,7 +17,8 @@
 	// VerbStep runs the inputs through the layers and replies once.
 	VerbStep Verb = iota // step
 	// VerbRun is VerbStep on a whole-model range, repeated up to Count tokens,
-	// with one reply per token.
+	// with one reply per token. Sent again with the Seq of a token that was
+	// made already, it replays from memory and then goes on.
 	VerbRun // run
 	// VerbCancel forgets the request's state; there is no reply.
 	VerbCancel // cancel
@@ -51,9 +42,9 @@
 //
 // The engine keeps one state per (Req, From). Try is the attempt under which
 // that state was opened: a lower Try is stale, a higher one with Seq 1 starts
-// afresh. Seq counts the steps of one state from 1: the engine runs Seq only
-// if the last one was Seq-1, and answers a repeat of the last Seq from memory
-// without running it.
+// afresh. Seq counts the steps of one state from 1, each token of a run being
+// a step: the engine runs Seq only if the last one was Seq-1, and answers a
+// repeat of the last Seq from memory without running it.
 type Step struct {
 	Verb  Verb   `cbor:"1,keyasint"`
 	Req   string `cbor:"2,keyasint"`
@@ -80,38 +71,24 @@
 	Req    string   `cbor:"1,keyasint"`
 	Try    uint32   `cbor:"2,keyasint"`
 	Seq    uint64   `cbor:"3,keyasint"`
-	From   int      `cbor:"4,keyasint"`
-	Code   Code     `cbor:"5,keyasint"`
+	From   int      `cbor:"4,keyasint,omitempty"`
+	Code   Code     `cbor:"5,keyasint,omitempty"`
 	Why    string   `cbor:"6,keyasint,omitempty"`
-	Pos    int      `cbor:"7,keyasint"`
+	Pos    int      `cbor:"7,keyasint,omitempty"`
 	Hidden [][]byte `cbor:"8,keyasint,omitempty"`
 	Token  uint32   `cbor:"9,keyasint,omitempty"`
 	Text   string   `cbor:"10,keyasint,omitempty"`
 	Last   bool     `cbor:"11,keyasint,omitempty"`
 	// Index counts the tokens of one VerbRun from 0.
 	Index int `cbor:"12,keyasint,omitempty"`
-}
-
-// EncodeStep returns the bytes of s.
-func EncodeStep(s *Step) ([]byte, error) { return cbor.Marshal(s) }
-
-// DecodeStep reads a step; ErrBad for anything else.
-func DecodeStep(data []byte) (*Step, error) {
-	var s Step
-	if err := cbor.Unmarshal(data, &s); err != nil {
-		return nil, errors.Wrap(ErrBad, err.Error())
-	}
-	return &s, nil
-}
-
-// EncodeReply returns the bytes of r.
-func EncodeReply(r *Reply) ([]byte, error) { return cbor.Marshal(r) }
-
-// DecodeReply reads a reply; ErrBad for anything else.
-func DecodeReply(data []byte) (*Reply, error) {
-	var r Reply
-	if err := cbor.Unmarshal(data, &r); err != nil {
-		return nil, errors.Wrap(ErrBad, err.Error())
-	}
-	return &r, nil
+	// End marks the last reply of a VerbRun and Total states how many tokens
+	// the run gave, so that a cut run never looks whole. A VerbStep whose token
+	// ends the answer has both too; Total is its Next then.
+	End   bool `cbor:"13,keyasint,omitempty"`
+	Total int  `cbor:"14,keyasint,omitempty"`
+	// Next is the position after the inputs of this step.
+	Next int `cbor:"15,keyasint,omitempty"`
+	// Took is the engine's own time for the step, waiting included, in
+	// microseconds.
+	Took int64 `cbor:"16,keyasint,omitempty"`
 }
--- a/internal/fakes/layer/layer.go
+++ b/internal/fakes/layer/layer.go
@@ -17,6 +17,9 @@
 // Vocabulary is the number of tokens; token 0 ends an answer.
 const Vocabulary = 4096
 
+// numberBytes is the size of one encoded value.
+const numberBytes = 8
+
 // State is the cache of a range of layers for one request: one number per
 // layer that depends on all earlier tokens.
 type State struct {
@@ -44,6 +47,32 @@
 	return hidden
 }
 
+// Export returns the cache of layers [from, to), or false if it is not all in s.
+func (s *State) Export(from, to int) ([]byte, bool) {
+	if from < s.from || to > s.from+len(s.kv) || from >= to {
+		return nil, false
+	}
+	out := make([]byte, 0, numberBytes*(to-from))
+	for _, v := range s.kv[from-s.from : to-s.from] {
+		out = binary.BigEndian.AppendUint64(out, v)
+	}
+	return out, true
+}
+
+// Import returns the state that Export gave, after pos tokens; false if data
+// is of another size.
+func Import(from, to, pos int, data []byte) (*State, bool) {
+	if from < 0 || to <= from || pos < 0 || len(data) != numberBytes*(to-from) {
+		return nil, false
+	}
+	s := NewState(from, to)
+	s.pos = pos
+	for i := range s.kv {
+		s.kv[i] = binary.BigEndian.Uint64(data[numberBytes*i:])
+	}
+	return s, true
+}
+
 // Split turns a prompt into tokens; it never returns none.
 func Split(text string) []uint32 {
 	words := strings.Fields(text)
@@ -100,7 +129,7 @@
 
 // Decode reads what Encode wrote; other lengths give false.
 func Decode(data []byte) (uint64, bool) {
-	if len(data) != 8 {
+	if len(data) != numberBytes {
 		return 0, false
 	}
 	return binary.BigEndian.Uint64(data), true
--- /dev/null
+++ b/internal/fakes/stage/queue.go
@@ -0,0 +1,154 @@
+package stage
+
+import (
+	"container/heap"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+)
+
+// work is a step that waits or runs.
+type work struct {
+	step  *frame.Step
+	link  *link
+	key   key
+	order uint64
+	life  uint64
+	since time.Time
+	// index counts the tokens of a run.
+	index int
+	// gone is set when the request was canceled.
+	gone bool
+}
+
+// queue holds waiting work: a lower priority number first, then as it came.
+type queue []*work
+
+// Len, Less, Swap, Push and Pop are for container/heap.
+func (q queue) Len() int { return len(q) }
+
+// Less orders by priority and arrival.
+func (q queue) Less(i, j int) bool {
+	if q[i].step.Prio != q[j].step.Prio {
+		return q[i].step.Prio < q[j].step.Prio
+	}
+	return q[i].order < q[j].order
+}
+
+// Swap exchanges two entries.
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push adds a *work.
+func (q *queue) Push(x any) { *q = append(*q, x.(*work)) }
+
+// Pop takes the last entry.
+func (q *queue) Pop() any {
+	old := *q
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	return w
+}
+
+// submit takes a step off a link: cancel at once, else wait for a slot.
+func (e *Engine) submit(s *frame.Step, l *link) {
+	if e.Poison != "" && containsWord(s.Text, e.Poison) {
+		e.Kill()
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.links[l] {
+		return
+	}
+	if s.Verb == frame.VerbCancel {
+		e.cancel(s)
+		return
+	}
+	if s.From == 0 && s.Seq == 1 {
+		e.cache.take(s.Text, e.Cache)
+	}
+	w := &work{step: s, link: l, key: key{req: s.Req, from: s.From}, life: e.life, since: time.Now()}
+	e.push(w)
+	if e.running < max(1, e.Slots) {
+		e.running++
+		go e.serve()
+	}
+}
+
+func (e *Engine) push(w *work) {
+	e.arrivals++
+	w.order = e.arrivals
+	heap.Push(&e.waiting, w)
+}
+
+// cancel forgets the state and what waits or runs for it.
+func (e *Engine) cancel(s *frame.Step) {
+	k := key{req: s.Req, from: s.From}
+	if ses := e.sessions[k]; ses != nil && ses.try <= s.Try {
+		delete(e.sessions, k)
+	}
+	kept := e.waiting[:0]
+	for _, w := range e.waiting {
+		if w.key != k || w.step.Try > s.Try {
+			kept = append(kept, w)
+		}
+	}
+	clear(e.waiting[len(kept):])
+	e.waiting = kept
+	heap.Init(&e.waiting)
+	for w := range e.busy {
+		if w.key == k && w.step.Try <= s.Try {
+			w.gone = true
+		}
+	}
+}
+
+// serve is one slot at work until nothing waits.
+func (e *Engine) serve() {
+	for {
+		e.mu.Lock()
+		if len(e.waiting) == 0 {
+			e.running--
+			e.mu.Unlock()
+			return
+		}
+		w := heap.Pop(&e.waiting).(*work)
+		e.busy[w] = true
+		e.mu.Unlock()
+		e.work(w)
+		e.mu.Lock()
+		delete(e.busy, w)
+		e.mu.Unlock()
+	}
+}
+
+// work runs a step, and for a run the tokens after it until the run ends or
+// something more urgent waits.
+func (e *Engine) work(w *work) {
+	for {
+		if e.Layer > 0 {
+			time.Sleep(e.Layer * time.Duration(max(0, w.step.To-w.step.From)))
+		}
+		s := w.step
+		r, more := e.apply(w)
+		if r == nil {
+			return
+		}
+		e.answer(w.link, s, r)
+		if !more || e.yield(w) {
+			return
+		}
+	}
+}
+
+// yield puts a run back in the queue if something more urgent waits.
+func (e *Engine) yield(w *work) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.waiting) == 0 || e.waiting[0].step.Prio >= w.step.Prio {
+		return false
+	}
+	e.push(w)
+	return true
+}
--- a/internal/fakes/stage/stage.go
+++ b/internal/fakes/stage/stage.go
@@ -7,45 +7,99 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"fulmarwick/internal/base/frame"
-	"fulmarwick/internal/fakes/layer"
 
 	"github.com/gorilla/mux"
-	"github.com/gorilla/websocket"
 )
 
+// defaultGrace is how long states outlive their connection if Grace is zero.
+const defaultGrace = 5 * time.Second
+
 // Engine is a stand-in engine. Set the exported fields before serving.
 type Engine struct {
 	Name       string
 	DataCentre string
 	Kind       string
-	Holds      []frame.Hold
+	Role       string
+	// Holds are the ranges loaded at start; orders change what is loaded.
+	Holds []frame.Hold
 	// Layer is the time that one token takes through one layer; zero answers
 	// at once.
 	Layer time.Duration
+	// Slots is how many steps run at once; zero is one.
 	Slots int
+	// Memory is in layers and Cache in prompt blocks; zero Memory is unbounded.
+	Memory int
+	Cache  int
+	// Link is the time of one hop and Bandwidth, in bytes a second, of the
+	// link; zero is unbounded.
+	Link      time.Duration
+	Bandwidth int64
+	// Fenced says that orders with an old fencing number are refused; other
+	// engines take any order.
+	Fenced bool
+	// Store limits how fast weights load; nil loads at once.
+	Store *Weights
+	// Lag is how old the load in a report may be, EventLag how late cache
+	// events show, and Gap, if set, picks events that are never shown.
+	Lag      time.Duration
+	EventLag time.Duration
+	Gap      func(seq uint64) bool
+	// Grace is how long a state outlives its connection (zero is 5 s), Idle
+	// how long it is kept unused (zero is for ever).
+	Grace time.Duration
+	Idle  time.Duration
 	// Poison is a word whose presence in a prompt kills the engine; "" is none.
 	Poison string
+	// Faults, if set, picks what happens to the reply of a step; Late is the
+	// delay of FaultDelay.
+	Faults func(*frame.Step) Fault
+	Late   time.Duration
 
 	once     sync.Once
 	mu       sync.Mutex
+	life     uint64
+	held     []frame.Hold
+	fence    uint64
+	orders   uint64
+	role     string
 	sessions map[key]*session
-	conns    map[*websocket.Conn]bool
-	slots    chan struct{}
-	seq      atomic.Uint64
-	active   atomic.Int64
-	queued   atomic.Int64
-	steps    atomic.Int64
+	links    map[*link]bool
+	waiting  queue
+	busy     map[*work]bool
+	arrivals uint64
+	running  int
+	load     load
+	cache    cache
+	seq      uint64
+	runs     atomic.Int64
 	dead     atomic.Bool
 	leaving  atomic.Bool
 }
 
+// load is what a report says of the load, as of at.
+type load struct {
+	at             time.Time
+	active, queued int
+}
+
 // Steps is how many layer runs of a position this engine has done.
-func (e *Engine) Steps() int64 { return e.steps.Load() }
+func (e *Engine) Steps() int64 { return e.runs.Load() }
+
+// Sessions is how many request states the engine keeps.
+func (e *Engine) Sessions() int {
+	e.init()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expire()
+	return len(e.sessions)
+}
 
 // Kill drops all connections and state, as a crash would.
 func (e *Engine) Kill() {
@@ -53,13 +107,28 @@
 	e.dead.Store(true)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.life++
+	e.seq = 0
 	e.sessions = map[key]*session{}
-	for c := range e.conns {
-		_ = c.Close()
+	e.waiting = nil
+	e.cache = cache{}
+	for l := range e.links {
+		_ = l.ws.Close()
+	}
+}
+
+// Cut drops all connections and keeps the states, as a broken link would.
+func (e *Engine) Cut() {
+	e.init()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for l := range e.links {
+		_ = l.ws.Close()
 	}
 }
 
-// Revive lets a killed engine serve again, with no state.
+// Revive lets a killed engine serve again, with no state and as a new
+// incarnation.
 func (e *Engine) Revive() { e.dead.Store(false) }
 
 // Leave marks the engine as leaving in its reports.
@@ -68,8 +137,11 @@
 func (e *Engine) init() {
 	e.once.Do(func() {
 		e.sessions = map[key]*session{}
-		e.conns = map[*websocket.Conn]bool{}
-		e.slots = make(chan struct{}, max(1, e.Slots))
+		e.links = map[*link]bool{}
+		e.busy = map[*work]bool{}
+		e.held = slices.Clone(e.Holds)
+		e.role = e.Role
+		e.life = 1
 	})
 }
 
@@ -79,6 +151,10 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/engine", e.report).Methods(http.MethodGet)
 	r.HandleFunc("/v1/steps", e.stream).Methods(http.MethodGet)
+	r.HandleFunc("/v1/events", e.events).Methods(http.MethodGet)
+	r.HandleFunc("/v1/orders", e.order).Methods(http.MethodPost)
+	r.HandleFunc("/v1/kv", e.exportKV).Methods(http.MethodGet)
+	r.HandleFunc("/v1/kv", e.importKV).Methods(http.MethodPut)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if e.dead.Load() {
 			panic(http.ErrAbortHandler)
@@ -88,147 +164,40 @@
 }
 
 func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
-	state := frame.StateLive
-	if e.leaving.Load() {
-		state = frame.StateLeaving
-	}
-	body := frame.Engine{
-		Name: e.Name, DataCentre: e.DataCentre, Kind: e.Kind, Holds: e.Holds,
-		Layer: int64(e.Layer), Slots: max(1, e.Slots), State: state, Seq: e.seq.Add(1),
-		Active: int(e.active.Load()), Queued: int(e.queued.Load()),
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
+	reply(w, e.Report())
 }
 
-func (e *Engine) stream(w http.ResponseWriter, req *http.Request) {
-	up := websocket.Upgrader{ReadBufferSize: 64 << 10, WriteBufferSize: 64 << 10}
-	c, err := up.Upgrade(w, req, nil)
-	if err != nil {
-		return
-	}
-	c.SetReadLimit(frame.MaxBytes)
-	e.mu.Lock()
-	e.conns[c] = true
-	e.mu.Unlock()
-	out := make(chan *frame.Reply, 256)
-	done := make(chan struct{})
-	go write(c, out, done)
-	e.read(c, out, done)
+// Report is what the engine says of itself now.
+func (e *Engine) Report() frame.Engine {
+	e.init()
 	e.mu.Lock()
-	delete(e.conns, c)
-	e.mu.Unlock()
-	_ = c.Close()
-	close(done)
-}
-
-func write(c *websocket.Conn, out <-chan *frame.Reply, done <-chan struct{}) {
-	for {
-		select {
-		case <-done:
-			return
-		case r := <-out:
-			data, err := frame.EncodeReply(r)
-			if err == nil {
-				err = c.WriteMessage(websocket.BinaryMessage, data)
-			}
-			if err != nil {
-				_ = c.Close()
-				return
-			}
-		}
+	defer e.mu.Unlock()
+	e.expire()
+	if now := time.Now(); e.load.at.IsZero() || now.Sub(e.load.at) >= e.Lag {
+		e.load = load{at: now, active: e.running, queued: len(e.waiting)}
 	}
-}
-
-func (e *Engine) read(c *websocket.Conn, out chan<- *frame.Reply, done <-chan struct{}) {
-	for {
-		_, data, err := c.ReadMessage()
-		if err != nil {
-			return
-		}
-		s, err := frame.DecodeStep(data)
-		if err != nil {
-			return
-		}
-		if s.Verb == frame.VerbCancel {
-			e.cancel(s)
-			continue
-		}
-		if e.Poison != "" && containsWord(s.Text, e.Poison) {
-			e.Kill()
-			return
-		}
-		go e.serve(s, out, done)
+	e.seq++
+	state := frame.StateLive
+	if e.leaving.Load() {
+		state = frame.StateLeaving
 	}
-}
-
-func containsWord(text, word string) bool {
-	want := layer.Split(word)[0]
-	for _, t := range layer.Split(text) {
-		if t == want {
-			return true
-		}
+	return frame.Engine{
+		Name: e.Name, DataCentre: e.DataCentre, Kind: e.Kind, Role: e.role,
+		Holds: slices.Clone(e.held), Layer: int64(e.Layer), Slots: max(1, e.Slots),
+		Memory: e.Memory, Cache: e.Cache, Cached: len(e.cache.blocks),
+		Fenced: e.Fenced, Fence: e.fence, State: state, Incarnation: e.life, Seq: e.seq,
+		Active: e.load.active, Queued: e.load.queued,
+		Link: e.Link.Microseconds(), Bandwidth: e.Bandwidth,
 	}
-	return false
 }
 
-func (e *Engine) cancel(s *frame.Step) {
+func (e *Engine) incarnation() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	k := key{req: s.Req, from: s.From}
-	if ses := e.sessions[k]; ses != nil && ses.try <= s.Try {
-		delete(e.sessions, k)
-	}
+	return strconv.FormatUint(e.life, 10)
 }
 
-// serve runs a step in one of the engine's slots, for as long as it takes.
-func (e *Engine) serve(s *frame.Step, out chan<- *frame.Reply, done <-chan struct{}) {
-	e.queued.Add(1)
-	e.slots <- struct{}{}
-	e.queued.Add(-1)
-	e.active.Add(1)
-	defer func() {
-		e.active.Add(-1)
-		<-e.slots
-	}()
-	for i := 0; ; i++ {
-		e.work(s)
-		r := e.step(s)
-		reply := *r
-		reply.Index = i
-		select {
-		case out <- &reply:
-		case <-done:
-			return
-		}
-		if s.Verb != frame.VerbRun || r.Code != frame.CodeOK || r.Last || i+1 >= s.Count {
-			return
-		}
-		s = next(s, r)
-	}
-}
-
-// next is the step that a run goes on with after r.
-func next(s *frame.Step, r *frame.Reply) *frame.Step {
-	n := *s
-	n.Seq++
-	n.Pos = r.Pos + positions(s)
-	n.Text = ""
-	n.Tokens = []uint32{r.Token}
-	return &n
-}
-
-func positions(s *frame.Step) int {
-	n := len(s.Tokens) + len(s.Hidden)
-	if s.Seq == 1 && s.From == 0 {
-		n += len(layer.Split(s.Text))
-	}
-	return n
-}
-
-func (e *Engine) work(s *frame.Step) {
-	e.steps.Add(int64(positions(s) * (s.To - s.From)))
-	if e.Layer > 0 {
-		time.Sleep(e.Layer * time.Duration(s.To-s.From))
-	}
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
 }
--- a/internal/fakes/stage/state.go
+++ b/internal/fakes/stage/state.go
@@ -1,6 +1,8 @@
 package stage
 
 import (
+	"time"
+
 	"fulmarwick/internal/base/frame"
 	"fulmarwick/internal/fakes/layer"
 )
@@ -17,32 +19,114 @@
 	seq   uint64
 	to    int
 	depth int
+	model string
 	kv    *layer.State
-	last  *frame.Reply
+	// last answers a repeat of the last step.
+	last *frame.Reply
+	// made are the tokens of the steps up to seq, so that a run whose replies
+	// were lost can be asked for again from any of them.
+	made []uint32
+	// run is the work that runs this state now; a later one takes its place.
+	run  *work
+	link *link
+	// orphaned is when the connection broke; zero while it stands.
+	orphaned time.Time
+	used     time.Time
 }
 
-// step checks the numbers of s and runs it at most once.
-func (e *Engine) step(s *frame.Step) *frame.Reply {
+// apply checks the numbers of the step of w and runs it at most once. It
+// returns no reply if nobody waits for it any more, and whether w goes on.
+func (e *Engine) apply(w *work) (*frame.Reply, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if w.gone || w.life != e.life {
+		return nil, false
+	}
+	s := w.step
 	ses, code := e.session(s)
 	if code != frame.CodeOK {
-		return fail(s, code, "")
+		return fail(s, code, ""), false
+	}
+	if w.index == 0 {
+		ses.run = w
+	}
+	if s.Verb == frame.VerbRun && (ses.run != w || !e.links[w.link]) {
+		return nil, false
+	}
+	e.used(ses, w.link)
+	r := e.step(ses, s)
+	out := *r
+	out.Took = time.Since(w.since).Microseconds()
+	if s.Verb != frame.VerbRun || r.Code != frame.CodeOK {
+		if out.Last {
+			out.End, out.Total = true, out.Next
+		}
+		return &out, false
 	}
-	if s.Seq == ses.seq && ses.last != nil {
-		return ses.last
+	return &out, w.advance(&out)
+}
+
+func (e *Engine) used(ses *session, l *link) {
+	ses.link, ses.orphaned, ses.used = l, time.Time{}, time.Now()
+	if !e.links[l] {
+		ses.orphaned = ses.used
+	}
+}
+
+// advance numbers the reply of a run and sets the next step.
+func (w *work) advance(r *frame.Reply) bool {
+	r.Index = w.index
+	w.index++
+	r.End = r.Last || w.index >= w.step.Count
+	if r.End {
+		r.Total = w.index
+		if r.Last {
+			r.Total--
+		}
+		return false
+	}
+	n := *w.step
+	n.Seq++
+	n.Pos = r.Next
+	n.Text = ""
+	n.Tokens = []uint32{r.Token}
+	w.step = &n
+	return true
+}
+
+func (e *Engine) step(ses *session, s *frame.Step) *frame.Reply {
+	if r := ses.remembered(s); r != nil {
+		return r
 	}
 	if s.Seq != ses.seq+1 || s.Pos != ses.kv.Pos() {
 		return fail(s, frame.CodeGap, "step or position out of order")
 	}
-	r := run(ses, s)
+	r := e.run(ses, s)
 	if r.Code == frame.CodeOK {
 		ses.seq = s.Seq
 		ses.last = r
+		if s.Verb == frame.VerbRun {
+			ses.made = append(ses.made, r.Token)
+		}
 	}
 	return r
 }
 
+// remembered answers a step that was done already.
+func (s *session) remembered(step *frame.Step) *frame.Reply {
+	if step.Seq == s.seq && s.last != nil {
+		return s.last
+	}
+	back := s.seq - step.Seq
+	if step.Verb != frame.VerbRun || step.Seq > s.seq || back >= uint64(len(s.made)) {
+		return nil
+	}
+	next := s.kv.Pos() - int(back)
+	r := &frame.Reply{Req: step.Req, Try: step.Try, Seq: step.Seq, From: step.From, Pos: step.Pos, Next: next}
+	named(r, s.made[len(s.made)-1-int(back)])
+	return r
+}
+
 func (e *Engine) session(s *frame.Step) (*session, frame.Code) {
 	k := key{req: s.Req, from: s.From}
 	ses := e.sessions[k]
@@ -58,26 +142,70 @@
 	if s.Seq != 1 {
 		return nil, frame.CodeGap
 	}
-	depth, ok := e.holds(s)
+	if e.leaving.Load() {
+		return nil, frame.CodeLeave
+	}
+	depth, ok := e.holds(s.Model, s.From, s.To)
 	if !ok {
 		return nil, frame.CodeRange
 	}
-	ses = &session{try: s.Try, to: s.To, depth: depth, kv: layer.NewState(s.From, s.To)}
+	if s.Verb == frame.VerbRun && (s.From != 0 || s.To != depth) {
+		return nil, frame.CodeRange
+	}
+	e.expire()
+	ses = &session{try: s.Try, to: s.To, depth: depth, model: s.Model, kv: layer.NewState(s.From, s.To)}
 	e.sessions[k] = ses
 	return ses, frame.CodeOK
 }
 
-func (e *Engine) holds(s *frame.Step) (depth int, ok bool) {
-	for _, h := range e.Holds {
-		if h.Model == s.Model && h.From <= s.From && s.From < s.To && s.To <= h.To {
+func (e *Engine) holds(model string, from, to int) (depth int, ok bool) {
+	for _, h := range e.held {
+		if h.Model == model && h.From <= from && from < to && to <= h.To {
 			return h.Depth, true
 		}
 	}
 	return 0, false
 }
 
+// orphan starts the grace time of the states of a link that broke.
+func (e *Engine) orphan(l *link) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.links, l)
+	now := time.Now()
+	for _, ses := range e.sessions {
+		if ses.link == l {
+			ses.orphaned = now
+		}
+	}
+	time.AfterFunc(e.grace(), func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.expire()
+	})
+}
+
+func (e *Engine) grace() time.Duration {
+	if e.Grace == 0 {
+		return defaultGrace
+	}
+	return e.Grace
+}
+
+// expire drops the states that nobody came back for.
+func (e *Engine) expire() {
+	now := time.Now()
+	for k, ses := range e.sessions {
+		lost := !ses.orphaned.IsZero() && now.Sub(ses.orphaned) >= e.grace()
+		idle := e.Idle > 0 && now.Sub(ses.used) >= e.Idle
+		if lost || idle {
+			delete(e.sessions, k)
+		}
+	}
+}
+
 // run puts the inputs of s through the range.
-func run(ses *session, s *frame.Step) *frame.Reply {
+func (e *Engine) run(ses *session, s *frame.Step) *frame.Reply {
 	inputs, ok := hiddens(s)
 	if !ok || len(inputs) == 0 {
 		return fail(s, frame.CodeGap, "no input that this range can read")
@@ -90,17 +218,19 @@
 			r.Hidden = append(r.Hidden, layer.Encode(last))
 		}
 	}
+	e.runs.Add(int64(len(inputs) * (s.To - s.From)))
+	r.Next = ses.kv.Pos()
 	if ses.to == ses.depth {
-		name(r, last)
+		named(r, layer.Pick(last))
 	}
 	return r
 }
 
-func name(r *frame.Reply, hidden uint64) {
-	r.Token = layer.Pick(hidden)
-	r.Last = r.Token == 0
+func named(r *frame.Reply, token uint32) {
+	r.Token = token
+	r.Last = token == 0
 	if !r.Last {
-		r.Text = layer.Word(r.Token)
+		r.Text = layer.Word(token)
 	}
 }
 
@@ -116,7 +246,9 @@
 		}
 		return out, true
 	}
-	if s.Seq == 1 {
+	// Only a state's first step at position 0 carries the prompt; after an
+	// import the prompt is in the cache already.
+	if s.Seq == 1 && s.Pos == 0 {
 		for _, t := range layer.Split(s.Text) {
 			out = append(out, layer.Embed(t))
 		}
--- /dev/null
+++ b/internal/wire/chain/call.go
@@ -0,0 +1,147 @@
+package chain
+
+import (
+	"context"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/wire/engine"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// reconnectTimeout bounds the attempt to reach an engine again whose
+	// connection broke; a request waits for no longer than this before its
+	// stage is replaced.
+	reconnectTimeout = 300 * time.Millisecond
+	// maxRepeats is how often one step is sent again, under the same number.
+	maxRepeats = 2
+	// maxStalls is how often a run is asked for again without a token between.
+	maxStalls = 8
+)
+
+// call has j.step run by s and leaves the answer in j.reply.
+func (j *run) call(ctx context.Context, s *stage) error {
+	j.meters.steps.Inc()
+	for tries := 0; ; tries++ {
+		err := j.ask(ctx, s)
+		if err == nil {
+			return j.checked(s)
+		}
+		if err := j.mend(ctx, s, err, tries); err != nil {
+			return err
+		}
+	}
+}
+
+func (j *run) ask(ctx context.Context, s *stage) error {
+	if err := j.open(ctx, s); err != nil {
+		return err
+	}
+	if err := s.on.Send(&j.step); err != nil {
+		return err
+	}
+	return j.recv(ctx, s, j.step.Seq)
+}
+
+// recv waits for the reply to j.step. Base is the number of the step that was
+// sent; in a run the engine goes on by itself, and a reply from beyond the one
+// awaited shows that replies are missing, which the engine can give again.
+func (j *run) recv(ctx context.Context, s *stage, base uint64) error {
+	for {
+		if err := s.on.Recv(ctx, j.patience, &j.reply); err != nil {
+			return err
+		}
+		r := &j.reply
+		// A reply of a run that was asked for again counts from elsewhere.
+		current := j.mine(s) && r.Seq >= base && (r.Code != frame.CodeOK || r.Index == int(r.Seq-base))
+		switch {
+		case current && r.Seq == j.step.Seq:
+			return nil
+		case current && r.Seq > j.step.Seq:
+			return engine.ErrMissed
+		}
+		j.meters.stale.Inc()
+	}
+}
+
+// mine reports whether the reply is of this run and of the stage's present
+// state. One of another request or an older attempt would put foreign layers
+// into the answer.
+func (j *run) mine(s *stage) bool {
+	r := &j.reply
+	return r.Req == j.name && r.Try == s.try && r.From == s.from()
+}
+
+// checked turns the reply's code into what it means for the stage.
+func (j *run) checked(s *stage) error {
+	switch j.reply.Code {
+	case frame.CodeOK:
+		return nil
+	case frame.CodeGap, frame.CodeStale:
+		// The engine lives but its state is not the one that was left there,
+		// for it expired or was dropped.
+		return j.anew(s)
+	case frame.CodeLeave, frame.CodeFull:
+		return j.lose(s, world.CauseLeaving)
+	default:
+		return j.lose(s, world.CauseState)
+	}
+}
+
+// mend returns nil if the step may be sent again under its number: the engine
+// answers a step that it did already from memory.
+func (j *run) mend(ctx context.Context, s *stage, err error, tries int) error {
+	switch {
+	case ctx.Err() != nil:
+		return canceled(ctx)
+	case errors.Is(err, engine.ErrRefused):
+		return j.lose(s, world.CauseRefused)
+	case errors.Is(err, engine.ErrBroken):
+		if tries >= maxRepeats {
+			return j.lose(s, world.CauseBroken)
+		}
+		return j.reconnect(ctx, s)
+	case errors.Is(err, engine.ErrMissed):
+		if tries >= maxStalls {
+			return j.lose(s, world.CauseState)
+		}
+		j.meters.resends.Inc()
+		return nil
+	case errors.Is(err, engine.ErrLate):
+		if tries >= maxRepeats {
+			return j.lose(s, world.CauseTimeout)
+		}
+		j.meters.resends.Inc()
+		return nil
+	default:
+		return j.lose(s, world.CauseState)
+	}
+}
+
+// reconnect opens the stage's stream again on an engine that still has its
+// state. An engine that restarted has not, and what killed it may be this
+// very request: nothing is sent to it before the routing logic knows.
+func (j *run) reconnect(ctx context.Context, s *stage) error {
+	wait, cancel := context.WithTimeout(ctx, reconnectTimeout)
+	defer cancel()
+	if s.on != nil {
+		s.on.Leave()
+	}
+	s.on = nil
+	on, err := j.Engines.Open(wait, s.is.Engine(), j.name, s.try, s.from())
+	if err != nil {
+		if ctx.Err() != nil {
+			return canceled(ctx)
+		}
+		return j.lose(s, world.CauseBroken)
+	}
+	s.on = on
+	if on.Incarnation() != s.life || s.life == 0 {
+		return j.lose(s, world.CauseBroken)
+	}
+	j.meters.reconnects.Inc()
+	return nil
+}
--- /dev/null
+++ b/internal/wire/chain/chain_test.go
@@ -0,0 +1,335 @@
+package chain_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fakes/layer"
+	"fulmarwick/internal/fakes/stage"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/wire/chain"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	prompt = "how much for a new door"
+	depth  = 12
+	limit  = 30
+)
+
+// positions is how many positions a whole answer takes through each layer:
+// the prompt and every token but the last, which is run only if more follow.
+func positions(text string, limit int) int64 {
+	tokens := layer.Whole(text, depth, limit)
+	n := int64(len(layer.Split(text)) + len(tokens))
+	if len(tokens) == limit {
+		n--
+	}
+	return n
+}
+
+// three is a site of three stages with a spare for the middle one, on which
+// every chain but the first runs it.
+func three() *site {
+	s := newSite(depth, hold("a", depth, 0, 4), hold("b", depth, 4, 8), hold("c", depth, 8, 12), hold("d", depth, 4, 8))
+	s.router.plan = func(attempt uint32, _ []spec.UpstreamID) spec.Chain {
+		if attempt == 1 {
+			return spec.Chain{on("a", 0, 4), on("b", 4, 8), on("c", 8, 12)}
+		}
+		return spec.Chain{on("a", 0, 4), on("d", 4, 8), on("c", 8, 12)}
+	}
+	return s
+}
+
+// alone is a site of one engine that holds the whole model.
+func alone() *site {
+	s := newSite(depth, hold("a", depth, 0, depth))
+	s.router.plan = func(uint32, []spec.UpstreamID) spec.Chain { return spec.Chain{on("a", 0, depth)} }
+	return s
+}
+
+func count(s *site, name string) uint64 { return s.runner.Meters.GetOrCreateCounter(name).Get() }
+
+func steps(t *testing.T, s *site, engine int, want int64) {
+	t.Helper()
+	if got := s.engines[engine].Steps(); got != want {
+		t.Errorf("got %d layer runs on %s, want %d", got, s.engines[engine].Name, want)
+	}
+}
+
+// The caller sees a whole answer without a pause to start over. The middle
+// stage crashes after ten tokens; its spare runs all positions from the inputs
+// kept at its boundary, and the first and last stages run none again, since
+// their states still stand.
+func TestSurvivingStagesRunNothingAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := three()
+		defer s.close()
+		a := s.ask(t.Context(), "r", prompt, limit, func(n int) {
+			if n == 10 {
+				s.engines[1].Kill()
+			}
+		})
+		a.must(t, prompt, depth, limit)
+		once := 4 * positions(prompt, limit)
+		steps(t, s, 0, once)
+		steps(t, s, 2, once)
+		steps(t, s, 3, once)
+		if lost := s.router.lost(); len(lost) != 1 || lost[0].Cause != world.CauseBroken {
+			t.Errorf("got lost stages %v, want one that broke", lost)
+		}
+	})
+}
+
+// The caller sees nothing. The connection to a living engine breaks between
+// two steps, or after a step whose reply is lost with it; the run connects
+// again and sends the same step number, which the engine answers from memory
+// if it did the step. No stage is lost and nothing runs twice.
+func TestBrokenConnectionRunsNothingAgain(t *testing.T) {
+	for _, fault := range []stage.Fault{stage.FaultCut, stage.FaultDrop, stage.FaultDouble} {
+		t.Run(fault.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := three()
+				defer s.close()
+				s.runner.Meters = metrics.NewSet()
+				// Longer than the patience with a lost reply of another stage.
+				s.engines[2].Grace = time.Minute
+				n := 0
+				s.engines[1].Faults = func(*frame.Step) stage.Fault {
+					n++
+					if n%5 == 0 {
+						return fault
+					}
+					return stage.FaultNone
+				}
+				a := s.ask(t.Context(), "r", prompt, limit, func(n int) {
+					if n == 12 {
+						s.engines[2].Cut()
+					}
+				})
+				a.must(t, prompt, depth, limit)
+				for i := range 3 {
+					steps(t, s, i, 4*positions(prompt, limit))
+				}
+				if lost := s.router.lost(); len(lost) != 0 {
+					t.Errorf("got lost stages %v, want none", lost)
+				}
+				if got := count(s, "fulmarwick_chain_reconnects_total"); got == 0 {
+					t.Error("got no reconnect, want some")
+				}
+			})
+		})
+	}
+}
+
+// The caller sees a refusal. Its prompt crashes the engine that runs it, which
+// restarts at once. The run must not send the prompt to the restarted engine:
+// the routing logic would then count one crash where there were many.
+func TestRestartedEngineGetsNothingUnasked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := alone()
+		defer s.close()
+		s.engines[0].Poison = "door"
+		s.router.plan = func(attempt uint32, _ []spec.UpstreamID) spec.Chain {
+			if attempt > 1 {
+				return nil
+			}
+			return spec.Chain{on("a", 0, depth)}
+		}
+		stop := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Microsecond):
+					s.engines[0].Revive()
+				}
+			}
+		}()
+		a := s.ask(t.Context(), "r", prompt, limit, nil)
+		close(stop)
+		var refused *chain.RefusedError
+		if !errors.As(a.err, &refused) || !refused.Ran {
+			t.Errorf("got %v, want a refusal that says it ran", a.err)
+		}
+		if got := s.engines[0].Report().Incarnation; got != 2 {
+			t.Errorf("got incarnation %d, want 2 (one crash)", got)
+		}
+	})
+}
+
+// The caller sees a whole answer. A stage dies while the run may keep almost
+// no inputs; the stages before it run again from the tokens, and the one after
+// it does not.
+func TestJournalBeyondBoundRebuildsFromTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := three()
+		defer s.close()
+		s.runner.Journal = 1
+		a := s.ask(t.Context(), "r", prompt, limit, func(n int) {
+			if n == 10 {
+				s.engines[1].Kill()
+			}
+		})
+		a.must(t, prompt, depth, limit)
+		once := 4 * positions(prompt, limit)
+		steps(t, s, 2, once)
+		if got := s.engines[0].Steps(); got <= once {
+			t.Errorf("got %d layer runs on a, want more than %d: nothing was kept", got, once)
+		}
+	})
+}
+
+// The caller sees a whole answer. The last stage dies and the new chain cuts
+// the layers elsewhere; the cache of the first stage, whose engine lives, is
+// copied to the stage that takes its layers over, which so runs only what is
+// new.
+func TestMovedCacheIsNotRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const long = 100
+		s := newSite(depth, hold("a", depth, 0, 6), hold("b", depth, 6, 12), hold("c", depth, 0, 6), hold("d", depth, 6, 12))
+		defer s.close()
+		s.runner.KV = s.pool
+		s.runner.Meters = metrics.NewSet()
+		s.router.plan = func(attempt uint32, _ []spec.UpstreamID) spec.Chain {
+			if attempt == 1 {
+				return spec.Chain{on("a", 0, 6), on("b", 6, 12)}
+			}
+			return spec.Chain{on("c", 0, 6), on("d", 6, 12)}
+		}
+		a := s.ask(t.Context(), "r", prompt, long, func(n int) {
+			if n == 80 {
+				s.engines[1].Kill()
+			}
+		})
+		a.must(t, prompt, depth, long)
+		if got := count(s, "fulmarwick_chain_kv_moves_total"); got != 1 {
+			t.Errorf("got %d moves, want 1", got)
+		}
+		steps(t, s, 2, 6*positions(prompt, long)-s.engines[0].Steps())
+	})
+}
+
+// Nobody waits any more: the caller goes away in the midst of its answer. All
+// stages must forget the request at once, or the memory of engines fills with
+// the states of callers that left.
+func TestCallerGoneLeavesNoState(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := three()
+			if whole {
+				s.close()
+				s = alone()
+			}
+			defer s.close()
+			ctx, cancel := context.WithCancel(t.Context())
+			a := s.ask(ctx, "r", prompt, limit, func(n int) {
+				if n == 5 {
+					cancel()
+				}
+			})
+			if !errors.Is(a.err, context.Canceled) {
+				t.Errorf("got %v, want the context's error", a.err)
+			}
+			time.Sleep(depth * time.Millisecond)
+			if got := s.sessions(); got != 0 {
+				t.Errorf("got %d states left, want 0", got)
+			}
+		})
+	}
+}
+
+// The caller of a short answer waits behind one that reads slowly. The slow
+// reader's replies fill its own queue only; what did not fit it is asked for
+// again when it reads on, so that it misses nothing either.
+func TestSlowReaderHoldsUpNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const long = 1000
+		s := alone()
+		defer s.close()
+		// The first prompt whose answer is long enough to overflow the queue.
+		text := prompt
+		for i := 0; len(layer.Whole(text, depth, long)) < long; i++ {
+			text = fmt.Sprintf("%s %d", prompt, i)
+		}
+		read := make(chan struct{})
+		done := make(chan *answer)
+		go func() {
+			done <- s.ask(t.Context(), "slow", text, long, func(n int) {
+				if n == 1 {
+					<-read
+				}
+			})
+		}()
+		time.Sleep(time.Minute)
+		s.ask(t.Context(), "fast", prompt, limit, nil).must(t, prompt, depth, limit)
+		close(read)
+		(<-done).must(t, text, depth, long)
+		steps(t, s, 0, depth*(positions(text, long)+positions(prompt, limit)))
+	})
+}
+
+// Two callers of unlike priority ask an engine with one slot that is busy. The
+// urgent one, although it came last, is served before the other.
+func TestUrgentRequestRunsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := alone()
+		defer s.close()
+		s.engines[0].Slots = 1
+		order := make(chan string, 3)
+		s.router.prio = map[spec.RequestID]int{"busy": 2, "patient": 1}
+		for _, id := range []string{"busy", "patient", "urgent"} {
+			go func() {
+				s.ask(t.Context(), id, prompt, limit, nil).must(t, prompt, depth, limit)
+				order <- id
+			}()
+			time.Sleep(time.Millisecond)
+		}
+		for _, want := range []string{"urgent", "patient", "busy"} {
+			if got := <-order; got != want {
+				t.Errorf("got %s done, want %s", got, want)
+			}
+		}
+	})
+}
+
+// The routing logic learns of progress and of hop times while a long answer
+// lasts, and neither once per token.
+func TestProgressAndHopsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := alone()
+		defer s.close()
+		s.engines[0].Layer = 20 * time.Millisecond
+		s.engines[0].Link = 3 * time.Millisecond
+		s.ask(t.Context(), "r", prompt, limit, nil).must(t, prompt, depth, limit)
+		told, hops := 0, 0
+		for _, ev := range s.router.events {
+			switch ev := ev.(type) {
+			case world.Progress:
+				told++
+			case world.HopTimed:
+				hops++
+				if ev.P50 < 5*time.Millisecond || ev.P50 > 8*time.Millisecond {
+					t.Errorf("got a median hop of %v, want about 6ms there and back", ev.P50)
+				}
+			}
+		}
+		if told == 0 || told > limit/2 {
+			t.Errorf("got %d progress events, want some, fewer than tokens", told)
+		}
+		s.engines[0].Layer = 0
+		time.Sleep(time.Second)
+		s.ask(t.Context(), "r2", prompt, limit, nil).must(t, prompt, depth, limit)
+		if hops > 1 {
+			t.Errorf("got %d hop events in one second, want 1 at most", hops)
+		}
+	})
+}
--- a/internal/wire/chain/doc.go
+++ b/internal/wire/chain/doc.go
@@ -7,5 +7,6 @@
 // A Run keeps, for each layer boundary, the inputs of the stage that begins
 // there. A stage is behind if it has run fewer positions than its boundary
 // has inputs. One loop brings stages up to date in order; prefill, decoding
-// and the rebuild of a lost stage are the same loop.
+// and the rebuild of a lost stage are the same loop. docs/notes/chains.md
+// weighs the design.
 package chain
--- /dev/null
+++ b/internal/wire/chain/frames_test.go
@@ -0,0 +1,112 @@
+package chain_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/wire/chain"
+	"fulmarwick/internal/wire/engine"
+
+	"pgregory.net/rapid"
+)
+
+// mangler spoils the replies of the streams that it opens.
+type mangler struct {
+	chain.Opener
+	rand    *rand.Rand
+	percent int
+}
+
+func (m *mangler) Open(ctx context.Context, id spec.UpstreamID, req string, try uint32, from int) (frame.Stream, error) {
+	s, err := m.Opener.Open(ctx, id, req, try, from)
+	if err != nil {
+		return nil, err
+	}
+	return &mangled{Stream: s, m: m}, nil
+}
+
+type mangled struct {
+	frame.Stream
+	m *mangler
+	// waiting are replies that come before the next one from the engine.
+	waiting []frame.Reply
+}
+
+func (s *mangled) Recv(ctx context.Context, within time.Duration, r *frame.Reply) error {
+	if len(s.waiting) > 0 {
+		*r, s.waiting = s.waiting[0], s.waiting[1:]
+		return nil
+	}
+	if err := s.Stream.Recv(ctx, within, r); err != nil {
+		return err
+	}
+	if s.m.rand.IntN(100) >= s.m.percent {
+		return nil
+	}
+	return s.spoil(ctx, within, r)
+}
+
+func (s *mangled) spoil(ctx context.Context, within time.Duration, r *frame.Reply) error {
+	good := *r
+	switch s.m.rand.IntN(9) {
+	case 0: // lost
+		return s.Recv(ctx, within, r)
+	case 1: // doubled
+		s.waiting = append(s.waiting, good)
+	case 2: // crossed with the one after
+		if err := s.Stream.Recv(ctx, within, r); err != nil {
+			return err
+		}
+		s.waiting = append(s.waiting, good)
+	case 3: // cut
+		return engine.ErrBroken
+	case 4: // another request's
+		s.waiting = append(s.waiting, good)
+		r.Req, r.Token, r.Text = "another", r.Token+1, "foreign "
+	case 5: // an older attempt's
+		s.waiting = append(s.waiting, good)
+		r.Try, r.Token, r.Text = r.Try-1, r.Token+1, "stale "
+	case 6: // an end that is none
+		r.End, r.Last, r.Total = true, true, r.Next+1000
+	case 7: // a number of another run
+		s.waiting = append(s.waiting, good)
+		r.Index, r.Text = r.Index+3, "misplaced "
+	default: // dropped by a full queue
+		return engine.ErrMissed
+	}
+	return nil
+}
+
+// The caller sees the whole answer to its own request, each token once and in
+// order, while replies are lost, doubled, crossed, cut, belong to another
+// request or an older attempt, or claim an end that their count belies.
+func TestOwnWholeAnswerFromSpoiledFrames(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		percent := rapid.SampledFrom([]int{2, 10, 25}).Draw(rt, "percent")
+		tokens := rapid.IntRange(1, 120).Draw(rt, "limit")
+		whole := rapid.Bool().Draw(rt, "whole")
+		var err error
+		synctest.Test(t, func(t *testing.T) {
+			s := three()
+			if whole {
+				s.close()
+				s = alone()
+			}
+			defer s.close()
+			s.router.limit = 1000
+			s.runner.Engines = &mangler{Opener: s.pool, rand: rand.New(rand.NewPCG(seed, 3)), percent: percent}
+			text := fmt.Sprint("notice ", seed)
+			err = s.ask(t.Context(), "r", text, tokens, nil).check(text, depth, tokens)
+		})
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
--- a/internal/wire/chain/inputs.go
+++ b/internal/wire/chain/inputs.go
@@ -2,14 +2,30 @@
 
 // inputs keeps what each boundary's stage must run: the tokens for layer 0
 // and, for later boundaries, hidden values by position.
+//
+// The tokens cost four bytes each and are all that a chain of one stage
+// keeps. The hidden values are bounded by limit: beyond it only those that
+// their stage has yet to run are kept.
 type inputs struct {
 	tokens []uint32
 	// prompt is how many positions the prompt took; known after the first
 	// stage's first reply.
-	prompt int
-	hidden map[int][][]byte
+	prompt  int
+	journal map[int]*journal
+	limit   int
+	bytes   int
+	// bounded is set once the limit was passed.
+	bounded bool
 }
 
+// journal is the hidden values at one boundary from position base on.
+type journal struct {
+	base   int
+	values [][]byte
+}
+
+func (l *journal) end() int { return l.base + len(l.values) }
+
 // positions is how many positions exist so far; zero before the prompt ran.
 func (in *inputs) positions() int {
 	if in.prompt == 0 {
@@ -21,23 +37,71 @@
 // put stores the hidden values that left the stage before boundary, for the
 // positions from pos on. Positions known already are kept as they were.
 func (in *inputs) put(boundary, pos int, values [][]byte) {
-	if in.hidden == nil {
-		in.hidden = map[int][][]byte{}
+	if in.journal == nil {
+		in.journal = map[int]*journal{}
+	}
+	l := in.journal[boundary]
+	if l == nil {
+		l = &journal{base: pos}
+		in.journal[boundary] = l
 	}
-	have := in.hidden[boundary]
 	for i, v := range values {
-		if pos+i == len(have) {
-			have = append(have, v)
+		if pos+i == l.end() {
+			l.values = append(l.values, v)
+			in.bytes += len(v)
 		}
 	}
-	in.hidden[boundary] = have
 }
 
 // from returns the values at boundary from position pos on.
 func (in *inputs) from(boundary, pos int) [][]byte {
-	have := in.hidden[boundary]
-	if pos >= len(have) {
+	l := in.journal[boundary]
+	if l == nil || pos < l.base || pos >= l.end() {
 		return nil
 	}
-	return have[pos:]
+	return l.values[pos-l.base:]
+}
+
+// serve reports whether a stage at boundary that has run done positions gets
+// all that follow, when the stage before has made the outputs of made ones:
+// what is kept must begin early enough and go on without a gap.
+func (in *inputs) serve(boundary, done, made int) bool {
+	l := in.journal[boundary]
+	if l == nil {
+		return made <= done
+	}
+	return l.base <= done && made <= l.end()
+}
+
+// ran tells that the stage at boundary has run all positions below pos; past
+// the limit they are dropped.
+func (in *inputs) ran(boundary, pos int) {
+	if in.bytes > in.limit {
+		in.bounded = true
+	}
+	l := in.journal[boundary]
+	if !in.bounded || l == nil {
+		return
+	}
+	in.trim(l, pos)
+}
+
+func (in *inputs) trim(l *journal, pos int) {
+	n := min(pos-l.base, len(l.values))
+	if n <= 0 {
+		return
+	}
+	for _, v := range l.values[:n] {
+		in.bytes -= len(v)
+	}
+	l.values = append([][]byte(nil), l.values[n:]...)
+	l.base += n
+}
+
+// drop forgets a boundary, so that its stage before fills it again.
+func (in *inputs) drop(boundary int) {
+	if l := in.journal[boundary]; l != nil {
+		in.trim(l, l.end())
+		delete(in.journal, boundary)
+	}
 }
--- a/internal/wire/chain/run.go
+++ b/internal/wire/chain/run.go
@@ -2,98 +2,108 @@
 
 import (
 	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"fulmarwick/internal/base/frame"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/world"
-	"fulmarwick/internal/wire/engine"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 )
 
-// Opener opens streams on engines.
-type Opener interface {
-	Open(ctx context.Context, id spec.UpstreamID, req string, try uint32, from int) (*engine.Stream, error)
-}
-
-// Router takes events and gives the decisions for one request.
-type Router interface {
-	Post(ev world.Event)
-	Watch(id spec.RequestID) <-chan world.Command
-	Forget(id spec.RequestID)
-}
-
-// Token is one piece of an answer.
-type Token struct {
-	Index int
-	Text  string
-}
-
-// Sink receives tokens in order, each index once.
-type Sink func(Token) error
-
-// RefusedError is the final answer to a request that the logic gave up on.
-type RefusedError struct {
-	Reason world.Reason
-	After  time.Duration
-	Ran    bool
-}
-
-// Error names the reason.
-func (r *RefusedError) Error() string { return "chain: refused: " + r.Reason.String() }
-
-// Job is a request for model work.
-type Job struct {
-	Arrived world.Arrived
-	Text    string
-}
-
-// Result says how a finished answer ended.
-type Result struct {
-	Tokens int
-	// Stop is true if the model ended the answer, false at the token limit.
-	Stop bool
-}
+const (
+	// defaultJournal bounds the hidden inputs kept of one request, in bytes.
+	defaultJournal = 4 << 20
+	// defaultPatience is how long a step may take unless the logic says.
+	defaultPatience = 30 * time.Second
+	// progressEvery is the least time between two Progress events.
+	progressEvery = time.Second
+)
 
 // Runner runs jobs. Set the exported fields before Run.
 type Runner struct {
 	Engines Opener
 	Router  Router
+	// KV moves caches between engines that live; nil replays always.
+	KV Mover
+	// Journal bounds the bytes of hidden inputs that are kept of one request
+	// to rebuild a lost stage alone; zero takes 4 MiB. Beyond it a lost stage
+	// costs the run of all stages before it from the tokens.
+	Journal int
+	// Meters takes the counters; nil makes a private set.
+	Meters *metrics.Set
+
+	once   sync.Once
+	meters *meters
+	nonce  string
+	runs   atomic.Uint64
+}
+
+func (r *Runner) init() {
+	r.once.Do(func() {
+		r.meters = newMeters(r.Meters)
+		r.nonce = uuid.NewString()
+		if r.Journal <= 0 {
+			r.Journal = defaultJournal
+		}
+	})
 }
 
 // run is the state of one job.
 type run struct {
 	*Runner
-	job     Job
-	sink    Sink
-	decided <-chan world.Command
-	attempt uint32
-	chain   spec.Chain
-	depth   int
-	prio    int
-	stages  []*stage
-	inputs  inputs
-	text    []string
-	stop    bool
-	began   time.Time
-	first   time.Duration
-	last    time.Time
-	gap     time.Duration
+	job Job
+	// name is the request's name towards engines. It differs for each run of
+	// the same request: after a resume at another instance both may be alive
+	// for a while, and their steps must not meet in one state.
+	name     string
+	sink     Sink
+	decided  <-chan world.Command
+	attempt  uint32
+	rebuilds uint32
+	depth    int
+	prio     int
+	patience time.Duration
+	stages   []*stage
+	inputs   inputs
+	step     frame.Step
+	reply    frame.Reply
+	stop     bool
+	began    time.Time
+	first    time.Duration
+	last     time.Time
+	told     time.Time
+	gap      time.Duration
 }
 
 // Run brings the whole answer to sink, or returns why that cannot be:
-// *RefusedError, the sink's error, or the context's.
+// *RefusedError, *ForwardError, the sink's error, or the context's.
 func (r *Runner) Run(ctx context.Context, job Job, sink Sink) (Result, error) {
+	r.init()
 	id := job.Arrived.Request
-	j := &run{Runner: r, job: job, sink: sink, decided: r.Router.Watch(id), began: time.Now()}
+	now := time.Now()
+	j := &run{
+		Runner: r, job: job, sink: sink, decided: r.Router.Watch(id), began: now, told: now,
+		name:     string(id) + "~" + r.nonce + "-" + strconv.FormatUint(r.runs.Add(1), 10),
+		patience: defaultPatience,
+		inputs:   inputs{limit: r.Journal},
+	}
 	defer r.Router.Forget(id)
 	defer j.closeAll()
 	r.Router.Post(job.Arrived)
 	err := j.whole(ctx)
 	j.report(ctx, err)
-	return Result{Tokens: len(j.text), Stop: j.stop}, err
+	return Result{Tokens: j.count(), Stop: j.stop}, err
 }
 
+// count is how many tokens the caller got.
+func (j *run) count() int { return len(j.inputs.tokens) }
+
 func (j *run) report(ctx context.Context, err error) {
 	id := j.job.Arrived.Request
 	if ctx.Err() != nil {
@@ -101,7 +111,7 @@
 		return
 	}
 	j.Router.Post(world.Finished{
-		Request: id, Tokens: len(j.text), First: j.first, Gap: j.gap,
+		Request: id, Tokens: j.count(), First: j.first, Gap: j.gap,
 		Whole: time.Since(j.began), OK: err == nil,
 	})
 }
@@ -111,12 +121,13 @@
 		return err
 	}
 	for !j.ended() {
-		lost := j.advance(ctx)
-		if lost == nil {
+		err := j.advance(ctx)
+		var lost *lostError
+		switch {
+		case err == nil, errors.Is(err, errAgain):
 			continue
-		}
-		if lost.fatal != nil {
-			return lost.fatal
+		case !errors.As(err, &lost):
+			return err
 		}
 		j.Router.Post(world.StageLost{
 			Request: j.job.Arrived.Request, Attempt: j.attempt,
@@ -130,63 +141,62 @@
 }
 
 func (j *run) ended() bool {
-	return j.stop || len(j.text) >= j.job.Arrived.Limit
+	return j.stop || j.count() >= j.job.Arrived.Limit
 }
 
 // await takes the next decision and sets the stages to it.
 func (j *run) await(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "chain: wait for a decision")
-	case c := <-j.decided:
-		switch c := c.(type) {
-		case world.Refuse:
-			return &RefusedError{Reason: c.Reason, After: c.After, Ran: c.Ran}
-		case world.Start:
-			return j.adopt(c)
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "chain: wait for a decision")
+		case c := <-j.decided:
+			switch c := c.(type) {
+			case world.Refuse:
+				return &RefusedError{Reason: c.Reason, After: c.After, Ran: c.Ran}
+			case world.Forward:
+				return &ForwardError{To: c.To}
+			case world.Start:
+				if c.Attempt > j.attempt {
+					return j.adopt(ctx, c)
+				}
+			default:
+				return errors.Errorf("chain: unexpected command %T", c)
+			}
 		}
-		return errors.Errorf("chain: unexpected command %T", c)
 	}
 }
 
-// adopt keeps the stages that stand unchanged in the new chain and drops the
-// others. A stage that was lost never stands unchanged: its stream is closed.
-func (j *run) adopt(c world.Start) error {
-	if err := c.Chain.Check(c.Depth); err != nil {
-		return err
+// advance brings each stage up to date with its boundary, first to last.
+func (j *run) advance(ctx context.Context) error {
+	if len(j.stages) == 1 {
+		return j.stream(ctx, j.stages[0])
 	}
-	old := j.stages
-	j.attempt, j.chain, j.depth, j.prio = c.Attempt, c.Chain, c.Depth, c.Prio
-	j.stages = make([]*stage, 0, len(c.Chain))
-	for _, s := range c.Chain {
-		j.stages = append(j.stages, j.keep(&old, s))
-	}
-	for _, s := range old {
-		s.close()
-	}
-	return nil
-}
-
-func (j *run) keep(old *[]*stage, want spec.Stage) *stage {
-	for i, s := range *old {
-		if s.is == want && !s.lost {
-			*old = append((*old)[:i], (*old)[i+1:]...)
-			return s
+	moved := false
+	for _, s := range j.stages {
+		for j.next(s) {
+			moved = true
+			if err := j.call(ctx, s); err != nil {
+				return err
+			}
+			if err := j.take(s); err != nil {
+				return err
+			}
 		}
 	}
-	return &stage{is: want, try: j.attempt}
-}
-
-func (j *run) closeAll() {
-	for _, s := range j.stages {
-		s.close()
+	if !moved {
+		// Inputs that nobody keeps and nobody makes would have the loop spin
+		// on a core while the caller waits.
+		return errStuck
 	}
+	return nil
 }
 
 // give hands the next token to the caller.
-func (j *run) give(text string) error {
-	index := len(j.text)
-	j.text = append(j.text, text)
+func (j *run) give(token uint32, text string) error {
+	index := j.count()
+	j.inputs.tokens = append(j.inputs.tokens, token)
+	j.meters.tokens.Inc()
 	j.timed()
 	return j.sink(Token{Index: index, Text: text})
 }
@@ -199,4 +209,20 @@
 		j.gap = max(j.gap, now.Sub(j.last))
 	}
 	j.last = now
+	if now.Sub(j.told) >= progressEvery {
+		j.told = now
+		j.Router.Post(world.Progress{Request: j.job.Arrived.Request, Tokens: j.count()})
+	}
+}
+
+func (j *run) closeAll() {
+	for _, s := range j.stages {
+		s.close()
+	}
+}
+
+// stageOf is a stage that has run nothing, under a number that no state of
+// this run had before.
+func (j *run) stageOf(is spec.Stage) *stage {
+	return &stage{is: is, try: j.attempt<<rebuildBits | j.rebuilds}
 }
--- /dev/null
+++ b/internal/wire/chain/site_test.go
@@ -0,0 +1,302 @@
+package chain_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fakes/layer"
+	"fulmarwick/internal/fakes/stage"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/wire/chain"
+	"fulmarwick/internal/wire/engine"
+)
+
+const model = "levy-13b"
+
+// pipes is a network in memory, so that connections work in virtual time.
+type pipes struct {
+	mu sync.Mutex
+	at map[string]*pipeListener
+}
+
+type pipeListener struct {
+	name   string
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (p *pipes) listen(name string) *pipeListener {
+	l := &pipeListener{name: name, conns: make(chan net.Conn), closed: make(chan struct{})}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.at[name] = l
+	return l
+}
+
+func (p *pipes) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	p.mu.Lock()
+	l := p.at[strings.TrimSuffix(address, ":80")]
+	p.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("no such engine")
+	}
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, errors.New("closed")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: l.name} }
+
+// site is stand-in engines behind a pool, and a router of fixed or random
+// choice.
+type site struct {
+	depth   int
+	engines []*stage.Engine
+	pool    *engine.Pool
+	router  *router
+	runner  *chain.Runner
+	servers []*http.Server
+	served  sync.WaitGroup
+}
+
+func newSite(depth int, engines ...*stage.Engine) *site {
+	s := &site{depth: depth, engines: engines}
+	network := &pipes{at: map[string]*pipeListener{}}
+	transport := &http.Transport{DialContext: network.dial, DisableKeepAlives: true}
+	s.router = &router{site: s, waits: map[spec.RequestID]*routed{}}
+	s.pool = &engine.Pool{Dial: network.dial, HTTP: &http.Client{Transport: transport}, Post: s.router.Post}
+	for _, e := range engines {
+		server := &http.Server{Handler: e.Handler()}
+		l := network.listen(e.Name)
+		s.servers = append(s.servers, server)
+		s.served.Go(func() { _ = server.Serve(l) })
+		s.pool.Locate(spec.UpstreamID(e.Name), "http://"+e.Name)
+	}
+	s.runner = &chain.Runner{Engines: s.pool, Router: s.router}
+	return s
+}
+
+func (s *site) close() {
+	s.pool.Close()
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	s.served.Wait()
+	// Steps and frames under way on the stand-ins come to their end.
+	time.Sleep(time.Second)
+}
+
+func (s *site) sessions() int {
+	n := 0
+	for _, e := range s.engines {
+		n += e.Sessions()
+	}
+	return n
+}
+
+// router gives each request a chain, and another when a stage is lost.
+type router struct {
+	site *site
+	// plan, if set, gives the chain of attempt n; else rand picks one.
+	plan func(attempt uint32, lost []spec.UpstreamID) spec.Chain
+	rand *rand.Rand
+	// limit is the most attempts of a request; zero is 20.
+	limit uint32
+	prio  map[spec.RequestID]int
+
+	mu     sync.Mutex
+	waits  map[spec.RequestID]*routed
+	events []world.Event
+}
+
+type routed struct {
+	ch      chan world.Command
+	attempt uint32
+	lost    []spec.UpstreamID
+}
+
+func (r *router) Watch(id spec.RequestID) <-chan world.Command {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := &routed{ch: make(chan world.Command, 4)}
+	r.waits[id] = w
+	return w.ch
+}
+
+func (r *router) Forget(id spec.RequestID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waits, id)
+}
+
+func (r *router) Post(ev world.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, ev)
+	switch ev := ev.(type) {
+	case world.Arrived:
+		r.decide(ev.Request)
+	case world.StageLost:
+		w := r.waits[ev.Request]
+		if ev.Attempt != w.attempt {
+			return
+		}
+		w.lost = append(w.lost, ev.Engine)
+		r.decide(ev.Request)
+	}
+}
+
+func (r *router) decide(id spec.RequestID) {
+	w := r.waits[id]
+	w.attempt++
+	c := r.choose(w)
+	if c == nil {
+		w.ch <- world.Refuse{Request: id, Reason: world.ReasonRetries, Ran: w.attempt > 1}
+		return
+	}
+	w.ch <- world.Start{Request: id, Attempt: w.attempt, Chain: c, Depth: r.site.depth, Prio: r.prio[id]}
+}
+
+func (r *router) choose(w *routed) spec.Chain {
+	if w.attempt > max(r.limit, 20) {
+		return nil
+	}
+	if r.plan != nil {
+		return r.plan(w.attempt, w.lost)
+	}
+	return r.random()
+}
+
+// random picks, from layer 0 up, an engine that holds the next layer and where
+// to leave it; a choice that leads nowhere is tried again.
+func (r *router) random() spec.Chain {
+	for range 1000 {
+		if c := r.walk(); c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+func (r *router) walk() spec.Chain {
+	var c spec.Chain
+	for at := 0; at < r.site.depth; {
+		e := r.site.engines[r.rand.IntN(len(r.site.engines))]
+		report := e.Report()
+		if len(report.Holds) == 0 || report.Holds[0].From > at || report.Holds[0].To <= at {
+			return nil
+		}
+		end := at + 1 + r.rand.IntN(report.Holds[0].To-at)
+		if r.rand.IntN(2) == 0 {
+			end = report.Holds[0].To
+		}
+		c = append(c, spec.NewStage(spec.UpstreamID(e.Name), spec.NewLayers(at, end)))
+		at = end
+	}
+	return c
+}
+
+func (r *router) lost() []world.StageLost {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []world.StageLost
+	for _, ev := range r.events {
+		if l, ok := ev.(world.StageLost); ok {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// answer is what a caller received.
+type answer struct {
+	text   strings.Builder
+	next   int
+	result chain.Result
+	err    error
+}
+
+// ask runs one request; each, if set, is called after every token.
+func (s *site) ask(ctx context.Context, id, text string, limit int, each func(n int)) *answer {
+	a := &answer{}
+	job := chain.Job{Text: text, Arrived: world.Arrived{Request: spec.RequestID(id), Model: model, Limit: limit}}
+	a.result, a.err = s.runner.Run(ctx, job, func(t chain.Token) error {
+		if t.Index != a.next {
+			return fmt.Errorf("index %d, want %d", t.Index, a.next)
+		}
+		a.next++
+		a.text.WriteString(t.Text)
+		if each != nil {
+			each(a.next)
+		}
+		return nil
+	})
+	return a
+}
+
+// check compares with the run of the whole model on one machine.
+func (a *answer) check(text string, depth, limit int) error {
+	if a.err != nil {
+		return fmt.Errorf("got error %w, want none", a.err)
+	}
+	tokens := layer.Whole(text, depth, limit)
+	if got, want := a.text.String(), layer.Text(tokens); got != want {
+		return fmt.Errorf("got answer %q, want %q", got, want)
+	}
+	if a.result.Tokens != len(tokens) {
+		return fmt.Errorf("got %d tokens, want %d", a.result.Tokens, len(tokens))
+	}
+	if want := len(tokens) < limit; a.result.Stop != want {
+		return fmt.Errorf("got stop %t, want %t", a.result.Stop, want)
+	}
+	return nil
+}
+
+func (a *answer) must(t *testing.T, text string, depth, limit int) {
+	t.Helper()
+	if err := a.check(text, depth, limit); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func hold(name string, depth, from, to int) *stage.Engine {
+	return &stage.Engine{
+		Name: name, Slots: 8, Layer: time.Millisecond,
+		Holds: []frame.Hold{{Model: model, Version: "1", Depth: depth, From: from, To: to}},
+	}
+}
+
+func on(name string, from, to int) spec.Stage {
+	return spec.NewStage(spec.UpstreamID(name), spec.NewLayers(from, to))
+}
--- a/internal/wire/chain/stage.go
+++ b/internal/wire/chain/stage.go
@@ -2,18 +2,32 @@
 
 import (
 	"context"
-	"time"
 
 	"fulmarwick/internal/base/frame"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/world"
-	"fulmarwick/internal/wire/engine"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 )
 
-// stepTimeout is how long a step may take before its stage counts as lost.
-const stepTimeout = 30 * time.Second
+const (
+	// rebuildBits of a Try count the states that were set up anew within one
+	// attempt; the attempt stands above them.
+	rebuildBits = 8
+	maxRebuilds = 1<<rebuildBits - 1
+	// stageRebuilds bounds how often one stage is set up anew on its engine
+	// without a step between.
+	stageRebuilds = 2
+	// stepBytes bounds the hidden inputs of one step, so that a rebuild does
+	// not hold up the other streams of the connection.
+	stepBytes = 1 << 20
+	// stepTokens bounds the tokens that one step runs again.
+	stepTokens = 512
+	// tracer names the spans of this package.
+	tracer = "fulmarwick/chain"
+)
 
 // stage is the state of one link of the chain.
 type stage struct {
@@ -22,192 +36,170 @@
 	seq  uint64
 	done int
 	lost bool
-	on   *engine.Stream
+	on   frame.Stream
+	// life is the engine's incarnation when the state was opened.
+	life uint64
+	// anew and stalls count set-ups and repeats without a step between.
+	anew   int
+	stalls int
+	span   trace.Span
 }
 
+func (s *stage) from() int { return s.is.Layers().From() }
+
 func (s *stage) close() {
 	if s.on != nil {
 		s.on.Close()
 		s.on = nil
 	}
+	if s.span != nil {
+		s.span.SetAttributes(attribute.Int("positions", s.done))
+		s.span.End()
+		s.span = nil
+	}
 }
 
-// failure tells which stage was lost, or why the whole run must end.
-type failure struct {
-	engine spec.UpstreamID
-	cause  world.Cause
-	fatal  error
-}
-
-// advance brings each stage up to date with its boundary, first to last.
-func (j *run) advance(ctx context.Context) *failure {
-	if len(j.stages) == 1 {
-		return j.stream(ctx, j.stages[0])
-	}
-	for _, s := range j.stages {
-		step := j.next(s)
-		if step == nil {
-			continue
-		}
-		r, f := j.call(ctx, s, step)
-		if f != nil {
-			return f
-		}
-		if f := j.take(s, r); f != nil {
-			return f
-		}
+// open opens the stage's stream and its span, which last until close.
+func (j *run) open(ctx context.Context, s *stage) error {
+	if s.on != nil {
+		return nil
 	}
+	on, err := j.Engines.Open(ctx, s.is.Engine(), j.name, s.try, s.from())
+	if err != nil {
+		return err
+	}
+	s.on = on
+	s.life = on.Incarnation()
+	_, s.span = trace.SpanFromContext(ctx).TracerProvider().Tracer(tracer).Start(ctx, "stage",
+		trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(
+			attribute.String("engine", string(s.is.Engine())),
+			attribute.String("layers", s.is.Layers().String()),
+			attribute.Int("attempt", int(j.attempt)),
+		))
 	return nil
 }
 
-// next is the step that brings s up to date, or nil if it is.
-func (j *run) next(s *stage) *frame.Step {
-	step := &frame.Step{
+// next sets j.step to what brings s up to date; false if it is.
+func (j *run) next(s *stage) bool {
+	j.step = frame.Step{
 		Verb: frame.VerbStep, Seq: s.seq + 1, Model: string(j.job.Arrived.Model),
 		To: s.is.Layers().To(), Pos: s.done, Prio: j.prio,
 	}
-	if s.is.Layers().From() > 0 {
-		step.Hidden = j.inputs.from(s.is.Layers().From(), s.done)
-		if len(step.Hidden) == 0 {
-			return nil
-		}
-		return step
-	}
-	if s.done == 0 {
-		step.Text = j.job.Text
-		step.Tokens = j.inputs.tokens
-		return step
-	}
-	if s.done == j.inputs.positions() {
-		return nil
+	switch {
+	case s.from() > 0:
+		j.step.Hidden = portion(j.inputs.from(s.from(), s.done))
+		return len(j.step.Hidden) > 0
+	case s.done == 0:
+		j.step.Text = j.job.Text
+		j.step.Tokens = some(j.inputs.tokens)
+		return true
+	case s.done == j.inputs.positions():
+		return false
+	default:
+		j.step.Tokens = some(j.inputs.tokens[s.done-j.inputs.prompt:])
+		return true
 	}
-	step.Tokens = j.inputs.tokens[s.done-j.inputs.prompt:]
-	return step
 }
 
-// call sends a step and waits for its reply.
-func (j *run) call(ctx context.Context, s *stage, step *frame.Step) (*frame.Reply, *failure) {
-	if f := j.send(ctx, s, step); f != nil {
-		return nil, f
-	}
-	return j.recv(ctx, s, step.Seq)
-}
+// some is the first of tokens, so many that their hidden values fit a reply.
+func some(tokens []uint32) []uint32 { return tokens[:min(len(tokens), stepTokens)] }
 
-func (j *run) send(ctx context.Context, s *stage, step *frame.Step) *failure {
-	if s.on == nil {
-		on, err := j.Engines.Open(ctx, s.is.Engine(), string(j.job.Arrived.Request), s.try, s.is.Layers().From())
-		if err != nil {
-			return j.fail(ctx, s, err)
+// portion is the first of values, within the bytes of one step.
+func portion(values [][]byte) [][]byte {
+	size := 0
+	for i, v := range values {
+		size += len(v)
+		if size > stepBytes && i > 0 {
+			return values[:i]
 		}
-		s.on = on
 	}
-	if err := s.on.Send(step); err != nil {
-		return j.fail(ctx, s, err)
-	}
-	return nil
+	return values
 }
 
-// recv returns the reply to step seq. A reply to another step is late or
-// doubled and is passed over.
-func (j *run) recv(ctx context.Context, s *stage, seq uint64) (*frame.Reply, *failure) {
-	wait, cancel := context.WithTimeout(ctx, stepTimeout)
-	defer cancel()
-	for {
-		r, err := s.on.Recv(wait)
-		if err != nil {
-			return nil, j.fail(ctx, s, err)
-		}
-		if r.Seq != seq {
-			continue
-		}
-		if r.Code != frame.CodeOK {
-			return nil, j.lose(s, cause(r.Code))
-		}
-		s.seq = seq
-		return r, nil
+// take records what a stage made from its inputs. A reply that does not
+// account for every input cannot be trusted with the layers.
+func (j *run) take(s *stage) error {
+	r := &j.reply
+	if !j.accounts(s) {
+		return j.lose(s, world.CauseState)
 	}
-}
-
-func (j *run) fail(ctx context.Context, s *stage, err error) *failure {
-	if ctx.Err() != nil {
-		return &failure{fatal: errors.Wrap(ctx.Err(), "chain: canceled")}
+	if r.Last && (!r.End || r.Total != r.Next) {
+		return j.stalled(s)
 	}
-	switch {
-	case errors.Is(err, engine.ErrRefused):
-		return j.lose(s, world.CauseRefused)
-	case errors.Is(err, engine.ErrBroken):
-		return j.lose(s, world.CauseBroken)
-	default:
-		return j.lose(s, world.CauseTimeout)
+	s.seq, s.anew, s.stalls = j.step.Seq, 0, 0
+	if s.from() == 0 && j.inputs.prompt == 0 {
+		j.inputs.prompt = r.Next - len(j.step.Tokens)
 	}
-}
-
-// lose drops the stage's state. It is rebuilt under a new attempt, since a
-// step whose reply was lost may have been applied.
-func (j *run) lose(s *stage, why world.Cause) *failure {
-	s.lost = true
-	return &failure{engine: s.is.Engine(), cause: why}
-}
-
-func cause(c frame.Code) world.Cause {
-	if c == frame.CodeLeave || c == frame.CodeFull {
-		return world.CauseLeaving
+	begin := s.done
+	s.done = r.Next
+	if s.from() > 0 {
+		j.inputs.ran(s.from(), s.done)
 	}
-	return world.CauseState
-}
-
-// take records what a stage made from its inputs.
-func (j *run) take(s *stage, r *frame.Reply) *failure {
 	if s.is.Layers().To() < j.depth {
-		j.passed(s, r)
+		j.inputs.put(s.is.Layers().To(), begin, r.Hidden)
+		return nil
+	}
+	// Only the output of the newest position is a token that was not there.
+	if s.done < j.inputs.positions() {
 		return nil
 	}
-	s.done = j.inputs.positions()
-	return j.token(r)
+	return j.token()
 }
 
-// passed records the hidden values that go on to the next boundary.
-func (j *run) passed(s *stage, r *frame.Reply) {
-	if s.is.Layers().From() == 0 && j.inputs.prompt == 0 {
-		j.inputs.prompt = len(r.Hidden) - len(j.inputs.tokens)
+// accounts reports whether the reply tells of just the inputs of j.step.
+func (j *run) accounts(s *stage) bool {
+	r, n := &j.reply, len(j.step.Hidden)+len(j.step.Tokens)
+	if s.from() == 0 && s.done == 0 {
+		n += j.inputs.prompt
+	}
+	if s.from() == 0 && j.inputs.prompt == 0 {
+		// Only the engine knows how many positions the prompt takes.
+		n = max(n+1, r.Next)
 	}
-	j.inputs.put(s.is.Layers().To(), s.done, r.Hidden)
-	s.done += len(r.Hidden)
+	if r.Pos != s.done || r.Next != s.done+n {
+		return false
+	}
+	return s.is.Layers().To() == j.depth || len(r.Hidden) == n
 }
 
 // token takes the last stage's token to the caller and back to layer 0.
-func (j *run) token(r *frame.Reply) *failure {
-	if r.Last {
+func (j *run) token() error {
+	if j.reply.Last {
 		j.stop = true
 		return nil
 	}
-	j.inputs.tokens = append(j.inputs.tokens, r.Token)
-	if err := j.give(r.Text); err != nil {
-		return &failure{fatal: err}
-	}
-	return nil
+	return j.give(j.reply.Token, j.reply.Text)
 }
 
-// stream runs a whole-model stage: one step, a reply per token.
-func (j *run) stream(ctx context.Context, s *stage) *failure {
-	left := j.job.Arrived.Limit - len(j.text)
-	step := j.next(s)
-	if step == nil {
+// lose drops the stage's state. It is rebuilt under a new attempt, since a
+// step whose reply was lost may have been applied.
+func (j *run) lose(s *stage, why world.Cause) error {
+	s.lost = true
+	j.meters.lost.Inc()
+	return &lostError{engine: s.is.Engine(), cause: why}
+}
+
+// anew sets the stage's state up again on its own engine, under a number that
+// makes whatever the engine still has for it stale.
+func (j *run) anew(s *stage) error {
+	s.anew++
+	if s.anew > stageRebuilds || j.rebuilds >= maxRebuilds {
 		return j.lose(s, world.CauseState)
 	}
-	step.Verb = frame.VerbRun
-	step.Count = left
-	if f := j.send(ctx, s, step); f != nil {
-		return f
-	}
-	for i := 0; i < left && !j.stop; i++ {
-		r, f := j.recv(ctx, s, step.Seq+uint64(i))
-		if f != nil {
-			return f
-		}
-		if f := j.token(r); f != nil {
-			return f
-		}
-	}
-	return nil
+	j.meters.rebuilds.Inc()
+	j.reset(s)
+	j.repair()
+	return errAgain
+}
+
+// reset makes the stage run all its positions again under a new number.
+func (j *run) reset(s *stage) {
+	s.close()
+	j.rebuilds++
+	s.try, s.seq, s.done = j.attempt<<rebuildBits|j.rebuilds, 0, 0
+}
+
+func canceled(ctx context.Context) error {
+	return errors.Wrap(ctx.Err(), "chain: canceled")
 }
--- /dev/null
+++ b/internal/wire/chain/stream.go
@@ -0,0 +1,89 @@
+package chain
+
+import (
+	"context"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/route/world"
+)
+
+// stream runs a whole-model stage: one step, a reply per token.
+func (j *run) stream(ctx context.Context, s *stage) error {
+	if !j.next(s) {
+		return j.lose(s, world.CauseState)
+	}
+	if s.done == 0 {
+		j.step.Tokens = j.inputs.tokens
+	}
+	left := j.job.Arrived.Limit - j.count()
+	j.step.Verb, j.step.Count = frame.VerbRun, left
+	base := j.step.Seq
+	if err := j.call(ctx, s); err != nil {
+		return err
+	}
+	for i := 0; ; i++ {
+		if err := j.counted(s, i); err != nil {
+			return err
+		}
+		if err := j.token(); err != nil {
+			return err
+		}
+		if j.ended() || j.reply.End {
+			return nil
+		}
+		j.proceed()
+		if err := j.recv(ctx, s, base); err != nil {
+			return j.resume(ctx, s, err)
+		}
+		if err := j.checked(s); err != nil {
+			return err
+		}
+	}
+}
+
+// proceed sets j.step to the one that the engine makes of its last token.
+func (j *run) proceed() {
+	j.step.Seq++
+	j.step.Pos = j.reply.Next
+	j.step.Text = ""
+	j.step.Tokens = j.inputs.tokens[j.count()-1:]
+}
+
+// counted takes reply i of a run into the stage's numbers. An end whose count
+// differs from what came is not an end: the rest is asked for again.
+func (j *run) counted(s *stage, i int) error {
+	r := &j.reply
+	if !j.accounts(s) {
+		return j.lose(s, world.CauseState)
+	}
+	want := i + 1
+	if r.Last {
+		want = i
+	}
+	if r.Index != i || r.Last && !r.End || r.End && r.Total != want {
+		return j.stalled(s)
+	}
+	if j.inputs.prompt == 0 {
+		j.inputs.prompt = r.Next - len(j.step.Tokens)
+	}
+	s.seq, s.done, s.anew, s.stalls = r.Seq, r.Next, 0, 0
+	return nil
+}
+
+// resume has the run asked for again from the next token on.
+func (j *run) resume(ctx context.Context, s *stage, err error) error {
+	s.stalls++
+	if err := j.mend(ctx, s, err, s.stalls-1); err != nil {
+		return err
+	}
+	return errAgain
+}
+
+func (j *run) stalled(s *stage) error {
+	s.stalls++
+	if s.stalls > maxStalls {
+		return j.lose(s, world.CauseState)
+	}
+	j.meters.resends.Inc()
+	return errAgain
+}
--- /dev/null
+++ b/internal/wire/chain/whole_test.go
@@ -0,0 +1,157 @@
+package chain_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/fakes/stage"
+
+	"pgregory.net/rapid"
+)
+
+// scene is one random case of the differential test.
+type scene struct {
+	seed    uint64
+	depth   int
+	holds   [][2]int
+	faults  []int
+	kills   []kill
+	limit   int
+	callers int
+	journal int
+	moves   bool
+}
+
+// kill has an engine crash, or lose its connections, after a token.
+type kill struct {
+	engine, token int
+	crash         bool
+}
+
+func drawScene(t *rapid.T) scene {
+	s := scene{
+		seed:    rapid.Uint64().Draw(t, "seed"),
+		depth:   rapid.IntRange(1, 10).Draw(t, "depth"),
+		limit:   rapid.IntRange(1, 40).Draw(t, "limit"),
+		callers: rapid.IntRange(1, 3).Draw(t, "callers"),
+		journal: rapid.SampledFrom([]int{0, 64, 512}).Draw(t, "journal"),
+		moves:   rapid.Bool().Draw(t, "moves"),
+	}
+	// Two ranges cover the model for sure; the others overlap them at random.
+	cut := rapid.IntRange(0, s.depth-1).Draw(t, "cut")
+	s.holds = append(s.holds, [2]int{cut, s.depth})
+	if cut > 0 {
+		s.holds = append(s.holds, [2]int{0, cut})
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "more") {
+		from := rapid.IntRange(0, s.depth-1).Draw(t, "from")
+		s.holds = append(s.holds, [2]int{from, rapid.IntRange(from+1, s.depth).Draw(t, "to")})
+	}
+	for range s.holds {
+		s.faults = append(s.faults, rapid.SampledFrom([]int{0, 0, 5, 20}).Draw(t, "faults"))
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "kills") {
+		s.kills = append(s.kills, kill{
+			engine: rapid.IntRange(0, len(s.holds)-1).Draw(t, "victim"),
+			token:  rapid.IntRange(1, s.limit).Draw(t, "when"),
+			crash:  rapid.Bool().Draw(t, "crash"),
+		})
+	}
+	return s
+}
+
+// faults drops, doubles, delays or cuts so many of 100 replies.
+func faults(seed uint64, percent int) func(*frame.Step) stage.Fault {
+	var mu sync.Mutex
+	r := rand.New(rand.NewPCG(seed, 1))
+	kinds := []stage.Fault{stage.FaultDrop, stage.FaultDouble, stage.FaultDelay, stage.FaultCut}
+	return func(*frame.Step) stage.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if r.IntN(100) >= percent {
+			return stage.FaultNone
+		}
+		return kinds[r.IntN(len(kinds))]
+	}
+}
+
+func (s *scene) build() *site {
+	var engines []*stage.Engine
+	for i, h := range s.holds {
+		e := hold(fmt.Sprintf("e%d", i), s.depth, h[0], h[1])
+		e.Late = 50 * time.Millisecond
+		e.Faults = faults(s.seed+uint64(i), s.faults[i])
+		engines = append(engines, e)
+	}
+	built := newSite(s.depth, engines...)
+	built.router.rand = rand.New(rand.NewPCG(s.seed, 2))
+	built.router.limit = 1000
+	built.runner.Journal = s.journal
+	if s.moves {
+		built.runner.KV = built.pool
+	}
+	return built
+}
+
+// play runs the scene and says what a caller saw that it must not see.
+func (s *scene) play() error {
+	site := s.build()
+	defer site.close()
+	errs := make(chan error, s.callers)
+	for c := range s.callers {
+		go func() {
+			text := fmt.Sprintf("caller %d asks for a quote", c)
+			a := site.ask(context.Background(), fmt.Sprintf("r%d", c), text, s.limit, func(n int) { s.strike(site, n) })
+			errs <- a.check(text, s.depth, s.limit)
+		}()
+	}
+	var first error
+	for range s.callers {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	if first != nil {
+		return first
+	}
+	time.Sleep(time.Minute)
+	if n := site.sessions(); n != 0 {
+		return fmt.Errorf("got %d states left on engines, want 0", n)
+	}
+	return nil
+}
+
+func (s *scene) strike(site *site, token int) {
+	for _, k := range s.kills {
+		switch {
+		case k.token != token:
+		case k.crash:
+			site.engines[k.engine].Kill()
+			site.engines[k.engine].Revive()
+		default:
+			site.engines[k.engine].Cut()
+		}
+	}
+}
+
+// Each caller sees the answer that one machine with all layers gives, token by
+// token, while engines with overlapping ranges crash with their states or lose
+// their connections in its midst and replies are lost, doubled, delayed and
+// crossed with those of the other callers. A layer that ran twice, not at all
+// or out of order would change every later token.
+func TestAnswerEqualsOneMachineUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawScene(rt)
+		var err error
+		synctest.Test(t, func(*testing.T) { err = s.play() })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/engine/check.go
@@ -0,0 +1,166 @@
+package engine
+
+import (
+	"encoding/json"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+
+	"github.com/go-faster/errors"
+)
+
+// Bounds of what an engine may say about itself. They are far above any real
+// engine; a value beyond them would overflow or starve the decisions, so the
+// whole report is refused and the former one stays in force.
+const (
+	maxHolds    = 256
+	maxLayers   = 1 << 12
+	maxWidth    = 1 << 24
+	maxSlots    = 1 << 16
+	maxNumber   = 1 << 31
+	maxNameLen  = 256
+	maxLayerRun = int64(time.Minute)
+	maxLink     = int64(time.Minute / time.Microsecond)
+	maxRate     = int64(1) << 50
+
+	maxIncarnation = uint64(1)<<32 - 1
+	maxSeq         = uint64(1)<<32 - 1
+	seqBits        = 32
+)
+
+// Decode reads the body of a report and checks it.
+func Decode(data []byte) (frame.Engine, error) {
+	var b frame.Engine
+	if err := json.Unmarshal(data, &b); err != nil {
+		return frame.Engine{}, errors.Wrap(ErrBody, err.Error())
+	}
+	return b, checkEngine(&b)
+}
+
+func checkEngine(b *frame.Engine) error {
+	if b.State != frame.StateLive && b.State != frame.StateLeaving {
+		return errors.Wrapf(ErrBody, "state %.20q", b.State)
+	}
+	if tooLong(b.Name, b.DataCentre, b.Kind, b.Role) {
+		return errors.Wrap(ErrBody, "name too long")
+	}
+	numbers := []struct {
+		name   string
+		value  int64
+		bounds int64
+	}{
+		{"layer", b.Layer, maxLayerRun},
+		{"slots", int64(b.Slots), maxSlots},
+		{"memory", int64(b.Memory), maxNumber},
+		{"cache", int64(b.Cache), maxNumber},
+		{"cached", int64(b.Cached), maxNumber},
+		{"queued", int64(b.Queued), maxNumber},
+		{"active", int64(b.Active), maxNumber},
+		{"link", b.Link, maxLink},
+		{"bandwidth", b.Bandwidth, maxRate},
+	}
+	for _, n := range numbers {
+		if n.value < 0 || n.value > n.bounds {
+			return errors.Wrapf(ErrBody, "%s is %d", n.name, n.value)
+		}
+	}
+	if b.Incarnation > maxIncarnation || b.Seq > maxSeq {
+		return errors.Wrapf(ErrBody, "incarnation %d, report %d", b.Incarnation, b.Seq)
+	}
+	return checkHolds(b.Holds)
+}
+
+func tooLong(names ...string) bool {
+	for _, n := range names {
+		if len(n) > maxNameLen {
+			return true
+		}
+	}
+	return false
+}
+
+// checkHolds refuses ranges that are empty, outside their model, or overlap
+// within one version: a layer that is held twice by one engine would be
+// counted twice.
+func checkHolds(holds []frame.Hold) error {
+	if len(holds) > maxHolds {
+		return errors.Wrapf(ErrBody, "%d ranges", len(holds))
+	}
+	for i, h := range holds {
+		switch {
+		case h.Model == "" || tooLong(h.Model, h.Version):
+			return errors.Wrapf(ErrBody, "range %d has no model or a long name", i)
+		case h.From < 0 || h.From >= h.To || h.To > h.Depth || h.Depth > maxLayers:
+			return errors.Wrapf(ErrBody, "range %d is %d-%d of %d", i, h.From, h.To, h.Depth)
+		case h.Width < 0 || h.Width > maxWidth:
+			return errors.Wrapf(ErrBody, "range %d has width %d", i, h.Width)
+		case overlaps(holds[:i], h):
+			return errors.Wrapf(ErrBody, "range %d overlaps another", i)
+		}
+	}
+	return nil
+}
+
+func overlaps(others []frame.Hold, h frame.Hold) bool {
+	for _, o := range others {
+		if o.Model == h.Model && o.Version == h.Version && o.From < h.To && h.From < o.To {
+			return true
+		}
+	}
+	return false
+}
+
+// checkEvents refuses events that do not rise from since to the page's Seq.
+func checkEvents(b *frame.Events, since uint64) error {
+	if b.Reset {
+		return nil
+	}
+	last := since
+	for _, ev := range b.Events {
+		if ev.Seq <= last || ev.Seq > b.Seq {
+			return errors.Wrapf(ErrBody, "event %d after %d of %d", ev.Seq, last, b.Seq)
+		}
+		last = ev.Seq
+	}
+	return nil
+}
+
+// Row turns a checked report into a row of the world. The incarnation goes
+// above the report's number: a restarted engine counts from 1 again, and its
+// reports would else be taken for old ones until they pass the former count.
+func Row(id spec.UpstreamID, b frame.Engine) world.Engine {
+	row := world.Engine{
+		ID: id, DataCentre: spec.DataCentre(b.DataCentre), Kind: b.Kind,
+		Layer: time.Duration(b.Layer), Slots: b.Slots, Memory: b.Memory,
+		Cache: b.Cache, Cached: b.Cached, Queued: b.Queued, Active: b.Active,
+		Hop: time.Duration(b.Link) * time.Microsecond, Bandwidth: b.Bandwidth, Seq: b.Incarnation<<seqBits + b.Seq,
+	}
+	for _, h := range b.Holds {
+		row.Holds = append(row.Holds, world.Hold{
+			Model: spec.ModelName(h.Model), Version: h.Version, Depth: h.Depth,
+			Layers: spec.NewLayers(h.From, h.To), Width: h.Width,
+		})
+	}
+	return row
+}
+
+// Seen turns a page of cache events into events for the logic, one per Seq,
+// so that the logic sees each gap.
+func Seen(id spec.UpstreamID, page frame.Events) []world.CacheSeen {
+	if page.Reset {
+		return []world.CacheSeen{{Engine: id, Seq: page.Seq, Added: page.Blocks, Reset: true}}
+	}
+	out := make([]world.CacheSeen, 0, len(page.Events))
+	for _, ev := range page.Events {
+		seen := world.CacheSeen{Engine: id, Seq: ev.Seq}
+		if ev.Added {
+			seen.Added = []uint64{ev.Block}
+		} else {
+			seen.Removed = []uint64{ev.Block}
+		}
+		out = append(out, seen)
+	}
+	return out
+}
--- a/internal/wire/engine/conn.go
+++ b/internal/wire/engine/conn.go
@@ -1,14 +1,13 @@
-// Package engine is the client of model engines: steps over one multiplexed
-// WebSocket per engine, and the JSON control calls.
-//
-// It imports base/frame and base/spec. Package chain opens streams on it;
-// package watch reads the reports.
 package engine
 
 import (
+	"bytes"
 	"context"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmarwick/internal/base/frame"
@@ -17,18 +16,14 @@
 	"github.com/gorilla/websocket"
 )
 
-// Errors of this package.
-var (
-	// ErrRefused means that no connection came about, so nothing ran.
-	ErrRefused = errors.New("engine: refused")
-	// ErrBroken means that the connection broke; sent steps may have run.
-	ErrBroken = errors.New("engine: connection broken")
-)
-
 const (
 	dialTimeout  = 2 * time.Second
 	writeTimeout = 5 * time.Second
-	backlog      = 64
+	bufferBytes  = 64 << 10
+	// probeEvery is how often a connection with open streams that is silent is
+	// probed; a second silent period closes it. Patience with a step is the
+	// chain's affair; this finds links that were cut without a word.
+	probeEvery = 2 * time.Second
 )
 
 // route names the stream that a reply belongs to.
@@ -40,19 +35,22 @@
 
 // Conn is one connection to an engine that many streams share.
 type Conn struct {
-	ws      *websocket.Conn
-	write   sync.Mutex
-	mu      sync.Mutex
-	streams map[route]*Stream
-	closed  chan struct{}
-	once    sync.Once
+	ws          *websocket.Conn
+	incarnation uint64
+	meters      *meters
+	hops        *hops
+	out         outbox
+	mu          sync.Mutex
+	streams     map[route]*Stream
+	heard       atomic.Int64
+	closed      chan struct{}
+	once        sync.Once
 }
 
-// Dial connects to the engine at base, such as "http://10.0.0.7:9000".
-func Dial(ctx context.Context, base string) (*Conn, error) {
+// connect makes a connection over the dialer d.
+func connect(ctx context.Context, d *websocket.Dialer, base string, m *meters, h *hops) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := websocket.Dialer{ReadBufferSize: 64 << 10, WriteBufferSize: 64 << 10}
 	ws, resp, err := d.DialContext(ctx, wsURL(base)+"/v1/steps", http.Header{})
 	if resp != nil {
 		_ = resp.Body.Close()
@@ -61,25 +59,42 @@
 		return nil, errors.Wrap(ErrRefused, err.Error())
 	}
 	ws.SetReadLimit(frame.MaxBytes)
-	c := &Conn{ws: ws, streams: map[route]*Stream{}, closed: make(chan struct{})}
+	c := &Conn{
+		ws: ws, incarnation: incarnation(resp.Header), meters: m, hops: h,
+		streams: map[route]*Stream{}, closed: make(chan struct{}),
+	}
+	c.out.init()
+	ws.SetPongHandler(func(string) error {
+		c.heard.Add(1)
+		return nil
+	})
 	go c.read()
+	go c.write()
 	return c, nil
 }
 
-// Closed is closed when the connection broke.
-func (c *Conn) Closed() <-chan struct{} { return c.closed }
+// incarnation reads the header of the upgrade; an engine that gives none
+// counts as never restarted, and a lost state shows as a gap.
+func incarnation(h http.Header) uint64 {
+	n, err := strconv.ParseUint(h.Get(frame.HeaderIncarnation), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
 
 // Close ends the connection; its streams see ErrBroken.
 func (c *Conn) Close() {
 	c.once.Do(func() {
 		close(c.closed)
+		c.out.close()
 		_ = c.ws.Close()
 	})
 }
 
 // Open returns the stream of one request's state on this engine.
 func (c *Conn) Open(req string, try uint32, from int) *Stream {
-	s := &Stream{conn: c, at: route{req: req, try: try, from: from}, in: make(chan *frame.Reply, backlog)}
+	s := newStream(c, route{req: req, try: try, from: from})
 	c.mu.Lock()
 	c.streams[s.at] = s
 	c.mu.Unlock()
@@ -88,53 +103,127 @@
 
 func (c *Conn) read() {
 	defer c.Close()
+	var buf bytes.Buffer
 	for {
-		_, data, err := c.ws.ReadMessage()
+		_, r, err := c.ws.NextReader()
 		if err != nil {
 			return
 		}
-		r, err := frame.DecodeReply(data)
-		if err != nil {
+		buf.Reset()
+		if _, err := buf.ReadFrom(r); err != nil {
+			return
+		}
+		c.heard.Add(1)
+		if err := c.message(buf.Bytes()); err != nil {
+			c.meters.bad.Inc()
 			return
 		}
-		c.hand(r)
 	}
 }
 
+// message hands out every frame of one message.
+func (c *Conn) message(data []byte) error {
+	for len(data) > 0 {
+		var r frame.Reply
+		rest, err := frame.NextReply(data, &r)
+		if err != nil {
+			return err
+		}
+		c.hand(&r)
+		data = rest
+	}
+	return nil
+}
+
 // hand gives r to its stream. A reply of an older attempt or of a request
-// that ended has no stream and is dropped: late answers reach nobody.
+// that ended has no stream and is dropped: late answers reach nobody. It
+// never waits, so a slow reader of one stream does not hold up the others.
 func (c *Conn) hand(r *frame.Reply) {
 	c.mu.Lock()
 	s := c.streams[route{req: r.Req, try: r.Try, from: r.From}]
 	c.mu.Unlock()
 	if s == nil {
+		c.meters.stale.Inc()
 		return
 	}
-	select {
-	case s.in <- r:
-	case <-c.closed:
+	s.put(r)
+}
+
+func (c *Conn) write() {
+	defer c.Close()
+	probe := time.NewTicker(probeEvery)
+	defer probe.Stop()
+	last, silent := int64(-1), 0
+	for {
+		select {
+		case <-c.closed:
+			return
+		case <-c.out.wake:
+			if err := c.flush(); err != nil {
+				return
+			}
+		case <-probe.C:
+			if heard := c.heard.Load(); heard != last || c.idle() {
+				last, silent = heard, 0
+				continue
+			}
+			silent++
+			if silent > 1 || c.ping() != nil {
+				return
+			}
+		}
 	}
 }
 
-func (c *Conn) send(s *frame.Step) error {
-	data, err := frame.EncodeStep(s)
-	if err != nil {
-		return errors.Wrap(err, "engine: encode")
+func (c *Conn) flush() error {
+	buf := c.out.take()
+	if buf == nil {
+		return nil
 	}
-	c.write.Lock()
-	defer c.write.Unlock()
+	defer c.out.give(buf)
 	if err := c.ws.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return errors.Wrap(ErrBroken, err.Error())
 	}
-	if err := c.ws.WriteMessage(websocket.BinaryMessage, data); err != nil {
-		c.Close()
+	if err := c.ws.WriteMessage(websocket.BinaryMessage, buf.Bytes()); err != nil {
 		return errors.Wrap(ErrBroken, err.Error())
 	}
 	return nil
 }
 
-func (c *Conn) forget(at route) {
+func (c *Conn) ping() error {
+	return c.ws.WriteControl(websocket.PingMessage, nil, time.Now().Add(writeTimeout))
+}
+
+func (c *Conn) idle() bool {
 	c.mu.Lock()
-	delete(c.streams, at)
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	return len(c.streams) == 0
+}
+
+func (c *Conn) forget(s *Stream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.streams[s.at] == s {
+		delete(c.streams, s.at)
+	}
+}
+
+func (c *Conn) alive() bool {
+	select {
+	case <-c.closed:
+		return false
+	default:
+		return true
+	}
+}
+
+func wsURL(base string) string {
+	base = strings.TrimSuffix(base, "/")
+	if rest, ok := strings.CutPrefix(base, "https://"); ok {
+		return "wss://" + rest
+	}
+	if rest, ok := strings.CutPrefix(base, "http://"); ok {
+		return "ws://" + rest
+	}
+	return "ws://" + base
 }
--- /dev/null
+++ b/internal/wire/engine/hops.go
@@ -0,0 +1,64 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// hopEvery is the least time between two HopTimed events of an engine.
+	hopEvery = time.Second
+	// hopMax is the longest hop that the histogram tells apart.
+	hopMax    = time.Minute
+	hopDigits = 2
+	median    = 50
+	tail      = 99
+)
+
+// hops gathers the hop times of one engine and posts them now and then.
+type hops struct {
+	engine spec.UpstreamID
+	post   func(world.Event)
+
+	mu    sync.Mutex
+	hist  *hdrhistogram.Histogram
+	since time.Time
+}
+
+func newHops(engine spec.UpstreamID, post func(world.Event)) *hops {
+	hist := hdrhistogram.New(1, hopMax.Microseconds(), hopDigits)
+	return &hops{engine: engine, post: post, hist: hist, since: time.Now()}
+}
+
+func (h *hops) record(hop time.Duration) {
+	if h.post == nil {
+		return
+	}
+	h.mu.Lock()
+	_ = h.hist.RecordValue(min(max(1, hop.Microseconds()), hopMax.Microseconds()))
+	ev, due := h.due()
+	h.mu.Unlock()
+	if due {
+		h.post(ev)
+	}
+}
+
+func (h *hops) due() (world.HopTimed, bool) {
+	now := time.Now()
+	if now.Sub(h.since) < hopEvery {
+		return world.HopTimed{}, false
+	}
+	ev := world.HopTimed{
+		Engine: h.engine, Count: int(h.hist.TotalCount()),
+		P50: time.Duration(h.hist.ValueAtQuantile(median)) * time.Microsecond,
+		P99: time.Duration(h.hist.ValueAtQuantile(tail)) * time.Microsecond,
+	}
+	h.hist.Reset()
+	h.since = now
+	return ev, true
+}
--- a/internal/wire/engine/pool.go
+++ b/internal/wire/engine/pool.go
@@ -2,31 +2,97 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
 	"sync"
 
+	"fulmarwick/internal/base/frame"
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"github.com/gorilla/websocket"
+	"golang.org/x/sync/singleflight"
 )
 
-// Pool keeps one connection per engine. The zero value is ready.
+// Pool keeps one connection per engine. The zero value is ready; set the
+// exported fields before use.
 type Pool struct {
-	mu    sync.Mutex
-	bases map[spec.UpstreamID]string
-	conns map[spec.UpstreamID]*Conn
+	// TLS is for engines at https addresses; nil takes the system's roots.
+	TLS *tls.Config
+	// HTTP makes the calls that move KV caches; nil takes the default client.
+	HTTP *http.Client
+	// Dial makes the connections below; nil dials TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Post takes HopTimed events, at most one a second per engine; nil drops
+	// them.
+	Post func(world.Event)
+	// Meters takes the counters; nil makes a private set.
+	Meters *metrics.Set
+
+	once   sync.Once
+	meters *meters
+	dials  singleflight.Group
+	mu     sync.Mutex
+	known  map[spec.UpstreamID]*known
+	closed bool
 }
 
-// Locate sets the base URL of an engine.
+// known is what the pool keeps of one engine.
+type known struct {
+	base string
+	hops *hops
+	conn *Conn
+}
+
+func (p *Pool) init() {
+	p.once.Do(func() {
+		p.meters = newMeters(p.Meters)
+		p.known = map[spec.UpstreamID]*known{}
+	})
+}
+
+// Locate sets the base URL of an engine. A connection to another address
+// under the same name is closed.
 func (p *Pool) Locate(id spec.UpstreamID, base string) {
+	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.bases == nil {
-		p.bases = map[spec.UpstreamID]string{}
-		p.conns = map[spec.UpstreamID]*Conn{}
+	k := p.known[id]
+	if k == nil {
+		p.known[id] = &known{base: base, hops: newHops(id, p.Post)}
+		return
+	}
+	if k.base != base {
+		k.base = base
+		k.drop()
 	}
-	p.bases[id] = base
 }
 
-// Open returns a stream on the engine, over a connection that lives.
-func (p *Pool) Open(ctx context.Context, id spec.UpstreamID, req string, try uint32, from int) (*Stream, error) {
+// Forget closes the connection of an engine that left the list.
+func (p *Pool) Forget(id spec.UpstreamID) {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k := p.known[id]; k != nil {
+		k.drop()
+		delete(p.known, id)
+	}
+}
+
+func (k *known) drop() {
+	if k.conn != nil {
+		k.conn.Close()
+		k.conn = nil
+	}
+}
+
+// Open returns a stream on the engine, over a connection that lives. It
+// returns ErrRefused if there is none and none can be made.
+func (p *Pool) Open(ctx context.Context, id spec.UpstreamID, req string, try uint32, from int) (frame.Stream, error) {
+	p.init()
 	c, err := p.conn(ctx, id)
 	if err != nil {
 		return nil, err
@@ -36,47 +102,85 @@
 
 // Close ends all connections.
 func (p *Pool) Close() {
+	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.conns {
-		c.Close()
+	p.closed = true
+	for _, k := range p.known {
+		k.drop()
 	}
 }
 
 func (p *Pool) conn(ctx context.Context, id spec.UpstreamID) (*Conn, error) {
+	if c := p.live(id); c != nil {
+		return c, nil
+	}
+	// Many requests lose a connection at once; they share one dial, which
+	// outlives the one that began it.
+	detached := context.WithoutCancel(ctx)
+	made := p.dials.DoChan(string(id), func() (any, error) { return p.dial(detached, id) })
+	select {
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "engine: connect")
+	case r := <-made:
+		c, ok := r.Val.(*Conn)
+		if r.Err != nil || !ok {
+			return nil, r.Err
+		}
+		return c, nil
+	}
+}
+
+func (p *Pool) live(id spec.UpstreamID) *Conn {
 	p.mu.Lock()
-	c, base := p.conns[id], p.bases[id]
-	p.mu.Unlock()
-	if c != nil && alive(c) {
+	defer p.mu.Unlock()
+	k := p.known[id]
+	if k == nil || k.conn == nil || !k.conn.alive() {
+		return nil
+	}
+	return k.conn
+}
+
+func (p *Pool) dial(ctx context.Context, id spec.UpstreamID) (*Conn, error) {
+	if c := p.live(id); c != nil {
 		return c, nil
 	}
+	base, h := p.place(id)
 	if base == "" {
 		return nil, ErrRefused
 	}
-	fresh, err := Dial(ctx, base)
+	d := &websocket.Dialer{
+		ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
+		NetDialContext: p.Dial, TLSClientConfig: p.TLS,
+	}
+	p.meters.dials.Inc()
+	c, err := connect(ctx, d, base, p.meters, h)
 	if err != nil {
+		p.meters.failed.Inc()
 		return nil, err
 	}
-	return p.keep(id, fresh), nil
+	return p.keep(id, base, c)
 }
 
-// keep stores fresh unless another goroutine dialled the engine meanwhile.
-func (p *Pool) keep(id spec.UpstreamID, fresh *Conn) *Conn {
+func (p *Pool) place(id spec.UpstreamID) (string, *hops) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c := p.conns[id]; c != nil && alive(c) {
-		fresh.Close()
-		return c
+	k := p.known[id]
+	if k == nil {
+		return "", nil
 	}
-	p.conns[id] = fresh
-	return fresh
+	return k.base, k.hops
 }
 
-func alive(c *Conn) bool {
-	select {
-	case <-c.closed:
-		return false
-	default:
-		return true
+// keep stores c unless the engine moved or left while it was dialled.
+func (p *Pool) keep(id spec.UpstreamID, base string, c *Conn) (*Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := p.known[id]
+	if p.closed || k == nil || k.base != base {
+		c.Close()
+		return nil, ErrRefused
 	}
+	k.conn = c
+	return c, nil
 }
