--- a/internal/route/world/apply.go
+++ b/internal/route/world/apply.go
@@ -44,6 +44,8 @@
 		w.peerGone(ev.Peer)
 	case CentreSum:
 		w.centreSum(ev)
+	case Duties:
+		w.duties = ev
 	}
 }
 
--- a/internal/route/world/world.go
+++ b/internal/route/world/world.go
@@ -16,6 +16,7 @@
 	classes  map[spec.ClassName]spec.Class
 	teams    map[spec.TeamID]spec.Team
 	version  uint64
+	duties   Duties
 	paces    map[spec.ModelName]int64
 	touched  []*Engine
 	out      []Command
@@ -45,6 +46,9 @@
 // Version is the configuration version in force.
 func (w *World) Version() uint64 { return w.version }
 
+// Duties are those that this instance holds under a lease.
+func (w *World) Duties() Duties { return w.duties }
+
 // Begin starts a tick at now.
 func (w *World) Begin(now time.Duration) {
 	w.now = now
--- a/internal/wire/chain/adopt.go
+++ b/internal/wire/chain/adopt.go
@@ -20,6 +20,7 @@
 	}
 	old := j.stages
 	j.attempt, j.rebuilds, j.depth, j.prio = c.Attempt, 0, c.Depth, c.Prio
+	j.patience, j.prefill = c.Patience, c.Prefill
 	j.stages = make([]*stage, 0, len(c.Chain))
 	for _, s := range c.Chain {
 		j.stages = append(j.stages, j.keep(&old, s))
--- a/internal/wire/chain/call.go
+++ b/internal/wire/chain/call.go
@@ -51,7 +51,7 @@
 // awaited shows that replies are missing, which the engine can give again.
 func (j *run) recv(ctx context.Context, s *stage, base uint64) error {
 	for {
-		if err := s.on.Recv(ctx, j.patience, &j.reply); err != nil {
+		if err := s.on.Recv(ctx, j.within(s), &j.reply); err != nil {
 			return err
 		}
 		r := &j.reply
@@ -67,6 +67,18 @@
 	}
 }
 
+// within is how long the stage may take for a step.
+func (j *run) within(s *stage) time.Duration {
+	wait := j.patience
+	if s.seq == 0 {
+		wait = j.prefill
+	}
+	if wait <= 0 {
+		return defaultPatience
+	}
+	return wait
+}
+
 // mine reports whether the reply is of this run and of the stage's present
 // state. One of another request or an older attempt would put foreign layers
 // into the answer.
--- a/internal/wire/chain/run.go
+++ b/internal/wire/chain/run.go
@@ -68,7 +68,9 @@
 	rebuilds uint32
 	depth    int
 	prio     int
+	// patience is for a step of one token, prefill for the first of a state.
 	patience time.Duration
+	prefill  time.Duration
 	stages   []*stage
 	inputs   inputs
 	step     frame.Step
@@ -90,7 +92,6 @@
 	j := &run{
 		Runner: r, job: job, sink: sink, decided: r.Router.Watch(id), began: now, told: now,
 		name:     string(id) + "~" + r.nonce + "-" + strconv.FormatUint(r.runs.Add(1), 10),
-		patience: defaultPatience,
 		inputs:   inputs{limit: r.Journal},
 	}
 	defer r.Router.Forget(id)
--- a/internal/wire/engine/check.go
+++ b/internal/wire/engine/check.go
@@ -24,10 +24,6 @@
 	maxLayerRun = int64(time.Minute)
 	maxLink     = int64(time.Minute / time.Microsecond)
 	maxRate     = int64(1) << 50
-
-	maxIncarnation = uint64(1)<<32 - 1
-	maxSeq         = uint64(1)<<32 - 1
-	seqBits        = 32
 )
 
 // Decode reads the body of a report and checks it.
@@ -66,9 +62,6 @@
 			return errors.Wrapf(ErrBody, "%s is %d", n.name, n.value)
 		}
 	}
-	if b.Incarnation > maxIncarnation || b.Seq > maxSeq {
-		return errors.Wrapf(ErrBody, "incarnation %d, report %d", b.Incarnation, b.Seq)
-	}
 	return checkHolds(b.Holds)
 }
 
@@ -127,15 +120,13 @@
 	return nil
 }
 
-// Row turns a checked report into a row of the world. The incarnation goes
-// above the report's number: a restarted engine counts from 1 again, and its
-// reports would else be taken for old ones until they pass the former count.
+// Row turns a checked report into a row of the world.
 func Row(id spec.UpstreamID, b frame.Engine) world.Engine {
 	row := world.Engine{
 		ID: id, DataCentre: spec.DataCentre(b.DataCentre), Kind: b.Kind,
 		Layer: time.Duration(b.Layer), Slots: b.Slots, Memory: b.Memory,
 		Cache: b.Cache, Cached: b.Cached, Queued: b.Queued, Active: b.Active,
-		Hop: time.Duration(b.Link) * time.Microsecond, Bandwidth: b.Bandwidth, Seq: b.Incarnation<<seqBits + b.Seq,
+		Hop: time.Duration(b.Link) * time.Microsecond, Bandwidth: b.Bandwidth, Incarnation: b.Incarnation, Seq: b.Seq,
 	}
 	for _, h := range b.Holds {
 		row.Holds = append(row.Holds, world.Hold{
