--- a/internal/wire/chain/run.go
+++ b/internal/wire/chain/run.go
@@ -91,8 +91,8 @@
 	now := time.Now()
 	j := &run{
 		Runner: r, job: job, sink: sink, decided: r.Router.Watch(id), began: now, told: now,
-		name:     string(id) + "~" + r.nonce + "-" + strconv.FormatUint(r.runs.Add(1), 10),
-		inputs:   inputs{limit: r.Journal},
+		name:   string(id) + "~" + r.nonce + "-" + strconv.FormatUint(r.runs.Add(1), 10),
+		inputs: inputs{limit: r.Journal},
 	}
 	defer r.Router.Forget(id)
 	defer j.closeAll()
--- a/internal/wire/engine/check.go
+++ b/internal/wire/engine/check.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"encoding/json"
 	"time"
 
 	"fulmarwick/internal/base/frame"
@@ -26,15 +25,6 @@
 	maxRate     = int64(1) << 50
 )
 
-// Decode reads the body of a report and checks it.
-func Decode(data []byte) (frame.Engine, error) {
-	var b frame.Engine
-	if err := json.Unmarshal(data, &b); err != nil {
-		return frame.Engine{}, errors.Wrap(ErrBody, err.Error())
-	}
-	return b, checkEngine(&b)
-}
-
 func checkEngine(b *frame.Engine) error {
 	if b.State != frame.StateLive && b.State != frame.StateLeaving {
 		return errors.Wrapf(ErrBody, "state %.20q", b.State)
--- /dev/null
+++ b/internal/wire/engine/control_test.go
@@ -0,0 +1,289 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/fakes/inmem"
+	"fulmarwick/internal/fakes/stage"
+	"fulmarwick/internal/wire/engine"
+)
+
+// says answers every call with the same body.
+type says string
+
+func (s says) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(string(s)))}, nil
+}
+
+func asked(body string) *engine.Control {
+	return &engine.Control{HTTP: &http.Client{Transport: says(body)}, Base: "http://e"}
+}
+
+const fair = `{"name":"e","state":"live","slots":4,"layer":1000,"seq":7,"holds":[{"model":"m","version":"1","depth":8,"from":0,"to":4}]}`
+
+// The operators see one engine left out with a reason. It reports what cannot
+// be true; taking it would overflow predictions or plan layers twice.
+func TestHostileReportsAreRefused(t *testing.T) {
+	if _, err := asked(fair).Report(t.Context()); err != nil {
+		t.Fatalf("got %v for a fair report, want nil", err)
+	}
+	for name, change := range map[string][2]string{
+		"not JSON":        {`{"name"`, `{name`},
+		"NaN":             {`"slots":4`, `"slots":NaN`},
+		"fraction":        {`"slots":4`, `"slots":0.5`},
+		"unknown state":   {`"live"`, `"lively"`},
+		"negative slots":  {`"slots":4`, `"slots":-4`},
+		"huge slots":      {`"slots":4`, `"slots":99999999`},
+		"negative time":   {`"layer":1000`, `"layer":-1`},
+		"endless time":    {`"layer":1000`, `"layer":9000000000000000000`},
+		"inverted range":  {`"from":0,"to":4`, `"from":4,"to":0`},
+		"empty range":     {`"from":0,"to":4`, `"from":4,"to":4`},
+		"beyond depth":    {`"to":4`, `"to":9`},
+		"huge depth":      {`"depth":8`, `"depth":99999999`},
+		"negative from":   {`"from":0`, `"from":-1`},
+		"no model":        {`"model":"m"`, `"model":""`},
+		"overlap":         {`"holds":[`, `"holds":[{"model":"m","version":"1","depth":8,"from":3,"to":8},`},
+		"negative width":  {`"depth":8`, `"width":-8,"depth":8`},
+		"long name":       {`"name":"e"`, `"name":"` + strings.Repeat("e", 300) + `"`},
+		"negative link":   {`"slots":4`, `"link":-1`},
+		"negative memory": {`"slots":4`, `"memory":-1`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			body := strings.Replace(fair, change[0], change[1], 1)
+			if body == fair {
+				t.Fatal("the case changes nothing")
+			}
+			if got, err := asked(body).Report(t.Context()); !errors.Is(err, engine.ErrBody) {
+				t.Errorf("got %+v and %v, want ErrBody", got, err)
+			}
+		})
+	}
+}
+
+func TestEndlessAnswerIsCut(t *testing.T) {
+	body := fair[:len(fair)-1] + strings.Repeat(" ", 2<<20) + "}"
+	if _, err := asked(body).Report(t.Context()); !errors.Is(err, engine.ErrBody) {
+		t.Errorf("got %v, want ErrBody", err)
+	}
+}
+
+func TestEventsMustRise(t *testing.T) {
+	for body, fine := range map[string]bool{
+		`{"seq":9,"events":[{"seq":8},{"seq":9}]}`:  true,
+		`{"seq":9,"events":[{"seq":6},{"seq":9}]}`:  true, // a gap is the logic's to see
+		`{"seq":9,"events":[{"seq":9},{"seq":8}]}`:  false,
+		`{"seq":9,"events":[{"seq":5}]}`:            false,
+		`{"seq":9,"events":[{"seq":10}]}`:           false,
+		`{"seq":2,"reset":true,"blocks":[1,2,3,4]}`: true,
+	} {
+		if _, err := asked(body).Events(t.Context(), 5); (err == nil) != fine {
+			t.Errorf("got %v for %s, want fine %t", err, body, fine)
+		}
+	}
+}
+
+func FuzzReport(f *testing.F) {
+	f.Add([]byte(fair))
+	f.Add([]byte(`{"holds":[{}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := asked(string(data)).Report(context.Background())
+		if err != nil {
+			return
+		}
+		row := engine.Row("e", got)
+		for _, h := range row.Holds {
+			if h.Layers.From() < 0 || h.Layers.Len() <= 0 || h.Layers.To() > h.Depth || row.Slots < 0 || row.Layer < 0 {
+				t.Errorf("got row %+v from %q, want a refusal", row, data)
+			}
+		}
+	})
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte(`{"seq":9,"events":[{"seq":8,"added":true,"block":5}]}`))
+	f.Add([]byte(`{"seq":9,"reset":true,"blocks":[1]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		page, err := asked(string(data)).Events(context.Background(), 3)
+		if err != nil {
+			return
+		}
+		last := uint64(3)
+		for _, seen := range engine.Seen("e", page) {
+			if !seen.Reset && seen.Seq <= last {
+				t.Errorf("got event %d after %d from %q, want rising", seen.Seq, last, data)
+			}
+			last = seen.Seq
+		}
+	})
+}
+
+func FuzzExport(f *testing.F) {
+	f.Add([]byte(`{"req":"r","from":0,"to":2,"pos":3,"data":"AAAA"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		kv, err := asked(string(data)).Export(context.Background(), "r", 0, 2)
+		if err == nil && (kv.Req != "r" || kv.From != 0 || kv.To != 2 || kv.Pos < 0) {
+			t.Errorf("got %+v from %q, want a refusal", kv, data)
+		}
+	})
+}
+
+// running serves a stand-in engine in memory.
+func running(e *stage.Engine) (*engine.Control, *engine.Pool, func()) {
+	l := inmem.Listen()
+	server := &http.Server{Handler: e.Handler()}
+	done := make(chan struct{})
+	go func() {
+		_ = server.Serve(l)
+		close(done)
+	}()
+	transport := &http.Transport{DialContext: l.Dial, DisableKeepAlives: true}
+	p := &engine.Pool{Dial: l.Dial}
+	p.Locate("e", "http://e")
+	return &engine.Control{HTTP: &http.Client{Transport: transport}, Base: "http://e"}, p, func() {
+		p.Close()
+		_ = server.Close()
+		<-done
+	}
+}
+
+func holds(model string, ranges ...int) []frame.Hold {
+	var out []frame.Hold
+	for i := 0; i+1 < len(ranges); i += 2 {
+		out = append(out, frame.Hold{Model: model, Version: "1", Depth: 100, From: ranges[i], To: ranges[i+1]})
+	}
+	return out
+}
+
+// A former holder of the duty wakes after a pause and sends its order late. An
+// engine that checks fencing numbers refuses it; one that does not takes it,
+// which is why routing trusts only what an engine reports.
+func TestOldOrder(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		e := &stage.Engine{Name: "e", Fenced: fenced, Memory: 50}
+		c, _, stop := running(e)
+		if err := c.Order(t.Context(), frame.Order{Fence: 8, Holds: holds("m", 0, 40)}); err != nil {
+			t.Fatal(err)
+		}
+		err := c.Order(t.Context(), frame.Order{Fence: 7, Holds: holds("m", 40, 80)})
+		if got := errors.Is(err, engine.ErrFence); got != fenced {
+			t.Errorf("got %v from an engine with fencing %t, want ErrFence %t", err, fenced, fenced)
+		}
+		want := "40-80"
+		if fenced {
+			want = "0-40"
+		}
+		body, err := c.Report(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := engine.Row("e", body).Holds[0].Layers.String(); got != want {
+			t.Errorf("got layers %s, want %s", got, want)
+		}
+		if err := c.Order(t.Context(), frame.Order{Fence: 9, Holds: holds("m", 0, 60)}); !errors.Is(err, engine.ErrRefused) {
+			t.Errorf("got %v for more layers than memory, want ErrRefused", err)
+		}
+		stop()
+	}
+}
+
+// Two engines are ordered to load at once from one store. What they held and
+// keep serves on, the rest comes at the store's rate, one after the other.
+func TestLoadingTakesTheStoresTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &stage.Weights{Rate: 10}
+		var reports []func() string
+		for i := range 2 {
+			e := &stage.Engine{Name: fmt.Sprint(i), Holds: holds("m", 0, 30), Store: store}
+			c, _, stop := running(e)
+			defer stop()
+			if err := c.Order(t.Context(), frame.Order{Fence: 1, Holds: holds("m", 20, 50)}); err != nil {
+				t.Fatal(err)
+			}
+			reports = append(reports, func() string {
+				body, err := c.Report(t.Context())
+				if err != nil {
+					t.Fatal(err)
+				}
+				return engine.Row("e", body).Holds[0].Layers.String()
+			})
+		}
+		for _, want := range [][2]string{{"20-30", "20-30"}, {"20-50", "20-30"}, {"20-50", "20-50"}} {
+			if got := [2]string{reports[0](), reports[1]()}; got != want {
+				t.Errorf("got layers %v, want %v", got, want)
+			}
+			time.Sleep(2*time.Second + time.Millisecond)
+		}
+	})
+}
+
+// The logic asks for cache events of a prompt that came a second ago. They
+// show late, some never do, and after too many only the whole content is told.
+func TestCacheEventsLateAndWithGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, p, stop := running(&stage.Engine{
+			Name: "e", Holds: holds("m", 0, 100), Cache: 3, EventLag: time.Second,
+			Gap: func(seq uint64) bool { return seq == 2 },
+		})
+		defer stop()
+		s, err := p.Open(t.Context(), "e", "r", 1, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := strings.Repeat("door ", 200)
+		if err := s.Send(&frame.Step{Seq: 1, Model: "m", To: 100, Text: text}); err != nil {
+			t.Fatal(err)
+		}
+		var r frame.Reply
+		if err := s.Recv(t.Context(), time.Minute, &r); err != nil || r.Code != frame.CodeOK {
+			t.Fatalf("got %v and code %s, want an answer", err, r.Code)
+		}
+		page, err := c.Events(t.Context(), 0)
+		if err != nil || len(page.Events) != 0 {
+			t.Errorf("got %+v and %v at once, want no events yet", page, err)
+		}
+		time.Sleep(time.Second)
+		page, err = c.Events(t.Context(), 0)
+		if err != nil || len(page.Events) != 2 || page.Seq != 3 {
+			t.Errorf("got %+v and %v, want events 1 and 3", page, err)
+		}
+		page, err = c.Events(t.Context(), 99)
+		if err != nil || !page.Reset || len(page.Blocks) != 3 {
+			t.Errorf("got %+v and %v for a number from before a restart, want the whole content", page, err)
+		}
+	})
+}
+
+// The logic sees the load of some time ago: a step that runs shows only when
+// the report's lag is over, and one that ended shows as long after.
+func TestReportLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &stage.Engine{Name: "e", Holds: holds("m", 0, 100), Layer: 30 * time.Millisecond, Lag: 2 * time.Second}
+		_, p, stop := running(e)
+		defer stop()
+		if got := e.Report().Active; got != 0 {
+			t.Errorf("got %d active, want 0", got)
+		}
+		s, err := p.Open(t.Context(), "e", "r", 1, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Send(&frame.Step{Seq: 1, Model: "m", To: 100, Text: "x"}); err != nil {
+			t.Fatal(err)
+		}
+		for _, want := range []int{0, 1, 1, 0} {
+			time.Sleep(time.Second + time.Millisecond)
+			if got := e.Report().Active; got != want {
+				t.Errorf("got %d active, want %d", got, want)
+			}
+		}
+	})
+}
