Plan the placement by maximum flow with safe, rate-limited moves

Property tests drove out two faults: a grid that wasted room needed to hold all layers (tiled layout and grid 1 when room is scarce), and an overdue order repeated after the other holder of its layers had died (orders not followed are withdrawn then).

--- /dev/null
+++ b/internal/route/place/bench_test.go
@@ -0,0 +1,106 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/place"
+	"fulmarwick/internal/route/world"
+)
+
+// kind is a sort of accelerator.
+type kind struct {
+	name   string
+	count  int
+	layer  time.Duration
+	slots  int
+	memory int
+	link   int64
+	hop    time.Duration
+}
+
+// site is a deployment to plan for.
+type site struct {
+	name   string
+	goal   place.Goal
+	kinds  []kind
+	models []place.Model
+}
+
+// five kinds of accelerators whose links differ a hundredfold.
+func five(times int) []kind {
+	return []kind{
+		{"h200", 6 * times, 20 * time.Microsecond, 32, 40, 10 << 30, 20 * time.Microsecond},
+		{"a100", 10 * times, 35 * time.Microsecond, 24, 24, 5 << 30, 50 * time.Microsecond},
+		{"l40s", 14 * times, 60 * time.Microsecond, 16, 16, 1 << 30, 200 * time.Microsecond},
+		{"a10", 18 * times, 110 * time.Microsecond, 8, 10, 500 << 20, 500 * time.Microsecond},
+		{"t4", 12 * times, 250 * time.Microsecond, 4, 6, 100 << 20, 2 * time.Millisecond},
+	}
+}
+
+func one() []place.Model {
+	return []place.Model{{Name: "levy-70b", Version: "1", Depth: 80, Width: 16 << 10, Demand: 1}}
+}
+
+func sites() []site {
+	small := []kind{
+		{"l40s", 8, 60 * time.Microsecond, 16, 16, 1 << 30, 100 * time.Microsecond},
+		{"a10", 12, 110 * time.Microsecond, 8, 10, 500 << 20, 200 * time.Microsecond},
+		{"t4", 10, 250 * time.Microsecond, 4, 6, 100 << 20, time.Millisecond},
+	}
+	medium := []place.Model{{Name: "levy-13b", Version: "1", Depth: 40, Width: 10 << 10, Demand: 1}}
+	var several []place.Model
+	for i, d := range []float64{0.4, 0.25, 0.2, 0.1, 0.05} {
+		several = append(several, place.Model{
+			Name: spec.ModelName(fmt.Sprint("m", i)), Version: "1", Depth: 40 + 10*i, Width: 8 << 10, Demand: d,
+		})
+	}
+	return []site{
+		{"association", place.Throughput, small, medium},
+		{"coral", place.Recovery, small, medium},
+		{"sixty", place.Throughput, five(1), one()},
+		{"sixhundred", place.Throughput, five(10), one()},
+		{"sixhundred-5models", place.Throughput, five(10), several},
+	}
+}
+
+func (s site) engines() []*world.Engine {
+	var out []*world.Engine
+	for _, k := range s.kinds {
+		for i := range k.count {
+			out = append(out, &world.Engine{
+				ID: spec.UpstreamID(fmt.Sprintf("%s-%03d", k.name, i)), Kind: k.name, Layer: k.layer,
+				Slots: k.slots, Memory: k.memory, Bandwidth: k.link, Hop: k.hop,
+			})
+		}
+	}
+	return out
+}
+
+func load(engines []*world.Engine, holds [][]world.Hold) {
+	for i, e := range engines {
+		e.Holds = holds[i]
+	}
+}
+
+// BenchmarkPlan plans from nothing and gives the rate over the bound, that of
+// the even split, and the time.
+func BenchmarkPlan(b *testing.B) {
+	for _, s := range sites() {
+		b.Run(s.name, func(b *testing.B) {
+			engines := s.engines()
+			var r place.Result
+			for b.Loop() {
+				r = place.Plan(s.goal, engines, s.models)
+			}
+			load(engines, place.Even(engines, s.models))
+			even := place.Value(engines, s.models)
+			b.ReportMetric(r.Rate, "tokens/s")
+			b.ReportMetric(r.Rate/r.Bound, "of-bound")
+			b.ReportMetric(even.Rate/even.Bound, "even-of-bound")
+			b.ReportMetric(float64(r.Loads), "layers-loaded")
+		})
+	}
+}
--- /dev/null
+++ b/internal/route/place/place_test.go
@@ -0,0 +1,294 @@
+package place_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/place"
+	"fulmarwick/internal/route/world"
+
+	"pgregory.net/rapid"
+)
+
+func drawModels(t *rapid.T) []place.Model {
+	var out []place.Model
+	for i := range rapid.IntRange(1, 3).Draw(t, "models") {
+		out = append(out, place.Model{
+			Name: spec.ModelName(fmt.Sprint("m", i)), Version: "1",
+			Depth:  rapid.IntRange(1, 40).Draw(t, "depth"),
+			Width:  rapid.SampledFrom([]int{0, 1 << 10}).Draw(t, "width"),
+			Demand: rapid.Float64Range(0.1, 2).Draw(t, "demand"),
+		})
+	}
+	return out
+}
+
+func drawEngines(t *rapid.T, most int) []*world.Engine {
+	var out []*world.Engine
+	for i := range rapid.IntRange(1, most).Draw(t, "engines") {
+		out = append(out, &world.Engine{
+			ID:        spec.UpstreamID(fmt.Sprintf("e%02d", i)),
+			Layer:     time.Duration(rapid.IntRange(1, 100).Draw(t, "layer")) * time.Microsecond,
+			Slots:     rapid.IntRange(1, 16).Draw(t, "slots"),
+			Memory:    rapid.IntRange(1, 30).Draw(t, "memory"),
+			Bandwidth: rapid.SampledFrom([]int64{0, 1 << 20, 100 << 20}).Draw(t, "link"),
+		})
+	}
+	return out
+}
+
+// covered is how many holders the layer with the fewest has.
+func covered(m place.Model, holds [][]world.Hold) int {
+	least := -1
+	for at := range m.Depth {
+		n := 0
+		for _, list := range holds {
+			for _, h := range list {
+				if h.Model == m.Name && h.Version == m.Version && h.Layers.Has(at) {
+					n++
+				}
+			}
+		}
+		if least < 0 || n < least {
+			least = n
+		}
+	}
+	return least
+}
+
+// Whenever the engines' memory can hold all layers, the plan does; it never
+// gives an engine more than fits, nor one layer twice, and its rate is no
+// higher than the bound.
+func TestPlanHoldsAllAndFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := drawModels(t)
+		engines := drawEngines(t, 12)
+		goal := rapid.SampledFrom([]place.Goal{place.Throughput, place.Recovery}).Draw(t, "goal")
+		r := place.Plan(goal, engines, models)
+		room, depth := 0, 0
+		for i, e := range engines {
+			room += e.Memory
+			if got := layers(r.Holds[i]); got > e.Memory {
+				t.Errorf("got %d layers on %s, want at most %d", got, e.ID, e.Memory)
+			}
+			for k, a := range r.Holds[i] {
+				for _, b := range r.Holds[i][:k] {
+					if a.Model == b.Model && a.Layers.From() < b.Layers.To() && b.Layers.From() < a.Layers.To() {
+						t.Errorf("got overlapping ranges %v and %v on %s", a, b, e.ID)
+					}
+				}
+			}
+		}
+		for _, m := range models {
+			depth += m.Depth
+		}
+		for _, m := range models {
+			if got := covered(m, r.Holds); room >= depth && got < 1 {
+				t.Errorf("got a layer of %s without holder, want none: %d of room for %d layers", m.Name, room, depth)
+			}
+		}
+		if r.Rate > r.Bound*(1+1e-6) {
+			t.Errorf("got rate %g above the bound %g", r.Rate, r.Bound)
+		}
+	})
+}
+
+// The shares are a flow: no engine runs more than its speed, and each layer of
+// each model gets its part of the rate.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := drawModels(t)
+		engines := drawEngines(t, 12)
+		r := place.Plan(place.Throughput, engines, models)
+		if r.Rate == 0 {
+			return
+		}
+		work := map[spec.UpstreamID]float64{}
+		for _, s := range r.Shares {
+			work[s.Engine] += s.Rate * float64(s.Layers.Len())
+		}
+		for _, e := range engines {
+			if got, most := work[e.ID], float64(e.Capacity()); got > most*(1+1e-6) {
+				t.Errorf("got %g layer-tokens a second on %s, want at most %g", got, e.ID, most)
+			}
+		}
+		for _, m := range models {
+			for at := range m.Depth {
+				got := 0.0
+				for _, s := range r.Shares {
+					if s.Model == m.Name && s.Layers.Has(at) {
+						got += s.Rate
+					}
+				}
+				if want := r.Rate * m.Demand; got < want*(1-1e-4) {
+					t.Errorf("got %g tokens a second through layer %d of %s, want %g", got, at, m.Name, want)
+				}
+			}
+		}
+	})
+}
+
+// The rate against a computation by hand: layer 1 has the slow engine only.
+func TestRateOfKnownPlacement(t *testing.T) {
+	models := []place.Model{{Name: "m", Version: "1", Depth: 2, Demand: 1}}
+	hold := func(from, to int) []world.Hold {
+		return []world.Hold{{Model: "m", Version: "1", Depth: 2, Layers: spec.NewLayers(from, to)}}
+	}
+	engines := []*world.Engine{
+		{ID: "a", Layer: time.Millisecond, Slots: 3, Memory: 1, Holds: hold(0, 1)},
+		{ID: "b", Layer: time.Millisecond, Slots: 1, Memory: 2, Holds: hold(0, 2)},
+		{ID: "c", Layer: time.Millisecond, Slots: 2, Memory: 1, Holds: hold(0, 1)},
+	}
+	r := place.Value(engines, models)
+	if r.Rate < 999 || r.Rate > 1001 {
+		t.Errorf("got %g tokens a second, want 1000", r.Rate)
+	}
+	if r.Bound < 2999 || r.Bound > 3001 {
+		t.Errorf("got bound %g, want 3000: a runs one layer, b and c the other", r.Bound)
+	}
+}
+
+// A caller's chain stays whole while the placement changes: engines die, come
+// back empty and ignore orders while weights load. No order may leave a layer
+// without a holder that had one; only a death may.
+func TestMovesNeverUnserve(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := drawModels(t)
+		engines := drawEngines(t, 10)
+		load(engines, place.Even(engines, models))
+		goal := rapid.SampledFrom([]place.Goal{place.Throughput, place.Recovery}).Draw(t, "goal")
+		s := newSim(goal, 20, engines)
+		s.planner.Models = models
+		for range rapid.IntRange(1, 5).Draw(t, "events") {
+			e := s.engines[rapid.IntRange(0, len(engines)-1).Draw(t, "which")]
+			switch rapid.SampledFrom([]string{"die", "back", "deaf", "version"}).Draw(t, "what") {
+			case "die":
+				e.dead = true
+				s.w.Apply(world.EngineDown{Engine: e.row.ID})
+			case "back":
+				e.dead, e.row.Holds, e.loaded = false, nil, true
+			case "deaf":
+				e.deaf = !e.deaf
+			case "version":
+				s.planner.Models = append([]place.Model(nil), s.planner.Models...)
+				s.planner.Models[0].Version += "x"
+				s.wanted[models[0].Name] = s.planner.Models[0].Version
+			}
+			s.run(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
+			if s.lost != "" {
+				t.Fatalf("got layer %s without a holder by an order, want one", s.lost)
+			}
+		}
+	})
+}
+
+// The same world gives the same orders.
+func TestPlannerIsDeterministic(t *testing.T) {
+	run := func() []world.Hold {
+		st := sites()[0]
+		engines := st.engines()
+		load(engines, place.Even(engines, st.models))
+		s := newSim(st.goal, 20, engines)
+		s.run(40 * time.Second)
+		s.kill(3)
+		s.run(40 * time.Second)
+		var out []world.Hold
+		for _, e := range s.engines {
+			out = append(out, e.row.Holds...)
+		}
+		return out
+	}
+	first := run()
+	for range 3 {
+		if got := run(); !reflect.DeepEqual(got, first) {
+			t.Fatalf("got %v, want %v", got, first)
+		}
+	}
+}
+
+// Callers of Coral Coast see no break when an engine dies at night: each layer
+// has a second holder already, and the planner finds a third for those that
+// lost one.
+func TestRecoveryKeepsTwoHolders(t *testing.T) {
+	st := sites()[1]
+	engines := st.engines()
+	load(engines, place.Plan(st.goal, engines, st.models).Holds)
+	s := newSim(st.goal, 20, engines)
+	s.run(20 * time.Second)
+	for i := range s.engines {
+		s.kill(i)
+		if got := s.value(st.models).Rate; got <= 0 {
+			t.Fatalf("got no whole chain after the death of %s, want one", s.engines[i].row.ID)
+		}
+		s.engines[i].dead = false
+		s.run(2 * time.Second)
+	}
+	s.kill(0)
+	s.run(2 * time.Minute)
+	if got := s.planner.Status().Missing; got != 0 {
+		t.Errorf("got %d holders missing two minutes after a death, want 0", got)
+	}
+}
+
+// The operator sees no weights load back and forth. An engine that dies and
+// returns every few seconds, with its weights, takes no layer's last holder
+// away; nothing is worth a load.
+func TestFlappingEngineLoadsNothing(t *testing.T) {
+	st := sites()[0]
+	engines := st.engines()
+	load(engines, place.Plan(st.goal, engines, st.models).Holds)
+	s := newSim(st.goal, 20, engines)
+	s.run(20 * time.Second)
+	for range 20 {
+		s.kill(25)
+		s.run(3 * time.Second)
+		s.engines[25].dead = false
+		s.run(3 * time.Second)
+	}
+	if s.moves != 0 {
+		t.Errorf("got %d engines reloaded, want 0", s.moves)
+	}
+}
+
+// The instance lost the duty in the midst of a plan: it must order nothing
+// more, for the next holder orders now.
+func TestWithoutDutyNothingIsOrdered(t *testing.T) {
+	st := sites()[0]
+	engines := st.engines()
+	load(engines, place.Even(engines, st.models))
+	s := newSim(st.goal, 1, engines)
+	s.run(20 * time.Second)
+	if s.moves == 0 {
+		t.Fatal("got no order while the duty was held, want some")
+	}
+	before := s.moves
+	s.w.Apply(world.Duties{})
+	s.run(2 * time.Minute)
+	if s.moves != before {
+		t.Errorf("got %d orders after the duty was lost, want 0", s.moves-before)
+	}
+}
+
+// A new version is wanted while callers use the old one. The old one stays
+// whole until all layers of the new one are served, and then goes.
+func TestVersionChangeServesThroughout(t *testing.T) {
+	st := sites()[0]
+	engines := st.engines()
+	load(engines, place.Plan(st.goal, engines, st.models).Holds)
+	s := newSim(st.goal, 20, engines)
+	s.run(5 * time.Second)
+	next := st.models[0]
+	next.Version = "2"
+	s.planner.Models = []place.Model{next}
+	s.wanted[next.Name] = "2"
+	s.run(3 * time.Minute)
+	if s.lost != "" {
+		t.Errorf("got layer %s without a holder, want one", s.lost)
+	}
+	if got := s.value([]place.Model{next}); got.Rate < 0.95*got.Bound {
+		t.Errorf("got rate %g of the new version, want near the bound %g", got.Rate, got.Bound)
+	}
+}
--- /dev/null
+++ b/internal/route/place/planner.go
@@ -0,0 +1,317 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+)
+
+// Defaults of the exported fields.
+const (
+	defaultGain   = 0.05
+	defaultEvery  = time.Second
+	defaultSettle = 10 * time.Second
+	defaultRest   = time.Minute
+)
+
+// Planner keeps the placement near the best and emits world.Place while this
+// instance has the duty. Set the exported fields before the first Run.
+type Planner struct {
+	Goal Goal
+	// Rate of the weight store in layers a second; zero is unknown: then a
+	// tenth of the engines may load at once.
+	Rate float64
+	// DataCentre limits the plan to engines of one data centre; "" is all.
+	DataCentre spec.DataCentre
+	// Models are the versions wanted; nil keeps, for each model that engines
+	// report, the version that can serve most.
+	Models []Model
+	// Gain is the least relative gain for which engines are changed that lack
+	// nothing; zero is 0.05.
+	Gain float64
+	// Every is the time between two reviews (zero is 1 s), Settle how long the
+	// engines must have stood unchanged before a plan (10 s) unless layers
+	// have no holder, and Rest the time between two plans for gain only (60 s).
+	Every  time.Duration
+	Settle time.Duration
+	Rest   time.Duration
+
+	next    time.Duration
+	seen    uint64
+	since   time.Duration
+	planned time.Duration
+	due     bool
+	job     *job
+	ids     []spec.UpstreamID
+	catalog catalog
+	moves   moves
+	status  Status
+	shares  []Share
+}
+
+// Status is what operators see of the placement.
+type Status struct {
+	// Rate and Bound are multiples of the demand; for one model, tokens a
+	// second. Target is the rate when all moves are done.
+	Rate, Bound, Target float64
+	// Missing is how many holders the layers lack; a layer without any counts
+	// a thousand.
+	Missing int
+	// Waiting and Loading are engines yet to be ordered and ordered; Stuck are
+	// those whose orders were not followed.
+	Waiting, Loading, Stuck int
+}
+
+// Status is as of the last review.
+func (p *Planner) Status() Status { return p.status }
+
+// Shares are what each engine runs of each stretch of layers at the best rate
+// of the present placement, as of the last plan. Routing may use them as
+// weights. The caller must not change them.
+func (p *Planner) Shares() []Share { return p.shares }
+
+// Run reviews the placement now and then. A tick does one step of a plan at
+// most, so that planning for many engines holds up no request.
+func (p *Planner) Run(w *world.World) {
+	if !w.Duties().Place {
+		p.drop()
+		return
+	}
+	if p.job != nil {
+		p.job.step()
+		if p.job.done {
+			p.adopt(w)
+		}
+		return
+	}
+	if w.Now() < p.next {
+		return
+	}
+	p.next = w.Now() + orElse(p.Every, defaultEvery)
+	p.review(w)
+}
+
+// drop forgets all plans: whoever has the duty now makes its own, from what
+// engines report.
+func (p *Planner) drop() {
+	p.job, p.moves, p.seen, p.due = nil, moves{}, 0, false
+}
+
+func orElse(d, other time.Duration) time.Duration {
+	if d == 0 {
+		return other
+	}
+	return d
+}
+
+func (p *Planner) review(w *world.World) {
+	engines := p.engines(w)
+	p.catalog.learn(w, p.Models)
+	models := p.catalog.models()
+	p.moves.settle(w.Now(), engines)
+	p.moves.withdraw(w, p.Goal, engines, models)
+	prob := p.problem(w.Now(), engines, models)
+	now := p.layout(prob, engines)
+	lack := prob.missing(now)
+	p.status.Missing, p.status.Waiting = lack, len(p.moves.queue)
+	p.status.Loading, p.status.Stuck = p.moves.loading(), p.moves.stuck(w.Now())
+	p.watch(w.Now(), prob, now)
+	switch {
+	case len(engines) == 0 || len(models) == 0:
+	case p.wanted(w.Now(), lack):
+		p.start(w.Now(), prob, now, engines)
+	default:
+		p.moves.emit(w, p.Goal, engines, models, p.Rate)
+	}
+}
+
+// engines are those that can be planned with, in order of ID. A leaving
+// engine gets nothing more and a dead one holds nothing.
+func (p *Planner) engines(w *world.World) []*world.Engine {
+	var out []*world.Engine
+	for _, e := range w.Engines().Rows() {
+		if e.State() == world.StateServing && (p.DataCentre == "" || e.DataCentre == p.DataCentre) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (p *Planner) problem(now time.Duration, engines []*world.Engine, models []Model) *problem {
+	prob := newProblem(p.Goal, engines, models)
+	for i, e := range engines {
+		prob.units[i].fixed = p.moves.refused(now, e.ID)
+	}
+	return prob
+}
+
+// layout is what the engines hold when the orders under way are followed.
+func (p *Planner) layout(prob *problem, engines []*world.Engine) layout {
+	out := prob.current(engines)
+	for i, e := range engines {
+		if o := p.moves.sent[e.ID]; o != nil {
+			out[i] = prob.spans(o.holds)
+		}
+	}
+	return out
+}
+
+// watch notices when the engines, what they hold, or the demands changed.
+func (p *Planner) watch(now time.Duration, prob *problem, l layout) {
+	if sum := prob.digest(l, p.catalog.coarse()); sum != p.seen {
+		p.seen, p.since, p.due = sum, now, true
+	}
+}
+
+// wanted reports whether a plan is due: at once if layers have no holder,
+// after things settled if some lack their second, and for mere gain only when
+// the last plan is done and some time ago. Without these waits an engine that
+// comes and goes would have weights loaded back and forth.
+func (p *Planner) wanted(now time.Duration, lack int) bool {
+	if !p.due {
+		return false
+	}
+	settled := now >= p.since+orElse(p.Settle, defaultSettle)
+	switch {
+	case lack >= noHolder:
+		return true
+	case lack > 0:
+		return settled
+	default:
+		rested := p.planned == 0 || now >= p.planned+orElse(p.Rest, defaultRest)
+		return settled && rested && p.moves.idle()
+	}
+}
+
+func (p *Planner) start(now time.Duration, prob *problem, l layout, engines []*world.Engine) {
+	p.due, p.planned = false, now
+	// What is left of an older plan was meant for engines that changed.
+	p.moves.queue = nil
+	p.job = newJob(prob, l)
+	p.ids = p.ids[:0]
+	for _, e := range engines {
+		p.ids = append(p.ids, e.ID)
+	}
+}
+
+// adopt takes the layout found if it is worth its loads.
+func (p *Planner) adopt(w *world.World) {
+	j := p.job
+	p.job = nil
+	p.status.Rate, p.status.Bound, p.status.Target = j.value.rate, j.p.bound(), j.value.rate
+	p.shares = j.p.shares(j.value)
+	gain := p.Gain
+	if gain == 0 {
+		gain = defaultGain
+	}
+	if len(j.order) == 0 || j.left >= j.lack && j.best.rate < j.value.rate*(1+gain) {
+		return
+	}
+	p.status.Target = j.best.rate
+	p.moves.queue = p.moves.queue[:0]
+	for _, u := range j.order {
+		p.moves.queue = append(p.moves.queue, move{
+			engine: p.ids[u], holds: j.p.holds(j.target[u]), loads: loads(j.now[u], j.target[u]),
+		})
+	}
+	p.next = w.Now()
+}
+
+// catalog is the models to serve, kept when no engine holds them any more.
+type catalog struct {
+	list   []Model
+	smooth []float64
+	wanted bool
+}
+
+const (
+	// smoothing is the weight of a new demand against the old.
+	smoothing = 0.02
+	// leastPart is the part of all demand that a model counts with at least,
+	// since one that nobody can ask for shows no demand.
+	leastPart = 0.05
+	// demandSteps is how finely a shift of demand is noticed.
+	demandSteps = 10
+)
+
+func (c *catalog) learn(w *world.World, wanted []Model) {
+	c.wanted = wanted != nil
+	for _, m := range wanted {
+		c.add(w, m)
+	}
+	if wanted != nil {
+		return
+	}
+	for _, name := range w.Engines().Index().Names() {
+		if v := widest(w.Engines().Index().Versions(name)); v != nil {
+			c.add(w, Model{Name: name, Version: v.Version(), Depth: v.Depth(), Width: width(v)})
+		}
+	}
+}
+
+// widest is the version that can serve most.
+func widest(versions []*world.Model) *world.Model {
+	var best *world.Model
+	for _, v := range versions {
+		if best == nil || v.Capacity() >= best.Capacity() {
+			best = v
+		}
+	}
+	return best
+}
+
+func width(m *world.Model) int {
+	for _, g := range m.Groups() {
+		if g.Width() > 0 {
+			return g.Width()
+		}
+	}
+	return 0
+}
+
+func (c *catalog) add(w *world.World, m Model) {
+	i := slices.IndexFunc(c.list, func(o Model) bool { return o.Name == m.Name })
+	if i < 0 {
+		i = len(c.list)
+		c.list = append(c.list, m)
+		c.smooth = append(c.smooth, 0)
+	}
+	used := 0.0
+	for _, v := range w.Engines().Index().Versions(m.Name) {
+		used += v.Used()
+	}
+	c.smooth[i] += smoothing * (used - c.smooth[i])
+	c.list[i] = m
+}
+
+// models are the catalog with demands that add up to one.
+func (c *catalog) models() []Model {
+	out := slices.Clone(c.list)
+	sum := 0.0
+	for _, d := range c.smooth {
+		sum += d
+	}
+	total := 0.0
+	for i := range out {
+		out[i].Demand = max(c.smooth[i], leastPart*sum)
+		if sum == 0 {
+			out[i].Demand = 1
+		}
+		total += out[i].Demand
+	}
+	for i := range out {
+		out[i].Demand /= total
+	}
+	return out
+}
+
+// coarse is the demands as whole steps, so that only a real shift shows.
+func (c *catalog) coarse() []int {
+	var out []int
+	for _, m := range c.models() {
+		out = append(out, int(m.Demand*demandSteps+0.5))
+	}
+	return out
+}
--- a/internal/route/world/index.go
+++ b/internal/route/world/index.go
@@ -66,6 +66,16 @@
 // stretch between bounds what the groups over it could give, and the least.
 func (m *Model) Capacity() float64 { return m.least(func(g *Group) int64 { return g.cap }) }
 
+// Used estimates how many tokens a second the engines make now. An engine
+// that holds several models counts its whole draw for each.
+func (m *Model) Used() float64 {
+	sum := int64(0)
+	for _, g := range m.groups {
+		sum += g.draw
+	}
+	return float64(max(0, sum)) / float64(max(1, m.depth))
+}
+
 // Free estimates how many more tokens a second the engines can make when they
 // are used up to the part limit of their capacity.
 func (m *Model) Free(limit float64) float64 {
