--- a/internal/route/place/bench_test.go
+++ b/internal/route/place/bench_test.go
@@ -104,3 +104,90 @@
 		})
 	}
 }
+
+// change is something that calls for another plan.
+type change struct {
+	name  string
+	apply func(s *sim, second int)
+	// even starts from the even split.
+	even bool
+}
+
+func changes() []change {
+	return []change{
+		{name: "even", apply: func(*sim, int) {}, even: true},
+		{name: "death", apply: func(s *sim, second int) {
+			if second == 0 {
+				s.kill(0)
+			}
+		}},
+		{name: "deaths", apply: func(s *sim, second int) {
+			if second == 0 {
+				s.kill(0)
+				s.kill(1)
+			}
+		}},
+		{name: "link", apply: func(s *sim, _ int) {
+			s.w.Apply(world.HopTimed{Engine: s.engines[0].row.ID, P50: 100 * time.Millisecond, P99: time.Second, Count: 100})
+		}},
+		{name: "join", apply: func(s *sim, second int) {
+			if second == 0 {
+				row := s.engines[0].row
+				row.ID, row.Holds = "joined", nil
+				s.engines = append(s.engines, &simEngine{row: row, loaded: true})
+			}
+		}},
+	}
+}
+
+// BenchmarkReplan starts from the even split, or has the fastest engine or two
+// die, or its link degrade, or another of its kind join, and gives the rate over the bound right after, when all
+// moves are done, what they cost, and the longest run of the planner.
+func BenchmarkReplan(b *testing.B) {
+	for _, st := range sites() {
+		planned := place.Plan(st.goal, st.engines(), st.models).Holds
+		for _, c := range changes() {
+			b.Run(st.name+"/"+c.name, func(b *testing.B) {
+				var s *sim
+				var before, after place.Result
+				for b.Loop() {
+					engines := st.engines()
+					load(engines, planned)
+					s = newSim(st.goal, float64(len(engines)), engines)
+					s.planner.Models = st.models
+					if c.even {
+						load(engines, place.Even(engines, st.models))
+						for i, e := range s.engines {
+							e.row.Holds = engines[i].Holds
+						}
+					} else {
+						s.run(20 * time.Second)
+					}
+					s.moves, s.loads, s.longest = 0, 0, 0
+					began := s.now
+					for second := range 180 {
+						c.apply(s, second)
+						s.run(time.Second)
+						if second == 2 {
+							before = s.value(st.models)
+						}
+					}
+					after = s.value(st.models)
+					s.last -= began
+				}
+				if c.name == "death" {
+					engines := st.engines()
+					load(engines, place.Even(engines, st.models))
+					even := place.Value(engines[1:], st.models)
+					b.ReportMetric(even.Rate/even.Bound, "even-of-bound")
+				}
+				b.ReportMetric(before.Rate/before.Bound, "before-of-bound")
+				b.ReportMetric(after.Rate/after.Bound, "after-of-bound")
+				b.ReportMetric(float64(s.moves), "moves")
+				b.ReportMetric(float64(s.loads), "layers-loaded")
+				b.ReportMetric(max(0, s.last.Seconds()), "done-s")
+				b.ReportMetric(float64(s.longest.Microseconds())/1000, "longest-run-ms")
+			})
+		}
+	}
+}
--- a/internal/route/place/bound.go
+++ b/internal/route/place/bound.go
@@ -41,14 +41,14 @@
 func (p *problem) most(rate float64) float64 {
 	sum := 0.0
 	for _, u := range p.units {
-		sum += min(u.rate, p.filled(u, rate))
+		sum += min(u.rate, p.runs(u, rate))
 	}
 	return sum
 }
 
-// filled is what the unit's memory lets it run: the layers with the most to do
+// runs is what the unit's memory lets it run: the layers with the most to do
 // first.
-func (p *problem) filled(u unit, rate float64) float64 {
+func (p *problem) runs(u unit, rate float64) float64 {
 	left := u.memory
 	sum := 0.0
 	used := make([]bool, len(p.models))
--- a/internal/route/place/fresh.go
+++ b/internal/route/place/fresh.go
@@ -8,10 +8,21 @@
 // levels is how often water-filling halves the interval of its level.
 const levels = 40
 
-// fresh is a layout from nothing: units take the windows of layers where most
-// is left to run, those with the least room first, since the others can fill
-// what remains. Each lowers what is left in its window, the highest first.
+// fresh is a layout from nothing but the fixed units.
 func (p *problem) fresh(now layout) layout {
+	return p.fill(now, func(u int) bool { return p.units[u].fixed })
+}
+
+// filled is a layout with something for each unit that holds nothing yet.
+func (p *problem) filled(now layout) layout {
+	return p.fill(now, func(u int) bool { return p.units[u].fixed || len(now[u]) > 0 })
+}
+
+// fill keeps the spans of some units and has the others take the windows of
+// layers where most is left to run, those with the least room first, since the
+// rest can fill what remains. Each lowers what is left in its window, the
+// highest first.
+func (p *problem) fill(now layout, keeps func(u int) bool) layout {
 	f := filler{p: p, out: make(layout, len(p.units))}
 	rate := p.bound()
 	for _, m := range p.models {
@@ -22,13 +33,13 @@
 		f.left = append(f.left, left)
 		f.held = append(f.held, make([]int, m.Depth))
 	}
-	for u, unit := range p.units {
-		if unit.fixed {
+	for u := range p.units {
+		if keeps(u) {
 			f.keep(u, now[u])
 		}
 	}
 	for _, u := range p.order() {
-		if !p.units[u].fixed {
+		if !keeps(u) {
 			f.place(u)
 		}
 	}
--- a/internal/route/place/plan.go
+++ b/internal/route/place/plan.go
@@ -11,15 +11,21 @@
 // improved, since it costs far more loads.
 const freshGain = 0.05
 
-// job finds a layout for a problem, a bounded piece of work per step.
+// pruned is the part of the rate that may go for fewer moves.
+const pruned = 0.01
+
+// job finds a layout for a problem, a bounded piece of work per step. It first
+// improves the present layout, and weighs others when that does not suffice.
 type job struct {
 	p     *problem
 	now   layout
 	value value
 	lack  int
+	// local improves the present layout; nil if that hardly exists. tried are
+	// all searches so far.
 	local *search
-	fresh *search
-	tiled *search
+	tried []*search
+	begun bool
 	done  bool
 	// target is the result, with its value, missing holders and the units to
 	// change, most gain first.
@@ -27,9 +33,13 @@
 	best   value
 	left   int
 	order  []int
+	// spare are changes that may prove needless, floor the rate to keep.
+	spare  []int
+	floor  float64
+	pruner solver
 }
 
-func newJob(p *problem, now layout) *job { return &job{p: p, now: now} }
+func newJob(p *problem, now layout) *job { return &job{p: p, now: now, pruner: solver{p: p}} }
 
 func (j *job) run() {
 	for !j.done {
@@ -38,27 +48,29 @@
 }
 
 func (j *job) step() {
+	if !j.begun {
+		j.begin()
+		return
+	}
+	if n := len(j.tried); n > 0 && !j.tried[n-1].done {
+		j.tried[n-1].step()
+		return
+	}
 	switch {
+	case j.target == nil && j.another():
 	case j.target == nil:
-		j.begin()
-	case j.local != nil && !j.local.done:
-		j.local.step()
-	case j.fresh == nil && j.wanting():
-		j.fresh = newSearch(j.p, j.p.match(j.now, j.p.fresh(j.now)))
-	case j.fresh != nil && !j.fresh.done:
-		j.fresh.step()
-	case j.tiled == nil && j.fresh != nil && j.fresh.lack > 0 && j.wanting():
-		j.tiled = newSearch(j.p, j.p.match(j.now, j.p.tiled(j.now)))
-	case j.tiled != nil && !j.tiled.done:
-		j.tiled.step()
+		j.choose()
+	case len(j.spare) > 0:
+		j.prune()
 	default:
-		j.finish()
+		j.done = true
 	}
 }
 
 func (j *job) begin() {
 	s := solver{p: j.p}
-	j.value, j.lack, j.target = s.solve(j.now), j.p.missing(j.now), j.now
+	j.begun = true
+	j.value, j.lack = s.solve(j.now), j.p.missing(j.now)
 	holding := 0
 	for _, spans := range j.now {
 		if len(spans) > 0 {
@@ -68,32 +80,76 @@
 	// Improving a layout that hardly exists one unit at a time takes long and
 	// saves no loads.
 	if 2*holding >= len(j.now) {
-		j.local = newSearch(j.p, j.now)
+		j.local = newSearch(j.p, j.p.filled(j.now))
+		j.tried = append(j.tried, j.local)
 	}
 }
 
-// wanting reports whether the improved layout is far from what is possible.
-func (j *job) wanting() bool {
-	if j.local == nil {
-		return true
+// another begins the next search if those so far leave much to be wished.
+func (j *job) another() bool {
+	if s := j.pick(); s != nil && s.lack == 0 && s.value.rate >= (1-freshGain)*s.limit {
+		return false
+	}
+	n := len(j.tried)
+	if j.local != nil {
+		n--
+	}
+	var start layout
+	switch {
+	case n == 0:
+		start = j.p.fresh(j.now)
+	case n == 1 && j.pick().lack > 0:
+		start = j.p.tiled(j.now)
+	default:
+		return false
 	}
-	return j.local.lack > 0 || j.local.value.rate < (1-freshGain)*j.local.limit
+	j.tried = append(j.tried, newSearch(j.p, j.p.match(j.now, start)))
+	return true
 }
 
-func (j *job) finish() {
-	j.done = true
-	best := j.local
-	for _, s := range []*search{j.fresh, j.tiled} {
-		if s != nil && (best == nil || s.lack < best.lack ||
-			s.lack == best.lack && s.value.rate > best.value.rate*(1+freshGain)) {
+// pick is the best search: the fewest missing holders, then the rate; a later
+// one must be clearly better, for it costs more loads.
+func (j *job) pick() *search {
+	var best *search
+	for _, s := range j.tried {
+		if best == nil || s.lack < best.lack ||
+			s.lack == best.lack && s.value.rate > best.value.rate*(1+freshGain) {
 			best = s
 		}
 	}
+	return best
+}
+
+// choose takes the best layout and sets out to do without its changes one by
+// one, those worth least first.
+func (j *job) choose() {
+	best := j.pick()
 	if best == nil {
+		j.target, j.best, j.left = j.now, j.value, j.lack
 		return
 	}
-	j.target, j.best, j.left = best.now, best.value, best.lack
+	j.target, j.best, j.left = best.now.clone(), best.value, best.lack
 	j.order = j.changes(best)
+	j.spare = slices.Clone(j.order)
+	j.floor = max(j.value.rate, (1-pruned)*best.value.rate)
+}
+
+// prune takes back a change that the rate can do without.
+func (j *job) prune() {
+	u := j.spare[len(j.spare)-1]
+	j.spare = j.spare[:len(j.spare)-1]
+	if len(j.now[u]) == 0 {
+		return
+	}
+	want := j.target[u]
+	j.target[u] = j.now[u]
+	v := j.pruner.solve(j.target)
+	if v.rate < j.floor || j.p.missing(j.target) > j.left {
+		j.target[u] = want
+		return
+	}
+	j.best = v
+	j.order = slices.DeleteFunc(j.order, func(o int) bool { return o == u })
 }
 
 // changes are the units whose spans differ: for an improved layout in the
@@ -107,6 +163,11 @@
 		}
 	}
 	if s == j.local {
+		for u := range j.p.units {
+			if len(j.now[u]) == 0 {
+				add(u)
+			}
+		}
 		for _, u := range s.order {
 			add(u)
 		}
--- a/internal/route/place/planner.go
+++ b/internal/route/place/planner.go
@@ -14,6 +14,10 @@
 	defaultEvery  = time.Second
 	defaultSettle = 10 * time.Second
 	defaultRest   = time.Minute
+
+	// A plan for stepUnits engines pauses once for stepPause after each step.
+	stepUnits = 120
+	stepPause = 20 * time.Millisecond
 )
 
 // Planner keeps the placement near the best and emits world.Place while this
@@ -39,6 +43,7 @@
 	Rest   time.Duration
 
 	next    time.Duration
+	step    time.Duration
 	seen    uint64
 	since   time.Duration
 	planned time.Duration
@@ -80,10 +85,7 @@
 		return
 	}
 	if p.job != nil {
-		p.job.step()
-		if p.job.done {
-			p.adopt(w)
-		}
+		p.work(w)
 		return
 	}
 	if w.Now() < p.next {
@@ -93,6 +95,21 @@
 	p.review(w)
 }
 
+// work does one step of the plan under way. Steps for many engines take some
+// milliseconds and are spread out, unless layers have no holder.
+func (p *Planner) work(w *world.World) {
+	if w.Now() < p.step {
+		return
+	}
+	if p.job.lack < noHolder {
+		p.step = w.Now() + time.Duration(len(p.ids)/stepUnits)*stepPause
+	}
+	p.job.step()
+	if p.job.done {
+		p.adopt(w)
+	}
+}
+
 // drop forgets all plans: whoever has the duty now makes its own, from what
 // engines report.
 func (p *Planner) drop() {
@@ -121,7 +138,7 @@
 	switch {
 	case len(engines) == 0 || len(models) == 0:
 	case p.wanted(w.Now(), lack):
-		p.start(w.Now(), prob, now, engines)
+		p.start(prob, now, engines)
 	default:
 		p.moves.emit(w, p.Goal, engines, models, p.Rate)
 	}
@@ -185,8 +202,8 @@
 	}
 }
 
-func (p *Planner) start(now time.Duration, prob *problem, l layout, engines []*world.Engine) {
-	p.due, p.planned = false, now
+func (p *Planner) start(prob *problem, l layout, engines []*world.Engine) {
+	p.due = false
 	// What is left of an older plan was meant for engines that changed.
 	p.moves.queue = nil
 	p.job = newJob(prob, l)
@@ -206,12 +223,19 @@
 	if gain == 0 {
 		gain = defaultGain
 	}
-	if len(j.order) == 0 || j.left >= j.lack && j.best.rate < j.value.rate*(1+gain) {
+	order := j.order
+	if j.left >= j.lack && j.best.rate < j.value.rate*(1+gain) {
+		// Engines that hold nothing are given something all the same: that
+		// takes nothing away, and idle hardware costs as much as busy.
+		order = slices.DeleteFunc(order, func(u int) bool { return len(j.now[u]) > 0 })
+	} else {
+		p.status.Target = j.best.rate
+	}
+	if len(order) == 0 {
 		return
 	}
-	p.status.Target = j.best.rate
-	p.moves.queue = p.moves.queue[:0]
-	for _, u := range j.order {
+	p.planned = w.Now()
+	for _, u := range order {
 		p.moves.queue = append(p.moves.queue, move{
 			engine: p.ids[u], holds: j.p.holds(j.target[u]), loads: loads(j.now[u], j.target[u]),
 		})
@@ -297,7 +321,7 @@
 	for i := range out {
 		out[i].Demand = max(c.smooth[i], leastPart*sum)
 		if sum == 0 {
-			out[i].Demand = 1
+			out[i].Demand = orOne(c.list[i].Demand)
 		}
 		total += out[i].Demand
 	}
@@ -307,6 +331,14 @@
 	return out
 }
 
+// orOne is the demand that was given, if any.
+func orOne(d float64) float64 {
+	if d <= 0 {
+		return 1
+	}
+	return d
+}
+
 // coarse is the demands as whole steps, so that only a real shift shows.
 func (c *catalog) coarse() []int {
 	var out []int
--- a/internal/route/place/problem.go
+++ b/internal/route/place/problem.go
@@ -17,7 +17,8 @@
 	// Width is the bytes of one hidden value.
 	Width int
 	// Demand is in tokens a second. Rates are found as multiples of it, so
-	// for a single model 1 makes the rate tokens a second.
+	// for a single model 1 makes the rate tokens a second. A Planner takes it
+	// as long as it sees no demand.
 	Demand float64
 }
 
--- a/internal/route/place/sim_test.go
+++ b/internal/route/place/sim_test.go
@@ -23,6 +23,9 @@
 	engines []*simEngine
 	moves   int
 	loads   int
+	last    time.Duration
+	// longest is the most time that one run of the planner took.
+	longest time.Duration
 	// lost names a layer that an order left without a holder; must not be.
 	lost string
 	// wanted is the version in force; other versions may go once it is whole.
@@ -58,7 +61,9 @@
 				s.w.Apply(world.EngineSeen{Engine: e.row})
 			}
 		}
+		began := time.Now()
 		s.planner.Run(&s.w)
+		s.longest = max(s.longest, time.Since(began))
 		for _, c := range s.w.Commands() {
 			if p, ok := c.(world.Place); ok {
 				s.order(p)
@@ -100,6 +105,7 @@
 		s.free += time.Duration(float64(missing) / s.rate * float64(time.Second))
 		e.ready = s.free
 		s.moves++
+		s.last = e.ready
 		s.loads += missing
 		s.compare(before)
 	}
@@ -164,13 +170,12 @@
 	s.w.Apply(world.EngineDown{Engine: s.engines[i].row.ID})
 }
 
-// value is what the living engines are worth now.
+// value is what the living engines are worth as the world sees them.
 func (s *sim) value(models []place.Model) place.Result {
 	var rows []*world.Engine
-	for _, e := range s.engines {
-		if !e.dead {
-			row := e.row
-			rows = append(rows, &row)
+	for _, e := range s.w.Engines().Rows() {
+		if e.State() == world.StateServing {
+			rows = append(rows, e)
 		}
 	}
 	return place.Value(rows, models)
