--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -7,11 +7,25 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 
 	"fulmarwick/internal/app/halt"
+	"fulmarwick/internal/app/meters"
 	"fulmarwick/internal/app/setup"
+	"fulmarwick/internal/app/spans"
+	"fulmarwick/internal/route/core"
+	"fulmarwick/internal/route/world"
 	"fulmarwick/internal/state/config"
+	"fulmarwick/internal/state/ledger"
+	"fulmarwick/internal/state/store"
+	"fulmarwick/internal/wire/chain"
+	"fulmarwick/internal/wire/engine"
+	"fulmarwick/internal/wire/entry"
+	"fulmarwick/internal/wire/loop"
+	"fulmarwick/internal/wire/plain"
+	"fulmarwick/internal/wire/watch"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -21,81 +35,154 @@
 type Daemon struct {
 	Settings setup.File
 	Log      *zap.Logger
-	// Build is the version of the program.
+	// Build is the version of the program, for the status.
 	Build string
-	// Callers, Peers and Operators are listeners to serve on; a nil one is
-	// opened where the settings say.
-	Callers   net.Listener
-	Peers     net.Listener
+	// Listener serves callers and Operators operators; nil listens where the
+	// settings say.
+	Listener  net.Listener
 	Operators net.Listener
-	// Config is put in force at start, if not nil.
+	// Config is put in force at start.
 	Config *config.Snapshot
 
-	halt halt.Halt
+	once  sync.Once
+	parts parts
 }
 
-// Hurry begins the graceful stop without waiting for the balancer. Requests in
-// progress go on.
-func (d *Daemon) Hurry() { d.halt.Hurry() }
+// parts are what an instance consists of.
+type parts struct {
+	halt    *halt.Halt
+	meters  *metrics.Set
+	board   *meters.Board
+	spans   *spans.Sender
+	book    *config.Book
+	logic   *core.Logic
+	loop    *loop.Loop
+	pool    *engine.Pool
+	watcher *watch.Watcher
+	callers *entry.Server
+}
+
+// Stop begins the graceful stop; Run returns once the last request ended.
+func (d *Daemon) Stop() {
+	d.build()
+	d.parts.halt.Begin()
+}
+
+// Hurry closes the listeners without waiting for the balancer to turn away.
+// Requests in progress go on.
+func (d *Daemon) Hurry() {
+	d.build()
+	d.parts.halt.Hurry()
+}
+
+// build makes the parts, once.
+func (d *Daemon) build() {
+	d.once.Do(func() {
+		set := metrics.NewSet()
+		set.RegisterMetricsWriter(d.gauges)
+		table := &store.Client{Base: d.Settings.Platform.Table, HTTP: &http.Client{}}
+		sender := &plain.Sender{HTTP: plain.NewHTTP()}
+		p := parts{
+			halt:   &halt.Halt{Grace: d.Settings.Times.Grace, Log: d.Log},
+			meters: set, board: &meters.Board{Meters: set}, book: &config.Book{},
+			spans: &spans.Sender{
+				URL: d.Settings.Trace.URL, Part: d.Settings.Trace.Part,
+				Instance: d.Settings.Instance.Name, DataCentre: d.Settings.Instance.DataCentre,
+			},
+			logic: &core.Logic{}, pool: &engine.Pool{},
+		}
+		p.loop = &loop.Loop{Logic: p.logic, Queue: d.Settings.Limits.Queue, Meters: set}
+		p.watcher = &watch.Watcher{
+			List: table, Loop: p.loop, Engines: p.pool, Services: sender,
+			HTTP: &http.Client{}, Log: d.Log, Every: d.Settings.Platform.Watch,
+		}
+		p.callers = &entry.Server{
+			Models: &chain.Runner{Engines: p.pool, Router: p.loop},
+			Calls:  &ledger.Ledger{Table: table, Sender: sender},
+			Book:   p.book, Limits: limits(d.Settings), Log: d.Log, Meters: set, Observer: p.board,
+		}
+		d.parts = p
+	})
+}
+
+func limits(s setup.File) entry.Limits {
+	return entry.Limits{
+		Body: s.Limits.Body, Header: s.Limits.Header, Tokens: s.Limits.Tokens,
+		Streams: s.Limits.Streams, Team: s.Limits.Team, Connection: s.Limits.Connection, Buffer: s.Limits.Buffer,
+		HeaderTime: s.Times.Header, BodyTime: s.Times.Body, WriteTime: s.Times.Write,
+		IdleTime: s.Times.Idle, Comment: s.Times.Comment,
+	}
+}
 
-// Run serves until ctx ends or an operator drains the instance, then finishes
-// every request in progress and returns.
+// Run serves until it is told to stop or ctx ends, then finishes every request
+// in progress.
 func (d *Daemon) Run(ctx context.Context) error {
-	d.halt.Grace = d.Settings.Times.Grace
-	d.halt.Log = d.Log
-	p := &parts{Daemon: d}
-	if err := p.build(ctx); err != nil {
+	d.build()
+	p := &d.parts
+	defer p.pool.Close()
+	if err := p.spans.Open(ctx); err != nil {
 		return err
 	}
-	defer p.close()
-	go func() {
-		select {
-		case <-ctx.Done():
-			d.halt.Begin()
-		case <-d.halt.Begun():
-		}
-	}()
-	return p.run(context.WithoutCancel(ctx))
+	p.callers.Spans = p.spans.Provider()
+	ends, err := d.listen(ctx)
+	if err != nil {
+		return err
+	}
+	d.configure()
+	d.Log.Info("daemon: serving", zap.String("instance", d.Settings.Instance.Name), zap.Stringer("address", ends.callersAt))
+	if ends.operators != nil {
+		d.Log.Info("daemon: serving operators", zap.Stringer("address", ends.operatorsAt))
+	}
+	err = d.run(ctx, ends)
+	if closed := p.spans.Close(); closed != nil {
+		d.Log.Warn("daemon: last spans lost", zap.Error(closed))
+	}
+	return err
+}
+
+func (d *Daemon) configure() {
+	if d.Config == nil || !d.parts.book.Take(d.Config) {
+		return
+	}
+	d.parts.loop.Post(world.ConfigSet{Version: d.Config.Version(), Classes: d.Config.Classes(), Teams: d.Config.Teams()})
+}
+
+// ready reports whether the balancer should send callers here.
+func (d *Daemon) ready() bool {
+	return d.parts.book.Now() != nil && !d.parts.halt.Stopping()
 }
 
-// run serves until the graceful stop is over. What serves requests lives until
-// the last request ended, and only then is stopped.
-func (p *parts) run(ctx context.Context) error {
-	inner, stop := context.WithCancel(ctx)
+// run keeps the parts alive until the last request ended.
+func (d *Daemon) run(ctx context.Context, ends *ends) error {
+	p := &d.parts
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	context.AfterFunc(ctx, p.halt.Begin)
 	var g errgroup.Group
-	for _, part := range p.runners() {
-		g.Go(func() error { return part(inner) })
-	}
-	for _, s := range p.servers {
-		g.Go(func() error { return p.serve(s, stop) })
+	g.Go(func() error { return p.loop.Run(inner) })
+	g.Go(func() error { return p.watcher.Run(inner) })
+	g.Go(func() error { return d.serve(ends.callers, ends.callersAt) })
+	if ends.operators != nil {
+		g.Go(func() error { return d.serve(ends.operators, ends.operatorsAt) })
 	}
 	g.Go(func() error {
 		defer stop()
-		return p.stopped(ctx)
+		defer ends.closeOperators()
+		return p.halt.Run(inner, ends.callers)
 	})
 	return g.Wait()
 }
 
-func (p *parts) serve(s served, stop func()) error {
-	p.Log.Info("daemon: serving "+s.name, zap.Stringer("address", s.listener.Addr()))
-	err := s.server.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	p.halt.Hurry()
-	stop()
-	return errors.Wrapf(err, "daemon: serve %s", s.name)
-}
-
-// stopped waits for the end of the graceful stop.
-func (p *parts) stopped(ctx context.Context) error {
-	if err := p.halt.Run(ctx, p.callers); err != nil {
-		return errors.Wrap(err, "daemon: stop")
+// serve serves one endpoint. One that fails ends the instance, since an
+// instance that looks alive but answers nobody would never be replaced.
+func (d *Daemon) serve(s *http.Server, l net.Listener) error {
+	serve := s.Serve
+	if s.TLSConfig != nil {
+		serve = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
 	}
-	for _, s := range p.servers {
-		_ = s.server.Close()
+	if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
+		d.parts.halt.Hurry()
+		return errors.Wrap(err, "daemon: serve")
 	}
-	p.Log.Info("daemon: stopped")
 	return nil
 }
--- a/internal/app/daemon/status.go
+++ b/internal/app/daemon/status.go
@@ -8,64 +8,73 @@
 	"fulmarwick/internal/app/meters"
 	"fulmarwick/internal/route/world"
 	"fulmarwick/internal/wire/admin"
-
-	"github.com/go-faster/errors"
 )
 
-// viewer gives the status of the instance.
-type viewer struct {
-	*parts
-}
-
-// Status gathers what operators see.
-func (v *viewer) Status(ctx context.Context) (admin.Status, error) {
-	s := admin.Status{
-		Instance: v.Settings.Instance.Name, DataCentre: v.Settings.Instance.DataCentre,
-		Region: v.Settings.Instance.Region, Build: v.Build, Goal: v.Settings.Goal.String(),
-		Ready: v.ready(), Stopping: v.halt.Stopping(), Running: v.halt.Running(),
-	}
-	if now := v.book.Now(); now != nil {
-		s.Version = now.Version()
+// Status is how the instance sees itself and its engines.
+func (d *Daemon) Status(ctx context.Context) (admin.Status, error) {
+	p := &d.parts
+	out := admin.Status{
+		Instance: d.Settings.Instance.Name, DataCentre: d.Settings.Instance.DataCentre,
+		Region: d.Settings.Instance.Region, Build: d.Build, Goal: d.Settings.Goal.String(),
+		Ready: d.ready(), Stopping: p.halt.Stopping(), Running: p.halt.Running(),
+		Classes: d.classes(), Engines: []admin.Engine{}, Leaving: []string{}, Instances: []admin.Instance{},
 	}
-	for _, a := range v.board.All() {
-		s.Classes = append(s.Classes, classStatus(a))
+	if now := p.book.Now(); now != nil {
+		out.Version = now.Version()
 	}
-	err := v.loop.Look(ctx, func() {
-		for _, e := range v.logic.World().Engines().Rows() {
-			s.Engines = append(s.Engines, engineStatus(e))
+	err := p.loop.Look(ctx, func() {
+		for _, e := range p.logic.World().Engines().Rows() {
+			out.Engines = append(out.Engines, engineStatus(e))
 			if e.State() == world.StateLeaving {
-				s.Leaving = append(s.Leaving, string(e.ID))
+				out.Leaving = append(out.Leaving, string(e.ID))
 			}
 		}
 	})
-	if err != nil {
-		return s, errors.Wrap(err, "daemon: status")
-	}
-	return s, nil
+	return out, err
 }
 
-func classStatus(a meters.Attained) admin.Class {
-	t := a.Class.Target()
-	return admin.Class{
-		Name: string(a.Class.Name()), Kind: a.Class.Kind().String(), Percent: t.Percent(),
-		Attained: a.Percent(), Holds: a.Holds(), Requests: a.Seen,
-		First: times(t.First(), a.First), Gap: times(t.Gap(), a.Gap), Whole: times(t.Whole(), a.Whole),
+// classes are the classes in force, also those that nobody has asked for.
+func (d *Daemon) classes() []admin.Class {
+	out := []admin.Class{}
+	now := d.parts.book.Now()
+	if now == nil {
+		return out
+	}
+	d.parts.board.Keep(now.Classes())
+	seen := map[string]meters.Attained{}
+	for _, a := range d.parts.board.All() {
+		seen[string(a.Class.Name())] = a
 	}
+	for _, c := range now.Classes() {
+		a := seen[string(c.Name())]
+		a.Class = c
+		t := c.Target()
+		out = append(out, admin.Class{
+			Name: string(c.Name()), Kind: c.Kind().String(), Percent: t.Percent(),
+			Attained: a.Percent(), Holds: a.Holds(), Requests: a.Seen,
+			First: timesStatus(t.First(), a.First), Gap: timesStatus(t.Gap(), a.Gap), Whole: timesStatus(t.Whole(), a.Whole),
+		})
+	}
+	return out
 }
 
-func times(limit time.Duration, t meters.Times) admin.Times {
+func timesStatus(limit time.Duration, t meters.Times) admin.Times {
 	return admin.Times{Limit: millis(limit), P50: millis(t.P50), P95: millis(t.P95), P99: millis(t.P99)}
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func engineStatus(e *world.Engine) admin.Engine {
-	var layers []string
+	layers := make([]string, 0, len(e.Holds))
 	for _, h := range e.Holds {
-		layers = append(layers, string(h.Model)+"@"+h.Version+":"+h.Layers.String())
+		layers = append(layers, string(h.Model)+":"+h.Layers.String())
 	}
-	return admin.Engine{
+	out := admin.Engine{
 		Name: string(e.ID), DataCentre: string(e.DataCentre), Kind: e.Kind, State: e.State().String(),
-		Layers: strings.Join(layers, " "), Active: e.Active, Queued: e.Queued, Slots: e.Slots, Use: e.Use(),
+		Layers: strings.Join(layers, ","), Active: e.Active, Queued: e.Queued, Slots: e.Slots,
+	}
+	if e.Slots > 0 {
+		out.Use = float64(e.Active) / float64(e.Slots)
 	}
+	return out
 }
