--- a/internal/fleet/node/api.go
+++ b/internal/fleet/node/api.go
@@ -17,6 +17,9 @@
 	DataCentre spec.DataCentre
 	// URL is where its peer endpoint answers.
 	URL string
+	// Passive says that it takes no duties and no forwarded requests: it still
+	// catches up, or is on its way out. Only Members fills it.
+	Passive bool
 }
 
 // Event is something that happened outside.
--- a/internal/fleet/node/fleet_test.go
+++ b/internal/fleet/node/fleet_test.go
@@ -51,7 +51,6 @@
 	// up is false for one that died, held true for one that is paused.
 	up, held bool
 	lives    int
-	last     time.Duration
 	ready    time.Duration
 	watch    node.Watch
 	duty     map[string]bool
--- /dev/null
+++ b/internal/wire/peer/accept.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"fulmarwick/internal/base/spec"
+
+	"github.com/gorilla/websocket"
+	"go.uber.org/zap"
+)
+
+// Path is where instances answer each other.
+const Path = "/v1/peer"
+
+const (
+	// version is the protocol version of this program. A later program speaks
+	// a range that still includes the version before, so that instances of
+	// both work together while they are replaced one by one.
+	version    = 1
+	nameHeader = "X-Instance"
+	prefix     = "fulmarwick."
+)
+
+// protocols are the versions spoken as WebSocket subprotocols, best first.
+func protocols(low, high int) []string {
+	var out []string
+	for v := high; v >= low; v-- {
+		out = append(out, prefix+strconv.Itoa(v))
+	}
+	return out
+}
+
+// versionOf is the version of a subprotocol; -1 for anything else.
+func versionOf(protocol string) int {
+	text, ok := strings.CutPrefix(protocol, prefix)
+	if !ok {
+		return -1
+	}
+	v, err := strconv.Atoi(text)
+	if err != nil {
+		return -1
+	}
+	return v
+}
+
+// common is the highest version that both sides speak; -1 if none.
+func common(low, high int, offered []string) int {
+	best := -1
+	for _, p := range offered {
+		if v := versionOf(p); v >= low && v <= high {
+			best = max(best, v)
+		}
+	}
+	return best
+}
+
+// Handler answers other instances at Path. With TLS its server must demand and
+// verify the client's certificate.
+func (h *Hub) Handler() http.Handler {
+	h.init()
+	return http.HandlerFunc(h.accept)
+}
+
+func (h *Hub) accept(w http.ResponseWriter, r *http.Request) {
+	id, problem := h.caller(r)
+	if problem != "" {
+		h.meter.bad.Inc()
+		h.Log.Warn("peer: caller refused", zap.String("address", r.RemoteAddr), zap.String("reason", problem))
+		http.Error(w, "peer: "+problem, http.StatusForbidden)
+		return
+	}
+	best := common(h.Low, h.High, websocket.Subprotocols(r))
+	if best < 0 {
+		text := fmt.Sprintf("peer: versions %d to %d are spoken here", h.Low, h.High)
+		http.Error(w, text, http.StatusUpgradeRequired)
+		return
+	}
+	if h.full() {
+		http.Error(w, "peer: too many connections", http.StatusServiceUnavailable)
+		return
+	}
+	up := websocket.Upgrader{Subprotocols: []string{prefix + strconv.Itoa(best)}}
+	ws, err := up.Upgrade(w, r, nil)
+	if err != nil {
+		return
+	}
+	c := newConn(h, id, ws, false)
+	h.adopt(c)
+	if !h.start(func() { h.serveConn(c) }) {
+		c.bye()
+	}
+}
+
+// caller finds out who calls; problem is the reason of a refusal.
+func (h *Hub) caller(r *http.Request) (id spec.InstanceID, problem string) {
+	name := r.Header.Get(nameHeader)
+	if name == "" || len(name) > maxName || name == string(h.Self.ID) {
+		return "", "no name of another instance"
+	}
+	if h.TLS == nil {
+		return spec.InstanceID(name), ""
+	}
+	if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
+		return "", "no verified certificate"
+	}
+	if err := r.TLS.PeerCertificates[0].VerifyHostname(name); err != nil {
+		return "", "certificate of another name"
+	}
+	return spec.InstanceID(name), ""
+}
+
+func (h *Hub) full() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.conns) >= maxConns
+}
--- /dev/null
+++ b/internal/wire/peer/link.go
@@ -0,0 +1,227 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/node"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/websocket"
+	"go.uber.org/zap"
+)
+
+const (
+	dialTimeout = 3 * time.Second
+	backoffMin  = 100 * time.Millisecond
+	backoffMax  = 5 * time.Second
+	// pending is how many messages wait for a connection that is being made.
+	pending = 16
+)
+
+// link is the way to one other instance: its connection if there is one, and
+// the state of dialling.
+type link struct {
+	conn    *conn
+	dialing chan struct{}
+	waits   [][]byte
+	backoff time.Duration
+	retry   time.Time
+}
+
+// send gives a message of the logic to another instance. Without a connection
+// one is dialled; while that fails again and again, messages are dropped.
+func (h *Hub) send(c node.Send) {
+	data, err := encode(&frame{Kind: kindNews, Data: c.Data})
+	if err != nil {
+		return
+	}
+	h.mu.Lock()
+	l := h.link(c.To)
+	if l.conn != nil {
+		conn := l.conn
+		h.mu.Unlock()
+		conn.offer(data)
+		return
+	}
+	if c.URL == "" || l.dialing == nil && time.Now().Before(l.retry) {
+		h.mu.Unlock()
+		h.meter.dropped.Inc()
+		return
+	}
+	if len(l.waits) < pending {
+		l.waits = append(l.waits, data)
+	}
+	begin := l.dialing == nil
+	if begin {
+		l.dialing = make(chan struct{})
+	}
+	h.mu.Unlock()
+	if begin {
+		h.begin(c.To, c.URL)
+	}
+}
+
+// link finds or makes the link to id; h.mu is held.
+func (h *Hub) link(id spec.InstanceID) *link {
+	l := h.links[id]
+	if l == nil {
+		l = &link{}
+		h.links[id] = l
+	}
+	return l
+}
+
+// begin dials in the background. The link is marked as dialling before.
+func (h *Hub) begin(id spec.InstanceID, base string) {
+	ok := h.start(func() {
+		ws, err := h.dial(h.ctx, id, base)
+		h.dialed(id, ws, err)
+	})
+	if !ok {
+		h.dialed(id, nil, ErrRefused)
+	}
+}
+
+// connect returns a connection to id, dialling if there is none.
+func (h *Hub) connect(ctx context.Context, id spec.InstanceID) (*conn, error) {
+	h.mu.Lock()
+	base := h.urls[id]
+	l := h.link(id)
+	if l.conn == nil && base == "" {
+		h.mu.Unlock()
+		return nil, errors.Wrapf(ErrRefused, "instance %s is not known", id)
+	}
+	if l.conn != nil {
+		defer h.mu.Unlock()
+		return l.conn, nil
+	}
+	begin := l.dialing == nil
+	if begin {
+		l.dialing = make(chan struct{})
+	}
+	done := l.dialing
+	h.mu.Unlock()
+	if begin {
+		h.begin(id, base)
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l.conn == nil {
+		return nil, errors.Wrapf(ErrRefused, "no connection to %s", id)
+	}
+	return l.conn, nil
+}
+
+// dialed ends a try to connect.
+func (h *Hub) dialed(id spec.InstanceID, ws *websocket.Conn, err error) {
+	h.meter.dials.Inc()
+	h.mu.Lock()
+	l := h.link(id)
+	waits := l.waits
+	done := l.dialing
+	l.waits, l.dialing = nil, nil
+	if err != nil {
+		l.backoff = min(max(2*l.backoff, backoffMin), backoffMax)
+		l.retry = time.Now().Add(l.backoff/2 + rand.N(l.backoff))
+		h.mu.Unlock()
+		close(done)
+		h.meter.failed.Inc()
+		h.Log.Debug("peer: no connection", zap.String("peer", string(id)), zap.Error(err))
+		h.Post(node.Lost{Peer: id})
+		return
+	}
+	l.backoff, l.retry = 0, time.Time{}
+	h.mu.Unlock()
+	c := newConn(h, id, ws, true)
+	h.adopt(c)
+	close(done)
+	for _, data := range waits {
+		c.offer(data)
+	}
+	h.serveConn(c)
+}
+
+// adopt makes c the connection in use. If both sides dialled at once, the one
+// dialled by the lesser name stays, so that both keep the same.
+func (h *Hub) adopt(c *conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.conns[c] = struct{}{}
+	l := h.link(c.id)
+	if l.conn == nil || c.dialed == (h.Self.ID < c.id) {
+		l.conn = c
+	}
+}
+
+// serveConn runs a connection and forgets it at the end.
+func (h *Hub) serveConn(c *conn) {
+	stop := context.AfterFunc(h.ctx, c.bye)
+	defer stop()
+	c.run()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.conns, c)
+	l := h.link(c.id)
+	if l.conn != c {
+		return
+	}
+	l.conn = nil
+	for other := range h.conns {
+		if other.id == c.id {
+			l.conn = other
+		}
+	}
+}
+
+// dial connects to an instance and checks that it is the one meant.
+func (h *Hub) dial(ctx context.Context, id spec.InstanceID, base string) (*websocket.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	address, err := url.Parse(base)
+	if err != nil {
+		return nil, errors.Wrap(ErrRefused, err.Error())
+	}
+	address.Scheme = "ws"
+	d := websocket.Dialer{Subprotocols: protocols(h.Low, h.High), NetDialContext: h.dialer()}
+	if h.client != nil {
+		address.Scheme = "wss"
+		d.TLSClientConfig = h.client.Clone()
+		// The certificate must be of the instance meant, not of its address:
+		// an address may belong to another instance by now.
+		d.TLSClientConfig.ServerName = string(id)
+		// A server that shares the config adds HTTP/2, which has no upgrade to
+		// WebSocket.
+		d.TLSClientConfig.NextProtos = []string{"http/1.1"}
+	}
+	address.Path = Path
+	ws, resp, err := d.DialContext(ctx, address.String(), http.Header{nameHeader: {string(h.Self.ID)}})
+	if resp != nil && resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	if err != nil {
+		return nil, errors.Wrap(ErrRefused, err.Error())
+	}
+	if v := versionOf(ws.Subprotocol()); v < h.Low || v > h.High {
+		_ = ws.Close()
+		return nil, errors.Wrapf(ErrRefused, "protocol %q", ws.Subprotocol())
+	}
+	return ws, nil
+}
+
+func (h *Hub) dialer() func(ctx context.Context, network, address string) (net.Conn, error) {
+	if h.Dial != nil {
+		return h.Dial
+	}
+	return (&net.Dialer{}).DialContext
+}
