--- /dev/null
+++ b/internal/wire/watch/board.go
@@ -0,0 +1,260 @@
+package watch
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/news"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+)
+
+// Times and thresholds of the judgement on engines.
+const (
+	// enough is the weight of misses that makes a doubt: three answers that
+	// did not come in time, or two refused connections.
+	enough        = 3
+	missWeight    = 1
+	refusedWeight = 2
+	// doubtLife is how long the doubt of another watcher counts.
+	doubtLife = 3 * time.Second
+	// silence is how long the first watcher may say nothing before the second
+	// speaks in its place.
+	silence = 2500 * time.Millisecond
+	// reportEvery is the time after which an unchanged report is said again.
+	reportEvery = 20 * time.Second
+	reportLife  = 60 * time.Second
+	levelLife   = 5 * time.Second
+	newsLife    = 60 * time.Second
+)
+
+// entry is what is known of one engine.
+type entry struct {
+	id  spec.UpstreamID
+	url string
+	// row is the last report; known is false before the first.
+	row   world.Engine
+	body  frame.Engine
+	known bool
+	// watched and first follow the fleet's Watch command.
+	watched, first bool
+	// weight is that of the misses in a row, since is when they began.
+	weight int
+	since  time.Duration
+	doubts []doubt
+	// alive is when another watcher's report newer than the misses came.
+	alive  time.Duration
+	spoken time.Duration
+	other  time.Duration
+	down   bool
+	// deadInc and deadSeq name the last report of before the last death.
+	deadInc, deadSeq uint64
+	dead             bool
+	leaving          bool
+	listed, answered time.Duration
+}
+
+type doubt struct {
+	origin string
+	until  time.Duration
+}
+
+// board is what is known of all engines. It does no I/O and reads no clock:
+// post and say take what follows from what it is told.
+type board struct {
+	self spec.InstanceID
+	post func(world.Event)
+	say  func(news.Item)
+	find func(id spec.UpstreamID, url string)
+	rows []*entry
+}
+
+func (b *board) get(id spec.UpstreamID) *entry {
+	if at, found := b.at(id); found {
+		return b.rows[at]
+	}
+	return nil
+}
+
+func (b *board) at(id spec.UpstreamID) (int, bool) {
+	return slices.BinarySearchFunc(b.rows, id, func(e *entry, id spec.UpstreamID) int {
+		return strings.Compare(string(e.id), string(id))
+	})
+}
+
+// locate finds or makes the entry of an engine at url.
+func (b *board) locate(now time.Duration, id spec.UpstreamID, url string) *entry {
+	at, found := b.at(id)
+	if !found {
+		b.rows = slices.Insert(b.rows, at, &entry{id: id, listed: now, answered: now})
+	}
+	e := b.rows[at]
+	if e.url != url && url != "" {
+		e.url = url
+		b.find(id, url)
+	}
+	return e
+}
+
+// polled takes the answer of a poll.
+func (b *board) polled(now time.Duration, e *entry, body frame.Engine, row world.Engine) {
+	if e.weight >= enough {
+		b.doubt(e, 0)
+	}
+	e.weight = 0
+	e.answered = now
+	b.crashed(e, row)
+	fresh := !e.known || row.Seq != e.row.Seq || row.Incarnation != e.row.Incarnation
+	changed := !e.known || !sameStatic(body, e.body)
+	b.seen(now, e, body, row)
+	// The second watcher speaks where the first one is silent, or doubts: its
+	// report keeps a broken way from passing for a dead engine.
+	e.expireDoubts(now)
+	if !e.first && now-e.other < silence && len(e.doubts) == 0 {
+		return
+	}
+	if changed || now-e.spoken >= reportEvery {
+		e.spoken = now
+		b.sayReport(e)
+		return
+	}
+	if fresh {
+		b.sayLevel(e)
+	}
+}
+
+// crashed tells of a restart between two reports: all that ran on the engine
+// is lost although it answers.
+func (b *board) crashed(e *entry, row world.Engine) {
+	if !e.known || e.down {
+		return
+	}
+	restarted := row.Incarnation != e.row.Incarnation
+	// An engine that tells no incarnation counts its reports from one again.
+	if row.Incarnation == 0 {
+		restarted = row.Seq < e.row.Seq
+	}
+	if restarted {
+		b.die(e)
+		e.down = false
+		b.sayDown(e)
+	}
+}
+
+// seen hands a report to the routing logic, unless it is of before the
+// engine's death.
+func (b *board) seen(now time.Duration, e *entry, body frame.Engine, row world.Engine) {
+	if e.dead && row.Incarnation == e.deadInc && row.Seq <= e.deadSeq && row.Incarnation != 0 {
+		return
+	}
+	e.down, e.dead = false, false
+	e.row, e.body, e.known = row, body, true
+	e.answered = max(e.answered, now)
+	b.post(world.EngineSeen{Engine: row})
+	if body.State == frame.StateLeaving {
+		b.leave(e, true)
+	} else if e.leaving {
+		// The routing logic brings nothing back by a report alone; only the
+		// tale of leaving is over, so that a later one is told again.
+		e.leaving = false
+	}
+}
+
+// missed takes a poll without an answer.
+func (b *board) missed(now time.Duration, e *entry, refused bool) {
+	if e.weight == 0 {
+		e.since = now
+	}
+	before := e.weight
+	if refused {
+		e.weight += refusedWeight
+	} else {
+		e.weight += missWeight
+	}
+	if e.weight < enough || e.down {
+		return
+	}
+	if before < enough {
+		b.doubt(e, e.weight)
+	}
+	b.judge(now, e)
+}
+
+// judge decides whether an engine that does not answer here is lost. Another
+// watcher's doubt settles it; its later report shows that the fault is in the
+// way from here; if it says nothing at all, longer silence settles it too.
+func (b *board) judge(now time.Duration, e *entry) {
+	if e.weight < enough || e.down || !e.watched {
+		return
+	}
+	e.expireDoubts(now)
+	switch {
+	case len(e.doubts) > 0:
+	case e.alive > e.since:
+		return
+	case e.weight < 2*enough:
+		return
+	}
+	b.die(e)
+	b.sayDown(e)
+}
+
+func (e *entry) expireDoubts(now time.Duration) {
+	e.doubts = slices.DeleteFunc(e.doubts, func(d doubt) bool { return now >= d.until })
+}
+
+// die posts the loss of an engine.
+func (b *board) die(e *entry) {
+	e.down, e.dead = true, true
+	e.deadInc, e.deadSeq = e.row.Incarnation, e.row.Seq
+	b.post(world.EngineDown{Engine: e.id})
+}
+
+// leave posts that an engine takes no new work, and tells the others the
+// first time if it was learnt here.
+func (b *board) leave(e *entry, tell bool) {
+	b.post(world.EngineLeaving{Engine: e.id})
+	if e.leaving {
+		return
+	}
+	e.leaving = true
+	if tell {
+		b.make(news.KindLeaving, string(e.id), newsLife, news.Leaving{Upstream: string(e.id)})
+	}
+}
+
+// assign follows the fleet's Watch command.
+func (b *board) assign(engines, first []spec.UpstreamID) {
+	for _, e := range b.rows {
+		was := e.watched
+		e.watched = slices.Contains(engines, e.id)
+		e.first = slices.Contains(first, e.id)
+		if e.watched != was {
+			e.weight = 0
+		}
+	}
+}
+
+// expire drops engines that the list does not name for so long and that did
+// not answer anyone either. A list alone removes nobody: it lags, and may be
+// empty because the platform is in trouble.
+func (b *board) expire(now, after time.Duration) {
+	b.rows = slices.DeleteFunc(b.rows, func(e *entry) bool {
+		if now-e.listed < after || now-e.answered < after {
+			return false
+		}
+		b.post(world.EngineGone{Engine: e.id})
+		return true
+	})
+}
+
+// sameStatic reports whether two reports differ in their load alone.
+func sameStatic(a, b frame.Engine) bool {
+	strip := func(e *frame.Engine) { e.Seq, e.Queued, e.Active, e.Cached = 0, 0, 0, 0 }
+	strip(&a)
+	strip(&b)
+	return reflect.DeepEqual(a, b)
+}
--- /dev/null
+++ b/internal/wire/watch/poll.go
@@ -0,0 +1,104 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/wire/engine"
+
+	"github.com/go-faster/errors"
+)
+
+// poller reads one engine. Its goroutine alone uses it.
+type poller struct {
+	*Watcher
+	id spec.UpstreamID
+	// seq is the last cache event read, of incarnation.
+	seq         uint64
+	incarnation uint64
+}
+
+// run reads the engine until ctx ends.
+func (p *poller) run(ctx context.Context) {
+	defer p.group.Done()
+	for {
+		wait := p.Poll
+		if !p.read(ctx) {
+			wait = retryPoll
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(jitter(wait)):
+		}
+	}
+}
+
+// read asks once. It reports whether the engine answered or is known to be
+// down, so that there is no hurry.
+func (p *poller) read(ctx context.Context) bool {
+	select {
+	case p.slots <- struct{}{}:
+	case <-ctx.Done():
+		return true
+	}
+	defer func() { <-p.slots }()
+	p.mu.Lock()
+	e := p.board.get(p.id)
+	base := ""
+	if e != nil {
+		base = e.url
+	}
+	p.mu.Unlock()
+	if base == "" {
+		return true
+	}
+	asked, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	body, err := engine.Report(asked, p.HTTP, base)
+	switch {
+	case ctx.Err() != nil:
+		return true
+	case err != nil:
+		late := errors.Is(asked.Err(), context.DeadlineExceeded)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.board.missed(p.now(), e, !late)
+		return e.down
+	}
+	row := engine.Row(p.id, body)
+	p.mu.Lock()
+	p.board.polled(p.now(), e, body, row)
+	p.mu.Unlock()
+	p.readCache(ctx, base, row.Incarnation)
+	return true
+}
+
+// readCache posts the cache events since the last ones. A gap is posted as it
+// is: the routing logic sees it by the numbers.
+func (p *poller) readCache(ctx context.Context, base string, incarnation uint64) {
+	if p.Caches == nil {
+		return
+	}
+	if incarnation != p.incarnation {
+		p.seq, p.incarnation = 0, incarnation
+	}
+	asked, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	events, err := p.Caches.Events(asked, base, p.seq)
+	if err != nil {
+		return
+	}
+	for _, ev := range events {
+		seen := world.CacheSeen{Engine: p.id, Seq: ev.Seq}
+		if ev.Added {
+			seen.Added = []uint64{ev.Block}
+		} else {
+			seen.Removed = []uint64{ev.Block}
+		}
+		p.Loop.Post(seen)
+		p.seq = max(p.seq, ev.Seq)
+	}
+}
--- a/internal/wire/watch/watch.go
+++ b/internal/wire/watch/watch.go
@@ -1,24 +1,41 @@
 // Package watch follows the platform's list and the reports of the engines
 // and turns them into events for the logic and addresses for the clients.
 //
-// It imports base, state/store, route/world and wire/engine. The daemon runs
-// one Watcher.
+// It reads the reports of the engines that the fleet logic assigns to this
+// instance and tells the other instances; reports of the rest come from them.
+// It imports base, fleet/node, state/store, route/world and wire/engine. The
+// daemon runs one Watcher.
 package watch
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/news"
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/node"
 	"fulmarwick/internal/route/world"
 	"fulmarwick/internal/state/store"
-	"fulmarwick/internal/wire/engine"
 
 	"go.uber.org/zap"
 )
 
+// Defaults of the fields that may be zero.
+const (
+	defaultPoll    = 250 * time.Millisecond
+	defaultTimeout = 300 * time.Millisecond
+	defaultGone    = time.Minute
+	// retryPoll is the wait after a poll without an answer, so that a death is
+	// known in about a second.
+	retryPoll = 50 * time.Millisecond
+	// atOnce bounds the polls that are under way at one time.
+	atOnce = 32
+)
+
 // Lister reads the platform's lagging list.
 type Lister interface {
 	List(ctx context.Context) ([]store.ListedBody, error)
@@ -39,6 +56,16 @@
 	Locate(service spec.ServiceName, bases []string)
 }
 
+// Sayer spreads items among the instances.
+type Sayer interface {
+	Say(item news.Item)
+}
+
+// Caches reads the cache events of the engine at base since a number.
+type Caches interface {
+	Events(ctx context.Context, base string, since uint64) ([]frame.Event, error)
+}
+
 // Watcher follows upstreams. Set the exported fields before Run.
 type Watcher struct {
 	List     Lister
@@ -47,46 +74,106 @@
 	Services Services
 	HTTP     *http.Client
 	Log      *zap.Logger
-	// Every is the time between two rounds.
+	// Every is the time between two reads of the list.
 	Every time.Duration
+	// Poll is the time between two reports of one engine, Timeout how long an
+	// answer may take; zero is 250 and 300 ms.
+	Poll, Timeout time.Duration
+	// Gone is how long an engine must be missing from the list and silent
+	// before it is dropped; zero is a minute.
+	Gone time.Duration
+	// News spreads what is found. Nil watches every engine listed alone.
+	News Sayer
+	// Self is the own instance; Listed receives each list read, to be posted
+	// to the fleet logic. Both are needed with News.
+	Self   spec.InstanceID
+	Listed func([]store.ListedBody)
+	// Caches reads cache events of the engines watched here; nil reads none.
+	Caches Caches
 
-	known map[spec.UpstreamID]string
+	once  sync.Once
+	start time.Time
+	slots chan struct{}
+	mu    sync.Mutex
+	board board
+	polls map[spec.UpstreamID]context.CancelFunc
+	group sync.WaitGroup
+	ctx   context.Context
+}
+
+func (w *Watcher) init() {
+	w.once.Do(func() {
+		w.start = time.Now()
+		w.slots = make(chan struct{}, atOnce)
+		w.polls = map[spec.UpstreamID]context.CancelFunc{}
+		w.board = board{self: w.Self, post: w.Loop.Post, find: w.Engines.Locate}
+		if w.News != nil {
+			w.board.say = w.News.Say
+		}
+		for _, d := range []struct {
+			field *time.Duration
+			value time.Duration
+		}{{&w.Poll, defaultPoll}, {&w.Timeout, defaultTimeout}, {&w.Gone, defaultGone}} {
+			if *d.field == 0 {
+				*d.field = d.value
+			}
+		}
+	})
 }
 
 // Run watches until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	ticker := time.NewTicker(w.Every)
-	defer ticker.Stop()
+	w.init()
+	ctx, cancel := context.WithCancel(ctx)
+	defer w.group.Wait()
+	defer cancel()
+	w.mu.Lock()
+	w.ctx = ctx
+	w.mu.Unlock()
 	for {
-		w.Round(ctx)
+		w.round(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-time.After(jitter(w.Every)):
 		}
 	}
 }
 
-// Round reads the list and every engine's report once.
-func (w *Watcher) Round(ctx context.Context) {
+// Assign follows the Watch command of the fleet logic.
+func (w *Watcher) Assign(c node.Watch) {
+	w.init()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.board.assign(c.Engines, c.First)
+	w.follow()
+}
+
+// Heard takes an item of another instance.
+func (w *Watcher) Heard(item news.Item) {
+	w.init()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.board.heard(w.now(), item)
+}
+
+// now is the time since the start, on a clock that only goes forward.
+func (w *Watcher) now() time.Duration { return time.Since(w.start) }
+
+// round reads the list once.
+func (w *Watcher) round(ctx context.Context) {
 	listed, err := w.List.List(ctx)
 	if err != nil {
 		// A list that cannot be read removes nobody: the engines of the last
 		// one still answer, and dropping them would stop all work.
 		w.Log.Warn("watch: list unreadable", zap.Error(err))
-	} else {
-		w.take(listed)
-	}
-	for id, base := range w.known {
-		w.report(ctx, id, base)
+		return
 	}
-}
-
-func (w *Watcher) take(listed []store.ListedBody) {
-	if w.known == nil {
-		w.known = map[spec.UpstreamID]string{}
+	if w.Listed != nil {
+		w.Listed(listed)
 	}
 	services := map[spec.ServiceName][]string{}
+	w.mu.Lock()
 	for _, l := range listed {
 		switch {
 		case l.Role == store.RoleService && l.State == frame.StateLive:
@@ -96,28 +183,47 @@
 			w.engine(l)
 		}
 	}
+	w.board.expire(w.now(), w.Gone)
+	w.follow()
+	w.mu.Unlock()
 	for name, bases := range services {
 		w.Services.Locate(name, bases)
 	}
 }
 
 func (w *Watcher) engine(l store.ListedBody) {
-	id := spec.UpstreamID(l.ID)
-	w.known[id] = l.URL
-	w.Engines.Locate(id, l.URL)
+	e := w.board.locate(w.now(), spec.UpstreamID(l.ID), l.URL)
+	e.listed = w.now()
+	if w.News == nil {
+		e.watched, e.first = true, true
+	}
 	if l.State == frame.StateLeaving {
-		w.Loop.Post(world.EngineLeaving{Engine: id})
+		w.board.leave(e, true)
 	}
 }
 
-func (w *Watcher) report(ctx context.Context, id spec.UpstreamID, base string) {
-	body, err := engine.Report(ctx, w.HTTP, base)
-	if err != nil {
-		w.Loop.Post(world.EngineDown{Engine: id})
+// follow starts and ends polls so that just the engines watched are polled.
+func (w *Watcher) follow() {
+	for id, cancel := range w.polls {
+		if e := w.board.get(id); e == nil || !e.watched {
+			cancel()
+			delete(w.polls, id)
+		}
+	}
+	if w.ctx == nil {
 		return
 	}
-	w.Loop.Post(world.EngineSeen{Engine: engine.Row(id, body)})
-	if body.State == frame.StateLeaving {
-		w.Loop.Post(world.EngineLeaving{Engine: id})
+	for _, e := range w.board.rows {
+		if !e.watched || e.url == "" || w.polls[e.id] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(w.ctx)
+		w.polls[e.id] = cancel
+		w.group.Add(1)
+		go (&poller{Watcher: w, id: e.id}).run(ctx)
 	}
 }
+
+// jitter is d with up to a tenth more or less, so that instances that started
+// together do not ask together.
+func jitter(d time.Duration) time.Duration { return d*9/10 + rand.N(d/5+1) }
--- /dev/null
+++ b/internal/wire/watch/watch_test.go
@@ -0,0 +1,255 @@
+package watch_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/news"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/state/store"
+	"fulmarwick/internal/wire/watch"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+)
+
+// lab is one engine, e1, and the watchers that read it.
+type lab struct {
+	mu     sync.Mutex
+	state  string // of the engine's port: "", "refuse" or "hang"
+	blind  map[string]bool
+	body   frame.Engine
+	list   []store.ListedBody
+	listed error
+	sites  []*site
+}
+
+// site is one instance's watcher.
+type site struct {
+	lab   *lab
+	name  string
+	w     *watch.Watcher
+	mu    sync.Mutex
+	posts []string
+	at    map[string]time.Time
+}
+
+func newLab() *lab {
+	l := &lab{blind: map[string]bool{}, body: frame.Engine{Name: "e1", State: frame.StateLive, Slots: 4, Seq: 1}}
+	l.list = []store.ListedBody{{ID: "e1", Role: store.RoleEngine, URL: "http://e1", State: frame.StateLive}}
+	return l
+}
+
+// RoundTrip answers as the engine does.
+func (s *site) RoundTrip(req *http.Request) (*http.Response, error) {
+	s.lab.mu.Lock()
+	state := s.lab.state
+	if s.lab.blind[s.name] {
+		state = "hang"
+	}
+	s.lab.body.Seq++
+	data, err := json.Marshal(s.lab.body)
+	s.lab.mu.Unlock()
+	switch state {
+	case "refuse":
+		return nil, errors.New("refused")
+	case "hang":
+		<-req.Context().Done()
+		return nil, req.Context().Err()
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(string(data)))}, err
+}
+
+func (s *site) List(context.Context) ([]store.ListedBody, error) {
+	s.lab.mu.Lock()
+	defer s.lab.mu.Unlock()
+	return slices.Clone(s.lab.list), s.lab.listed
+}
+
+func (s *site) Post(ev world.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := strings.TrimPrefix(fmt.Sprintf("%T", ev), "world.")
+	if len(s.posts) == 0 || s.posts[len(s.posts)-1] != name {
+		s.posts = append(s.posts, name)
+		s.at[name] = time.Now()
+	}
+}
+
+func (s *site) Locate(spec.UpstreamID, string) {}
+
+type services struct{}
+
+func (services) Locate(spec.ServiceName, []string) {}
+
+// Say hands an item to the other sites a moment later.
+func (s *site) Say(item news.Item) {
+	item.Origin = s.name
+	time.AfterFunc(20*time.Millisecond, func() {
+		for _, other := range s.lab.sites {
+			if other != s {
+				other.w.Heard(item)
+			}
+		}
+	})
+}
+
+func (l *lab) set(f func(*lab)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(l)
+}
+
+// run starts two watchers and one instance that only listens.
+func (l *lab) run(t *testing.T) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for _, name := range []string{"first", "second", "third"} {
+		s := &site{lab: l, name: name, at: map[string]time.Time{}}
+		s.w = &watch.Watcher{
+			List: s, Loop: s, Engines: s, Services: services{}, HTTP: &http.Client{Transport: s},
+			Log: zap.NewNop(), Every: time.Second, News: s, Self: spec.InstanceID(name),
+		}
+		l.sites = append(l.sites, s)
+	}
+	for i, s := range l.sites {
+		group.Go(func() { _ = s.w.Run(ctx) })
+		if i < 2 {
+			time.Sleep(10 * time.Millisecond)
+			command := node.Watch{Engines: []spec.UpstreamID{"e1"}}
+			if i == 0 {
+				command.First = command.Engines
+			}
+			s.w.Assign(command)
+		}
+	}
+	time.Sleep(3 * time.Second)
+	return func() {
+		cancel()
+		group.Wait()
+		time.Sleep(time.Second)
+	}
+}
+
+// since forgets what was posted before; saw lists what was posted after.
+func (l *lab) since() {
+	for _, s := range l.sites {
+		s.mu.Lock()
+		s.posts = nil
+		s.mu.Unlock()
+	}
+}
+
+func (s *site) saw(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.posts, name)
+}
+
+func (l *lab) want(t *testing.T, what string, want bool) {
+	t.Helper()
+	for _, s := range l.sites {
+		if got := s.saw(what); got != want {
+			t.Errorf("got %s at %s: %v, want %v", what, s.name, got, want)
+		}
+	}
+}
+
+// Callers' requests run on an engine that dies. Both watchers miss its
+// answers, agree, and every instance leaves it about a second later; when it
+// is back, all hear of it.
+func TestDeadEngineIsLeftByAll(t *testing.T) {
+	for _, state := range []string{"refuse", "hang"} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newLab()
+			defer l.run(t)()
+			l.want(t, "EngineSeen", true)
+			l.since()
+			died := time.Now()
+			l.set(func(l *lab) { l.state = state })
+			time.Sleep(2 * time.Second)
+			l.want(t, "EngineDown", true)
+			for _, s := range l.sites {
+				if got := s.at["EngineDown"].Sub(died); got > 1600*time.Millisecond {
+					t.Errorf("got %v until %s knew of an engine that would %s, want 1.6s", got, s.name, state)
+				}
+			}
+			l.since()
+			l.set(func(l *lab) { l.state = "" })
+			time.Sleep(2 * time.Second)
+			l.want(t, "EngineSeen", true)
+		})
+	}
+}
+
+// The way from one watcher to an engine is broken. The other one still reads
+// it, so no instance stops using an engine that works.
+func TestOneBlindWatcherDownsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab()
+		defer l.run(t)()
+		l.since()
+		l.set(func(l *lab) { l.blind["first"] = true })
+		time.Sleep(20 * time.Second)
+		l.want(t, "EngineDown", false)
+		l.want(t, "EngineSeen", true)
+	})
+}
+
+// An engine crashes and is back between two polls. Its answers look healthy,
+// but all that ran on it is lost, so its death is told first.
+func TestRestartBetweenPollsIsADeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab()
+		l.set(func(l *lab) { l.body.Seq = 1000 })
+		defer l.run(t)()
+		l.since()
+		l.set(func(l *lab) { l.body.Seq = 0 })
+		time.Sleep(2 * time.Second)
+		l.want(t, "EngineDown", true)
+		l.want(t, "EngineSeen", true)
+	})
+}
+
+// An engine says that it is leaving before the platform's list does. Every
+// instance hears of it within the time of one poll and one push.
+func TestLeavingEngineIsToldToAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab()
+		defer l.run(t)()
+		l.since()
+		l.set(func(l *lab) { l.body.State = frame.StateLeaving })
+		time.Sleep(500 * time.Millisecond)
+		l.want(t, "EngineLeaving", true)
+	})
+}
+
+// The platform's list fails, then comes back empty, while engines serve. No
+// instance drops one; an engine that is neither listed nor answers goes.
+func TestEmptyListRemovesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab()
+		defer l.run(t)()
+		l.since()
+		l.set(func(l *lab) { l.listed = errors.New("down") })
+		time.Sleep(5 * time.Minute)
+		l.set(func(l *lab) { l.listed, l.list = nil, nil })
+		time.Sleep(5 * time.Minute)
+		l.want(t, "EngineGone", false)
+		l.set(func(l *lab) { l.state = "refuse" })
+		time.Sleep(2 * time.Minute)
+		l.want(t, "EngineGone", true)
+	})
+}
