--- a/internal/fleet/node/fleet_test.go
+++ b/internal/fleet/node/fleet_test.go
@@ -27,6 +27,8 @@
 	// loss is the share of messages lost; cut loses all that it accepts.
 	loss float64
 	cut  func(from, to *inst) bool
+	// silent is whether dead instances leave connections open.
+	silent bool
 	// lag is the longest delay of a message within a data centre; between
 	// data centres it is far.
 	lag, far time.Duration
@@ -62,8 +64,10 @@
 	members  []node.Peer
 	handed   bool
 	done     bool
-	bytes    int
-	msgs     int
+	// What it sent and got, and the processor time of its logic.
+	bytes, gotBytes int
+	msgs, gotMsgs   int
+	spent           time.Duration
 }
 
 // newFleet makes n instances over the data centres and lists all to all.
@@ -133,6 +137,8 @@
 		f.now += step
 		for _, m := range f.mail[f.now] {
 			if m.to.up && m.to.lives == m.life {
+				m.to.gotMsgs++
+				m.to.gotBytes += len(m.data) + 70
 				m.to.events = append(m.to.events, node.Heard{From: m.from, Data: m.data})
 			}
 		}
@@ -162,7 +168,10 @@
 func (f *fleet) tick(x *inst) {
 	events := x.events
 	x.events = nil
-	for _, c := range x.logic.Tick(f.now, events) {
+	begin := time.Now()
+	commands := x.logic.Tick(f.now, events)
+	x.spent += time.Since(begin)
+	for _, c := range commands {
 		f.command(x, c)
 	}
 }
@@ -206,6 +215,9 @@
 	if to == nil || f.cut != nil && f.cut(x, to) || f.rand.Float64() < f.loss {
 		return
 	}
+	if !to.up && f.silent {
+		return
+	}
 	if !to.up {
 		x.events = append(x.events, node.Lost{Peer: c.To})
 		return
--- a/internal/wire/watch/board.go
+++ b/internal/wire/watch/board.go
@@ -28,7 +28,11 @@
 	reportEvery = 20 * time.Second
 	reportLife  = 60 * time.Second
 	levelLife   = 5 * time.Second
-	newsLife    = 60 * time.Second
+	// levelEvery keeps the load of 60 engines under 3 KB a second for each
+	// instance of a data centre; between two levels the routing logic counts
+	// what it and the others have in flight.
+	levelEvery = time.Second
+	newsLife   = 60 * time.Second
 )
 
 // entry is what is known of one engine.
@@ -46,10 +50,13 @@
 	since  time.Duration
 	doubts []doubt
 	// alive is when another watcher's report newer than the misses came.
-	alive  time.Duration
-	spoken time.Duration
-	other  time.Duration
-	down   bool
+	alive time.Duration
+	// spoken and leveled are when the report and the load were last said, other
+	// is when another watcher's word came.
+	spoken  time.Duration
+	leveled time.Duration
+	other   time.Duration
+	down    bool
 	// deadInc and deadSeq name the last report of before the last death.
 	deadInc, deadSeq uint64
 	dead             bool
@@ -121,7 +128,8 @@
 		b.sayReport(e)
 		return
 	}
-	if fresh {
+	if fresh && now-e.leveled >= levelEvery {
+		e.leveled = now
 		b.sayLevel(e)
 	}
 }
