--- a/internal/fakes/trial/clock_test.go
+++ b/internal/fakes/trial/clock_test.go
@@ -1,6 +1,7 @@
 package trial_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -53,12 +54,14 @@
 		if err != nil {
 			return
 		}
-		s, err := frame.DecodeStep(data)
-		if err != nil {
-			return
-		}
-		if s.Verb != frame.VerbCancel {
-			go run(s, out, done)
+		for len(data) > 0 {
+			s := &frame.Step{}
+			if data, err = frame.NextStep(data, s); err != nil {
+				return
+			}
+			if s.Verb != frame.VerbCancel {
+				go run(s, out, done)
+			}
 		}
 	}
 }
@@ -70,8 +73,8 @@
 			if r.Code == frame.CodeOK {
 				r.Text = strconv.FormatInt(time.Now().UnixNano(), 10)
 			}
-			data, err := frame.EncodeReply(r)
-			if err != nil || ws.WriteMessage(websocket.BinaryMessage, data) != nil {
+			var data bytes.Buffer
+			if frame.AppendReply(&data, r) != nil || ws.WriteMessage(websocket.BinaryMessage, data.Bytes()) != nil {
 				return
 			}
 		case <-done:
