--- a/internal/app/daemon/daemon_test.go
+++ b/internal/app/daemon/daemon_test.go
@@ -60,7 +60,12 @@
 	d := &daemon.Daemon{Log: zap.NewNop(), Listener: l, Operators: operators, Config: snapshot(), Settings: settings}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
-	go func() { done <- d.Run(ctx) }()
+	go func() {
+		err := d.Run(ctx)
+		// Whoever waits for an instance that ended early learns it at once.
+		_ = l.Close()
+		done <- err
+	}()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
