--- /dev/null
+++ b/internal/app/daemon/duties.go
@@ -0,0 +1,212 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/news"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/state/lease"
+	"fulmarwick/internal/state/ledger"
+	"fulmarwick/internal/state/order"
+
+	"go.uber.org/zap"
+)
+
+const (
+	dutyPlace = "place/"
+	dutyTrim  = "trim"
+	// dutyLook is the time between two looks of a duty at its lease and work.
+	dutyLook = 500 * time.Millisecond
+	// trimEvery and trimRows bound what trimming costs the table.
+	trimEvery = 10 * time.Second
+	trimRows  = 200
+)
+
+// duties runs the duties that fall to this instance, each under its lease.
+type duties struct {
+	*Daemon
+	orders *order.Orders
+	lease  *lease.Lease
+
+	mu      sync.Mutex
+	over    bool
+	running map[string]context.CancelFunc
+	group   sync.WaitGroup
+	places  []world.Place
+}
+
+func (d *Daemon) newDuties() *duties {
+	centre := d.Settings.Instance.DataCentre
+	out := &duties{Daemon: d, running: map[string]context.CancelFunc{}}
+	out.lease = d.newLease(dutyPlace + centre)
+	out.orders = &order.Orders{
+		Table: d.parts.table, Engines: d.parts.controls, Lease: out.lease, Name: centre, Checks: d.fenced,
+	}
+	return out
+}
+
+func (d *Daemon) newLease(name string) *lease.Lease {
+	return &lease.Lease{Table: d.parts.table, Name: name, Owner: d.parts.owner, Jitter: jitter}
+}
+
+// specs are the duties there are, for the fleet logic to spread.
+func (u *duties) specs() []node.DutySpec {
+	return []node.DutySpec{
+		{Name: dutyPlace + u.Settings.Instance.DataCentre, Scope: news.ScopeCentre},
+		{Name: dutyTrim, Scope: news.ScopeFleet},
+	}
+}
+
+// all takes every duty: an instance that stands alone holds them all.
+func (u *duties) all() {
+	for _, s := range u.specs() {
+		u.set(s.Name, true)
+	}
+}
+
+// set begins or ends a duty here. It does not wait.
+func (u *duties) set(name string, mine bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	cancel := u.running[name]
+	switch {
+	case !mine && cancel != nil:
+		cancel()
+		delete(u.running, name)
+	case mine && cancel == nil && !u.over:
+		ctx, cancel := context.WithCancel(context.Background())
+		u.running[name] = cancel
+		u.group.Add(1)
+		go func() {
+			defer u.group.Done()
+			u.run(ctx, name)
+		}()
+	}
+}
+
+// stop ends all duties and waits until their leases are released.
+func (u *duties) stop() {
+	u.mu.Lock()
+	u.over = true
+	for name, cancel := range u.running {
+		cancel()
+		delete(u.running, name)
+	}
+	u.mu.Unlock()
+	u.group.Wait()
+}
+
+func (u *duties) run(ctx context.Context, name string) {
+	if strings.HasPrefix(name, dutyPlace) {
+		u.runPlace(ctx)
+		return
+	}
+	u.runTrim(ctx)
+}
+
+// runPlace plans the placement of the data centre while the lease is held.
+func (u *duties) runPlace(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { u.lease.Run(ctx) })
+	adopted := uint64(0)
+	u.every(ctx, dutyLook, func() {
+		held := u.lease.Held()
+		if !held {
+			adopted = 0
+		}
+		u.parts.loop.Post(world.Duties{Place: held && adopted != 0})
+		if held {
+			adopted = u.orderRound(ctx, adopted)
+		}
+	})
+	u.parts.loop.Post(world.Duties{})
+}
+
+// orderRound takes over what former holders wished, then sends what is due.
+func (u *duties) orderRound(ctx context.Context, adopted uint64) uint64 {
+	if fence := u.lease.Fence(); fence != adopted {
+		if err := u.orders.Adopt(ctx); err != nil {
+			u.Log.Warn("duties: desired state not taken over", zap.Error(err))
+			return 0
+		}
+		u.Log.Info("duties: placing engines", zap.Uint64("fence", fence))
+		adopted = fence
+	}
+	for _, p := range u.taken() {
+		if err := u.orders.Set(ctx, p.Engine, holdFrames(p.Holds), ""); err != nil {
+			u.Log.Warn("duties: wish not written", zap.String("engine", string(p.Engine)), zap.Error(err))
+		}
+	}
+	if _, err := u.orders.Round(ctx); err != nil {
+		u.Log.Warn("duties: orders not sent", zap.Error(err))
+	}
+	return adopted
+}
+
+// place queues a wish of the planner.
+func (u *duties) place(p world.Place) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.places = append(u.places, p)
+}
+
+func (u *duties) taken() []world.Place {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := u.places
+	u.places = nil
+	return out
+}
+
+// runTrim removes old records while the lease is held.
+func (u *duties) runTrim(ctx context.Context) {
+	l := u.newLease(dutyTrim)
+	trimmer := &ledger.Trimmer{Table: u.parts.table}
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { l.Run(ctx) })
+	u.every(ctx, trimEvery, func() {
+		if !l.Held() {
+			return
+		}
+		if _, err := trimmer.Trim(ctx, trimRows); err != nil {
+			u.Log.Warn("duties: old records not trimmed", zap.Error(err))
+		}
+	})
+}
+
+func (u *duties) every(ctx context.Context, d time.Duration, work func()) {
+	ticker := time.NewTicker(d)
+	defer ticker.Stop()
+	for {
+		work()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// fenced says whether an engine refuses old fencing numbers, by its kind.
+func (d *Daemon) fenced(id spec.UpstreamID) bool {
+	return d.Settings.Fenced[d.parts.tap.kind(id)]
+}
+
+func holdFrames(holds []world.Hold) []frame.Hold {
+	out := make([]frame.Hold, 0, len(holds))
+	for _, h := range holds {
+		out = append(out, frame.Hold{
+			Model: string(h.Model), Version: h.Version, Depth: h.Depth,
+			From: h.Layers.From(), To: h.Layers.To(), Width: h.Width,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/app/daemon/tap.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/wire/engine"
+)
+
+// tap passes events on to the routing logic and shows engines' reports to the
+// orders, which trust nothing else.
+type tap struct {
+	*Daemon
+	mu    sync.Mutex
+	kinds map[spec.UpstreamID]string
+}
+
+// Post passes an event on.
+func (t *tap) Post(ev world.Event) {
+	switch ev := ev.(type) {
+	case world.EngineSeen:
+		t.seen(ev.Engine)
+	case world.EngineDown:
+		t.parts.duties.orders.Gone(ev.Engine)
+	case world.EngineGone:
+		t.parts.duties.orders.Gone(ev.Engine)
+		t.mu.Lock()
+		delete(t.kinds, ev.Engine)
+		t.mu.Unlock()
+	}
+	t.parts.loop.Post(ev)
+}
+
+func (t *tap) seen(e world.Engine) {
+	t.mu.Lock()
+	if t.kinds == nil {
+		t.kinds = map[spec.UpstreamID]string{}
+	}
+	t.kinds[e.ID] = e.Kind
+	t.mu.Unlock()
+	t.parts.duties.orders.Seen(e.ID, frame.Engine{Seq: e.Seq, Holds: holdFrames(e.Holds)})
+}
+
+func (t *tap) kind(id spec.UpstreamID) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.kinds[id]
+}
+
+// controls knows where engines are and sends them orders.
+type controls struct {
+	pool *engine.Pool
+	http *http.Client
+
+	mu    sync.Mutex
+	bases map[spec.UpstreamID]string
+}
+
+// Locate learns where an engine is.
+func (c *controls) Locate(id spec.UpstreamID, base string) {
+	c.mu.Lock()
+	if c.bases == nil {
+		c.bases = map[spec.UpstreamID]string{}
+	}
+	c.bases[id] = base
+	c.mu.Unlock()
+	c.pool.Locate(id, base)
+}
+
+// Order sends an order to an engine.
+func (c *controls) Order(ctx context.Context, id spec.UpstreamID, o frame.Order) error {
+	c.mu.Lock()
+	base := c.bases[id]
+	c.mu.Unlock()
+	return (&engine.Control{HTTP: c.http, Base: base}).Order(ctx, o)
+}
+
+// Events reads the cache events of the engine at base.
+func (c *controls) Events(ctx context.Context, base string, since uint64) ([]frame.Event, error) {
+	page, err := (&engine.Control{HTTP: c.http, Base: base}).Events(ctx, since)
+	if err != nil {
+		return nil, err
+	}
+	return page.Events, nil
+}
--- a/internal/route/world/apply.go
+++ b/internal/route/world/apply.go
@@ -38,6 +38,8 @@
 		if e := w.engines.Get(ev.Engine); e != nil {
 			e.timed(ev)
 		}
+	case PeersSet:
+		w.peersSet(ev)
 	case PeerLoad:
 		w.peerLoad(ev)
 	case PeerGone:
--- a/internal/route/world/event.go
+++ b/internal/route/world/event.go
@@ -98,6 +98,11 @@
 	Teams   []spec.Team
 }
 
+// PeersSet tells which other instances of the data centre live.
+type PeersSet struct {
+	Peers []spec.InstanceID
+}
+
 // PeerLoad tells what another instance has in flight on an engine, as its
 // OwnLoad gave it.
 type PeerLoad struct {
@@ -165,6 +170,7 @@
 func (EngineGone) event()    {}
 func (HopTimed) event()      {}
 func (ConfigSet) event()     {}
+func (PeersSet) event()      {}
 func (PeerLoad) event()      {}
 func (PeerGone) event()      {}
 func (Suspected) event()     {}
--- a/internal/route/world/peer.go
+++ b/internal/route/world/peer.go
@@ -10,13 +10,22 @@
 type peers struct {
 	loads map[spec.InstanceID]map[spec.UpstreamID]int64
 	ids   []spec.InstanceID
+	// told is set once a PeersSet named the peers.
+	told bool
 }
 
-// Peers are the other instances that told their load, in order of hearing.
+// Peers are the other instances of the data centre: those of the last
+// PeersSet, or without one those that told their load, in order of hearing.
 func (w *World) Peers() []spec.InstanceID { return w.peers.ids }
 
-// peerLoad takes what a peer has in flight. An engine that is not known yet
-// keeps the load for when it reports.
+func (w *World) peersSet(ev PeersSet) {
+	w.peers.told = true
+	w.peers.ids = append([]spec.InstanceID(nil), ev.Peers...)
+}
+
+// peerLoad takes what a peer has in flight. The load of an engine that is not
+// known yet is dropped: the peer tells it again at its next change, and until
+// then the engine's own report shows it.
 func (w *World) peerLoad(ev PeerLoad) {
 	p := &w.peers
 	if p.loads == nil {
@@ -26,7 +35,9 @@
 	if loads == nil {
 		loads = map[spec.UpstreamID]int64{}
 		p.loads[ev.Peer] = loads
-		p.ids = append(p.ids, ev.Peer)
+		if !p.told {
+			p.ids = append(p.ids, ev.Peer)
+		}
 	}
 	now := int64(max(0, ev.Tokens))
 	e := w.engines.Get(ev.Engine)
@@ -62,8 +73,8 @@
 // engineGone forgets an engine and what peers told of it.
 func (w *World) engineGone(id spec.UpstreamID) {
 	w.engines.remove(id)
-	for _, peer := range w.peers.ids {
-		delete(w.peers.loads[peer], id)
+	for _, loads := range w.peers.loads {
+		delete(loads, id)
 	}
 }
 
