--- a/internal/fakes/infra/server.go
+++ b/internal/fakes/infra/server.go
@@ -15,6 +15,8 @@
 // Server serves a Table and a list of instances over HTTP.
 type Server struct {
 	Table *Table
+	// Objects is the object store; its rows are objects.
+	Objects Table
 
 	mu   sync.Mutex
 	list []store.ListedBody
@@ -33,6 +35,8 @@
 	r.HandleFunc("/v1/row", s.row).Methods(http.MethodGet)
 	r.HandleFunc("/v1/table", s.scan).Methods(http.MethodGet)
 	r.HandleFunc("/v1/commit", s.commit).Methods(http.MethodPost)
+	r.HandleFunc("/v1/object", s.object).Methods(http.MethodGet)
+	r.HandleFunc("/v1/object", s.putObject).Methods(http.MethodPost)
 	r.HandleFunc("/v1/instances", s.instances).Methods(http.MethodGet)
 	return r
 }
@@ -88,6 +92,29 @@
 	reply(w, store.CommitDone{Version: version})
 }
 
+func (s *Server) object(w http.ResponseWriter, req *http.Request) {
+	row, err := s.Objects.Get(req.Context(), req.URL.Query().Get("key"))
+	if err != nil {
+		reject(w, err)
+		return
+	}
+	reply(w, body(row))
+}
+
+func (s *Server) putObject(w http.ResponseWriter, req *http.Request) {
+	var in store.WriteBody
+	if err := json.NewDecoder(req.Body).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	version, err := s.Objects.Commit(req.Context(), []store.Write{store.Put(in.Key, in.If, in.Value)})
+	if err != nil {
+		reject(w, err)
+		return
+	}
+	reply(w, store.CommitDone{Version: version})
+}
+
 func (s *Server) instances(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/fakes/infra/table.go
+++ b/internal/fakes/infra/table.go
@@ -24,6 +24,9 @@
 	faults  Faults
 	reads   int
 	writes  int
+	commits int
+	calls   int
+	late    [][]store.Write
 }
 
 // Faults are what the platform does wrong, until set anew.
@@ -36,6 +39,8 @@
 	Lose int
 	// Drop loses this many commits before they take effect, with no answer.
 	Drop int
+	// Late answers this many commits not at all and takes them at Land.
+	Late int
 	// Stale answers reads with what each row was before its last change.
 	Stale bool
 }
@@ -54,6 +59,32 @@
 	return t.reads, t.writes
 }
 
+// Commits returns how many commits took effect so far.
+func (t *Table) Commits() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.commits
+}
+
+// Calls returns how many calls came so far, refused ones included.
+func (t *Table) Calls() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls
+}
+
+// Land takes the late commits whose conditions hold now.
+func (t *Table) Land() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range t.late {
+		if t.holds(w) {
+			t.take(w)
+		}
+	}
+	t.late = nil
+}
+
 // Get returns the row under key, or store.ErrMissing.
 func (t *Table) Get(ctx context.Context, key string) (store.Row, error) {
 	if err := t.enter(ctx); err != nil {
@@ -100,10 +131,13 @@
 		t.faults.Drop--
 		return 0, store.ErrUnsure
 	}
-	for _, w := range writes {
-		if t.rows[w.Key()].Version() != w.If() {
-			return 0, store.ErrConflict
-		}
+	if t.faults.Late > 0 {
+		t.faults.Late--
+		t.late = append(t.late, writes)
+		return 0, store.ErrUnsure
+	}
+	if !t.holds(writes) {
+		return 0, store.ErrConflict
 	}
 	t.take(writes)
 	if t.faults.Lose > 0 {
@@ -113,12 +147,22 @@
 	return t.version, nil
 }
 
+func (t *Table) holds(writes []store.Write) bool {
+	for _, w := range writes {
+		if t.rows[w.Key()].Version() != w.If() {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *Table) take(writes []store.Write) {
 	if t.rows == nil {
 		t.rows = map[string]store.Row{}
 		t.old = map[string]store.Row{}
 	}
 	t.version++
+	t.commits++
 	for _, w := range writes {
 		t.writes++
 		t.remember(w.Key())
@@ -150,6 +194,7 @@
 func (t *Table) enter(ctx context.Context) error {
 	t.mu.Lock()
 	slow := t.faults.Slow
+	t.calls++
 	t.mu.Unlock()
 	if err := pause(ctx, slow); err != nil {
 		return err
--- a/internal/state/lease/lease_test.go
+++ b/internal/state/lease/lease_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"fulmarwick/internal/fakes/infra"
 	"fulmarwick/internal/state/lease"
+	"fulmarwick/internal/state/store"
 
 	"github.com/go-faster/errors"
 	"pgregory.net/rapid"
@@ -191,3 +194,70 @@
 	}
 	return infra.Faults{}
 }
+
+// How long a duty has no holder: after a kill, and after a graceful stop.
+func TestTakeoverTime(t *testing.T) {
+	for _, kill := range []bool{true, false} {
+		var least, most time.Duration
+		for seed := range 50 {
+			synctest.Test(t, func(t *testing.T) {
+				took := takeover(t, uint64(seed), kill)
+				if least == 0 || took < least {
+					least = took
+				}
+				most = max(most, took)
+			})
+		}
+		t.Logf("kill %v: a new holder after %v to %v in 50 runs with 4 instances", kill, least, most)
+		if limit := 25 * second; most > limit {
+			t.Errorf("got %v, want a new holder within %v", most, limit)
+		}
+	}
+}
+
+func takeover(t *testing.T, seed uint64, kill bool) time.Duration {
+	table := &infra.Table{}
+	killed := &mortal{Table: table}
+	first := contender(killed, "first")
+	first.Jitter = jitter(seed, 9)
+	ctx, stop := context.WithCancel(t.Context())
+	go first.Run(ctx)
+	synctest.Wait()
+	others, end := context.WithCancel(t.Context())
+	var all []*lease.Lease
+	for i := range 3 {
+		l := contender(table, fmt.Sprint("l", i))
+		l.Jitter = jitter(seed, uint64(i))
+		all = append(all, l)
+		go l.Run(others)
+	}
+	time.Sleep(time.Duration(20000+200*seed) * time.Millisecond)
+	killed.dead.Store(kill)
+	stop()
+	start := time.Now()
+	for !all[0].Held() && !all[1].Held() && !all[2].Held() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	took := time.Since(start)
+	end()
+	synctest.Wait()
+	return took
+}
+
+func jitter(seed, who uint64) func() float64 {
+	src := rand.New(rand.NewPCG(seed, who))
+	return func() float64 { return 0.8 + 0.4*src.Float64() }
+}
+
+// mortal is the table as a process sees it that is killed: it releases nothing.
+type mortal struct {
+	*infra.Table
+	dead atomic.Bool
+}
+
+func (m *mortal) Commit(ctx context.Context, w []store.Write) (uint64, error) {
+	if m.dead.Load() {
+		return 0, store.ErrDown
+	}
+	return m.Table.Commit(ctx, w)
+}
--- a/internal/state/ledger/model_test.go
+++ b/internal/state/ledger/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"fulmarwick/internal/state/ledger"
@@ -300,15 +301,32 @@
 }
 
 func (m *model) print() string {
-	s := fmt.Sprint(m.row.Version(), string(m.row.Value()), m.old.Version(), string(m.old.Value()), m.runs, m.denied, m.faults, m.next, m.lateRuns)
+	to := make([]byte, 0, 512)
+	number := func(n int) { to = append(strconv.AppendInt(to, int64(n), 10), ' ') }
+	number(int(m.row.Version()))
+	number(int(m.old.Version()))
+	number(m.faults)
+	number(m.next)
+	to = append(append(append(to, m.row.Value()...), '|'), m.old.Value()...)
+	for i := range attempts {
+		number(m.runs[i])
+		to = strconv.AppendBool(to, m.denied[i])
+	}
+	for _, id := range m.lateRuns {
+		number(id)
+	}
 	for i := range m.callers {
 		c := &m.callers[i]
-		s += fmt.Sprint("|", c.alive, c.id, c.again, c.attempt.Print())
+		to = strconv.AppendBool(append(to, '|'), c.alive)
+		number(c.id)
+		number(c.again)
+		to = c.attempt.Print(to)
 	}
 	for _, w := range m.late {
-		s += fmt.Sprint("|", w.If(), string(w.Value()))
+		number(int(w.If()))
+		to = append(to, w.Value()...)
 	}
-	return s
+	return string(to)
 }
 
 // stateOf reads the state that a row holds.
--- /dev/null
+++ b/internal/state/store/batch.go
@@ -0,0 +1,156 @@
+package store
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-faster/errors"
+)
+
+const defaultRows = 64
+
+// Batcher is a Table that joins commits of concurrent callers into few. Set
+// the exported fields before use.
+//
+// While one commit is on its way the next ones gather; when it returns they
+// leave together. Nothing waits on purpose: on an idle table each commit goes
+// alone, and the batches grow just as the table or the budget gets slower.
+//
+// A commit whose condition fails has no effect as a whole, so it is split in
+// two until the caller that failed is alone; the others never see it. When the
+// answer is lost, all of a batch are unsure.
+type Batcher struct {
+	Table Table
+	// Rows is the most rows of a joint commit; zero is 64.
+	Rows int
+
+	mu    sync.Mutex
+	queue []*entry
+	busy  bool
+}
+
+// entry is one caller's commit.
+type entry struct {
+	writes  []Write
+	done    chan struct{}
+	taken   bool
+	version uint64
+	err     error
+}
+
+// Get is Table's.
+func (b *Batcher) Get(ctx context.Context, key string) (Row, error) { return b.Table.Get(ctx, key) }
+
+// Scan is Table's.
+func (b *Batcher) Scan(ctx context.Context, prefix string, since uint64, limit int) ([]Row, error) {
+	return b.Table.Scan(ctx, prefix, since, limit)
+}
+
+// Commit is Table's. A caller who leaves before its commit left gets ErrDown,
+// one who leaves after it ErrUnsure.
+func (b *Batcher) Commit(ctx context.Context, writes []Write) (uint64, error) {
+	e := &entry{writes: writes, done: make(chan struct{})}
+	b.add(e)
+	select {
+	case <-e.done:
+		return e.version, e.err
+	case <-ctx.Done():
+		if b.withdraw(e) {
+			return 0, errors.Wrap(ErrDown, ctx.Err().Error())
+		}
+		return 0, errors.Wrap(ErrUnsure, ctx.Err().Error())
+	}
+}
+
+func (b *Batcher) add(e *entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.queue = append(b.queue, e)
+	if !b.busy {
+		b.busy = true
+		go b.flush()
+	}
+}
+
+// withdraw takes an entry out of the queue, if it is in it still.
+func (b *Batcher) withdraw(e *entry) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e.taken {
+		return false
+	}
+	for i, q := range b.queue {
+		if q == e {
+			b.queue = append(b.queue[:i:i], b.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// flush commits what gathered until nothing is left.
+func (b *Batcher) flush() {
+	for {
+		group := b.take()
+		if len(group) == 0 {
+			return
+		}
+		b.commit(group)
+		for _, e := range group {
+			close(e.done)
+		}
+	}
+}
+
+// take returns the next entries: up to Rows rows, and no row twice, since the
+// second write of a row needs the version of the first.
+func (b *Batcher) take() []*entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	most := b.Rows
+	if most == 0 {
+		most = defaultRows
+	}
+	var group, rest []*entry
+	rows := map[string]bool{}
+	for _, e := range b.queue {
+		if len(group) > 0 && (len(rows)+len(e.writes) > most || clash(rows, e)) {
+			rest = append(rest, e)
+			continue
+		}
+		for _, w := range e.writes {
+			rows[w.key] = true
+		}
+		e.taken = true
+		group = append(group, e)
+	}
+	b.queue = rest
+	b.busy = len(group) > 0
+	return group
+}
+
+func clash(rows map[string]bool, e *entry) bool {
+	for _, w := range e.writes {
+		if rows[w.key] {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Batcher) commit(group []*entry) {
+	var writes []Write
+	for _, e := range group {
+		writes = append(writes, e.writes...)
+	}
+	version, err := b.Table.Commit(context.Background(), writes)
+	if len(group) > 1 && errors.Is(err, ErrConflict) {
+		half := len(group) / 2
+		b.commit(group[:half])
+		b.commit(group[half:])
+		return
+	}
+	for _, e := range group {
+		e.version, e.err = version, err
+	}
+}
--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"time"
@@ -15,7 +17,10 @@
 
 const (
 	callTimeout = 3 * time.Second
-	maxBody     = 8 << 20
+	dialTimeout = time.Second
+	idleTimeout = 30 * time.Second
+	idleConns   = 16
+	maxBody     = 64 << 20
 )
 
 // Client is the HTTP adapter of the platform's services. Set the exported
@@ -23,9 +28,23 @@
 type Client struct {
 	// Base is such as "http://10.0.0.2:7000".
 	Base string
+	// HTTP makes the calls; NewHTTP returns one that suits.
 	HTTP *http.Client
 }
 
+// NewHTTP returns a client with a transport of its own. Connections are kept:
+// unlike a payment, a commit whose connection broke can be read back.
+func NewHTTP() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: idleConns,
+			IdleConnTimeout:     idleTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Get returns the row under key, or ErrMissing.
 func (c *Client) Get(ctx context.Context, key string) (Row, error) {
 	var b RowBody
@@ -71,6 +90,29 @@
 	return done.Version, nil
 }
 
+// GetObject returns the object under key, or ErrMissing.
+func (c *Client) GetObject(ctx context.Context, key string) (Row, error) {
+	var b RowBody
+	if err := c.read(ctx, "/v1/object?key="+url.QueryEscape(key), &b); err != nil {
+		return Row{}, err
+	}
+	return NewRow(b.Key, b.Version, b.Value), nil
+}
+
+// PutObject stores an object if the one under key has the version; zero means
+// that there must be none. It returns the new version.
+func (c *Client) PutObject(ctx context.Context, key string, ifVersion uint64, value []byte) (uint64, error) {
+	data, err := json.Marshal(WriteBody{Key: key, If: ifVersion, Value: value})
+	if err != nil {
+		return 0, errors.Wrap(err, "store: encode")
+	}
+	var done CommitDone
+	if err := c.call(ctx, http.MethodPost, "/v1/object", data, &done); err != nil {
+		return 0, err
+	}
+	return done.Version, nil
+}
+
 // List returns the platform's lagging list of instances and upstreams.
 func (c *Client) List(ctx context.Context) ([]ListedBody, error) {
 	var out []ListedBody
@@ -92,6 +134,9 @@
 func (c *Client) call(ctx context.Context, method, path string, data []byte, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
 	// The reader hides its type from net/http, so that the request has no
 	// GetBody and a broken connection is never answered by sending it again.
 	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, io.NopCloser(bytes.NewReader(data)))
@@ -103,6 +148,10 @@
 		req.Body = http.NoBody
 	}
 	resp, err := c.HTTP.Do(req)
+	if err != nil && !connected {
+		// Without a connection nothing left, so the call had no effect.
+		return errors.Wrap(ErrDown, err.Error())
+	}
 	if err != nil {
 		return errors.Wrap(ErrUnsure, err.Error())
 	}
--- /dev/null
+++ b/internal/state/store/client_test.go
@@ -0,0 +1,133 @@
+package store_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"fulmarwick/internal/fakes/infra"
+	"fulmarwick/internal/state/store"
+
+	"github.com/go-faster/errors"
+)
+
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// The platform reads a commit, takes it, and drops the connection, a fresh one
+// or one that answered before. The commit must leave once only, and the caller
+// hears that its outcome is open, not that it failed.
+func TestDroppedCommitIsNotReplayed(t *testing.T) {
+	for name, client := range map[string]*http.Client{
+		"own transport": store.NewHTTP(), "default transport": {Transport: &http.Transport{}},
+	} {
+		for _, warm := range []bool{false, true} {
+			var commits atomic.Int32
+			base := serve(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				_, _ = io.Copy(io.Discard, req.Body)
+				if req.Method == http.MethodGet {
+					http.Error(w, "missing", http.StatusNotFound)
+					return
+				}
+				if req.Header.Get("Idempotency-Key") != "" {
+					t.Error("got an Idempotency-Key, want none: net/http would replay")
+				}
+				commits.Add(1)
+				panic(http.ErrAbortHandler)
+			}))
+			c := &store.Client{Base: base, HTTP: client}
+			if _, err := c.Get(t.Context(), "k"); warm && !errors.Is(err, store.ErrMissing) {
+				t.Fatalf("got %v, want ErrMissing", err)
+			}
+			if !warm {
+				client.CloseIdleConnections()
+			}
+			_, err := c.Commit(t.Context(), []store.Write{store.Put("k", 0, []byte("v"))})
+			if !errors.Is(err, store.ErrUnsure) {
+				t.Errorf("%s, reused %v: got %v, want ErrUnsure", name, warm, err)
+			}
+			if got := commits.Load(); got != 1 {
+				t.Errorf("%s, reused %v: got %d commits, want 1", name, warm, got)
+			}
+		}
+	}
+}
+
+// Nobody listens where the platform was. Nothing left, so the commit is known
+// to have had no effect and nobody needs to read it back.
+func TestFailedDialHasNoEffect(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	base := "http://" + l.Addr().String()
+	_ = l.Close()
+	c := &store.Client{Base: base, HTTP: store.NewHTTP()}
+	if _, err := c.Commit(t.Context(), []store.Write{store.Put("k", 0, nil)}); !errors.Is(err, store.ErrDown) {
+		t.Errorf("got %v, want ErrDown", err)
+	}
+}
+
+// Rows and objects over HTTP behave as in memory, faults included.
+func TestClientAgainstStandIn(t *testing.T) {
+	server := &infra.Server{Table: &infra.Table{}}
+	c := &store.Client{Base: serve(t, server.Handler()), HTTP: store.NewHTTP()}
+	ctx := t.Context()
+	v, err := c.Commit(ctx, []store.Write{store.Put("a/1", 0, []byte("x")), store.Put("a/2", 0, []byte("y"))})
+	if err != nil || v == 0 {
+		t.Fatalf("got %d %v, want a version", v, err)
+	}
+	if _, err := c.Commit(ctx, []store.Write{store.Put("a/3", 0, nil), store.Put("a/1", 9, nil)}); !errors.Is(err, store.ErrConflict) {
+		t.Errorf("got %v, want ErrConflict", err)
+	}
+	rows, err := c.Scan(ctx, "a/", 0, 10)
+	if err != nil || len(rows) != 2 || string(rows[1].Value()) != "y" {
+		t.Errorf("got %v %v, want two rows", rows, err)
+	}
+	o, err := c.PutObject(ctx, "big", 0, []byte("object"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.PutObject(ctx, "big", 0, nil); !errors.Is(err, store.ErrConflict) {
+		t.Errorf("got %v for an object that exists, want ErrConflict", err)
+	}
+	got, err := c.GetObject(ctx, "big")
+	if err != nil || string(got.Value()) != "object" || got.Version() != o {
+		t.Errorf("got %v %v, want the object", got, err)
+	}
+	server.Table.Fault(infra.Faults{Lose: 1})
+	if _, err := c.Commit(ctx, []store.Write{store.Put("b", 0, nil)}); !errors.Is(err, store.ErrUnsure) {
+		t.Errorf("got %v for a lost answer, want ErrUnsure", err)
+	}
+	server.Table.Fault(infra.Faults{Down: true})
+	if _, err := c.Get(ctx, "b"); !errors.Is(err, store.ErrDown) {
+		t.Errorf("got %v, want ErrDown", err)
+	}
+}
+
+// A commit has more rows than a page: the walk must not go on after its
+// version and lose the rest of them without a sign.
+func TestWalkSeesWholeCommits(t *testing.T) {
+	table := &infra.Table{}
+	var writes []store.Write
+	for _, k := range []string{"a", "b", "c", "d", "e"} {
+		writes = append(writes, store.Put("p/"+k, 0, nil))
+	}
+	for _, w := range [][]store.Write{{store.Put("p/x", 0, nil)}, writes, {store.Put("p/y", 0, nil)}} {
+		if _, err := table.Commit(t.Context(), w); err != nil {
+			t.Fatal(err)
+		}
+	}
+	seen := map[string]bool{}
+	err := store.Walk(t.Context(), table, "p/", 0, 2, func(r store.Row) { seen[r.Key()] = true })
+	if err != nil || len(seen) != 7 {
+		t.Errorf("got %d rows %v, want 7", len(seen), err)
+	}
+}
--- /dev/null
+++ b/internal/state/store/guard_test.go
@@ -0,0 +1,222 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/fakes/infra"
+	"fulmarwick/internal/state/store"
+
+	"github.com/go-faster/errors"
+)
+
+// platform is a table that takes 5 ms a commit and 300 commits a second, in
+// turn, as the real one does at its limit.
+type platform struct {
+	*infra.Table
+	mu   sync.Mutex
+	free time.Time
+	gaps time.Duration
+}
+
+func (p *platform) Commit(ctx context.Context, w []store.Write) (uint64, error) {
+	p.mu.Lock()
+	now := time.Now()
+	if p.free.Before(now) {
+		p.free = now
+	}
+	p.free = p.free.Add(p.gaps)
+	wait := p.free.Sub(now) + 5*time.Millisecond
+	p.mu.Unlock()
+	time.Sleep(wait)
+	return p.Table.Commit(ctx, w)
+}
+
+// One of many concurrent commits has a false condition, as a duplicate call
+// has. It alone fails; the others take effect and never know.
+func TestConflictFailsOnlyItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &platform{Table: &infra.Table{}, gaps: time.Second / 300}
+		b := &store.Batcher{Table: table}
+		var all sync.WaitGroup
+		errs := make([]error, 40)
+		for i := range errs {
+			all.Go(func() {
+				version := uint64(0)
+				if i == 17 {
+					version = 99
+				}
+				_, errs[i] = b.Commit(t.Context(), []store.Write{store.Put(fmt.Sprint("k", i), version, nil)})
+			})
+		}
+		all.Wait()
+		for i, err := range errs {
+			if got, want := errors.Is(err, store.ErrConflict), i == 17; got != want {
+				t.Errorf("got conflict %v for commit %d, want %v", got, i, want)
+			}
+		}
+		if got := table.Commits(); got > 15 {
+			t.Errorf("got %d commits for 40 callers, want at most 15", got)
+		}
+	})
+}
+
+// The answer of a joint commit is lost: each caller is unsure. A caller who
+// leaves while its commit waits has had no effect; one of the same row waits
+// for the next commit.
+func TestBatchFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &infra.Table{}
+		table.Fault(infra.Faults{Slow: time.Second, Lose: 1})
+		b := &store.Batcher{Table: table}
+		put := func(ctx context.Context, version uint64) error {
+			_, err := b.Commit(ctx, []store.Write{store.Put("k", version, nil)})
+			return err
+		}
+		errs := make(chan error, 1)
+		go func() { errs <- put(t.Context(), 0) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if err := put(ctx, 0); !errors.Is(err, store.ErrDown) {
+			t.Errorf("got %v for a commit that never left, want ErrDown", err)
+		}
+		if err := <-errs; !errors.Is(err, store.ErrUnsure) {
+			t.Errorf("got %v for the lost answer, want ErrUnsure", err)
+		}
+		ctx, cancel = context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if err := put(ctx, 1); !errors.Is(err, store.ErrUnsure) {
+			t.Errorf("got %v for a caller who left too late, want ErrUnsure", err)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// A platform that counts 300 commits a second is spent by payments. Records go
+// first, leases wait, the rest waits longest, and forty instances together stay
+// within the fleet's budget.
+func TestBudgetRanks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counts := [3]int{}
+		var mu sync.Mutex
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		var all sync.WaitGroup
+		for range 40 {
+			budget := &store.Budget{}
+			budget.SetLive(40)
+			table := &infra.Table{}
+			for rank := range 3 {
+				limited := budget.Table(store.Rank(rank), table)
+				for i := range 8 {
+					all.Go(func() {
+						for ctx.Err() == nil {
+							_, err := limited.Commit(ctx, []store.Write{store.Remove(fmt.Sprint(i), 0)})
+							mu.Lock()
+							if err == nil {
+								counts[rank]++
+							}
+							mu.Unlock()
+						}
+					})
+				}
+			}
+		}
+		all.Wait()
+		total := counts[0] + counts[1] + counts[2]
+		if most := 300*10 + 40*7; total > most || total < 2800 {
+			t.Errorf("got %d commits in 10 s, want about 3000 and at most %d", total, most)
+		}
+		if counts[0] < total*9/10 || counts[2] > counts[1] {
+			t.Errorf("got %v commits by rank, want the records first and the rest last", counts)
+		}
+	})
+}
+
+// A row counter in place of a commit counter, and a caller whose turn does not
+// come: it is refused without effect.
+func TestBudgetPerRowRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := &store.Budget{Writes: 10, PerRow: true}
+		table := &infra.Table{}
+		limited := budget.Table(store.RankRecord, table)
+		var writes []store.Write
+		for i := range 10 {
+			writes = append(writes, store.Put(fmt.Sprint(i), 0, nil))
+		}
+		if _, err := limited.Commit(t.Context(), writes); err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		if _, err := limited.Commit(t.Context(), writes[:1]); !errors.Is(err, store.ErrConflict) || time.Since(start) < 100*time.Millisecond {
+			t.Errorf("got %v after %v, want the next turn after 100ms", err, time.Since(start))
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		if _, err := limited.Commit(ctx, writes[:1]); !errors.Is(err, store.ErrDown) {
+			t.Errorf("got %v without a turn, want ErrDown", err)
+		}
+	})
+}
+
+// The table is out for ten minutes under steady calls of 40 instances. Nobody
+// waits out timeouts, hardly a call reaches the table, and when it is back all
+// instances are within seconds, without a storm of retries at any moment.
+func TestBreakerRecoversWithoutStorm(t *testing.T) {
+	for _, n := range []int{4, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			normal, tries, peak := outage(t, n)
+			t.Logf("%d instances: normal after %v, %d tries in 10 min, peak %d calls in 100 ms (steady %d)", n, normal, tries, peak, n)
+			if normal > 16*time.Second {
+				t.Errorf("got normal after %v, want within 16s", normal)
+			}
+			if most := n * 70; tries > most {
+				t.Errorf("got %d tries during the outage, want at most %d", tries, most)
+			}
+			if peak > 3*n {
+				t.Errorf("got %d calls within 100 ms, want no more than three times the steady %d", peak, n)
+			}
+		})
+	}
+}
+
+// outage runs n instances with 10 calls a second each through an outage.
+func outage(t *testing.T, n int) (normal time.Duration, tries, peak int) {
+	table := &infra.Table{}
+	var breakers []*store.Breaker
+	for i := range n {
+		breakers = append(breakers, &store.Breaker{Table: table, Rand: rand.New(rand.NewPCG(1, uint64(i)))})
+	}
+	tick := func() int {
+		before := table.Calls()
+		for _, b := range breakers {
+			_, _ = b.Get(t.Context(), "k")
+		}
+		time.Sleep(100 * time.Millisecond)
+		return table.Calls() - before
+	}
+	table.Fault(infra.Faults{Down: true})
+	for range 6000 {
+		tries += tick()
+	}
+	table.Fault(infra.Faults{})
+	start := time.Now()
+	for {
+		peak = max(peak, tick())
+		open := 0
+		for _, b := range breakers {
+			if b.Open() {
+				open++
+			}
+		}
+		if open == 0 {
+			return time.Since(start), tries, peak
+		}
+	}
+}
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -1,10 +1,14 @@
 // Package store is the client of the platform's table and object services.
 //
-// It imports the standard library and the errors library. Packages ledger,
+// It imports the standard library, the errors library and x/time/rate. Packages ledger,
 // lease, config and order use it through small interfaces of their own.
 package store
 
-import "github.com/go-faster/errors"
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+)
 
 // Errors of this package. Callers tell them apart by errors.Is.
 var (
@@ -21,6 +25,19 @@
 	ErrUnsure = errors.New("store: unsure")
 )
 
+// Table is the platform's table. Get and Scan may be stale; Commit is the truth.
+type Table interface {
+	Get(ctx context.Context, key string) (Row, error)
+	Scan(ctx context.Context, prefix string, since uint64, limit int) ([]Row, error)
+	Commit(ctx context.Context, writes []Write) (uint64, error)
+}
+
+// Objects is the platform's object store, for what is too large for a row.
+type Objects interface {
+	GetObject(ctx context.Context, key string) (Row, error)
+	PutObject(ctx context.Context, key string, ifVersion uint64, value []byte) (uint64, error)
+}
+
 // Row is a row of the table. Versions rise with each commit over the whole
 // table, so a version also orders rows among each other.
 type Row struct {
@@ -58,7 +75,8 @@
 	return Write{key: key, ifVer: ifVersion, value: value}
 }
 
-// Remove returns a write that removes the row.
+// Remove returns a write that removes the row. With version zero it changes
+// nothing and makes sure that there is no row.
 func Remove(key string, ifVersion uint64) Write {
 	return Write{key: key, ifVer: ifVersion, remove: true}
 }
