--- /dev/null
+++ b/internal/route/retry/patience.go
@@ -0,0 +1,117 @@
+package retry
+
+import (
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	stepLeast    = 250 * time.Millisecond
+	stepMost     = 10 * time.Second
+	prefillLeast = 500 * time.Millisecond
+	prefillMost  = 60 * time.Second
+	// times is the patience over the quantile of what was seen, unseen the
+	// same over the prediction while too little was seen.
+	times    = 2
+	unseen   = 8
+	quantile = 99
+	// samples is after how many answers a histogram starts anew; the one
+	// before it is read until the new one has enough.
+	samples = 512
+	enough  = 32
+	unit    = 100
+	top     = 50 * unit
+	digits  = 2
+)
+
+// Patience learns per class how much longer than predicted steps take, and
+// from it how long the wire should wait for one. It is kept as a ratio, so that
+// what is learnt on slow engines does not make callers on fast ones wait.
+type Patience struct {
+	classes map[spec.ClassName]*seen
+}
+
+type seen struct {
+	step, prefill ratios
+}
+
+type ratios struct {
+	now, last *hdrhistogram.Histogram
+}
+
+// Saw notes an answer that ran on one chain to its end.
+func (p *Patience) Saw(r *world.Request, ev world.Finished) {
+	plan := r.Plan()
+	if plan.Token <= 0 || plan.First <= 0 || ev.Gap <= 0 {
+		return
+	}
+	if p.classes == nil {
+		p.classes = map[spec.ClassName]*seen{}
+	}
+	class := r.Arrived().Class
+	s := p.classes[class]
+	if s == nil {
+		s = &seen{}
+		p.classes[class] = s
+	}
+	s.step.add(float64(ev.Gap) / float64(plan.Token))
+	s.prefill.add(float64(ev.First-(r.Started()-r.At())) / float64(plan.First))
+}
+
+// Keep drops what was learnt for classes that are no longer in force.
+func (p *Patience) Keep(classes []spec.Class) {
+	kept := map[spec.ClassName]*seen{}
+	for _, c := range classes {
+		if s := p.classes[c.Name()]; s != nil {
+			kept[c.Name()] = s
+		}
+	}
+	p.classes = kept
+}
+
+// Times is how long to wait for the steps of a request that starts by plan.
+// Each timeout that the request met doubles it: where a step is slow and not
+// lost, trying again just as soon would only repeat the work.
+func (p *Patience) Times(r *world.Request, plan world.Plan) Times {
+	step, prefill := float64(unseen), float64(unseen)
+	if s := p.classes[r.Arrived().Class]; s != nil {
+		step, prefill = s.step.limit(), s.prefill.limit()
+	}
+	out := Times{
+		Step:    max(stepLeast, time.Duration(step*float64(plan.Step))),
+		Prefill: max(prefillLeast, time.Duration(prefill*float64(plan.Prefill))),
+	}
+	if r.Cause() == world.CauseTimeout && r.Attempt() > 0 {
+		shift := min(len(r.Lost()), 5)
+		out.Step <<= shift
+		out.Prefill <<= shift
+	}
+	out.Step = min(out.Step, stepMost)
+	out.Prefill = min(out.Prefill, prefillMost)
+	return out
+}
+
+func (r *ratios) add(ratio float64) {
+	if r.now == nil {
+		r.now = hdrhistogram.New(1, top, digits)
+	}
+	if r.now.TotalCount() >= samples {
+		r.now, r.last = hdrhistogram.New(1, top, digits), r.now
+	}
+	_ = r.now.RecordValue(min(max(1, int64(ratio*unit)), top))
+}
+
+func (r *ratios) limit() float64 {
+	h := r.now
+	if h.TotalCount() < enough && r.last != nil {
+		h = r.last
+	}
+	if h.TotalCount() < enough {
+		return unseen
+	}
+	return times * max(1, float64(h.ValueAtQuantile(quantile))/unit)
+}
--- a/internal/route/world/event.go
+++ b/internal/route/world/event.go
@@ -41,6 +41,9 @@
 	Attempt uint32
 	Engine  spec.UpstreamID
 	Cause   Cause
+	// Tokens is how many tokens the request has made; what is rebuilt and
+	// where a poison suspect died follow from it.
+	Tokens int
 }
 
 // Finished tells that a request ended, for whatever reason.
@@ -95,7 +98,8 @@
 	Teams   []spec.Team
 }
 
-// PeerLoad tells what another instance has in flight on an engine.
+// PeerLoad tells what another instance has in flight on an engine, as its
+// OwnLoad gave it.
 type PeerLoad struct {
 	Peer   spec.InstanceID
 	Engine spec.UpstreamID
@@ -113,6 +117,8 @@
 	Print uint64
 	// Crashes is how many engines died while running it, fleet-wide.
 	Crashes int
+	// Engine is the last that died; "" if not known.
+	Engine spec.UpstreamID
 }
 
 // TeamUsed tells the fleet-wide use of a heavy team, in tokens a second.
--- /dev/null
+++ b/internal/wire/certs/certs_test.go
@@ -0,0 +1,170 @@
+package certs_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/fakes/inmem"
+	"fulmarwick/internal/fakes/trust"
+	"fulmarwick/internal/wire/certs"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// identity is the name in each certificate; replacements keep the files' names.
+const identity = "peer"
+
+func newAuthority(t *testing.T) *trust.Authority {
+	t.Helper()
+	ca, err := trust.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ca
+}
+
+// source writes a certificate into dir and returns a source of it.
+func source(t *testing.T, ca *trust.Authority, dir string, at time.Time) *certs.Source {
+	t.Helper()
+	f, err := ca.Write(dir, identity, at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &certs.Source{Cert: f.Cert, Key: f.Key, CA: f.CA, Log: zap.NewNop()}
+}
+
+// meetTime ends a meeting in which both sides write and neither reads, as two
+// that refuse each other do.
+const meetTime = time.Second
+
+// meet connects a client to a server and returns the certificate that the
+// client saw, or what either side had against the other. The server sends a byte once it
+// trusts the client.
+func meet(server, client *tls.Config) ([]byte, error) {
+	l := inmem.Listen()
+	defer func() { _ = l.Close() }()
+	refused := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			_ = c.SetDeadline(time.Now().Add(meetTime))
+			_, err = tls.Server(c, server).Write([]byte{1})
+			_ = c.Close()
+		}
+		refused <- err
+	}()
+	c, err := l.Dial(context.Background(), "", "")
+	if err != nil {
+		return nil, err
+	}
+	_ = c.SetDeadline(time.Now().Add(meetTime))
+	dialled := tls.Client(c, client)
+	_, err = dialled.Read(make([]byte, 1))
+	_ = c.Close()
+	if other := <-refused; err != nil || other != nil {
+		return nil, fmt.Errorf("client: %w, server: %w", err, other)
+	}
+	return dialled.ConnectionState().PeerCertificates[0].Raw, nil
+}
+
+// An operator replaces the files of a running instance. Connections made later
+// show the new certificate, with no restart and no connection lost.
+func TestReplacedFilesAreUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ca, dir, at := newAuthority(t), t.TempDir(), time.Now()
+		s := source(t, ca, dir, at)
+		if err := s.Open(); err != nil {
+			t.Fatal(err)
+		}
+		server := s.Server()
+		first, err := meet(server, s.Client(identity))
+		if err != nil {
+			t.Fatal(err)
+		}
+		source(t, ca, dir, at.Add(time.Minute))
+		time.Sleep(2 * time.Second)
+		second, err := meet(server, s.Client(identity))
+		if err != nil || bytes.Equal(first, second) {
+			t.Errorf("got the first certificate again (%v), want the second", err)
+		}
+	})
+}
+
+// An operator copies a broken file over the certificate. Connections go on
+// with the old one and the log says so; once the files are mended they are
+// used.
+func TestBadReplacementKeepsTheOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ca, dir, at := newAuthority(t), t.TempDir(), time.Now()
+		s := source(t, ca, dir, at)
+		core, lines := observer.New(zapcore.WarnLevel)
+		s.Log = zap.New(core)
+		if err := s.Open(); err != nil {
+			t.Fatal(err)
+		}
+		server := s.Server()
+		first, err := meet(server, s.Client(identity))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, damage := range []func() error{
+			func() error { return os.WriteFile(s.Cert, []byte("none"), 0o600) },
+			func() error { return os.Remove(s.Key) },
+		} {
+			if err := damage(); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(2 * time.Second)
+			if got, err := meet(server, s.Client(identity)); err != nil || !bytes.Equal(got, first) {
+				t.Errorf("got another certificate or %v, want the first", err)
+			}
+		}
+		if lines.Len() == 0 {
+			t.Error("got no warning, want one")
+		}
+		source(t, ca, dir, at.Add(time.Minute))
+		time.Sleep(2 * time.Second)
+		if got, err := meet(server, s.Client(identity)); err != nil || bytes.Equal(got, first) {
+			t.Errorf("got the first certificate again (%v), want the mended one", err)
+		}
+	})
+}
+
+// A stranger whose certificate another CA signed is refused by both sides.
+func TestStrangersAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ours := source(t, newAuthority(t), t.TempDir(), time.Now())
+		theirs := source(t, newAuthority(t), t.TempDir(), time.Now())
+		for _, s := range []*certs.Source{ours, theirs} {
+			if err := s.Open(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		stranger := theirs.Client(identity)
+		stranger.InsecureSkipVerify = true
+		const want = "certificate signed by unknown authority"
+		if _, err := meet(ours.Server(), stranger); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v for a stranger that calls, want %q", err, want)
+		}
+		if _, err := meet(theirs.Server(), ours.Client(identity)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v for a stranger that is called, want %q", err, want)
+		}
+	})
+}
+
+func TestFirstReadingMustSucceed(t *testing.T) {
+	s := &certs.Source{Cert: "none.crt", Key: "none.key", Log: zap.NewNop()}
+	if err := s.Open(); !errors.Is(err, certs.ErrBad) {
+		t.Errorf("got %v, want ErrBad", err)
+	}
+}
