Run the router on the shared configuration, leases, orders and the fleet

Each instance now follows the platform's table, keeps duties under leases, connects to the others and forwards over one hop; the trial and the tests put their configuration in force through the same apply as operators.

--- a/internal/app/cmds/trial.go
+++ b/internal/app/cmds/trial.go
@@ -8,16 +8,13 @@
 
 	"fulmarwick/internal/app/daemon"
 	"fulmarwick/internal/app/setup"
-	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fakes/trial"
-	"fulmarwick/internal/state/config"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
 )
 
 const (
-	trialKey   = "trial-key"
 	trialLayer = 200 * time.Microsecond
 	trialWatch = 500 * time.Millisecond
 )
@@ -59,20 +56,11 @@
 	if err != nil {
 		return err
 	}
-	d := &daemon.Daemon{Log: log, Listener: l, Config: trialConfig(), Settings: settings, Build: build()}
+	d := &daemon.Daemon{Log: log, Listener: l, Settings: settings, Build: build()}
 	printTrial(cmd.OutOrStdout(), l.Addr().String(), operators)
 	return runDaemon(cmd.Context(), d)
 }
 
-func trialConfig() *config.Snapshot {
-	classes := []spec.Class{
-		spec.NewModelClass("answer", trial.Model, spec.NewTarget(time.Second, 50*time.Millisecond, 0, 95)),
-		spec.NewPlainClass("payment", trial.Service, false, spec.NewTarget(0, 0, 5*time.Second, 99)),
-	}
-	teams := []spec.Team{spec.NewTeam(config.HashKey(trialKey), "trial", 1)}
-	return config.NewSnapshot(1, classes, teams)
-}
-
 func printTrial(out io.Writer, address, operators string) {
 	_, _ = fmt.Fprintf(out, `Serving on http://%[1]s with stand-in engines, service and platform.
 
@@ -89,5 +77,5 @@
   curl http://%[4]s/metrics
   go run . drain --url http://%[4]s
 
-`, address, trialKey, trial.Model, operators)
+`, address, trial.Key, trial.Model, operators)
 }
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -9,23 +9,9 @@
 	"net/http"
 	"sync"
 
-	"fulmarwick/internal/app/halt"
-	"fulmarwick/internal/app/meters"
 	"fulmarwick/internal/app/setup"
-	"fulmarwick/internal/app/spans"
-	"fulmarwick/internal/route/core"
-	"fulmarwick/internal/route/world"
-	"fulmarwick/internal/state/config"
-	"fulmarwick/internal/state/ledger"
-	"fulmarwick/internal/state/store"
-	"fulmarwick/internal/wire/chain"
-	"fulmarwick/internal/wire/engine"
-	"fulmarwick/internal/wire/entry"
-	"fulmarwick/internal/wire/loop"
-	"fulmarwick/internal/wire/plain"
-	"fulmarwick/internal/wire/watch"
+	"fulmarwick/internal/fleet/node"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -37,87 +23,38 @@
 	Log      *zap.Logger
 	// Build is the version of the program, for the status.
 	Build string
-	// Listener serves callers and Operators operators; nil listens where the
-	// settings say.
+	// Listener serves callers, Operators operators and Peers other instances;
+	// nil listens where the settings say.
 	Listener  net.Listener
 	Operators net.Listener
-	// Config is put in force at start.
-	Config *config.Snapshot
+	Peers     net.Listener
 
-	once  sync.Once
-	parts parts
-}
-
-// parts are what an instance consists of.
-type parts struct {
-	halt    *halt.Halt
-	meters  *metrics.Set
-	board   *meters.Board
-	spans   *spans.Sender
-	book    *config.Book
-	logic   *core.Logic
-	loop    *loop.Loop
-	pool    *engine.Pool
-	watcher *watch.Watcher
-	callers *entry.Server
+	once   sync.Once
+	broken error
+	parts  parts
 }
 
 // Stop begins the graceful stop; Run returns once the last request ended.
 func (d *Daemon) Stop() {
-	d.build()
-	d.parts.halt.Begin()
+	if d.build() == nil {
+		d.parts.halt.Begin()
+	}
 }
 
 // Hurry closes the listeners without waiting for the balancer to turn away.
 // Requests in progress go on.
 func (d *Daemon) Hurry() {
-	d.build()
-	d.parts.halt.Hurry()
-}
-
-// build makes the parts, once.
-func (d *Daemon) build() {
-	d.once.Do(func() {
-		set := metrics.NewSet()
-		set.RegisterMetricsWriter(d.gauges)
-		table := &store.Client{Base: d.Settings.Platform.Table, HTTP: &http.Client{}}
-		sender := &plain.Sender{HTTP: plain.NewHTTP()}
-		p := parts{
-			halt:   &halt.Halt{Grace: d.Settings.Times.Grace, Log: d.Log},
-			meters: set, board: &meters.Board{Meters: set}, book: &config.Book{},
-			spans: &spans.Sender{
-				URL: d.Settings.Trace.URL, Part: d.Settings.Trace.Part,
-				Instance: d.Settings.Instance.Name, DataCentre: d.Settings.Instance.DataCentre,
-			},
-			logic: &core.Logic{}, pool: &engine.Pool{},
-		}
-		p.loop = &loop.Loop{Logic: p.logic, Queue: d.Settings.Limits.Queue, Meters: set}
-		p.watcher = &watch.Watcher{
-			List: table, Loop: p.loop, Engines: p.pool, Services: sender,
-			HTTP: &http.Client{}, Log: d.Log, Every: d.Settings.Platform.Watch,
-		}
-		p.callers = &entry.Server{
-			Models: &chain.Runner{Engines: p.pool, Router: p.loop},
-			Calls:  &ledger.Ledger{Table: table, Sender: sender},
-			Book:   p.book, Limits: limits(d.Settings), Log: d.Log, Meters: set, Observer: p.board,
-		}
-		d.parts = p
-	})
-}
-
-func limits(s setup.File) entry.Limits {
-	return entry.Limits{
-		Body: s.Limits.Body, Header: s.Limits.Header, Tokens: s.Limits.Tokens,
-		Streams: s.Limits.Streams, Team: s.Limits.Team, Connection: s.Limits.Connection, Buffer: s.Limits.Buffer,
-		HeaderTime: s.Times.Header, BodyTime: s.Times.Body, WriteTime: s.Times.Write,
-		IdleTime: s.Times.Idle, Comment: s.Times.Comment,
+	if d.build() == nil {
+		d.parts.halt.Hurry()
 	}
 }
 
 // Run serves until it is told to stop or ctx ends, then finishes every request
 // in progress.
 func (d *Daemon) Run(ctx context.Context) error {
-	d.build()
+	if err := d.build(); err != nil {
+		return err
+	}
 	p := &d.parts
 	defer p.pool.Close()
 	if err := p.spans.Open(ctx); err != nil {
@@ -128,11 +65,7 @@
 	if err != nil {
 		return err
 	}
-	d.configure()
-	d.Log.Info("daemon: serving", zap.String("instance", d.Settings.Instance.Name), zap.Stringer("address", ends.callersAt))
-	if ends.operators != nil {
-		d.Log.Info("daemon: serving operators", zap.Stringer("address", ends.operatorsAt))
-	}
+	ends.log(d.Log, d.Settings.Instance.Name)
 	err = d.run(ctx, ends)
 	if closed := p.spans.Close(); closed != nil {
 		d.Log.Warn("daemon: last spans lost", zap.Error(closed))
@@ -140,16 +73,15 @@
 	return err
 }
 
-func (d *Daemon) configure() {
-	if d.Config == nil || !d.parts.book.Take(d.Config) {
-		return
-	}
-	d.parts.loop.Post(world.ConfigSet{Version: d.Config.Version(), Classes: d.Config.Classes(), Teams: d.Config.Teams()})
-}
-
-// ready reports whether the balancer should send callers here.
+// ready reports whether the balancer should send callers here: not before the
+// configuration is as new as any heard of, nor before what the other instances
+// know is known here.
 func (d *Daemon) ready() bool {
-	return d.parts.book.Now() != nil && !d.parts.halt.Stopping()
+	p := &d.parts
+	if p.halt.Stopping() || !p.follower.Ready() {
+		return false
+	}
+	return p.fleet == nil || p.fleet.isReady()
 }
 
 // run keeps the parts alive until the last request ended.
@@ -159,30 +91,64 @@
 	defer stop()
 	context.AfterFunc(ctx, p.halt.Begin)
 	var g errgroup.Group
-	g.Go(func() error { return p.loop.Run(inner) })
-	g.Go(func() error { return p.watcher.Run(inner) })
-	g.Go(func() error { return d.serve(ends.callers, ends.callersAt) })
-	if ends.operators != nil {
-		g.Go(func() error { return d.serve(ends.operators, ends.operatorsAt) })
+	for _, part := range d.runners() {
+		g.Go(func() error { return part(inner) })
+	}
+	for _, e := range ends.all() {
+		g.Go(func() error { return d.serve(e) })
 	}
 	g.Go(func() error {
 		defer stop()
-		defer ends.closeOperators()
-		return p.halt.Run(inner, ends.callers)
+		defer ends.close()
+		return d.finish(inner, ends)
 	})
 	return g.Wait()
 }
 
+// runners are the parts that run beside the servers.
+func (d *Daemon) runners() []func(context.Context) error {
+	p := &d.parts
+	out := []func(context.Context) error{p.loop.Run, p.watcher.Run, func(ctx context.Context) error {
+		p.follower.Run(ctx)
+		return nil
+	}}
+	if p.fleet == nil {
+		p.duties.all()
+		return out
+	}
+	p.fleet.hub.Post(node.Duties{Duties: p.duties.specs()})
+	return append(out, p.fleet.hub.Run, p.fleet.follow, p.fleet.sayHead, p.fleet.leaving)
+}
+
+// finish waits for the end of the graceful stop: the last request of a caller,
+// the last record, the last request of another instance, the release of the
+// leases, and the farewell to the others, in this order.
+func (d *Daemon) finish(ctx context.Context, ends *ends) error {
+	p := &d.parts
+	if err := p.halt.Run(ctx, ends.callers.server); err != nil {
+		return errors.Wrap(err, "daemon: stop")
+	}
+	if err := p.ledger.Wait(ctx); err != nil {
+		return errors.Wrap(err, "daemon: records")
+	}
+	if p.fleet == nil {
+		p.duties.stop()
+		return nil
+	}
+	p.fleet.quit(ctx)
+	return nil
+}
+
 // serve serves one endpoint. One that fails ends the instance, since an
 // instance that looks alive but answers nobody would never be replaced.
-func (d *Daemon) serve(s *http.Server, l net.Listener) error {
-	serve := s.Serve
-	if s.TLSConfig != nil {
-		serve = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
+func (d *Daemon) serve(e end) error {
+	serve := e.server.Serve
+	if e.server.TLSConfig != nil {
+		serve = func(l net.Listener) error { return e.server.ServeTLS(l, "", "") }
 	}
-	if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := serve(e.at); !errors.Is(err, http.ErrServerClosed) {
 		d.parts.halt.Hurry()
-		return errors.Wrap(err, "daemon: serve")
+		return errors.Wrapf(err, "daemon: serve %s", e.name)
 	}
 	return nil
 }
--- a/internal/app/daemon/daemon_test.go
+++ b/internal/app/daemon/daemon_test.go
@@ -21,7 +21,7 @@
 	"go.uber.org/zap"
 )
 
-const key = "test-key"
+const key = trial.Key
 
 func snapshot() *config.Snapshot {
 	classes := []spec.Class{
@@ -57,7 +57,7 @@
 	settings.Listen = setup.Listen{}
 	settings.Platform = setup.Platform{Table: site.URL(), Watch: 20 * time.Millisecond}
 	settings.Times.Grace = 0
-	d := &daemon.Daemon{Log: zap.NewNop(), Listener: l, Operators: operators, Config: snapshot(), Settings: settings}
+	d := &daemon.Daemon{Log: zap.NewNop(), Listener: l, Operators: operators, Settings: settings}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() {
--- a/internal/app/daemon/ends.go
+++ b/internal/app/daemon/ends.go
@@ -18,77 +18,104 @@
 )
 
 const (
-	operatorHeaderTime = 10 * time.Second
-	// operatorClose bounds the wait for an operator's last question.
-	operatorClose = 2 * time.Second
+	headerTime = 10 * time.Second
+	// closeTime bounds the wait for an operator's last question.
+	closeTime = 2 * time.Second
 )
 
-// addressed is a listener that logs as its address.
-type addressed struct {
-	net.Listener
+// end is one endpoint: a server and where it listens.
+type end struct {
+	name   string
+	server *http.Server
+	at     net.Listener
 }
 
-// String is the address, for logs.
-func (a addressed) String() string { return a.Addr().String() }
-
-// ends are the endpoints of an instance.
+// ends are the endpoints of an instance. Those without a server are not
+// served.
 type ends struct {
-	callers     *http.Server
-	callersAt   addressed
-	operators   *http.Server
-	operatorsAt addressed
+	callers   end
+	operators end
+	peers     end
 }
 
-// closeOperators ends the operators' endpoint, which answers until all else
-// has ended.
-func (e *ends) closeOperators() {
-	if e.operators == nil {
-		return
+func (e *ends) all() []end {
+	var out []end
+	for _, one := range []end{e.callers, e.operators, e.peers} {
+		if one.server != nil {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
+func (e *ends) log(log *zap.Logger, instance string) {
+	for _, one := range e.all() {
+		log.Info("daemon: serving "+one.name, zap.String("instance", instance), zap.Stringer("address", one.at.Addr()))
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), operatorClose)
-	defer cancel()
-	if err := e.operators.Shutdown(ctx); err != nil {
-		_ = e.operators.Close()
+}
+
+// close ends the endpoints of operators and peers, which answer until all else
+// has ended.
+func (e *ends) close() {
+	for _, one := range e.all() {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+		if err := one.server.Shutdown(ctx); err != nil {
+			_ = one.server.Close()
+		}
+		cancel()
 	}
 }
 
 func (d *Daemon) listen(ctx context.Context) (*ends, error) {
+	s := d.Settings
 	var e ends
-	secure, err := d.secure(d.Settings.TLS.Callers)
+	secure, err := d.secure(s.TLS.Callers)
 	if err != nil {
 		return nil, err
 	}
-	e.callers = d.parts.callers.HTTP(d.handler(), secure)
-	if e.callersAt, err = open(ctx, d.Listener, d.Settings.Listen.Callers); err != nil {
-		return nil, err
-	}
-	if d.Operators == nil && d.Settings.Listen.Operators == "" {
-		return &e, nil
-	}
-	if secure, err = d.secure(d.Settings.TLS.Operators); err != nil {
+	server := d.parts.callers.HTTP(d.handler(), secure)
+	if e.callers, err = open(ctx, "callers", server, d.Listener, s.Listen.Callers); err != nil {
 		return nil, err
 	}
-	e.operators = &http.Server{Handler: d.operators(), TLSConfig: secure, ReadHeaderTimeout: operatorHeaderTime}
-	// Failed handshakes are what others did, and may be many.
-	if log, err := zap.NewStdLogAt(d.Log.Named("operators"), zapcore.DebugLevel); err == nil {
-		e.operators.ErrorLog = log
+	if d.Operators != nil || s.Listen.Operators != "" {
+		if e.operators, err = d.open(ctx, "operators", d.operators(), s.TLS.Operators, d.Operators, s.Listen.Operators); err != nil {
+			return nil, err
+		}
 	}
-	if e.operatorsAt, err = open(ctx, d.Operators, d.Settings.Listen.Operators); err != nil {
-		return nil, err
+	if d.parts.fleet != nil {
+		if e.peers, err = d.open(ctx, "peers", d.parts.fleet.handler(), s.TLS.Peers, d.Peers, s.Listen.Peers); err != nil {
+			return nil, err
+		}
+		d.parts.fleet.hub.Self.URL = d.parts.fleet.scheme() + e.peers.at.Addr().String()
+		d.parts.fleet.logic.Self = d.parts.fleet.hub.Self
 	}
 	return &e, nil
 }
 
-// open returns l, or listens at address if there is none.
-func open(ctx context.Context, l net.Listener, address string) (addressed, error) {
-	if l != nil {
-		return addressed{l}, nil
-	}
-	l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+// open makes an endpoint for others than callers.
+func (d *Daemon) open(ctx context.Context, name string, h http.Handler, pair setup.Pair, l net.Listener, address string) (end, error) {
+	secure, err := d.secure(pair)
 	if err != nil {
-		return addressed{}, errors.Wrap(err, "daemon: listen")
+		return end{}, err
+	}
+	server := &http.Server{Handler: h, TLSConfig: secure, ReadHeaderTimeout: headerTime}
+	// Failed handshakes are what others did, and may be many.
+	if log, err := zap.NewStdLogAt(d.Log.Named(name), zapcore.DebugLevel); err == nil {
+		server.ErrorLog = log
 	}
-	return addressed{l}, nil
+	return open(ctx, name, server, l, address)
+}
+
+// open listens at address unless there is a listener.
+func open(ctx context.Context, name string, server *http.Server, l net.Listener, address string) (end, error) {
+	if l == nil {
+		opened, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+		if err != nil {
+			return end{}, errors.Wrapf(err, "daemon: listen for %s", name)
+		}
+		l = opened
+	}
+	return end{name: name, server: server, at: l}, nil
 }
 
 // secure returns the TLS settings of an endpoint, or nil without.
@@ -113,6 +140,8 @@
 }
 
 func (d *Daemon) operators() http.Handler {
-	s := &admin.Server{Viewer: d, Drainer: d.parts.halt, Meters: d.parts.meters, Log: d.Log, Ready: d.ready}
+	s := &admin.Server{
+		Viewer: d, Drainer: d.parts.halt, Config: &settings{d}, Meters: d.parts.meters, Log: d.Log, Ready: d.ready,
+	}
 	return s.Handler()
 }
--- a/internal/app/daemon/fleet.go
+++ b/internal/app/daemon/fleet.go
@@ -13,6 +13,7 @@
 	"fulmarwick/internal/fleet/node"
 	"fulmarwick/internal/route/world"
 	"fulmarwick/internal/state/store"
+	"fulmarwick/internal/wire/admin"
 	"fulmarwick/internal/wire/certs"
 	"fulmarwick/internal/wire/peer"
 
@@ -35,6 +36,7 @@
 type fleet struct {
 	*Daemon
 	hub    *peer.Hub
+	logic  *node.Logic
 	duties *duties
 
 	mu      sync.Mutex
@@ -58,12 +60,12 @@
 	}
 	name := d.Settings.Instance.Name
 	self := node.Peer{ID: spec.InstanceID(name), DataCentre: spec.DataCentre(d.Settings.Instance.DataCentre)}
+	f.logic = &node.Logic{
+		Self: self, Born: uint32(f.began.Unix()),
+		Rand: rand.New(rand.NewPCG(xxhash.Sum64String(name), uint64(f.began.UnixNano()))),
+	}
 	f.hub = &peer.Hub{
-		Self: self, On: f.on, Serve: &server{d}, Config: f, Log: d.Log, Meters: d.parts.meters,
-		Logic: &node.Logic{
-			Self: self, Born: uint32(f.began.Unix()),
-			Rand: rand.New(rand.NewPCG(xxhash.Sum64String(name), uint64(f.began.UnixNano()))),
-		},
+		Self: self, Logic: f.logic, On: f.on, Serve: &server{d}, Config: f, Log: d.Log, Meters: d.parts.meters,
 	}
 	if pair := d.Settings.TLS.Peers; pair.Set() {
 		source := &certs.Source{Cert: pair.Cert, Key: pair.Key, CA: pair.CA, Log: d.Log}
@@ -177,6 +179,7 @@
 		delete(f.left, p.ID)
 	}
 	f.mu.Unlock()
+	f.parts.budget.SetLive(1 + len(peers))
 	f.parts.loop.Post(world.PeersSet{Peers: f.near(peers)})
 }
 
@@ -248,6 +251,31 @@
 	return "http://"
 }
 
+// leaving tells the fleet logic of the stop as soon as it begins, so that
+// duties and watches pass on while requests end.
+func (f *fleet) leaving(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-f.parts.halt.Begun():
+		f.hub.Post(node.Stop{})
+	}
+	return nil
+}
+
+// instances are the others, for operators. Only the highest version heard of
+// is known, not that of each.
+func (f *fleet) instances() []admin.Instance {
+	out := []admin.Instance{}
+	for _, p := range f.peers() {
+		state := frame.StateLive
+		if p.Passive {
+			state = frame.StateLeaving
+		}
+		out = append(out, admin.Instance{Name: string(p.ID), DataCentre: string(p.DataCentre), State: state})
+	}
+	return out
+}
+
 // quit tells the others of the end, once nothing is in progress here.
 func (f *fleet) quit(ctx context.Context) {
 	for f.hub.Jobs() > 0 && ctx.Err() == nil {
--- /dev/null
+++ b/internal/app/daemon/settings.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"fulmarwick/internal/state/config"
+	"fulmarwick/internal/wire/admin"
+
+	"github.com/go-faster/errors"
+)
+
+// settings shows and changes the configuration for operators.
+type settings struct {
+	*Daemon
+}
+
+// Show is what is in force here and, as last heard, on the others.
+func (s *settings) Show(context.Context) (admin.Shown, error) {
+	out := admin.Shown{Instance: s.Settings.Instance.Name, Instances: []admin.Instance{}}
+	if now := s.parts.book.Now(); now != nil {
+		out.Version, out.Document = now.Version(), now.Text()
+	}
+	if s.parts.fleet != nil {
+		out.Instances = s.parts.fleet.instances()
+	}
+	return out, nil
+}
+
+// History is the newest changes.
+func (s *settings) History(ctx context.Context, limit int) ([]admin.Change, error) {
+	entries, err := s.parts.applier.History(ctx, limit)
+	if err != nil {
+		return nil, settingsError(err)
+	}
+	out := make([]admin.Change, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, admin.Change{
+			Version: e.Version, By: e.Who, At: time.Unix(e.At, 0).UTC().Format(time.RFC3339), Text: join(e.Sections),
+		})
+	}
+	return out, nil
+}
+
+// Apply puts a change in force.
+func (s *settings) Apply(ctx context.Context, d admin.Draft) (admin.Applied, error) {
+	change := config.Change{Who: d.By, Base: d.Base}
+	for _, doc := range d.Documents {
+		change.Documents = append(change.Documents, config.Document{File: doc.Name, Data: []byte(doc.Text)})
+	}
+	version, err := s.parts.applier.Apply(ctx, change)
+	if err != nil {
+		return admin.Applied{}, settingsError(err)
+	}
+	s.parts.follower.Hint(version)
+	return admin.Applied{Version: version}, nil
+}
+
+func join(sections []string) string {
+	text := ""
+	for i, s := range sections {
+		if i > 0 {
+			text += ", "
+		}
+		text += s
+	}
+	return text
+}
+
+// settingsError turns an error of the configuration into what operators see.
+func settingsError(err error) error {
+	var invalid *config.InvalidError
+	var conflict *config.ConflictError
+	var unsure *config.UnsureError
+	switch {
+	case errors.As(err, &invalid):
+		out := &admin.RefusedError{}
+		for _, p := range invalid.Problems {
+			out.Problems = append(out.Problems, p.String())
+		}
+		return out
+	case errors.As(err, &conflict) && len(conflict.Winners) > 0:
+		w := conflict.Winners[0]
+		return &admin.ConflictError{Winner: admin.Change{
+			Version: w.Version, By: w.Who, At: w.At.UTC().Format(time.RFC3339), Text: w.Section,
+		}}
+	case errors.As(err, &unsure):
+		return errors.Wrap(admin.ErrUnsure, err.Error())
+	case errors.Is(err, config.ErrStore):
+		return errors.Wrap(admin.ErrDown, err.Error())
+	}
+	return err
+}
--- a/internal/app/daemon/status.go
+++ b/internal/app/daemon/status.go
@@ -22,6 +22,9 @@
 	if now := p.book.Now(); now != nil {
 		out.Version = now.Version()
 	}
+	if p.fleet != nil {
+		out.Instances = p.fleet.instances()
+	}
 	err := p.loop.Look(ctx, func() {
 		for _, e := range p.logic.World().Engines().Rows() {
 			out.Engines = append(out.Engines, engineStatus(e))
--- a/internal/app/daemon/tap.go
+++ b/internal/app/daemon/tap.go
@@ -80,10 +80,6 @@
 }
 
 // Events reads the cache events of the engine at base.
-func (c *controls) Events(ctx context.Context, base string, since uint64) ([]frame.Event, error) {
-	page, err := (&engine.Control{HTTP: c.http, Base: base}).Events(ctx, since)
-	if err != nil {
-		return nil, err
-	}
-	return page.Events, nil
+func (c *controls) Events(ctx context.Context, base string, since uint64) (frame.Events, error) {
+	return (&engine.Control{HTTP: c.http, Base: base}).Events(ctx, since)
 }
--- a/internal/app/daemon/tls_test.go
+++ b/internal/app/daemon/tls_test.go
@@ -38,7 +38,7 @@
 	settings.Platform = setup.Platform{Table: site.URL(), Watch: 20 * time.Millisecond}
 	settings.Times.Grace = 0
 	settings.TLS = setup.TLS{Callers: setup.Pair{Cert: pair.Cert, Key: pair.Key}, Operators: pair}
-	d := &daemon.Daemon{Settings: settings, Log: zap.NewNop(), Listener: at[0], Operators: at[1], Config: snapshot()}
+	d := &daemon.Daemon{Settings: settings, Log: zap.NewNop(), Listener: at[0], Operators: at[1]}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- d.Run(ctx) }()
--- a/internal/fakes/trial/bench_test.go
+++ b/internal/fakes/trial/bench_test.go
@@ -20,8 +20,8 @@
 	"fulmarwick/internal/app/daemon"
 	"fulmarwick/internal/app/setup"
 	"fulmarwick/internal/base/frame"
-	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fakes/infra"
+	"fulmarwick/internal/fakes/trial"
 	"fulmarwick/internal/state/config"
 	"fulmarwick/internal/state/store"
 
@@ -107,12 +107,13 @@
 	settings.Instance = setup.Instance{Name: "bench-1", DataCentre: "klang", Region: "bench"}
 	settings.Platform = setup.Platform{Table: platform, Watch: 100 * time.Millisecond}
 	settings.Times.Grace = 0
-	loose := spec.NewTarget(time.Minute, time.Minute, 0, 95)
-	d := &daemon.Daemon{
-		Settings: settings, Log: zap.NewNop(), Listener: at[0], Operators: at[1],
-		Config: config.NewSnapshot(1, []spec.Class{spec.NewModelClass("bench", benchModel, loose)},
-			[]spec.Team{spec.NewTeam(config.HashKey(benchKey), "bench", 1)}),
+	loose := "[class bench]\nkind = model\nmodel = " + benchModel + "\nfirst = 1m\ngap = 1m\npercent = 95\n" +
+		"[team bench]\nkey-hash = " + string(config.HashKey(benchKey)) + "\n"
+	table := &store.Client{Base: platform, HTTP: store.NewHTTP()}
+	if err := trial.Apply(context.Background(), table, loose); err != nil {
+		return err
 	}
+	d := &daemon.Daemon{Settings: settings, Log: zap.NewNop(), Listener: at[0], Operators: at[1]}
 	_, _ = fmt.Fprintf(os.Stdout, "%s %s\n", at[0].Addr(), at[1].Addr())
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
--- a/internal/fakes/trial/trial.go
+++ b/internal/fakes/trial/trial.go
@@ -8,12 +8,14 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"fulmarwick/internal/base/frame"
 	"fulmarwick/internal/fakes/desk"
 	"fulmarwick/internal/fakes/infra"
 	"fulmarwick/internal/fakes/stage"
+	"fulmarwick/internal/state/config"
 	"fulmarwick/internal/state/store"
 
 	"github.com/go-faster/errors"
@@ -25,8 +27,29 @@
 	Depth   = 24
 	Service = "payments"
 	Centre  = "klang"
+	// Key is the key of the only team.
+	Key = "trial-key"
 )
 
+// document is the configuration that Start puts in force.
+const document = `[class answer]
+kind = model
+model = ` + Model + `
+first = 1s
+gap = 100ms
+percent = 95
+
+[class payment]
+kind = plain
+service = ` + Service + `
+repeatable = no
+whole = 5s
+percent = 99
+
+[service ` + Service + `]
+outcomes = yes
+`
+
 // Site is a running set of stand-ins. Set Layer before Start.
 type Site struct {
 	// Layer is the time of a layer on the fastest engine.
@@ -35,6 +58,7 @@
 	engines []*stage.Engine
 	desk    *desk.Desk
 	server  *infra.Server
+	mu      sync.Mutex
 	listed  []store.ListedBody
 	url     string
 	closers []net.Listener
@@ -71,9 +95,47 @@
 	}
 	s.url = url
 	s.server.List(s.listed)
+	team := "\n[team trial]\nkey-hash = " + string(config.HashKey(Key)) + "\n"
+	return Apply(ctx, s.server.Table, document+team)
+}
+
+// Apply puts a document in force.
+func Apply(ctx context.Context, table config.CommitTable, text string) error {
+	applier := &config.Applier{Table: table}
+	change := config.Change{Documents: []config.Document{{File: "trial.ini", Data: []byte(text)}}, Who: "trial"}
+	if _, err := applier.Apply(ctx, change); err != nil {
+		return errors.Wrap(err, "trial: configure")
+	}
 	return nil
 }
 
+// List adds an entry to the platform's list, or replaces the one of its ID.
+func (s *Site) List(entry store.ListedBody) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.listed {
+		if s.listed[i].ID == entry.ID {
+			s.listed = append(s.listed[:i], s.listed[i+1:]...)
+			break
+		}
+	}
+	s.listed = append(s.listed, entry)
+	s.server.List(s.listed)
+}
+
+// Unlist removes an entry from the platform's list.
+func (s *Site) Unlist(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.listed {
+		if s.listed[i].ID == id {
+			s.listed = append(s.listed[:i], s.listed[i+1:]...)
+			break
+		}
+	}
+	s.server.List(s.listed)
+}
+
 // Close stops all stand-ins.
 func (s *Site) Close() {
 	for _, l := range s.closers {
--- a/internal/wire/watch/poll.go
+++ b/internal/wire/watch/poll.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"fulmarwick/internal/base/spec"
-	"fulmarwick/internal/route/world"
 	"fulmarwick/internal/wire/engine"
 
 	"github.com/go-faster/errors"
@@ -87,18 +86,12 @@
 	}
 	asked, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
-	events, err := p.Caches.Events(asked, base, p.seq)
+	page, err := p.Caches.Events(asked, base, p.seq)
 	if err != nil {
 		return
 	}
-	for _, ev := range events {
-		seen := world.CacheSeen{Engine: p.id, Seq: ev.Seq}
-		if ev.Added {
-			seen.Added = []uint64{ev.Block}
-		} else {
-			seen.Removed = []uint64{ev.Block}
-		}
+	for _, seen := range engine.Seen(p.id, page) {
 		p.Loop.Post(seen)
-		p.seq = max(p.seq, ev.Seq)
 	}
+	p.seq = max(p.seq, page.Seq)
 }
--- a/internal/wire/watch/watch.go
+++ b/internal/wire/watch/watch.go
@@ -63,7 +63,7 @@
 
 // Caches reads the cache events of the engine at base since a number.
 type Caches interface {
-	Events(ctx context.Context, base string, since uint64) ([]frame.Event, error)
+	Events(ctx context.Context, base string, since uint64) (frame.Events, error)
 }
 
 // Watcher follows upstreams. Set the exported fields before Run.
