Prove four instances as processes under kill, stop, join, freeze and outage

Cause: the whole path was tested in one process only. Sixteen callers ask and four pay while instances and an engine fail and the platform is out.

--- /dev/null
+++ b/internal/app/daemon/fleet_test.go
@@ -0,0 +1,314 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/fakes/caller"
+	"fulmarwick/internal/fakes/infra"
+	"fulmarwick/internal/fakes/layer"
+	"fulmarwick/internal/fakes/trial"
+	"fulmarwick/internal/state/store"
+)
+
+const (
+	// askers and payers are callers at once.
+	askers = 16
+	payers = 4
+	// between is how many answers come between two faults.
+	between = 40
+	// longest bounds the whole test; it fails then, and never earlier by time.
+	longest  = 3 * time.Minute
+	pollTime = 10 * time.Millisecond
+)
+
+// entries are instances as processes, before stand-ins in this one.
+type entries struct {
+	t        *testing.T
+	ctx      context.Context
+	site     *trial.Site
+	balancer caller.Balancer
+	live     map[string]*process
+	bases    map[string]string
+	started  int
+}
+
+func newEntries(t *testing.T, n int) *entries {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), longest)
+	t.Cleanup(cancel)
+	e := &entries{
+		t: t, ctx: ctx, site: &trial.Site{Layer: 20 * time.Microsecond},
+		live: map[string]*process{}, bases: map[string]string{},
+	}
+	if err := e.site.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.site.Close)
+	for range n {
+		e.start()
+	}
+	for name := range e.live {
+		e.ready(name)
+	}
+	e.balance()
+	return e
+}
+
+// start launches one more instance and lists it.
+func (e *entries) start() string {
+	e.t.Helper()
+	e.started++
+	name := fmt.Sprintf("klang-%d", e.started)
+	path := filepath.Join(e.t.TempDir(), name+".ini")
+	text := fmt.Sprintf(`[instance]
+name = %s
+datacentre = %s
+region = my-west
+[listen]
+callers = 127.0.0.1:0
+operators = 127.0.0.1:0
+peers = 127.0.0.1:0
+[platform]
+table = %s
+watch = 100ms
+[times]
+grace = 100ms
+`, name, trial.Centre, e.site.URL())
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		e.t.Fatal(err)
+	}
+	p := launch(e.t, name, "serve", "--settings", path)
+	e.live[name] = p
+	e.bases[name] = "http://" + p.address(e.t, "daemon: serving callers")
+	e.list(name, frame.StateLive)
+	return name
+}
+
+func (e *entries) list(name, state string) {
+	e.site.List(store.ListedBody{
+		ID: name, Role: store.RoleEntry, State: state, DataCentre: trial.Centre,
+		URL: "http://" + e.live[name].address(e.t, "daemon: serving peers"),
+	})
+}
+
+// ready waits until the instance says that callers may come.
+func (e *entries) ready(name string) {
+	e.t.Helper()
+	for {
+		req, err := http.NewRequestWithContext(e.ctx, http.MethodGet, e.bases[name]+"/readyz", http.NoBody)
+		if err != nil {
+			e.t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			e.t.Fatalf("got %v from %s, want an answer", err, name)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+		pause(e.ctx)
+	}
+}
+
+// balance has the balancer send callers to the instances listed now.
+func (e *entries) balance() {
+	var bases []string
+	for name := range e.live {
+		bases = append(bases, e.bases[name])
+	}
+	e.balancer.Set(bases)
+}
+
+func (e *entries) remove(name string) *process {
+	p := e.live[name]
+	delete(e.live, name)
+	e.balance()
+	return p
+}
+
+func pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pollTime):
+	}
+}
+
+// work is steady work of many callers, and what came of it.
+type work struct {
+	e       *entries
+	stop    chan struct{}
+	group   sync.WaitGroup
+	mu      sync.Mutex
+	answers int
+	cuts    int
+	faults  []string
+	told    map[string]string
+}
+
+func (e *entries) work() *work {
+	w := &work{e: e, stop: make(chan struct{}), told: map[string]string{}}
+	for i := range askers {
+		w.group.Go(func() { w.ask(i) })
+	}
+	for i := range payers {
+		w.group.Go(func() { w.pay(i) })
+	}
+	return w
+}
+
+func (w *work) stopped() bool {
+	select {
+	case <-w.stop:
+		return true
+	default:
+		return w.e.ctx.Err() != nil
+	}
+}
+
+func (w *work) caller() *caller.Caller {
+	return &caller.Caller{Balancer: &w.e.balancer, HTTP: &http.Client{Transport: &http.Transport{}}, Key: trial.Key}
+}
+
+func (w *work) ask(id int) {
+	c := w.caller()
+	for n := 0; !w.stopped(); n++ {
+		text := fmt.Sprintf("explain notice %d of lorry %d", n, id)
+		limit := 20 + (id+n)%40
+		a, err := c.Ask(w.e.ctx, trial.Model, text, limit)
+		tokens := layer.Whole("user: "+text+"\n", trial.Depth, limit)
+		w.mu.Lock()
+		w.answers++
+		w.cuts += a.Cuts
+		switch {
+		case err != nil:
+			w.faults = append(w.faults, fmt.Sprintf("lost: %s: %v", text, err))
+		case a.Text != layer.Text(tokens):
+			w.faults = append(w.faults, fmt.Sprintf("wrong: %s: got %q, want %q", text, a.Text, layer.Text(tokens)))
+		case a.Tokens != len(tokens):
+			w.faults = append(w.faults, fmt.Sprintf("doubled: %s: got %d tokens, want %d", text, a.Tokens, len(tokens)))
+		}
+		w.mu.Unlock()
+	}
+}
+
+func (w *work) pay(id int) {
+	c := w.caller()
+	for n := 0; !w.stopped(); n++ {
+		key := fmt.Sprintf("instalment-%d-%d", id, n)
+		o, err := c.Call(w.e.ctx, "payment", key, `{"amount":120}`)
+		w.mu.Lock()
+		if err != nil {
+			w.faults = append(w.faults, fmt.Sprintf("payment %s: %v", key, err))
+		}
+		w.told[key] = o.State
+		w.mu.Unlock()
+	}
+}
+
+// more waits until n more answers came.
+func (w *work) more(n int) {
+	want := w.count() + n
+	for w.count() < want && w.e.ctx.Err() == nil {
+		pause(w.e.ctx)
+	}
+}
+
+func (w *work) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answers
+}
+
+// end stops the callers and checks what came.
+func (w *work) end(t *testing.T) {
+	t.Helper()
+	close(w.stop)
+	w.group.Wait()
+	for _, f := range w.faults {
+		t.Error(f)
+	}
+	states := map[string]int{}
+	for key, state := range w.told {
+		states[state]++
+		runs := w.e.site.Desk().Runs(key)
+		if runs > 1 {
+			t.Errorf("got %d runs of %s, want at most 1", runs, key)
+		}
+		if state == "done" && runs != 1 {
+			t.Errorf("got %d runs of %s which was told done, want 1", runs, key)
+		}
+		if state == "notrun" && runs != 0 {
+			t.Errorf("got %d runs of %s which was told notrun, want 0", runs, key)
+		}
+	}
+	t.Logf("%d answers whole, %d streams resumed, payments %v", w.answers, w.cuts, states)
+}
+
+// Clerks ask and pay all the time while instances are killed, stopped, frozen
+// and replaced and the platform is out. Every answer must come whole, with no
+// token twice, and no payment may run twice: a cut stream is resumed at another
+// instance by its resume token, and payments are fenced by their record.
+func TestFourInstancesUnderFaultsLoseNothing(t *testing.T) {
+	e := newEntries(t, 4)
+	w := e.work()
+	w.more(between)
+
+	e.remove("klang-1").kill()
+	w.more(between)
+	name := e.start()
+	e.ready(name)
+	e.balance()
+	w.more(between)
+
+	e.list("klang-2", frame.StateLeaving)
+	if code := e.remove("klang-2").stop(); code != 0 {
+		t.Errorf("got exit code %d of a stopped instance, want 0", code)
+	}
+	w.more(between)
+
+	e.site.Table().Fault(infra.Faults{Down: true})
+	w.more(between)
+	e.site.Table().Fault(infra.Faults{})
+	w.more(between)
+
+	frozen := e.remove("klang-3")
+	frozen.freeze()
+	w.more(between / 2)
+	frozen.thaw()
+	w.more(between)
+
+	e.site.Engines()[1].Kill()
+	w.more(between)
+	e.site.Engines()[1].Revive()
+	w.more(between)
+	w.end(t)
+}
+
+// A stopped instance ends with code 0 only after its streams ended; callers
+// see no cut, although new ones come until the balancer knows.
+func TestStopOfAnInstanceCutsNothing(t *testing.T) {
+	e := newEntries(t, 2)
+	w := e.work()
+	w.more(between)
+	if code := e.remove("klang-1").stop(); code != 0 {
+		t.Errorf("got exit code %d, want 0", code)
+	}
+	w.more(between)
+	w.end(t)
+	if w.cuts != 0 {
+		t.Errorf("got %d cut streams, want 0", w.cuts)
+	}
+	if n := strings.Count(strings.Join(w.faults, "\n"), "lost"); n != 0 {
+		t.Errorf("got %d lost answers, want 0", n)
+	}
+}
