Bound the parts of a rebuild, trace each stage, decode replies in place

A stand-in engine kept a state for ever when the connection of a waiting run broke before its first token: the differential test showed it in one of 30,000 cases. The state now belongs to the dead connection and expires.

--- a/internal/fakes/stage/state.go
+++ b/internal/fakes/stage/state.go
@@ -50,10 +50,13 @@
 	if w.index == 0 {
 		ses.run = w
 	}
-	if s.Verb == frame.VerbRun && (ses.run != w || !e.links[w.link]) {
+	if s.Verb == frame.VerbRun && ses.run != w {
 		return nil, false
 	}
 	e.used(ses, w.link)
+	if s.Verb == frame.VerbRun && !e.links[w.link] {
+		return nil, false
+	}
 	r := e.step(ses, s)
 	out := *r
 	out.Took = time.Since(w.since).Microseconds()
--- /dev/null
+++ b/internal/wire/chain/bench_test.go
@@ -0,0 +1,107 @@
+package chain_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fakes/layer"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/wire/chain"
+	"fulmarwick/internal/wire/engine"
+)
+
+const benchTokens = 256
+
+// fixed is a router that always gives the same chain.
+type fixed struct {
+	chain spec.Chain
+}
+
+func (f *fixed) Post(world.Event) {}
+
+func (f *fixed) Watch(id spec.RequestID) <-chan world.Command {
+	ch := make(chan world.Command, 1)
+	ch <- world.Start{Request: id, Attempt: 1, Chain: f.chain, Depth: depth}
+	return ch
+}
+
+func (f *fixed) Forget(spec.RequestID) {}
+
+// longText is a prompt whose answer is as long as the bench wants.
+func longText() string {
+	for i := 0; ; i++ {
+		text := fmt.Sprint("notice ", i)
+		if len(layer.Whole(text, depth, benchTokens)) == benchTokens {
+			return text
+		}
+	}
+}
+
+// processor is the processor time that this process took so far, which other
+// work on the machine disturbs less than the clock.
+func processor(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkRun streams answers through chain and engine client on loopback
+// from stand-ins that answer at once, which share the processor and whose
+// allocations count too.
+func BenchmarkRun(b *testing.B) {
+	text := longText()
+	for _, stages := range []int{1, 3} {
+		for _, callers := range []int{1, 64} {
+			b.Run(fmt.Sprintf("stages=%d/callers=%d", stages, callers), func(b *testing.B) {
+				pool := &engine.Pool{}
+				defer pool.Close()
+				router := &fixed{}
+				for i := range stages {
+					name := fmt.Sprint("e", i)
+					e := hold(name, depth, i*depth/stages, (i+1)*depth/stages)
+					e.Layer, e.Slots = 0, 64
+					server := httptest.NewServer(e.Handler())
+					defer server.Close()
+					pool.Locate(spec.UpstreamID(name), server.URL)
+					router.chain = append(router.chain, on(name, i*depth/stages, (i+1)*depth/stages))
+				}
+				r := &chain.Runner{Engines: pool, Router: router}
+				var next atomic.Int64
+				b.SetParallelism(callers)
+				began := processor(b)
+				b.ReportAllocs()
+				each := func() {
+					job := chain.Job{Text: text, Arrived: world.Arrived{
+						Request: spec.RequestID(fmt.Sprint(next.Add(1))), Model: model, Limit: benchTokens,
+					}}
+					ctx, cancel := context.WithCancel(b.Context())
+					defer cancel()
+					if _, err := r.Run(ctx, job, func(chain.Token) error { return nil }); err != nil {
+						b.Error(err)
+					}
+				}
+				if callers == 1 {
+					for b.Loop() {
+						each()
+					}
+				} else {
+					b.RunParallel(func(pb *testing.PB) {
+						for pb.Next() {
+							each()
+						}
+					})
+				}
+				b.ReportMetric(float64(processor(b)-began)/float64(next.Load()*benchTokens), "cpu-ns/token")
+				b.ReportMetric(float64(next.Load())*benchTokens/b.Elapsed().Seconds(), "tokens/s")
+			})
+		}
+	}
+}
--- a/internal/wire/chain/chain_test.go
+++ b/internal/wire/chain/chain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,8 @@
 	"fulmarwick/internal/wire/chain"
 
 	"github.com/VictoriaMetrics/metrics"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 )
 
 const (
@@ -188,6 +191,67 @@
 	})
 }
 
+// The caller sees a whole answer of many tokens. The first stage dies near its
+// end and its spare runs the prompt and the tokens so far in several steps, so
+// that one reply's hidden values fit a message.
+func TestLongAnswerIsRebuiltInParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const long = 1300
+		text := prompt
+		for i := 0; len(layer.Whole(text, depth, long)) < long; i++ {
+			text = fmt.Sprintf("%s %d", prompt, i)
+		}
+		s := newSite(depth, hold("a", depth, 0, 6), hold("b", depth, 6, 12), hold("c", depth, 0, 6))
+		defer s.close()
+		s.router.plan = func(attempt uint32, _ []spec.UpstreamID) spec.Chain {
+			first := []string{"a", "c"}[min(1, attempt-1)]
+			return spec.Chain{on(first, 0, 6), on("b", 6, 12)}
+		}
+		a := s.ask(t.Context(), "r", text, long, func(n int) {
+			if n == 1200 {
+				s.engines[0].Kill()
+			}
+		})
+		a.must(t, text, depth, long)
+		steps(t, s, 1, 6*positions(text, long))
+		steps(t, s, 2, 6*positions(text, long))
+	})
+}
+
+// Whoever reads a trace sees a span for each stage of the chain, with its
+// engine and layers, and one more for the stage that replaced a lost one.
+func TestSpanForEachStage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := three()
+		defer s.close()
+		seen := tracetest.NewSpanRecorder()
+		provider := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(seen))
+		ctx, root := provider.Tracer("test").Start(t.Context(), "request")
+		a := s.ask(ctx, "r", prompt, limit, func(n int) {
+			if n == 10 {
+				s.engines[1].Kill()
+			}
+		})
+		root.End()
+		a.must(t, prompt, depth, limit)
+		var engines []string
+		for _, span := range seen.Ended() {
+			if span.Parent().SpanID() != root.SpanContext().SpanID() {
+				continue
+			}
+			for _, at := range span.Attributes() {
+				if at.Key == "engine" {
+					engines = append(engines, at.Value.AsString())
+				}
+			}
+		}
+		slices.Sort(engines)
+		if want := []string{"a", "b", "c", "d"}; !slices.Equal(engines, want) {
+			t.Errorf("got spans of %v, want %v", engines, want)
+		}
+	})
+}
+
 // The caller sees a whole answer. The last stage dies and the new chain cuts
 // the layers elsewhere; the cache of the first stage, whose engine lives, is
 // copied to the stage that takes its layers over, which so runs only what is
--- a/internal/wire/chain/run.go
+++ b/internal/wire/chain/run.go
@@ -19,6 +19,8 @@
 const (
 	// defaultJournal bounds the hidden inputs kept of one request, in bytes.
 	defaultJournal = 4 << 20
+	// defaultChunk bounds the hidden inputs of one step, in bytes.
+	defaultChunk = 1 << 20
 	// defaultPatience is how long a step may take unless the logic says.
 	defaultPatience = 30 * time.Second
 	// progressEvery is the least time between two Progress events.
@@ -35,6 +37,9 @@
 	// to rebuild a lost stage alone; zero takes 4 MiB. Beyond it a lost stage
 	// costs the run of all stages before it from the tokens.
 	Journal int
+	// Chunk bounds the hidden inputs of one step in bytes, so that a rebuild
+	// does not hold up the other streams of a connection; zero takes 1 MiB.
+	Chunk int
 	// Meters takes the counters; nil makes a private set.
 	Meters *metrics.Set
 
@@ -51,6 +56,9 @@
 		if r.Journal <= 0 {
 			r.Journal = defaultJournal
 		}
+		if r.Chunk <= 0 {
+			r.Chunk = defaultChunk
+		}
 	})
 }
 
--- a/internal/wire/chain/stage.go
+++ b/internal/wire/chain/stage.go
@@ -20,9 +20,6 @@
 	// stageRebuilds bounds how often one stage is set up anew on its engine
 	// without a step between.
 	stageRebuilds = 2
-	// stepBytes bounds the hidden inputs of one step, so that a rebuild does
-	// not hold up the other streams of the connection.
-	stepBytes = 1 << 20
 	// stepTokens bounds the tokens that one step runs again.
 	stepTokens = 512
 	// tracer names the spans of this package.
@@ -88,7 +85,7 @@
 	}
 	switch {
 	case s.from() > 0:
-		j.step.Hidden = portion(j.inputs.from(s.from(), s.done))
+		j.step.Hidden = portion(j.inputs.from(s.from(), s.done), j.Chunk)
 		return len(j.step.Hidden) > 0
 	case s.done == 0:
 		j.step.Text = j.job.Text
@@ -105,12 +102,12 @@
 // some is the first of tokens, so many that their hidden values fit a reply.
 func some(tokens []uint32) []uint32 { return tokens[:min(len(tokens), stepTokens)] }
 
-// portion is the first of values, within the bytes of one step.
-func portion(values [][]byte) [][]byte {
+// portion is the first of values, within limit bytes, one at least.
+func portion(values [][]byte, limit int) [][]byte {
 	size := 0
 	for i, v := range values {
 		size += len(v)
-		if size > stepBytes && i > 0 {
+		if size > limit && i > 0 {
 			return values[:i]
 		}
 	}
--- a/internal/wire/chain/whole_test.go
+++ b/internal/wire/chain/whole_test.go
@@ -25,6 +25,7 @@
 	limit   int
 	callers int
 	journal int
+	chunk   int
 	moves   bool
 }
 
@@ -41,6 +42,7 @@
 		limit:   rapid.IntRange(1, 40).Draw(t, "limit"),
 		callers: rapid.IntRange(1, 3).Draw(t, "callers"),
 		journal: rapid.SampledFrom([]int{0, 64, 512}).Draw(t, "journal"),
+		chunk:   rapid.SampledFrom([]int{0, 1, 50}).Draw(t, "chunk"),
 		moves:   rapid.Bool().Draw(t, "moves"),
 	}
 	// Two ranges cover the model for sure; the others overlap them at random.
@@ -92,7 +94,7 @@
 	built := newSite(s.depth, engines...)
 	built.router.rand = rand.New(rand.NewPCG(s.seed, 2))
 	built.router.limit = 1000
-	built.runner.Journal = s.journal
+	built.runner.Journal, built.runner.Chunk = s.journal, s.chunk
 	if s.moves {
 		built.runner.KV = built.pool
 	}
--- a/internal/wire/engine/conn.go
+++ b/internal/wire/engine/conn.go
@@ -43,8 +43,10 @@
 	mu          sync.Mutex
 	streams     map[route]*Stream
 	heard       atomic.Int64
-	closed      chan struct{}
-	once        sync.Once
+	// reply is what the reading goroutine decodes into; streams copy it.
+	reply  frame.Reply
+	closed chan struct{}
+	once   sync.Once
 }
 
 // connect makes a connection over the dialer d.
@@ -124,12 +126,12 @@
 // message hands out every frame of one message.
 func (c *Conn) message(data []byte) error {
 	for len(data) > 0 {
-		var r frame.Reply
-		rest, err := frame.NextReply(data, &r)
+		c.reply = frame.Reply{}
+		rest, err := frame.NextReply(data, &c.reply)
 		if err != nil {
 			return err
 		}
-		c.hand(&r)
+		c.hand(&c.reply)
 		data = rest
 	}
 	return nil
--- a/internal/wire/engine/control_test.go
+++ b/internal/wire/engine/control_test.go
@@ -287,3 +287,27 @@
 		}
 	})
 }
+
+// The caller is gone with its connection before its run begins. The engine
+// must not keep a state that it opens for the run after that: nobody is left
+// to cancel it.
+func TestRunOfDeadConnectionLeavesNoState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &stage.Engine{Name: "e", Holds: holds("m", 0, 100), Layer: time.Millisecond}
+		_, p, stop := running(e)
+		defer stop()
+		s, err := p.Open(t.Context(), "e", "r", 1, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Send(&frame.Step{Verb: frame.VerbRun, Seq: 1, Model: "m", To: 100, Text: "x", Count: 9}); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		e.Cut()
+		time.Sleep(time.Minute)
+		if got := e.Sessions(); got != 0 {
+			t.Errorf("got %d states, want 0", got)
+		}
+	})
+}
