--- a/internal/wire/entry/http.go
+++ b/internal/wire/entry/http.go
@@ -21,7 +21,7 @@
 	protocols.SetHTTP2(secure != nil)
 	protocols.SetUnencryptedHTTP2(secure == nil)
 	server := &http.Server{
-		Handler:           unhurried(handler),
+		Handler:           handler,
 		TLSConfig:         secure,
 		ReadHeaderTimeout: s.Limits.HeaderTime,
 		IdleTimeout:       s.Limits.IdleTime,
--- a/internal/wire/entry/reply.go
+++ b/internal/wire/entry/reply.go
@@ -9,17 +9,6 @@
 // replyPiece is how much of an answer must go out within one write pause.
 const replyPiece = 32 << 10
 
-// unhurried clears what an earlier request left on a connection. A write deadline
-// stays on it: the next answer on a connection that carried a stream would
-// fail once that deadline has passed, although its caller reads.
-func unhurried(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		// A connection without deadlines, as in tests, has nothing to clear.
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
-		next.ServeHTTP(w, req)
-	})
-}
-
 // reply writes a whole answer. A caller who takes none of it for the write
 // pause is given up; otherwise it would hold a place among the streams, and
 // the instance's stop, for ever.
