Apply, show and follow the configuration through the operators' endpoint

The daemon follows the platform's configuration and is ready once it has it; apply, show and history go to it by the operators' endpoint, with conflicts, refusals and lost answers kept apart. check reads documents too, all together. Entry refuses a class that is kept for other teams. Examples have the classes and teams of both deployments; trial applies a document as an operator would.

--- a/internal/app/cmds/cmds_test.go
+++ b/internal/app/cmds/cmds_test.go
@@ -81,10 +81,10 @@
 
 // The codes that the pages promise to scripts.
 func TestExitCodes(t *testing.T) {
-	conflict := serve(t, &site{err: &admin.ConflictError{Winner: admin.Change{Version: 9, By: "siti", Text: "class answer"}}})
+	conflict := serve(t, &site{err: &admin.ConflictError{Winners: []admin.Change{{Version: 9, By: "siti", Text: "class answer"}}}})
 	refused := serve(t, &site{err: &admin.RefusedError{Problems: []string{"classes.ini:3: percent: 200 is out of range"}}})
 	down := serve(t, &site{err: admin.ErrDown})
-	unsure := serve(t, &site{err: admin.ErrUnsure})
+	unsure := serve(t, &site{err: &admin.UnsureError{ID: "c1"}})
 	ok := serve(t, &site{})
 	doc := write(t, "classes.ini", "[class answer]\n")
 	tests := []struct {
@@ -109,7 +109,7 @@
 		{[]string{"apply", "--url", conflict, doc}, cmds.ExitConflict, "version 9 by siti"},
 		{[]string{"apply", "--url", refused, doc}, cmds.ExitUsage, "200 is out of range"},
 		{[]string{"apply", "--url", down, doc}, cmds.ExitReach, "nothing changed"},
-		{[]string{"apply", "--url", unsure, doc}, cmds.ExitFail, "ask show"},
+		{[]string{"apply", "--url", unsure, doc}, cmds.ExitFail, "change c1 in the history"},
 		{[]string{"apply", "--url", ok, "none.ini"}, cmds.ExitUsage, "none.ini"},
 		{[]string{"apply", "--url", ok, "--url", down, doc}, cmds.ExitUsage, "one --url"},
 		{[]string{"drain", "--url", ok}, cmds.ExitOK, "2 requests in progress"},
@@ -136,6 +136,35 @@
 	}
 }
 
+// Documents are checked together, and beside settings.
+func TestCheckReadsDocuments(t *testing.T) {
+	classes := write(t, "classes.ini", "[class answer]\nkind = model\nmodel = m\nfirst = 1s\nweight = 3\n")
+	teams := write(t, "teams.ini", "[team depot]\nkey-hash = zz\n")
+	code, out, _ := execute(t, "check", classes, teams, write(t, "a.ini", good))
+	if code != cmds.ExitUsage {
+		t.Errorf("got code %d, want %d", code, cmds.ExitUsage)
+	}
+	for _, want := range []string{"classes.ini: [class answer]: weight is not a key", "teams.ini: [team depot]: key-hash is", "a.ini: good"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("got %q, want %q in it", out, want)
+		}
+	}
+}
+
+// The examples of both deployments are good as they stand: settings for other
+// machines, and documents that apply takes.
+func TestExamplesAreGood(t *testing.T) {
+	for _, deployment := range []string{"association", "coral"} {
+		files, err := filepath.Glob("../../../examples/" + deployment + "/*.ini")
+		if err != nil || len(files) != 6 {
+			t.Fatalf("got files %v, %v, want four settings and two documents", files, err)
+		}
+		if code, out, _ := execute(t, append([]string{"check", "--elsewhere"}, files...)...); code != cmds.ExitOK {
+			t.Errorf("got code %d and %q, want all good", code, out)
+		}
+	}
+}
+
 func TestStatusAsTableAndJSON(t *testing.T) {
 	url := serve(t, &site{})
 	_, out, _ := execute(t, "status", "--url", url)
--- a/internal/app/cmds/show.go
+++ b/internal/app/cmds/show.go
@@ -76,9 +76,9 @@
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	defer func() { _ = w.Flush() }()
-	_, _ = fmt.Fprintln(w, "VERSION\tAT\tBY\tCHANGE")
+	_, _ = fmt.Fprintln(w, "VERSION\tAT\tBY\tCHANGE\tID")
 	for _, ch := range changes {
-		_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", ch.Version, ch.At, ch.By, ch.Text)
+		_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", ch.Version, ch.At, ch.By, ch.Text, ch.ID)
 	}
 	return nil
 }
--- a/internal/app/cmds/trial.go
+++ b/internal/app/cmds/trial.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -8,7 +9,6 @@
 
 	"fulmarwick/internal/app/daemon"
 	"fulmarwick/internal/app/setup"
-	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fakes/trial"
 	"fulmarwick/internal/state/config"
 
@@ -44,6 +44,9 @@
 		return err
 	}
 	defer site.Close()
+	if err := applyTrial(cmd.Context(), site); err != nil {
+		return err
+	}
 	l, err := new(net.ListenConfig).Listen(cmd.Context(), "tcp", listen)
 	if err != nil {
 		return errors.Wrap(err, "trial: listen")
@@ -59,18 +62,45 @@
 	if err != nil {
 		return err
 	}
-	d := &daemon.Daemon{Log: log, Listener: l, Config: trialConfig(), Settings: settings, Build: build()}
+	d := &daemon.Daemon{Log: log, Listener: l, Settings: settings, Build: build()}
 	printTrial(cmd.OutOrStdout(), l.Addr().String(), operators)
 	return runDaemon(cmd.Context(), d)
 }
 
-func trialConfig() *config.Snapshot {
-	classes := []spec.Class{
-		spec.NewModelClass("answer", trial.Model, spec.NewTarget(time.Second, 50*time.Millisecond, 0, 95)),
-		spec.NewPlainClass("payment", trial.Service, false, spec.NewTarget(0, 0, 5*time.Second, 99)),
+// trialDocument is what operators would apply, with the hash of the team's
+// key to fill in.
+const trialDocument = `[class answer]
+kind = model
+model = ` + trial.Model + `
+first = 1s
+gap = 50ms
+percent = 95
+
+[class payment]
+kind = plain
+service = ` + trial.Service + `
+whole = 5s
+percent = 99
+
+[service ` + trial.Service + `]
+outcomes = yes
+
+[team trial]
+key-hash = %s
+`
+
+// applyTrial puts the classes and the team of the trial in force, as the
+// command apply would.
+func applyTrial(ctx context.Context, site *trial.Site) error {
+	text := fmt.Sprintf(trialDocument, config.HashKey(trialKey))
+	a := &config.Applier{Table: site.Table()}
+	_, err := a.Apply(ctx, config.Change{
+		Who: "trial", Documents: []config.Document{{File: "trial.ini", Data: []byte(text)}},
+	})
+	if err != nil {
+		return errors.Wrap(err, "trial: configure")
 	}
-	teams := []spec.Team{spec.NewTeam(config.HashKey(trialKey), "trial", 1)}
-	return config.NewSnapshot(1, classes, teams)
+	return nil
 }
 
 func printTrial(out io.Writer, address, operators string) {
@@ -84,9 +114,10 @@
   curl http://%[1]s/v1/calls/payment -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: instalment-7' -d '{"amount":120}'
   curl http://%[1]s/v1/calls/payment/instalment-7 -H 'Authorization: Bearer %[2]s'
 
-Targets, engines and metrics, and a stop that cuts nothing:
+Targets, engines and metrics, the configuration, and a stop that cuts nothing:
   go run . status --url http://%[4]s
   curl http://%[4]s/metrics
+  go run . show --url http://%[4]s
   go run . drain --url http://%[4]s
 
 `, address, trialKey, trial.Model, operators)
--- /dev/null
+++ b/internal/app/daemon/config_test.go
@@ -0,0 +1,126 @@
+package daemon_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"fulmarwick/internal/fakes/infra"
+	"fulmarwick/internal/state/config"
+	"fulmarwick/internal/wire/admin"
+
+	"github.com/go-faster/errors"
+)
+
+func draft(base uint64, by, text string) admin.Draft {
+	return admin.Draft{Base: base, By: by, Documents: []admin.Document{{Name: "a.ini", Text: text}}}
+}
+
+const (
+	quick = "[class answer]\nkind = model\nmodel = levy-13b\nfirst = 1s\n"
+	slow  = "[class answer]\nkind = model\nmodel = levy-13b\nfirst = 9s\n"
+)
+
+// await asks until the instance has version in force.
+func await(t *testing.T, c *admin.Client, version uint64) admin.Shown {
+	t.Helper()
+	for {
+		shown, err := c.Show(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if shown.Version >= version {
+			return shown
+		}
+	}
+}
+
+// Two operators look at the same version and change the same class. The first
+// is accepted and in force; the second sees whose change came first, and
+// nothing of theirs takes effect. The history tells both how it went.
+func TestOperatorsRace(t *testing.T) {
+	_, _, operators := startBoth(t)
+	c := &admin.Client{Base: operators, HTTP: http.DefaultClient}
+	first, err := c.Apply(t.Context(), draft(0, "ani", quick+"[class draft]\nkind = model\nmodel = levy-13b\nwhole = 1m\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := c.Apply(t.Context(), draft(first.Version, "siti", slow))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lost *admin.ConflictError
+	if _, err := c.Apply(t.Context(), draft(first.Version, "ani", quick)); !errors.As(err, &lost) {
+		t.Fatalf("got %v, want a conflict", err)
+	}
+	if w := lost.Winners; len(w) != 1 || w[0].By != "siti" || w[0].Version != second.Version || w[0].Text != "class answer" {
+		t.Errorf("got winners %+v, want siti's change of class answer", w)
+	}
+	if shown := await(t, c, second.Version); !strings.Contains(shown.Document, "first = 9s") || !strings.Contains(shown.Document, "[class draft]") {
+		t.Errorf("got %q in force, want siti's target and the other class", shown.Document)
+	}
+	history, err := c.History(t.Context(), 10)
+	if err != nil || len(history) != 2 || history[0].By != "siti" || history[1].Text != "class answer, class draft" {
+		t.Errorf("got history %+v, %v, want siti's change and ani's", history, err)
+	}
+}
+
+// The operator sees every problem of a document at once, and nothing changes.
+func TestBadDocumentIsRefusedWhole(t *testing.T) {
+	_, _, operators := startBoth(t)
+	c := &admin.Client{Base: operators, HTTP: http.DefaultClient}
+	var refused *admin.RefusedError
+	_, err := c.Apply(t.Context(), draft(0, "ani", quick+"percent = 200\n[class b]\nkind = plain\nwhole = 1s\n"))
+	if !errors.As(err, &refused) || len(refused.Problems) != 2 {
+		t.Errorf("got %v, want two problems", err)
+	}
+	if history, err := c.History(t.Context(), 10); err != nil || len(history) != 0 {
+		t.Errorf("got history %+v, %v, want none", history, err)
+	}
+}
+
+// The platform's table is down. The operator is told that nothing changed; the
+// instance still shows what is in force.
+func TestApplyWhileTheTableIsDown(t *testing.T) {
+	site, _, operators := startBoth(t)
+	site.Table().Fault(infra.Faults{Down: true})
+	c := &admin.Client{Base: operators, HTTP: http.DefaultClient}
+	if _, err := c.Apply(t.Context(), draft(0, "ani", quick)); !errors.Is(err, admin.ErrDown) {
+		t.Errorf("got %v, want ErrDown", err)
+	}
+	if shown, err := c.Show(t.Context()); err != nil || shown.Version != snapshot().Version() {
+		t.Errorf("got version %d, %v, want what is in force", shown.Version, err)
+	}
+	if _, err := c.History(t.Context(), 1); !errors.Is(err, admin.ErrDown) {
+		t.Errorf("got %v from the history, want ErrDown", err)
+	}
+}
+
+// An instance without a configuration is not ready, and its callers are told
+// to come back; once an operator applies one it serves.
+func TestFirstConfigurationMakesReady(t *testing.T) {
+	_, base, operators := startWith(t, nil)
+	c := &admin.Client{Base: operators, HTTP: http.DefaultClient}
+	if got := status(t, base+"/readyz"); got != http.StatusServiceUnavailable {
+		t.Errorf("got %d from /readyz without a configuration, want 503", got)
+	}
+	applied, err := c.Apply(t.Context(), draft(0, "ani", quick+"[team t]\nkey-hash = "+string(config.HashKey(key))+"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	await(t, c, applied.Version)
+	if got := status(t, base+"/readyz"); got != http.StatusOK {
+		t.Errorf("got %d from /readyz with one, want 200", got)
+	}
+	answer(t, base, `{"model":"levy-13b","max_tokens":1,"messages":[{"role":"user","content":"x"}]}`)
+}
+
+func status(t *testing.T, url string) int {
+	t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -18,6 +19,7 @@
 	"fulmarwick/internal/state/config"
 	"fulmarwick/internal/state/ledger"
 	"fulmarwick/internal/state/store"
+	"fulmarwick/internal/wire/admin"
 	"fulmarwick/internal/wire/chain"
 	"fulmarwick/internal/wire/engine"
 	"fulmarwick/internal/wire/entry"
@@ -31,6 +33,9 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// followSpread is how far apart, of their mean, looks at the configuration are.
+const followSpread = 0.4
+
 // Daemon is one instance. Set the exported fields before Run.
 type Daemon struct {
 	Settings setup.File
@@ -41,7 +46,7 @@
 	// settings say.
 	Listener  net.Listener
 	Operators net.Listener
-	// Config is put in force at start.
+	// Config is put in force at start; nil waits for that of the platform.
 	Config *config.Snapshot
 
 	once  sync.Once
@@ -60,6 +65,8 @@
 	pool    *engine.Pool
 	watcher *watch.Watcher
 	callers *entry.Server
+	follow  *config.Follower
+	config  *operatorConfig
 }
 
 // Stop begins the graceful stop; Run returns once the last request ended.
@@ -101,10 +108,30 @@
 			Calls:  &ledger.Ledger{Table: table, Sender: sender},
 			Book:   p.book, Limits: limits(d.Settings), Log: d.Log, Meters: set, Observer: p.board,
 		}
+		p.follow = &config.Follower{
+			Table: table, Book: p.book, OnChange: d.changed, OnError: d.unfollowed, Jitter: jitter,
+		}
+		p.config = &operatorConfig{
+			instance: d.Settings.Instance.Name, book: p.book, applier: &config.Applier{Table: table}, hint: p.follow.Hint,
+			others: func() []admin.Instance { return []admin.Instance{} },
+		}
 		d.parts = p
 	})
 }
 
+// jitter spreads the looks of many instances at the head.
+func jitter() float64 { return 1 - followSpread/2 + followSpread*rand.Float64() }
+
+// changed hands a configuration that is in force to the routing logic.
+func (d *Daemon) changed(s *config.Snapshot) {
+	d.parts.loop.Post(world.ConfigSet{Version: s.Version(), Classes: s.Classes(), Teams: s.Teams()})
+	d.Log.Info("daemon: configuration in force", zap.Uint64("version", s.Version()))
+}
+
+func (d *Daemon) unfollowed(err error) {
+	d.Log.Warn("daemon: configuration not read, the last one stays in force", zap.Error(err))
+}
+
 func limits(s setup.File) entry.Limits {
 	return entry.Limits{
 		Body: s.Limits.Body, Header: s.Limits.Header, Tokens: s.Limits.Tokens,
@@ -144,12 +171,13 @@
 	if d.Config == nil || !d.parts.book.Take(d.Config) {
 		return
 	}
-	d.parts.loop.Post(world.ConfigSet{Version: d.Config.Version(), Classes: d.Config.Classes(), Teams: d.Config.Teams()})
+	d.changed(d.Config)
 }
 
 // ready reports whether the balancer should send callers here.
 func (d *Daemon) ready() bool {
-	return d.parts.book.Now() != nil && !d.parts.halt.Stopping()
+	known := d.parts.book.Now() != nil && (d.Config != nil || d.parts.follow.Ready())
+	return known && !d.parts.halt.Stopping()
 }
 
 // run keeps the parts alive until the last request ended.
@@ -161,6 +189,10 @@
 	var g errgroup.Group
 	g.Go(func() error { return p.loop.Run(inner) })
 	g.Go(func() error { return p.watcher.Run(inner) })
+	g.Go(func() error {
+		p.follow.Run(inner)
+		return nil
+	})
 	g.Go(func() error { return d.serve(ends.callers, ends.callersAt) })
 	if ends.operators != nil {
 		g.Go(func() error { return d.serve(ends.operators, ends.operatorsAt) })
--- a/internal/app/daemon/daemon_test.go
+++ b/internal/app/daemon/daemon_test.go
@@ -39,6 +39,12 @@
 
 // startBoth returns the operators' base URL too.
 func startBoth(t *testing.T) (*trial.Site, string, string) {
+	t.Helper()
+	return startWith(t, snapshot())
+}
+
+// startWith runs an instance with a configuration of its own, or none.
+func startWith(t *testing.T, own *config.Snapshot) (*trial.Site, string, string) {
 	t.Helper()
 	site := &trial.Site{}
 	if err := site.Start(t.Context()); err != nil {
@@ -57,7 +63,7 @@
 	settings.Listen = setup.Listen{}
 	settings.Platform = setup.Platform{Table: site.URL(), Watch: 20 * time.Millisecond}
 	settings.Times.Grace = 0
-	d := &daemon.Daemon{Log: zap.NewNop(), Listener: l, Operators: operators, Config: snapshot(), Settings: settings}
+	d := &daemon.Daemon{Log: zap.NewNop(), Listener: l, Operators: operators, Config: own, Settings: settings}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() {
--- a/internal/app/daemon/ends.go
+++ b/internal/app/daemon/ends.go
@@ -113,6 +113,9 @@
 }
 
 func (d *Daemon) operators() http.Handler {
-	s := &admin.Server{Viewer: d, Drainer: d.parts.halt, Meters: d.parts.meters, Log: d.Log, Ready: d.ready}
+	s := &admin.Server{
+		Viewer: d, Drainer: d.parts.halt, Config: d.parts.config,
+		Meters: d.parts.meters, Log: d.Log, Ready: d.ready,
+	}
 	return s.Handler()
 }
--- a/internal/wire/admin/admin_test.go
+++ b/internal/wire/admin/admin_test.go
@@ -84,7 +84,7 @@
 func TestErrorsKeepTheirKind(t *testing.T) {
 	winner := admin.Change{Version: 9, By: "siti", At: "2026-01-02T03:04:05Z", Text: "class answer"}
 	for _, want := range []error{
-		&admin.ConflictError{Winner: winner}, &admin.RefusedError{Problems: []string{"a", "b"}}, admin.ErrDown, admin.ErrUnsure,
+		&admin.ConflictError{Winners: []admin.Change{winner}}, &admin.RefusedError{Problems: []string{"a", "b"}}, admin.ErrDown, &admin.UnsureError{ID: "c1"},
 	} {
 		c := serve(t, &site{err: errors.Wrap(want, "wrapped")})
 		_, err := c.Apply(t.Context(), admin.Draft{By: "ani"})
--- a/internal/wire/admin/client.go
+++ b/internal/wire/admin/client.go
@@ -96,15 +96,15 @@
 	if err := json.Unmarshal(data, &f); err != nil {
 		return errors.Errorf("admin: status %d: %s", status, strings.TrimSpace(string(data)))
 	}
-	switch {
-	case f.Code == codeConflict && f.Winner != nil:
-		return &ConflictError{Winner: *f.Winner}
-	case f.Code == codeRefused:
+	switch f.Code {
+	case codeConflict:
+		return &ConflictError{Winners: f.Winners}
+	case codeRefused:
 		return &RefusedError{Problems: f.Problems}
-	case f.Code == codeDown:
+	case codeDown:
 		return ErrDown
-	case f.Code == codeUnsure:
-		return ErrUnsure
+	case codeUnsure:
+		return &UnsureError{ID: f.ID}
 	}
 	return errors.Errorf("admin: %s: %s", f.Code, f.Text)
 }
--- a/internal/wire/admin/server.go
+++ b/internal/wire/admin/server.go
@@ -51,13 +51,14 @@
 	Running int `json:"running"`
 }
 
-// fault is what operators see of an error. Winner and Problems go with their
-// codes only.
+// fault is what operators see of an error. Winners, Problems and ID go with
+// their codes only.
 type fault struct {
 	Code     string   `json:"code"`
 	Text     string   `json:"message"`
-	Winner   *Change  `json:"winner,omitempty"`
+	Winners  []Change `json:"winners,omitempty"`
 	Problems []string `json:"problems,omitempty"`
+	ID       string   `json:"id,omitempty"`
 }
 
 // The codes of faults.
@@ -186,15 +187,16 @@
 	}
 	var conflict *ConflictError
 	var refused *RefusedError
+	var unsure *UnsureError
 	switch {
 	case errors.As(err, &conflict):
-		write(w, http.StatusConflict, fault{Code: codeConflict, Text: conflict.Error(), Winner: &conflict.Winner})
+		write(w, http.StatusConflict, fault{Code: codeConflict, Text: conflict.Error(), Winners: conflict.Winners})
 	case errors.As(err, &refused):
 		write(w, http.StatusUnprocessableEntity, fault{Code: codeRefused, Text: "the change was refused", Problems: refused.Problems})
 	case errors.Is(err, ErrDown):
 		write(w, http.StatusServiceUnavailable, fault{Code: codeDown, Text: ErrDown.Error()})
-	case errors.Is(err, ErrUnsure):
-		write(w, http.StatusBadGateway, fault{Code: codeUnsure, Text: ErrUnsure.Error()})
+	case errors.As(err, &unsure):
+		write(w, http.StatusBadGateway, fault{Code: codeUnsure, Text: unsure.Error(), ID: unsure.ID})
 	default:
 		s.Log.Warn("admin: request failed", zap.Error(err))
 		write(w, http.StatusInternalServerError, fault{Code: codeInternal, Text: err.Error()})
--- a/internal/wire/admin/types.go
+++ b/internal/wire/admin/types.go
@@ -94,7 +94,9 @@
 // Change is one accepted change of the configuration.
 type Change struct {
 	Version uint64 `json:"version"`
-	By      string `json:"by"`
+	// ID names the change; in a conflict it is empty.
+	ID string `json:"id,omitempty"`
+	By string `json:"by"`
 	// At is when it was accepted, in RFC 3339.
 	At string `json:"at"`
 	// Text says what changed, such as "class answer, team haulage".
@@ -134,7 +136,7 @@
 }
 
 // Config shows and changes the configuration. Errors of Apply are
-// *ConflictError, *RefusedError, or match ErrDown or ErrUnsure.
+// *ConflictError, *RefusedError, *UnsureError, or match ErrDown.
 type Config interface {
 	Show(ctx context.Context) (Shown, error)
 	History(ctx context.Context, limit int) ([]Change, error)
@@ -146,22 +148,34 @@
 	// ErrDown means that the platform's store is out of reach; nothing
 	// changed.
 	ErrDown = errors.New("admin: store out of reach")
-	// ErrUnsure means that the store's answer was lost: the change may have
-	// been accepted. Show tells.
-	ErrUnsure = errors.New("admin: store's answer lost, ask show whether the change is in force")
 	// ErrReach means that no instance answered at the URL.
 	ErrReach = errors.New("admin: instance out of reach")
 )
 
-// ConflictError says that another change came first.
+// ConflictError says that other changes came first. Nothing changed.
 type ConflictError struct {
-	Winner Change `json:"winner"`
+	Winners []Change
 }
 
-// Error names the winner.
+// Error names the winners, one a line.
 func (e *ConflictError) Error() string {
-	w := e.Winner
-	return "admin: conflict with version " + strconv.FormatUint(w.Version, 10) + " by " + w.By + " at " + w.At + ": " + w.Text
+	var b strings.Builder
+	b.WriteString("admin: changed by others meanwhile")
+	for _, w := range e.Winners {
+		b.WriteString("\n  " + w.Text + ": version " + strconv.FormatUint(w.Version, 10) + " by " + w.By + " at " + w.At)
+	}
+	return b.String()
+}
+
+// UnsureError says that the store stopped answering during the change, which
+// may have taken effect or do so yet. The history tells, by the change's ID.
+type UnsureError struct {
+	ID string
+}
+
+// Error names the change.
+func (e *UnsureError) Error() string {
+	return "admin: store's answer lost; look for change " + e.ID + " in the history"
 }
 
 // RefusedError lists all that is wrong with a change.
--- a/internal/wire/entry/call.go
+++ b/internal/wire/entry/call.go
@@ -68,6 +68,9 @@
 		return spec.Class{}, ledger.Call{}, err
 	}
 	class, err := s.plainClass(req)
+	if err == nil {
+		err = s.allowed(team, class)
+	}
 	if err != nil {
 		return spec.Class{}, ledger.Call{}, err
 	}
--- a/internal/wire/entry/chat.go
+++ b/internal/wire/entry/chat.go
@@ -81,6 +81,9 @@
 	if err != nil {
 		return ask{}, err
 	}
+	if err := s.allowed(team, class); err != nil {
+		return ask{}, err
+	}
 	a := ask{team: team, class: class, stream: body.Stream, usage: body.Options.Usage}
 	a.job = job(requestID(req), team, class, &body)
 	key, _ := bearer(req)
--- a/internal/wire/entry/entry_test.go
+++ b/internal/wire/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fakes/infra"
 	"fulmarwick/internal/route/world"
 	"fulmarwick/internal/state/config"
 	"fulmarwick/internal/state/ledger"
@@ -196,3 +197,34 @@
 	wantFault(t, serve(newServer(&models{}), request("/v2/x", "")), http.StatusNotFound, "no-path")
 	wantFault(t, serve(newServer(&models{}), request("/v1/models", "")), http.StatusMethodNotAllowed, "no-method")
 }
+
+// A class that its operators keep for one team is refused to another, for
+// model requests and calls alike, and nothing runs.
+func TestClassOfOtherTeams(t *testing.T) {
+	table := &infra.Table{}
+	text := "[class answer]\nkind = model\nmodel = m\nfirst = 1s\nteams = two\n" +
+		"[class payment]\nkind = plain\nservice = payments\nwhole = 1s\nteams = two\n" +
+		"[team one]\nkey-hash = " + string(config.HashKey(key)) + "\n[team two]\nkey-hash = " + string(config.HashKey(other)) + "\n"
+	a := &config.Applier{Table: table}
+	if _, err := a.Apply(t.Context(), config.Change{Who: "ani", Documents: []config.Document{{File: "a.ini", Data: []byte(text)}}}); err != nil {
+		t.Fatal(err)
+	}
+	book := &config.Book{}
+	if err := (&config.Follower{Table: table, Book: book}).Round(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	ran := 0
+	s := newServer(&models{words: []string{"a"}, seen: func(context.Context, chain.Job) { ran++ }})
+	s.Calls = &calls{do: func(context.Context, ledger.Call) { ran++ }}
+	s.Book = book
+	wantFault(t, chat(s, ask), http.StatusForbidden, "closed-class")
+	req := request("/v1/calls/payment", "{}")
+	req.Header.Set("Idempotency-Key", "k")
+	wantFault(t, serve(s, req), http.StatusForbidden, "closed-class")
+	if ran != 0 {
+		t.Errorf("got %d run, want none", ran)
+	}
+	if w := resume(s, other, "", ask); w.Code != http.StatusOK {
+		t.Errorf("got %d for the team of the class, want 200", w.Code)
+	}
+}
--- a/internal/wire/entry/fault.go
+++ b/internal/wire/entry/fault.go
@@ -88,7 +88,11 @@
 		f := newFault(http.StatusServiceUnavailable, "store-down", "The record of the call could not be written, so the call was not sent.", RanNo)
 		f.After = storeRetry
 		return f
-	case errors.Is(err, context.Canceled):
+	case errors.Is(err, ledger.ErrUnread):
+		f := newFault(http.StatusServiceUnavailable, "record-unread", "The record of the call could not be read; ask again for its outcome.", RanUnsure)
+		f.After = storeRetry
+		return f
+	case errors.Is(err, context.Canceled), errors.Is(err, ledger.ErrLeft):
 		return newFault(statusGone, "caller-gone", "The caller went away.", RanUnsure)
 	default:
 		return newFault(http.StatusInternalServerError, "internal", "The request failed inside the router.", RanUnsure)
--- a/internal/wire/entry/hop.go
+++ b/internal/wire/entry/hop.go
@@ -91,3 +91,11 @@
 	}
 	return team, nil
 }
+
+// allowed refuses a class that its operators keep for other teams.
+func (s *Server) allowed(team spec.Team, class spec.Class) error {
+	if s.Book.Now().Allows(class.Name(), team.ID()) {
+		return nil
+	}
+	return newFault(http.StatusForbidden, "closed-class", "The class is not open to the team.", RanNo)
+}
