--- a/internal/app/cmds/trial.go
+++ b/internal/app/cmds/trial.go
@@ -47,13 +47,12 @@
 	if err := applyTrial(cmd.Context(), site); err != nil {
 		return err
 	}
-	l, err := new(net.ListenConfig).Listen(cmd.Context(), "tcp", listen)
+	at, err := listenBoth(cmd.Context(), listen, operators)
 	if err != nil {
-		return errors.Wrap(err, "trial: listen")
+		return err
 	}
 	settings := setup.Default()
 	settings.Instance = setup.Instance{Name: "trial-1", DataCentre: trial.Centre, Region: "trial"}
-	settings.Listen.Operators = operators
 	settings.Platform.Table = site.URL()
 	settings.Platform.Watch = trialWatch
 	settings.Times.Grace = 0
@@ -62,11 +61,25 @@
 	if err != nil {
 		return err
 	}
-	d := &daemon.Daemon{Log: log, Listener: l, Settings: settings, Build: build()}
-	printTrial(cmd.OutOrStdout(), l.Addr().String(), operators)
+	d := &daemon.Daemon{Log: log, Listener: at[0], Operators: at[1], Settings: settings, Build: build()}
+	printTrial(cmd.OutOrStdout(), at[0].Addr().String(), at[1].Addr().String())
 	return runDaemon(cmd.Context(), d)
 }
 
+// listenBoth opens both endpoints, so that their addresses are known when port
+// 0 was asked for.
+func listenBoth(ctx context.Context, addresses ...string) ([]net.Listener, error) {
+	var out []net.Listener
+	for _, address := range addresses {
+		l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+		if err != nil {
+			return nil, errors.Wrap(err, "trial: listen")
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
 // trialDocument is what operators would apply, with the hash of the team's
 // key to fill in.
 const trialDocument = `[class answer]
