--- a/internal/app/cmds/trial.go
+++ b/internal/app/cmds/trial.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -41,13 +42,12 @@
 		return err
 	}
 	defer site.Close()
-	l, err := new(net.ListenConfig).Listen(cmd.Context(), "tcp", listen)
+	at, err := listenBoth(cmd.Context(), listen, operators)
 	if err != nil {
-		return errors.Wrap(err, "trial: listen")
+		return err
 	}
 	settings := setup.Default()
 	settings.Instance = setup.Instance{Name: "trial-1", DataCentre: trial.Centre, Region: "trial"}
-	settings.Listen.Operators = operators
 	settings.Platform.Table = site.URL()
 	settings.Platform.Watch = trialWatch
 	settings.Times.Grace = 0
@@ -56,11 +56,25 @@
 	if err != nil {
 		return err
 	}
-	d := &daemon.Daemon{Log: log, Listener: l, Settings: settings, Build: build()}
-	printTrial(cmd.OutOrStdout(), l.Addr().String(), operators)
+	d := &daemon.Daemon{Log: log, Listener: at[0], Operators: at[1], Settings: settings, Build: build()}
+	printTrial(cmd.OutOrStdout(), at[0].Addr().String(), at[1].Addr().String())
 	return runDaemon(cmd.Context(), d)
 }
 
+// listenBoth opens both endpoints, so that their addresses are known when port
+// 0 was asked for.
+func listenBoth(ctx context.Context, addresses ...string) ([]net.Listener, error) {
+	var out []net.Listener
+	for _, address := range addresses {
+		l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+		if err != nil {
+			return nil, errors.Wrap(err, "trial: listen")
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
 func printTrial(out io.Writer, address, operators string) {
 	_, _ = fmt.Fprintf(out, `Serving on http://%[1]s with stand-in engines, service and platform.
 
@@ -72,9 +86,10 @@
   curl http://%[1]s/v1/calls/payment -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: instalment-7' -d '{"amount":120}'
   curl http://%[1]s/v1/calls/payment/instalment-7 -H 'Authorization: Bearer %[2]s'
 
-Targets, engines and metrics, and a stop that cuts nothing:
+Targets, engines and metrics, the configuration, and a stop that cuts nothing:
   go run . status --url http://%[4]s
   curl http://%[4]s/metrics
+  go run . show --url http://%[4]s
   go run . drain --url http://%[4]s
 
 `, address, trial.Key, trial.Model, operators)
--- a/internal/app/daemon/daemon_test.go
+++ b/internal/app/daemon/daemon_test.go
@@ -44,26 +44,36 @@
 	if err := site.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	operators, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	t.Cleanup(site.Close)
+	base, operators := run(t, site.URL(), setup.TLS{})
+	return site, "http://" + base, "http://" + operators
+}
+
+// run runs an instance before a platform until the test ends and returns the
+// addresses of callers and operators.
+func run(t *testing.T, platform string, secure setup.TLS) (callers, operators string) {
+	t.Helper()
+	var at [2]net.Listener
+	for i := range at {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		at[i] = l
 	}
 	settings := setup.Default()
 	settings.Instance = setup.Instance{Name: "t-1", DataCentre: trial.Centre}
 	settings.Listen = setup.Listen{}
-	settings.Platform = setup.Platform{Table: site.URL(), Watch: 20 * time.Millisecond}
+	settings.Platform = setup.Platform{Table: platform, Watch: 20 * time.Millisecond}
 	settings.Times.Grace = 0
-	d := &daemon.Daemon{Log: zap.NewNop(), Listener: l, Operators: operators, Settings: settings}
+	settings.TLS = secure
+	d := &daemon.Daemon{Log: zap.NewNop(), Listener: at[0], Operators: at[1], Settings: settings}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() {
 		err := d.Run(ctx)
 		// Whoever waits for an instance that ended early learns it at once.
-		_ = l.Close()
+		_ = at[0].Close()
 		done <- err
 	}()
 	t.Cleanup(func() {
@@ -71,9 +81,8 @@
 		if err := <-done; err != nil {
 			t.Errorf("got %v from Run, want nil", err)
 		}
-		site.Close()
 	})
-	return site, "http://" + l.Addr().String(), "http://" + operators.Addr().String()
+	return at[0].Addr().String(), at[1].Addr().String()
 }
 
 func post(t *testing.T, url, idem, body string) (int, string) {
--- a/internal/app/daemon/settings.go
+++ b/internal/app/daemon/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"fulmarwick/internal/state/config"
@@ -36,7 +37,7 @@
 	out := make([]admin.Change, 0, len(entries))
 	for _, e := range entries {
 		out = append(out, admin.Change{
-			Version: e.Version, By: e.Who, At: time.Unix(e.At, 0).UTC().Format(time.RFC3339), Text: join(e.Sections),
+			Version: e.Version, ID: e.ID, By: e.Who, At: stamp(time.Unix(e.At, 0)), Text: strings.Join(e.Sections, ", "),
 		})
 	}
 	return out, nil
@@ -56,17 +57,6 @@
 	return admin.Applied{Version: version}, nil
 }
 
-func join(sections []string) string {
-	text := ""
-	for i, s := range sections {
-		if i > 0 {
-			text += ", "
-		}
-		text += s
-	}
-	return text
-}
-
 // settingsError turns an error of the configuration into what operators see.
 func settingsError(err error) error {
 	var invalid *config.InvalidError
@@ -79,15 +69,18 @@
 			out.Problems = append(out.Problems, p.String())
 		}
 		return out
-	case errors.As(err, &conflict) && len(conflict.Winners) > 0:
-		w := conflict.Winners[0]
-		return &admin.ConflictError{Winner: admin.Change{
-			Version: w.Version, By: w.Who, At: w.At.UTC().Format(time.RFC3339), Text: w.Section,
-		}}
+	case errors.As(err, &conflict):
+		out := &admin.ConflictError{}
+		for _, w := range conflict.Winners {
+			out.Winners = append(out.Winners, admin.Change{Version: w.Version, By: w.Who, At: stamp(w.At), Text: w.Section})
+		}
+		return out
 	case errors.As(err, &unsure):
-		return errors.Wrap(admin.ErrUnsure, err.Error())
+		return &admin.UnsureError{ID: unsure.Change}
 	case errors.Is(err, config.ErrStore):
 		return errors.Wrap(admin.ErrDown, err.Error())
 	}
 	return err
 }
+
+func stamp(t time.Time) string { return t.UTC().Format(time.RFC3339) }
