--- a/internal/app/cmds/trial.go
+++ b/internal/app/cmds/trial.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -8,73 +9,73 @@
 
 	"fulmarwick/internal/app/daemon"
 	"fulmarwick/internal/app/setup"
-	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fakes/trial"
-	"fulmarwick/internal/state/config"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
 )
 
 const (
-	trialKey   = "trial-key"
 	trialLayer = 200 * time.Microsecond
-	trialBody  = 1 << 20
-	trialLimit = 4096
 	trialWatch = 500 * time.Millisecond
 )
 
 func newTrial() *cobra.Command {
-	var listen string
+	var listen, operators string
 	c := &cobra.Command{
 		Use:     "trial",
 		Short:   "Serve the whole system on loopback, with stand-ins, to try it",
 		Example: "  fulmarwick trial --listen 127.0.0.1:8080",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runTrial(cmd, listen)
+			return runTrial(cmd, listen, operators)
 		},
 	}
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:8080", "address for callers")
+	c.Flags().StringVar(&operators, "operators", "127.0.0.1:7070", "address for operators")
 	return c
 }
 
-func runTrial(cmd *cobra.Command, listen string) error {
+func runTrial(cmd *cobra.Command, listen, operators string) error {
 	site := &trial.Site{Layer: trialLayer}
 	if err := site.Start(cmd.Context()); err != nil {
 		return err
 	}
 	defer site.Close()
-	l, err := new(net.ListenConfig).Listen(cmd.Context(), "tcp", listen)
+	at, err := listenBoth(cmd.Context(), listen, operators)
 	if err != nil {
-		return errors.Wrap(err, "trial: listen")
+		return err
 	}
-	log, err := newLog()
+	settings := setup.Default()
+	settings.Instance = setup.Instance{Name: "trial-1", DataCentre: trial.Centre, Region: "trial"}
+	settings.Platform.Table = site.URL()
+	settings.Platform.Watch = trialWatch
+	settings.Times.Grace = 0
+	settings.Log = setup.Log{Level: "info", Format: "console"}
+	log, err := newLog(settings.Log)
 	if err != nil {
 		return err
 	}
-	d := &daemon.Daemon{
-		Log: log, Listener: l, Config: trialConfig(),
-		Settings: setup.File{
-			Instance: setup.Instance{Name: "trial-1", DataCentre: trial.Centre},
-			Platform: setup.Platform{URL: site.URL(), Watch: trialWatch},
-			Limits:   setup.Limits{Body: trialBody, Tokens: trialLimit},
-		},
-	}
-	printTrial(cmd.OutOrStdout(), l.Addr().String())
-	return d.Run(cmd.Context())
+	d := &daemon.Daemon{Log: log, Listener: at[0], Operators: at[1], Settings: settings, Build: build()}
+	printTrial(cmd.OutOrStdout(), at[0].Addr().String(), at[1].Addr().String())
+	return runDaemon(cmd.Context(), d)
 }
 
-func trialConfig() *config.Snapshot {
-	classes := []spec.Class{
-		spec.NewModelClass("answer", trial.Model, spec.NewTarget(time.Second, 50*time.Millisecond, 0, 95)),
-		spec.NewPlainClass("payment", trial.Service, false, spec.NewTarget(0, 0, 5*time.Second, 99)),
+// listenBoth opens both endpoints, so that their addresses are known when port
+// 0 was asked for.
+func listenBoth(ctx context.Context, addresses ...string) ([]net.Listener, error) {
+	var out []net.Listener
+	for _, address := range addresses {
+		l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+		if err != nil {
+			return nil, errors.Wrap(err, "trial: listen")
+		}
+		out = append(out, l)
 	}
-	teams := []spec.Team{spec.NewTeam(config.HashKey(trialKey), "trial", 1)}
-	return config.NewSnapshot(1, classes, teams)
+	return out, nil
 }
 
-func printTrial(out io.Writer, address string) {
+func printTrial(out io.Writer, address, operators string) {
 	_, _ = fmt.Fprintf(out, `Serving on http://%[1]s with stand-in engines, service and platform.
 
 A streamed answer over a chain of engines:
@@ -85,5 +86,11 @@
   curl http://%[1]s/v1/calls/payment -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: instalment-7' -d '{"amount":120}'
   curl http://%[1]s/v1/calls/payment/instalment-7 -H 'Authorization: Bearer %[2]s'
 
-`, address, trialKey, trial.Model)
+Targets, engines and metrics, the configuration, and a stop that cuts nothing:
+  go run . status --url http://%[4]s
+  curl http://%[4]s/metrics
+  go run . show --url http://%[4]s
+  go run . drain --url http://%[4]s
+
+`, address, trial.Key, trial.Model, operators)
 }
--- a/internal/route/world/apply.go
+++ b/internal/route/world/apply.go
@@ -38,12 +38,16 @@
 		if e := w.engines.Get(ev.Engine); e != nil {
 			e.timed(ev)
 		}
+	case PeersSet:
+		w.peersSet(ev)
 	case PeerLoad:
 		w.peerLoad(ev)
 	case PeerGone:
 		w.peerGone(ev.Peer)
 	case CentreSum:
 		w.centreSum(ev)
+	case Duties:
+		w.duties = ev
 	}
 }
 
--- a/internal/route/world/peer.go
+++ b/internal/route/world/peer.go
@@ -10,6 +10,8 @@
 type peers struct {
 	loads map[spec.InstanceID]map[spec.UpstreamID]peerLoad
 	ids   []spec.InstanceID
+	// told is set once a PeersSet named the peers.
+	told bool
 }
 
 // peerLoad is what one peer has on one engine.
@@ -18,11 +20,17 @@
 	active int
 }
 
-// Peers are the other instances that told their load, in order of hearing.
+// Peers are the other instances of the data centre: those of the last
+// PeersSet, or without one those that told their load, in order of hearing.
 func (w *World) Peers() []spec.InstanceID { return w.peers.ids }
 
-// peerLoad takes what a peer has in flight. An engine that is not known yet
-// keeps the load for when it reports.
+func (w *World) peersSet(ev PeersSet) {
+	w.peers.told = true
+	w.peers.ids = append([]spec.InstanceID(nil), ev.Peers...)
+}
+
+// peerLoad takes what a peer has in flight. The load of an engine that is not
+// known yet is kept for its first report.
 func (w *World) peerLoad(ev PeerLoad) {
 	p := &w.peers
 	if p.loads == nil {
@@ -32,7 +40,9 @@
 	if loads == nil {
 		loads = map[spec.UpstreamID]peerLoad{}
 		p.loads[ev.Peer] = loads
-		p.ids = append(p.ids, ev.Peer)
+		if !p.told {
+			p.ids = append(p.ids, ev.Peer)
+		}
 	}
 	now := peerLoad{draw: int64(max(0, ev.Tokens)), active: max(0, ev.Active)}
 	if e := w.engines.Get(ev.Engine); e != nil {
@@ -54,8 +64,9 @@
 		return
 	}
 	e := w.engines.Get(ev.Engine.ID)
-	for _, peer := range w.peers.ids {
-		if l, ok := w.peers.loads[peer][e.ID]; ok {
+	// The sums are of integers, so the order of the map does not show.
+	for _, loads := range w.peers.loads {
+		if l, ok := loads[e.ID]; ok {
 			e.addPeer(l, peerLoad{})
 		}
 	}
@@ -82,8 +93,8 @@
 // engineGone forgets an engine and what peers told of it.
 func (w *World) engineGone(id spec.UpstreamID) {
 	w.engines.remove(id)
-	for _, peer := range w.peers.ids {
-		delete(w.peers.loads[peer], id)
+	for _, loads := range w.peers.loads {
+		delete(loads, id)
 	}
 }
 
