Tell the engine of a poison warning and the tokens of a lost stage

Two instances that saw the same death counted it as two or one depending on the order of messages; the warning now names the engine. A lost stage tells how many tokens there are, and the first token after a start is told at once, so that a suspect is cleared as soon as it lived.

--- a/internal/app/daemon/bridge.go
+++ b/internal/app/daemon/bridge.go
@@ -52,7 +52,7 @@
 		return d.made(news.KindSum, string(c.Model), news.ScopeFleet, sumLife, body)
 	case world.Warn:
 		key := strconv.FormatUint(c.Print, 16)
-		return d.made(news.KindPrint, key, news.ScopeFleet, printLife, news.Print{Print: c.Print, Crashes: c.Crashes})
+		return d.made(news.KindPrint, key, news.ScopeFleet, printLife, news.Print{Print: c.Print, Crashes: c.Crashes, Engine: string(c.Engine)})
 	}
 	return news.Item{}, false
 }
@@ -77,7 +77,7 @@
 	case news.KindPrint:
 		var b news.Print
 		if news.Decode(item, &b) == nil {
-			f.parts.loop.Post(world.Suspected{Print: b.Print, Crashes: b.Crashes})
+			f.parts.loop.Post(world.Suspected{Print: b.Print, Crashes: b.Crashes, Engine: spec.UpstreamID(b.Engine)})
 		}
 	case news.KindSum:
 		var b news.Sum
--- a/internal/base/news/news.go
+++ b/internal/base/news/news.go
@@ -70,6 +70,8 @@
 	Print struct {
 		Print   uint64 `cbor:"1,keyasint"`
 		Crashes int    `cbor:"2,keyasint"`
+		// Engine is the last that died; "" if not known.
+		Engine string `cbor:"3,keyasint,omitempty"`
 	}
 	// Rate tells the origin's use by a heavy team, in tokens a second.
 	Rate struct {
--- a/internal/wire/chain/adopt.go
+++ b/internal/wire/chain/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"fulmarwick/internal/base/frame"
 	"fulmarwick/internal/base/spec"
@@ -21,6 +22,8 @@
 	old := j.stages
 	j.attempt, j.rebuilds, j.depth, j.prio = c.Attempt, 0, c.Depth, c.Prio
 	j.patience, j.prefill = c.Patience, c.Prefill
+	// The next token is told at once: it clears a suspect of poison.
+	j.told = time.Time{}
 	j.stages = make([]*stage, 0, len(c.Chain))
 	for _, s := range c.Chain {
 		j.stages = append(j.stages, j.keep(&old, s))
--- a/internal/wire/chain/run.go
+++ b/internal/wire/chain/run.go
@@ -140,7 +140,7 @@
 		}
 		j.Router.Post(world.StageLost{
 			Request: j.job.Arrived.Request, Attempt: j.attempt,
-			Engine: lost.engine, Cause: lost.cause,
+			Engine: lost.engine, Cause: lost.cause, Tokens: j.count(),
 		})
 		if err := j.await(ctx); err != nil {
 			return err
