--- /dev/null
+++ b/internal/fakes/bench/instance.go
@@ -0,0 +1,77 @@
+package bench
+
+import (
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/core"
+	"fulmarwick/internal/route/world"
+)
+
+// instance is one router.
+type instance struct {
+	site    *Site
+	id      spec.InstanceID
+	logic   *core.Logic
+	inbox   []world.Event
+	waking  bool
+	waits   map[spec.RequestID]*run
+	Refused int
+}
+
+// post queues an event and wakes the logic.
+func (i *instance) post(ev world.Event) {
+	i.inbox = append(i.inbox, ev)
+	if i.waking {
+		return
+	}
+	i.waking = true
+	i.site.clock.after(wakeAfter, func() {
+		i.waking = false
+		i.tick()
+	})
+}
+
+func (i *instance) tick() {
+	events := i.inbox
+	i.inbox = nil
+	for _, c := range i.logic.Tick(i.site.clock.now, events) {
+		i.obey(c)
+	}
+}
+
+func (i *instance) obey(c world.Command) {
+	switch c := c.(type) {
+	case world.Start:
+		i.waits[c.Request].take(c)
+	case world.Refuse:
+		r := i.waits[c.Request]
+		r.reason = c.Reason
+		if r.twin != nil && r.twin.outcome == OutcomeOpen {
+			r.end(OutcomeHedged)
+			return
+		}
+		if c.Ran {
+			r.end(OutcomeLost)
+		} else {
+			r.end(OutcomeRefused)
+		}
+	case world.Forward:
+		i.waits[c.Request].end(OutcomeForwarded)
+	case world.OwnLoad:
+		i.tell(world.PeerLoad{Peer: i.id, Engine: c.Engine, Active: c.Active, Tokens: c.Tokens})
+	case world.OwnRate:
+		i.site.rate(c, i.id)
+	case world.Warn:
+		i.tell(world.Suspected(c))
+	}
+}
+
+// tell hands a message to the other instances, late.
+func (i *instance) tell(ev world.Event) {
+	i.site.clock.after(peerLag, func() {
+		for _, o := range i.site.instances {
+			if o != i {
+				o.post(ev)
+			}
+		}
+	})
+}
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -1,7 +1,7 @@
 // Package admit says whether a request can meet the target of its class, and
 // if not, when its caller should try again.
 //
-// It imports base/spec, route/world and a histogram library. Package core asks
+// It imports base and route/world. Package core asks
 // it at arrival and again before each start from the queue.
 package admit
 
--- a/internal/route/admit/margin.go
+++ b/internal/route/admit/margin.go
@@ -3,19 +3,14 @@
 import (
 	"time"
 
+	"fulmarwick/internal/base/hist"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/world"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 const (
-	// unit is a ratio of 1 in a histogram.
-	unit      = 100
-	topRatio  = 20 * unit
-	digits    = 2
-	samples   = 512
-	enough    = 32
+	// startWith is the margin while too little was seen; leastBy and mostBy
+	// bound what is learnt.
 	startWith = 1.1
 	leastBy   = 0.9
 	mostBy    = 3.0
@@ -37,14 +32,10 @@
 }
 
 type record struct {
-	first, token ratios
+	first, token hist.Ratios
 	length       float64
 }
 
-type ratios struct {
-	now, last *hdrhistogram.Histogram
-}
-
 // Saw notes a request that ran to its end on its first chain.
 func (s *Margins) Saw(r *world.Request, ev world.Finished) {
 	plan := r.Plan()
@@ -53,10 +44,10 @@
 	}
 	c := s.get(r.Arrived().Class)
 	first := ev.First - (r.Started() - r.At())
-	c.first.add(float64(first) / float64(plan.First))
+	c.first.Add(float64(first) / float64(plan.First))
 	if ev.Tokens > 1 {
 		token := (ev.Whole - ev.First) / time.Duration(ev.Tokens-1)
-		c.token.add(float64(token) / float64(plan.Token))
+		c.token.Add(float64(token) / float64(plan.Token))
 	}
 	part := float64(ev.Tokens) / float64(max(1, r.Arrived().Limit))
 	c.length = (lengthWeight*c.length + part) / (lengthWeight + 1)
@@ -69,7 +60,7 @@
 		return Margin{First: startWith, Token: startWith}
 	}
 	percent := class.Target().Percent()
-	return Margin{First: c.first.at(percent), Token: c.token.at(percent)}
+	return Margin{First: slack(&c.first, percent), Token: slack(&c.token, percent)}
 }
 
 // Length is how many tokens the request is expected to make.
@@ -105,23 +96,9 @@
 	return c
 }
 
-func (r *ratios) add(ratio float64) {
-	if r.now == nil {
-		r.now = hdrhistogram.New(1, topRatio, digits)
-	}
-	if r.now.TotalCount() >= samples {
-		r.now, r.last = hdrhistogram.New(1, topRatio, digits), r.now
-	}
-	_ = r.now.RecordValue(min(max(1, int64(ratio*unit)), topRatio))
-}
-
-func (r *ratios) at(percent float64) float64 {
-	h := r.now
-	if h == nil || (h.TotalCount() < enough && r.last != nil) {
-		h = r.last
-	}
-	if h == nil || h.TotalCount() < enough {
-		return startWith
+func slack(r *hist.Ratios, percent float64) float64 {
+	if ratio, ok := r.At(percent); ok {
+		return min(max(leastBy, ratio), mostBy)
 	}
-	return min(max(leastBy, float64(h.ValueAtQuantile(percent))/unit), mostBy)
+	return startWith
 }
--- a/internal/route/retry/patience.go
+++ b/internal/route/retry/patience.go
@@ -3,10 +3,9 @@
 import (
 	"time"
 
+	"fulmarwick/internal/base/hist"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/world"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 const (
@@ -19,13 +18,6 @@
 	times    = 3
 	unseen   = 8
 	quantile = 99
-	// samples is after how many answers a histogram starts anew; the one
-	// before it is read until the new one has enough.
-	samples = 512
-	enough  = 32
-	unit    = 100
-	top     = 50 * unit
-	digits  = 2
 )
 
 // Patience learns per class how much longer than predicted steps take, and
@@ -36,11 +28,7 @@
 }
 
 type seen struct {
-	step, prefill ratios
-}
-
-type ratios struct {
-	now, last *hdrhistogram.Histogram
+	step, prefill hist.Ratios
 }
 
 // Saw notes an answer that ran on one chain to its end.
@@ -58,8 +46,8 @@
 		s = &seen{}
 		p.classes[class] = s
 	}
-	s.step.add(float64(ev.Gap) / float64(plan.Token))
-	s.prefill.add(float64(ev.First-(r.Started()-r.At())) / float64(plan.First))
+	s.step.Add(float64(ev.Gap) / float64(plan.Token))
+	s.prefill.Add(float64(ev.First-(r.Started()-r.At())) / float64(plan.First))
 }
 
 // Keep drops what was learnt for classes that are no longer in force.
@@ -79,7 +67,7 @@
 func (p *Patience) Times(r *world.Request, plan world.Plan) Times {
 	step, prefill := float64(unseen), float64(unseen)
 	if s := p.classes[r.Arrived().Class]; s != nil {
-		step, prefill = s.step.limit(), s.prefill.limit()
+		step, prefill = limit(&s.step), limit(&s.prefill)
 	}
 	out := Times{
 		Step:    max(stepLeast, time.Duration(step*float64(plan.Step))),
@@ -95,23 +83,9 @@
 	return out
 }
 
-func (r *ratios) add(ratio float64) {
-	if r.now == nil {
-		r.now = hdrhistogram.New(1, top, digits)
-	}
-	if r.now.TotalCount() >= samples {
-		r.now, r.last = hdrhistogram.New(1, top, digits), r.now
-	}
-	_ = r.now.RecordValue(min(max(1, int64(ratio*unit)), top))
-}
-
-func (r *ratios) limit() float64 {
-	h := r.now
-	if h.TotalCount() < enough && r.last != nil {
-		h = r.last
-	}
-	if h.TotalCount() < enough {
-		return unseen
+func limit(r *hist.Ratios) float64 {
+	if ratio, ok := r.At(quantile); ok {
+		return times * max(1, ratio)
 	}
-	return times * max(1, float64(h.ValueAtQuantile(quantile))/unit)
+	return unseen
 }
--- a/internal/route/retry/retry.go
+++ b/internal/route/retry/retry.go
@@ -1,7 +1,7 @@
 // Package retry says whether a request that lost a stage may go on, and how
 // long the wire waits for a step before it counts the stage as lost.
 //
-// It imports base/spec, route/world and a histogram library. Package core
+// It imports base and route/world. Package core
 // calls it at each start and loss. Calls that may not be repeated are never
 // here: they go to plain services through the ledger.
 package retry
