Bound the byte debt of a busy start and spread what adds up over instances

Without a bound on the debt a fleet of 180 held items back for minutes after its start: 26 of 60 levels a second arrived.

--- a/internal/base/news/news.go
+++ b/internal/base/news/news.go
@@ -96,15 +96,16 @@
 		URL    string `cbor:"2,keyasint"`
 		Data   []byte `cbor:"3,keyasint"`
 	}
-	// Level is what changes all the time in an engine's report.
+	// Level is what changes all the time in the report of the engine that the
+	// item's key names. It is the most frequent item, so it is kept short.
 	Level struct {
-		Engine string `cbor:"1,keyasint"`
+		_ struct{} `cbor:",toarray"`
 		// Born is the engine's incarnation: another one means that it lost all.
-		Born   uint64 `cbor:"2,keyasint,omitempty"`
-		Seq    uint64 `cbor:"3,keyasint"`
-		Queued int    `cbor:"4,keyasint,omitempty"`
-		Active int    `cbor:"5,keyasint,omitempty"`
-		Cached int    `cbor:"6,keyasint,omitempty"`
+		Born   uint64
+		Seq    uint64
+		Queued int
+		Active int
+		Cached int
 	}
 	// Doubt tells how many of the origin's polls in a row an engine missed;
 	// zero takes an earlier doubt back.
--- a/internal/fleet/member/sums.go
+++ b/internal/fleet/member/sums.go
@@ -38,28 +38,27 @@
 }
 
 // Differ returns the records of the buckets whose checksum is not the one in
-// sums, as many as fit into limit bytes. Whole is false if some did not fit.
-func (t *Table) Differ(sums []byte, limit int) (out []talk.Record, whole bool) {
+// sums, as many whole buckets as fit into limit bytes but at least one. Whole
+// is false if some did not fit. Start says at which bucket to begin: records
+// that are sent again and again must not keep out the rest.
+func (t *Table) Differ(sums []byte, limit, start int) (out []talk.Record, whole bool) {
 	if len(sums) != Buckets*sumBytes {
 		return nil, true
 	}
-	var want [Buckets]bool
-	any := false
-	for i := range want {
-		want[i] = binary.BigEndian.Uint32(sums[i*sumBytes:]) != t.sums[i]
-		any = any || want[i]
-	}
-	if !any {
-		return nil, true
-	}
-	for _, r := range t.rows {
-		if !want[bucket(r.rec.ID)] {
+	for i := range Buckets {
+		b := (i + start) % Buckets
+		if binary.BigEndian.Uint32(sums[b*sumBytes:]) == t.sums[b] {
 			continue
 		}
-		if limit -= r.rec.Bytes(); limit < 0 {
+		if limit <= 0 {
 			return out, false
 		}
-		out = append(out, r.rec)
+		for _, r := range t.rows {
+			if bucket(r.rec.ID) == b {
+				limit -= r.rec.Bytes()
+				out = append(out, r.rec)
+			}
+		}
 	}
 	return out, true
 }
--- a/internal/fleet/node/hear.go
+++ b/internal/fleet/node/hear.go
@@ -65,7 +65,7 @@
 	out := l.answer(from)
 	out.Ack = m.Call
 	out.Ready = l.join.ready
-	records, all := l.members.Differ(m.Sums, mostRecords)
+	records, all := l.members.Differ(m.Sums, mostRecords, l.turn())
 	if len(records) > 0 {
 		out.Records = append(out.Records, records...)
 		out.Sums = l.members.Sums()
@@ -96,7 +96,7 @@
 	}
 	// The answer to a call carries sums only if the tables differ.
 	if m.Ack != 0 && len(m.Sums) > 0 {
-		if records, _ := l.members.Differ(m.Sums, mostRecords); len(records) > 0 {
+		if records, _ := l.members.Differ(m.Sums, mostRecords, l.turn()); len(records) > 0 {
 			out := l.to(from)
 			out.Records = append(out.Records, records...)
 		}
--- a/internal/fleet/node/logic.go
+++ b/internal/fleet/node/logic.go
@@ -187,10 +187,8 @@
 		l.use(item)
 		return
 	case news.KindSum:
-		// One voice per data centre is enough for the others.
-		if !l.gateway() {
-			return
-		}
+		l.share.room(item)
+		return
 	case news.KindHead:
 		if l.headKnown(item) {
 			return
--- a/internal/fleet/node/measure_test.go
+++ b/internal/fleet/node/measure_test.go
@@ -35,7 +35,7 @@
 		for _, e := range x.watch.First {
 			seq := uint64(f.now / time.Second)
 			f.tell(x, news.KindLevel, string(e), news.ScopeCentre, 5, news.Level{
-				Engine: string(e), Born: 1700000000, Seq: seq, Queued: rand.IntN(20), Active: rand.IntN(16), Cached: rand.IntN(100000),
+				Born: 1700000000, Seq: seq, Queued: rand.IntN(20), Active: rand.IntN(16), Cached: rand.IntN(100000),
 			})
 			f.tell(x, news.KindReport, string(e), news.ScopeCentre, 60, news.Report{
 				Engine: string(e), URL: "http://10.0.0.1:9000", Data: make([]byte, 450),
--- a/internal/fleet/node/outbox.go
+++ b/internal/fleet/node/outbox.go
@@ -39,7 +39,11 @@
 // delta is how many bytes of items an answer may carry now.
 func (b *budget) delta() int { return min(mostDelta, max(leastDelta, int(b.left))) }
 
-func (b *budget) spent() bool { return b.left < -burst }
+// spend pays for a message. The debt has a bound: without one, the meeting of
+// a whole fleet at its start held items back for minutes.
+func (b *budget) spend(bytes int) { b.left = max(b.left-float64(bytes), -burst) }
+
+func (b *budget) spent() bool { return b.left <= -burst }
 
 // outbox gathers what goes to each instance in a tick into one message.
 type outbox struct {
@@ -101,7 +105,7 @@
 		if err != nil || len(data) > talk.MaxBytes {
 			continue
 		}
-		l.budget.left -= float64(len(data) + overhead)
+		l.budget.spend(len(data) + overhead)
 		l.stats.Sent++
 		l.stats.SentBytes += uint64(len(data))
 		l.emit(Send{To: w.to, URL: w.url, Data: data})
--- a/internal/fleet/node/remote.go
+++ b/internal/fleet/node/remote.go
@@ -16,8 +16,8 @@
 	// two, so that losing one cuts nothing off.
 	gateways = 2
 	// remoteEvery is the time between two exchanges of a gateway with one
-	// other data centre.
-	remoteEvery = time.Second
+	// other data centre. Urgent items are pushed and do not wait for it.
+	remoteEvery = 2 * time.Second
 	// avoidFor is how long a partner that did not answer is passed over.
 	avoidFor = 10 * time.Second
 	// cutAfter is the silence after which a data centre counts as cut off.
@@ -51,8 +51,9 @@
 	unreachable bool
 }
 
-// gateway reports whether this instance speaks for its data centre.
-func (l *Logic) gateway() bool { return l.remotes.isGate }
+// speaker reports whether this instance is the first gateway, which alone
+// says the sums of its data centre.
+func (l *Logic) speaker() bool { return l.remotes.isGate && l.remotes.rank == 0 }
 
 // tickRemotes makes a gateway's exchanges with other data centres.
 func (l *Logic) tickRemotes() {
--- a/internal/fleet/node/share.go
+++ b/internal/fleet/node/share.go
@@ -18,13 +18,15 @@
 
 // Times of the sums.
 const (
-	shareEvery = time.Second
-	ratesEvery = 2 * time.Second
+	shareEvery = 1500 * time.Millisecond
+	ratesEvery = 3 * time.Second
 	loadsLife  = 4 * time.Second
-	ratesLife  = 8 * time.Second
+	ratesLife  = 12 * time.Second
 	// perGroup is how many instances there are for each that adds up loads;
 	// it bounds what one of them receives.
-	perGroup = 6
+	perGroup = 4
+	// maxRooms bounds the models whose sums are told.
+	maxRooms = 256
 	// sketchHalf is the time in which old use fades to half.
 	sketchHalf = 10 * time.Second
 )
@@ -40,6 +42,8 @@
 	// told is what was last told of an engine here, out what others use.
 	told map[spec.UpstreamID]talk.Load
 	out  map[spec.UpstreamID]EngineLoad
+	// rooms are the latest sums per model that the routing logic told.
+	rooms []news.Item
 	// groups are the engines whose sums were heard, by group.
 	groups map[string][]spec.UpstreamID
 }
@@ -118,10 +122,11 @@
 	}
 	var out letters
 	groups := max(1, (len(able)+perGroup-1)/perGroup)
+	adders := l.adders(able)
 	var mine []string
 	for i := range groups {
 		name := fmt.Sprintf("%d/%d", i, groups)
-		to := rank.Top("load/"+name, able, 1)[0]
+		to := adders[(i+1)%len(adders)]
 		if to == l.Self.ID {
 			mine = append(mine, name)
 		}
@@ -130,21 +135,30 @@
 	rates := l.now >= l.share.rates
 	if rates {
 		l.share.rates = l.now + ratesEvery
-		share := out.share(l.adder(able))
+		share := out.share(adders[0])
 		share.HasRates, share.Rates = true, l.share.own.Rates()
 	}
 	l.sendShares(out)
 	for _, name := range mine {
 		l.sayLoads(name, in(name, groups))
 	}
-	if rates && l.adder(able) == l.Self.ID {
+	if rates {
+		l.sayRooms()
+	}
+	if rates && adders[0] == l.Self.ID {
 		l.sayRates()
 	}
 }
 
-// adder is who adds up the rates of the data centre: its first gateway.
-func (l *Logic) adder(able []spec.InstanceID) spec.InstanceID {
-	return rank.Top(gateKey(l.Self.DataCentre), able, 1)[0]
+// adders orders the instances that add up: the first adds up the rates, the
+// next ones the groups of engines in turn. No instance has two of these parts
+// unless there are few, and the gateways, which have the most to carry
+// already, come last.
+func (l *Logic) adders(able []spec.InstanceID) []spec.InstanceID {
+	order := rank.Top("sums/"+string(l.Self.DataCentre), able, len(able))
+	isGate := func(id spec.InstanceID) bool { return slices.Contains(l.remotes.gates, id) }
+	gates := slices.DeleteFunc(slices.Clone(order), func(id spec.InstanceID) bool { return !isGate(id) })
+	return append(slices.DeleteFunc(order, isGate), gates...)
 }
 
 func in(name string, groups int) func(spec.UpstreamID) bool {
@@ -205,6 +219,28 @@
 	}
 }
 
+// room keeps the latest sum of a model until sums are said again. They change
+// all the time, and 360 instances hear each one.
+func (s *shares) room(item news.Item) {
+	at := slices.IndexFunc(s.rooms, func(r news.Item) bool { return r.Key == item.Key })
+	switch {
+	case at >= 0:
+		s.rooms[at] = item
+	case len(s.rooms) < maxRooms:
+		s.rooms = append(s.rooms, item)
+	}
+}
+
+// sayRooms says the sums. One voice per data centre is enough for the others.
+func (l *Logic) sayRooms() {
+	if l.speaker() {
+		for _, item := range l.share.rooms {
+			_, _ = l.items.Say(l.now, item)
+		}
+	}
+	l.share.rooms = nil
+}
+
 func (l *Logic) sayRates() {
 	body := news.Rates{Sums: l.share.sums.Rates()}
 	item, err := news.Make(news.KindRates, string(l.Self.DataCentre), news.ScopeFleet, ratesLife.Milliseconds(), body)
--- a/internal/fleet/quota/sums.go
+++ b/internal/fleet/quota/sums.go
@@ -12,7 +12,7 @@
 
 // shareLife is how long a share counts that was not sent again; its sender
 // may have chosen another instance to add up.
-const shareLife = 5 * time.Second
+const shareLife = 8 * time.Second
 
 // Sums adds up the shares that instances of a data centre send.
 type Sums struct {
--- a/internal/wire/watch/news.go
+++ b/internal/wire/watch/news.go
@@ -32,7 +32,7 @@
 
 func (b *board) sayLevel(e *entry) {
 	b.make(news.KindLevel, string(e.id), levelLife, news.Level{
-		Engine: string(e.id), Born: e.row.Incarnation, Seq: e.row.Seq,
+		Born: e.row.Incarnation, Seq: e.row.Seq,
 		Queued: e.row.Queued, Active: e.row.Active, Cached: e.row.Cached,
 	})
 }
@@ -87,7 +87,7 @@
 	if news.Decode(item, &body) != nil {
 		return
 	}
-	e := b.get(spec.UpstreamID(body.Engine))
+	e := b.get(spec.UpstreamID(item.Key))
 	if e == nil || !e.known || body.Born != e.row.Incarnation {
 		return
 	}
