--- /dev/null
+++ b/internal/fleet/quota/quota_test.go
@@ -0,0 +1,116 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/news"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/quota"
+	"fulmarwick/internal/fleet/talk"
+
+	"pgregory.net/rapid"
+)
+
+// The sketch is compared with a naive count of all teams: it never counts too
+// little, its error bound holds, and a team over 1/Size of all is in it.
+func TestSketchAgainstNaiveCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := quota.Sketch{Size: 8}
+		naive := map[spec.TeamID]float64{}
+		total := 0.0
+		for _, u := range rapid.SliceOfN(rapid.IntRange(0, 400), 1, 300).Draw(t, "uses") {
+			team, tokens := spec.TeamID(fmt.Sprint(u%40)), float64(1+u/40)
+			s.Add(team, tokens)
+			naive[team] += tokens
+			total += tokens
+		}
+		in := map[spec.TeamID]bool{}
+		for _, c := range s.Top(8) {
+			in[c.Team()] = true
+			if got, want := c.Tokens(), naive[c.Team()]; got < want || got-c.Error() > want {
+				t.Errorf("got %v with error %v, want %v within", got, c.Error(), want)
+			}
+		}
+		for team, tokens := range naive {
+			if tokens > total/8 && !in[team] {
+				t.Errorf("got no %s in the sketch, want it: %v of %v", team, tokens, total)
+			}
+		}
+	})
+}
+
+func TestSketchFindsHeavyAmongThousands(t *testing.T) {
+	s := quota.Sketch{Size: 128}
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 200_000 {
+		s.Add(spec.TeamID(fmt.Sprint("small-", random.IntN(37_000))), 1)
+		if random.IntN(20) == 0 {
+			s.Add(spec.TeamID(fmt.Sprint("large-", random.IntN(4))), 5)
+		}
+	}
+	for i, c := range s.Top(4) {
+		if c.Team()[:5] != "large" {
+			t.Errorf("got %s at place %d, want a large team", c.Team(), i)
+		}
+	}
+}
+
+func TestSharesReplaceAndEnd(t *testing.T) {
+	var s quota.Sums
+	s.Take(0, "a", talk.Share{HasRates: true, Rates: []talk.Rate{{Team: 1, Rate: 10}}, HasLoads: true, Loads: []talk.Load{{Engine: "e", Active: 2}}})
+	s.Take(0, "b", talk.Share{HasRates: true, Rates: []talk.Rate{{Team: 1, Rate: 5}}})
+	s.Take(0, "a", talk.Share{HasLoads: true})
+	all := func(spec.UpstreamID) bool { return true }
+	if got := s.Loads(all); len(got) != 0 {
+		t.Errorf("got loads %v, want none after an empty share", got)
+	}
+	if got := s.Rates(); len(got) != 1 || got[0].Rate != 15 {
+		t.Errorf("got rates %v, want 15", got)
+	}
+	s.Drop("a")
+	if got := s.Rates(); len(got) != 1 || got[0].Rate != 5 {
+		t.Errorf("got rates %v after a death, want 5", got)
+	}
+	s.Tick(time.Minute)
+	if got := s.Rates(); len(got) != 0 {
+		t.Errorf("got rates %v after silence, want none", got)
+	}
+}
+
+func TestSmallTeamsAreNotTold(t *testing.T) {
+	var s quota.Sums
+	var share talk.Share
+	share.HasRates = true
+	for i := range 30 {
+		share.Rates = append(share.Rates, talk.Rate{Team: uint64(i), Rate: 1})
+	}
+	share.Rates[7].Rate = 1000
+	s.Take(0, "a", share)
+	if got := s.Rates(); len(got) != 1 || got[0] != (news.RateSum{Team: 7, Rate: 1000}) {
+		t.Errorf("got %v, want the one heavy team", got)
+	}
+}
+
+func TestUseOfOthersAddsToOwn(t *testing.T) {
+	var v quota.View
+	var own quota.Own
+	own.Rate(0, "big", 100)
+	own.Rates()
+	sum := news.RateSum{Team: talk.TeamHash("big"), Rate: 400}
+	v.TakeRates(0, "klang", time.Second, []news.RateSum{sum})
+	v.TakeRates(0, "penang", time.Second, []news.RateSum{sum})
+	own.Rate(0, "big", 150)
+	if got := v.Teams(&own); len(got) != 1 || got[0].Rate != 850 {
+		t.Errorf("got %v, want 700 of others and 150 own", got)
+	}
+	if got := v.Teams(&own); len(got) != 0 {
+		t.Errorf("got %v again, want nothing unchanged", got)
+	}
+	v.Tick(2 * time.Second)
+	if got := v.Teams(&own); len(got) != 1 || got[0].Rate != 150 {
+		t.Errorf("got %v after silence, want the own 150", got)
+	}
+}
--- a/internal/fleet/quota/sums.go
+++ b/internal/fleet/quota/sums.go
@@ -14,6 +14,9 @@
 // may have chosen another instance to add up.
 const shareLife = 8 * time.Second
 
+// least is the share of a data centre's use from which on a team is heavy.
+const least = 0.01
+
 // Sums adds up the shares that instances of a data centre send.
 type Sums struct {
 	rows []shareRow
@@ -103,5 +106,19 @@
 	slices.SortFunc(out, func(a, b news.RateSum) int {
 		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Team, b.Team))
 	})
-	return out[:min(Heavy, len(out))]
+	return heavy(out)
+}
+
+// heavy cuts rates in falling order to the heaviest teams. Those under a
+// hundredth of all cannot crowd out others, so nobody hears of them.
+func heavy(rates []news.RateSum) []news.RateSum {
+	total := float32(0)
+	for _, r := range rates {
+		total += r.Rate
+	}
+	n := 0
+	for n < min(Heavy, len(rates)) && rates[n].Rate >= least*total {
+		n++
+	}
+	return rates[:n]
 }
--- a/internal/wire/watch/board.go
+++ b/internal/wire/watch/board.go
@@ -25,8 +25,8 @@
 	// speaks in its place.
 	silence = 2500 * time.Millisecond
 	// reportEvery is the time after which an unchanged report is said again.
-	reportEvery = 20 * time.Second
-	reportLife  = 60 * time.Second
+	reportEvery = 2 * time.Minute
+	reportLife  = 5 * time.Minute
 	levelLife   = 5 * time.Second
 	// levelEvery keeps the load of 60 engines under 3 KB a second for each
 	// instance of a data centre; between two levels the routing logic counts
@@ -238,6 +238,11 @@
 func (b *board) assign(engines, first []spec.UpstreamID) {
 	for _, e := range b.rows {
 		was := e.watched
+		if !e.first {
+			// Whoever speaks first for an engine begins with a whole report: that
+			// of a former watcher ended with it.
+			e.spoken = -reportEvery
+		}
 		e.watched = slices.Contains(engines, e.id)
 		e.first = slices.Contains(first, e.id)
 		if e.watched != was {
