Forward resumed requests too and let a lone instance of a data centre join soon

Cause: a caller cut off while its answer came from another data centre was refused for good where no engine has the model, since only requests without any token were forwarded; after the death of the other instance 16 callers got no further answer. And the first instance of a data centre waited 13.0 s for a second peer that nothing made it meet. The in-memory fleet does not reproduce the wait; its new test only holds the property.

--- a/internal/app/daemon/fleet_test.go
+++ b/internal/app/daemon/fleet_test.go
@@ -54,7 +54,7 @@
 	}
 	t.Cleanup(e.site.Close)
 	for range n {
-		e.start()
+		e.start(trial.Centre)
 	}
 	for name := range e.live {
 		e.ready(name)
@@ -63,11 +63,11 @@
 	return e
 }
 
-// start launches one more instance and lists it.
-func (e *entries) start() string {
+// start launches one more instance in a data centre and lists it.
+func (e *entries) start(centre string) string {
 	e.t.Helper()
 	e.started++
-	name := fmt.Sprintf("klang-%d", e.started)
+	name := fmt.Sprintf("%s-%d", centre, e.started)
 	path := filepath.Join(e.t.TempDir(), name+".ini")
 	text := fmt.Sprintf(`[instance]
 name = %s
@@ -82,20 +82,20 @@
 watch = 100ms
 [times]
 grace = 100ms
-`, name, trial.Centre, e.site.URL())
+`, name, centre, e.site.URL())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		e.t.Fatal(err)
 	}
 	p := launch(e.t, name, "serve", "--settings", path)
 	e.live[name] = p
 	e.bases[name] = "http://" + p.address(e.t, "daemon: serving callers")
-	e.list(name, frame.StateLive)
+	e.list(name, centre, frame.StateLive)
 	return name
 }
 
-func (e *entries) list(name, state string) {
+func (e *entries) list(name, centre, state string) {
 	e.site.List(store.ListedBody{
-		ID: name, Role: store.RoleEntry, State: state, DataCentre: trial.Centre,
+		ID: name, Role: store.RoleEntry, State: state, DataCentre: centre,
 		URL: "http://" + e.live[name].address(e.t, "daemon: serving peers"),
 	})
 }
@@ -265,12 +265,12 @@
 
 	e.remove("klang-1").kill()
 	w.more(between)
-	name := e.start()
+	name := e.start(trial.Centre)
 	e.ready(name)
 	e.balance()
 	w.more(between)
 
-	e.list("klang-2", frame.StateLeaving)
+	e.list("klang-2", trial.Centre, frame.StateLeaving)
 	if code := e.remove("klang-2").stop(); code != 0 {
 		t.Errorf("got exit code %d of a stopped instance, want 0", code)
 	}
@@ -312,3 +312,20 @@
 		t.Errorf("got %d lost answers, want 0", n)
 	}
 }
+
+// A data centre without engines of the model gets its callers' answers from
+// another one over one hop. The instance that runs them is killed midway; the
+// answer goes on whole, since the first instance checks each token's index and
+// has the rest made anew elsewhere.
+func TestForwardedAnswersAreWholeThoughTheirInstanceDies(t *testing.T) {
+	e := newEntries(t, 2)
+	far := e.start("penang")
+	e.ready(far)
+	e.balancer.Set([]string{e.bases[far]})
+	w := e.work()
+	w.more(between)
+	e.live["klang-1"].kill()
+	delete(e.live, "klang-1")
+	w.more(between)
+	w.end(t)
+}
--- a/internal/app/daemon/forward.go
+++ b/internal/app/daemon/forward.go
@@ -16,67 +16,74 @@
 	"go.uber.org/zap"
 )
 
+// maxForwards is how many instances are tried for one request. The last try
+// stays here.
+const maxForwards = 3
+
 // models runs model requests here, or at another data centre if the routing
 // logic says so.
 type models struct {
 	*Daemon
 }
 
-// Run brings the whole answer to sink.
+// Run brings the whole answer to sink. A request whose other instance is lost
+// is decided on anew, from the next token: staying here would lose the answer
+// where the own data centre has no engines of the model.
 func (m *models) Run(ctx context.Context, job chain.Job, sink chain.Sink) (chain.Result, error) {
-	result, err := m.parts.runner.Run(ctx, job, sink)
-	var forward *chain.ForwardError
-	if !errors.As(err, &forward) || m.parts.fleet == nil {
-		return result, err
+	if m.parts.fleet == nil {
+		return m.parts.runner.Run(ctx, job, sink)
 	}
-	f := &forwarded{sum: xxhash.New(), sink: sink}
-	end, err := m.parts.fleet.hub.Forward(ctx, forward.To, peerJob(job), f.take)
-	if err == nil {
-		return chain.Result{Tokens: end.Count, Stop: end.Stop}, nil
+	given := &given{sum: xxhash.New(), sink: sink}
+	for range maxForwards {
+		result, err := m.parts.runner.Run(ctx, job, given.next())
+		var forward *chain.ForwardError
+		if !errors.As(err, &forward) {
+			return result, err
+		}
+		result, err = m.forward(ctx, forward.To, job, given.next())
+		if !errors.Is(err, peer.ErrRefused) && !errors.Is(err, peer.ErrBroken) {
+			return result, err
+		}
+		m.Log.Info("forward: request comes back", zap.String("request", string(job.Arrived.Request)), zap.Error(err))
+		job.Arrived.Done = max(job.Arrived.Done, given.count)
 	}
-	return m.back(ctx, job, f, err)
+	job.Arrived.Hops = 1
+	return m.parts.runner.Run(ctx, job, given.next())
 }
 
-// back runs a request here after the other instance did not bring it to its
-// end. It counts as forwarded, so that it is not sent away again.
-func (m *models) back(ctx context.Context, job chain.Job, f *forwarded, err error) (chain.Result, error) {
+// forward has another instance run the request.
+func (m *models) forward(ctx context.Context, to spec.InstanceID, job chain.Job, sink chain.Sink) (chain.Result, error) {
+	end, err := m.parts.fleet.hub.Forward(ctx, to, peerJob(job), func(t peer.Token) error {
+		return sink(chain.Token{Index: t.Index, Text: t.Text})
+	})
 	var fault *peer.FaultError
-	switch {
-	case errors.As(err, &fault):
+	if errors.As(err, &fault) {
 		return chain.Result{Tokens: fault.Count}, refusalOf(fault.Fault)
-	case errors.Is(err, peer.ErrRefused), errors.Is(err, peer.ErrBroken):
-	default:
-		return chain.Result{Tokens: f.count}, err
 	}
-	m.Log.Info("forward: request comes back", zap.String("request", string(job.Arrived.Request)), zap.Error(err))
-	job.Arrived.Hops = 1
-	return m.parts.runner.Run(ctx, job, f.again())
+	return chain.Result{Tokens: end.Count, Stop: end.Stop}, err
 }
 
-// forwarded counts and sums the tokens that came from the other instance.
-type forwarded struct {
+// given is what the caller has of an answer that may be made more than once.
+type given struct {
 	sum   *xxhash.Digest
 	count int
 	sink  chain.Sink
 }
 
-func (f *forwarded) take(t peer.Token) error {
-	_, _ = f.sum.WriteString(t.Text)
-	f.count++
-	return f.sink(chain.Token{Index: t.Index, Text: t.Text})
-}
-
-// again is a sink for the answer made anew here. It passes over what the
-// caller has, and refuses an answer that differs from it: two halves of
-// different answers must not be joined.
-func (f *forwarded) again() chain.Sink {
+// next is the sink of one more making of the answer, from its first token. It
+// passes over what the caller has, and refuses an answer that differs from it:
+// halves of different answers must not be joined.
+func (g *given) next() chain.Sink {
+	had, want := g.count, g.sum.Sum64()
 	sum := xxhash.New()
 	return func(t chain.Token) error {
-		if t.Index >= f.count {
-			return f.sink(t)
+		if t.Index >= had {
+			_, _ = g.sum.WriteString(t.Text)
+			g.count++
+			return g.sink(t)
 		}
 		_, _ = sum.WriteString(t.Text)
-		if t.Index == f.count-1 && sum.Sum64() != f.sum.Sum64() {
+		if t.Index == had-1 && sum.Sum64() != want {
 			return &entry.FaultError{
 				Status: http.StatusBadGateway, Code: "answer-differs",
 				Text: "The answer made anew differs from the part already sent; ask again.", Ran: entry.RanYes,
--- a/internal/fleet/node/join.go
+++ b/internal/fleet/node/join.go
@@ -22,6 +22,8 @@
 	// resumeAfter is the pause between two answers of one peer while catching
 	// up.
 	resumeAfter = 100 * time.Millisecond
+	// readyAfter is the pause before a peer that is not ready is asked again.
+	readyAfter = 500 * time.Millisecond
 )
 
 // join is how far a new instance caught up.
@@ -49,6 +51,11 @@
 	if m.Ready && !slices.Contains(j.caught, from) {
 		j.caught = append(j.caught, from)
 	}
+	// A peer that joins too will soon be ready. Without asking again, this
+	// instance would learn so only by chance and stay unready for seconds.
+	if !m.Ready {
+		j.again = append(j.again, meet{id: from, next: l.now + readyAfter})
+	}
 }
 
 // tickJoin continues exchanges that were cut short, and tells once this
@@ -74,13 +81,15 @@
 	}
 }
 
-// caughtUp reports whether enough ready peers gave all they had.
+// caughtUp reports whether enough ready peers gave all they had. The first
+// instance of a data centre meets one gateway of another and hears no details
+// from any, so that one is enough for it.
 func (l *Logic) caughtUp() bool {
-	others := len(l.others(true))
-	if others == 0 {
-		others = len(l.others(false))
+	near := len(l.others(true))
+	if near == 0 {
+		return len(l.join.caught) > 0
 	}
-	return others > 0 && len(l.join.caught) >= min(catchUp, others)
+	return len(l.join.caught) >= min(catchUp, near)
 }
 
 // first reports whether there is nobody to learn from: nobody was found for
--- a/internal/fleet/node/join_test.go
+++ b/internal/fleet/node/join_test.go
@@ -156,3 +156,17 @@
 		t.Errorf("got %d engines watched, want 2", got)
 	}
 }
+
+// The first instance of a data centre starts beside others that serve already.
+// It is ready as soon as it heard what spreads between data centres; waiting
+// for a second peer that nothing makes it meet would keep it out for longer.
+func TestFirstOfDataCentreIsReadySoon(t *testing.T) {
+	f := newFleet(t, 3, 2, 0)
+	late := f.nodes[1]
+	f.kill(late)
+	f.settle()
+	f.run(30 * time.Second)
+	late.ready = 0
+	f.start(late)
+	f.until(6*time.Second, "ready first instance", func() bool { return late.ready != 0 })
+}
--- /dev/null
+++ b/internal/route/core/away_test.go
@@ -0,0 +1,24 @@
+package core_test
+
+import (
+	"testing"
+
+	"fulmarwick/internal/route/world"
+)
+
+// A caller whose answer came from another data centre is cut off and resumes
+// here, where no engine has the model. The request must go to the other data
+// centre again; waiting here for engines that never come would lose it.
+func TestResumedRequestIsForwardedWhereNoEngineIs(t *testing.T) {
+	g := newRig(t, lax())
+	g.tick(world.CentreSum{DataCentre: "other", Model: model, Instance: "far", Free: 1000})
+	a := g.ask("team")
+	a.Done = 7
+	cs := g.tick(a)
+	if len(cs) != 1 {
+		t.Fatalf("got %d commands, want 1", len(cs))
+	}
+	if f, ok := cs[0].(world.Forward); !ok || f.To != "far" {
+		t.Errorf("got %+v, want a Forward to far", cs[0])
+	}
+}
--- a/internal/route/core/resume.go
+++ b/internal/route/core/resume.go
@@ -82,6 +82,13 @@
 	if !ok && verdict == poison.VerdictSolo {
 		return l.outOfTime(r, waited, soloWait)
 	}
+	// A request that its caller resumes here has nothing running here. Without
+	// this a data centre without engines of the model, whose answers all come
+	// from others, could resume none of them.
+	if c := l.elsewhere(r, 0); !ok && c != nil {
+		w.Forward(r, c.Instance())
+		return true
+	}
 	if !ok {
 		return l.outOfTime(r, waited, coverWait)
 	}
--- a/internal/route/core/tell.go
+++ b/internal/route/core/tell.go
@@ -142,11 +142,11 @@
 }
 
 // elsewhere is an instance of another data centre that has room for a request
-// of rate tokens a second. A request that was forwarded already, or that ran,
-// stays: so it takes at most one hop and no circle.
+// of rate tokens a second. A request that was forwarded already, or that ran
+// here, stays: so it takes at most one hop and no circle.
 func (l *Logic) elsewhere(r *world.Request, rate float64) *world.Centre {
 	a := r.Arrived()
-	if a.Hops > 0 || a.Done > 0 || r.Attempt() > 0 {
+	if a.Hops > 0 || r.Attempt() > 0 {
 		return nil
 	}
 	w := &l.world
