--- a/internal/route/place/bench_test.go
+++ b/internal/route/place/bench_test.go
@@ -51,6 +51,12 @@
 		{"t4", 10, 250 * time.Microsecond, 4, 6, 100 << 20, time.Millisecond},
 	}
 	medium := []place.Model{{Name: "levy-13b", Version: "1", Depth: 40, Width: 10 << 10, Demand: 1}}
+	// Hardly more than two layers' room for each layer of the model.
+	scarce := []kind{
+		{"l40s", 8, 60 * time.Microsecond, 16, 5, 1 << 30, 100 * time.Microsecond},
+		{"a10", 12, 110 * time.Microsecond, 8, 3, 500 << 20, 200 * time.Microsecond},
+		{"t4", 10, 250 * time.Microsecond, 4, 2, 100 << 20, time.Millisecond},
+	}
 	var several []place.Model
 	for i, d := range []float64{0.4, 0.25, 0.2, 0.1, 0.05} {
 		several = append(several, place.Model{
@@ -60,6 +66,8 @@
 	return []site{
 		{"association", place.Throughput, small, medium},
 		{"coral", place.Recovery, small, medium},
+		{"scarce-throughput", place.Throughput, scarce, medium},
+		{"scarce-recovery", place.Recovery, scarce, medium},
 		{"sixty", place.Throughput, five(1), one()},
 		{"sixhundred", place.Throughput, five(10), one()},
 		{"sixhundred-5models", place.Throughput, five(10), several},
@@ -115,6 +123,11 @@
 
 func changes() []change {
 	return []change{
+		{name: "weakest", apply: func(s *sim, second int) {
+			if second == 0 {
+				s.kill(len(s.engines) - 1)
+			}
+		}},
 		{name: "even", apply: func(*sim, int) {}, even: true},
 		{name: "death", apply: func(s *sim, second int) {
 			if second == 0 {
--- a/internal/route/place/fresh.go
+++ b/internal/route/place/fresh.go
@@ -9,20 +9,19 @@
 const levels = 40
 
 // fresh is a layout from nothing but the fixed units.
-func (p *problem) fresh(now layout) layout {
-	return p.fill(now, func(u int) bool { return p.units[u].fixed })
+func (p *problem) fresh(now layout, by ordering) layout {
+	return p.fill(now, by, func(u int) bool { return p.units[u].fixed })
 }
 
 // filled is a layout with something for each unit that holds nothing yet.
 func (p *problem) filled(now layout) layout {
-	return p.fill(now, func(u int) bool { return p.units[u].fixed || len(now[u]) > 0 })
+	return p.fill(now, byRoom, func(u int) bool { return p.units[u].fixed || len(now[u]) > 0 })
 }
 
 // fill keeps the spans of some units and has the others take the windows of
-// layers where most is left to run, those with the least room first, since the
-// rest can fill what remains. Each lowers what is left in its window, the
-// highest first.
-func (p *problem) fill(now layout, keeps func(u int) bool) layout {
+// layers where most is left to run, in an order. Each lowers what is left in
+// its window, the highest first.
+func (p *problem) fill(now layout, by ordering, keeps func(u int) bool) layout {
 	f := filler{p: p, out: make(layout, len(p.units))}
 	rate := p.bound()
 	for _, m := range p.models {
@@ -38,7 +37,7 @@
 			f.keep(u, now[u])
 		}
 	}
-	for _, u := range p.order() {
+	for _, u := range p.order(by) {
 		if !keeps(u) {
 			f.place(u)
 		}
@@ -46,19 +45,30 @@
 	return f.out
 }
 
-// order is the units by room, then by speed, fastest first.
-func (p *problem) order() []int {
+// ordering compares units for the order in which they are placed.
+type ordering func(a, b unit) int
+
+// byRoom has units with the least room first, since the others can fill what
+// remains. It does best where there is room for each layer many times.
+func byRoom(a, b unit) int {
+	if a.memory != b.memory {
+		return cmp.Compare(a.memory, b.memory)
+	}
+	return cmp.Compare(b.rate, a.rate)
+}
+
+// byHeight has units first that give each of their layers most: where room is
+// scarce, what they do not cover takes many of the others.
+func byHeight(a, b unit) int {
+	return cmp.Compare(b.rate*float64(a.memory), a.rate*float64(b.memory))
+}
+
+func (p *problem) order(by ordering) []int {
 	out := make([]int, len(p.units))
 	for i := range out {
 		out[i] = i
 	}
-	slices.SortStableFunc(out, func(a, b int) int {
-		x, y := p.units[a], p.units[b]
-		if x.memory != y.memory {
-			return cmp.Compare(x.memory, y.memory)
-		}
-		return cmp.Compare(y.rate, x.rate)
-	})
+	slices.SortStableFunc(out, func(a, b int) int { return by(p.units[a], p.units[b]) })
 	return out
 }
 
--- a/internal/route/place/place_test.go
+++ b/internal/route/place/place_test.go
@@ -233,6 +233,25 @@
 	}
 }
 
+// Callers wait in long queues: the death of a fast engine left one layer to a
+// slow one. So much is lost that the planner does not wait for things to
+// settle, although no layer is without a holder.
+func TestLargeLossIsNotWaitedOut(t *testing.T) {
+	st := sites()[3]
+	engines := st.engines()
+	load(engines, place.Plan(st.goal, engines, st.models).Holds)
+	s := newSim(st.goal, 20, engines)
+	s.run(20 * time.Second)
+	s.kill(0)
+	if got := s.value(st.models); got.Rate == 0 || got.Rate > 0.3*got.Bound {
+		t.Fatalf("got rate %g of %g after the death, want some, and little", got.Rate, got.Bound)
+	}
+	s.run(5 * time.Second)
+	if s.moves == 0 {
+		t.Error("got no order within 5 s, want one: settling takes 10 s")
+	}
+}
+
 // The operator sees no weights load back and forth. An engine that dies and
 // returns every few seconds, with its weights, takes no layer's last holder
 // away; nothing is worth a load.
--- a/internal/route/place/plan.go
+++ b/internal/route/place/plan.go
@@ -97,8 +97,10 @@
 	var start layout
 	switch {
 	case n == 0:
-		start = j.p.fresh(j.now)
-	case n == 1 && j.pick().lack > 0:
+		start = j.p.fresh(j.now, byRoom)
+	case n == 1:
+		start = j.p.fresh(j.now, byHeight)
+	case n == 2 && j.pick().lack > 0:
 		start = j.p.tiled(j.now)
 	default:
 		return false
--- a/internal/route/place/planner.go
+++ b/internal/route/place/planner.go
@@ -15,6 +15,11 @@
 	defaultSettle = 10 * time.Second
 	defaultRest   = time.Minute
 
+	// lookAfter is when an early look is taken at what a change cost, and hurry
+	// how many times the rate a plan must give to be carried out then.
+	lookAfter = 2 * time.Second
+	hurry     = 1.5
+
 	// A plan for stepUnits engines pauses once for stepPause after each step.
 	stepUnits = 120
 	stepPause = 20 * time.Millisecond
@@ -48,6 +53,7 @@
 	since   time.Duration
 	planned time.Duration
 	due     bool
+	looked  bool
 	job     *job
 	ids     []spec.UpstreamID
 	catalog catalog
@@ -178,28 +184,33 @@
 // watch notices when the engines, what they hold, or the demands changed.
 func (p *Planner) watch(now time.Duration, prob *problem, l layout) {
 	if sum := prob.digest(l, p.catalog.coarse()); sum != p.seen {
-		p.seen, p.since, p.due = sum, now, true
+		p.seen, p.since, p.due, p.looked = sum, now, true, false
 	}
 }
 
-// wanted reports whether a plan is due: at once if layers have no holder,
-// after things settled if some lack their second, and for mere gain only when
-// the last plan is done and some time ago. Without these waits an engine that
-// comes and goes would have weights loaded back and forth.
+// wanted reports whether a plan is due: at once if layers have no holder, else
+// when things settled, and for mere gain only when the last plan is done and
+// some time ago. Without these waits an engine that comes and goes would have
+// weights loaded back and forth. Before that, one early look tells whether so
+// much was lost that waiting costs more.
 func (p *Planner) wanted(now time.Duration, lack int) bool {
-	if !p.due {
-		return false
-	}
-	settled := now >= p.since+orElse(p.Settle, defaultSettle)
+	rested := p.planned == 0 || now >= p.planned+orElse(p.Rest, defaultRest)
 	switch {
+	case !p.due:
+		return false
 	case lack >= noHolder:
 		return true
-	case lack > 0:
-		return settled
-	default:
-		rested := p.planned == 0 || now >= p.planned+orElse(p.Rest, defaultRest)
-		return settled && rested && p.moves.idle()
+	case p.settled(now):
+		return lack > 0 || rested && p.moves.idle()
+	case p.looked || now < p.since+lookAfter:
+		return false
 	}
+	p.looked = true
+	return true
+}
+
+func (p *Planner) settled(now time.Duration) bool {
+	return now >= p.since+orElse(p.Settle, defaultSettle)
 }
 
 func (p *Planner) start(prob *problem, l layout, engines []*world.Engine) {
@@ -219,6 +230,10 @@
 	p.job = nil
 	p.status.Rate, p.status.Bound, p.status.Target = j.value.rate, j.p.bound(), j.value.rate
 	p.shares = j.p.shares(j.value)
+	if !p.settled(w.Now()) && j.lack < noHolder && j.best.rate < hurry*j.value.rate {
+		p.due = true
+		return
+	}
 	gain := p.Gain
 	if gain == 0 {
 		gain = defaultGain
