Run long prompts through the stages in parts

A prompt's hidden values came back in one reply: over 512 positions of 16 KiB they passed the message bound, the connection closed, and the request ended as a row of lost stages. The differential test draws the size of the parts, long prompts, and moves that fail before or after they took effect.

--- a/internal/base/frame/codec.go
+++ b/internal/base/frame/codec.go
@@ -8,7 +8,7 @@
 )
 
 // MaxBytes bounds one message in either direction.
-const MaxBytes = 8 << 20
+const MaxBytes = 16 << 20
 
 const (
 	// maxItems bounds the positions of one frame.
@@ -82,7 +82,7 @@
 	switch {
 	case r.From < 0 || r.From > maxLayer:
 		return errors.Wrap(ErrBad, "layers out of range")
-	case r.Pos < 0 || r.Pos > maxCount || r.Next < 0 || r.Next > maxCount:
+	case r.Pos < 0 || r.Pos > maxCount || r.Next < 0 || r.Next > maxCount || r.Left < 0 || r.Left > maxCount:
 		return errors.Wrap(ErrBad, "position out of range")
 	case r.Index < 0 || r.Index > maxCount || r.Total < 0 || r.Total > maxCount:
 		return errors.Wrap(ErrBad, "index or total out of range")
--- a/internal/base/frame/step.go
+++ b/internal/base/frame/step.go
@@ -55,13 +55,15 @@
 	To    int    `cbor:"7,keyasint"`
 	Pos   int    `cbor:"8,keyasint"`
 	Prio  int    `cbor:"9,keyasint,omitempty"`
-	// Text is the prompt; only the first step of a stage from layer 0 has it.
+	// Text is the prompt. The first step of a state from layer 0 has it unless
+	// Pos is beyond it; the engine runs it from Pos on and keeps what is left.
 	Text string `cbor:"10,keyasint,omitempty"`
 	// Tokens are inputs of a stage from layer 0, after Text if both are given.
 	Tokens []uint32 `cbor:"11,keyasint,omitempty"`
 	// Hidden are inputs of a later stage, one per position.
 	Hidden [][]byte `cbor:"12,keyasint,omitempty"`
-	// Count is how many tokens VerbRun makes at most.
+	// Count is how many tokens VerbRun makes at most, and how many positions of
+	// the prompt VerbStep runs at most; zero is all.
 	Count int `cbor:"13,keyasint,omitempty"`
 }
 
@@ -88,6 +90,9 @@
 	Total int  `cbor:"14,keyasint,omitempty"`
 	// Next is the position after the inputs of this step.
 	Next int `cbor:"15,keyasint,omitempty"`
+	// Left is how many positions of the prompt are yet to run. A step without
+	// inputs runs the next of them.
+	Left int `cbor:"17,keyasint,omitempty"`
 	// Took is the engine's own time for the step, waiting included, in
 	// microseconds.
 	Took int64 `cbor:"16,keyasint,omitempty"`
--- a/internal/fakes/stage/state.go
+++ b/internal/fakes/stage/state.go
@@ -21,6 +21,8 @@
 	depth int
 	model string
 	kv    *layer.State
+	// prompt is the tokens of the prompt, run or not.
+	prompt []uint32
 	// last answers a repeat of the last step.
 	last *frame.Reply
 	// made are the tokens of the steps up to seq, so that a run whose replies
@@ -209,7 +211,7 @@
 
 // run puts the inputs of s through the range.
 func (e *Engine) run(ses *session, s *frame.Step) *frame.Reply {
-	inputs, ok := hiddens(s)
+	inputs, ok := ses.inputs(s)
 	if !ok || len(inputs) == 0 {
 		return fail(s, frame.CodeGap, "no input that this range can read")
 	}
@@ -223,6 +225,7 @@
 	}
 	e.runs.Add(int64(len(inputs) * (s.To - s.From)))
 	r.Next = ses.kv.Pos()
+	r.Left = max(0, len(ses.prompt)-r.Next)
 	if ses.to == ses.depth {
 		named(r, layer.Pick(last))
 	}
@@ -237,31 +240,46 @@
 	}
 }
 
-func hiddens(s *frame.Step) ([]uint64, bool) {
-	var out []uint64
-	if s.From > 0 {
-		for _, b := range s.Hidden {
-			h, ok := layer.Decode(b)
-			if !ok {
-				return nil, false
-			}
-			out = append(out, h)
-		}
-		return out, true
+// inputs are the hidden values before the range that the step is to run.
+func (s *session) inputs(step *frame.Step) ([]uint64, bool) {
+	if step.From > 0 {
+		return decode(step.Hidden)
 	}
-	// Only a state's first step at position 0 carries the prompt; after an
-	// import the prompt is in the cache already.
-	if s.Seq == 1 && s.Pos == 0 {
-		for _, t := range layer.Split(s.Text) {
-			out = append(out, layer.Embed(t))
+	if step.Seq == 1 && (step.Pos == 0 || step.Text != "") {
+		s.prompt = layer.Split(step.Text)
+	}
+	var tokens []uint32
+	if pos := s.kv.Pos(); pos < len(s.prompt) {
+		tokens = s.prompt[pos:]
+		if step.Verb == frame.VerbStep && step.Count > 0 {
+			tokens = tokens[:min(len(tokens), step.Count)]
+		}
+		if pos+len(tokens) < len(s.prompt) && len(step.Tokens) > 0 {
+			return nil, false
 		}
 	}
-	for _, t := range s.Tokens {
+	var out []uint64
+	for _, t := range tokens {
+		out = append(out, layer.Embed(t))
+	}
+	for _, t := range step.Tokens {
 		out = append(out, layer.Embed(t))
 	}
 	return out, true
 }
 
+func decode(values [][]byte) ([]uint64, bool) {
+	var out []uint64
+	for _, b := range values {
+		h, ok := layer.Decode(b)
+		if !ok {
+			return nil, false
+		}
+		out = append(out, h)
+	}
+	return out, true
+}
+
 func fail(s *frame.Step, code frame.Code, why string) *frame.Reply {
 	return &frame.Reply{Req: s.Req, Try: s.Try, Seq: s.Seq, From: s.From, Code: code, Why: why}
 }
--- a/internal/wire/chain/run.go
+++ b/internal/wire/chain/run.go
@@ -21,6 +21,8 @@
 	defaultJournal = 4 << 20
 	// defaultChunk bounds the hidden inputs of one step, in bytes.
 	defaultChunk = 1 << 20
+	// defaultPositions bounds the positions of one step.
+	defaultPositions = 256
 	// defaultPatience is how long a step may take unless the logic says.
 	defaultPatience = 30 * time.Second
 	// progressEvery is the least time between two Progress events.
@@ -40,6 +42,9 @@
 	// Chunk bounds the hidden inputs of one step in bytes, so that a rebuild
 	// does not hold up the other streams of a connection; zero takes 1 MiB.
 	Chunk int
+	// Positions bounds the positions of the prompt, or of tokens run again, in
+	// one step, so that their hidden values fit a reply; zero takes 256.
+	Positions int
 	// Meters takes the counters; nil makes a private set.
 	Meters *metrics.Set
 
@@ -59,6 +64,9 @@
 		if r.Chunk <= 0 {
 			r.Chunk = defaultChunk
 		}
+		if r.Positions <= 0 {
+			r.Positions = defaultPositions
+		}
 	})
 }
 
@@ -176,21 +184,24 @@
 	}
 }
 
-// advance brings each stage up to date with its boundary, first to last.
+// advance brings each stage nearer to its boundary by a step, first to last. A
+// long prompt so goes through the stages in parts, of which each stage's inputs
+// are dropped or kept before the next part comes.
 func (j *run) advance(ctx context.Context) error {
 	if len(j.stages) == 1 {
 		return j.stream(ctx, j.stages[0])
 	}
 	moved := false
 	for _, s := range j.stages {
-		for j.next(s) {
-			moved = true
-			if err := j.call(ctx, s); err != nil {
-				return err
-			}
-			if err := j.take(s); err != nil {
-				return err
-			}
+		if !j.next(s) {
+			continue
+		}
+		moved = true
+		if err := j.call(ctx, s); err != nil {
+			return err
+		}
+		if err := j.take(s); err != nil {
+			return err
 		}
 	}
 	if !moved {
--- a/internal/wire/chain/stage.go
+++ b/internal/wire/chain/stage.go
@@ -20,8 +20,6 @@
 	// stageRebuilds bounds how often one stage is set up anew on its engine
 	// without a step between.
 	stageRebuilds = 2
-	// stepTokens bounds the tokens that one step runs again.
-	stepTokens = 512
 	// tracer names the spans of this package.
 	tracer = "fulmarwick/chain"
 )
@@ -77,7 +75,8 @@
 	return nil
 }
 
-// next sets j.step to what brings s up to date; false if it is.
+// next sets j.step to what brings s up to date, or a part of it; false if
+// nothing is missing.
 func (j *run) next(s *stage) bool {
 	j.step = frame.Step{
 		Verb: frame.VerbStep, Seq: s.seq + 1, Model: string(j.job.Arrived.Model),
@@ -87,20 +86,25 @@
 	case s.from() > 0:
 		j.step.Hidden = portion(j.inputs.from(s.from(), s.done), j.Chunk)
 		return len(j.step.Hidden) > 0
-	case s.done == 0:
-		j.step.Text = j.job.Text
-		j.step.Tokens = some(j.inputs.tokens)
+	case j.prompting(s):
+		j.step.Count = j.Positions
+		if s.seq == 0 {
+			j.step.Text = j.job.Text
+		}
 		return true
 	case s.done == j.inputs.positions():
 		return false
 	default:
-		j.step.Tokens = some(j.inputs.tokens[s.done-j.inputs.prompt:])
+		rest := j.inputs.tokens[s.done-j.inputs.prompt:]
+		j.step.Tokens = rest[:min(len(rest), j.Positions)]
 		return true
 	}
 }
 
-// some is the first of tokens, so many that their hidden values fit a reply.
-func some(tokens []uint32) []uint32 { return tokens[:min(len(tokens), stepTokens)] }
+// prompting reports whether s is to run a part of the prompt.
+func (j *run) prompting(s *stage) bool {
+	return s.from() == 0 && (j.inputs.prompt == 0 || s.done < j.inputs.prompt)
+}
 
 // portion is the first of values, within limit bytes, one at least.
 func portion(values [][]byte, limit int) [][]byte {
@@ -125,9 +129,7 @@
 		return j.stalled(s)
 	}
 	s.seq, s.anew, s.stalls = j.step.Seq, 0, 0
-	if s.from() == 0 && j.inputs.prompt == 0 {
-		j.inputs.prompt = r.Next - len(j.step.Tokens)
-	}
+	j.sized(s)
 	begin := s.done
 	s.done = r.Next
 	if s.from() > 0 {
@@ -147,12 +149,14 @@
 // accounts reports whether the reply tells of just the inputs of j.step.
 func (j *run) accounts(s *stage) bool {
 	r, n := &j.reply, len(j.step.Hidden)+len(j.step.Tokens)
-	if s.from() == 0 && s.done == 0 {
-		n += j.inputs.prompt
-	}
-	if s.from() == 0 && j.inputs.prompt == 0 {
-		// Only the engine knows how many positions the prompt takes.
-		n = max(n+1, r.Next)
+	if j.prompting(s) {
+		// Only the engine knows how many positions the prompt takes; it must
+		// not change its mind.
+		whole := r.Next + r.Left - len(j.step.Tokens)
+		if whole <= 0 || j.inputs.prompt > 0 && whole != j.inputs.prompt {
+			return false
+		}
+		n = max(1, r.Next-s.done)
 	}
 	if r.Pos != s.done || r.Next != s.done+n {
 		return false
@@ -160,6 +164,13 @@
 	return s.is.Layers().To() == j.depth || len(r.Hidden) == n
 }
 
+// sized takes the size of the prompt from its first reply.
+func (j *run) sized(s *stage) {
+	if s.from() == 0 && j.inputs.prompt == 0 {
+		j.inputs.prompt = j.reply.Next + j.reply.Left - len(j.step.Tokens)
+	}
+}
+
 // token takes the last stage's token to the caller and back to layer 0.
 func (j *run) token() error {
 	if j.reply.Last {
--- a/internal/wire/chain/stream.go
+++ b/internal/wire/chain/stream.go
@@ -13,6 +13,7 @@
 		return j.lose(s, world.CauseState)
 	}
 	if s.done == 0 {
+		// No hidden values come back, so the whole prompt goes in one step.
 		j.step.Tokens = j.inputs.tokens
 	}
 	left := j.job.Arrived.Limit - j.count()
@@ -53,7 +54,7 @@
 // differs from what came is not an end: the rest is asked for again.
 func (j *run) counted(s *stage, i int) error {
 	r := &j.reply
-	if !j.accounts(s) {
+	if r.Left != 0 || !j.accounts(s) {
 		return j.lose(s, world.CauseState)
 	}
 	want := i + 1
@@ -63,9 +64,7 @@
 	if r.Index != i || r.Last && !r.End || r.End && r.Total != want {
 		return j.stalled(s)
 	}
-	if j.inputs.prompt == 0 {
-		j.inputs.prompt = r.Next - len(j.step.Tokens)
-	}
+	j.sized(s)
 	s.seq, s.done, s.anew, s.stalls = r.Seq, r.Next, 0, 0
 	return nil
 }
--- a/internal/wire/chain/whole_test.go
+++ b/internal/wire/chain/whole_test.go
@@ -4,13 +4,17 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fakes/stage"
+	"fulmarwick/internal/wire/chain"
+	"fulmarwick/internal/wire/engine"
 
 	"pgregory.net/rapid"
 )
@@ -26,6 +30,8 @@
 	callers int
 	journal int
 	chunk   int
+	part    int
+	words   int
 	moves   bool
 }
 
@@ -43,6 +49,8 @@
 		callers: rapid.IntRange(1, 3).Draw(t, "callers"),
 		journal: rapid.SampledFrom([]int{0, 64, 512}).Draw(t, "journal"),
 		chunk:   rapid.SampledFrom([]int{0, 1, 50}).Draw(t, "chunk"),
+		part:    rapid.SampledFrom([]int{0, 1, 7}).Draw(t, "part"),
+		words:   rapid.SampledFrom([]int{1, 5, 90}).Draw(t, "words"),
 		moves:   rapid.Bool().Draw(t, "moves"),
 	}
 	// Two ranges cover the model for sure; the others overlap them at random.
@@ -83,6 +91,27 @@
 	}
 }
 
+// flakyMover fails some moves, before or after they took effect.
+type flakyMover struct {
+	chain.Mover
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+func (f *flakyMover) Move(ctx context.Context, from, to spec.UpstreamID, want frame.KV) (int, error) {
+	f.mu.Lock()
+	fate := f.rand.IntN(3)
+	f.mu.Unlock()
+	if fate == 0 {
+		return 0, engine.ErrRefused
+	}
+	n, err := f.Mover.Move(ctx, from, to, want)
+	if fate == 1 {
+		return 0, engine.ErrRefused
+	}
+	return n, err
+}
+
 func (s *scene) build() *site {
 	var engines []*stage.Engine
 	for i, h := range s.holds {
@@ -94,9 +123,9 @@
 	built := newSite(s.depth, engines...)
 	built.router.rand = rand.New(rand.NewPCG(s.seed, 2))
 	built.router.limit = 1000
-	built.runner.Journal, built.runner.Chunk = s.journal, s.chunk
+	built.runner.Journal, built.runner.Chunk, built.runner.Positions = s.journal, s.chunk, s.part
 	if s.moves {
-		built.runner.KV = built.pool
+		built.runner.KV = &flakyMover{Mover: built.pool, rand: rand.New(rand.NewPCG(s.seed, 4))}
 	}
 	return built
 }
@@ -108,7 +137,7 @@
 	errs := make(chan error, s.callers)
 	for c := range s.callers {
 		go func() {
-			text := fmt.Sprintf("caller %d asks for a quote", c)
+			text := fmt.Sprint("caller", c, strings.Repeat(" door", s.words-1))
 			a := site.ask(context.Background(), fmt.Sprintf("r%d", c), text, s.limit, func(n int) { s.strike(site, n) })
 			errs <- a.check(text, s.depth, s.limit)
 		}()
--- a/internal/wire/engine/control_test.go
+++ b/internal/wire/engine/control_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -311,3 +313,77 @@
 		}
 	})
 }
+
+// The platform lists an engine at another address, and later not at all. Work
+// on the old connection ends at once, new work goes to the new address, and
+// none to an engine that is gone.
+func TestEngineMovesAndGoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &stage.Engine{Name: "e", Holds: holds("m", 0, 100)}
+		_, p, stop := running(e)
+		defer stop()
+		s, err := p.Open(t.Context(), "e", "r", 1, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Locate("e", "http://elsewhere")
+		var r frame.Reply
+		if err := s.Recv(t.Context(), time.Second, &r); !errors.Is(err, engine.ErrBroken) {
+			t.Errorf("got %v on the old connection, want ErrBroken", err)
+		}
+		if _, err := p.Open(t.Context(), "e", "r", 1, 0); err != nil {
+			t.Errorf("got %v at the new address, want nil", err)
+		}
+		p.Forget("e")
+		if _, err := p.Open(t.Context(), "e", "r", 1, 0); !errors.Is(err, engine.ErrRefused) {
+			t.Errorf("got %v for an engine that is gone, want ErrRefused", err)
+		}
+	})
+}
+
+// A link is cut without a word: no packet comes, and none says so. The
+// connection is given up after two silent periods, so that its streams go on
+// elsewhere; one that is only idle is left alone.
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &stage.Engine{Name: "e", Holds: holds("m", 0, 100), Layer: time.Second}
+		l := inmem.Listen()
+		server := &http.Server{Handler: e.Handler()}
+		go func() { _ = server.Serve(l) }()
+		silent := &mute{}
+		p := &engine.Pool{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := l.Dial(ctx, network, address)
+			silent.Conn = c
+			return silent, err
+		}}
+		p.Locate("e", "http://e")
+		s, err := p.Open(t.Context(), "e", "r", 1, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var r frame.Reply
+		if err := s.Recv(t.Context(), time.Minute, &r); !errors.Is(err, engine.ErrLate) {
+			t.Errorf("got %v after a minute on a good link, want ErrLate", err)
+		}
+		silent.cut.Store(true)
+		if err := s.Recv(t.Context(), time.Minute, &r); !errors.Is(err, engine.ErrBroken) {
+			t.Errorf("got %v on a dead link, want ErrBroken", err)
+		}
+		p.Close()
+		_ = server.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// mute is a connection whose bytes stop to arrive.
+type mute struct {
+	net.Conn
+	cut atomic.Bool
+}
+
+func (m *mute) Write(b []byte) (int, error) {
+	if m.cut.Load() {
+		return len(b), nil
+	}
+	return m.Conn.Write(b)
+}
