--- a/internal/route/retry/patience.go
+++ b/internal/route/retry/patience.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	stepLeast    = 250 * time.Millisecond
+	stepLeast    = 500 * time.Millisecond
 	stepMost     = 10 * time.Second
-	prefillLeast = 500 * time.Millisecond
+	prefillLeast = time.Second
 	prefillMost  = 60 * time.Second
 	// times is the patience over the quantile of what was seen, unseen the
 	// same over the prediction while too little was seen.
