Let classes with a tight gap leave a degraded link

With half a second of patience a link of 0.4 s a hop never counted as lost, and answers behind it made a token each 0.4 s against a target of 0.2 s. Patience now begins at twice the gap, from a quarter of a second.

--- a/internal/route/retry/patience.go
+++ b/internal/route/retry/patience.go
@@ -10,6 +10,8 @@
 
 const (
 	stepLeast    = 500 * time.Millisecond
+	gapLeast     = 250 * time.Millisecond
+	gapTimes     = 2
 	stepMost     = 10 * time.Second
 	prefillLeast = time.Second
 	prefillMost  = 60 * time.Second
@@ -61,6 +63,16 @@
 	p.classes = kept
 }
 
+// least is the shortest patience for a step: longer than the stall of a busy
+// host, but not so long that a class with a tight gap keeps a stage behind a
+// degraded link that breaks its target with each token.
+func least(target spec.Target) time.Duration {
+	if target.Gap() <= 0 {
+		return stepLeast
+	}
+	return min(max(gapLeast, gapTimes*target.Gap()), stepLeast)
+}
+
 // Times is how long to wait for the steps of a request that starts by plan.
 // Each timeout that the request met doubles it: where a step is slow and not
 // lost, trying again just as soon would only repeat the work.
@@ -70,7 +82,7 @@
 		step, prefill = limit(&s.step), limit(&s.prefill)
 	}
 	out := Times{
-		Step:    max(stepLeast, time.Duration(step*float64(plan.Step))),
+		Step:    max(least(r.Class().Target()), time.Duration(step*float64(plan.Step))),
 		Prefill: max(prefillLeast, time.Duration(prefill*float64(plan.Prefill))),
 	}
 	if r.Cause() == world.CauseTimeout && r.Attempt() > 0 {
