--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -47,9 +47,12 @@
 
 // Get returns the row under key, or ErrMissing.
 func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	return c.one(ctx, "/v1/row", key)
+}
+
+func (c *Client) one(ctx context.Context, path, key string) (Row, error) {
 	var b RowBody
-	err := c.read(ctx, "/v1/row?key="+url.QueryEscape(key), &b)
-	if err != nil {
+	if err := c.read(ctx, path+"?key="+url.QueryEscape(key), &b); err != nil {
 		return Row{}, err
 	}
 	return NewRow(b.Key, b.Version, b.Value), nil
@@ -92,11 +95,7 @@
 
 // GetObject returns the object under key, or ErrMissing.
 func (c *Client) GetObject(ctx context.Context, key string) (Row, error) {
-	var b RowBody
-	if err := c.read(ctx, "/v1/object?key="+url.QueryEscape(key), &b); err != nil {
-		return Row{}, err
-	}
-	return NewRow(b.Key, b.Version, b.Value), nil
+	return c.one(ctx, "/v1/object", key)
 }
 
 // PutObject stores an object if the one under key has the version; zero means
