--- a/internal/app/cmds/trial.go
+++ b/internal/app/cmds/trial.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -8,16 +9,13 @@
 
 	"fulmarwick/internal/app/daemon"
 	"fulmarwick/internal/app/setup"
-	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fakes/trial"
-	"fulmarwick/internal/state/config"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
 )
 
 const (
-	trialKey   = "trial-key"
 	trialLayer = 200 * time.Microsecond
 	trialWatch = 500 * time.Millisecond
 )
@@ -44,13 +42,12 @@
 		return err
 	}
 	defer site.Close()
-	l, err := new(net.ListenConfig).Listen(cmd.Context(), "tcp", listen)
+	at, err := listenBoth(cmd.Context(), listen, operators)
 	if err != nil {
-		return errors.Wrap(err, "trial: listen")
+		return err
 	}
 	settings := setup.Default()
 	settings.Instance = setup.Instance{Name: "trial-1", DataCentre: trial.Centre, Region: "trial"}
-	settings.Listen.Operators = operators
 	settings.Platform.Table = site.URL()
 	settings.Platform.Watch = trialWatch
 	settings.Times.Grace = 0
@@ -59,18 +56,23 @@
 	if err != nil {
 		return err
 	}
-	d := &daemon.Daemon{Log: log, Listener: l, Config: trialConfig(), Settings: settings, Build: build()}
-	printTrial(cmd.OutOrStdout(), l.Addr().String(), operators)
+	d := &daemon.Daemon{Log: log, Listener: at[0], Operators: at[1], Settings: settings, Build: build()}
+	printTrial(cmd.OutOrStdout(), at[0].Addr().String(), at[1].Addr().String())
 	return runDaemon(cmd.Context(), d)
 }
 
-func trialConfig() *config.Snapshot {
-	classes := []spec.Class{
-		spec.NewModelClass("answer", trial.Model, spec.NewTarget(time.Second, 50*time.Millisecond, 0, 95)),
-		spec.NewPlainClass("payment", trial.Service, false, spec.NewTarget(0, 0, 5*time.Second, 99)),
+// listenBoth opens both endpoints, so that their addresses are known when port
+// 0 was asked for.
+func listenBoth(ctx context.Context, addresses ...string) ([]net.Listener, error) {
+	var out []net.Listener
+	for _, address := range addresses {
+		l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+		if err != nil {
+			return nil, errors.Wrap(err, "trial: listen")
+		}
+		out = append(out, l)
 	}
-	teams := []spec.Team{spec.NewTeam(config.HashKey(trialKey), "trial", 1)}
-	return config.NewSnapshot(1, classes, teams)
+	return out, nil
 }
 
 func printTrial(out io.Writer, address, operators string) {
@@ -84,10 +86,11 @@
   curl http://%[1]s/v1/calls/payment -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: instalment-7' -d '{"amount":120}'
   curl http://%[1]s/v1/calls/payment/instalment-7 -H 'Authorization: Bearer %[2]s'
 
-Targets, engines and metrics, and a stop that cuts nothing:
+Targets, engines and metrics, the configuration, and a stop that cuts nothing:
   go run . status --url http://%[4]s
   curl http://%[4]s/metrics
+  go run . show --url http://%[4]s
   go run . drain --url http://%[4]s
 
-`, address, trialKey, trial.Model, operators)
+`, address, trial.Key, trial.Model, operators)
 }
--- a/internal/wire/entry/chat.go
+++ b/internal/wire/entry/chat.go
@@ -58,7 +58,7 @@
 	f := faultOf(err)
 	s.meter.ended(class, f.Code)
 	noted(req, class, 0, err)
-	f.write(w)
+	s.fault(w, f)
 }
 
 func (s *Server) readChat(w http.ResponseWriter, req *http.Request) (ask, error) {
@@ -81,6 +81,9 @@
 	if err != nil {
 		return ask{}, err
 	}
+	if err := s.allowed(team, class); err != nil {
+		return ask{}, err
+	}
 	a := ask{team: team, class: class, stream: body.Stream, usage: body.Options.Usage}
 	a.job = job(requestID(req), team, class, &body)
 	key, _ := bearer(req)
