--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -118,7 +119,7 @@
 		select {
 		case <-f.told:
 		case <-ctx.Done():
-			return Outcome{}, errors.Wrap(ErrLeft, ctx.Err().Error())
+			return Outcome{}, fmt.Errorf("%w: %w", ErrLeft, ctx.Err())
 		}
 		if first {
 			l.told(f.outcome.state, f.err)
--- a/internal/state/ledger/ledger_test.go
+++ b/internal/state/ledger/ledger_test.go
@@ -134,7 +134,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := l.Do(ctx, payment("1"))
-		want(t, "the caller that left", errors.Is(err, ledger.ErrLeft), true)
+		want(t, "the caller that left", errors.Is(err, ledger.ErrLeft) && errors.Is(err, context.DeadlineExceeded), true)
 		if err := l.Wait(t.Context()); err != nil {
 			t.Fatal(err)
 		}
