Adopt rows again after a lost answer and keep wishes that wait

Cause: after a lost answer the orders refused every wish until the lease changed hands, since only a new number adopted the rows; wishes made in an outage were dropped. Set and Round adopt by themselves now, and a round writes what waits. The daemon passes its metrics on and names a class's service, so that a look-up can ask it.

--- a/internal/app/daemon/build.go
+++ b/internal/app/daemon/build.go
@@ -121,22 +121,22 @@
 	p := &d.parts
 	client := &store.Client{Base: d.Settings.Platform.Table, HTTP: store.NewHTTP()}
 	seed := xxhash.Sum64String(p.owner)
-	p.breaker = &store.Breaker{Table: client, Rand: rand.New(rand.NewPCG(seed, 0))}
-	p.budget = &store.Budget{}
+	p.breaker = &store.Breaker{Table: client, Rand: rand.New(rand.NewPCG(seed, 0)), Meters: p.meters}
+	p.budget = &store.Budget{Meters: p.meters}
 	p.table = p.budget.Table(store.RankLease, p.breaker)
 	rest := p.budget.Table(store.RankRest, p.breaker)
 	p.book = &config.Book{}
 	p.changed = make(chan struct{}, 1)
 	p.follower = &config.Follower{
-		Table: rest, Book: p.book, OnChange: d.adopt, Jitter: jitter,
+		Table: rest, Book: p.book, OnChange: d.adopt, Jitter: jitter, Meters: p.meters,
 		OnError: func(err error) { d.Log.Warn("config: not followed", zap.Error(err)) },
 	}
 	p.applier = &config.Applier{Table: rest}
-	sender := &plain.Sender{HTTP: plain.NewHTTP(), Repeats: d.repeats}
+	sender := &plain.Sender{HTTP: plain.NewHTTP(), Repeats: d.repeats, Meters: p.meters}
 	p.ledger = &ledger.Ledger{
-		Table:  &store.Batcher{Table: p.budget.Table(store.RankRecord, p.breaker)},
+		Table:  &store.Batcher{Table: p.budget.Table(store.RankRecord, p.breaker), Meters: p.meters},
 		Sender: sender, Asker: sender, Asks: d.asks, Repeats: d.repeats,
-		Owner: p.owner, Gone: d.gone, Jitter: jitter,
+		Services: d.service, Owner: p.owner, Gone: d.gone, Jitter: jitter, Meters: p.meters,
 	}
 	return sender
 }
@@ -194,6 +194,12 @@
 	return ok && class.Repeatable()
 }
 
+// service names the service of a class, so that a look-up can ask it.
+func (d *Daemon) service(name spec.ClassName) spec.ServiceName {
+	class, _ := d.parts.book.Class(name)
+	return class.Service()
+}
+
 // asks says whether a service can tell the outcome of a call.
 func (d *Daemon) asks(service spec.ServiceName) bool {
 	now := d.parts.book.Now()
--- a/internal/app/daemon/duties.go
+++ b/internal/app/daemon/duties.go
@@ -47,12 +47,13 @@
 	out.lease = d.newLease(dutyPlace + centre)
 	out.orders = &order.Orders{
 		Table: d.parts.table, Engines: d.parts.controls, Lease: out.lease, Name: centre, Checks: d.fenced,
+		Meters: d.parts.meters,
 	}
 	return out
 }
 
 func (d *Daemon) newLease(name string) *lease.Lease {
-	return &lease.Lease{Table: d.parts.table, Name: name, Owner: d.parts.owner, Jitter: jitter}
+	return &lease.Lease{Table: d.parts.table, Name: name, Owner: d.parts.owner, Jitter: jitter, Meters: d.parts.meters}
 }
 
 // specs are the duties there are, for the fleet logic to spread.
--- a/internal/state/ledger/attempt.go
+++ b/internal/state/ledger/attempt.go
@@ -1,8 +1,6 @@
 package ledger
 
 import (
-	"time"
-
 	"fulmarwick/internal/state/store"
 
 	"github.com/go-faster/errors"
@@ -63,26 +61,6 @@
 	err     error
 }
 
-// Params are what an attempt needs to know.
-type Params struct {
-	Call Call
-	// ID names the attempt, unique over the fleet.
-	ID string
-	// Owner names the incarnation that runs the attempt.
-	Owner string
-	// Gone reports evidence that the incarnation owner will not answer again.
-	Gone func(owner string) bool
-	// Now is the wall clock, for retention only.
-	Now func() time.Time
-	// Polls is how often a row that another attempt holds is read before the
-	// caller is told running.
-	Polls int
-	// Begun says that a call under the key is known to have been begun before.
-	Begun bool
-	// Asks says that the upstream can tell the outcome of a call.
-	Asks bool
-}
-
 // NewAttempt returns an attempt to run the call of p.
 func NewAttempt(p Params) *Attempt {
 	rec := record{Sum: p.Call.sum(), Attempt: p.ID, State: StateRunning, Owner: p.Owner}
--- /dev/null
+++ b/internal/state/ledger/params.go
@@ -0,0 +1,23 @@
+package ledger
+
+import "time"
+
+// Params are what an attempt needs to know.
+type Params struct {
+	Call Call
+	// ID names the attempt, unique over the fleet.
+	ID string
+	// Owner names the incarnation that runs the attempt.
+	Owner string
+	// Gone reports evidence that the incarnation owner will not answer again.
+	Gone func(owner string) bool
+	// Now is the wall clock, for retention only.
+	Now func() time.Time
+	// Polls is how often a row that another attempt holds is read before the
+	// caller is told running.
+	Polls int
+	// Begun says that a call under the key is known to have been begun before.
+	Begun bool
+	// Asks says that the upstream can tell the outcome of a call.
+	Asks bool
+}
--- a/internal/state/order/order.go
+++ b/internal/state/order/order.go
@@ -84,10 +84,15 @@
 	// Meters takes the metrics; nil takes none.
 	Meters *metrics.Set
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// fence is the number under which the rows are known; zero after a lost
+	// answer, when they have to be read anew.
 	fence  uint64
 	wanted map[spec.UpstreamID]*wanted
-	seen   map[spec.UpstreamID]report
+	// waiting are wishes that could not be written yet, under the number owner.
+	waiting map[spec.UpstreamID]wish
+	owner   uint64
+	seen    map[spec.UpstreamID]report
 	// free is when the weight store has given what was ordered so far.
 	free time.Time
 }
@@ -119,8 +124,8 @@
 
 // Adopt reads the desired state that former holders left and writes it anew
 // under the own number, in one commit: from then on a former holder that wakes
-// can write none of it, since the rows' versions have changed. Call it once
-// after the lease was taken.
+// can write none of it, since the rows' versions have changed. Set and Round
+// do so by themselves when the rows are not known under the present number.
 func (o *Orders) Adopt(ctx context.Context) error {
 	ctx, cancel, fence, err := o.guard(ctx)
 	if err != nil {
@@ -147,38 +152,25 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.fence, o.wanted = fence, all
+	if o.owner != fence {
+		// Wishes of an earlier term are out of date.
+		o.waiting = map[spec.UpstreamID]wish{}
+	}
+	o.fence, o.owner, o.wanted = fence, fence, all
 	return nil
 }
 
-// Set wishes that engine holds just holds, in the role if it is not empty. It
-// writes one row, and none if that is wished already.
-func (o *Orders) Set(ctx context.Context, engine spec.UpstreamID, holds []frame.Hold, role string) error {
-	ctx, cancel, fence, err := o.guard(ctx)
+// known adopts the rows unless they are known under the present number.
+func (o *Orders) known(ctx context.Context) error {
+	_, cancel, fence, err := o.guard(ctx)
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	o.mu.Lock()
-	adopted := o.fence == fence
-	next := &wanted{desired: desired{Engine: string(engine), Holds: holds, Role: role, Fence: fence}}
-	old, ok := o.wanted[engine]
-	o.mu.Unlock()
-	switch {
-	case !adopted:
-		return errors.Wrap(ErrLapsed, "desired state not adopted under this number")
-	case ok && same(old.desired.Holds, holds) && old.desired.Role == role:
+	cancel()
+	if o.current(fence) {
 		return nil
-	case ok:
-		next.version = old.version
 	}
-	if next.version, err = o.commit(ctx, []store.Write{o.put(next)}); err != nil {
-		return err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.wanted[engine] = next
-	return nil
+	return o.Adopt(ctx)
 }
 
 func (o *Orders) guard(ctx context.Context) (context.Context, context.CancelFunc, uint64, error) {
--- a/internal/state/order/order_test.go
+++ b/internal/state/order/order_test.go
@@ -193,6 +193,31 @@
 	})
 }
 
+// The answer of the table to a wish is lost, then the table is out. The holder
+// still has its lease; when the table is back its next round reads the rows,
+// writes the wish that waited and orders it, without anybody asking again.
+func TestWishSurvivesLostAnswerAndOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, engines := &infra.Table{}, both()
+		p := newPlanner(table, "a", engines)
+		must(t, p.lease.Step(t.Context()))
+		must(t, p.orders.Adopt(t.Context()))
+		table.Fault(infra.Faults{Drop: 1})
+		if err := p.orders.Set(t.Context(), "checks", layers("1", 0, 12), ""); !errors.Is(err, order.ErrStore) {
+			t.Errorf("got %v for a lost answer, want ErrStore", err)
+		}
+		table.Fault(infra.Faults{Down: true})
+		if err := p.orders.Set(t.Context(), "ignores", layers("1", 0, 12), ""); !errors.Is(err, order.ErrStore) {
+			t.Errorf("got %v in the outage, want ErrStore", err)
+		}
+		table.Fault(infra.Faults{})
+		time.Sleep(5 * second)
+		if open := finish(p); open != 0 || len(engines["checks"].holds) != 1 || len(engines["ignores"].holds) != 1 {
+			t.Errorf("got %d engines open and %v, want both engines ordered", open, engines)
+		}
+	})
+}
+
 // Ten engines want 24 layers each from a weight store that gives 4 a second.
 // Orders go out no faster, so that no engine waits with its old layers gone.
 func TestWeightStoreRate(t *testing.T) {
--- a/internal/state/order/round.go
+++ b/internal/state/order/round.go
@@ -52,6 +52,12 @@
 // while the lease allows. It returns how many it sent.
 func (o *Orders) Round(ctx context.Context) (int, error) {
 	sent := 0
+	if err := o.known(ctx); err != nil {
+		return 0, err
+	}
+	if err := o.rewrite(ctx); err != nil {
+		return 0, err
+	}
 	for _, id := range o.Open() {
 		ord, due := o.due(id)
 		if !due {
