Tell the sender when the last instance of a service leaves

Cause: the watcher told the sender only of services that have a live instance, so the last one to leave kept getting new calls. A duplicate of a call that runs at the same instance is told running after 12 s, as one elsewhere is.

--- a/internal/state/ledger/flight.go
+++ b/internal/state/ledger/flight.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -68,6 +70,25 @@
 	return true
 }
 
+// wait waits until the call has its answer; a duplicate does not wait for long
+// and gets false.
+func (f *flight) wait(ctx context.Context, first bool) (bool, error) {
+	var bound <-chan time.Time
+	if !first {
+		timer := time.NewTimer(joinMost)
+		defer timer.Stop()
+		bound = timer.C
+	}
+	select {
+	case <-f.told:
+		return true, nil
+	case <-bound:
+		return false, nil
+	case <-ctx.Done():
+		return false, fmt.Errorf("%w: %w", ErrLeft, ctx.Err())
+	}
+}
+
 func (l *Ledger) leave(f *flight) {
 	l.mu.Lock()
 	delete(l.flights, rowKey(f.call.team, f.call.class, f.call.key))
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -46,6 +45,9 @@
 	retryFirst     = 100 * time.Millisecond
 	retryMost      = 30 * time.Second
 	askTimeout     = 5 * time.Second
+	// joinMost is how long a duplicate waits for a call that runs here, about
+	// as long as the polls of one that runs elsewhere.
+	joinMost = 12 * time.Second
 )
 
 // Table is the part of the platform's table that the ledger needs.
@@ -116,10 +118,8 @@
 		} else if f.sum != c.sum() {
 			return Outcome{}, ErrBody
 		}
-		select {
-		case <-f.told:
-		case <-ctx.Done():
-			return Outcome{}, fmt.Errorf("%w: %w", ErrLeft, ctx.Err())
+		if told, err := f.wait(ctx, first); err != nil || !told {
+			return Outcome{state: StateRunning}, err
 		}
 		if first {
 			l.told(f.outcome.state, f.err)
--- a/internal/state/ledger/ledger_test.go
+++ b/internal/state/ledger/ledger_test.go
@@ -105,18 +105,20 @@
 	})
 }
 
-// A service hangs for an hour. The duplicate at another instance is told
-// running after its bound, not held back for the hour.
+// A service hangs for an hour. The duplicates at the same and at another
+// instance are told running after their bound, not held back for the hour.
 func TestDuplicateOfLongCallIsToldRunning(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table, svc := &infra.Table{}, &service{delay: time.Hour}
 		a, b := &ledger.Ledger{Table: table, Sender: svc}, &ledger.Ledger{Table: table, Sender: svc}
 		go func() { _, _ = a.Do(t.Context(), payment("1")) }()
 		synctest.Wait()
-		start := time.Now()
-		want(t, "the duplicate", do(t, b, "1"), ledger.StateRunning)
-		if got := time.Since(start); got > 30*time.Second {
-			t.Errorf("got the answer after %v, want within 30s", got)
+		for _, l := range []*ledger.Ledger{a, b} {
+			start := time.Now()
+			want(t, "the duplicate", do(t, l, "1"), ledger.StateRunning)
+			if got := time.Since(start); got > 20*time.Second {
+				t.Errorf("got the answer after %v, want within 20s", got)
+			}
 		}
 		if err := a.Wait(t.Context()); err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/internal/wire/watch/service_test.go
@@ -0,0 +1,93 @@
+package watch_test
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/state/store"
+	"fulmarwick/internal/wire/watch"
+
+	"go.uber.org/zap"
+)
+
+// places is the platform's list and what the sender of calls was told of it.
+type places struct {
+	mu     sync.Mutex
+	states []string
+	told   []string
+}
+
+func (p *places) List(context.Context) ([]store.ListedBody, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []store.ListedBody
+	for i, s := range p.states {
+		out = append(out, store.ListedBody{Role: store.RoleService, Service: "payments", URL: string(rune('a' + i)), State: s})
+	}
+	return out, nil
+}
+
+func (p *places) Locate(_ spec.ServiceName, bases []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.told = slices.Clone(bases)
+}
+
+func (p *places) set(states ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.states = states
+}
+
+func (p *places) live() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.told)
+}
+
+// nowhere posts events and locates engines nowhere.
+type nowhere struct{}
+
+func (nowhere) Post(world.Event)               {}
+func (nowhere) Locate(spec.UpstreamID, string) {}
+
+// One after the other, both instances of a payment service leave. The sender
+// hears of each within 2 s, also of the last one: with the service missing from
+// what it was told, it would go on sending new payments to a leaving instance.
+func TestLastInstanceOfServiceLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &places{}
+		p.set(frame.StateLive, frame.StateLive)
+		w := &watch.Watcher{
+			List: p, Loop: nowhere{}, Engines: nowhere{}, Services: p,
+			HTTP: &http.Client{}, Log: zap.NewNop(), Every: time.Second,
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { _ = w.Run(ctx); close(done) }()
+		for _, c := range []struct {
+			states []string
+			want   int
+		}{
+			{[]string{frame.StateLive, frame.StateLive}, 2},
+			{[]string{frame.StateLeaving, frame.StateLive}, 1},
+			{[]string{frame.StateLeaving, frame.StateLeaving}, 0},
+		} {
+			p.set(c.states...)
+			time.Sleep(2 * time.Second)
+			if got := p.live(); got != c.want {
+				t.Errorf("got %d instances for %v, want %d", got, c.states, c.want)
+			}
+		}
+		stop()
+		<-done
+	})
+}
--- a/internal/wire/watch/watch.go
+++ b/internal/wire/watch/watch.go
@@ -179,6 +179,11 @@
 		case l.Role == store.RoleService && l.State == frame.StateLive:
 			name := spec.ServiceName(l.Service)
 			services[name] = append(services[name], l.URL)
+		case l.Role == store.RoleService:
+			// A service whose last instance leaves is told of too, or that
+			// instance would get new calls until it is gone.
+			name := spec.ServiceName(l.Service)
+			services[name] = append(services[name], nil...)
 		case l.Role == store.RoleEngine:
 			w.engine(l)
 		}
