--- a/internal/app/daemon/fleet_test.go
+++ b/internal/app/daemon/fleet_test.go
@@ -329,3 +329,27 @@
 	w.more(between)
 	w.end(t)
 }
+
+// All instances are replaced one after another under steady work, as in a
+// rolling upgrade: a new one joins and is ready, then an old one stops. Callers
+// see no cut and no refusal that lasts, and each old one ends with code 0.
+func TestRollingRestartCutsNothing(t *testing.T) {
+	e := newEntries(t, 4)
+	w := e.work()
+	w.more(between / 2)
+	for i := range 4 {
+		fresh := e.start(trial.Centre)
+		e.ready(fresh)
+		old := fmt.Sprintf("%s-%d", trial.Centre, i+1)
+		e.list(old, trial.Centre, frame.StateLeaving)
+		if code := e.remove(old).stop(); code != 0 {
+			t.Errorf("got exit code %d of %s, want 0", code, old)
+		}
+		e.site.Unlist(old)
+		w.more(between / 2)
+	}
+	w.end(t)
+	if w.cuts != 0 {
+		t.Errorf("got %d cut streams, want 0", w.cuts)
+	}
+}
