--- a/internal/app/daemon/fleet_test.go
+++ b/internal/app/daemon/fleet_test.go
@@ -32,7 +32,7 @@
 
 // entries are instances as processes, before stand-ins in this one.
 type entries struct {
-	t        *testing.T
+	t        testing.TB
 	ctx      context.Context
 	site     *trial.Site
 	balancer caller.Balancer
@@ -41,12 +41,18 @@
 	started  int
 }
 
-func newEntries(t *testing.T, n int) *entries {
+func newEntries(t testing.TB, n int) *entries {
+	t.Helper()
+	return newEntriesAt(t, n, &trial.Site{Layer: 20 * time.Microsecond})
+}
+
+// newEntriesAt puts n instances before a site that is not started yet.
+func newEntriesAt(t testing.TB, n int, site *trial.Site) *entries {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), longest)
 	t.Cleanup(cancel)
 	e := &entries{
-		t: t, ctx: ctx, site: &trial.Site{Layer: 20 * time.Microsecond},
+		t: t, ctx: ctx, site: site,
 		live: map[string]*process{}, bases: map[string]string{},
 	}
 	if err := e.site.Start(ctx); err != nil {
--- a/internal/app/daemon/process_test.go
+++ b/internal/app/daemon/process_test.go
@@ -45,7 +45,7 @@
 }
 
 // launch starts the program with args.
-func launch(t *testing.T, name string, args ...string) *process {
+func launch(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	cmd := exec.CommandContext(ctx, os.Args[0])
@@ -103,7 +103,7 @@
 }
 
 // address waits for the log line msg and returns the address in it.
-func (p *process) address(t *testing.T, msg string) string {
+func (p *process) address(t testing.TB, msg string) string {
 	t.Helper()
 	p.mu.Lock()
 	if a, ok := p.seen[msg]; ok {
--- a/internal/fakes/trial/trial.go
+++ b/internal/fakes/trial/trial.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -50,10 +51,12 @@
 outcomes = yes
 `
 
-// Site is a running set of stand-ins. Set Layer before Start.
+// Site is a running set of stand-ins. Set the exported fields before Start.
 type Site struct {
 	// Layer is the time of a layer on the fastest engine.
 	Layer time.Duration
+	// Copies is how many engines there are of each of the six; zero is one.
+	Copies int
 
 	engines []*stage.Engine
 	desk    *desk.Desk
@@ -79,7 +82,7 @@
 // Start serves all stand-ins on free loopback ports.
 func (s *Site) Start(ctx context.Context) error {
 	s.server = &infra.Server{Table: &infra.Table{}}
-	s.engines = engines(s.Layer)
+	s.engines = engines(s.Layer, max(1, s.Copies))
 	for _, e := range s.engines {
 		if err := s.add(ctx, e.Name, store.RoleEngine, "", e.Handler()); err != nil {
 			return err
@@ -145,7 +148,7 @@
 
 // engines are of three speeds and hold overlapping ranges; no one of them
 // holds the whole model.
-func engines(unit time.Duration) []*stage.Engine {
+func engines(unit time.Duration, copies int) []*stage.Engine {
 	ranges := []struct {
 		name, kind string
 		from, to   int
@@ -159,12 +162,18 @@
 		{"slow-2", "t4", 18, 24, 4},
 	}
 	var out []*stage.Engine
-	for _, r := range ranges {
-		hold := frame.Hold{Model: Model, Version: "1", Depth: Depth, From: r.from, To: r.to}
-		out = append(out, &stage.Engine{
-			Name: r.name, DataCentre: Centre, Kind: r.kind, Holds: []frame.Hold{hold},
-			Layer: unit * r.slow, Slots: 16,
-		})
+	for c := range copies {
+		for _, r := range ranges {
+			name := r.name
+			if c > 0 {
+				name += "-" + strconv.Itoa(c+1)
+			}
+			hold := frame.Hold{Model: Model, Version: "1", Depth: Depth, From: r.from, To: r.to}
+			out = append(out, &stage.Engine{
+				Name: name, DataCentre: Centre, Kind: r.kind, Holds: []frame.Hold{hold},
+				Layer: unit * r.slow, Slots: 16,
+			})
+		}
 	}
 	return out
 }
