--- a/internal/wire/chain/call.go
+++ b/internal/wire/chain/call.go
@@ -22,31 +22,45 @@
 	maxStalls = 8
 )
 
-// call has j.step run by s and leaves the answer in j.reply.
-func (j *run) call(ctx context.Context, s *stage) error {
+// begin puts s.step on its way. What goes wrong shows when its reply is waited
+// for.
+func (j *run) begin(ctx context.Context, s *stage) {
+	if s.sent {
+		return
+	}
 	j.meters.steps.Inc()
+	s.sent = true
+	s.err = j.send(ctx, s)
+}
+
+func (j *run) send(ctx context.Context, s *stage) error {
+	if err := j.open(ctx, s); err != nil {
+		return err
+	}
+	return s.on.Send(&s.step)
+}
+
+// call leaves the reply to s.step in j.reply. A step that got none is sent
+// again where that is safe.
+func (j *run) call(ctx context.Context, s *stage) error {
+	defer func() { s.sent = false }()
 	for tries := 0; ; tries++ {
-		err := j.ask(ctx, s)
+		err := s.err
+		s.err = nil
+		if err == nil {
+			err = j.recv(ctx, s, s.step.Seq)
+		}
 		if err == nil {
 			return j.checked(s)
 		}
 		if err := j.mend(ctx, s, err, tries); err != nil {
 			return err
 		}
+		s.err = j.send(ctx, s)
 	}
 }
 
-func (j *run) ask(ctx context.Context, s *stage) error {
-	if err := j.open(ctx, s); err != nil {
-		return err
-	}
-	if err := s.on.Send(&j.step); err != nil {
-		return err
-	}
-	return j.recv(ctx, s, j.step.Seq)
-}
-
-// recv waits for the reply to j.step. Base is the number of the step that was
+// recv waits for the reply to s.step. Base is the number of the step that was
 // sent; in a run the engine goes on by itself, and a reply from beyond the one
 // awaited shows that replies are missing, which the engine can give again.
 func (j *run) recv(ctx context.Context, s *stage, base uint64) error {
@@ -58,9 +72,9 @@
 		// A reply of a run that was asked for again counts from elsewhere.
 		current := j.mine(s) && r.Seq >= base && (r.Code != frame.CodeOK || r.Index == int(r.Seq-base))
 		switch {
-		case current && r.Seq == j.step.Seq:
+		case current && r.Seq == s.step.Seq:
 			return nil
-		case current && r.Seq > j.step.Seq:
+		case current && r.Seq > s.step.Seq:
 			return engine.ErrMissed
 		}
 		j.meters.stale.Inc()
--- a/internal/wire/chain/chain_test.go
+++ b/internal/wire/chain/chain_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -218,6 +219,29 @@
 	})
 }
 
+// The caller of a long prompt waits for its first token no longer than the
+// parts of the prompt take one after another on one stage, plus one part on
+// each other: while a stage runs a part, the one before it runs the next.
+func TestLongPromptRunsOnAllStagesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := three()
+		defer s.close()
+		s.runner.Positions = 10
+		text := prompt + strings.Repeat(" door", 94)
+		began := time.Now()
+		var first time.Duration
+		s.ask(t.Context(), "r", text, limit, func(n int) {
+			if n == 1 {
+				first = time.Since(began)
+			}
+		}).must(t, text, depth, limit)
+		// Ten parts and two stages more, four layers of a millisecond each.
+		if want := 12 * 4 * time.Millisecond; first != want {
+			t.Errorf("got the first token after %v, want %v", first, want)
+		}
+	})
+}
+
 // Whoever reads a trace sees a span for each stage of the chain, with its
 // engine and layers, and one more for the stage that replaced a lost one.
 func TestSpanForEachStage(t *testing.T) {
--- a/internal/wire/chain/run.go
+++ b/internal/wire/chain/run.go
@@ -89,7 +89,6 @@
 	prefill  time.Duration
 	stages   []*stage
 	inputs   inputs
-	step     frame.Step
 	reply    frame.Reply
 	stop     bool
 	began    time.Time
@@ -184,16 +183,22 @@
 	}
 }
 
-// advance brings each stage nearer to its boundary by a step, first to last. A
-// long prompt so goes through the stages in parts, of which each stage's inputs
-// are dropped or kept before the next part comes.
+// advance brings each stage nearer to its boundary by a step. All steps that
+// can run are sent before the first reply is waited for: the parts of a long
+// prompt or rebuild so run on all stages at once, each a part behind the one
+// before.
 func (j *run) advance(ctx context.Context) error {
 	if len(j.stages) == 1 {
 		return j.stream(ctx, j.stages[0])
 	}
+	for _, s := range j.stages {
+		if j.next(s) {
+			j.begin(ctx, s)
+		}
+	}
 	moved := false
 	for _, s := range j.stages {
-		if !j.next(s) {
+		if !s.pending {
 			continue
 		}
 		moved = true
--- a/internal/wire/chain/stage.go
+++ b/internal/wire/chain/stage.go
@@ -32,6 +32,13 @@
 	done int
 	lost bool
 	on   frame.Stream
+	// step is what the stage is to run next. While pending it stays as it is:
+	// the engine may have run it, and knows it by its number only. sent says
+	// that a reply is awaited, err what went wrong with sending.
+	step    frame.Step
+	pending bool
+	sent    bool
+	err     error
 	// life is the engine's incarnation when the state was opened.
 	life uint64
 	// anew and stalls count set-ups and repeats without a step between.
@@ -75,28 +82,35 @@
 	return nil
 }
 
-// next sets j.step to what brings s up to date, or a part of it; false if
-// nothing is missing.
+// next sets s.step to what brings s up to date, or a part of it, unless one is
+// under way; false if nothing is missing.
 func (j *run) next(s *stage) bool {
-	j.step = frame.Step{
+	if !s.pending {
+		s.pending = j.build(s)
+	}
+	return s.pending
+}
+
+func (j *run) build(s *stage) bool {
+	s.step = frame.Step{
 		Verb: frame.VerbStep, Seq: s.seq + 1, Model: string(j.job.Arrived.Model),
 		To: s.is.Layers().To(), Pos: s.done, Prio: j.prio,
 	}
 	switch {
 	case s.from() > 0:
-		j.step.Hidden = portion(j.inputs.from(s.from(), s.done), j.Chunk)
-		return len(j.step.Hidden) > 0
+		s.step.Hidden = portion(j.inputs.from(s.from(), s.done), j.Chunk)
+		return len(s.step.Hidden) > 0
 	case j.prompting(s):
-		j.step.Count = j.Positions
+		s.step.Count = j.Positions
 		if s.seq == 0 {
-			j.step.Text = j.job.Text
+			s.step.Text = j.job.Text
 		}
 		return true
 	case s.done == j.inputs.positions():
 		return false
 	default:
 		rest := j.inputs.tokens[s.done-j.inputs.prompt:]
-		j.step.Tokens = rest[:min(len(rest), j.Positions)]
+		s.step.Tokens = rest[:min(len(rest), j.Positions)]
 		return true
 	}
 }
@@ -128,7 +142,7 @@
 	if r.Last && (!r.End || r.Total != r.Next) {
 		return j.stalled(s)
 	}
-	s.seq, s.anew, s.stalls = j.step.Seq, 0, 0
+	s.seq, s.anew, s.stalls, s.pending = s.step.Seq, 0, 0, false
 	j.sized(s)
 	begin := s.done
 	s.done = r.Next
@@ -146,13 +160,13 @@
 	return j.token()
 }
 
-// accounts reports whether the reply tells of just the inputs of j.step.
+// accounts reports whether the reply tells of just the inputs of s.step.
 func (j *run) accounts(s *stage) bool {
-	r, n := &j.reply, len(j.step.Hidden)+len(j.step.Tokens)
+	r, n := &j.reply, len(s.step.Hidden)+len(s.step.Tokens)
 	if j.prompting(s) {
 		// Only the engine knows how many positions the prompt takes; it must
 		// not change its mind.
-		whole := r.Next + r.Left - len(j.step.Tokens)
+		whole := r.Next + r.Left - len(s.step.Tokens)
 		if whole <= 0 || j.inputs.prompt > 0 && whole != j.inputs.prompt {
 			return false
 		}
@@ -167,7 +181,7 @@
 // sized takes the size of the prompt from its first reply.
 func (j *run) sized(s *stage) {
 	if s.from() == 0 && j.inputs.prompt == 0 {
-		j.inputs.prompt = j.reply.Next + j.reply.Left - len(j.step.Tokens)
+		j.inputs.prompt = j.reply.Next + j.reply.Left - len(s.step.Tokens)
 	}
 }
 
@@ -206,6 +220,7 @@
 	s.close()
 	j.rebuilds++
 	s.try, s.seq, s.done = j.attempt<<rebuildBits|j.rebuilds, 0, 0
+	s.pending, s.sent, s.err = false, false, nil
 }
 
 func canceled(ctx context.Context) error {
--- a/internal/wire/chain/stream.go
+++ b/internal/wire/chain/stream.go
@@ -9,16 +9,17 @@
 
 // stream runs a whole-model stage: one step, a reply per token.
 func (j *run) stream(ctx context.Context, s *stage) error {
-	if !j.next(s) {
+	if !j.build(s) {
 		return j.lose(s, world.CauseState)
 	}
 	if s.done == 0 {
 		// No hidden values come back, so the whole prompt goes in one step.
-		j.step.Tokens = j.inputs.tokens
+		s.step.Tokens = j.inputs.tokens
 	}
 	left := j.job.Arrived.Limit - j.count()
-	j.step.Verb, j.step.Count = frame.VerbRun, left
-	base := j.step.Seq
+	s.step.Verb, s.step.Count = frame.VerbRun, left
+	base := s.step.Seq
+	j.begin(ctx, s)
 	if err := j.call(ctx, s); err != nil {
 		return err
 	}
@@ -32,7 +33,7 @@
 		if j.ended() || j.reply.End {
 			return nil
 		}
-		j.proceed()
+		j.proceed(s)
 		if err := j.recv(ctx, s, base); err != nil {
 			return j.resume(ctx, s, err)
 		}
@@ -42,12 +43,12 @@
 	}
 }
 
-// proceed sets j.step to the one that the engine makes of its last token.
-func (j *run) proceed() {
-	j.step.Seq++
-	j.step.Pos = j.reply.Next
-	j.step.Text = ""
-	j.step.Tokens = j.inputs.tokens[j.count()-1:]
+// proceed sets s.step to the one that the engine makes of its last token.
+func (j *run) proceed(s *stage) {
+	s.step.Seq++
+	s.step.Pos = j.reply.Next
+	s.step.Text = ""
+	s.step.Tokens = j.inputs.tokens[j.count()-1:]
 }
 
 // counted takes reply i of a run into the stage's numbers. An end whose count
