Follow the load reports of plain services

Calls go by what instances report besides own calls in flight, and one that reports leaving gets nothing new before the platform's list says so. Only instances that were sent calls lately are asked.

--- a/internal/app/daemon/build.go
+++ b/internal/app/daemon/build.go
@@ -46,6 +46,7 @@
 	breaker  *store.Breaker
 	table    store.Table
 	ledger   *ledger.Ledger
+	sender   *plain.Sender
 	logic    *core.Logic
 	planner  *place.Planner
 	loop     *loop.Loop
@@ -75,6 +76,7 @@
 	}
 	d.parts.fleet = f
 	d.parts.duties = d.newDuties()
+	d.parts.sender = sender
 	d.buildWatch(sender)
 	if f != nil {
 		f.duties = d.parts.duties
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -108,7 +108,7 @@
 // runners are the parts that run beside the servers.
 func (d *Daemon) runners() []func(context.Context) error {
 	p := &d.parts
-	out := []func(context.Context) error{p.loop.Run, p.watcher.Run, func(ctx context.Context) error {
+	out := []func(context.Context) error{p.loop.Run, p.watcher.Run, p.sender.Run, func(ctx context.Context) error {
 		p.follower.Run(ctx)
 		return nil
 	}}
--- a/internal/fakes/desk/desk.go
+++ b/internal/fakes/desk/desk.go
@@ -26,6 +26,10 @@
 	done  map[scope]int
 	cut   int
 	reads int
+	// active and others are the calls that run, and those that a test adds.
+	active  int
+	others  int
+	leaving bool
 }
 
 // scope is what an outcome is kept under: keys of two teams may be equal.
@@ -40,6 +44,13 @@
 	Run     int    `json:"run"`
 }
 
+// report is what a load report tells.
+type report struct {
+	State  string `json:"state"`
+	Active int    `json:"active"`
+	Queued int    `json:"queued"`
+}
+
 // Runs is how often the call with key ran.
 func (d *Desk) Runs(key string) int {
 	d.mu.Lock()
@@ -62,15 +73,50 @@
 	d.reads = n
 }
 
-// Handler serves POST /v1/calls/{class} and GET /v1/outcomes/{key}.
+// Busy adds n calls of others to what the load report tells.
+func (d *Desk) Busy(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.others = n
+}
+
+// Leave makes the load report tell that the instance leaves, or does not.
+func (d *Desk) Leave(leaving bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaving = leaving
+}
+
+// Handler serves POST /v1/calls/{class}, GET /v1/outcomes/{key} and GET
+// /v1/load.
 func (d *Desk) Handler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/calls/{class}", d.call).Methods(http.MethodPost)
+	r.HandleFunc("/v1/load", d.load).Methods(http.MethodGet)
 	r.HandleFunc("/v1/outcomes/{key}", d.outcome).Methods(http.MethodGet)
 	return r
 }
 
+func (d *Desk) load(w http.ResponseWriter, _ *http.Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	state := "live"
+	if d.leaving {
+		state = "leaving"
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(report{State: state, Active: d.active + d.others})
+}
+
+func (d *Desk) count(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.active += n
+}
+
 func (d *Desk) call(w http.ResponseWriter, req *http.Request) {
+	d.count(1)
+	defer d.count(-1)
 	_, _ = io.Copy(io.Discard, req.Body)
 	key := req.Header.Get("Idempotency-Key")
 	if d.Delay > 0 {
--- a/internal/wire/plain/place.go
+++ b/internal/wire/plain/place.go
@@ -21,6 +21,8 @@
 	leaving bool
 	// rest is until when the instance is left alone.
 	rest time.Time
+	// sent is when the last call went there.
+	sent time.Time
 }
 
 type places map[spec.ServiceName][]*place
@@ -96,6 +98,7 @@
 		return "", false
 	}
 	best.flying++
+	best.sent = now
 	return best.base, true
 }
 
--- a/internal/wire/plain/plain.go
+++ b/internal/wire/plain/plain.go
@@ -56,6 +56,8 @@
 	Repeats func(spec.ClassName) bool
 	// Share is how many repeats one first send earns; zero is 0.1.
 	Share float64
+	// Every is the time between two reads of loads; zero is 1 s.
+	Every time.Duration
 	// Meters takes the metrics; nil takes none.
 	Meters *metrics.Set
 
--- a/internal/wire/plain/plain_test.go
+++ b/internal/wire/plain/plain_test.go
@@ -215,6 +215,40 @@
 	}
 }
 
+// One of two instances reports calls of others, then that it leaves, then that
+// it is back. New calls follow its word at the next read, although the
+// platform's list still says live.
+func TestFollowsLoadReports(t *testing.T) {
+	a, b := &desk.Desk{}, &desk.Desk{}
+	s := sender(server(t, a.Handler()), server(t, b.Handler()))
+	send := func(key string) (atA, atB int) {
+		s.ReadLoads(t.Context())
+		for range 4 {
+			if _, err := s.Send(t.Context(), payment(key)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return a.Runs(key), b.Runs(key)
+	}
+	steps := []struct {
+		what         string
+		change       func()
+		wantA, wantB int
+	}{
+		{"idle", func() {}, 2, 2},
+		{"a busy", func() { a.Busy(9) }, 0, 4},
+		{"b leaving", func() { b.Leave(true) }, 4, 0},
+		{"b back", func() { b.Leave(false) }, 0, 4},
+		{"a idle", func() { a.Busy(0) }, 2, 2},
+	}
+	for _, c := range steps {
+		c.change()
+		if atA, atB := send(c.what); atA != c.wantA || atB != c.wantB {
+			t.Errorf("%s: got %d and %d calls, want %d and %d", c.what, atA, atB, c.wantA, c.wantB)
+		}
+	}
+}
+
 // A class that may repeat is sent again after a lost answer, but no more than
 // its budget allows when every answer is lost.
 func TestRepeatsStayInBudget(t *testing.T) {
