--- a/internal/app/daemon/duties.go
+++ b/internal/app/daemon/duties.go
@@ -14,6 +14,7 @@
 	"fulmarwick/internal/state/lease"
 	"fulmarwick/internal/state/ledger"
 	"fulmarwick/internal/state/order"
+	"fulmarwick/internal/state/store"
 
 	"go.uber.org/zap"
 )
@@ -169,7 +170,7 @@
 // runTrim removes old records while the lease is held.
 func (u *duties) runTrim(ctx context.Context) {
 	l := u.newLease(dutyTrim)
-	trimmer := &ledger.Trimmer{Table: u.parts.table}
+	trimmer := &ledger.Trimmer{Table: u.parts.budget.Table(store.RankRest, u.parts.breaker)}
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { l.Run(ctx) })
--- a/internal/state/ledger/attempt.go
+++ b/internal/state/ledger/attempt.go
@@ -118,7 +118,7 @@
 }
 
 func (a *Attempt) commit(r record, version uint64) Action {
-	return Action{kind: ActCommit, write: r.put(a.key(), version, a.params.Now())}
+	return Action{kind: ActCommit, write: r.put(a.key(), version)}
 }
 
 func (a *Attempt) key() string {
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -85,8 +85,6 @@
 	Owner string
 	// Gone reports evidence that another incarnation ended; nil knows none.
 	Gone func(owner string) bool
-	// Now is the wall clock for retention; nil is time.Now.
-	Now func() time.Time
 	// Jitter returns a factor around 1 for waits; nil is always 1.
 	Jitter func() float64
 	// Backlog bounds the records to settle or clear in the background; at the
@@ -183,9 +181,6 @@
 	if l.Gone == nil {
 		l.Gone = func(string) bool { return false }
 	}
-	if l.Now == nil {
-		l.Now = time.Now
-	}
 	if l.Jitter == nil {
 		l.Jitter = func() float64 { return 1 }
 	}
@@ -198,7 +193,7 @@
 
 func (l *Ledger) params(c Call) Params {
 	return Params{
-		Call: c, ID: uuid.NewString(), Owner: l.Owner, Gone: l.Gone, Now: l.Now, Polls: defaultPolls,
+		Call: c, ID: uuid.NewString(), Owner: l.Owner, Gone: l.Gone, Polls: defaultPolls,
 		Begun: l.begun.has(rowKey(c.team, c.class, c.key)),
 		Asks:  l.Asker != nil && l.Asks != nil && l.Asks(c.service),
 	}
--- a/internal/state/ledger/params.go
+++ b/internal/state/ledger/params.go
@@ -1,7 +1,5 @@
 package ledger
 
-import "time"
-
 // Params are what an attempt needs to know.
 type Params struct {
 	Call Call
@@ -11,8 +9,6 @@
 	Owner string
 	// Gone reports evidence that the incarnation owner will not answer again.
 	Gone func(owner string) bool
-	// Now is the wall clock, for retention only.
-	Now func() time.Time
 	// Polls is how often a row that another attempt holds is read before the
 	// caller is told running.
 	Polls int
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -1,8 +1,6 @@
 package ledger
 
 import (
-	"time"
-
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/state/store"
 
@@ -24,9 +22,6 @@
 	// Owner names the incarnation whose attempt it is.
 	Owner string `cbor:"7,keyasint,omitempty"`
 	Why   string `cbor:"8,keyasint,omitempty"`
-	// At is the wall clock of the last change in Unix seconds. Only retention
-	// looks at it.
-	At int64 `cbor:"9,keyasint,omitempty"`
 }
 
 func (r record) outcome() Outcome {
@@ -41,8 +36,7 @@
 }
 
 // put is the write that stores r in the row that has version now.
-func (r record) put(key string, version uint64, at time.Time) store.Write {
-	r.At = at.Unix()
+func (r record) put(key string, version uint64) store.Write {
 	data, err := cbor.Marshal(r)
 	if err != nil {
 		// The record has no field that can fail to encode.
