--- a/internal/route/world/peer.go
+++ b/internal/route/world/peer.go
@@ -8,12 +8,18 @@
 
 // peers is what other instances told.
 type peers struct {
-	loads map[spec.InstanceID]map[spec.UpstreamID]int64
+	loads map[spec.InstanceID]map[spec.UpstreamID]peerLoad
 	ids   []spec.InstanceID
 	// told is set once a PeersSet named the peers.
 	told bool
 }
 
+// peerLoad is what one peer has on one engine.
+type peerLoad struct {
+	draw   int64
+	active int
+}
+
 // Peers are the other instances of the data centre: those of the last
 // PeersSet, or without one those that told their load, in order of hearing.
 func (w *World) Peers() []spec.InstanceID { return w.peers.ids }
@@ -24,40 +30,54 @@
 }
 
 // peerLoad takes what a peer has in flight. The load of an engine that is not
-// known yet is dropped: the peer tells it again at its next change, and until
-// then the engine's own report shows it.
+// known yet is kept for its first report.
 func (w *World) peerLoad(ev PeerLoad) {
 	p := &w.peers
 	if p.loads == nil {
-		p.loads = map[spec.InstanceID]map[spec.UpstreamID]int64{}
+		p.loads = map[spec.InstanceID]map[spec.UpstreamID]peerLoad{}
 	}
 	loads := p.loads[ev.Peer]
 	if loads == nil {
-		loads = map[spec.UpstreamID]int64{}
+		loads = map[spec.UpstreamID]peerLoad{}
 		p.loads[ev.Peer] = loads
 		if !p.told {
 			p.ids = append(p.ids, ev.Peer)
 		}
 	}
-	now := int64(max(0, ev.Tokens))
-	e := w.engines.Get(ev.Engine)
-	if e == nil {
-		return
+	now := peerLoad{draw: int64(max(0, ev.Tokens)), active: max(0, ev.Active)}
+	if e := w.engines.Get(ev.Engine); e != nil {
+		e.addPeer(now, loads[ev.Engine])
 	}
-	e.addPeer(now - loads[ev.Engine])
-	if now == 0 {
+	if now == (peerLoad{}) {
 		delete(loads, ev.Engine)
 		return
 	}
 	loads[ev.Engine] = now
 }
 
+// engineSeen takes a report. A new engine starts with what peers told of it
+// before.
+func (w *World) engineSeen(ev EngineSeen) {
+	known := w.engines.Get(ev.Engine.ID) != nil
+	w.engines.see(w.now, ev.Engine)
+	if known {
+		return
+	}
+	e := w.engines.Get(ev.Engine.ID)
+	// The sums are of integers, so the order of the map does not show.
+	for _, loads := range w.peers.loads {
+		if l, ok := loads[e.ID]; ok {
+			e.addPeer(l, peerLoad{})
+		}
+	}
+}
+
 // peerGone forgets a peer. The sums are of integers, so the order of the map
 // does not show.
 func (w *World) peerGone(id spec.InstanceID) {
 	for engine, d := range w.peers.loads[id] {
 		if e := w.engines.Get(engine); e != nil {
-			e.addPeer(-d)
+			e.addPeer(peerLoad{}, d)
 		}
 	}
 	delete(w.peers.loads, id)
