Start a change from a follower's rows, and rank look-ups last

A look-up that finds nothing costs a commit, so look-ups spend the last rank of the budget and not that of payments.

--- a/internal/app/daemon/build.go
+++ b/internal/app/daemon/build.go
@@ -133,10 +133,11 @@
 		Table: rest, Book: p.book, OnChange: d.adopt, Jitter: jitter, Meters: p.meters,
 		OnError: func(err error) { d.Log.Warn("config: not followed", zap.Error(err)) },
 	}
-	p.applier = &config.Applier{Table: rest}
+	p.applier = &config.Applier{Table: rest, From: p.follower}
 	sender := &plain.Sender{HTTP: plain.NewHTTP(), Repeats: d.repeats, Meters: p.meters}
 	p.ledger = &ledger.Ledger{
 		Table:  &store.Batcher{Table: p.budget.Table(store.RankRecord, p.breaker), Meters: p.meters},
+		Looks:  rest,
 		Sender: sender, Asker: sender, Asks: d.asks, Repeats: d.repeats,
 		Services: d.service, Owner: p.owner, Gone: d.gone, Jitter: jitter, Meters: p.meters,
 	}
--- a/internal/state/config/apply.go
+++ b/internal/state/config/apply.go
@@ -39,10 +39,13 @@
 	ID string
 }
 
-// Applier changes the configuration. Set the exported fields before use. It
-// follows the table by itself and shares nothing with a Follower.
+// Applier changes the configuration. Set the exported fields before use.
 type Applier struct {
 	Table CommitTable
+	// From is a follower whose rows are known already, so that a change reads
+	// only later ones. It may be behind: a change on old rows has no effect,
+	// and they are read anew. Nil reads all rows for each change.
+	From *Follower
 	// Uses reports whether a team that is to be removed is in use, and how;
 	// nil looks at the classes only.
 	Uses func(team string) (string, bool)
@@ -126,8 +129,12 @@
 	if a.Now != nil {
 		now = a.Now
 	}
+	f := &Follower{Table: a.Table, Book: &Book{}}
+	if a.From != nil {
+		f.state = a.From.now()
+	}
 	return &attempt{
-		Applier: a, follower: &Follower{Table: a.Table, Book: &Book{}}, changes: changes,
+		Applier: a, follower: f, changes: changes,
 		entry: Entry{ID: id, Who: oneLine(c.Who), At: now().Unix()},
 	}
 }
--- a/internal/state/config/spread_test.go
+++ b/internal/state/config/spread_test.go
@@ -108,6 +108,18 @@
 	r2, _ := table.Counts()
 	round(t, f)
 	r3, _ := table.Counts()
+	a := &config.Applier{Table: table, From: f}
+	if v, err := a.Apply(t.Context(), config.Change{Documents: class("one", "4s")}); v != 4 || err != nil {
+		t.Errorf("got version %d %v from known rows, want 4", v, err)
+	}
+	r4, _ := table.Counts()
+	if v, err := a.Apply(t.Context(), config.Change{Documents: class("one", "5s")}); v != 5 || err != nil {
+		t.Errorf("got version %d %v from old rows, want 5", v, err)
+	}
+	t.Logf("one class, from a follower's rows: %d reads", r4-r3)
+	if r4-r3 != 1 {
+		t.Errorf("got %d reads from known rows, want 1", r4-r3)
+	}
 	t.Logf("a follower: %d reads", r3-r2)
 	if r3-r2 != 2 {
 		t.Errorf("got %d reads by a follower, want 2", r3-r2)
--- a/internal/state/ledger/flight.go
+++ b/internal/state/ledger/flight.go
@@ -50,7 +50,7 @@
 			if act.kind == ActEnd {
 				return
 			}
-			a.Take(l.perform(context.Background(), f.call, act))
+			a.Take(l.perform(context.Background(), l.Table, f.call, act))
 		}
 	})
 }
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -72,6 +72,9 @@
 type Ledger struct {
 	Table  Table
 	Sender Sender
+	// Looks is the table for look-ups, so that they can have a lower rank in
+	// the budget: one that finds nothing costs a commit. Nil is Table.
+	Looks Table
 	// Asker is for services of which Asks is true; nil asks nobody.
 	Asker Asker
 	Asks  func(spec.ServiceName) bool
@@ -146,7 +149,7 @@
 			out, err, _ := a.Told()
 			return out, err
 		}
-		a.Take(l.perform(ctx, c, act))
+		a.Take(l.perform(ctx, l.Looks, c, act))
 	}
 }
 
@@ -178,6 +181,9 @@
 	if l.Owner == "" {
 		l.Owner = uuid.NewString()
 	}
+	if l.Looks == nil {
+		l.Looks = l.Table
+	}
 	if l.Gone == nil {
 		l.Gone = func(string) bool { return false }
 	}
@@ -213,13 +219,13 @@
 }
 
 // perform does one action and returns its result.
-func (l *Ledger) perform(ctx context.Context, c Call, act Action) Result {
+func (l *Ledger) perform(ctx context.Context, t Table, c Call, act Action) Result {
 	var r Result
 	switch act.kind {
 	case ActCommit:
-		r.Version, r.Err = l.Table.Commit(ctx, []store.Write{act.write})
+		r.Version, r.Err = t.Commit(ctx, []store.Write{act.write})
 	case ActRead:
-		r.Row, r.Err = l.Table.Get(ctx, rowKey(c.team, c.class, c.key))
+		r.Row, r.Err = t.Get(ctx, rowKey(c.team, c.class, c.key))
 	case ActSend:
 		r.Answer, r.Err = l.Sender.Send(ctx, c)
 	case ActAsk:
--- a/internal/state/ledger/ledger_test.go
+++ b/internal/state/ledger/ledger_test.go
@@ -320,6 +320,17 @@
 	})
 }
 
+// Somebody asks for keys that do not exist as fast as he can, and the part of
+// the budget that look-ups have is spent. Payments do not notice.
+func TestLookUpsHaveATableOfTheirOwn(t *testing.T) {
+	spent := &infra.Table{}
+	spent.Fault(infra.Faults{Down: true})
+	l := &ledger.Ledger{Table: &infra.Table{}, Looks: spent, Sender: &service{}}
+	want(t, "the payment", do(t, l, "1"), ledger.StateDone)
+	_, err := l.Look(t.Context(), "team", "payment", "k1")
+	want(t, "the look-up", errors.Is(err, ledger.ErrUnread), true)
+}
+
 // While the store is out for long, the records that wait to be settled stay
 // bounded: new calls are refused before sending.
 func TestBacklogIsBounded(t *testing.T) {
--- a/internal/state/ledger/rate_test.go
+++ b/internal/state/ledger/rate_test.go
@@ -93,6 +93,10 @@
 		step("a call", 0, 2, func() { do(t, a, "1") })
 		step("a repeat at another instance", 1, 0, func() { do(t, b, "1") })
 		step("a look-up of a done call", 1, 0, func() { look(t, b) })
+		step("a look-up of an unknown key", 1, 1, func() {
+			_, err := a.Look(t.Context(), "t", "payment", "k9")
+			want(t, "the error", err, nil)
+		})
 		step("a call whose first answer was lost", 1, 2, func() {
 			table.Fault(infra.Faults{Lose: 1})
 			_, err := a.Do(t.Context(), ledger.NewCall("t", "payment", "payments", "k2", "", nil))
