--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -72,6 +72,9 @@
 type Ledger struct {
 	Table  Table
 	Sender Sender
+	// Looks is the table for look-ups, so that they can have a lower rank in
+	// the budget: one that finds nothing costs a commit. Nil is Table.
+	Looks Table
 	// Asker is for services of which Asks is true; nil asks nobody.
 	Asker Asker
 	Asks  func(spec.ServiceName) bool
@@ -85,8 +88,6 @@
 	Owner string
 	// Gone reports evidence that another incarnation ended; nil knows none.
 	Gone func(owner string) bool
-	// Now is the wall clock for retention; nil is time.Now.
-	Now func() time.Time
 	// Jitter returns a factor around 1 for waits; nil is always 1.
 	Jitter func() float64
 	// Backlog bounds the records to settle or clear in the background; at the
@@ -148,7 +149,7 @@
 			out, err, _ := a.Told()
 			return out, err
 		}
-		a.Take(l.perform(ctx, c, act))
+		a.Take(l.perform(ctx, l.Looks, c, act))
 	}
 }
 
@@ -180,12 +181,12 @@
 	if l.Owner == "" {
 		l.Owner = uuid.NewString()
 	}
+	if l.Looks == nil {
+		l.Looks = l.Table
+	}
 	if l.Gone == nil {
 		l.Gone = func(string) bool { return false }
 	}
-	if l.Now == nil {
-		l.Now = time.Now
-	}
 	if l.Jitter == nil {
 		l.Jitter = func() float64 { return 1 }
 	}
@@ -198,7 +199,7 @@
 
 func (l *Ledger) params(c Call) Params {
 	return Params{
-		Call: c, ID: uuid.NewString(), Owner: l.Owner, Gone: l.Gone, Now: l.Now, Polls: defaultPolls,
+		Call: c, ID: uuid.NewString(), Owner: l.Owner, Gone: l.Gone, Polls: defaultPolls,
 		Begun: l.begun.has(rowKey(c.team, c.class, c.key)),
 		Asks:  l.Asker != nil && l.Asks != nil && l.Asks(c.service),
 	}
@@ -218,13 +219,13 @@
 }
 
 // perform does one action and returns its result.
-func (l *Ledger) perform(ctx context.Context, c Call, act Action) Result {
+func (l *Ledger) perform(ctx context.Context, t Table, c Call, act Action) Result {
 	var r Result
 	switch act.kind {
 	case ActCommit:
-		r.Version, r.Err = l.Table.Commit(ctx, []store.Write{act.write})
+		r.Version, r.Err = t.Commit(ctx, []store.Write{act.write})
 	case ActRead:
-		r.Row, r.Err = l.Table.Get(ctx, rowKey(c.team, c.class, c.key))
+		r.Row, r.Err = t.Get(ctx, rowKey(c.team, c.class, c.key))
 	case ActSend:
 		r.Answer, r.Err = l.Sender.Send(ctx, c)
 	case ActAsk:
