--- a/internal/fleet/node/measure_test.go
+++ b/internal/fleet/node/measure_test.go
@@ -202,8 +202,8 @@
 	b.ReportMetric(float64(f.expires())/float64(s.n)/2*60, "false-deaths-told/instance-hour")
 	var took []time.Duration
 	for _, silent := range []bool{false, true} {
-		for i := range min(5, s.n-2) {
-			took = append(took, f.death(f.nodes[i], silent))
+		for i := range 10 {
+			took = append(took, f.death(f.nodes[i%s.n], silent))
 		}
 		slices.Sort(took)
 		name := "crash"
--- a/internal/fleet/node/remote.go
+++ b/internal/fleet/node/remote.go
@@ -17,11 +17,11 @@
 	gateways = 2
 	// remoteEvery is the time between two exchanges of a gateway with one
 	// other data centre. Urgent items are pushed and do not wait for it.
-	remoteEvery = 2 * time.Second
+	remoteEvery = 3 * time.Second
 	// avoidFor is how long a partner that did not answer is passed over.
 	avoidFor = 10 * time.Second
 	// cutAfter is the silence after which a data centre counts as cut off.
-	cutAfter = 6 * time.Second
+	cutAfter = 8 * time.Second
 	// reachEvery is the time between two looks at which data centres are cut.
 	reachEvery = 500 * time.Millisecond
 	// reachLife is the life of a gateway's word on a data centre.
--- a/internal/fleet/node/share.go
+++ b/internal/fleet/node/share.go
@@ -18,10 +18,18 @@
 
 // Times of the sums.
 const (
-	shareEvery = 1500 * time.Millisecond
-	ratesEvery = 3 * time.Second
-	loadsLife  = 4 * time.Second
-	ratesLife  = 12 * time.Second
+	// Shares are told every shareMin in a small data centre and every shareMax
+	// in a large one, shareStep more for each instance there; rates likewise by
+	// the instances of the fleet. So few instances know more exactly, and many
+	// stay within their bytes.
+	shareMin  = 500 * time.Millisecond
+	shareStep = 40 * time.Millisecond
+	shareMax  = 2 * time.Second
+	ratesMin  = time.Second
+	ratesStep = 10 * time.Millisecond
+	ratesMax  = 4 * time.Second
+	loadsLife = 6 * time.Second
+	ratesLife = 16 * time.Second
 	// perGroup is how many instances there are for each that adds up loads;
 	// it bounds what one of them receives.
 	perGroup = 4
@@ -69,12 +77,14 @@
 	if l.now < s.next {
 		return
 	}
-	s.next = l.now + l.jitter(shareEvery)
-	l.tickSketch()
+	able := l.active(l.Self.DataCentre)
+	every := min(shareMax, shareMin+time.Duration(len(able))*shareStep)
+	s.next = l.now + l.jitter(every)
+	l.tickSketch(every)
 	s.own.Tick(l.now)
 	s.sums.Tick(l.now)
 	s.view.Tick(l.now)
-	l.tell()
+	l.tell(able)
 	for _, u := range s.view.Teams(&s.own) {
 		l.emit(TeamUse{Team: u.Team, Rate: u.Rate})
 	}
@@ -82,7 +92,7 @@
 
 // tickSketch makes rates of the heaviest teams of the sketch: decayed use over
 // the mean time that it lasts.
-func (l *Logic) tickSketch() {
+func (l *Logic) tickSketch(passed time.Duration) {
 	s := &l.share
 	mean := sketchHalf.Seconds() / math.Ln2
 	for _, c := range s.sketch.Top(quota.Heavy) {
@@ -90,7 +100,7 @@
 			s.own.Rate(l.now, c.Team(), rate)
 		}
 	}
-	s.sketch.Decay(math.Exp2(-shareEvery.Seconds() / sketchHalf.Seconds()))
+	s.sketch.Decay(math.Exp2(-passed.Seconds() / sketchHalf.Seconds()))
 }
 
 // group names the engines whose loads one instance adds up.
@@ -115,8 +125,7 @@
 
 // tell sends the own loads and, now and then, rates to those that add them
 // up, and says the sums that are added up here.
-func (l *Logic) tell() {
-	able := l.active(l.Self.DataCentre)
+func (l *Logic) tell(able []spec.InstanceID) {
 	if len(able) == 0 {
 		return
 	}
@@ -134,7 +143,7 @@
 	}
 	rates := l.now >= l.share.rates
 	if rates {
-		l.share.rates = l.now + ratesEvery
+		l.share.rates = l.now + min(ratesMax, ratesMin+time.Duration(l.members.Len())*ratesStep)
 		share := out.share(adders[0])
 		share.HasRates, share.Rates = true, l.share.own.Rates()
 	}
--- a/internal/fleet/quota/sums.go
+++ b/internal/fleet/quota/sums.go
@@ -12,7 +12,7 @@
 
 // shareLife is how long a share counts that was not sent again; its sender
 // may have chosen another instance to add up.
-const shareLife = 8 * time.Second
+const shareLife = 10 * time.Second
 
 // least is the share of a data centre's use from which on a team is heavy.
 const least = 0.01
