--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -7,109 +7,148 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
+	"sync"
 
 	"fulmarwick/internal/app/setup"
-	"fulmarwick/internal/route/core"
-	"fulmarwick/internal/route/world"
-	"fulmarwick/internal/state/config"
-	"fulmarwick/internal/state/ledger"
-	"fulmarwick/internal/state/store"
-	"fulmarwick/internal/wire/chain"
-	"fulmarwick/internal/wire/engine"
-	"fulmarwick/internal/wire/entry"
-	"fulmarwick/internal/wire/loop"
-	"fulmarwick/internal/wire/plain"
-	"fulmarwick/internal/wire/watch"
+	"fulmarwick/internal/fleet/node"
 
 	"github.com/go-faster/errors"
-	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
 
-const headerTimeout = 10 * time.Second
-
 // Daemon is one instance. Set the exported fields before Run.
 type Daemon struct {
 	Settings setup.File
 	Log      *zap.Logger
-	// Listener serves callers; nil listens where the settings say.
-	Listener net.Listener
-	// Config is put in force at start.
-	Config *config.Snapshot
+	// Build is the version of the program, for the status.
+	Build string
+	// Listener serves callers, Operators operators and Peers other instances;
+	// nil listens where the settings say.
+	Listener  net.Listener
+	Operators net.Listener
+	Peers     net.Listener
+
+	once   sync.Once
+	broken error
+	parts  parts
 }
 
-// Run serves until ctx ends, then finishes every request in progress.
-func (d *Daemon) Run(ctx context.Context) error {
-	listener, err := d.listen(ctx)
-	if err != nil {
-		return err
-	}
-	table := &store.Client{Base: d.Settings.Platform.Table, HTTP: &http.Client{}}
-	pool := &engine.Pool{}
-	defer pool.Close()
-	sender := &plain.Sender{HTTP: plain.NewHTTP()}
-	lp := &loop.Loop{Logic: &core.Logic{}}
-	book := &config.Book{}
-	d.configure(book, lp)
-	watcher := &watch.Watcher{
-		List: table, Loop: lp, Engines: pool, Services: sender,
-		HTTP: &http.Client{}, Log: d.Log, Every: d.Settings.Platform.Watch,
+// Stop begins the graceful stop; Run returns once the last request ended.
+func (d *Daemon) Stop() {
+	if d.build() == nil {
+		d.parts.halt.Begin()
 	}
-	callers := &entry.Server{
-		Models: &chain.Runner{Engines: pool, Router: lp},
-		Calls:  &ledger.Ledger{Table: table, Sender: sender},
-		Book:   book,
-		Limits: entry.Limits{Body: d.Settings.Limits.Body, Tokens: d.Settings.Limits.Tokens},
-		Log:    d.Log,
+}
+
+// Hurry closes the listeners without waiting for the balancer to turn away.
+// Requests in progress go on.
+func (d *Daemon) Hurry() {
+	if d.build() == nil {
+		d.parts.halt.Hurry()
 	}
-	server := &http.Server{Handler: d.handler(callers), ReadHeaderTimeout: headerTimeout}
-	return d.run(ctx, listener, server, lp, watcher)
 }
 
-func (d *Daemon) listen(ctx context.Context) (net.Listener, error) {
-	if d.Listener != nil {
-		return d.Listener, nil
+// Run serves until it is told to stop or ctx ends, then finishes every request
+// in progress.
+func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.build(); err != nil {
+		return err
+	}
+	p := &d.parts
+	defer p.pool.Close()
+	if err := p.spans.Open(ctx); err != nil {
+		return err
 	}
-	l, err := new(net.ListenConfig).Listen(ctx, "tcp", d.Settings.Listen.Callers)
+	p.callers.Spans = p.spans.Provider()
+	ends, err := d.listen(ctx)
 	if err != nil {
-		return nil, errors.Wrap(err, "daemon: listen")
+		return err
 	}
-	return l, nil
-}
-
-func (d *Daemon) configure(book *config.Book, lp *loop.Loop) {
-	if d.Config == nil || !book.Take(d.Config) {
-		return
+	ends.log(d.Log, d.Settings.Instance.Name)
+	err = d.run(ctx, ends)
+	if closed := p.spans.Close(); closed != nil {
+		d.Log.Warn("daemon: last spans lost", zap.Error(closed))
 	}
-	lp.Post(world.ConfigSet{Version: d.Config.Version(), Classes: d.Config.Classes(), Teams: d.Config.Teams()})
+	return err
 }
 
-func (d *Daemon) handler(callers *entry.Server) http.Handler {
-	r := mux.NewRouter()
-	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	r.PathPrefix("/v1/").Handler(callers.Handler())
-	return r
+// ready reports whether the balancer should send callers here: not before the
+// configuration is as new as any heard of, nor before what the other instances
+// know is known here.
+func (d *Daemon) ready() bool {
+	p := &d.parts
+	if p.halt.Stopping() || !p.follower.Ready() {
+		return false
+	}
+	return p.fleet == nil || p.fleet.isReady()
 }
 
-// run keeps the loop and the watcher alive until the last request ended.
-func (d *Daemon) run(ctx context.Context, l net.Listener, s *http.Server, lp *loop.Loop, w *watch.Watcher) error {
+// run keeps the parts alive until the last request ended.
+func (d *Daemon) run(ctx context.Context, ends *ends) error {
+	p := &d.parts
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	context.AfterFunc(ctx, p.halt.Begin)
 	var g errgroup.Group
-	g.Go(func() error { return lp.Run(inner) })
-	g.Go(func() error { return w.Run(inner) })
+	for _, part := range d.runners() {
+		g.Go(func() error { return part(inner) })
+	}
+	for _, e := range ends.all() {
+		g.Go(func() error { return d.serve(e) })
+	}
 	g.Go(func() error {
 		defer stop()
-		<-ctx.Done()
-		d.Log.Info("daemon: stopping, requests in progress go on")
-		return s.Shutdown(context.WithoutCancel(ctx))
+		defer ends.close()
+		return d.finish(inner, ends)
 	})
-	d.Log.Info("daemon: serving", zap.String("instance", d.Settings.Instance.Name), zap.Stringer("address", l.Addr()))
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		stop()
-		return errors.Wrap(err, "daemon: serve")
-	}
 	return g.Wait()
 }
+
+// runners are the parts that run beside the servers.
+func (d *Daemon) runners() []func(context.Context) error {
+	p := &d.parts
+	out := []func(context.Context) error{p.loop.Run, p.watcher.Run, func(ctx context.Context) error {
+		p.follower.Run(ctx)
+		return nil
+	}}
+	if p.fleet == nil {
+		p.duties.all()
+		return out
+	}
+	p.fleet.hub.Post(node.Duties{Duties: p.duties.specs()})
+	return append(out, p.fleet.hub.Run, p.fleet.follow, p.fleet.sayHead, p.fleet.leaving)
+}
+
+// finish waits for the end of the graceful stop: the last request of a caller,
+// the last record, the last request of another instance, the release of the
+// leases, and the farewell to the others, in this order.
+func (d *Daemon) finish(ctx context.Context, ends *ends) error {
+	p := &d.parts
+	if err := p.halt.Run(ctx, ends.callers.server); err != nil {
+		return errors.Wrap(err, "daemon: stop")
+	}
+	if err := p.ledger.Wait(ctx); err != nil {
+		return errors.Wrap(err, "daemon: records")
+	}
+	if p.fleet == nil {
+		p.duties.stop()
+		return nil
+	}
+	p.fleet.quit(ctx)
+	return nil
+}
+
+// serve serves one endpoint. One that fails ends the instance, since an
+// instance that looks alive but answers nobody would never be replaced.
+func (d *Daemon) serve(e end) error {
+	serve := e.server.Serve
+	if e.server.TLSConfig != nil {
+		serve = func(l net.Listener) error { return e.server.ServeTLS(l, "", "") }
+	}
+	if err := serve(e.at); !errors.Is(err, http.ErrServerClosed) {
+		d.parts.halt.Hurry()
+		return errors.Wrapf(err, "daemon: serve %s", e.name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/app/daemon/ends.go
@@ -0,0 +1,147 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"fulmarwick/internal/app/setup"
+	"fulmarwick/internal/wire/admin"
+	"fulmarwick/internal/wire/certs"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	headerTime = 10 * time.Second
+	// closeTime bounds the wait for an operator's last question.
+	closeTime = 2 * time.Second
+)
+
+// end is one endpoint: a server and where it listens.
+type end struct {
+	name   string
+	server *http.Server
+	at     net.Listener
+}
+
+// ends are the endpoints of an instance. Those without a server are not
+// served.
+type ends struct {
+	callers   end
+	operators end
+	peers     end
+}
+
+func (e *ends) all() []end {
+	var out []end
+	for _, one := range []end{e.callers, e.operators, e.peers} {
+		if one.server != nil {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
+func (e *ends) log(log *zap.Logger, instance string) {
+	for _, one := range e.all() {
+		log.Info("daemon: serving "+one.name, zap.String("instance", instance), zap.Stringer("address", one.at.Addr()))
+	}
+}
+
+// close ends the endpoints of operators and peers, which answer until all else
+// has ended.
+func (e *ends) close() {
+	for _, one := range e.all() {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+		if err := one.server.Shutdown(ctx); err != nil {
+			_ = one.server.Close()
+		}
+		cancel()
+	}
+}
+
+func (d *Daemon) listen(ctx context.Context) (*ends, error) {
+	s := d.Settings
+	var e ends
+	secure, err := d.secure(s.TLS.Callers)
+	if err != nil {
+		return nil, err
+	}
+	server := d.parts.callers.HTTP(d.handler(), secure)
+	if e.callers, err = open(ctx, "callers", server, d.Listener, s.Listen.Callers); err != nil {
+		return nil, err
+	}
+	if d.Operators != nil || s.Listen.Operators != "" {
+		if e.operators, err = d.open(ctx, "operators", d.operators(), s.TLS.Operators, d.Operators, s.Listen.Operators); err != nil {
+			return nil, err
+		}
+	}
+	if d.parts.fleet != nil {
+		if e.peers, err = d.open(ctx, "peers", d.parts.fleet.handler(), s.TLS.Peers, d.Peers, s.Listen.Peers); err != nil {
+			return nil, err
+		}
+		d.parts.fleet.hub.Self.URL = d.parts.fleet.scheme() + e.peers.at.Addr().String()
+		d.parts.fleet.logic.Self = d.parts.fleet.hub.Self
+	}
+	return &e, nil
+}
+
+// open makes an endpoint for others than callers.
+func (d *Daemon) open(ctx context.Context, name string, h http.Handler, pair setup.Pair, l net.Listener, address string) (end, error) {
+	secure, err := d.secure(pair)
+	if err != nil {
+		return end{}, err
+	}
+	server := &http.Server{Handler: h, TLSConfig: secure, ReadHeaderTimeout: headerTime}
+	// Failed handshakes are what others did, and may be many.
+	if log, err := zap.NewStdLogAt(d.Log.Named(name), zapcore.DebugLevel); err == nil {
+		server.ErrorLog = log
+	}
+	return open(ctx, name, server, l, address)
+}
+
+// open listens at address unless there is a listener.
+func open(ctx context.Context, name string, server *http.Server, l net.Listener, address string) (end, error) {
+	if l == nil {
+		opened, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+		if err != nil {
+			return end{}, errors.Wrapf(err, "daemon: listen for %s", name)
+		}
+		l = opened
+	}
+	return end{name: name, server: server, at: l}, nil
+}
+
+// secure returns the TLS settings of an endpoint, or nil without.
+func (d *Daemon) secure(p setup.Pair) (*tls.Config, error) {
+	if !p.Set() {
+		return nil, nil
+	}
+	source := &certs.Source{Cert: p.Cert, Key: p.Key, CA: p.CA, Log: d.Log}
+	if err := source.Open(); err != nil {
+		return nil, err
+	}
+	return source.Server(), nil
+}
+
+// handler serves callers. Health checks do not count as requests: the balancer
+// goes on asking an instance that stops.
+func (d *Daemon) handler() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	admin.Health(r, d.ready)
+	r.PathPrefix("/").Handler(d.parts.halt.Handler(d.parts.callers.Handler()))
+	return r
+}
+
+func (d *Daemon) operators() http.Handler {
+	s := &admin.Server{
+		Viewer: d, Drainer: d.parts.halt, Config: &settings{d}, Meters: d.parts.meters, Log: d.Log, Ready: d.ready,
+	}
+	return s.Handler()
+}
--- /dev/null
+++ b/internal/app/daemon/forward.go
@@ -0,0 +1,139 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/wire/chain"
+	"fulmarwick/internal/wire/entry"
+	"fulmarwick/internal/wire/peer"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+)
+
+// maxForwards is how many instances are tried for one request. The last try
+// stays here.
+const maxForwards = 3
+
+// models runs model requests here, or at another data centre if the routing
+// logic says so.
+type models struct {
+	*Daemon
+}
+
+// Run brings the whole answer to sink. A request whose other instance is lost
+// is decided on anew, from the next token: staying here would lose the answer
+// where the own data centre has no engines of the model.
+func (m *models) Run(ctx context.Context, job chain.Job, sink chain.Sink) (chain.Result, error) {
+	if m.parts.fleet == nil {
+		return m.parts.runner.Run(ctx, job, sink)
+	}
+	given := &given{sum: xxhash.New(), sink: sink}
+	for range maxForwards {
+		result, err := m.parts.runner.Run(ctx, job, given.next())
+		var forward *chain.ForwardError
+		if !errors.As(err, &forward) {
+			return result, err
+		}
+		result, err = m.forward(ctx, forward.To, job, given.next())
+		if !errors.Is(err, peer.ErrRefused) && !errors.Is(err, peer.ErrBroken) {
+			return result, err
+		}
+		m.Log.Info("forward: request comes back", zap.String("request", string(job.Arrived.Request)), zap.Error(err))
+		job.Arrived.Done = max(job.Arrived.Done, given.count)
+	}
+	job.Arrived.Hops = 1
+	return m.parts.runner.Run(ctx, job, given.next())
+}
+
+// forward has another instance run the request.
+func (m *models) forward(ctx context.Context, to spec.InstanceID, job chain.Job, sink chain.Sink) (chain.Result, error) {
+	end, err := m.parts.fleet.hub.Forward(ctx, to, peerJob(job), func(t peer.Token) error {
+		return sink(chain.Token{Index: t.Index, Text: t.Text})
+	})
+	var fault *peer.FaultError
+	if errors.As(err, &fault) {
+		return chain.Result{Tokens: fault.Count}, refusalOf(fault.Fault)
+	}
+	return chain.Result{Tokens: end.Count, Stop: end.Stop}, err
+}
+
+// given is what the caller has of an answer that may be made more than once.
+type given struct {
+	sum   *xxhash.Digest
+	count int
+	sink  chain.Sink
+}
+
+// next is the sink of one more making of the answer, from its first token. It
+// passes over what the caller has, and refuses an answer that differs from it:
+// halves of different answers must not be joined.
+func (g *given) next() chain.Sink {
+	had, want := g.count, g.sum.Sum64()
+	sum := xxhash.New()
+	return func(t chain.Token) error {
+		if t.Index >= had {
+			_, _ = g.sum.WriteString(t.Text)
+			g.count++
+			return g.sink(t)
+		}
+		_, _ = sum.WriteString(t.Text)
+		if t.Index == had-1 && sum.Sum64() != want {
+			return &entry.FaultError{
+				Status: http.StatusBadGateway, Code: "answer-differs",
+				Text: "The answer made anew differs from the part already sent; ask again.", Ran: entry.RanYes,
+			}
+		}
+		return nil
+	}
+}
+
+func peerJob(job chain.Job) peer.Job {
+	a := job.Arrived
+	return peer.Job{
+		Request: a.Request, Team: a.Team, Class: a.Class, Model: a.Model, Text: job.Text,
+		Prompt: a.Prompt, Limit: a.Limit, Print: a.Print, Blocks: a.Blocks, Hops: a.Hops,
+	}
+}
+
+// refusalOf turns the other instance's refusal into what this one would give.
+func refusalOf(f peer.Fault) error {
+	for r := world.ReasonOverload; r <= world.ReasonReady; r++ {
+		if r.String() == f.Code {
+			return &chain.RefusedError{
+				Reason: r, After: time.Duration(f.After) * time.Millisecond, Ran: f.Ran != string(entry.RanNo),
+			}
+		}
+	}
+	return errors.Errorf("forward: the other instance failed: %s %s", f.Code, f.Text)
+}
+
+// server runs requests that other instances forward.
+type server struct {
+	*Daemon
+}
+
+// ServeForwarded brings the answer to the other instance.
+func (s *server) ServeForwarded(ctx context.Context, _ spec.InstanceID, job peer.Job, sink func(peer.Token) error) (peer.End, error) {
+	arrived := world.Arrived{
+		Request: job.Request, Team: job.Team, Class: job.Class, Model: job.Model, Prompt: job.Prompt,
+		Limit: job.Limit, Blocks: job.Blocks, Print: job.Print, Hops: job.Hops,
+	}
+	result, err := s.parts.runner.Run(ctx, chain.Job{Arrived: arrived, Text: job.Text}, func(t chain.Token) error {
+		return sink(peer.Token{Index: t.Index, Text: t.Text})
+	})
+	var refused *chain.RefusedError
+	if errors.As(err, &refused) {
+		f := &peer.Fault{Code: refused.Reason.String(), Ran: string(entry.RanNo), After: refused.After.Milliseconds()}
+		if refused.Ran {
+			f.Ran = string(entry.RanYes)
+		}
+		return peer.End{Count: result.Tokens, Fault: f}, nil
+	}
+	return peer.End{Count: result.Tokens, Stop: result.Stop}, err
+}
--- a/internal/route/core/fresh.go
+++ b/internal/route/core/fresh.go
@@ -9,6 +9,7 @@
 	"fulmarwick/internal/route/fair"
 	"fulmarwick/internal/route/pick"
 	"fulmarwick/internal/route/poison"
+	"fulmarwick/internal/route/retry"
 	"fulmarwick/internal/route/world"
 )
 
@@ -18,6 +19,10 @@
 	coverRetry = 5 * time.Second
 	// readyRetry is the same while this instance knows no engine of it yet.
 	readyRetry = 2 * time.Second
+	// openPatience is the fixed timeout of the naive side.
+	openPatience = 30 * time.Second
+	// anyLimit lets every engine have room.
+	anyLimit = 1e9
 	// smallExtra is how much over the limit a team may go that is within its
 	// share, so that it does not wait behind a burst that filled the engines.
 	smallExtra = 0.10
@@ -65,6 +70,9 @@
 // limit is how full an engine may be for this request.
 func (l *Logic) limit(r *world.Request, q *queue) float64 {
 	limit := l.Limit
+	if limit == 0 {
+		limit = l.fill.Limit(r.Arrived().Model)
+	}
 	if q.fair.Lead(r.Arrived().Team) <= 0 {
 		limit += smallExtra
 	}
@@ -91,43 +99,63 @@
 
 // weigh starts the request, lets it wait, or refuses it at once.
 func (l *Logic) weigh(r *world.Request, q *queue, choice pick.Choice) {
-	w := &l.world
-	class := r.Class()
-	margin := l.margins.Of(class)
-	latest := admit.Latest(class.Target(), margin, r.At(), choice.Plan)
 	drain := l.drain(r.Arrived().Model)
 	team := r.Arrived().Team
-	ahead := q.fair.Ahead(w.Now(), q.fair.Start(team), latest)
-	est := admit.Estimate{Elapsed: w.Now() - r.At(), Plan: choice.Plan}
 	cost := l.cost(r)
-	if ahead > 0 || !choice.Fits {
-		est.Wait = seconds((ahead + cost/2) / drain)
-	}
-	if over, late := admit.Late(class.Target(), margin, est); late || q.fair.Len() >= fair.Most {
-		reason := l.reason(r, q, est, latest, drain)
-		l.refuse(r, reason, over, 1/choice.Plan.Token.Seconds())
+	charge := l.charge(r, cost)
+	v := l.view(r, q, choice, drain, cost)
+	if v.ahead == 0 && choice.Fits && !v.late {
+		q.fair.Began(team, charge)
+		l.start(r, choice)
 		return
 	}
-	it := &fair.Item{Request: r, Cost: cost, Charge: l.charge(r, cost), Latest: latest}
-	it.Tag = q.fair.Tag(team, it.Charge)
-	if ahead == 0 && choice.Fits {
-		q.fair.Began(it.Tag)
-		l.start(r, choice)
+	if v.late && choice.Fits {
+		// Only slow engines have room now; faster ones may have it in time.
+		if fast, ok := l.Pick.Choose(&l.world, r, pick.Ask{Limit: anyLimit, Out: l.margins.Length(r)}); ok {
+			choice = pick.Choice{Plan: fast.Plan}
+			v = l.view(r, q, choice, drain, cost)
+		}
+	}
+	if v.late || q.fair.Len() >= fair.Most {
+		reason := l.reason(r, q, v, drain)
+		l.refuse(r, reason, v.over, 1/choice.Plan.Token.Seconds())
 		return
 	}
-	q.fair.Push(w.Now(), it)
+	q.fair.Push(&fair.Item{
+		Request: r, Cost: cost, Charge: charge, Latest: v.latest, Rate: 1 / choice.Plan.Token.Seconds(),
+	})
+}
+
+// view is how a request stands with a plan.
+type view struct {
+	est    admit.Estimate
+	latest time.Duration
+	ahead  float64
+	over   time.Duration
+	late   bool
+}
+
+func (l *Logic) view(r *world.Request, q *queue, choice pick.Choice, drain, cost float64) view {
+	class := r.Class()
+	margin := l.margins.Of(class)
+	v := view{latest: admit.Latest(class.Target(), margin, r.At(), choice.Plan)}
+	v.ahead = q.fair.Ahead(r.Arrived().Team, v.latest)
+	v.est = admit.Estimate{Elapsed: l.world.Now() - r.At(), Plan: choice.Plan}
+	if v.ahead > 0 || !choice.Fits {
+		v.est.Wait = seconds((v.ahead + cost/2) / drain)
+	}
+	v.over, v.late = admit.Late(class.Target(), margin, v.est)
+	return v
 }
 
 // reason tells whether the request is late because of its own team's backlog:
 // it would be in time if the team were within its share.
-func (l *Logic) reason(r *world.Request, q *queue, est admit.Estimate, latest time.Duration, drain float64) world.Reason {
-	team := r.Arrived().Team
-	if q.fair.Lead(team) <= 0 {
+func (l *Logic) reason(r *world.Request, q *queue, v view, drain float64) world.Reason {
+	if q.fair.Lead(r.Arrived().Team) <= 0 {
 		return world.ReasonOverload
 	}
-	alone := q.fair.Ahead(l.world.Now(), q.fair.Virtual(), latest)
-	est.Wait = seconds(alone / drain)
-	if _, late := admit.Late(r.Class().Target(), l.margins.Of(r.Class()), est); late {
+	v.est.Wait = seconds(q.fair.AheadOfNew(v.latest) / drain)
+	if _, late := admit.Late(r.Class().Target(), l.margins.Of(r.Class()), v.est); late {
 		return world.ReasonOverload
 	}
 	return world.ReasonTeam
@@ -176,6 +204,9 @@
 		l.cache.Ran(now, e, r.Arrived().Blocks)
 	}
 	times := l.patience.Times(r, choice.Plan)
+	if l.Open {
+		times = retry.Times{Step: openPatience, Prefill: openPatience}
+	}
 	w.Start(r, choice.Plan, prio(r), times.Step, times.Prefill)
 }
 
--- a/internal/route/world/event.go
+++ b/internal/route/world/event.go
@@ -41,6 +41,9 @@
 	Attempt uint32
 	Engine  spec.UpstreamID
 	Cause   Cause
+	// Tokens is how many tokens the request has made; what is rebuilt and
+	// where a poison suspect died follow from it.
+	Tokens int
 }
 
 // Finished tells that a request ended, for whatever reason.
@@ -95,6 +98,11 @@
 	Teams   []spec.Team
 }
 
+// PeersSet tells which other instances of the data centre live.
+type PeersSet struct {
+	Peers []spec.InstanceID
+}
+
 // PeerLoad tells what another instance has in flight on an engine, as its
 // OwnLoad gave it.
 type PeerLoad struct {
@@ -162,6 +170,7 @@
 func (EngineGone) event()    {}
 func (HopTimed) event()      {}
 func (ConfigSet) event()     {}
+func (PeersSet) event()      {}
 func (PeerLoad) event()      {}
 func (PeerGone) event()      {}
 func (Suspected) event()     {}
--- a/internal/route/world/world.go
+++ b/internal/route/world/world.go
@@ -16,6 +16,7 @@
 	classes  map[spec.ClassName]spec.Class
 	teams    map[spec.TeamID]spec.Team
 	version  uint64
+	duties   Duties
 	paces    map[spec.ModelName]int64
 	touched  []*Engine
 	out      []Command
@@ -45,6 +46,9 @@
 // Version is the configuration version in force.
 func (w *World) Version() uint64 { return w.version }
 
+// Duties are those that this instance holds under a lease.
+func (w *World) Duties() Duties { return w.duties }
+
 // Begin starts a tick at now.
 func (w *World) Begin(now time.Duration) {
 	w.now = now
@@ -70,6 +74,7 @@
 func (w *World) Start(r *Request, plan Plan, prio int, patience, prefill time.Duration) {
 	w.release(r)
 	r.attempt++
+	r.asking = false
 	r.plan = plan
 	r.started = w.now
 	r.from = r.tokens
@@ -109,8 +114,9 @@
 			draw = r.plan.Draws[i]
 		}
 		e.own++
-		e.addOwn(draw)
-		r.charges = append(r.charges, charge{engine: e, draw: draw})
+		kv := int64(r.KV())
+		e.addOwn(draw, kv)
+		r.charges = append(r.charges, charge{engine: e, draw: draw, kv: kv})
 		w.touched = append(w.touched, e)
 	}
 	w.paced(r.arrived.Model, r.plan.Token, 1)
@@ -124,7 +130,7 @@
 	}
 	for _, c := range r.charges {
 		c.engine.own--
-		c.engine.addOwn(-c.draw)
+		c.engine.addOwn(-c.draw, -c.kv)
 		for _, g := range c.engine.groups {
 			g.free(c.engine)
 		}
--- a/internal/wire/entry/fault.go
+++ b/internal/wire/entry/fault.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
@@ -63,13 +62,13 @@
 	return faultBody{Error: faultJSON{Code: f.Code, Text: f.Text, Ran: f.Ran, After: f.seconds()}}
 }
 
-func (f *FaultError) write(w http.ResponseWriter) {
+// fault answers with an error.
+func (s *Server) fault(w http.ResponseWriter, err error) {
+	f := faultOf(err)
 	if f.After > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(f.seconds()))
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(f.Status)
-	_ = json.NewEncoder(w).Encode(f.body())
+	s.replyJSON(w, f.Status, f.body())
 }
 
 // faultOf turns an error of the layers below into what the caller sees.
@@ -89,7 +88,11 @@
 		f := newFault(http.StatusServiceUnavailable, "store-down", "The record of the call could not be written, so the call was not sent.", RanNo)
 		f.After = storeRetry
 		return f
-	case errors.Is(err, context.Canceled):
+	case errors.Is(err, ledger.ErrUnread):
+		f := newFault(http.StatusServiceUnavailable, "record-unread", "The record of the call could not be read; ask again for its outcome.", RanUnsure)
+		f.After = storeRetry
+		return f
+	case errors.Is(err, context.Canceled), errors.Is(err, ledger.ErrLeft):
 		return newFault(statusGone, "caller-gone", "The caller went away.", RanUnsure)
 	default:
 		return newFault(http.StatusInternalServerError, "internal", "The request failed inside the router.", RanUnsure)
--- a/internal/wire/watch/watch.go
+++ b/internal/wire/watch/watch.go
@@ -63,7 +63,7 @@
 
 // Caches reads the cache events of the engine at base since a number.
 type Caches interface {
-	Events(ctx context.Context, base string, since uint64) ([]frame.Event, error)
+	Events(ctx context.Context, base string, since uint64) (frame.Events, error)
 }
 
 // Watcher follows upstreams. Set the exported fields before Run.
@@ -179,6 +179,11 @@
 		case l.Role == store.RoleService && l.State == frame.StateLive:
 			name := spec.ServiceName(l.Service)
 			services[name] = append(services[name], l.URL)
+		case l.Role == store.RoleService:
+			// A service whose last instance leaves is told of too, or that
+			// instance would get new calls until it is gone.
+			name := spec.ServiceName(l.Service)
+			services[name] = append(services[name], nil...)
 		case l.Role == store.RoleEngine:
 			w.engine(l)
 		}
