--- a/internal/app/daemon/duties.go
+++ b/internal/app/daemon/duties.go
@@ -14,6 +14,7 @@
 	"fulmarwick/internal/state/lease"
 	"fulmarwick/internal/state/ledger"
 	"fulmarwick/internal/state/order"
+	"fulmarwick/internal/state/store"
 
 	"go.uber.org/zap"
 )
@@ -47,12 +48,13 @@
 	out.lease = d.newLease(dutyPlace + centre)
 	out.orders = &order.Orders{
 		Table: d.parts.table, Engines: d.parts.controls, Lease: out.lease, Name: centre, Checks: d.fenced,
+		Meters: d.parts.meters,
 	}
 	return out
 }
 
 func (d *Daemon) newLease(name string) *lease.Lease {
-	return &lease.Lease{Table: d.parts.table, Name: name, Owner: d.parts.owner, Jitter: jitter}
+	return &lease.Lease{Table: d.parts.table, Name: name, Owner: d.parts.owner, Jitter: jitter, Meters: d.parts.meters}
 }
 
 // specs are the duties there are, for the fleet logic to spread.
@@ -168,7 +170,7 @@
 // runTrim removes old records while the lease is held.
 func (u *duties) runTrim(ctx context.Context) {
 	l := u.newLease(dutyTrim)
-	trimmer := &ledger.Trimmer{Table: u.parts.table}
+	trimmer := &ledger.Trimmer{Table: u.parts.budget.Table(store.RankRest, u.parts.breaker)}
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { l.Run(ctx) })
