--- a/internal/route/core/core.go
+++ b/internal/route/core/core.go
@@ -35,7 +35,8 @@
 	// Limit is the part of an engine's capacity up to which it takes new
 	// work; zero lets the targets decide.
 	Limit float64
-	// Open starts every request at once. It is the naive side of comparisons.
+	// Open starts every request at once and suspects none of poison. It is the
+	// naive side of comparisons.
 	Open bool
 	// Planner, if set, runs at the end of each tick.
 	Planner Planner
@@ -156,6 +157,9 @@
 		return
 	}
 	l.cache.Gone(ev.Engine)
+	if l.Open {
+		return
+	}
 	for _, e := range r.Plan().Fresh {
 		if e == ev.Engine {
 			l.book.Crashed(w, r, ev.Engine)
