--- /dev/null
+++ b/internal/app/daemon/outage_test.go
@@ -0,0 +1,78 @@
+package daemon_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/fakes/infra"
+	"fulmarwick/internal/fakes/trial"
+)
+
+// The platform goes out while clerks work, and a new instance starts in the
+// outage. It takes the configuration from the others and serves model work;
+// payments are refused as not run, which is true, until the platform is back.
+func TestInstanceStartsWhileThePlatformIsOut(t *testing.T) {
+	e := newEntries(t, 2)
+	e.site.Table().Fault(infra.Faults{Down: true})
+	fresh := e.start(trial.Centre)
+	e.ready(fresh)
+	e.balancer.Set([]string{e.bases[fresh]})
+	a, err := (&work{e: e}).caller().Ask(e.ctx, trial.Model, "explain", 10)
+	if err != nil || a.Tokens != 10 {
+		t.Errorf("got %d tokens and %v in the outage, want 10", a.Tokens, err)
+	}
+	status, text := post(t, e.bases[fresh]+"/v1/calls/payment", "k1", `{"amount":1}`)
+	if status != http.StatusServiceUnavailable || code(text) != "store-down" {
+		t.Errorf("got %d %s for a payment in the outage, want 503 store-down", status, text)
+	}
+	if got := e.site.Desk().Runs("k1"); got != 0 {
+		t.Errorf("got %d runs of a payment told as not sent, want 0", got)
+	}
+	e.site.Table().Fault(infra.Faults{})
+	o, err := (&work{e: e}).caller().Call(e.ctx, "payment", "k1", `{"amount":1}`)
+	if err != nil || o.State != "done" || e.site.Desk().Runs("k1") != 1 {
+		t.Errorf("got %+v, %v and %d runs after the outage, want done and 1", o, err, e.site.Desk().Runs("k1"))
+	}
+}
+
+// The service records payments and its answers are lost. The caller is told
+// unsure, never not run; the outcome look-up then settles each from the
+// service itself, at any instance, and a repeat of the key pays nothing more.
+func TestLostAnswersOfPaymentsAreSettledByLookUp(t *testing.T) {
+	e := newEntries(t, 2)
+	e.site.Desk().Cut(3)
+	for i := range 3 {
+		key := fmt.Sprintf("k%d", i)
+		status, text := post(t, e.bases["klang-1"]+"/v1/calls/payment", key, `{"amount":1}`)
+		if status != http.StatusOK && code(text) != "unsure" {
+			t.Errorf("got %d %s, want unsure or the answer", status, text)
+		}
+		for !settled(t, e, key) {
+			time.Sleep(pollTime)
+		}
+		post(t, e.bases["klang-2"]+"/v1/calls/payment", key, `{"amount":1}`)
+		if got := e.site.Desk().Runs(key); got != 1 {
+			t.Errorf("got %d runs of %s, want 1", got, key)
+		}
+	}
+}
+
+// settled asks the other instance whether the payment is known as done.
+func settled(t *testing.T, e *entries, key string) bool {
+	t.Helper()
+	req, err := http.NewRequestWithContext(e.ctx, http.MethodGet, e.bases["klang-2"]+"/v1/calls/payment/"+key, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+trial.Key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var body struct{ State string }
+	decode(t, resp.Body, &body)
+	return body.State == "done"
+}
--- /dev/null
+++ b/internal/app/daemon/poison_test.go
@@ -0,0 +1,52 @@
+package daemon_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/fakes/trial"
+)
+
+// One request crashes each engine that runs it, and its caller sends it to one
+// instance after the other. It costs two engines at most over the whole fleet:
+// the second death names it, and every instance refuses it from then on. All
+// that ran beside it on those engines finish whole.
+func TestPoisonCostsTwoEnginesOverTheFleet(t *testing.T) {
+	e := newEntriesAt(t, 4, &trial.Site{Layer: 20 * time.Microsecond, Copies: 5, Poison: "venom"})
+	w := e.work()
+	w.more(between)
+	body := `{"model":"levy-13b","max_tokens":20,"messages":[{"role":"user","content":"this is venom for engines"}]}`
+	codes := map[string]int{}
+	for i := range 12 {
+		status, text := post(t, e.bases[fmt.Sprintf("klang-%d", 1+i%4)]+"/v1/chat/completions", "", body)
+		if status == http.StatusOK {
+			t.Errorf("got an answer to a request that kills its engines: %s", text)
+		}
+		codes[code(text)]++
+	}
+	w.more(between)
+	w.end(t)
+	dead := 0
+	for _, engine := range e.site.Engines() {
+		if engine.Dead() {
+			dead++
+		}
+	}
+	if dead > 2 {
+		t.Errorf("got %d engines lost, want at most 2", dead)
+	}
+	if codes["poison"] == 0 {
+		t.Errorf("got codes %v, want poison among them", codes)
+	}
+	t.Logf("%d engines lost, refusals %v", dead, codes)
+}
+
+// code is the stable code of an error body.
+func code(text string) string {
+	_, rest, _ := strings.Cut(text, `"code":"`)
+	out, _, _ := strings.Cut(rest, `"`)
+	return out
+}
--- a/internal/app/daemon/process_test.go
+++ b/internal/app/daemon/process_test.go
@@ -139,3 +139,10 @@
 func (p *process) freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
 
 func (p *process) thaw() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+
+func decode(t testing.TB, r io.Reader, into any) {
+	t.Helper()
+	if err := json.NewDecoder(r).Decode(into); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/fakes/stage/stage.go
+++ b/internal/fakes/stage/stage.go
@@ -127,6 +127,9 @@
 	}
 }
 
+// Dead reports whether the engine was killed and not revived.
+func (e *Engine) Dead() bool { return e.dead.Load() }
+
 // Revive lets a killed engine serve again, with no state and as a new
 // incarnation.
 func (e *Engine) Revive() { e.dead.Store(false) }
--- a/internal/fakes/trial/trial.go
+++ b/internal/fakes/trial/trial.go
@@ -57,6 +57,8 @@
 	Layer time.Duration
 	// Copies is how many engines there are of each of the six; zero is one.
 	Copies int
+	// Poison is a word that kills each engine that runs it; "" is none.
+	Poison string
 
 	engines []*stage.Engine
 	desk    *desk.Desk
@@ -84,6 +86,7 @@
 	s.server = &infra.Server{Table: &infra.Table{}}
 	s.engines = engines(s.Layer, max(1, s.Copies))
 	for _, e := range s.engines {
+		e.Poison = s.Poison
 		if err := s.add(ctx, e.Name, store.RoleEngine, "", e.Handler()); err != nil {
 			return err
 		}
