--- a/internal/base/frame/codec.go
+++ b/internal/base/frame/codec.go
@@ -70,9 +70,9 @@
 
 func (s *Step) check() error {
 	switch {
-	case s.From < 0 || s.To < 0 || s.From > maxLayer || s.To > maxLayer:
+	case !within(maxLayer, s.From, s.To):
 		return errors.Wrap(ErrBad, "layers out of range")
-	case s.Pos < 0 || s.Pos > maxCount || s.Count < 0 || s.Count > maxCount:
+	case !within(maxCount, s.Pos, s.Count):
 		return errors.Wrap(ErrBad, "position or count out of range")
 	}
 	return nil
@@ -80,14 +80,24 @@
 
 func (r *Reply) check() error {
 	switch {
-	case r.From < 0 || r.From > maxLayer:
+	case !within(maxLayer, r.From):
 		return errors.Wrap(ErrBad, "layers out of range")
-	case r.Pos < 0 || r.Pos > maxCount || r.Next < 0 || r.Next > maxCount || r.Left < 0 || r.Left > maxCount:
+	case !within(maxCount, r.Pos, r.Next, r.Left):
 		return errors.Wrap(ErrBad, "position out of range")
-	case r.Index < 0 || r.Index > maxCount || r.Total < 0 || r.Total > maxCount:
+	case !within(maxCount, r.Index, r.Total):
 		return errors.Wrap(ErrBad, "index or total out of range")
 	case r.Took < 0:
 		return errors.Wrap(ErrBad, "negative time")
 	}
 	return nil
 }
+
+// within reports whether all numbers are from zero to most.
+func within(most int, numbers ...int) bool {
+	for _, n := range numbers {
+		if n < 0 || n > most {
+			return false
+		}
+	}
+	return true
+}
