--- a/internal/route/fair/queue.go
+++ b/internal/route/fair/queue.go
@@ -6,7 +6,6 @@
 package fair
 
 import (
-	"sort"
 	"time"
 
 	"fulmarwick/internal/base/spec"
@@ -30,6 +29,8 @@
 	// charged for it.
 	Cost   float64
 	Charge float64
+	// Rate is the tokens a second that it makes once it runs.
+	Rate float64
 	// Latest is when the request must start to meet its target.
 	Latest time.Duration
 	seq    uint64
@@ -71,6 +72,21 @@
 	q.drop()
 }
 
+// Advance moves the virtual time on by what tokens of service give each team.
+// Without it the virtual time would stand still while each request is of
+// another team, and no team would ever count as idle. A team that waits is
+// never overtaken.
+func (q *Queue) Advance(tokens float64) {
+	if len(q.flows) == 0 {
+		return
+	}
+	next := q.virtual + tokens/float64(len(q.flows))
+	for _, f := range q.active {
+		next = min(next, max(f.finish, q.virtual))
+	}
+	q.virtual = next
+}
+
 // Lead is how far a team is ahead of its share: what it was charged beyond the
 // virtual time, and its backlog.
 func (q *Queue) Lead(team spec.TeamID) float64 {
@@ -209,58 +225,3 @@
 	}
 	return out
 }
-
-func (q *Queue) start(f *flow) float64 { return max(q.virtual, f.finish) }
-
-// place is where a request with this latest start goes: after those that must
-// start no later.
-func (f *flow) place(latest time.Duration) int {
-	return sort.Search(len(f.items), func(i int) bool { return f.items[i].Latest > latest })
-}
-
-func (q *Queue) cut(f *flow, i int) {
-	it := f.items[i]
-	f.items = append(f.items[:i], f.items[i+1:]...)
-	f.cost -= it.Cost
-	f.charge -= it.Charge
-	q.length--
-	if len(f.items) > 0 {
-		return
-	}
-	f.cost, f.charge = 0, 0
-	for n, o := range q.active {
-		if o == f {
-			q.active = append(q.active[:n], q.active[n+1:]...)
-			return
-		}
-	}
-}
-
-func (q *Queue) flow(team spec.TeamID) *flow {
-	if f := q.flows[team]; f != nil {
-		return f
-	}
-	if q.flows == nil {
-		q.flows = map[spec.TeamID]*flow{}
-	}
-	f := &flow{team: team}
-	q.flows[team] = f
-	return f
-}
-
-// drop forgets teams that are idle: their finish lies behind the virtual time
-// and is worth nothing. Small teams so cost no memory between requests.
-func (q *Queue) drop() {
-	if len(q.flows) < max(tidyAt, 2*q.tidy) {
-		return
-	}
-	for team, f := range q.flows {
-		if f.finish <= q.virtual && len(f.items) == 0 {
-			delete(q.flows, team)
-		}
-	}
-	q.tidy = len(q.flows)
-}
-
-// Teams is how many teams are remembered.
-func (q *Queue) Teams() int { return len(q.flows) }
--- a/internal/state/config/apply.go
+++ b/internal/state/config/apply.go
@@ -39,10 +39,13 @@
 	ID string
 }
 
-// Applier changes the configuration. Set the exported fields before use. It
-// follows the table by itself and shares nothing with a Follower.
+// Applier changes the configuration. Set the exported fields before use.
 type Applier struct {
 	Table CommitTable
+	// From is a follower whose rows are known already, so that a change reads
+	// only later ones. It may be behind: a change on old rows has no effect,
+	// and they are read anew. Nil reads all rows for each change.
+	From *Follower
 	// Uses reports whether a team that is to be removed is in use, and how;
 	// nil looks at the classes only.
 	Uses func(team string) (string, bool)
@@ -108,7 +111,7 @@
 	changes, problems := parse(docs)
 	next := newState()
 	for _, c := range changes {
-		next.rows[c.item.key()] = held{item: c.item}
+		next.rows[c.item.key()] = &held{item: c.item}
 	}
 	more := (&checker{next: next, alone: true}).run(changes, nil)
 	if problems = append(problems, more...); len(problems) > 0 {
@@ -126,8 +129,12 @@
 	if a.Now != nil {
 		now = a.Now
 	}
+	f := &Follower{Table: a.Table, Book: &Book{}}
+	if a.From != nil {
+		f.state = a.From.now()
+	}
 	return &attempt{
-		Applier: a, follower: &Follower{Table: a.Table, Book: &Book{}}, changes: changes,
+		Applier: a, follower: f, changes: changes,
 		entry: Entry{ID: id, Who: oneLine(c.Who), At: now().Unix()},
 	}
 }
@@ -194,70 +201,6 @@
 	return errors.Wrap(ErrStore, cause.Error())
 }
 
-// conflict returns the changes of others that this one would undo.
-func (t *attempt) conflict() error {
-	var winners []Winner
-	st := t.follower.now()
-	for _, c := range t.changes {
-		h, ok := st.rows[c.item.key()]
-		if !ok || h.item.Version <= t.base || h.item.same(c.item) {
-			continue
-		}
-		winners = append(winners, Winner{
-			Section: c.item.section(), Version: h.item.Version, Who: h.item.Who, At: time.Unix(h.item.At, 0),
-		})
-	}
-	if len(winners) > 0 {
-		return &ConflictError{Winners: winners}
-	}
-	return nil
-}
-
-// next is the state after the change and its problems.
-func (t *attempt) next() (*state, []Problem) {
-	next := t.follower.now().clone()
-	for _, c := range t.changes {
-		old, ok := next.rows[c.item.key()]
-		if c.item.Gone && (!ok || old.item.Gone) {
-			continue
-		}
-		next.rows[c.item.key()] = held{version: old.version, item: c.item}
-	}
-	return next, check(next, t.changes, t.Uses)
-}
-
-// writes are the rows that differ, the head and the log entry.
-func (t *attempt) writes(next *state) ([]store.Write, uint64) {
-	now := t.follower.now()
-	target := now.head.Version + 1
-	digest := now.digest
-	var writes []store.Write
-	t.entry.Version, t.entry.Sections = target, nil
-	for _, c := range t.changes {
-		key := c.item.key()
-		old, ok := now.rows[key]
-		i := next.rows[key].item
-		if ok && old.item.same(i) {
-			continue
-		}
-		i.Version, i.Change, i.Who, i.At = target, t.entry.ID, t.entry.Who, t.entry.At
-		value := encode(i)
-		if ok {
-			digest ^= digestOf(key, old.value)
-		}
-		digest ^= digestOf(key, value)
-		writes = append(writes, store.Put(key, old.version, value))
-		t.entry.Sections = append(t.entry.Sections, i.section())
-	}
-	if len(writes) == 0 {
-		return nil, target
-	}
-	h := head{Version: target, Change: t.entry.ID, Digest: digest}
-	return append(writes,
-		store.Put(headKey, now.headRow, encode(h)),
-		store.Put(logKey(target), 0, encode(t.entry))), target
-}
-
 // oneLine keeps a name from ending the comment in which Text writes it.
 func oneLine(who string) string {
 	return strings.Map(func(r rune) rune {
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -16,6 +16,7 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/state/store"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 )
@@ -44,6 +45,9 @@
 	retryFirst     = 100 * time.Millisecond
 	retryMost      = 30 * time.Second
 	askTimeout     = 5 * time.Second
+	// joinMost is how long a duplicate waits for a call that runs here, about
+	// as long as the polls of one that runs elsewhere.
+	joinMost = 12 * time.Second
 )
 
 // Table is the part of the platform's table that the ledger needs.
@@ -68,9 +72,15 @@
 type Ledger struct {
 	Table  Table
 	Sender Sender
+	// Looks is the table for look-ups, so that they can have a lower rank in
+	// the budget: one that finds nothing costs a commit. Nil is Table.
+	Looks Table
 	// Asker is for services of which Asks is true; nil asks nobody.
 	Asker Asker
 	Asks  func(spec.ServiceName) bool
+	// Services names the service of a class, so that a look-up can ask it; nil
+	// asks none at look-ups.
+	Services func(spec.ClassName) spec.ServiceName
 	// Repeats says which classes may run more than once. Their calls are sent
 	// without a record; nil means none.
 	Repeats func(spec.ClassName) bool
@@ -78,13 +88,13 @@
 	Owner string
 	// Gone reports evidence that another incarnation ended; nil knows none.
 	Gone func(owner string) bool
-	// Now is the wall clock for retention; nil is time.Now.
-	Now func() time.Time
 	// Jitter returns a factor around 1 for waits; nil is always 1.
 	Jitter func() float64
 	// Backlog bounds the records to settle or clear in the background; at the
 	// bound new calls are refused. Zero is 10,000.
 	Backlog int
+	// Meters takes the metrics; nil makes a private set.
+	Meters *metrics.Set
 
 	once    sync.Once
 	running sync.WaitGroup
@@ -109,10 +119,11 @@
 		} else if f.sum != c.sum() {
 			return Outcome{}, ErrBody
 		}
-		select {
-		case <-f.told:
-		case <-ctx.Done():
-			return Outcome{}, errors.Wrap(ErrLeft, ctx.Err().Error())
+		if told, err := f.wait(ctx, first); err != nil || !told {
+			return Outcome{state: StateRunning}, err
+		}
+		if first {
+			l.told(f.outcome.state, f.err)
 		}
 		if first || f.err == nil && f.outcome.state != StateNotRun {
 			return f.outcome, f.err
@@ -123,13 +134,12 @@
 // Look returns what is known of the call under key; StateNone means that
 // there is no record. Its error is ErrUnread.
 func (l *Ledger) Look(ctx context.Context, team spec.TeamID, class spec.ClassName, key string) (Outcome, error) {
-	return l.LookAt(ctx, NewCall(team, class, "", key, "", nil))
-}
-
-// LookAt is Look for a call whose service is known, so that the service can be
-// asked for the outcome of an unsure one.
-func (l *Ledger) LookAt(ctx context.Context, c Call) (Outcome, error) {
 	l.once.Do(l.start)
+	var service spec.ServiceName
+	if l.Services != nil {
+		service = l.Services(class)
+	}
+	c := NewCall(team, class, service, key, "", nil)
 	p := l.params(c)
 	p.Polls = 0
 	a := NewLook(p)
@@ -139,7 +149,7 @@
 			out, err, _ := a.Told()
 			return out, err
 		}
-		a.Take(l.perform(ctx, c, act))
+		a.Take(l.perform(ctx, l.Looks, c, act))
 	}
 }
 
@@ -171,12 +181,12 @@
 	if l.Owner == "" {
 		l.Owner = uuid.NewString()
 	}
+	if l.Looks == nil {
+		l.Looks = l.Table
+	}
 	if l.Gone == nil {
 		l.Gone = func(string) bool { return false }
 	}
-	if l.Now == nil {
-		l.Now = time.Now
-	}
 	if l.Jitter == nil {
 		l.Jitter = func() float64 { return 1 }
 	}
@@ -184,11 +194,12 @@
 		l.Backlog = defaultBacklog
 	}
 	l.flights = map[string]*flight{}
+	l.gauges()
 }
 
 func (l *Ledger) params(c Call) Params {
 	return Params{
-		Call: c, ID: uuid.NewString(), Owner: l.Owner, Gone: l.Gone, Now: l.Now, Polls: defaultPolls,
+		Call: c, ID: uuid.NewString(), Owner: l.Owner, Gone: l.Gone, Polls: defaultPolls,
 		Begun: l.begun.has(rowKey(c.team, c.class, c.key)),
 		Asks:  l.Asker != nil && l.Asks != nil && l.Asks(c.service),
 	}
@@ -208,13 +219,13 @@
 }
 
 // perform does one action and returns its result.
-func (l *Ledger) perform(ctx context.Context, c Call, act Action) Result {
+func (l *Ledger) perform(ctx context.Context, t Table, c Call, act Action) Result {
 	var r Result
 	switch act.kind {
 	case ActCommit:
-		r.Version, r.Err = l.Table.Commit(ctx, []store.Write{act.write})
+		r.Version, r.Err = t.Commit(ctx, []store.Write{act.write})
 	case ActRead:
-		r.Row, r.Err = l.Table.Get(ctx, rowKey(c.team, c.class, c.key))
+		r.Row, r.Err = t.Get(ctx, rowKey(c.team, c.class, c.key))
 	case ActSend:
 		r.Answer, r.Err = l.Sender.Send(ctx, c)
 	case ActAsk:
