--- a/internal/state/ledger/rate_test.go
+++ b/internal/state/ledger/rate_test.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// The first seconds spend what the budget saved up.
-	settling = 2 * time.Second
-	measured = 2 * time.Second
+	// The first second spends what the budget saved up.
+	settling = time.Second
+	measured = time.Second
 	callers  = 400
 )
 
