--- a/internal/fleet/node/join.go
+++ b/internal/fleet/node/join.go
@@ -42,7 +42,7 @@
 		return
 	}
 	if !m.Whole {
-		j.again = append(j.again, meet{id: from, next: l.now + resumeAfter})
+		j.askAgain(from, l.now+resumeAfter)
 		return
 	}
 	if !slices.Contains(j.whole, from) {
@@ -54,7 +54,15 @@
 	// A peer that joins too will soon be ready. Without asking again, this
 	// instance would learn so only by chance and stay unready for seconds.
 	if !m.Ready {
-		j.again = append(j.again, meet{id: from, next: l.now + readyAfter})
+		j.askAgain(from, l.now+readyAfter)
+	}
+}
+
+// askAgain plans one further exchange with a peer. A second plan for the same
+// peer would double with each answer.
+func (j *join) askAgain(id spec.InstanceID, at time.Duration) {
+	if !slices.ContainsFunc(j.again, func(r meet) bool { return r.id == id }) {
+		j.again = append(j.again, meet{id: id, next: at})
 	}
 }
 
