Repeat team uses before they are forgotten and tell all rooms in small fleets

The routing logic drops a use that it did not hear for 10 s and sets an unchanged rate every 5 s; unchanged uses were told once and rates dropped after 5 s, so a steady heavy team's limit would have come and gone.

--- a/internal/fleet/node/share.go
+++ b/internal/fleet/node/share.go
@@ -33,6 +33,8 @@
 	// perGroup is how many instances there are for each that adds up loads;
 	// it bounds what one of them receives.
 	perGroup = 4
+	// smallFleet is up to how many instances all tell of their room.
+	smallFleet = 16
 	// maxRooms bounds the models whose sums are told.
 	maxRooms = 256
 	// sketchHalf is the time in which old use fades to half.
@@ -85,7 +87,7 @@
 	s.sums.Tick(l.now)
 	s.view.Tick(l.now)
 	l.tell(able)
-	for _, u := range s.view.Teams(&s.own) {
+	for _, u := range s.view.Teams(l.now, &s.own) {
 		l.emit(TeamUse{Team: u.Team, Rate: u.Rate})
 	}
 }
@@ -240,9 +242,10 @@
 	}
 }
 
-// sayRooms says the sums. One voice per data centre is enough for the others.
+// sayRooms says the sums. In a small fleet each instance tells its part of the
+// room; in a larger one a voice per data centre has to do for the others.
 func (l *Logic) sayRooms() {
-	if l.speaker() {
+	if l.speaker() || l.members.Len() <= smallFleet {
 		for _, item := range l.share.rooms {
 			_, _ = l.items.Say(l.now, item)
 		}
--- a/internal/fleet/node/watch.go
+++ b/internal/fleet/node/watch.go
@@ -52,7 +52,7 @@
 	var out Members
 	l.members.Each(func(r talk.Record) {
 		if r.State <= talk.StateSuspect && r.ID != l.Self.ID {
-			out.Peers = append(out.Peers, Peer{ID: r.ID, DataCentre: r.DataCentre, URL: r.URL, Passive: r.Passive})
+			out.Peers = append(out.Peers, Peer{ID: r.ID, DataCentre: r.DataCentre, URL: l.url(r.ID), Passive: r.Passive})
 		}
 	})
 	return out
--- a/internal/fleet/quota/own.go
+++ b/internal/fleet/quota/own.go
@@ -15,8 +15,9 @@
 	Heavy = 32
 	// maxLoads bounds the engines an instance tells of.
 	maxLoads = 4096
-	// fresh is how long a rate counts that was not set again.
-	fresh = 5 * time.Second
+	// fresh is how long a rate counts that was not set again; the routing logic
+	// sets an unchanged one every 5 s.
+	fresh = 12 * time.Second
 )
 
 // Own holds what the own instance uses.
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -103,14 +103,17 @@
 	v.TakeRates(0, "klang", time.Second, []news.RateSum{sum})
 	v.TakeRates(0, "penang", time.Second, []news.RateSum{sum})
 	own.Rate(0, "big", 150)
-	if got := v.Teams(&own); len(got) != 1 || got[0].Rate != 850 {
+	if got := v.Teams(0, &own); len(got) != 1 || got[0].Rate != 850 {
 		t.Errorf("got %v, want 700 of others and 150 own", got)
 	}
-	if got := v.Teams(&own); len(got) != 0 {
+	if got := v.Teams(0, &own); len(got) != 0 {
 		t.Errorf("got %v again, want nothing unchanged", got)
 	}
+	if got := v.Teams(5*time.Second, &own); len(got) != 1 || got[0].Rate != 850 {
+		t.Errorf("got %v after a while, want the same once more", got)
+	}
 	v.Tick(2 * time.Second)
-	if got := v.Teams(&own); len(got) != 1 || got[0].Rate != 150 {
+	if got := v.Teams(2*time.Second, &own); len(got) != 1 || got[0].Rate != 150 {
 		t.Errorf("got %v after silence, want the own 150", got)
 	}
 }
--- a/internal/fleet/quota/view.go
+++ b/internal/fleet/quota/view.go
@@ -10,13 +10,24 @@
 	"fulmarwick/internal/base/spec"
 )
 
-// step is the least relative change of a figure that is passed on.
-const step = 0.02
+const (
+	// step is the least relative change of a figure that is passed on at once.
+	step = 0.02
+	// again is when an unchanged one is passed on: the routing logic forgets
+	// what it did not hear for 10 s.
+	again = 4 * time.Second
+)
 
 // View holds the sums of the data centres and gives what all use together.
 type View struct {
 	rates []rateView
-	told  map[spec.TeamID]float64
+	told  map[spec.TeamID]told
+}
+
+// told is what was last passed on of a team.
+type told struct {
+	rate float64
+	at   time.Duration
 }
 
 type rateView struct {
@@ -61,21 +72,21 @@
 }
 
 // Teams returns the use over the fleet of the own instance's heavy teams, as
-// far as it changed: what others use as heard, and what the own one uses now.
-func (v *View) Teams(own *Own) []TeamUse {
-	told := make(map[spec.TeamID]float64, len(own.rates))
+// far as it changed or is due again: what others use as heard, and what the own one uses now.
+func (v *View) Teams(now time.Duration, own *Own) []TeamUse {
+	next := make(map[spec.TeamID]told, len(own.rates))
 	var out []TeamUse
 	for i := range own.rates {
 		r := &own.rates[i]
 		total := max(0, v.Total(r.hash)-r.told) + r.rate
 		before, known := v.told[r.team]
-		if known && math.Abs(total-before) <= step*before {
-			told[r.team] = before
+		if known && math.Abs(total-before.rate) <= step*before.rate && now-before.at < again {
+			next[r.team] = before
 			continue
 		}
-		told[r.team] = total
+		next[r.team] = told{rate: total, at: now}
 		out = append(out, TeamUse{Team: r.team, Rate: total})
 	}
-	v.told = told
+	v.told = next
 	return out
 }
