Let deltas move on past urgent items and claim no more than was given

A differential test against a naive map found both. Urgent items went out of turn without moving the mark, so with a small limit they were sent again each time and the rest never; and an instance that held an item out of turn could claim the ones before it, which the receiver then never asked for. Half of the limit now goes in order, and a block's mark is never beyond the sender's own.

--- a/internal/fleet/gossip/delta.go
+++ b/internal/fleet/gossip/delta.go
@@ -50,9 +50,11 @@
 }
 
 // Delta returns what an instance with marks lacks, in at most limit bytes,
-// and whether that is all. Urgent items go first, out of turn; the rest of a
-// stream goes in order, so that a mark is true however little fits. Start
-// says at which stream to begin, so that a small limit serves all in turn.
+// and whether that is all. Urgent items go first, out of turn, in half of the
+// limit; all others go in order, so that a mark is true however little fits.
+// One item goes in order even if it is larger than the limit, or it would hold
+// up its stream for good. Start says at which stream to begin, so that a small
+// limit serves all in turn.
 func (s *Store) Delta(now time.Duration, least news.Scope, marks []talk.Mark, limit, start int) ([]talk.Block, bool) {
 	return s.delta(now, limit, start, have(marks), func(st *stream) bool { return st.key.scope >= least })
 }
@@ -75,7 +77,7 @@
 }
 
 func (s *Store) delta(now time.Duration, limit, start int, known map[uint32]uint64, want func(*stream) bool) ([]talk.Block, bool) {
-	w := &writer{now: now, limit: limit}
+	w := &writer{now: now, limit: limit / 2, sent: map[*entry]bool{}}
 	lacks := make([]*stream, 0, len(s.streams))
 	for i := range s.streams {
 		st := s.streams[(i+start)%len(s.streams)]
@@ -86,10 +88,12 @@
 	for _, st := range lacks {
 		w.urgent(st, known[st.hash])
 	}
+	w.limit += limit - limit/2
+	w.cut = false
 	for _, st := range lacks {
 		w.rest(st, known[st.hash])
 	}
-	return w.out, w.whole()
+	return w.out, !w.cut
 }
 
 // writer fills blocks up to a byte limit.
@@ -98,39 +102,49 @@
 	limit int
 	cut   bool
 	out   []talk.Block
+	// sent are the urgent items that went out of turn; moved says that the
+	// part in order holds an item.
+	sent  map[*entry]bool
+	moved bool
 }
 
-func (w *writer) whole() bool { return !w.cut }
-
 // urgent writes the urgent items after mark, out of turn.
 func (w *writer) urgent(st *stream, mark uint64) {
 	b := st.block()
 	for _, e := range st.items {
-		if e.item.Stamp > mark && Urgent(e.item.Kind) && !w.add(&b, e) {
+		if e.item.Stamp <= mark || !Urgent(e.item.Kind) {
+			continue
+		}
+		if !w.fits(e) {
 			break
 		}
+		w.sent[e] = true
+		w.add(&b, e)
 	}
 	if len(b.Items) > 0 {
 		w.out = append(w.out, b)
 	}
 }
 
-// rest writes the items after mark in order until the limit. The urgent ones
-// went before; they are passed over, and only if all of them went.
+// rest writes the items after mark in order until the limit, but for the
+// urgent ones that went already. They must be passed here too: a mark that
+// does not move has them sent again each time.
 func (w *writer) rest(st *stream, mark uint64) {
-	if w.cut {
-		return
-	}
 	b := st.block()
 	b.Upto = st.mark
 	for _, e := range st.items {
-		if e.item.Stamp <= mark || Urgent(e.item.Kind) {
+		if e.item.Stamp <= mark || w.sent[e] {
 			continue
 		}
-		if !w.add(&b, e) {
-			b.Upto = max(mark, e.item.Stamp-1)
+		if w.cut || w.moved && !w.fits(e) {
+			w.cut = true
+			// Items that came here out of turn lie beyond the own mark; what is
+			// between was never here.
+			b.Upto = min(b.Upto, max(mark, e.item.Stamp-1))
 			break
 		}
+		w.moved = true
+		w.add(&b, e)
 	}
 	if b.Upto > mark {
 		w.limit -= b.Bytes()
@@ -138,15 +152,12 @@
 	}
 }
 
-func (w *writer) add(b *talk.Block, e *entry) bool {
+func (w *writer) fits(e *entry) bool { return w.limit >= size(&e.item) }
+
+func (w *writer) add(b *talk.Block, e *entry) {
 	entry := e.entry(w.now)
-	if w.limit < entry.Bytes() {
-		w.cut = true
-		return false
-	}
 	w.limit -= entry.Bytes()
 	b.Items = append(b.Items, entry)
-	return true
 }
 
 // Push returns a block that carries one item out of turn.
