--- a/internal/app/cmds/status.go
+++ b/internal/app/cmds/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 
@@ -102,11 +103,15 @@
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.0f%%\n",
 			e.Name, e.DataCentre, e.Kind, e.State, e.Layers, e.Active, e.Queued, e.Slots, 100*e.Use)
 	}
+	if p := s.Placement; p != nil {
+		_, _ = fmt.Fprintf(w, "\nplacement: %.0f%% of the bound, %.0f%% once loaded; %d loading, %d waiting, %d stuck, %d holders missing\n",
+			100*p.Part, 100*p.Target, p.Loading, p.Waiting, p.Stuck, p.Missing)
+	}
 	if len(s.Instances) > 0 {
 		_, _ = fmt.Fprintln(w, "\nINSTANCE\tDATA CENTRE\tSTATE\tCONFIGURATION")
 	}
 	for _, i := range s.Instances {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", i.Name, i.DataCentre, i.State, i.Version)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", i.Name, i.DataCentre, i.State, heard(i.Version))
 	}
 	if len(s.Leaving) > 0 {
 		_, _ = fmt.Fprintf(w, "\nleaving: %s\n", strings.Join(s.Leaving, ", "))
@@ -137,3 +142,11 @@
 	}
 	return fmt.Sprintf("%.1f/%.0f", t.P95, t.Limit)
 }
+
+// heard writes a version that may not be known.
+func heard(version uint64) string {
+	if version == 0 {
+		return "-"
+	}
+	return strconv.FormatUint(version, 10)
+}
--- a/internal/app/daemon/gauges.go
+++ b/internal/app/daemon/gauges.go
@@ -29,6 +29,12 @@
 	gauge(w, "stopping", "", number(s.Stopping))
 	gauge(w, "configuration_version", "", float64(s.Version))
 	gauge(w, "leaving", "", float64(len(s.Leaving)))
+	if p := s.Placement; p != nil {
+		gauge(w, "placement_part", "", p.Part)
+		gauge(w, "placement_target", "", p.Target)
+		gauge(w, "placement_missing", "", float64(p.Missing))
+		gauge(w, "placement_stuck", "", float64(p.Stuck))
+	}
 	for _, c := range s.Classes {
 		label := fmt.Sprintf("{class=%q}", c.Name)
 		gauge(w, "target_percent", label, c.Percent)
--- a/internal/app/daemon/status.go
+++ b/internal/app/daemon/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fulmarwick/internal/app/meters"
+	"fulmarwick/internal/route/place"
 	"fulmarwick/internal/route/world"
 	"fulmarwick/internal/wire/admin"
 )
@@ -25,7 +26,11 @@
 	if p.fleet != nil {
 		out.Instances = p.fleet.instances()
 	}
+	planning := p.duties.lease.Held()
 	err := p.loop.Look(ctx, func() {
+		if planning {
+			out.Placement = placement(p.planner.Status())
+		}
 		for _, e := range p.logic.World().Engines().Rows() {
 			out.Engines = append(out.Engines, engineStatus(e))
 			if e.State() == world.StateLeaving {
@@ -81,3 +86,14 @@
 	}
 	return out
 }
+
+// placement is nil before the planner's first review.
+func placement(s place.Status) *admin.Placement {
+	if s.Bound <= 0 {
+		return nil
+	}
+	return &admin.Placement{
+		Part: s.Rate / s.Bound, Target: s.Target / s.Bound, Missing: s.Missing,
+		Waiting: s.Waiting, Loading: s.Loading, Stuck: s.Stuck,
+	}
+}
--- a/internal/wire/admin/types.go
+++ b/internal/wire/admin/types.go
@@ -29,10 +29,29 @@
 	Engines []Engine `json:"engines"`
 	// Leaving names the upstreams that get no new work.
 	Leaving []string `json:"leaving"`
+	// Placement is what the engines' layers are worth together; only the
+	// instance that plans the data centre has it.
+	Placement *Placement `json:"placement,omitempty"`
 	// Instances are the others that this one knows of.
 	Instances []Instance `json:"instances"`
 }
 
+// Placement compares what engines hold with the most that they could serve.
+type Placement struct {
+	// Part is the rate of what is held now over the bound that no placement
+	// passes, Target that rate once all moves are done; 0 to 1.
+	Part   float64 `json:"part"`
+	Target float64 `json:"target"`
+	// Missing is how many holders layers lack; a layer that nobody holds
+	// counts a thousand.
+	Missing int `json:"missing"`
+	// Waiting and Loading are engines yet to be ordered and ordered; Stuck
+	// are those that do not follow their orders.
+	Waiting int `json:"waiting"`
+	Loading int `json:"loading"`
+	Stuck   int `json:"stuck"`
+}
+
 // Class is how a class was served over the last minutes.
 type Class struct {
 	Name string `json:"name"`
