--- /dev/null
+++ b/internal/wire/chain/flow_test.go
@@ -0,0 +1,133 @@
+package chain_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fakes/layer"
+	"fulmarwick/internal/route/world"
+)
+
+// Nobody waits any more: the caller goes away in the midst of its answer. All
+// stages must forget the request at once, or the memory of engines fills with
+// the states of callers that left.
+func TestCallerGoneLeavesNoState(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := three()
+			if whole {
+				s.close()
+				s = alone()
+			}
+			defer s.close()
+			ctx, cancel := context.WithCancel(t.Context())
+			a := s.ask(ctx, "r", prompt, limit, func(n int) {
+				if n == 5 {
+					cancel()
+				}
+			})
+			if !errors.Is(a.err, context.Canceled) {
+				t.Errorf("got %v, want the context's error", a.err)
+			}
+			time.Sleep(depth * time.Millisecond)
+			if got := s.sessions(); got != 0 {
+				t.Errorf("got %d states left, want 0", got)
+			}
+		})
+	}
+}
+
+// The caller of a short answer waits behind one that reads slowly. The slow
+// reader's replies fill its own queue only; what did not fit it is asked for
+// again when it reads on, so that it misses nothing either.
+func TestSlowReaderHoldsUpNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const long = 1000
+		s := alone()
+		defer s.close()
+		// The first prompt whose answer is long enough to overflow the queue.
+		text := prompt
+		for i := 0; len(layer.Whole(text, depth, long)) < long; i++ {
+			text = fmt.Sprintf("%s %d", prompt, i)
+		}
+		read := make(chan struct{})
+		done := make(chan *answer)
+		go func() {
+			done <- s.ask(t.Context(), "slow", text, long, func(n int) {
+				if n == 1 {
+					<-read
+				}
+			})
+		}()
+		time.Sleep(time.Minute)
+		s.ask(t.Context(), "fast", prompt, limit, nil).must(t, prompt, depth, limit)
+		if got := s.pool.Meters.GetOrCreateCounter("fulmarwick_engine_overflows_total").Get(); got != 1 {
+			t.Errorf("got %d full queues, want 1", got)
+		}
+		close(read)
+		(<-done).must(t, text, depth, long)
+		steps(t, s, 0, depth*(positions(text, long)+positions(prompt, limit)))
+	})
+}
+
+// Two callers of unlike priority ask an engine with one slot that is busy. The
+// urgent one, although it came last, is served before the other.
+func TestUrgentRequestRunsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := alone()
+		defer s.close()
+		s.engines[0].Slots = 1
+		order := make(chan string, 3)
+		s.router.prio = map[spec.RequestID]int{"busy": 2, "patient": 1}
+		for _, id := range []string{"busy", "patient", "urgent"} {
+			go func() {
+				s.ask(t.Context(), id, prompt, limit, nil).must(t, prompt, depth, limit)
+				order <- id
+			}()
+			time.Sleep(time.Millisecond)
+		}
+		for _, want := range []string{"urgent", "patient", "busy"} {
+			if got := <-order; got != want {
+				t.Errorf("got %s done, want %s", got, want)
+			}
+		}
+	})
+}
+
+// The routing logic learns of progress and of hop times while a long answer
+// lasts, and neither once per token.
+func TestProgressAndHopsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := alone()
+		defer s.close()
+		s.engines[0].Layer = 20 * time.Millisecond
+		s.engines[0].Link = 3 * time.Millisecond
+		s.ask(t.Context(), "r", prompt, limit, nil).must(t, prompt, depth, limit)
+		told, hops := 0, 0
+		for _, ev := range s.router.events {
+			switch ev := ev.(type) {
+			case world.Progress:
+				told++
+			case world.HopTimed:
+				hops++
+				if ev.P50 < 5*time.Millisecond || ev.P50 > 8*time.Millisecond {
+					t.Errorf("got a median hop of %v, want about 6ms there and back", ev.P50)
+				}
+			}
+		}
+		if told == 0 || told > limit/2 {
+			t.Errorf("got %d progress events, want some, fewer than tokens", told)
+		}
+		s.engines[0].Layer = 0
+		time.Sleep(time.Second)
+		s.ask(t.Context(), "r2", prompt, limit, nil).must(t, prompt, depth, limit)
+		if hops > 1 {
+			t.Errorf("got %d hop events in one second, want 1 at most", hops)
+		}
+	})
+}
