--- a/internal/state/ledger/attempt.go
+++ b/internal/state/ledger/attempt.go
@@ -69,8 +69,8 @@
 
 // Told reports whether the caller can be answered, and with what. The attempt
 // may have more to do after.
-func (a *Attempt) Told() (Outcome, error, bool) { //nolint:revive // the flag says whether there is an error at all
-	return a.outcome, a.err, a.told
+func (a *Attempt) Told() (Outcome, bool, error) {
+	return a.outcome, a.told, a.err
 }
 
 // Next is what the attempt wants done now.
--- a/internal/state/ledger/flight.go
+++ b/internal/state/ledger/flight.go
@@ -57,7 +57,7 @@
 
 // publish lets the flight's callers go if the attempt has an answer.
 func (l *Ledger) publish(f *flight, a *Attempt) bool {
-	out, err, ok := a.Told()
+	out, ok, err := a.Told()
 	if !ok {
 		return false
 	}
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -146,7 +146,7 @@
 	for {
 		act := a.Next()
 		if act.kind == ActEnd {
-			out, err, _ := a.Told()
+			out, _, err := a.Told()
 			return out, err
 		}
 		a.Take(l.perform(ctx, l.Looks, c, act))
--- a/internal/state/ledger/model_test.go
+++ b/internal/state/ledger/model_test.go
@@ -278,7 +278,7 @@
 
 // check holds what the caller was told against what ran.
 func (m *model) check(c *caller) {
-	out, err, told := c.attempt.Told()
+	out, told, err := c.attempt.Told()
 	switch {
 	case !told:
 	case err != nil, out.State() == ledger.StateNotRun:
