--- a/internal/app/daemon/process_test.go
+++ b/internal/app/daemon/process_test.go
@@ -45,7 +45,7 @@
 }
 
 // launch starts the program with args.
-func launch(t *testing.T, name string, args ...string) *process {
+func launch(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	cmd := exec.CommandContext(ctx, os.Args[0])
@@ -103,7 +103,7 @@
 }
 
 // address waits for the log line msg and returns the address in it.
-func (p *process) address(t *testing.T, msg string) string {
+func (p *process) address(t testing.TB, msg string) string {
 	t.Helper()
 	p.mu.Lock()
 	if a, ok := p.seen[msg]; ok {
@@ -139,3 +139,10 @@
 func (p *process) freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
 
 func (p *process) thaw() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+
+func decode(t testing.TB, r io.Reader, into any) {
+	t.Helper()
+	if err := json.NewDecoder(r).Decode(into); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/route/retry/patience.go
+++ b/internal/route/retry/patience.go
@@ -3,29 +3,23 @@
 import (
 	"time"
 
+	"fulmarwick/internal/base/hist"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/world"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 const (
-	stepLeast    = 250 * time.Millisecond
+	stepLeast    = 500 * time.Millisecond
+	gapLeast     = 250 * time.Millisecond
+	gapTimes     = 2
 	stepMost     = 10 * time.Second
-	prefillLeast = 500 * time.Millisecond
+	prefillLeast = time.Second
 	prefillMost  = 60 * time.Second
 	// times is the patience over the quantile of what was seen, unseen the
 	// same over the prediction while too little was seen.
 	times    = 3
 	unseen   = 8
 	quantile = 99
-	// samples is after how many answers a histogram starts anew; the one
-	// before it is read until the new one has enough.
-	samples = 512
-	enough  = 32
-	unit    = 100
-	top     = 50 * unit
-	digits  = 2
 )
 
 // Patience learns per class how much longer than predicted steps take, and
@@ -36,11 +30,7 @@
 }
 
 type seen struct {
-	step, prefill ratios
-}
-
-type ratios struct {
-	now, last *hdrhistogram.Histogram
+	step, prefill hist.Ratios
 }
 
 // Saw notes an answer that ran on one chain to its end.
@@ -58,8 +48,8 @@
 		s = &seen{}
 		p.classes[class] = s
 	}
-	s.step.add(float64(ev.Gap) / float64(plan.Token))
-	s.prefill.add(float64(ev.First-(r.Started()-r.At())) / float64(plan.First))
+	s.step.Add(float64(ev.Gap) / float64(plan.Token))
+	s.prefill.Add(float64(ev.First-(r.Started()-r.At())) / float64(plan.First))
 }
 
 // Keep drops what was learnt for classes that are no longer in force.
@@ -73,16 +63,26 @@
 	p.classes = kept
 }
 
+// least is the shortest patience for a step: longer than the stall of a busy
+// host, but not so long that a class with a tight gap keeps a stage behind a
+// degraded link that breaks its target with each token.
+func least(target spec.Target) time.Duration {
+	if target.Gap() <= 0 {
+		return stepLeast
+	}
+	return min(max(gapLeast, gapTimes*target.Gap()), stepLeast)
+}
+
 // Times is how long to wait for the steps of a request that starts by plan.
 // Each timeout that the request met doubles it: where a step is slow and not
 // lost, trying again just as soon would only repeat the work.
 func (p *Patience) Times(r *world.Request, plan world.Plan) Times {
 	step, prefill := float64(unseen), float64(unseen)
 	if s := p.classes[r.Arrived().Class]; s != nil {
-		step, prefill = s.step.limit(), s.prefill.limit()
+		step, prefill = limit(&s.step), limit(&s.prefill)
 	}
 	out := Times{
-		Step:    max(stepLeast, time.Duration(step*float64(plan.Step))),
+		Step:    max(least(r.Class().Target()), time.Duration(step*float64(plan.Step))),
 		Prefill: max(prefillLeast, time.Duration(prefill*float64(plan.Prefill))),
 	}
 	if r.Cause() == world.CauseTimeout && r.Attempt() > 0 {
@@ -95,23 +95,9 @@
 	return out
 }
 
-func (r *ratios) add(ratio float64) {
-	if r.now == nil {
-		r.now = hdrhistogram.New(1, top, digits)
-	}
-	if r.now.TotalCount() >= samples {
-		r.now, r.last = hdrhistogram.New(1, top, digits), r.now
-	}
-	_ = r.now.RecordValue(min(max(1, int64(ratio*unit)), top))
-}
-
-func (r *ratios) limit() float64 {
-	h := r.now
-	if h.TotalCount() < enough && r.last != nil {
-		h = r.last
-	}
-	if h.TotalCount() < enough {
-		return unseen
+func limit(r *hist.Ratios) float64 {
+	if ratio, ok := r.At(quantile); ok {
+		return times * max(1, ratio)
 	}
-	return times * max(1, float64(h.ValueAtQuantile(quantile))/unit)
+	return unseen
 }
