--- /dev/null
+++ b/internal/wire/peer/link_test.go
@@ -0,0 +1,132 @@
+package peer_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/wire/peer"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// talker is a logic that sends what it is told to and counts what comes.
+type talker struct {
+	mu    sync.Mutex
+	to    []node.Send
+	heard int
+	lost  int
+}
+
+func (k *talker) Tick(_ time.Duration, events []node.Event) []node.Command {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, ev := range events {
+		switch ev.(type) {
+		case node.Heard:
+			k.heard++
+		case node.Lost:
+			k.lost++
+		}
+	}
+	var out []node.Command
+	for _, s := range k.to {
+		out = append(out, s)
+	}
+	k.to = nil
+	return out
+}
+
+func (k *talker) send(to spec.InstanceID, host int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.to = append(k.to, node.Send{To: to, URL: fmt.Sprintf("http://10.0.0.%d:7000", host), Data: []byte("x")})
+}
+
+func (k *talker) counts() (heard, lost int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.heard, k.lost
+}
+
+// talkers runs two instances that say only what the test has them say.
+func talkers(t *testing.T) (s *site, a, b *talker, conns func() uint64) {
+	s, a, b = newSite(t), &talker{}, &talker{}
+	set := metrics.NewSet()
+	for i, k := range []*talker{a, b} {
+		s.add([]string{"a", "b"}[i], nil, func(h *peer.Hub) { h.Logic, h.Idle, h.Meters = k, time.Second, set })
+	}
+	return s, a, b, set.GetOrCreateCounter("fulmarwick_peer_connections").Get
+}
+
+func TestUnusedConnectionCloses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, a, b, conns := talkers(t)
+		defer s.close()
+		a.send("b", 2)
+		time.Sleep(500 * time.Millisecond)
+		if got := conns(); got != 2 {
+			t.Errorf("got %d ends of connections in use, want 2", got)
+		}
+		time.Sleep(5 * time.Second)
+		if got := conns(); got != 0 {
+			t.Errorf("got %d ends of connections after silence, want 0", got)
+		}
+		if heard, lost := b.counts(); heard != 1 || lost != 0 {
+			t.Errorf("got %d heard and %d lost, want 1 and 0: an agreed close is no loss", heard, lost)
+		}
+	})
+}
+
+func TestBothDialAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, a, b, conns := talkers(t)
+		defer s.close()
+		for range 40 {
+			a.send("b", 2)
+			b.send("a", 1)
+			time.Sleep(100 * time.Millisecond)
+		}
+		for name, k := range map[string]*talker{"a": a, "b": b} {
+			if heard, lost := k.counts(); heard != 40 || lost != 0 {
+				t.Errorf("got %d heard and %d lost at %s, want 40 and 0", heard, lost, name)
+			}
+		}
+		if got := conns(); got != 2 {
+			t.Errorf("got %d ends of connections, want one connection for the pair", got)
+		}
+	})
+}
+
+// The other instance cannot be reached for a while. Its loss is told, tries
+// grow rare, and it is reached again once it is back.
+func TestDialBacksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, a, b, _ := talkers(t)
+		defer s.close()
+		s.mu.Lock()
+		s.cut["10.0.0.2:7000"] = true
+		s.mu.Unlock()
+		for range 600 {
+			a.send("b", 2)
+			time.Sleep(100 * time.Millisecond)
+		}
+		if _, lost := a.counts(); lost < 5 || lost > 40 {
+			t.Errorf("got %d tries in a minute, want a few", lost)
+		}
+		s.mu.Lock()
+		s.cut["10.0.0.2:7000"] = false
+		s.mu.Unlock()
+		for range 100 {
+			a.send("b", 2)
+			time.Sleep(100 * time.Millisecond)
+		}
+		if heard, _ := b.counts(); heard == 0 {
+			t.Errorf("got nothing heard after the way was back, want some")
+		}
+	})
+}
