--- a/internal/wire/peer/link_test.go
+++ b/internal/wire/peer/link_test.go
@@ -20,6 +20,8 @@
 	to    []node.Send
 	heard int
 	lost  int
+	// came gets a value for each message if it is not nil.
+	came chan struct{}
 }
 
 func (k *talker) Tick(_ time.Duration, events []node.Event) []node.Command {
@@ -29,6 +31,9 @@
 		switch ev.(type) {
 		case node.Heard:
 			k.heard++
+			if k.came != nil {
+				k.came <- struct{}{}
+			}
 		case node.Lost:
 			k.lost++
 		}
