--- a/internal/wire/peer/hub.go
+++ b/internal/wire/peer/hub.go
@@ -173,6 +173,7 @@
 	for _, c := range h.Logic.Tick(now, events) {
 		h.command(c)
 	}
+	h.meter.fleet.show(h.Logic)
 }
 
 func (h *Hub) command(c node.Command) {
@@ -194,6 +195,7 @@
 func (h *Hub) members(c node.Members) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.meter.fleet.members.Set(uint64(len(c.Peers)))
 	clear(h.urls)
 	for _, p := range c.Peers {
 		h.urls[p.ID] = p.URL
--- a/internal/wire/peer/meters.go
+++ b/internal/wire/peer/meters.go
@@ -1,6 +1,10 @@
 package peer
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"fulmarwick/internal/fleet/node"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 // meters are the metrics of a Hub.
 type meters struct {
@@ -10,6 +14,7 @@
 	dials, failed         *metrics.Counter
 	forwarded, served     *metrics.Counter
 	conns                 *metrics.Counter
+	fleet                 fleetMeters
 }
 
 func newMeters(set *metrics.Set) meters {
@@ -28,5 +33,42 @@
 		forwarded:  set.GetOrCreateCounter("fulmarwick_peer_forwarded_total"),
 		served:     set.GetOrCreateCounter("fulmarwick_peer_served_total"),
 		conns:      set.GetOrCreateCounter("fulmarwick_peer_connections"),
+		fleet:      newFleetMeters(set),
+	}
+}
+
+// counted is a Logic that counts what it meets.
+type counted interface {
+	Stats() node.Stats
+}
+
+// fleetMeters show the counts of the fleet logic.
+type fleetMeters struct {
+	suspected, bad, pauses, refused *metrics.Counter
+	items, members                  *metrics.Counter
+}
+
+func newFleetMeters(set *metrics.Set) fleetMeters {
+	return fleetMeters{
+		suspected: set.GetOrCreateCounter("fulmarwick_fleet_suspected_total"),
+		bad:       set.GetOrCreateCounter("fulmarwick_fleet_bad_total"),
+		pauses:    set.GetOrCreateCounter("fulmarwick_fleet_pauses_total"),
+		refused:   set.GetOrCreateCounter("fulmarwick_fleet_refused_total"),
+		items:     set.GetOrCreateCounter("fulmarwick_fleet_items"),
+		members:   set.GetOrCreateCounter("fulmarwick_fleet_members"),
+	}
+}
+
+// show is called on the goroutine that ticks the logic.
+func (m *fleetMeters) show(logic Logic) {
+	c, ok := logic.(counted)
+	if !ok {
+		return
 	}
+	s := c.Stats()
+	m.suspected.Set(s.Suspected)
+	m.bad.Set(s.Bad)
+	m.pauses.Set(s.Pauses)
+	m.refused.Set(uint64(max(0, s.Refused)))
+	m.items.Set(uint64(max(0, s.Items)))
 }
