--- a/internal/fleet/node/call.go
+++ b/internal/fleet/node/call.go
@@ -20,6 +20,7 @@
 	relays       = 3
 	maxCalls     = 256
 	callerMemory = 3 * time.Second
+	sweepEvery   = time.Minute
 )
 
 // purpose says why a call was made.
@@ -51,6 +52,7 @@
 	rows []*call
 	// heard is when anything came from an instance.
 	heard map[spec.InstanceID]time.Duration
+	swept time.Duration
 }
 
 type call struct {
@@ -129,6 +131,7 @@
 
 // tickCalls moves on the calls that wait.
 func (l *Logic) tickCalls() {
+	l.sweep()
 	strained := l.strained()
 	l.calls.rows = slices.DeleteFunc(slices.Clone(l.calls.rows), func(c *call) bool {
 		if c.why != purposeMeet {
@@ -196,6 +199,25 @@
 	}
 }
 
+// sweep forgets when those were heard or missed that are long gone, so that the
+// names of replaced instances do not pile up.
+func (l *Logic) sweep() {
+	if l.now-l.calls.swept < sweepEvery {
+		return
+	}
+	l.calls.swept = l.now
+	for id, at := range l.calls.heard {
+		if l.now-at > sweepEvery {
+			delete(l.calls.heard, id)
+		}
+	}
+	for id, until := range l.remotes.avoid {
+		if l.now > until {
+			delete(l.remotes.avoid, id)
+		}
+	}
+}
+
 // strained reports whether most neighbours do not answer at once. Then the
 // fault is more likely here, as Lifeguard has it, and suspicions wait longer.
 func (l *Logic) strained() bool {
--- a/internal/fleet/node/join_test.go
+++ b/internal/fleet/node/join_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -170,3 +171,31 @@
 	f.start(late)
 	f.until(6*time.Second, "ready first instance", func() bool { return late.ready != 0 })
 }
+
+// Instances are replaced by others of new names for days. The names that the
+// list gave up are not looked for any more; those still listed are, although
+// the list came back empty in between.
+func TestNamesOfReplacedInstancesAreGivenUp(t *testing.T) {
+	peers := func(from, to int) node.Listed {
+		var ev node.Listed
+		for i := from; i < to; i++ {
+			ev.Peers = append(ev.Peers, node.Peer{ID: spec.InstanceID(fmt.Sprint("i", i)), DataCentre: "dc", URL: "http://10.0.0.1"})
+		}
+		return ev
+	}
+	l := &node.Logic{Self: node.Peer{ID: "self", DataCentre: "dc"}, Born: 1, Rand: rand.New(rand.NewPCG(1, 2))}
+	l.Tick(0, []node.Event{peers(0, 50)})
+	l.Tick(time.Hour, []node.Event{node.Listed{}})
+	l.Tick(3*time.Hour, []node.Event{peers(45, 60)})
+	called := map[spec.InstanceID]bool{}
+	for now := 3 * time.Hour; now < 4*time.Hour; now += 50 * time.Millisecond {
+		for _, c := range l.Tick(now, nil) {
+			if s, ok := c.(node.Send); ok {
+				called[s.To] = true
+			}
+		}
+	}
+	if len(called) != 15 || called["i10"] || !called["i47"] || !called["i59"] {
+		t.Errorf("got %d instances looked for, want the 15 listed", len(called))
+	}
+}
--- a/internal/fleet/node/meet.go
+++ b/internal/fleet/node/meet.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"fulmarwick/internal/base/news"
@@ -158,60 +157,3 @@
 	}
 	return l.members.Members(func(r talk.Record) bool { return r.DataCentre == centre })
 }
-
-// listed is the platform's list and the settings, in order of ID.
-type listed struct {
-	peers   []Peer
-	seen    bool
-	engines []spec.UpstreamID
-}
-
-// list takes a list. It adds and corrects; it removes nobody, since it lags
-// and may come back empty.
-func (l *Logic) list(ev Listed) {
-	l.listed.seen = true
-	for _, p := range ev.Peers {
-		if p.ID != l.Self.ID && p.ID != "" {
-			l.listed.add(p)
-		}
-	}
-	engines := slices.Clone(ev.Engines)
-	slices.Sort(engines)
-	engines = slices.Compact(engines)
-	if !slices.Equal(engines, l.listed.engines) {
-		l.listed.engines = engines
-		l.watch.dirty = true
-	}
-}
-
-const maxListed = 4096
-
-func (s *listed) add(p Peer) {
-	at, found := s.find(p.ID)
-	switch {
-	case found:
-		s.peers[at] = p
-	case len(s.peers) < maxListed:
-		s.peers = slices.Insert(s.peers, at, p)
-	}
-}
-
-func (s *listed) find(id spec.InstanceID) (int, bool) {
-	return slices.BinarySearchFunc(s.peers, id, func(p Peer, id spec.InstanceID) int {
-		return strings.Compare(string(p.ID), string(id))
-	})
-}
-
-func (s *listed) url(id spec.InstanceID) string {
-	if at, ok := s.find(id); ok {
-		return s.peers[at].URL
-	}
-	return ""
-}
-
-func (s *listed) centre(id spec.InstanceID) spec.DataCentre {
-	if at, ok := s.find(id); ok {
-		return s.peers[at].DataCentre
-	}
-	return ""
-}
