Pass a caller's trace on to plain services

The record's own goroutine dropped the caller's context with its trace. It now keeps the values and not the end; the sender starts a span and sends traceparent.

--- a/internal/state/ledger/flight.go
+++ b/internal/state/ledger/flight.go
@@ -32,8 +32,10 @@
 }
 
 // run brings the attempt to its end in a goroutine of its own, so that a
-// caller who leaves cuts neither the send nor the record.
-func (l *Ledger) run(f *flight, a *Attempt) {
+// caller who leaves cuts neither the send nor the record. Of the caller's ctx
+// only the values go on, among them the trace.
+func (l *Ledger) run(ctx context.Context, f *flight, a *Attempt) {
+	ctx = context.WithoutCancel(ctx)
 	l.running.Go(func() {
 		if l.full() {
 			f.err = errors.Wrap(ErrStore, "too many records to settle")
@@ -50,7 +52,7 @@
 			if act.kind == ActEnd {
 				return
 			}
-			a.Take(l.perform(context.Background(), l.Table, f.call, act))
+			a.Take(l.perform(ctx, l.Table, f.call, act))
 		}
 	})
 }
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -115,7 +115,7 @@
 	for {
 		f, first := l.enter(c)
 		if first {
-			l.run(f, NewAttempt(l.params(c)))
+			l.run(ctx, f, NewAttempt(l.params(c)))
 		} else if f.sum != c.sum() {
 			return Outcome{}, ErrBody
 		}
--- a/internal/wire/plain/plain.go
+++ b/internal/wire/plain/plain.go
@@ -22,6 +22,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 )
 
 // Defaults of the fields of Sender.
@@ -33,6 +35,9 @@
 	defaultShare  = 0.1
 )
 
+// tracer names the spans of this package.
+const tracer = "fulmarwick/plain"
+
 // Headers that scope an idempotency key: keys of two teams may be equal.
 const (
 	headerKey   = "Idempotency-Key"
@@ -123,9 +128,11 @@
 func (s *Sender) once(ctx context.Context, base string, c ledger.Call) (ledger.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout())
 	defer cancel()
+	ctx, span := trace.SpanFromContext(ctx).TracerProvider().Tracer(tracer).Start(ctx, "plain.send", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
 	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	req, err := request(httptrace.WithClientTrace(ctx, trace), base, c)
+	watch := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	req, err := request(httptrace.WithClientTrace(ctx, watch), base, c)
 	if err != nil {
 		return ledger.Answer{}, errors.Wrap(ledger.ErrNotSent, err.Error())
 	}
@@ -211,8 +218,8 @@
 	return s.Answer
 }
 
-// request builds the call as the service gets it. No header of the caller is
-// passed on, so none that concerns one hop only can be.
+// request builds the call as the service gets it. No header of the caller but
+// that of the trace is passed on, so none that concerns one hop only can be.
 func request(ctx context.Context, base string, c ledger.Call) (*http.Request, error) {
 	// NopCloser hides the reader's type, so that the request has no GetBody.
 	body := io.NopCloser(bytes.NewReader(c.Body()))
@@ -225,6 +232,7 @@
 	req.Header.Set("Content-Type", c.Type())
 	req.Header.Set(headerKey, c.Key())
 	scope(req, c)
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	return req, nil
 }
 
