--- a/internal/fakes/trial/clock_test.go
+++ b/internal/fakes/clock/clock.go
@@ -1,10 +1,15 @@
-package trial_test
+// Package clock is a stand-in engine that holds a whole model and answers at
+// once. The text of each of its tokens is the time at which it left, so that a
+// client in the same process can tell how long it was on its way.
+//
+// It imports base/frame and the WebSocket library. Benchmarks of the router run
+// it.
+package clock
 
 import (
 	"bytes"
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -16,36 +21,42 @@
 )
 
 const (
-	benchModel = "bench"
-	benchDepth = 24
+	// Model is the model that the engine holds.
+	Model = "bench"
+	depth = 24
+	// What the engine says of itself: never the limit of a benchmark.
+	layerTime = time.Microsecond
+	slots     = 1 << 12
+	cache     = 1 << 30
+	// replies is how many replies wait for the connection.
+	replies = 1024
 )
 
-// clock is a stand-in engine that holds a whole model and answers at once. The
-// text of each of its tokens is the time at which it left, so that a client in
-// the same process can tell how long it was on its way.
-type clock struct{ seq atomic.Uint64 }
+// Engine is the stand-in. The zero value is ready.
+type Engine struct{ seq atomic.Uint64 }
 
-func (c *clock) handler() http.Handler {
+// Handler serves the engine protocol, as far as the router uses it here.
+func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/v1/engine", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(frame.Engine{
-			Name: "clock", DataCentre: "klang", Kind: "h200", Layer: 1000, Slots: 1 << 12, Memory: benchDepth,
-			Cache: 1 << 30, State: frame.StateLive, Seq: c.seq.Add(1),
-			Holds: []frame.Hold{{Model: benchModel, Version: "1", Depth: benchDepth, To: benchDepth}},
+			Name: "clock", DataCentre: "klang", Kind: "h200", Layer: int64(layerTime), Slots: slots, Memory: depth,
+			Cache: cache, State: frame.StateLive, Seq: e.seq.Add(1),
+			Holds: []frame.Hold{{Model: Model, Version: "1", Depth: depth, To: depth}},
 		})
 	})
-	mux.HandleFunc("/v1/steps", c.steps)
+	mux.HandleFunc("/v1/steps", e.steps)
 	return mux
 }
 
-func (c *clock) steps(w http.ResponseWriter, req *http.Request) {
+func (e *Engine) steps(w http.ResponseWriter, req *http.Request) {
 	up := websocket.Upgrader{ReadBufferSize: 64 << 10, WriteBufferSize: 64 << 10}
 	ws, err := up.Upgrade(w, req, nil)
 	if err != nil {
 		return
 	}
 	defer func() { _ = ws.Close() }()
-	out := make(chan *frame.Reply, 1024)
+	out := make(chan *frame.Reply, replies)
 	done := make(chan struct{})
 	defer close(done)
 	go send(ws, out, done)
@@ -83,7 +94,8 @@
 	}
 }
 
-// run answers a run of tokens; the prompt takes one position. A prompt that ends in "gap=D" spaces them by D.
+// run answers a run of tokens; the prompt takes one position. A prompt that
+// ends in "gap=D" spaces them by D.
 func run(s *frame.Step, out chan<- *frame.Reply, done <-chan struct{}) {
 	var gap time.Duration
 	if _, text, ok := strings.Cut(s.Text, "gap="); ok {
@@ -107,9 +119,3 @@
 		}
 	}
 }
-
-// serveClock starts the engine and returns its base URL.
-func serveClock() *httptest.Server {
-	c := &clock{}
-	return httptest.NewServer(c.handler())
-}
--- a/internal/fakes/trial/bench_test.go
+++ b/internal/fakes/trial/bench_test.go
@@ -20,6 +20,7 @@
 	"fulmarwick/internal/app/daemon"
 	"fulmarwick/internal/app/setup"
 	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/fakes/clock"
 	"fulmarwick/internal/fakes/infra"
 	"fulmarwick/internal/fakes/trial"
 	"fulmarwick/internal/state/config"
@@ -107,7 +108,7 @@
 	settings.Instance = setup.Instance{Name: "bench-1", DataCentre: "klang", Region: "bench"}
 	settings.Platform = setup.Platform{Table: platform, Watch: 100 * time.Millisecond}
 	settings.Times.Grace = 0
-	loose := "[class bench]\nkind = model\nmodel = " + benchModel + "\nfirst = 1m\ngap = 1m\npercent = 95\n" +
+	loose := "[class bench]\nkind = model\nmodel = " + clock.Model + "\nfirst = 1m\ngap = 1m\npercent = 95\n" +
 		"[team bench]\nkey-hash = " + string(config.HashKey(benchKey)) + "\n"
 	table := &store.Client{Base: platform, HTTP: store.NewHTTP()}
 	if err := trial.Apply(context.Background(), table, loose); err != nil {
@@ -132,7 +133,7 @@
 
 func newBed(b *testing.B) *bed {
 	b.Helper()
-	engine := serveClock()
+	engine := httptest.NewServer((&clock.Engine{}).Handler())
 	b.Cleanup(engine.Close)
 	platform := &infra.Server{Table: &infra.Table{}}
 	platform.List([]store.ListedBody{{ID: "clock", Role: store.RoleEngine, URL: engine.URL, DataCentre: "klang", State: frame.StateLive}})
@@ -240,7 +241,7 @@
 
 // ask is stream without a verdict. It returns the status and the last line.
 func (b *bed) ask(t testing.TB, tokens int, gap time.Duration, seen func(data string)) (status int, last string) {
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"gap=%s"}]}`, benchModel, tokens, gap)
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"gap=%s"}]}`, clock.Model, tokens, gap)
 	req, err := http.NewRequest(http.MethodPost, b.url+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
