--- a/internal/state/ledger/flight.go
+++ b/internal/state/ledger/flight.go
@@ -32,8 +32,10 @@
 }
 
 // run brings the attempt to its end in a goroutine of its own, so that a
-// caller who leaves cuts neither the send nor the record.
-func (l *Ledger) run(f *flight, a *Attempt) {
+// caller who leaves cuts neither the send nor the record. Of the caller's ctx
+// only the values go on, among them the trace.
+func (l *Ledger) run(ctx context.Context, f *flight, a *Attempt) {
+	ctx = context.WithoutCancel(ctx)
 	l.running.Go(func() {
 		if l.full() {
 			f.err = errors.Wrap(ErrStore, "too many records to settle")
@@ -50,14 +52,14 @@
 			if act.kind == ActEnd {
 				return
 			}
-			a.Take(l.perform(context.Background(), l.Table, f.call, act))
+			a.Take(l.perform(ctx, l.Table, f.call, act))
 		}
 	})
 }
 
 // publish lets the flight's callers go if the attempt has an answer.
 func (l *Ledger) publish(f *flight, a *Attempt) bool {
-	out, err, ok := a.Told()
+	out, ok, err := a.Told()
 	if !ok {
 		return false
 	}
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -115,7 +115,7 @@
 	for {
 		f, first := l.enter(c)
 		if first {
-			l.run(f, NewAttempt(l.params(c)))
+			l.run(ctx, f, NewAttempt(l.params(c)))
 		} else if f.sum != c.sum() {
 			return Outcome{}, ErrBody
 		}
@@ -146,7 +146,7 @@
 	for {
 		act := a.Next()
 		if act.kind == ActEnd {
-			out, err, _ := a.Told()
+			out, _, err := a.Told()
 			return out, err
 		}
 		a.Take(l.perform(ctx, l.Looks, c, act))
