Close the connections of former members, not those of restarted ones

Expire also tells a restart; closing on it cut the new connection of the one that came back, and a forwarded answer with it. A former member's connection stays 2 s, since one that said goodbye still waits for the answer.

--- a/internal/wire/peer/hub.go
+++ b/internal/wire/peer/hub.go
@@ -42,6 +42,8 @@
 	// maxEvents bounds the events that wait for a tick. Beyond it messages are
 	// dropped, which the protocol expects of a network anyway.
 	maxEvents = 8192
+	// closeAfter is how long the connection of a former member is kept.
+	closeAfter = 2 * time.Second
 	// maxConns bounds the connections of one instance, far above the few dozen
 	// that the fleet logic uses.
 	maxConns = 1024
@@ -183,36 +185,34 @@
 		return
 	case node.Members:
 		h.members(c)
-	case node.Expire:
-		h.drop(c.Peer)
 	}
 	if h.On != nil {
 		h.On(c)
 	}
 }
 
-// members notes where the others are, for those who forward.
+// members notes where the others are, for those who forward, and closes the
+// connections of those that are no members any more. Without that the writes
+// to a machine that lost power would wait until TCP gives up.
 func (h *Hub) members(c node.Members) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.meter.fleet.members.Set(uint64(len(c.Peers)))
-	clear(h.urls)
+	h.mu.Lock()
+	gone := h.urls
+	h.urls = make(map[spec.InstanceID]string, len(c.Peers))
 	for _, p := range c.Peers {
 		h.urls[p.ID] = p.URL
+		delete(gone, p.ID)
 	}
-}
-
-// drop closes the connection to a dead instance. Without it the writes to a
-// machine that lost power would wait until TCP gives up.
-func (h *Hub) drop(id spec.InstanceID) {
-	h.mu.Lock()
-	var c *conn
-	if l := h.links[id]; l != nil {
-		c = l.conn
+	var closing []*conn
+	for conn := range h.conns {
+		if _, ok := gone[conn.id]; ok {
+			closing = append(closing, conn)
+		}
 	}
 	h.mu.Unlock()
-	if c != nil {
-		c.close(ErrBroken)
+	// An instance that said goodbye still waits for the answer.
+	for _, conn := range closing {
+		time.AfterFunc(closeAfter, func() { conn.close(ErrBroken) })
 	}
 }
 
--- a/internal/wire/peer/link_test.go
+++ b/internal/wire/peer/link_test.go
@@ -17,7 +17,7 @@
 // talker is a logic that sends what it is told to and counts what comes.
 type talker struct {
 	mu    sync.Mutex
-	to    []node.Send
+	to    []node.Command
 	heard int
 	lost  int
 	// came gets a value for each message if it is not nil.
@@ -38,10 +38,7 @@
 			k.lost++
 		}
 	}
-	var out []node.Command
-	for _, s := range k.to {
-		out = append(out, s)
-	}
+	out := k.to
 	k.to = nil
 	return out
 }
@@ -59,18 +56,18 @@
 }
 
 // talkers runs two instances that say only what the test has them say.
-func talkers(t *testing.T) (s *site, a, b *talker, conns func() uint64) {
+func talkers(t *testing.T, idle time.Duration) (s *site, a, b *talker, conns func() uint64) {
 	s, a, b = newSite(t), &talker{}, &talker{}
 	set := metrics.NewSet()
 	for i, k := range []*talker{a, b} {
-		s.add([]string{"a", "b"}[i], nil, func(h *peer.Hub) { h.Logic, h.Idle, h.Meters = k, time.Second, set })
+		s.add([]string{"a", "b"}[i], nil, func(h *peer.Hub) { h.Logic, h.Idle, h.Meters = k, idle, set })
 	}
 	return s, a, b, set.GetOrCreateCounter("fulmarwick_peer_connections").Get
 }
 
 func TestUnusedConnectionCloses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, a, b, conns := talkers(t)
+		s, a, b, conns := talkers(t, time.Second)
 		defer s.close()
 		a.send("b", 2)
 		time.Sleep(500 * time.Millisecond)
@@ -89,7 +86,7 @@
 
 func TestBothDialAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, a, b, conns := talkers(t)
+		s, a, b, conns := talkers(t, time.Second)
 		defer s.close()
 		for range 40 {
 			a.send("b", 2)
@@ -111,7 +108,7 @@
 // grow rare, and it is reached again once it is back.
 func TestDialBacksOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, a, b, _ := talkers(t)
+		s, a, b, _ := talkers(t, time.Second)
 		defer s.close()
 		s.mu.Lock()
 		s.cut["10.0.0.2:7000"] = true
@@ -135,3 +132,31 @@
 		}
 	})
 }
+
+// An instance is told dead while a connection to it hangs: the connection is
+// closed, so that nothing waits on it. One that only restarted keeps its new
+// connection.
+func TestConnectionOfDeadMemberCloses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, a, _, conns := talkers(t, time.Minute)
+		defer s.close()
+		for _, c := range []struct {
+			command node.Command
+			want    uint64
+		}{
+			{node.Members{Peers: []node.Peer{{ID: "b", URL: "http://10.0.0.2:7000"}}}, 2},
+			{node.Expire{Peer: "b"}, 2},
+			{node.Members{}, 0},
+		} {
+			a.send("b", 2)
+			time.Sleep(200 * time.Millisecond)
+			a.mu.Lock()
+			a.to = append(a.to, c.command)
+			a.mu.Unlock()
+			time.Sleep(3 * time.Second)
+			if got := conns(); got != c.want {
+				t.Errorf("got %d ends of connections after %+v, want %d", got, c.command, c.want)
+			}
+		}
+	})
+}
