Let a region of small data centres share its engines

Cause: today's deployments have three data centres under a millisecond apart whose engines hold a model only together, but each instance ran chains over its own data centre alone and forwarded the rest. With span = region they share the detail of engines. Shown by a test over processes: an instance in a data centre without engines goes on when the one beside the engines is killed.

--- a/internal/app/daemon/bridge.go
+++ b/internal/app/daemon/bridge.go
@@ -48,7 +48,7 @@
 		body := news.Rate{Team: string(c.Team), Rate: c.Rate}
 		return d.made(news.KindRate, string(c.Team), news.ScopeFleet, loadLife, body)
 	case world.OwnSum:
-		body := news.Sum{DataCentre: d.Settings.Instance.DataCentre, Model: string(c.Model), Free: c.Free}
+		body := news.Sum{DataCentre: d.unit(), Model: string(c.Model), Free: c.Free}
 		return d.made(news.KindSum, string(c.Model), news.ScopeFleet, sumLife, body)
 	case world.Warn:
 		key := strconv.FormatUint(c.Print, 16)
@@ -81,7 +81,7 @@
 		}
 	case news.KindSum:
 		var b news.Sum
-		if news.Decode(item, &b) == nil && b.DataCentre != f.Settings.Instance.DataCentre {
+		if news.Decode(item, &b) == nil && b.DataCentre != f.unit() {
 			f.parts.loop.Post(world.CentreSum{
 				DataCentre: spec.DataCentre(b.DataCentre), Model: spec.ModelName(b.Model),
 				Instance: spec.InstanceID(item.Origin), Free: b.Free,
--- a/internal/app/daemon/build.go
+++ b/internal/app/daemon/build.go
@@ -102,7 +102,7 @@
 func (d *Daemon) buildRoute() {
 	p := &d.parts
 	name := d.Settings.Instance.Name
-	p.planner = &place.Planner{Goal: goal(d.Settings.Goal), DataCentre: spec.DataCentre(d.Settings.Instance.DataCentre)}
+	p.planner = &place.Planner{Goal: goal(d.Settings.Goal), DataCentre: d.planned()}
 	p.logic = &core.Logic{ID: spec.InstanceID(name), Seed: xxhash.Sum64String(name), Planner: p.planner}
 	p.loop = &loop.Loop{Logic: p.logic, Other: d.told, Queue: d.Settings.Limits.Queue, Meters: p.meters}
 	p.pool = &engine.Pool{HTTP: &http.Client{}, Post: p.loop.Post, Meters: p.meters}
@@ -221,3 +221,22 @@
 
 // jitter is a factor around 1 for waits, so that instances do not keep step.
 func jitter() float64 { return 0.75 + rand.Float64()/2 }
+
+// unit is the data centres that share the detail of engines with this one:
+// itself, or all of the region.
+func (d *Daemon) unit() string { return d.unitOf(d.Settings.Instance.DataCentre) }
+
+func (d *Daemon) unitOf(centre string) string {
+	if d.Settings.Instance.Span == setup.SpanRegion {
+		return d.Settings.Instance.Region
+	}
+	return centre
+}
+
+// planned is the data centre whose engines are planned here; "" is all.
+func (d *Daemon) planned() spec.DataCentre {
+	if d.Settings.Instance.Span == setup.SpanRegion {
+		return ""
+	}
+	return spec.DataCentre(d.Settings.Instance.DataCentre)
+}
--- a/internal/app/daemon/duties.go
+++ b/internal/app/daemon/duties.go
@@ -43,7 +43,7 @@
 }
 
 func (d *Daemon) newDuties() *duties {
-	centre := d.Settings.Instance.DataCentre
+	centre := d.unit()
 	out := &duties{Daemon: d, running: map[string]context.CancelFunc{}}
 	out.lease = d.newLease(dutyPlace + centre)
 	out.orders = &order.Orders{
@@ -60,7 +60,7 @@
 // specs are the duties there are, for the fleet logic to spread.
 func (u *duties) specs() []node.DutySpec {
 	return []node.DutySpec{
-		{Name: dutyPlace + u.Settings.Instance.DataCentre, Scope: news.ScopeCentre},
+		{Name: dutyPlace + u.unit(), Scope: news.ScopeCentre},
 		{Name: dutyTrim, Scope: news.ScopeFleet},
 	}
 }
--- a/internal/app/daemon/fleet.go
+++ b/internal/app/daemon/fleet.go
@@ -59,7 +59,7 @@
 		done: make(chan struct{}), watches: make(chan node.Watch, 1),
 	}
 	name := d.Settings.Instance.Name
-	self := node.Peer{ID: spec.InstanceID(name), DataCentre: spec.DataCentre(d.Settings.Instance.DataCentre)}
+	self := node.Peer{ID: spec.InstanceID(name), DataCentre: spec.DataCentre(d.unit())}
 	f.logic = &node.Logic{
 		Self: self, Born: uint32(f.began.Unix()),
 		Rand: rand.New(rand.NewPCG(xxhash.Sum64String(name), uint64(f.began.UnixNano()))),
@@ -107,11 +107,11 @@
 	return slices.Clone(f.members)
 }
 
-// near are the peers of the own data centre.
+// near are the peers that share the detail of engines.
 func (f *fleet) near(peers []node.Peer) []spec.InstanceID {
 	var out []spec.InstanceID
 	for _, p := range peers {
-		if string(p.DataCentre) == f.Settings.Instance.DataCentre {
+		if string(p.DataCentre) == f.unit() {
 			out = append(out, p.ID)
 		}
 	}
@@ -217,9 +217,9 @@
 	for _, l := range list {
 		switch l.Role {
 		case store.RoleEntry:
-			ev.Peers = addPeer(ev.Peers, l)
+			ev.Peers = f.addPeer(ev.Peers, l)
 		case store.RoleEngine:
-			if l.DataCentre == f.Settings.Instance.DataCentre {
+			if f.unitOf(l.DataCentre) == f.unit() {
 				ev.Engines = append(ev.Engines, spec.UpstreamID(l.ID))
 			}
 		}
@@ -232,8 +232,8 @@
 
 // addPeer adds an instance of the platform's list, which knows more than the
 // settings.
-func addPeer(peers []node.Peer, l store.ListedBody) []node.Peer {
-	p := node.Peer{ID: spec.InstanceID(l.ID), DataCentre: spec.DataCentre(l.DataCentre), URL: l.URL}
+func (f *fleet) addPeer(peers []node.Peer, l store.ListedBody) []node.Peer {
+	p := node.Peer{ID: spec.InstanceID(l.ID), DataCentre: spec.DataCentre(f.unitOf(l.DataCentre)), URL: l.URL}
 	p.Passive = l.State == frame.StateLeaving
 	for i := range peers {
 		if peers[i].ID == p.ID {
--- a/internal/app/daemon/fleet_test.go
+++ b/internal/app/daemon/fleet_test.go
@@ -71,6 +71,11 @@
 
 // start launches one more instance in a data centre and lists it.
 func (e *entries) start(centre string) string {
+	e.t.Helper()
+	return e.startWith(centre, "datacentre")
+}
+
+func (e *entries) startWith(centre, span string) string {
 	e.t.Helper()
 	e.started++
 	name := fmt.Sprintf("%s-%d", centre, e.started)
@@ -79,6 +84,7 @@
 name = %s
 datacentre = %s
 region = my-west
+span = %s
 [listen]
 callers = 127.0.0.1:0
 operators = 127.0.0.1:0
@@ -88,7 +94,7 @@
 watch = 100ms
 [times]
 grace = 100ms
-`, name, centre, e.site.URL())
+`, name, centre, span, e.site.URL())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		e.t.Fatal(err)
 	}
@@ -359,3 +365,18 @@
 		t.Errorf("got %d cut streams, want 0", w.cuts)
 	}
 }
+
+// Three small data centres close to each other hold the model only together.
+// An instance in one without engines runs chains over those of the others by
+// itself, and loses nothing when the instance beside the engines dies.
+func TestChainsRunOverARegion(t *testing.T) {
+	e := newEntries(t, 0)
+	beside := e.startWith(trial.Centre, "region")
+	far := e.startWith("penang", "region")
+	e.ready(beside)
+	e.ready(far)
+	e.remove(beside).kill()
+	w := e.work()
+	w.more(between)
+	w.end(t)
+}
--- a/internal/app/setup/schema.go
+++ b/internal/app/setup/schema.go
@@ -65,6 +65,7 @@
 		{"name", true, name(func(f *File) *string { return &f.Instance.Name })},
 		{"datacentre", true, name(func(f *File) *string { return &f.Instance.DataCentre })},
 		{"region", true, name(func(f *File) *string { return &f.Instance.Region })},
+		{"span", false, reach},
 	}},
 	{name: "listen", keys: []key{
 		{"callers", true, address(func(f *File) *string { return &f.Listen.Callers })},
--- a/internal/app/setup/setup.go
+++ b/internal/app/setup/setup.go
@@ -7,6 +7,7 @@
 import "time"
 
 //go:generate stringer -type=Goal -linecomment -output=goal_string.go
+//go:generate stringer -type=Span -linecomment -output=span_string.go
 
 // Goal is what a deployment weighs more where throughput and recovery time
 // pull apart.
@@ -18,6 +19,19 @@
 	GoalRecovery               // recovery
 )
 
+// Span is how far instances share the detail of engines, so that one chain may
+// run over them.
+type Span int
+
+// The spans.
+const (
+	// SpanCentre suits data centres that hold whole models by themselves.
+	SpanCentre Span = iota // datacentre
+	// SpanRegion suits a few small data centres close to each other, which
+	// hold a model only together. The deployment must be of one region.
+	SpanRegion // region
+)
+
 // File is the settings of one instance.
 type File struct {
 	Instance Instance
@@ -41,6 +55,7 @@
 	Name       string
 	DataCentre string
 	Region     string
+	Span       Span
 }
 
 // Listen is the section [listen]: an IP number and port each. Peers may be
--- a/internal/app/setup/value.go
+++ b/internal/app/setup/value.go
@@ -145,6 +145,16 @@
 	}
 }
 
+func reach(p *parser, value string) string {
+	for s := SpanCentre; s <= SpanRegion; s++ {
+		if s.String() == value {
+			p.out.Instance.Span = s
+			return ""
+		}
+	}
+	return fmt.Sprintf("%q is none of datacentre, region", value)
+}
+
 func goal(p *parser, value string) string {
 	for g := GoalThroughput; g <= GoalRecovery; g++ {
 		if g.String() == value {
