--- a/internal/app/daemon/recovery_test.go
+++ b/internal/app/daemon/recovery_test.go
@@ -9,6 +9,7 @@
 
 	"fulmarwick/internal/fakes/caller"
 	"fulmarwick/internal/fakes/layer"
+	"fulmarwick/internal/fakes/stage"
 	"fulmarwick/internal/fakes/trial"
 )
 
@@ -53,10 +54,16 @@
 	}{
 		{"none", func(*entries) {}},
 		{"instance", func(e *entries) { e.remove("klang-1").kill() }},
-		{"engine", func(e *entries) { e.site.Engines()[0].Kill() }},
+		{"engine", func(e *entries) { e.busiest()[0].Kill() }},
 		{"engines", func(e *entries) {
-			e.site.Engines()[0].Kill()
-			e.site.Engines()[4].Kill()
+			for _, engine := range e.busiest()[:2] {
+				engine.Kill()
+			}
+		}},
+		{"hang", func(e *entries) {
+			engine := e.busiest()[0]
+			engine.Freeze()
+			e.t.Cleanup(engine.Thaw)
 		}},
 	}
 	for _, d := range deaths {
@@ -68,6 +75,13 @@
 	}
 }
 
+// busiest are the engines by how many requests they hold state of.
+func (e *entries) busiest() []*stage.Engine {
+	out := slices.Clone(e.site.Engines())
+	slices.SortStableFunc(out, func(a, b *stage.Engine) int { return b.Sessions() - a.Sessions() })
+	return out
+}
+
 func recovery(b *testing.B, die func(*entries)) {
 	// Five of each make the thirty engines of the association.
 	e := newEntriesAt(b, 4, &trial.Site{Layer: 20 * time.Microsecond, Copies: 5})
@@ -77,12 +91,15 @@
 	answers := wait()
 	var gaps []time.Duration
 	cuts := 0
+	first := time.Duration(0)
 	for _, a := range answers {
 		gaps = append(gaps, a.Gap)
+		first = max(first, a.First)
 		cuts += a.Cuts
 	}
 	slices.Sort(gaps)
 	b.ReportMetric(float64(gaps[len(gaps)/2].Milliseconds()), "p50-gap-ms")
 	b.ReportMetric(float64(gaps[len(gaps)-1].Milliseconds()), "max-gap-ms")
+	b.ReportMetric(float64(first.Milliseconds()), "max-first-ms")
 	b.ReportMetric(float64(cuts), "resumed")
 }
--- a/internal/app/daemon/tap.go
+++ b/internal/app/daemon/tap.go
@@ -26,8 +26,10 @@
 		t.seen(ev.Engine)
 	case world.EngineDown:
 		t.parts.duties.orders.Gone(ev.Engine)
+		t.parts.pool.Break(ev.Engine)
 	case world.EngineGone:
 		t.parts.duties.orders.Gone(ev.Engine)
+		t.parts.pool.Forget(ev.Engine)
 		t.mu.Lock()
 		delete(t.kinds, ev.Engine)
 		t.mu.Unlock()
--- a/internal/fakes/stage/stage.go
+++ b/internal/fakes/stage/stage.go
@@ -127,6 +127,16 @@
 	}
 }
 
+// Freeze has the engine hang with its connections open, as a stuck driver
+// does, until Thaw.
+func (e *Engine) Freeze() {
+	e.init()
+	e.mu.Lock()
+}
+
+// Thaw ends a Freeze.
+func (e *Engine) Thaw() { e.mu.Unlock() }
+
 // Dead reports whether the engine was killed and not revived.
 func (e *Engine) Dead() bool { return e.dead.Load() }
 
--- a/internal/wire/engine/control_test.go
+++ b/internal/wire/engine/control_test.go
@@ -387,3 +387,26 @@
 	}
 	return m.Conn.Write(b)
 }
+
+// An engine hangs with its connections open and is found down by its missing
+// reports. Work on it must end at once rather than wait out its patience; a
+// hasty judgement costs nothing, since the engine is reached again.
+func TestDownEngineBreaksItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &stage.Engine{Name: "e", Holds: holds("m", 0, 100)}
+		_, p, stop := running(e)
+		defer stop()
+		s, err := p.Open(t.Context(), "e", "r", 1, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Break("e")
+		var r frame.Reply
+		if err := s.Recv(t.Context(), time.Minute, &r); !errors.Is(err, engine.ErrBroken) {
+			t.Errorf("got %v, want ErrBroken", err)
+		}
+		if _, err := p.Open(t.Context(), "e", "r", 1, 0); err != nil {
+			t.Errorf("got %v when the engine is reached again, want nil", err)
+		}
+	})
+}
--- a/internal/wire/engine/pool.go
+++ b/internal/wire/engine/pool.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// Break closes the connection of an engine that counts as down. One that hangs
+// keeps its connections open, and its requests would wait out their patience;
+// one that does not is reached again, and answers what it did from memory.
+func (p *Pool) Break(id spec.UpstreamID) {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k := p.known[id]; k != nil {
+		k.drop()
+	}
+}
+
 // Forget closes the connection of an engine that left the list.
 func (p *Pool) Forget(id spec.UpstreamID) {
 	p.init()
--- a/internal/wire/watch/board.go
+++ b/internal/wire/watch/board.go
@@ -123,10 +123,7 @@
 	fresh := !e.known || row.Seq != e.row.Seq || row.Incarnation != e.row.Incarnation
 	changed := !e.known || !sameStatic(body, e.body)
 	b.seen(now, e, body, row)
-	// The second watcher speaks where the first one is silent, or doubts: its
-	// report keeps a broken way from passing for a dead engine.
-	e.expireDoubts(now)
-	if !e.first && now-e.other < silence && len(e.doubts) == 0 && now >= e.hurry {
+	if !b.speaks(now, e) {
 		return
 	}
 	if changed || now-e.spoken >= reportEvery {
@@ -140,6 +137,14 @@
 	}
 }
 
+// speaks reports whether this watcher tells the others. The second one does
+// where the first is silent, or doubts: its report keeps a broken way from
+// passing for a dead engine.
+func (b *board) speaks(now time.Duration, e *entry) bool {
+	e.expireDoubts(now)
+	return e.first || now-e.other >= silence || len(e.doubts) > 0 || now < e.hurry
+}
+
 // seen hands a report to the routing logic, unless it is of before the
 // engine's death.
 func (b *board) seen(now time.Duration, e *entry, body frame.Engine, row world.Engine) {
--- a/internal/wire/watch/poll.go
+++ b/internal/wire/watch/poll.go
@@ -8,6 +8,7 @@
 	"fulmarwick/internal/wire/engine"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 )
 
 // poll is a poller that runs.
@@ -23,6 +24,8 @@
 	wake <-chan struct{}
 	// cached is when cache events were last asked for.
 	cached time.Time
+	// warned is when a bad report was last logged.
+	warned time.Time
 	// seq is the last cache event read, of incarnation.
 	seq         uint64
 	incarnation uint64
@@ -87,6 +90,7 @@
 	case ctx.Err() != nil:
 		return true
 	case err != nil:
+		p.complain(err)
 		late := errors.Is(asked.Err(), context.DeadlineExceeded)
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -101,6 +105,16 @@
 	return true
 }
 
+// complain logs a report that the engine gave but that cannot be true, now and
+// then: without it an operator would only see that the engine is missing.
+func (p *poller) complain(err error) {
+	if !errors.Is(err, engine.ErrBody) || time.Since(p.warned) < warnEvery {
+		return
+	}
+	p.warned = time.Now()
+	p.Log.Warn("watch: report refused", zap.String("engine", string(p.id)), zap.Error(err))
+}
+
 // readCache posts the cache events since the last ones. A gap is posted as it
 // is: the routing logic sees it by the numbers.
 func (p *poller) readCache(ctx context.Context, base string, incarnation uint64) {
--- a/internal/wire/watch/watch.go
+++ b/internal/wire/watch/watch.go
@@ -38,6 +38,8 @@
 	standby = 4
 	// cacheEvery is the time between two questions for cache events.
 	cacheEvery = 2 * time.Second
+	// warnEvery is the least time between two warnings about one engine.
+	warnEvery = time.Minute
 	// atOnce bounds the polls that are under way at one time.
 	atOnce = 32
 )
