--- a/internal/app/daemon/fleet_test.go
+++ b/internal/app/daemon/fleet_test.go
@@ -39,6 +39,8 @@
 	live     map[string]*process
 	bases    map[string]string
 	started  int
+	// watch is the time between two readings of the list.
+	watch time.Duration
 }
 
 func newEntries(t testing.TB, n int) *entries {
@@ -48,11 +50,16 @@
 
 // newEntriesAt puts n instances before a site that is not started yet.
 func newEntriesAt(t testing.TB, n int, site *trial.Site) *entries {
+	t.Helper()
+	return newEntriesThat(t, n, site, 100*time.Millisecond)
+}
+
+func newEntriesThat(t testing.TB, n int, site *trial.Site, watch time.Duration) *entries {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), longest)
 	t.Cleanup(cancel)
 	e := &entries{
-		t: t, ctx: ctx, site: site,
+		t: t, ctx: ctx, site: site, watch: watch,
 		live: map[string]*process{}, bases: map[string]string{},
 	}
 	if err := e.site.Start(ctx); err != nil {
@@ -91,10 +98,10 @@
 peers = 127.0.0.1:0
 [platform]
 table = %s
-watch = 100ms
+watch = %s
 [times]
 grace = 100ms
-`, name, centre, span, e.site.URL())
+`, name, centre, span, e.site.URL(), e.watch)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		e.t.Fatal(err)
 	}
