--- /dev/null
+++ b/internal/wire/entry/page_test.go
@@ -0,0 +1,49 @@
+package entry_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"fulmarwick/internal/route/world"
+)
+
+// A caller meets a code that the page does not have and cannot tell what to do.
+// Every code in the sources of this package stands in docs/CALLERS.md.
+func TestEveryCodeIsOnThePage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/CALLERS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	made := regexp.MustCompile(`(?:newFault\([^"]*|badField\()"([a-z-]+)"`)
+	codes := map[string]bool{}
+	for _, f := range files {
+		if strings.HasSuffix(f, "_test.go") {
+			continue
+		}
+		data, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range made.FindAllStringSubmatch(string(data), -1) {
+			codes[m[1]] = true
+		}
+	}
+	for r := world.ReasonOverload; r <= world.ReasonReady; r++ {
+		codes[r.String()] = true
+	}
+	if len(codes) < 20 {
+		t.Fatalf("got %d codes from the sources, want at least 20", len(codes))
+	}
+	for code := range codes {
+		if !strings.Contains(string(page), "`"+code+"`") {
+			t.Errorf("got no %s on the page, want it", code)
+		}
+	}
+}
