--- a/internal/app/daemon/fleet.go
+++ b/internal/app/daemon/fleet.go
@@ -4,16 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
-	"fulmarwick/internal/base/frame"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/node"
 	"fulmarwick/internal/route/world"
-	"fulmarwick/internal/state/store"
-	"fulmarwick/internal/wire/admin"
 	"fulmarwick/internal/wire/certs"
 	"fulmarwick/internal/wire/peer"
 
@@ -101,23 +97,6 @@
 	return out, nil
 }
 
-func (f *fleet) peers() []node.Peer {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return slices.Clone(f.members)
-}
-
-// near are the peers that share the detail of engines.
-func (f *fleet) near(peers []node.Peer) []spec.InstanceID {
-	var out []spec.InstanceID
-	for _, p := range peers {
-		if string(p.DataCentre) == f.unit() {
-			out = append(out, p.ID)
-		}
-	}
-	return out
-}
-
 // on takes a command of the fleet logic. It runs on the hub's goroutine and
 // must not block.
 func (f *fleet) on(c node.Command) {
@@ -168,82 +147,12 @@
 	}
 }
 
-func (f *fleet) met(peers []node.Peer) {
-	f.mu.Lock()
-	now := time.Now()
-	for _, p := range f.members {
-		f.left[p.ID] = now
-	}
-	f.members = peers
-	for _, p := range peers {
-		delete(f.left, p.ID)
-	}
-	f.mu.Unlock()
-	f.parts.budget.SetLive(1 + len(peers))
-	f.parts.loop.Post(world.PeersSet{Peers: f.near(peers)})
-}
-
-// gone reports whether an instance is out of the members for so long that it
-// will not bring its records to their end. If it only pauses, its caller may
-// be told unsure before the end, which is true at that time.
-func (f *fleet) gone(id spec.InstanceID) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if string(id) == f.Settings.Instance.Name {
-		return false
-	}
-	if slices.ContainsFunc(f.members, func(p node.Peer) bool { return p.ID == id }) {
-		return false
-	}
-	since, ok := f.left[id]
-	if !ok {
-		since = f.began
-	}
-	return time.Since(since) > goneAfter
-}
-
 func (f *fleet) isReady() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.ready
 }
 
-// listed tells the fleet logic who should be there.
-func (f *fleet) listed(list []store.ListedBody) {
-	var ev node.Listed
-	for _, p := range f.Settings.Peers {
-		ev.Peers = append(ev.Peers, node.Peer{ID: spec.InstanceID(p.Name), URL: f.scheme() + p.Address})
-	}
-	for _, l := range list {
-		switch l.Role {
-		case store.RoleEntry:
-			ev.Peers = f.addPeer(ev.Peers, l)
-		case store.RoleEngine:
-			if f.unitOf(l.DataCentre) == f.unit() {
-				ev.Engines = append(ev.Engines, spec.UpstreamID(l.ID))
-			}
-		}
-	}
-	ev.Peers = slices.DeleteFunc(ev.Peers, func(p node.Peer) bool {
-		return string(p.ID) == f.Settings.Instance.Name
-	})
-	f.hub.Post(ev)
-}
-
-// addPeer adds an instance of the platform's list, which knows more than the
-// settings.
-func (f *fleet) addPeer(peers []node.Peer, l store.ListedBody) []node.Peer {
-	p := node.Peer{ID: spec.InstanceID(l.ID), DataCentre: spec.DataCentre(f.unitOf(l.DataCentre)), URL: l.URL}
-	p.Passive = l.State == frame.StateLeaving
-	for i := range peers {
-		if peers[i].ID == p.ID {
-			peers[i] = p
-			return peers
-		}
-	}
-	return append(peers, p)
-}
-
 func (f *fleet) scheme() string {
 	if f.Settings.TLS.Peers.Set() {
 		return "https://"
@@ -262,20 +171,6 @@
 	return nil
 }
 
-// instances are the others, for operators. Only the highest version heard of
-// is known, not that of each.
-func (f *fleet) instances() []admin.Instance {
-	out := []admin.Instance{}
-	for _, p := range f.peers() {
-		state := frame.StateLive
-		if p.Passive {
-			state = frame.StateLeaving
-		}
-		out = append(out, admin.Instance{Name: string(p.ID), DataCentre: string(p.DataCentre), State: state})
-	}
-	return out
-}
-
 // quit tells the others of the end, once nothing is in progress here.
 func (f *fleet) quit(ctx context.Context) {
 	for f.hub.Jobs() > 0 && ctx.Err() == nil {
--- a/internal/app/daemon/forward.go
+++ b/internal/app/daemon/forward.go
@@ -53,7 +53,7 @@
 
 // forward has another instance run the request.
 func (m *models) forward(ctx context.Context, to spec.InstanceID, job chain.Job, sink chain.Sink) (chain.Result, error) {
-	end, err := m.parts.fleet.hub.Forward(ctx, to, peerJob(job), func(t peer.Token) error {
+	end, err := m.parts.fleet.hub.Forward(ctx, m.parts.fleet.beside(to), peerJob(job), func(t peer.Token) error {
 		return sink(chain.Token{Index: t.Index, Text: t.Text})
 	})
 	var fault *peer.FaultError
--- /dev/null
+++ b/internal/app/daemon/members.go
@@ -0,0 +1,132 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"fulmarwick/internal/base/frame"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/route/world"
+	"fulmarwick/internal/state/store"
+	"fulmarwick/internal/wire/admin"
+)
+
+func (f *fleet) peers() []node.Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.members)
+}
+
+// near are the peers that share the detail of engines.
+func (f *fleet) near(peers []node.Peer) []spec.InstanceID {
+	var out []spec.InstanceID
+	for _, p := range peers {
+		if string(p.DataCentre) == f.unit() {
+			out = append(out, p.ID)
+		}
+	}
+	return out
+}
+
+func (f *fleet) met(peers []node.Peer) {
+	f.mu.Lock()
+	now := time.Now()
+	for _, p := range f.members {
+		f.left[p.ID] = now
+	}
+	f.members = peers
+	for _, p := range peers {
+		delete(f.left, p.ID)
+	}
+	f.mu.Unlock()
+	f.parts.budget.SetLive(1 + len(peers))
+	f.parts.loop.Post(world.PeersSet{Peers: f.near(peers)})
+}
+
+// gone reports whether an instance is out of the members for so long that it
+// will not bring its records to their end. If it only pauses, its caller may
+// be told unsure before the end, which is true at that time.
+func (f *fleet) gone(id spec.InstanceID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if string(id) == f.Settings.Instance.Name {
+		return false
+	}
+	if slices.ContainsFunc(f.members, func(p node.Peer) bool { return p.ID == id }) {
+		return false
+	}
+	since, ok := f.left[id]
+	if !ok {
+		since = f.began
+	}
+	return time.Since(since) > goneAfter
+}
+
+// beside is a live instance of the same data centre as the one named, that one
+// itself among them. In a large fleet one instance tells the room of its data
+// centre; without drawing, it would get all that others forward.
+func (f *fleet) beside(to spec.InstanceID) spec.InstanceID {
+	peers := f.peers()
+	at := slices.IndexFunc(peers, func(p node.Peer) bool { return p.ID == to })
+	if at < 0 {
+		return to
+	}
+	centre := peers[at].DataCentre
+	peers = slices.DeleteFunc(peers, func(p node.Peer) bool { return p.DataCentre != centre || p.Passive })
+	if len(peers) == 0 {
+		return to
+	}
+	return peers[rand.IntN(len(peers))].ID
+}
+
+// listed tells the fleet logic who should be there.
+func (f *fleet) listed(list []store.ListedBody) {
+	var ev node.Listed
+	for _, p := range f.Settings.Peers {
+		ev.Peers = append(ev.Peers, node.Peer{ID: spec.InstanceID(p.Name), URL: f.scheme() + p.Address})
+	}
+	for _, l := range list {
+		switch l.Role {
+		case store.RoleEntry:
+			ev.Peers = f.addPeer(ev.Peers, l)
+		case store.RoleEngine:
+			if f.unitOf(l.DataCentre) == f.unit() {
+				ev.Engines = append(ev.Engines, spec.UpstreamID(l.ID))
+			}
+		}
+	}
+	ev.Peers = slices.DeleteFunc(ev.Peers, func(p node.Peer) bool {
+		return string(p.ID) == f.Settings.Instance.Name
+	})
+	f.hub.Post(ev)
+}
+
+// addPeer adds an instance of the platform's list, which knows more than the
+// settings.
+func (f *fleet) addPeer(peers []node.Peer, l store.ListedBody) []node.Peer {
+	p := node.Peer{ID: spec.InstanceID(l.ID), DataCentre: spec.DataCentre(f.unitOf(l.DataCentre)), URL: l.URL}
+	p.Passive = l.State == frame.StateLeaving
+	for i := range peers {
+		if peers[i].ID == p.ID {
+			peers[i] = p
+			return peers
+		}
+	}
+	return append(peers, p)
+}
+
+// instances are the others, for operators. Only the highest version heard of
+// is known, not that of each.
+func (f *fleet) instances() []admin.Instance {
+	out := []admin.Instance{}
+	for _, p := range f.peers() {
+		state := frame.StateLive
+		if p.Passive {
+			state = frame.StateLeaving
+		}
+		out = append(out, admin.Instance{Name: string(p.ID), DataCentre: string(p.DataCentre), State: state})
+	}
+	return out
+}
--- a/internal/fleet/node/sums.go
+++ b/internal/fleet/node/sums.go
@@ -6,10 +6,10 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fulmarwick/internal/base/news"
 	"fulmarwick/internal/base/spec"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 func (l *Logic) sayLoads(name string, in func(spec.UpstreamID) bool) {
