Go on with another instance when the one that answers for us dies

Cause: an instance that died counts as live for seconds, so all three tries of a forwarded request went to it; the request then waited 10 s for engines that this data centre never has, and its caller was cut. Ruled out: a slow join (0.3 s) and the sums (room was told). Now a failed try forgets the other's room, and a forwarded request is refused at once where no engine is. The test now wants no cut and fails without the change.

--- a/internal/app/daemon/fleet_test.go
+++ b/internal/app/daemon/fleet_test.go
@@ -333,9 +333,9 @@
 }
 
 // A data centre without engines of the model gets its callers' answers from
-// another one over one hop. The instance that runs them is killed midway; the
-// answer goes on whole, since the first instance checks each token's index and
-// has the rest made anew elsewhere.
+// another one over one hop. The instance that runs them is killed midway. No
+// caller sees a cut: their instance goes on with another one, checks each
+// token's index, and passes over what callers have.
 func TestForwardedAnswersAreWholeThoughTheirInstanceDies(t *testing.T) {
 	e := newEntries(t, 2)
 	far := e.start("penang")
@@ -347,6 +347,9 @@
 	delete(e.live, "klang-1")
 	w.more(between)
 	w.end(t)
+	if w.cuts != 0 {
+		t.Errorf("got %d cut streams, want 0", w.cuts)
+	}
 }
 
 // All instances are replaced one after another under steady work, as in a
--- a/internal/app/daemon/forward.go
+++ b/internal/app/daemon/forward.go
@@ -34,16 +34,21 @@
 		return m.parts.runner.Run(ctx, job, sink)
 	}
 	given := &given{sum: xxhash.New(), sink: sink}
-	for range maxForwards {
+	for try := range maxForwards {
 		result, err := m.parts.runner.Run(ctx, job, given.next())
 		var forward *chain.ForwardError
 		if !errors.As(err, &forward) {
 			return result, err
 		}
-		result, err = m.forward(ctx, forward.To, job, given.next())
+		to := m.parts.fleet.beside(forward.To, try)
+		result, err = m.forward(ctx, to, job, given.next())
 		if !errors.Is(err, peer.ErrRefused) && !errors.Is(err, peer.ErrBroken) {
 			return result, err
 		}
+		// An instance that died counts as live for seconds yet. Without this
+		// all tries would go to it, and the answer be cut; one that lives
+		// tells its room again.
+		m.parts.loop.Post(world.PeerGone{Peer: to})
 		m.Log.Info("forward: request comes back", zap.String("request", string(job.Arrived.Request)), zap.Error(err))
 		job.Arrived.Done = max(job.Arrived.Done, given.count)
 	}
@@ -53,7 +58,7 @@
 
 // forward has another instance run the request.
 func (m *models) forward(ctx context.Context, to spec.InstanceID, job chain.Job, sink chain.Sink) (chain.Result, error) {
-	end, err := m.parts.fleet.hub.Forward(ctx, m.parts.fleet.beside(to), peerJob(job), func(t peer.Token) error {
+	end, err := m.parts.fleet.hub.Forward(ctx, to, peerJob(job), func(t peer.Token) error {
 		return sink(chain.Token{Index: t.Index, Text: t.Text})
 	})
 	var fault *peer.FaultError
--- a/internal/app/daemon/members.go
+++ b/internal/app/daemon/members.go
@@ -64,11 +64,17 @@
 	return time.Since(since) > goneAfter
 }
 
-// beside is a live instance of the same data centre as the one named, that one
-// itself among them. In a large fleet one instance tells the room of its data
-// centre; without drawing, it would get all that others forward.
-func (f *fleet) beside(to spec.InstanceID) spec.InstanceID {
+// tellers is up to how many instances each tells the room of its own part.
+const tellers = 16
+
+// beside is whom a request goes to that is forwarded to an instance: that one,
+// or at the first try in a large fleet any of its data centre. There one
+// instance tells the room for all, and would get all that others forward.
+func (f *fleet) beside(to spec.InstanceID, try int) spec.InstanceID {
 	peers := f.peers()
+	if try > 0 || len(peers) < tellers {
+		return to
+	}
 	at := slices.IndexFunc(peers, func(p node.Peer) bool { return p.ID == to })
 	if at < 0 {
 		return to
--- a/internal/route/core/away_test.go
+++ b/internal/route/core/away_test.go
@@ -22,3 +22,15 @@
 		t.Errorf("got %+v, want a Forward to far", cs[0])
 	}
 }
+
+// A request that was forwarded comes to a data centre whose engines are just
+// gone. It is refused at once, so that the instance that sent it can try
+// another one; holding it back for engines to return would hold its caller.
+func TestForwardedRequestIsRefusedAtOnce(t *testing.T) {
+	g := newRig(t, lax())
+	a := g.ask("team")
+	a.Done, a.Hops = 7, 1
+	if r, ok := refused(g.tick(a), a.Request); !ok || r.Reason != world.ReasonNoEngine {
+		t.Errorf("got %+v, want a refusal for want of engines", r)
+	}
+}
--- a/internal/route/core/resume.go
+++ b/internal/route/core/resume.go
@@ -89,6 +89,10 @@
 		w.Forward(r, c.Instance())
 		return true
 	}
+	// One that was forwarded here can go elsewhere sooner than engines return.
+	if !ok && r.Arrived().Hops > 0 {
+		return l.outOfTime(r, waited, 0)
+	}
 	if !ok {
 		return l.outOfTime(r, waited, coverWait)
 	}
