Ask the service about a call that runs elsewhere for too long

Cause: when an instance died after the service recorded a payment, the clerk who sent it again waited for certainty about the death.

--- a/internal/app/daemon/fleet.go
+++ b/internal/app/daemon/fleet.go
@@ -21,7 +21,7 @@
 	snapshotsFrom = 3
 	// goneAfter is how long an instance must be out of the members before it
 	// counts as ended for the records that it left at running.
-	goneAfter = 30 * time.Second
+	goneAfter = 10 * time.Second
 	// quitTime bounds the wait for the others to hear of the end.
 	quitTime = 2 * time.Second
 	// jobsLook is the time between two looks at forwarded requests at a stop.
--- a/internal/state/ledger/attempt.go
+++ b/internal/state/ledger/attempt.go
@@ -29,6 +29,10 @@
 	phaseConfirm
 )
 
+// askEvery is after how many more polls of a running row the upstream is asked
+// again.
+const askEvery = 3
+
 // maxLoops bounds how often an attempt starts over since reads and conditions
 // of the store contradict each other, as stale reads do.
 const maxLoops = 4
@@ -50,15 +54,16 @@
 	phase  phase
 	// base is the version on which the first write was conditioned, version
 	// that of the row when it last held what this attempt knows.
-	base    uint64
-	version uint64
-	seen    record
-	polls   int
-	loops   int
-	tries   int
-	told    bool
-	outcome Outcome
-	err     error
+	base     uint64
+	version  uint64
+	seen     record
+	polls    int
+	inquired int
+	loops    int
+	tries    int
+	told     bool
+	outcome  Outcome
+	err      error
 }
 
 // NewAttempt returns an attempt to run the call of p.
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -38,7 +38,10 @@
 )
 
 const (
-	defaultPolls   = 12
+	defaultPolls = 12
+	// defaultAsk is about 0.6 s of polls: a call that takes longer is slow, or
+	// its instance is dead.
+	defaultAsk     = 5
 	defaultBacklog = 10000
 	pollFirst      = 20 * time.Millisecond
 	pollMost       = 2 * time.Second
@@ -199,7 +202,7 @@
 
 func (l *Ledger) params(c Call) Params {
 	return Params{
-		Call: c, ID: uuid.NewString(), Owner: l.Owner, Gone: l.Gone, Polls: defaultPolls,
+		Call: c, ID: uuid.NewString(), Owner: l.Owner, Gone: l.Gone, Polls: defaultPolls, AskAfter: defaultAsk,
 		Begun: l.begun.has(rowKey(c.team, c.class, c.key)),
 		Asks:  l.Asker != nil && l.Asks != nil && l.Asks(c.service),
 	}
--- a/internal/state/ledger/ledger_test.go
+++ b/internal/state/ledger/ledger_test.go
@@ -347,3 +347,30 @@
 		}
 	})
 }
+
+// An instance dies after the service recorded its payment. The clerk sends it
+// again to another instance, which has no evidence of the death yet. It asks
+// the service within a second or so and tells done, where waiting for the
+// evidence would keep the clerk at the counter.
+func TestRepeatOfDeadInstancesCallIsSettledByTheService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, svc := &infra.Table{}, &service{delay: time.Hour}
+		a := &ledger.Ledger{Table: table, Sender: svc, Owner: "a/1"}
+		b := &ledger.Ledger{
+			Table: table, Sender: svc, Owner: "b/1", Asker: svc, Asks: func(spec.ServiceName) bool { return true },
+		}
+		go func() { _, _ = a.Do(t.Context(), payment("1")) }()
+		synctest.Wait()
+		svc.mu.Lock()
+		svc.runs++
+		svc.mu.Unlock()
+		began := time.Now()
+		want(t, "a repeat without evidence", do(t, b, "1"), ledger.StateDone)
+		if got := time.Since(began); got > 2*time.Second {
+			t.Errorf("got done after %v, want within 2s", got)
+		}
+		if err := a.Wait(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/state/ledger/other.go
+++ b/internal/state/ledger/other.go
@@ -129,12 +129,30 @@
 	case a.params.Gone(a.seen.Owner):
 		a.seen = a.seen.with(StateUnsure, Answer{}, "the instance that sent the call is gone")
 		a.phase = phaseMark
-	case a.polls < a.params.Polls:
-		a.polls++
-		a.phase = phaseWait
+	case a.asks():
+		a.inquired = a.polls
+		a.phase = phaseAskOther
 	default:
+		a.await()
+	}
+}
+
+// asks reports whether it is time to ask the upstream about a call that runs
+// elsewhere. If its instance died after the service answered, the row stays at
+// running, and its caller would else wait until the death is certain.
+func (a *Attempt) asks() bool {
+	after := a.params.AskAfter
+	due := after > 0 && a.polls >= after && (a.polls-after)%askEvery == 0
+	return a.params.Asks && due && a.inquired != a.polls
+}
+
+func (a *Attempt) await() {
+	if a.polls >= a.params.Polls {
 		a.end(Outcome{state: StateRunning})
+		return
 	}
+	a.polls++
+	a.phase = phaseWait
 }
 
 func (a *Attempt) marked(r Result) {
@@ -157,10 +175,15 @@
 	a.phase = phaseAskOther
 }
 
-// askedOther stores what the upstream says of a call that is unsure. Silence
+// askedOther stores what the upstream says of a call that is unsure, or that
+// runs elsewhere. Silence
 // or ignorance of the upstream leaves it unsure: its sender may be paused
 // before the send, and "not run" would become false when it wakes.
 func (a *Attempt) askedOther(r Result) {
+	if r.Err != nil && a.seen.State == StateRunning {
+		a.await()
+		return
+	}
 	if r.Err != nil {
 		a.end(a.seen.outcome())
 		return
--- a/internal/state/ledger/params.go
+++ b/internal/state/ledger/params.go
@@ -14,6 +14,9 @@
 	Polls int
 	// Begun says that a call under the key is known to have been begun before.
 	Begun bool
+	// AskAfter is after how many reads of such a row the upstream is asked; zero
+	// asks only once its owner is gone.
+	AskAfter int
 	// Asks says that the upstream can tell the outcome of a call.
 	Asks bool
 }
