--- a/internal/state/ledger/export_test.go
+++ b/internal/state/ledger/export_test.go
@@ -6,7 +6,7 @@
 func (a *Attempt) Print(to []byte) []byte {
 	for _, n := range []int{
 		int(a.phase), int(a.rec.State), int(a.base), int(a.version), int(a.seen.State),
-		a.polls, a.loops, int(a.outcome.state),
+		a.polls, a.inquired, a.loops, int(a.outcome.state),
 	} {
 		to = append(strconv.AppendInt(to, int64(n), 10), ' ')
 	}
