Hold teams to the limit of their document, over the fleet

Cause: limit was checked, kept and shown, and nothing enforced it. A team above it is refused at once with the time to come back; use at other instances counts as the others tell it, from a sixteenth of the limit on.

--- a/internal/base/spec/class.go
+++ b/internal/base/spec/class.go
@@ -81,6 +81,7 @@
 	id    TeamID
 	name  string
 	share float64
+	limit float64
 }
 
 // NewTeam returns a team. Share is its part of a contended fleet relative to
@@ -97,3 +98,13 @@
 
 // Share is the team's part relative to other teams.
 func (t Team) Share() float64 { return t.share }
+
+// Limited returns the team with a limit on its use, in tokens a second over the
+// whole fleet; zero is none.
+func (t Team) Limited(limit float64) Team {
+	t.limit = limit
+	return t
+}
+
+// Limit is the most that the team may use, in tokens a second; zero is no limit.
+func (t Team) Limit() float64 { return t.limit }
--- a/internal/route/core/fresh.go
+++ b/internal/route/core/fresh.go
@@ -45,10 +45,22 @@
 	case poison.VerdictWait, poison.VerdictSolo:
 		l.resume(r)
 	default:
-		l.admit(r)
+		l.limited(r)
 	}
 }
 
+// limited admits the request unless its team is above its limit.
+func (l *Logic) limited(r *world.Request) {
+	w := &l.world
+	if t, ok := w.Team(r.Arrived().Team); ok {
+		if over := l.rates.Above(w.Now(), t.ID(), t.Limit()); over > 0 {
+			w.Refuse(r, world.ReasonTeam, admit.After(over, l.rand.Float64()))
+			return
+		}
+	}
+	l.admit(r)
+}
+
 func (l *Logic) admit(r *world.Request) {
 	q := l.queue(r.Arrived().Model)
 	choice, ok := l.choose(r, q)
--- a/internal/route/fair/rates.go
+++ b/internal/route/fair/rates.go
@@ -22,6 +22,8 @@
 	heavyLeast = 50
 	rateLeast  = 0.5
 	rateChange = 0.1
+	// limitPart is the part of its limit below which a team's use is not told.
+	limitPart = 16
 	// factorMost bounds how much the use elsewhere weighs.
 	factorMost = 32
 )
@@ -71,6 +73,25 @@
 	return min(max(1, r.fleet/max(r.own, rateLeast)), factorMost)
 }
 
+// Above is how long a team above its limit must wait until its use has faded to
+// the limit; zero if it may ask now. Use elsewhere counts as last told; a team
+// may use what its limit gives over rateSpan at once.
+func (s *Rates) Above(now time.Duration, team spec.TeamID, limit float64) time.Duration {
+	r := s.teams[team]
+	if r == nil || limit <= 0 {
+		return 0
+	}
+	r.fade(now)
+	use := r.own
+	if now-r.heard <= rateKeep {
+		use = max(use, r.fleet)
+	}
+	if use <= limit {
+		return 0
+	}
+	return time.Duration(math.Log(use/limit) * float64(rateSpan))
+}
+
 // Run tells the use of the heavy teams where it changed.
 func (s *Rates) Run(w *world.World) {
 	now := w.Now()
@@ -81,13 +102,21 @@
 	s.tidy(now)
 	for i, r := range s.heaviest() {
 		tell := 0.0
-		if i < heavyMost && r.own >= heavyLeast {
+		if i < heavyMost && r.own >= heavyLeast || r.near(w) {
 			tell = r.own
 		}
 		r.tell(w, tell)
 	}
 }
 
+// near reports whether the team uses so much of its limit here that its use
+// over the fleet may pass it. Without it many instances could each give a small
+// limit in full.
+func (r *rate) near(w *world.World) bool {
+	t, ok := w.Team(r.team)
+	return ok && t.Limit() > 0 && r.own > t.Limit()/limitPart
+}
+
 func (r *rate) tell(w *world.World, rate float64) {
 	if rate == 0 && r.sent == 0 {
 		return
--- a/internal/state/config/item.go
+++ b/internal/state/config/item.go
@@ -91,7 +91,9 @@
 	return spec.NewModelClass(spec.ClassName(i.Name), spec.ModelName(i.Model), i.target())
 }
 
-func (i *item) team() spec.Team { return spec.NewTeam(spec.TeamID(i.Hash), i.Name, i.Share) }
+func (i *item) team() spec.Team {
+	return spec.NewTeam(spec.TeamID(i.Hash), i.Name, i.Share).Limited(i.Limit)
+}
 
 func encode(v any) []byte {
 	data, err := cbor.Marshal(v)
--- a/internal/wire/entry/fault.go
+++ b/internal/wire/entry/fault.go
@@ -132,7 +132,7 @@
 
 var refusals = map[world.Reason]string{
 	world.ReasonOverload: "The target of the class cannot be met now.",
-	world.ReasonTeam:     "The team is above its share while others wait.",
+	world.ReasonTeam:     "The team is above its limit, or above its share while others wait.",
 	world.ReasonNoEngine: "No set of engines serves the whole model now.",
 	world.ReasonPoison:   "Engines died while they ran this request, so it is not run again.",
 	world.ReasonRetries:  "The request failed on several engines and the retry budget is spent.",
