Compare the answered part of requests with the reliability of their class

Cause: reliability was accepted and shown in the document, and nothing compared it with what was served. Status and metrics now do, and a class that misses it does not count as held.

--- a/internal/app/cmds/status.go
+++ b/internal/app/cmds/status.go
@@ -90,11 +90,11 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	defer func() { _ = w.Flush() }()
 	if len(s.Classes) > 0 {
-		_, _ = fmt.Fprintln(w, "\nCLASS\tTARGET\tATTAINED\tHOLDS\tREQUESTS\tFIRST P95/LIMIT\tGAP P95/LIMIT\tWHOLE P95/LIMIT")
+		_, _ = fmt.Fprintln(w, "\nCLASS\tTARGET\tATTAINED\tANSWERED\tHOLDS\tREQUESTS\tFIRST P95/LIMIT\tGAP P95/LIMIT\tWHOLE P95/LIMIT")
 	}
 	for _, c := range s.Classes {
-		_, _ = fmt.Fprintf(w, "%s\t%.1f%%\t%.1f%%\t%s\t%d\t%s\t%s\t%s\n",
-			c.Name, c.Percent, c.Attained, yes(c.Holds), c.Requests, against(c.First), against(c.Gap), against(c.Whole))
+		_, _ = fmt.Fprintf(w, "%s\t%.1f%%\t%.1f%%\t%s\t%s\t%d\t%s\t%s\t%s\n",
+			c.Name, c.Percent, c.Attained, answered(c), yes(c.Holds), c.Requests, against(c.First), against(c.Gap), against(c.Whole))
 	}
 	if len(s.Engines) > 0 {
 		_, _ = fmt.Fprintln(w, "\nENGINE\tDATA CENTRE\tKIND\tSTATE\tLAYERS\tACTIVE\tQUEUED\tSLOTS\tUSE")
@@ -150,3 +150,12 @@
 	}
 	return strconv.FormatUint(version, 10)
 }
+
+// answered is how many of 100 requests were answered, beside the reliability
+// asked for.
+func answered(c admin.Class) string {
+	if c.Reliability == 0 {
+		return fmt.Sprintf("%.1f%%", c.Answered)
+	}
+	return fmt.Sprintf("%.1f%%/%.1f%%", c.Answered, c.Reliability)
+}
--- a/internal/app/daemon/gauges.go
+++ b/internal/app/daemon/gauges.go
@@ -39,6 +39,7 @@
 		label := fmt.Sprintf("{class=%q}", c.Name)
 		gauge(w, "target_percent", label, c.Percent)
 		gauge(w, "target_attained_percent", label, c.Attained)
+		gauge(w, "target_answered_percent", label, c.Answered)
 	}
 	for i := range s.Engines {
 		engineGauges(w, &s.Engines[i])
--- a/internal/app/daemon/status.go
+++ b/internal/app/daemon/status.go
@@ -57,9 +57,11 @@
 		a := seen[string(c.Name())]
 		a.Class = c
 		t := c.Target()
+		reliable := now.Reliability(c.Name())
 		out = append(out, admin.Class{
 			Name: string(c.Name()), Kind: c.Kind().String(), Percent: t.Percent(),
-			Attained: a.Percent(), Holds: a.Holds(), Requests: a.Seen,
+			Attained: a.Percent(), Requests: a.Seen, Reliability: reliable, Answered: a.Reliability(),
+			Holds: a.Holds() && a.Reliability() >= reliable,
 			First: timesStatus(t.First(), a.First), Gap: timesStatus(t.Gap(), a.Gap), Whole: timesStatus(t.Whole(), a.Whole),
 		})
 	}
--- a/internal/app/meters/meters.go
+++ b/internal/app/meters/meters.go
@@ -53,7 +53,7 @@
 	met    *metrics.Counter
 }
 
-type counts struct{ seen, met int64 }
+type counts struct{ seen, met, answered int64 }
 
 // Times are percentiles of one kind of time.
 type Times struct {
@@ -66,11 +66,13 @@
 type Attained struct {
 	Class spec.Class
 	// Seen is how many requests ended, Met how many of them met the target.
-	Seen  int64
-	Met   int64
-	First Times
-	Gap   Times
-	Whole Times
+	Seen int64
+	Met  int64
+	// Answered is how many were answered at all, in time or late.
+	Answered int64
+	First    Times
+	Gap      Times
+	Whole    Times
 }
 
 // Percent is how many of 100 requests met the target; 100 if there were none.
@@ -81,6 +83,15 @@
 	return 100 * float64(a.Met) / float64(a.Seen)
 }
 
+// Reliability is how many of 100 requests were answered at all; 100 if there
+// were none.
+func (a Attained) Reliability() float64 {
+	if a.Seen == 0 {
+		return 100
+	}
+	return 100 * float64(a.Answered) / float64(a.Seen)
+}
+
 // Holds reports whether the class meets its target.
 func (a Attained) Holds() bool { return a.Percent() >= a.Class.Target().Percent() }
 
@@ -105,6 +116,9 @@
 	c := &r.counts[r.at%windows]
 	c.seen++
 	r.seen.Inc()
+	if ok {
+		c.answered++
+	}
 	if ok && meets(class.Target(), first, gap, whole) {
 		c.met++
 		r.met.Inc()
@@ -196,6 +210,7 @@
 	for _, c := range r.counts {
 		a.Seen += c.seen
 		a.Met += c.met
+		a.Answered += c.answered
 	}
 	return a
 }
--- a/internal/app/meters/meters_test.go
+++ b/internal/app/meters/meters_test.go
@@ -32,6 +32,9 @@
 		if len(got) != 1 || got[0].Seen != 1 || got[0].Met != tt.met || got[0].Holds() != (tt.met == 1) {
 			t.Errorf("%s: got %+v, want %d met", tt.name, got, tt.met)
 		}
+		if answered := got[0].Reliability() == 100; answered != tt.ok {
+			t.Errorf("%s: got %v%% answered, want all: %v", tt.name, got[0].Reliability(), tt.ok)
+		}
 	}
 }
 
--- a/internal/wire/admin/types.go
+++ b/internal/wire/admin/types.go
@@ -60,6 +60,10 @@
 	Percent  float64 `json:"percent"`
 	Attained float64 `json:"attained"`
 	Holds    bool    `json:"holds"`
+	// Reliability is how many of 100 shall be answered at all, zero if nothing
+	// was asked; Answered is how many were.
+	Reliability float64 `json:"reliability"`
+	Answered    float64 `json:"answered"`
 	// Requests is how many ended over the last minutes.
 	Requests int64 `json:"requests"`
 	First    Times `json:"first"`
