--- a/internal/wire/watch/board.go
+++ b/internal/wire/watch/board.go
@@ -14,9 +14,11 @@
 
 // Times and thresholds of the judgement on engines.
 const (
-	// enough is the weight of misses that makes a doubt: three answers that
-	// did not come in time, or two refused connections.
-	enough        = 3
+	// agree is the weight of misses at each of two watchers that settles it:
+	// two answers that did not come in time, or a refused connection. lonely is
+	// that at one watcher of which the other says nothing.
+	agree         = 2
+	lonely        = 6
 	missWeight    = 1
 	refusedWeight = 2
 	// alone is the least time from the first miss until one watcher judges by
@@ -52,9 +54,6 @@
 	weight int
 	since  time.Duration
 	doubts []doubt
-	// hurry is until when another watcher misses answers, so that this one
-	// asks often and speaks.
-	hurry time.Duration
 	// alive is when another watcher's report newer than the misses came.
 	alive time.Duration
 	// spoken and leveled are when the report and the load were last said, other
@@ -72,6 +71,7 @@
 
 type doubt struct {
 	origin string
+	misses int
 	until  time.Duration
 }
 
@@ -141,8 +141,7 @@
 // where the first is silent, or doubts: its report keeps a broken way from
 // passing for a dead engine.
 func (b *board) speaks(now time.Duration, e *entry) bool {
-	e.expireDoubts(now)
-	return e.first || now-e.other >= silence || len(e.doubts) > 0 || now < e.hurry
+	return e.first || now-e.other >= silence || e.doubted(now)
 }
 
 // seen hands a report to the routing logic, unless it is of before the
--- a/internal/wire/watch/news.go
+++ b/internal/wire/watch/news.go
@@ -130,12 +130,8 @@
 		return
 	}
 	e.doubts = slices.DeleteFunc(e.doubts, func(d doubt) bool { return d.origin == item.Origin })
-	e.hurry = 0
 	if body.Misses > 0 {
-		e.hurry = now + doubtLife
-	}
-	if body.Misses >= enough {
-		e.doubts = append(e.doubts, doubt{origin: item.Origin, until: now + doubtLife})
+		e.doubts = append(e.doubts, doubt{origin: item.Origin, misses: body.Misses, until: now + doubtLife})
 	}
 	b.judge(now, e)
 }
--- a/internal/wire/watch/poll.go
+++ b/internal/wire/watch/poll.go
@@ -58,7 +58,7 @@
 	switch {
 	case e == nil || e.first:
 		return p.Poll
-	case p.now() < e.hurry:
+	case e.doubted(p.now()):
 		return retryPoll
 	}
 	return standby * p.Poll
--- a/internal/wire/watch/watch.go
+++ b/internal/wire/watch/watch.go
@@ -27,17 +27,17 @@
 // Defaults of the fields that may be zero.
 const (
 	// defaultPoll, standby and cacheEvery keep what one of four instances asks
-	// half of thirty engines within 15 KB a second.
-	defaultPoll    = 500 * time.Millisecond
+	// half of thirty engines within 16 KB a second.
+	defaultPoll    = 400 * time.Millisecond
 	defaultTimeout = 300 * time.Millisecond
 	defaultGone    = time.Minute
 	// retryPoll is the wait after a poll without an answer, so that a death is
 	// known in about a second.
 	retryPoll = 50 * time.Millisecond
 	// standby is how many times slower a watcher asks that only stands by.
-	standby = 4
+	standby = 5
 	// cacheEvery is the time between two questions for cache events.
-	cacheEvery = 2 * time.Second
+	cacheEvery = 4 * time.Second
 	// warnEvery is the least time between two warnings about one engine.
 	warnEvery = time.Minute
 	// atOnce bounds the polls that are under way at one time.
@@ -85,7 +85,7 @@
 	// Every is the time between two reads of the list.
 	Every time.Duration
 	// Poll is the time between two reports of one engine, Timeout how long an
-	// answer may take; zero is 500 and 300 ms.
+	// answer may take; zero is 400 and 300 ms.
 	Poll, Timeout time.Duration
 	// Gone is how long an engine must be missing from the list and silent
 	// before it is dropped; zero is a minute.
