--- a/internal/base/frame/step.go
+++ b/internal/base/frame/step.go
@@ -65,6 +65,8 @@
 	// Count is how many tokens VerbRun makes at most, and how many positions of
 	// the prompt VerbStep runs at most; zero is all.
 	Count int `cbor:"13,keyasint,omitempty"`
+	// Trace is the W3C traceparent of the stage; only the first step has it.
+	Trace string `cbor:"14,keyasint,omitempty"`
 }
 
 // Reply answers a Step. A last stage fills Token, Text and Last; every other
--- a/internal/fakes/stage/queue.go
+++ b/internal/fakes/stage/queue.go
@@ -65,6 +65,9 @@
 		e.cancel(s)
 		return
 	}
+	if s.Seq == 1 && e.Traced != nil {
+		e.Traced(s.Trace)
+	}
 	if s.From == 0 && s.Seq == 1 {
 		e.cache.take(s.Text, e.Cache)
 	}
--- a/internal/fakes/stage/stage.go
+++ b/internal/fakes/stage/stage.go
@@ -55,6 +55,8 @@
 	// how long it is kept unused (zero is for ever).
 	Grace time.Duration
 	Idle  time.Duration
+	// Traced, if set, is told the traceparent of each state's first step.
+	Traced func(traceparent string)
 	// Poison is a word whose presence in a prompt kills the engine; "" is none.
 	Poison string
 	// Faults, if set, picks what happens to the reply of a step; Late is the
--- a/internal/wire/chain/call.go
+++ b/internal/wire/chain/call.go
@@ -37,6 +37,9 @@
 	if err := j.open(ctx, s); err != nil {
 		return err
 	}
+	if s.step.Seq == 1 {
+		s.step.Trace = s.trace
+	}
 	return s.on.Send(&s.step)
 }
 
--- a/internal/wire/chain/chain_test.go
+++ b/internal/wire/chain/chain_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -278,6 +279,15 @@
 		seen := tracetest.NewSpanRecorder()
 		provider := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(seen))
 		ctx, root := provider.Tracer("test").Start(t.Context(), "request")
+		var mu sync.Mutex
+		told := map[string]bool{}
+		for _, e := range s.engines {
+			e.Traced = func(traceparent string) {
+				mu.Lock()
+				defer mu.Unlock()
+				told[traceparent] = true
+			}
+		}
 		a := s.ask(ctx, "r", prompt, limit, func(n int) {
 			if n == 10 {
 				s.engines[1].Kill()
@@ -290,6 +300,10 @@
 			if span.Parent().SpanID() != root.SpanContext().SpanID() {
 				continue
 			}
+			id := span.SpanContext()
+			if want := "00-" + id.TraceID().String() + "-" + id.SpanID().String() + "-01"; !told[want] {
+				t.Errorf("got traces %v at the engines, want %s", told, want)
+			}
 			for _, at := range span.Attributes() {
 				if at.Key == "engine" {
 					engines = append(engines, at.Value.AsString())
--- a/internal/wire/chain/stage.go
+++ b/internal/wire/chain/stage.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 )
 
@@ -45,6 +46,8 @@
 	anew   int
 	stalls int
 	span   trace.Span
+	// trace is the span as a traceparent, for the engine's own spans.
+	trace string
 }
 
 func (s *stage) from() int { return s.is.Layers().From() }
@@ -79,9 +82,17 @@
 			attribute.String("layers", s.is.Layers().String()),
 			attribute.Int("attempt", int(j.attempt)),
 		))
+	s.trace = traceparent(trace.ContextWithSpan(ctx, s.span))
 	return nil
 }
 
+// traceparent is the span of ctx as a W3C header value; "" if nobody traces.
+func traceparent(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier.Get("traceparent")
+}
+
 // next sets s.step to what brings s up to date, or a part of it, unless one is
 // under way; false if nothing is missing.
 func (j *run) next(s *stage) bool {
