Look for another data centre only where no engines cover the model

Cause: a resumed request scanned the other data centres, and could draw from the seeded source, also when it had its engines; two refusals of one case stood behind each other. One function now settles what is uncovered. No behaviour changes but the draws saved.

--- a/internal/route/core/resume.go
+++ b/internal/route/core/resume.go
@@ -82,19 +82,8 @@
 	if !ok && verdict == poison.VerdictSolo {
 		return l.outOfTime(r, waited, soloWait)
 	}
-	// A request that its caller resumes here has nothing running here. Without
-	// this a data centre without engines of the model, whose answers all come
-	// from others, could resume none of them.
-	if c := l.elsewhere(r, 0); !ok && c != nil {
-		w.Forward(r, c.Instance())
-		return true
-	}
-	// One that was forwarded here can go elsewhere sooner than engines return.
-	if !ok && r.Arrived().Hops > 0 {
-		return l.outOfTime(r, waited, 0)
-	}
 	if !ok {
-		return l.outOfTime(r, waited, coverWait)
+		return l.uncovered(r, waited)
 	}
 	l.start(r, choice)
 	if verdict == poison.VerdictSolo {
@@ -103,6 +92,25 @@
 	return true
 }
 
+// uncovered settles a request whose model no engines cover here, or reports
+// false if it waits for them to come back.
+func (l *Logic) uncovered(r *world.Request, waited time.Duration) bool {
+	// A request that its caller resumes here has nothing running here. Without
+	// this a data centre without engines of the model, whose answers all come
+	// from others, could resume none of them.
+	if c := l.elsewhere(r, 0); c != nil {
+		l.world.Forward(r, c.Instance())
+		return true
+	}
+	most := coverWait
+	if r.Arrived().Hops > 0 {
+		// One that was forwarded here can go elsewhere sooner than engines
+		// return.
+		most = 0
+	}
+	return l.outOfTime(r, waited, most)
+}
+
 func (l *Logic) outOfTime(r *world.Request, waited, most time.Duration) bool {
 	if waited < most {
 		return false
