--- a/internal/app/daemon/ends.go
+++ b/internal/app/daemon/ends.go
@@ -123,13 +123,19 @@
 	if !p.Set() {
 		return nil, nil
 	}
-	source := &certs.Source{Cert: p.Cert, Key: p.Key, CA: p.CA, Log: d.Log}
-	if err := source.Open(); err != nil {
+	source, err := d.source(p)
+	if err != nil {
 		return nil, err
 	}
 	return source.Server(), nil
 }
 
+// source opens the certificates of an endpoint.
+func (d *Daemon) source(p setup.Pair) (*certs.Source, error) {
+	s := &certs.Source{Cert: p.Cert, Key: p.Key, CA: p.CA, Log: d.Log}
+	return s, s.Open()
+}
+
 // handler serves callers. Health checks do not count as requests: the balancer
 // goes on asking an instance that stops.
 func (d *Daemon) handler() http.Handler {
--- a/internal/app/daemon/fleet.go
+++ b/internal/app/daemon/fleet.go
@@ -10,7 +10,6 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/node"
 	"fulmarwick/internal/route/world"
-	"fulmarwick/internal/wire/certs"
 	"fulmarwick/internal/wire/peer"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,8 +63,8 @@
 		Self: self, Logic: f.logic, On: f.on, Serve: &server{d}, Config: f, Log: d.Log, Meters: d.parts.meters,
 	}
 	if pair := d.Settings.TLS.Peers; pair.Set() {
-		source := &certs.Source{Cert: pair.Cert, Key: pair.Key, CA: pair.CA, Log: d.Log}
-		if err := source.Open(); err != nil {
+		source, err := d.source(pair)
+		if err != nil {
 			return nil, err
 		}
 		f.hub.TLS = source.Peer()
--- a/internal/fleet/quota/own.go
+++ b/internal/fleet/quota/own.go
@@ -60,16 +60,6 @@
 	return out
 }
 
-// LoadOf is what is in flight on an engine.
-func (o *Own) LoadOf(engine spec.UpstreamID) talk.Load {
-	for _, l := range o.loads {
-		if l.Engine == engine {
-			return l
-		}
-	}
-	return talk.Load{Engine: engine}
-}
-
 // Rate sets the use by a team, in tokens a second. Of more than Heavy teams
 // the lightest is dropped.
 func (o *Own) Rate(now time.Duration, team spec.TeamID, rate float64) {
