--- a/internal/app/edge/belief.go
+++ b/internal/app/edge/belief.go
@@ -27,8 +27,6 @@
 	// onConfig and onList are called after a change, one call at a time.
 	onConfig func(*site.Config)
 	onList   func([]site.Upstream)
-	// onNews is called when rows were learned from the store.
-	onNews func(table string)
 
 	config atomic.Pointer[site.Config]
 
@@ -41,12 +39,14 @@
 	hold    time.Time
 	bad     map[string]bool
 	known   bool
+	// cut are the tables that the store does not tell of.
+	cut map[string]bool
 }
 
 func newBelief(log *zap.Logger) *belief {
 	return &belief{
 		log: log, views: map[string]*feed.View{platform.TableConfig: {}, platform.TableUpstreams: {}},
-		list: map[string]site.Upstream{}, missing: map[string]time.Time{}, bad: map[string]bool{},
+		list: map[string]site.Upstream{}, missing: map[string]time.Time{}, bad: map[string]bool{}, cut: map[string]bool{},
 	}
 }
 
@@ -77,22 +77,17 @@
 // Whole takes a whole table from the store.
 func (b *belief) Whole(table string, p feed.Page) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	changed := b.views[table].Whole(p)
 	b.known = b.known || table == platform.TableUpstreams
 	b.take(table, changed, "store")
-	b.mu.Unlock()
-	b.onNews(table)
 }
 
 // Changes takes what changed from the store.
 func (b *belief) Changes(table string, since uint64, p feed.Page) {
 	b.mu.Lock()
-	changed := b.views[table].Changes(since, p)
-	b.take(table, changed, "store")
-	b.mu.Unlock()
-	if len(changed) > 0 {
-		b.onNews(table)
-	}
+	defer b.mu.Unlock()
+	b.take(table, b.views[table].Changes(since, p), "store")
 }
 
 // Told takes what another instance knows.
@@ -109,16 +104,32 @@
 
 // Reach notes that the store answers again, or no more.
 func (b *belief) Reach(table string, ok bool) {
-	if table != platform.TableUpstreams || !ok {
-		return
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.known {
+	b.cut[table] = !ok
+	if ok && b.known && table == platform.TableUpstreams {
 		b.hold = time.Now().Add(returnHold)
 	}
 }
 
+// isCut reports whether the store does not answer this instance.
+func (b *belief) isCut() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cut[platform.TableConfig] || b.cut[platform.TableUpstreams]
+}
+
+// versions is up to where each table is known.
+func (b *belief) versions() map[string]uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]uint64{}
+	for name, v := range b.views {
+		out[name] = v.Version()
+	}
+	return out
+}
+
 // take turns changed rows into what is in force; b.mu is held.
 func (b *belief) take(table string, changed []feed.Row, source string) {
 	if len(changed) == 0 {
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -47,6 +47,11 @@
 	// that died is followed after at most leaseTime and a third.
 	leaseTime   = 4500 * time.Millisecond
 	leaseMargin = 1200 * time.Millisecond
+	// acceptMost is how long a stopping instance accepts requests at most. The
+	// balancer turns away after two misses, one a second; where it has no other
+	// instance it does not. What comes later could not end before the process
+	// is killed, 8 s after the signal.
+	acceptMost = 3 * time.Second
 	// sweepEvery is the pause between two looks for what is no longer needed.
 	sweepEvery = 100 * time.Millisecond
 )
@@ -68,6 +73,7 @@
 	store   *platform.Store
 	lease   *lease.Lease
 	server  *front.Server
+	crowd   *crowd
 }
 
 // Stop begins the graceful stop.
@@ -89,13 +95,12 @@
 	}
 	s := i.Settings
 	i.meters = metrics.NewSet()
-	i.halt = &halt.Halt{Grace: s.Times.Grace, Log: i.Log}
+	i.halt = &halt.Halt{Grace: s.Times.Grace, Most: acceptMost, Late: front.Stopped{}, Log: i.Log}
 	i.belief = newBelief(i.Log)
 	i.router = &router{
 		log: i.Log, centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
 		ratio: s.Retry.Ratio, allowance: float64(s.Retry.Allowance), window: s.Retry.Window,
-		instances: func() int { return 4 },
-		groups:    map[string]*group{},
+		groups: map[string]*group{},
 	}
 	i.pool = &send.Pool{Dial: dialTime, Opened: i.counter(`fulmarwick_connections_total`)}
 	i.store = &platform.Store{Base: s.Platform.Table, HTTP: newHTTP(), Count: i.countCall}
@@ -109,6 +114,10 @@
 		router: i.router, engines: calls, lease: i.lease, log: i.Log, start: time.Now(), orders: map[spec.UpstreamID]ordered{},
 		counted: func(how string) { i.meters.GetOrCreateCounter(`fulmarwick_orders_total{end="` + how + `"}`).Inc() },
 	}
+	i.crowd = &crowd{
+		id: spec.InstanceID(s.Instance.Name), url: "http://" + s.Listen.Mesh,
+		store: i.store, belief: i.belief, router: i.router, log: i.Log,
+	}
 	i.connect()
 }
 
@@ -121,7 +130,14 @@
 		i.router.setList(list)
 		i.planner.listed(list)
 	}
-	i.belief.onNews = func(string) {}
+	i.crowd.suspect = func(id spec.UpstreamID) {
+		if up, ok := i.router.find(id); ok {
+			i.watcher.ask(ctx, up, nil)
+		}
+	}
+	i.watcher.found = i.crowd.found
+	i.crowd.open()
+	i.router.instances = i.crowd.logic.Count
 	wire := platform.Wire{}
 	i.server = &front.Server{
 		Dialect: wire, Rules: i.belief, Log: i.Log, Ended: i.ended,
@@ -183,7 +199,7 @@
 	return []func(context.Context){
 		follow(platform.TableConfig, configWait, configPause),
 		follow(platform.TableUpstreams, listWait, listPause),
-		i.watcher.run, i.planner.run, i.lease.Run, i.sweep,
+		i.watcher.run, i.planner.run, i.lease.Run, i.sweep, i.crowd.run, i.crowd.enlist,
 	}
 }
 
--- a/internal/app/edge/ends.go
+++ b/internal/app/edge/ends.go
@@ -78,6 +78,9 @@
 	if err == nil {
 		err = add("ready", l.Ready, i.readiness())
 	}
+	if err == nil {
+		err = add("mesh", l.Mesh, i.crowd.handler())
+	}
 	if err == nil {
 		err = add("metrics", l.Metrics, i.metrics())
 	}
--- /dev/null
+++ b/internal/app/edge/mesh.go
@@ -0,0 +1,236 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/mesh"
+	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/route/path"
+	"fulmarwick/internal/state/feed"
+	"fulmarwick/internal/state/store"
+	"fulmarwick/internal/wire/peer"
+	"fulmarwick/platform"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// meshSilence closes a connection to an instance that brings nothing: six
+	// messages were due.
+	meshSilence = 1200 * time.Millisecond
+	// rosterTable holds a row for each instance, under its name.
+	rosterTable = "instances"
+	// rosterEvery is the pause between two reads of the roster while no other
+	// instance is heard, rosterPause that after a failed call.
+	rosterEvery = 5 * time.Second
+	rosterPause = 400 * time.Millisecond
+)
+
+// rosterRow tells where an instance answers others.
+type rosterRow struct {
+	URL string `cbor:"1,keyasint"`
+}
+
+// crowd is the other instances: it tells them what this one knows and takes
+// what they tell.
+type crowd struct {
+	id     spec.InstanceID
+	url    string
+	store  *platform.Store
+	belief *belief
+	router *router
+	log    *zap.Logger
+	// suspect is told of engines that others found dead.
+	suspect func(id spec.UpstreamID)
+	logic   *mesh.Logic
+	hub     *peer.Hub
+
+	mu    sync.Mutex
+	dead  []spec.UpstreamID
+	alive map[spec.InstanceID]bool
+}
+
+// open makes the connection parts.
+func (c *crowd) open() {
+	c.alive = map[spec.InstanceID]bool{}
+	c.logic = &mesh.Logic{ID: c.id, URL: c.url, Self: c, Taker: c}
+	c.hub = &peer.Hub{Self: node.Peer{ID: c.id, URL: c.url}, Logic: c.logic, Silence: meshSilence, Log: c.log}
+}
+
+func (c *crowd) handler() http.Handler { return c.hub.Handler() }
+
+func (c *crowd) run(ctx context.Context) {
+	if err := c.hub.Run(ctx); err != nil {
+		c.log.Error("edge: mesh ended", zap.Error(err))
+	}
+}
+
+// enlist writes the own row of the roster and finds the others by it. Those
+// that come later find this instance.
+func (c *crowd) enlist(ctx context.Context) {
+	written := false
+	for ctx.Err() == nil {
+		err := c.round(ctx, &written)
+		pause := rosterEvery
+		if err != nil {
+			c.log.Info("edge: roster not reached", zap.Error(err))
+			pause = rosterPause
+		}
+		if !wait(ctx, pause) {
+			break
+		}
+	}
+	if written {
+		c.leave(context.WithoutCancel(ctx))
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (c *crowd) round(ctx context.Context, written *bool) error {
+	if !*written {
+		if err := c.write(ctx); err != nil {
+			return err
+		}
+		*written = true
+	} else if c.heard() {
+		return nil
+	}
+	p, err := c.store.Rows(ctx, rosterTable)
+	if err != nil {
+		return err
+	}
+	c.hub.Post(node.Listed{Peers: c.peers(p)})
+	return nil
+}
+
+func (c *crowd) heard() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.alive) > 0
+}
+
+func (c *crowd) key() string { return rosterTable + "/" + string(c.id) }
+
+func (c *crowd) write(ctx context.Context) error {
+	var version uint64
+	row, err := c.store.Get(ctx, c.key())
+	switch {
+	case err == nil:
+		version = row.Version()
+	case !errors.Is(err, store.ErrMissing):
+		return err
+	}
+	data, err := cbor.Marshal(rosterRow{URL: c.url})
+	if err != nil {
+		return errors.Wrap(err, "edge: roster")
+	}
+	_, err = c.store.Commit(ctx, []store.Write{store.Put(c.key(), version, data)})
+	return err
+}
+
+func (c *crowd) peers(p feed.Page) []node.Peer {
+	var out []node.Peer
+	for _, r := range p.Rows {
+		var row rosterRow
+		if err := cbor.Unmarshal(r.Value, &row); err != nil {
+			c.log.Warn("edge: row of the roster not understood", zap.String("instance", r.Key), zap.Error(err))
+			continue
+		}
+		out = append(out, node.Peer{ID: spec.InstanceID(r.Key), URL: row.URL})
+	}
+	return out
+}
+
+// leave removes the own row, so that nobody dials an instance that left.
+func (c *crowd) leave(ctx context.Context) {
+	row, err := c.store.Get(ctx, c.key())
+	if err == nil {
+		_, err = c.store.Commit(ctx, []store.Write{store.Remove(c.key(), row.Version())})
+	}
+	if err != nil {
+		c.log.Info("edge: row of the roster stays", zap.Error(err))
+	}
+}
+
+// found notes an engine that did not answer, for the others.
+func (c *crowd) found(id spec.UpstreamID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dead = append(c.dead, id)
+}
+
+// Uses is what the own requests take.
+func (c *crowd) Uses() map[string]map[spec.UpstreamID]path.Use { return c.router.uses() }
+
+// Versions is up to where each table is known.
+func (c *crowd) Versions() map[string]uint64 { return c.belief.versions() }
+
+// Cut tells that the store does not answer this instance.
+func (c *crowd) Cut() bool { return c.belief.isCut() }
+
+// Since returns the changes of a table.
+func (c *crowd) Since(table string, version uint64) (feed.Page, bool) {
+	return c.belief.Since(table, version)
+}
+
+// Fresh returns what was found since the last call.
+func (c *crowd) Fresh() (dead []spec.UpstreamID, crashes []uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	dead = c.dead
+	c.dead = nil
+	return dead, c.router.freshCrashes()
+}
+
+// Used takes what the requests of another instance take.
+func (c *crowd) Used(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Use) {
+	c.router.used(from, uses)
+}
+
+// Told takes rows that another instance knows.
+func (c *crowd) Told(table string, since uint64, p feed.Page, from spec.InstanceID) {
+	c.belief.Told(table, since, p, from)
+}
+
+// Dead asks engines that another instance found dead.
+func (c *crowd) Dead(_ spec.InstanceID, engines []spec.UpstreamID) {
+	for _, id := range engines {
+		c.suspect(id)
+	}
+}
+
+// Crashed takes fingerprints of requests that crashed engines.
+func (c *crowd) Crashed(_ spec.InstanceID, prints []uint64) { c.router.crashed(prints) }
+
+// Met notes an instance that is heard.
+func (c *crowd) Met(id spec.InstanceID) {
+	c.log.Info("edge: instance met", zap.String("peer", string(id)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.alive[id] = true
+}
+
+// Missed notes an instance that fell silent: its requests end with it.
+func (c *crowd) Missed(id spec.InstanceID) {
+	c.log.Warn("edge: instance missed", zap.String("peer", string(id)))
+	c.router.used(id, nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.alive, id)
+}
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -177,7 +177,7 @@
 		return nil, path.ErrNone
 	}
 	n := need(c.Ask, g.model.Model)
-	chain, err := g.model.Choose(n, avoiding(avoid))
+	chain, err := g.model.Choose(r.now(), n, avoiding(avoid))
 	if err != nil {
 		return nil, err
 	}
@@ -255,19 +255,37 @@
 	}
 }
 
-// Fault tells of an engine that another one says is to blame.
-func (r *router) Fault(service, address string) {
+// Refused tells that an engine refused a run: it is full, leaving, or not what
+// it was. Until it is known why it gets nothing new.
+func (r *router) Refused(f *relay.Flight, address string) spec.UpstreamID {
 	r.mu.Lock()
-	up, ok := site.Upstream{}, false
-	if g := r.group(service); g.model != nil {
-		up, ok = g.model.At(address)
-	}
+	g := r.group(f.Service)
+	id := g.refuser(f, address)
+	up, ok := g.model.Upstream(id)
+	g.model.Rest(id, r.now()+refusedRest)
 	r.mu.Unlock()
 	if ok {
 		r.doubted(up)
 	}
+	return id
+}
+
+// refuser is the engine of a run that refused it; r.mu is held.
+func (g *group) refuser(f *relay.Flight, address string) spec.UpstreamID {
+	chain, hops := f.Chain()
+	for i, hop := range hops {
+		if hop.Address == address && i < len(chain) {
+			return chain[i].Engine()
+		}
+	}
+	return chain[0].Engine()
 }
 
+// refusedRest is how long an engine that refused a run gets no new one: what
+// it holds and whether it leaves is known from the list by then, or the crowd
+// on it has turned over.
+const refusedRest = 300 * time.Millisecond
+
 // Down reports whether an engine is dead or gone.
 func (r *router) Down(service string, id spec.UpstreamID) bool {
 	r.mu.Lock()
@@ -275,3 +293,52 @@
 	g := r.group(service)
 	return g.model != nil && g.model.Dead(id)
 }
+
+// uses is what the requests of this instance take, by service.
+func (r *router) uses() map[string]map[spec.UpstreamID]path.Use {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]map[spec.UpstreamID]path.Use{}
+	for name, g := range r.groups {
+		if g.model == nil {
+			continue
+		}
+		if mine := g.model.Mine(); len(mine) > 0 {
+			out[name] = mine
+		}
+	}
+	return out
+}
+
+// used takes what the requests of another instance take; nil forgets it.
+func (r *router) used(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Use) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, g := range r.groups {
+		if g.model != nil {
+			g.model.Peer(from, uses[name])
+		}
+	}
+}
+
+// find returns the engine of that name.
+func (r *router) find(id spec.UpstreamID) (site.Upstream, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, g := range r.groups {
+		if g.model == nil {
+			continue
+		}
+		if up, ok := g.model.Upstream(id); ok {
+			return up, true
+		}
+	}
+	return site.Upstream{}, false
+}
+
+// freshCrashes are the fingerprints of requests on whose runs engines died
+// since the last call.
+func (r *router) freshCrashes() []uint64 { return nil }
+
+// crashed takes fingerprints that another instance saw.
+func (r *router) crashed([]uint64) {}
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -45,7 +45,9 @@
 	log     *zap.Logger
 	// probed and moved count questions and paths changed.
 	probed func()
-	moved  func(how string)
+	// found is told of engines that do not answer.
+	found func(id spec.UpstreamID)
+	moved func(how string)
 
 	mu     sync.Mutex
 	watch  map[string]*stall.Watch
@@ -179,6 +181,7 @@
 	}
 	w.log.Warn("edge: engine does not answer", zap.String("engine", string(up.ID)), zap.String("address", up.Address),
 		zap.Int("asked", among), zap.Duration("after", time.Since(start)), zap.Error(err))
+	w.found(up.ID)
 	w.leave(context.WithoutCancel(ctx), up)
 }
 
@@ -186,13 +189,26 @@
 func (w *watcher) blame(service string, stalled []site.Stalled) {
 	seen := map[string]bool{}
 	for _, s := range stalled {
-		if !seen[s.Address] {
-			seen[s.Address] = true
-			w.router.Fault(service, s.Address)
+		if seen[s.Address] {
+			continue
+		}
+		seen[s.Address] = true
+		if up, ok := w.router.at(service, s.Address); ok {
+			w.router.doubted(up)
 		}
 	}
 }
 
+// at returns the engine at an address.
+func (r *router) at(service, address string) (site.Upstream, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if g := r.group(service); g.model != nil {
+		return g.model.At(address)
+	}
+	return site.Upstream{}, false
+}
+
 // heard takes a report; false if it is not that of the engine that is listed.
 func (r *router) heard(up site.Upstream, report site.Report) bool {
 	r.mu.Lock()
@@ -248,7 +264,7 @@
 	bad := func(id spec.UpstreamID) bool { return id == up.ID || g.model.Dead(id) }
 	for _, f := range g.over(up.ID) {
 		t := g.flights[f]
-		chain, err := g.model.Mend(t.chain, f.Need, bad)
+		chain, err := g.model.Mend(r.now(), t.chain, f.Need, bad)
 		if err != nil {
 			if f.Resume {
 				moves = append(moves, f)
--- a/internal/app/halt/halt.go
+++ b/internal/app/halt/halt.go
@@ -25,7 +25,14 @@
 type Halt struct {
 	// Grace is how long no request must have come before listeners close.
 	Grace time.Duration
-	Log   *zap.Logger
+	// Most is how long after the begin listeners close even if requests go on
+	// coming, as where the balancer has no other instance to turn to; zero
+	// waits for the grace alone.
+	Most time.Duration
+	// Late answers requests that come after that on kept connections, in place
+	// of the handler; nil serves them like any other.
+	Late http.Handler
+	Log  *zap.Logger
 
 	once   sync.Once
 	begun  chan struct{}
@@ -34,7 +41,9 @@
 	second sync.Once
 
 	mu      sync.Mutex
+	began   time.Time
 	last    time.Time
+	closed  bool
 	running int
 }
 
@@ -50,6 +59,9 @@
 	h.init()
 	h.first.Do(func() {
 		h.arrived(0)
+		h.mu.Lock()
+		h.began = h.last
+		h.mu.Unlock()
 		close(h.begun)
 		h.Log.Info("halt: stopping, requests in progress go on", zap.Int("running", h.Running()))
 	})
@@ -98,6 +110,10 @@
 		if h.Stopping() {
 			w.Header().Set("Connection", "close")
 		}
+		if h.Late != nil && h.isClosed() {
+			h.Late.ServeHTTP(w, req)
+			return
+		}
 		next.ServeHTTP(w, req)
 	})
 }
@@ -109,6 +125,12 @@
 	h.running += n
 }
 
+func (h *Halt) isClosed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.closed
+}
+
 func (h *Halt) left() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -135,12 +157,16 @@
 	return nil
 }
 
-// quiet returns once no request has come for the grace.
+// quiet returns once no request has come for the grace, or the most time is
+// over.
 func (h *Halt) quiet() {
-	for {
+	defer func() {
 		h.mu.Lock()
-		left := h.Grace - time.Since(h.last)
-		h.mu.Unlock()
+		defer h.mu.Unlock()
+		h.closed = true
+	}()
+	for {
+		left := h.wait()
 		if left <= 0 {
 			return
 		}
@@ -153,3 +179,14 @@
 		}
 	}
 }
+
+// wait is how long listeners stay open if no request comes.
+func (h *Halt) wait() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	left := h.Grace - time.Since(h.last)
+	if h.Most > 0 {
+		left = min(left, h.Most-time.Since(h.began))
+	}
+	return left
+}
--- a/internal/base/site/site.go
+++ b/internal/base/site/site.go
@@ -192,9 +192,9 @@
 // Report is what an engine says of itself, some hundred milliseconds late. Born
 // is zero if it does not say.
 type Report struct {
-	Born   int64
-	Held   Range
-	Busy   bool
+	Born int64
+	Held Range
+	Busy bool
 	// Orders is how many orders the engine accepted since its start.
 	Orders int
 	// Active requests run, Queued ones wait.
--- /dev/null
+++ b/internal/fleet/mesh/mesh.go
@@ -0,0 +1,292 @@
+// Package mesh is the deterministic logic of an instance among a few dozen
+// others that all know each other: it tells them what its requests take of the
+// engines, which engines it found dead, and what it learned from the store that
+// they lack.
+//
+// It imports base/spec, fleet/node for the events and commands of the wire, and
+// fleet/rank. Package peer drives it by Tick; app/edge fills it. It does no I/O
+// and reads no clock.
+package mesh
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/fleet/rank"
+	"fulmarwick/internal/route/path"
+	"fulmarwick/internal/state/feed"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// beat is the pause between two messages to each instance: what others
+	// sent to an engine is known before a tenth of its queue has turned over.
+	beat = 200 * time.Millisecond
+	// silent is after how long without a message an instance counts no more.
+	silent = 1500 * time.Millisecond
+	// counted is how long an instance that fell silent still counts for what
+	// all share: it may serve callers while it cannot be heard.
+	counted = 15 * time.Second
+	// behind is how long an instance may lack what the store told here before
+	// it is told: as a rule it reads the same from the store by then.
+	behind = 900 * time.Millisecond
+	// tellers is how many instances tell one that is behind; more would only
+	// repeat each other.
+	tellers = 3
+)
+
+// Message is what an instance tells another one. Fields are exported because
+// the CBOR codec fills them.
+type Message struct {
+	URL string `cbor:"1,keyasint"`
+	// Uses is what its requests take, by service and engine.
+	Uses map[string]map[spec.UpstreamID]path.Use `cbor:"2,keyasint,omitempty"`
+	// Versions is up to where it knows each table; Cut tells that the store
+	// does not answer it.
+	Versions map[string]uint64 `cbor:"3,keyasint,omitempty"`
+	Cut      bool              `cbor:"4,keyasint,omitempty"`
+	// Dead are engines that did not answer it.
+	Dead []spec.UpstreamID `cbor:"5,keyasint,omitempty"`
+	// Tables are rows that the receiver lacks.
+	Tables []Table `cbor:"6,keyasint,omitempty"`
+	// Crashes are fingerprints of requests on whose runs engines died.
+	Crashes []uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Table is the changes of a table after a version.
+type Table struct {
+	Name    string     `cbor:"1,keyasint"`
+	Since   uint64     `cbor:"2,keyasint"`
+	Version uint64     `cbor:"3,keyasint"`
+	Rows    []feed.Row `cbor:"4,keyasint"`
+}
+
+// Self gives what this instance has to tell. It is called on the goroutine
+// that ticks.
+type Self interface {
+	Uses() map[string]map[spec.UpstreamID]path.Use
+	Versions() map[string]uint64
+	Cut() bool
+	Since(table string, version uint64) (feed.Page, bool)
+	// Fresh returns the engines found dead and the fingerprints of requests
+	// that crashed engines since the last call.
+	Fresh() (dead []spec.UpstreamID, crashes []uint64)
+}
+
+// Taker is told what others tell. It is called on the goroutine that ticks.
+type Taker interface {
+	Used(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Use)
+	Told(table string, since uint64, p feed.Page, from spec.InstanceID)
+	Dead(from spec.InstanceID, engines []spec.UpstreamID)
+	Crashed(from spec.InstanceID, prints []uint64)
+	// Met tells that an instance is heard, Missed that it fell silent.
+	Met(id spec.InstanceID)
+	Missed(id spec.InstanceID)
+}
+
+// peer is another instance.
+type peer struct {
+	id       spec.InstanceID
+	url      string
+	heard    time.Duration
+	alive    bool
+	versions map[string]uint64
+	cut      bool
+	// lacks is since when it knows less of a table than this instance.
+	lacks map[string]time.Duration
+}
+
+// Logic is one instance's part. Set the exported fields before use.
+type Logic struct {
+	ID    spec.InstanceID
+	URL   string
+	Self  Self
+	Taker Taker
+
+	peers map[spec.InstanceID]*peer
+	next  time.Duration
+
+	mu    sync.Mutex
+	count int
+}
+
+// Count is how many instances share what is bounded for all, this one among
+// them.
+func (l *Logic) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return 1 + l.count
+}
+
+// Tick takes events and returns what is to be sent.
+func (l *Logic) Tick(now time.Duration, events []node.Event) []node.Command {
+	if l.peers == nil {
+		l.peers = map[spec.InstanceID]*peer{}
+	}
+	for _, ev := range events {
+		switch ev := ev.(type) {
+		case node.Listed:
+			l.listed(ev)
+		case node.Heard:
+			l.heard(now, ev)
+		}
+	}
+	if now < l.next {
+		return nil
+	}
+	l.next = now + beat
+	l.silence(now)
+	return l.tell(now)
+}
+
+// listed notes where instances should be. One that moved is asked at its new
+// address.
+func (l *Logic) listed(ev node.Listed) {
+	for _, p := range ev.Peers {
+		if p.ID != l.ID {
+			l.peer(p.ID).url = p.URL
+		}
+	}
+}
+
+func (l *Logic) peer(id spec.InstanceID) *peer {
+	p := l.peers[id]
+	if p == nil {
+		p = &peer{id: id, lacks: map[string]time.Duration{}}
+		l.peers[id] = p
+	}
+	return p
+}
+
+func (l *Logic) heard(now time.Duration, ev node.Heard) {
+	var m Message
+	if err := cbor.Unmarshal(ev.Data, &m); err != nil {
+		// A message of another version of the program tells nothing; its
+		// sender counts as silent.
+		return
+	}
+	p := l.peer(ev.From)
+	p.url, p.heard, p.versions, p.cut = m.URL, now, m.Versions, m.Cut
+	if !p.alive {
+		p.alive = true
+		l.Taker.Met(p.id)
+	}
+	l.Taker.Used(p.id, m.Uses)
+	if len(m.Dead) > 0 {
+		l.Taker.Dead(p.id, m.Dead)
+	}
+	if len(m.Crashes) > 0 {
+		l.Taker.Crashed(p.id, m.Crashes)
+	}
+	for _, t := range m.Tables {
+		l.Taker.Told(t.Name, t.Since, feed.Page{Rows: t.Rows, Version: t.Version}, p.id)
+	}
+}
+
+// silence drops the instances that are not heard any more.
+func (l *Logic) silence(now time.Duration) {
+	count := 0
+	for _, p := range l.sorted() {
+		if p.heard > 0 && now-p.heard < counted {
+			count++
+		}
+		if p.alive && now-p.heard >= silent {
+			p.alive = false
+			l.Taker.Missed(p.id)
+		}
+	}
+	l.mu.Lock()
+	l.count = count
+	l.mu.Unlock()
+}
+
+func (l *Logic) sorted() []*peer {
+	out := make([]*peer, 0, len(l.peers))
+	for _, p := range l.peers {
+		out = append(out, p)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].id < out[j].id })
+	return out
+}
+
+func (l *Logic) tell(now time.Duration) []node.Command {
+	dead, crashes := l.Self.Fresh()
+	m := Message{
+		URL: l.URL, Uses: l.Self.Uses(), Versions: l.Self.Versions(), Cut: l.Self.Cut(), Dead: dead, Crashes: crashes,
+	}
+	plain, err := cbor.Marshal(m)
+	if err != nil {
+		// The message has no field that can fail to encode.
+		panic(err)
+	}
+	var out []node.Command
+	for _, p := range l.sorted() {
+		if p.url == "" {
+			continue
+		}
+		data := plain
+		if m.Tables = l.lacking(now, p, m.Versions); len(m.Tables) > 0 {
+			if data, err = cbor.Marshal(m); err != nil {
+				panic(err)
+			}
+		}
+		out = append(out, node.Send{To: p.id, URL: p.url, Data: data})
+	}
+	return out
+}
+
+// lacking is what another instance does not know yet and this one is to tell.
+func (l *Logic) lacking(now time.Duration, p *peer, versions map[string]uint64) []Table {
+	if !p.alive || p.versions == nil {
+		return nil
+	}
+	var out []Table
+	for _, name := range names(versions) {
+		theirs := p.versions[name]
+		if theirs >= versions[name] {
+			delete(p.lacks, name)
+			continue
+		}
+		since, ok := p.lacks[name]
+		if !ok {
+			p.lacks[name] = now
+			since = now
+		}
+		if !p.cut && now-since < behind || !l.teller(p) {
+			continue
+		}
+		if page, ok := l.Self.Since(name, theirs); ok {
+			out = append(out, Table{Name: name, Since: theirs, Version: page.Version, Rows: page.Rows})
+		}
+	}
+	return out
+}
+
+func names(versions map[string]uint64) []string {
+	out := make([]string, 0, len(versions))
+	for name := range versions {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// teller reports whether this instance is one of those that tell p.
+func (l *Logic) teller(p *peer) bool {
+	ids := []spec.InstanceID{l.ID}
+	for _, other := range l.peers {
+		if other.alive && other.id != p.id {
+			ids = append(ids, other.id)
+		}
+	}
+	for _, id := range rank.Top(string(p.id), ids, tellers) {
+		if id == l.ID {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -37,6 +37,8 @@
 // Ask is a question for a path over the layers [From, To).
 type Ask struct {
 	Need
+	// Now is the time on the clock of Rest.
+	Now      time.Duration
 	From, To int
 	// Avoid are engines not to be used.
 	Avoid func(spec.UpstreamID) bool
@@ -45,8 +47,8 @@
 }
 
 // Choose returns the cheapest path by predicted time over all layers.
-func (t *Table) Choose(n Need, avoid func(spec.UpstreamID) bool) (spec.Chain, error) {
-	return t.Find(Ask{Need: n, To: t.Model.Layers, Avoid: avoid, Before: t.Centre, After: t.Centre})
+func (t *Table) Choose(now time.Duration, n Need, avoid func(spec.UpstreamID) bool) (spec.Chain, error) {
+	return t.Find(Ask{Need: n, Now: now, To: t.Model.Layers, Avoid: avoid, Before: t.Centre, After: t.Centre})
 }
 
 // step is the cheapest way found to the end of an engine's layers.
@@ -65,7 +67,7 @@
 	best, bestCost := -1, math.Inf(1)
 	for _, e := range t.engines {
 		held := e.up.Held.Layers
-		if !e.usable() || held.To() <= a.From || held.From() >= a.To || a.Avoid != nil && a.Avoid(e.up.ID) {
+		if !e.usable(a.Now) || held.To() <= a.From || held.From() >= a.To || a.Avoid != nil && a.Avoid(e.up.ID) {
 			continue
 		}
 		s, ok, tight := t.extend(a, steps, e)
@@ -199,7 +201,7 @@
 
 // Mend returns the chain with the engines that must go replaced, the others
 // as they are: they keep what they read. The first engine cannot be replaced.
-func (t *Table) Mend(c spec.Chain, n Need, bad func(spec.UpstreamID) bool) (spec.Chain, error) {
+func (t *Table) Mend(now time.Duration, c spec.Chain, n Need, bad func(spec.UpstreamID) bool) (spec.Chain, error) {
 	if len(c) == 0 || bad(c[0].Engine()) {
 		return nil, ErrNone
 	}
@@ -214,7 +216,7 @@
 		for end < len(c) && bad(c[end].Engine()) {
 			end++
 		}
-		part, err := t.Find(t.gap(c, n, i, end, bad))
+		part, err := t.Find(t.gap(now, c, n, i, end, bad))
 		if err != nil {
 			return nil, err
 		}
@@ -225,8 +227,8 @@
 }
 
 // gap is the question for what replaces the stages from i to end of a chain.
-func (t *Table) gap(c spec.Chain, n Need, i, end int, bad func(spec.UpstreamID) bool) Ask {
-	a := Ask{Need: n, From: c[i].Layers().From(), To: c[end-1].Layers().To()}
+func (t *Table) gap(now time.Duration, c spec.Chain, n Need, i, end int, bad func(spec.UpstreamID) bool) Ask {
+	a := Ask{Need: n, Now: now, From: c[i].Layers().From(), To: c[end-1].Layers().To()}
 	a.Before = t.centre(c[i-1].Engine())
 	a.After = t.Centre
 	if end < len(c) {
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -8,6 +8,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
@@ -39,6 +40,8 @@
 	pace float64
 	// down engines do not answer.
 	down bool
+	// rest is until when it gets no new requests.
+	rest time.Duration
 	mine Use
 	// others is what the requests of other instances take.
 	others Use
@@ -158,6 +161,13 @@
 	return true
 }
 
+// Rest gives an engine no new requests until a time.
+func (t *Table) Rest(id spec.UpstreamID, until time.Duration) {
+	if e := t.byID[id]; e != nil {
+		e.rest = until
+	}
+}
+
 // Dead reports whether an engine does not answer or is no longer listed.
 func (t *Table) Dead(id spec.UpstreamID) bool {
 	e := t.byID[id]
@@ -175,12 +185,6 @@
 	return out
 }
 
-// Sound reports whether an engine may be given work.
-func (t *Table) Sound(id spec.UpstreamID) bool {
-	e := t.byID[id]
-	return e != nil && e.usable()
-}
-
 // Upstream returns the row of an engine.
 func (t *Table) Upstream(id spec.UpstreamID) (site.Upstream, bool) {
 	e := t.byID[id]
@@ -209,8 +213,8 @@
 	return out
 }
 
-func (e *engine) usable() bool {
-	return !e.down && e.up.State == site.StateReady && e.up.Held.Layers.Len() > 0
+func (e *engine) usable(now time.Duration) bool {
+	return !e.down && now >= e.rest && e.up.State == site.StateReady && e.up.Held.Layers.Len() > 0
 }
 
 // Need is what a request takes of each layer.
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -265,3 +265,16 @@
 	// A caller that left cannot be told.
 	_, _ = io.WriteString(w, reason+"\n")
 }
+
+// elsewhere is when a caller comes back whom a stopping instance turned away:
+// at once, to another instance.
+const elsewhere = 20 * time.Millisecond
+
+// Stopped answers requests that come too late to a stopping instance: they
+// have not run, and another instance takes them.
+type Stopped struct{}
+
+// ServeHTTP refuses the request.
+func (Stopped) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	refuse(w, http.StatusServiceUnavailable, "instance is stopping", elsewhere)
+}
--- a/internal/wire/peer/conn.go
+++ b/internal/wire/peer/conn.go
@@ -95,6 +95,10 @@
 func (c *conn) read() {
 	bad := 0
 	for {
+		if c.hub.Silence > 0 {
+			// A connection on which no deadline can be set fails the read.
+			_ = c.ws.SetReadDeadline(time.Now().Add(c.hub.Silence))
+		}
 		kind, data, err := c.ws.ReadMessage()
 		if err != nil {
 			c.close(readCause(err))
--- a/internal/wire/peer/hub.go
+++ b/internal/wire/peer/hub.go
@@ -88,7 +88,11 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Idle is how long an unused connection is kept; zero is a minute.
 	Idle time.Duration
-	Log  *zap.Logger
+	// Silence is how long a connection may bring nothing before it is closed
+	// and dialled anew. It suits logic that sends all the time: a connection
+	// can go silent without a reset while new ones work. Zero waits for ever.
+	Silence time.Duration
+	Log     *zap.Logger
 	// Meters receives the metrics; nil makes a private set.
 	Meters *metrics.Set
 
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -33,8 +33,9 @@
 	End(f *Flight)
 	// Doubt tells of an engine that refused or broke a connection.
 	Doubt(service string, id spec.UpstreamID)
-	// Fault tells of an engine that another one says is to blame.
-	Fault(service, address string)
+	// Refused tells that a run was refused, and by which engine of its path;
+	// empty is the first. It returns the engine.
+	Refused(f *Flight, address string) spec.UpstreamID
 	// Down reports whether an engine is known to be dead or gone.
 	Down(service string, id spec.UpstreamID) bool
 }
@@ -293,16 +294,7 @@
 
 // rejected takes an answer that is no stream.
 func (s *stream) rejected(f *Flight, resp *http.Response, head site.Answer) error {
-	chain, _ := f.Chain()
-	first := chain[0].Engine()
-	if head.Fault != "" {
-		s.models.Paths.Fault(s.call.Service.Name, head.Fault)
-	} else {
-		s.avoid = append(s.avoid, first)
-	}
-	if head.Moved && head.Fault == "" {
-		s.models.Paths.Doubt(s.call.Service.Name, first)
-	}
+	s.avoid = append(s.avoid, s.models.Paths.Refused(f, head.Fault))
 	if head.NotRun {
 		return errNotRun
 	}
