--- a/internal/app/cmds/edge.go
+++ b/internal/app/cmds/edge.go
@@ -29,7 +29,10 @@
 			if err != nil {
 				return err
 			}
-			return runInstance(cmd.Context(), &edge.Instance{Settings: settings, Log: log, Build: build()})
+			return runInstance(cmd.Context(), &edge.Instance{
+				Settings: settings, Log: log, Build: build(),
+				Again: func() (setup.File, error) { return setup.Load(path) },
+			})
 		},
 	}
 	c.Flags().StringVar(&path, "settings", "fulmarwick.ini", "settings of the instance")
--- a/internal/app/cmds/signals.go
+++ b/internal/app/cmds/signals.go
@@ -17,9 +17,32 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	go heed(ctx, signals, ended, d)
+	if r, ok := d.(reloader); ok {
+		hups := make(chan os.Signal, 1)
+		signal.Notify(hups, syscall.SIGHUP)
+		defer signal.Stop(hups)
+		go heedReload(hups, ended, r)
+	}
 	return d.Run(context.WithoutCancel(ctx))
 }
 
+// reloader is what takes its settings again on SIGHUP. Where nothing takes the
+// signal it ends the process.
+type reloader interface {
+	Reload()
+}
+
+func heedReload(hups <-chan os.Signal, ended <-chan struct{}, r reloader) {
+	for {
+		select {
+		case <-hups:
+			r.Reload()
+		case <-ended:
+			return
+		}
+	}
+}
+
 // stopper is what signals act on.
 type stopper interface {
 	Stop()
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -62,6 +62,11 @@
 	Log      *zap.Logger
 	// Build is the version of the program.
 	Build string
+	// Dial and Listen open connections and addresses; nil uses the network.
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Listen func(ctx context.Context, address string) (net.Listener, error)
+	// Again reads the settings again; nil if they never change.
+	Again func() (setup.File, error)
 
 	meters  *metrics.Set
 	halt    *halt.Halt
@@ -88,6 +93,25 @@
 	i.halt.Hurry()
 }
 
+// Reload takes the settings again: the bounds on repeats and the memory limit
+// hold at once, addresses and names from the next start on. Settings that are
+// refused change nothing.
+func (i *Instance) Reload() {
+	if i.Again == nil {
+		return
+	}
+	s, err := i.Again()
+	if err != nil {
+		i.Log.Error("edge: settings refused, the former ones stay", zap.Error(err))
+		return
+	}
+	i.build()
+	i.router.setBounds(s.Retry)
+	limitMemory(s.Limits.Memory)
+	i.Log.Info("edge: settings taken again", zap.Float64("ratio", s.Retry.Ratio), zap.Int("allowance", s.Retry.Allowance),
+		zap.Duration("window", s.Retry.Window), zap.Int64("memory", s.Limits.Memory), zap.Bool("moved", s.Listen != i.Settings.Listen))
+}
+
 // build makes the parts, once.
 func (i *Instance) build() {
 	if i.halt != nil {
@@ -99,12 +123,11 @@
 	i.belief = newBelief(i.Log)
 	i.router = &router{
 		log: i.Log, centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
-		ratio: s.Retry.Ratio, allowance: float64(s.Retry.Allowance), window: s.Retry.Window,
-		groups: map[string]*group{},
+		bounds: s.Retry, groups: map[string]*group{},
 	}
-	i.pool = &send.Pool{Dial: dialTime, Opened: i.counter(`fulmarwick_connections_total`)}
-	i.store = &platform.Store{Base: s.Platform.Table, HTTP: newHTTP(), Count: i.countCall}
-	calls := &platform.Engines{HTTP: newHTTP()}
+	i.pool = &send.Pool{Timeout: dialTime, Dial: i.Dial, Opened: i.counter(`fulmarwick_connections_total`)}
+	i.store = &platform.Store{Base: s.Platform.Table, HTTP: newHTTP(i.Dial), Count: i.countCall}
+	calls := &platform.Engines{HTTP: newHTTP(i.Dial)}
 	owner := uuid.NewString()
 	i.lease = &lease.Lease{Table: i.store, Name: "plan", Owner: owner, Time: leaseTime, Margin: leaseMargin, Meters: i.meters}
 	i.watcher = newWatcher(i.router, calls, i.Log)
@@ -116,7 +139,7 @@
 	}
 	i.crowd = &crowd{
 		id: spec.InstanceID(s.Instance.Name), url: "http://" + s.Listen.Mesh,
-		store: i.store, belief: i.belief, router: i.router, log: i.Log,
+		store: i.store, belief: i.belief, router: i.router, log: i.Log, dial: i.Dial,
 	}
 	i.connect()
 }
@@ -246,10 +269,13 @@
 
 // newHTTP returns a client for calls that are answered at once. Calls to the
 // store that wait have their own timeouts.
-func newHTTP() *http.Client {
+func newHTTP(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTime, KeepAlive: -1}).DialContext
+	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTime, KeepAlive: -1}).DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     10 * time.Second,
 		},
--- a/internal/app/edge/ends.go
+++ b/internal/app/edge/ends.go
@@ -60,12 +60,18 @@
 func (i *Instance) listen(ctx context.Context) ([]*end, error) {
 	l := i.Settings.Listen
 	quiet := log.New(io.Discard, "", 0)
+	listen := i.Listen
+	if listen == nil {
+		listen = func(ctx context.Context, address string) (net.Listener, error) {
+			return (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		}
+	}
 	var ends []*end
 	add := func(name, address string, h http.Handler) error {
 		if address == "" {
 			return nil
 		}
-		at, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		at, err := listen(ctx, address)
 		if err != nil {
 			return errors.Wrapf(err, "edge: listen for %s", name)
 		}
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -46,6 +47,7 @@
 	belief *belief
 	router *router
 	log    *zap.Logger
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	// suspect is told of engines that others found dead.
 	suspect func(id spec.UpstreamID)
 	logic   *mesh.Logic
@@ -60,7 +62,7 @@
 func (c *crowd) open() {
 	c.alive = map[spec.InstanceID]bool{}
 	c.logic = &mesh.Logic{ID: c.id, URL: c.url, Self: c, Taker: c}
-	c.hub = &peer.Hub{Self: node.Peer{ID: c.id, URL: c.url}, Logic: c.logic, Silence: meshSilence, Log: c.log}
+	c.hub = &peer.Hub{Self: node.Peer{ID: c.id, URL: c.url}, Logic: c.logic, Silence: meshSilence, Dial: c.dial, Log: c.log}
 }
 
 func (c *crowd) handler() http.Handler { return c.hub.Handler() }
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"fulmarwick/internal/app/setup"
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/again"
@@ -35,20 +36,15 @@
 type router struct {
 	log    *zap.Logger
 	centre spec.DataCentre
-	// ratio, allowance and window bound repeats; instances is how many
-	// instances share the allowance.
-	ratio     float64
-	allowance float64
-	window    time.Duration
+	// instances is how many instances share the bound on repeats.
 	instances func() int
 	start     time.Time
 	// doubted is told of engines that may be dead.
 	doubted func(site.Upstream)
 
 	mu     sync.Mutex
+	bounds setup.Retry
 	groups map[string]*group
-	models map[string]*site.Model
-	list   []site.Upstream
 }
 
 func (r *router) now() time.Duration { return time.Since(r.start) }
@@ -58,12 +54,29 @@
 	if g == nil {
 		g = &group{name: name, flights: map[*relay.Flight]*tally{}}
 		g.plain.Centre = r.centre
-		g.budget = again.Budget{Ratio: r.ratio, Allowance: r.allowance, Window: r.window}
+		g.bound(r.bounds)
 		r.groups[name] = g
 	}
 	return g
 }
 
+// bound sets how often requests of the service may be sent again.
+func (g *group) bound(b setup.Retry) {
+	if g.budget.Window != b.Window {
+		g.budget = again.Budget{}
+	}
+	g.budget.Ratio, g.budget.Allowance, g.budget.Window = b.Ratio, float64(b.Allowance), b.Window
+}
+
+func (r *router) setBounds(b setup.Retry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bounds = b
+	for _, g := range r.groups {
+		g.bound(b)
+	}
+}
+
 // setConfig takes the services in force.
 func (r *router) setConfig(c *site.Config) {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/app/edge/site_test.go
@@ -0,0 +1,189 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/app/edge"
+	"fulmarwick/internal/app/setup"
+	"fulmarwick/platform/stand"
+
+	"go.uber.org/zap"
+)
+
+// world is a site with instances in front of it, in virtual time.
+type world struct {
+	t         *testing.T
+	site      *stand.Site
+	instances []*edge.Instance
+	ended     sync.WaitGroup
+	clients   []*http.Client
+}
+
+// settings are those of instance n.
+func settings(n int) setup.File {
+	zone := stand.Zones[n%len(stand.Zones)].Name
+	f := setup.Default()
+	f.Instance = setup.Instance{Name: fmt.Sprintf("edge-%d", n), DataCentre: zone, Region: "west"}
+	f.Listen = setup.Listen{
+		Callers: fmt.Sprintf("10.%d.0.1:8000", n+1), Ready: fmt.Sprintf("10.%d.0.1:8001", n+1), Mesh: fmt.Sprintf("10.%d.0.1:8002", n+1),
+	}
+	f.Platform.Table = "http://" + stand.StoreAddress
+	f.Retry = setup.Retry{Ratio: 0.2, Allowance: 196, Window: 10 * time.Second}
+	f.Times.Grace = time.Second
+	return f
+}
+
+// open starts a filled site and n instances and waits until layers are placed.
+func open(t *testing.T, n int) *world {
+	t.Helper()
+	w := &world{t: t, site: stand.NewSite()}
+	w.site.Store.Put("op", "config", w.site.Config(1))
+	w.site.Fill()
+	for k := range n {
+		w.start(k)
+	}
+	time.Sleep(9 * time.Second)
+	return w
+}
+
+func (w *world) start(k int) *edge.Instance {
+	i := &edge.Instance{Settings: settings(k), Log: zap.NewNop(), Dial: w.site.Dial, Listen: w.site.Net.Listen}
+	w.instances = append(w.instances, i)
+	w.clients = append(w.clients, &http.Client{Transport: &http.Transport{DialContext: w.site.Dial}})
+	w.ended.Go(func() {
+		if err := i.Run(context.Background()); err != nil {
+			w.t.Errorf("got %v, want instance %d to end without error", err, k)
+		}
+	})
+	return i
+}
+
+// close stops all instances and checks what the site saw.
+func (w *world) close() {
+	w.t.Helper()
+	for k, i := range w.instances {
+		w.clients[k].CloseIdleConnections()
+		i.Stop()
+	}
+	w.ended.Wait()
+	for _, f := range w.site.Faults() {
+		w.t.Errorf("got fault: %s, want none", f)
+	}
+	w.site.Close()
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+	// longest is the longest pause between events, first the time to the first.
+	first, longest time.Duration
+	events         int
+}
+
+// ask sends a request through instance k.
+func (w *world) ask(k int, method, path, id, tokens string) answer {
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+settings(k).Listen.Callers+path, strings.NewReader("prompt"))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	req.Host = "site.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("X-Api-Key", "key-1")
+	req.Header.Set("Deadline-Ms", "20000")
+	if tokens != "" {
+		req.Header.Set("Token-Count", tokens)
+	}
+	start := time.Now()
+	resp, err := w.clients[k].Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a := answer{status: resp.StatusCode, header: resp.Header}
+	a.read(resp.Body, start)
+	return a
+}
+
+func (a *answer) read(body io.Reader, start time.Time) {
+	var all strings.Builder
+	last := start
+	lines := bufio.NewReader(body)
+	for {
+		line, err := lines.ReadString('\n')
+		all.WriteString(line)
+		if strings.HasPrefix(line, "id:") {
+			pause := time.Since(last)
+			if a.events == 0 {
+				a.first = pause
+			} else {
+				a.longest = max(a.longest, pause)
+			}
+			last = time.Now()
+			a.events++
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			a.err = err
+			break
+		}
+	}
+	a.body = all.String()
+}
+
+// whole is the answer of n events to request id.
+func whole(id string, n int) string {
+	var b strings.Builder
+	for k := 1; k <= n; k++ {
+		_, _ = fmt.Fprintf(&b, "id: %d\ndata: %s.%d\n\n", k, id, k)
+	}
+	return b.String()
+}
+
+// A caller sees a calm minute: streams, bookings and look-ups at the rate of a
+// usual day through four instances. Every stream is whole and in time, every
+// token ran all layers in order, no booking ran twice.
+func TestCalmMinute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := open(t, 4)
+		defer w.close()
+		var callers sync.WaitGroup
+		for n := range 60 * 20 {
+			callers.Go(func() { w.calm(n) })
+			time.Sleep(50 * time.Millisecond)
+		}
+		callers.Wait()
+	})
+}
+
+func (w *world) calm(n int) {
+	id := fmt.Sprintf("r%d", n)
+	if n%10 == 0 {
+		a := w.ask(n%4, http.MethodPost, "/book/1", id, "")
+		if a.status != http.StatusOK || a.body != "answer of "+id || w.site.Runs(id) != 1 {
+			w.t.Errorf("got %d %q after %d runs (%v), want the booking's own answer after one", a.status, a.body, w.site.Runs(id), a.err)
+		}
+		return
+	}
+	events := 20 + n%60
+	a := w.ask(n%4, http.MethodPost, "/write/1", id, fmt.Sprintf("%d,%d", 400+n%800, events*3))
+	if a.status != http.StatusOK || a.body != whole(id, events) {
+		w.t.Errorf("got %d with %d events (%v), want %d", a.status, a.events, a.err, events)
+	}
+	if a.first > 500*time.Millisecond || a.longest > 200*time.Millisecond {
+		w.t.Errorf("got first event after %s and a pause of %s, want 500ms and 200ms at most", a.first, a.longest)
+	}
+}
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -313,6 +313,9 @@
 	for {
 		event, err := r.Next()
 		if errors.Is(err, io.EOF) {
+			// An answer may have no event left after the one that its caller
+			// has; without its head it would look like an answer of ours.
+			s.head(resp)
 			return nil
 		}
 		if err != nil {
@@ -322,14 +325,20 @@
 		if r.Seen() == 1 {
 			s.models.Paths.Wrote(f)
 		}
-		if !s.begun {
-			s.begun = true
-			Strip(resp.Header)
-			s.sink.Head(resp.StatusCode, resp.Header)
-		}
+		s.head(resp)
 		if err := s.sink.Event(event, r.Buffered() == 0); err != nil {
 			return errors.Wrap(errCaller, err.Error())
 		}
 		s.last = r.Last()
 	}
 }
+
+// head passes on the head of the first run that brings an answer.
+func (s *stream) head(resp *http.Response) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	Strip(resp.Header)
+	s.sink.Head(resp.StatusCode, resp.Header)
+}
--- a/internal/wire/send/conn.go
+++ b/internal/wire/send/conn.go
@@ -144,9 +144,14 @@
 }
 
 // dial opens a connection.
-func dial(ctx context.Context, address string, limit time.Duration) (*Conn, error) {
-	d := net.Dialer{Timeout: limit, KeepAlive: -1}
-	n, err := d.DialContext(ctx, "tcp", address)
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	open := p.Dial
+	if open == nil {
+		open = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	n, err := open(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
--- a/internal/wire/send/pool.go
+++ b/internal/wire/send/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 )
@@ -16,8 +17,10 @@
 
 // Pool keeps connections to upstreams. Set the exported fields before use.
 type Pool struct {
-	// Dial bounds the time of opening a connection.
-	Dial time.Duration
+	// Timeout bounds the time of opening a connection.
+	Timeout time.Duration
+	// Dial opens a connection; nil uses the network.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Opened is called for each new connection; nil if no one counts.
 	Opened func()
 
@@ -43,7 +46,7 @@
 	if p.Opened != nil {
 		p.Opened()
 	}
-	return dial(ctx, address, p.Dial)
+	return p.dial(ctx, address)
 }
 
 func (p *Pool) take(address string) *Conn {
