--- a/internal/app/edge/belief.go
+++ b/internal/app/edge/belief.go
@@ -39,14 +39,16 @@
 	hold    time.Time
 	bad     map[string]bool
 	known   bool
-	// cut are the tables that the store does not tell of.
-	cut map[string]bool
+	// read is when the store last told of each table.
+	read map[string]time.Time
+	// news tells that the store told of a change since takeNews.
+	news bool
 }
 
 func newBelief(log *zap.Logger) *belief {
 	return &belief{
-		log: log, views: map[string]*feed.View{platform.TableConfig: {}, platform.TableUpstreams: {}},
-		list: map[string]site.Upstream{}, missing: map[string]time.Time{}, bad: map[string]bool{}, cut: map[string]bool{},
+		log: log, views: map[string]*feed.View{platform.TableConfig: {}, platform.TableUpstreams: {Same: sameUpstream}},
+		list: map[string]site.Upstream{}, missing: map[string]time.Time{}, bad: map[string]bool{}, read: map[string]time.Time{},
 	}
 }
 
@@ -79,6 +81,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := b.views[table].Whole(p)
+	b.read[table] = time.Now()
+	b.news = true
 	b.known = b.known || table == platform.TableUpstreams
 	b.take(table, changed, "store")
 }
@@ -87,7 +91,10 @@
 func (b *belief) Changes(table string, since uint64, p feed.Page) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.take(table, b.views[table].Changes(since, p), "store")
+	b.read[table] = time.Now()
+	changed := b.views[table].Changes(since, p)
+	b.news = b.news || len(changed) > 0
+	b.take(table, changed, "store")
 }
 
 // Told takes what another instance knows.
@@ -106,17 +113,34 @@
 func (b *belief) Reach(table string, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.cut[table] = !ok
 	if ok && b.known && table == platform.TableUpstreams {
 		b.hold = time.Now().Add(returnHold)
 	}
 }
 
-// isCut reports whether the store does not answer this instance.
-func (b *belief) isCut() bool {
+// age is how long ago the store last told of all tables; negative if it has not
+// told of one.
+func (b *belief) age() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	oldest := time.Duration(0)
+	for table := range b.views {
+		at, ok := b.read[table]
+		if !ok {
+			return -time.Millisecond
+		}
+		oldest = max(oldest, time.Since(at))
+	}
+	return oldest
+}
+
+// takeNews reports whether the store told of a change since the last call.
+func (b *belief) takeNews() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.cut[platform.TableConfig] || b.cut[platform.TableUpstreams]
+	news := b.news
+	b.news = false
+	return news
 }
 
 // versions is up to where each table is known.
@@ -130,6 +154,17 @@
 	return out
 }
 
+// sameUpstream reports whether two rows tell the same of an upstream: each
+// heartbeat writes the row anew.
+func sameUpstream(key string, a, b []byte) bool {
+	x, err := platform.Upstream(key, 0, a)
+	if err != nil {
+		return false
+	}
+	y, err := platform.Upstream(key, 0, b)
+	return err == nil && x == y
+}
+
 // take turns changed rows into what is in force; b.mu is held.
 func (b *belief) take(table string, changed []feed.Row, source string) {
 	if len(changed) == 0 {
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -34,15 +34,16 @@
 	// trip, below the pause at which callers give up.
 	dialTime = 250 * time.Millisecond
 	// configWait and listWait bound how long the store may hold a call without
-	// news: a connection that fell silent is noticed after that. A change must
-	// be in force within two seconds.
-	configWait = 1200 * time.Millisecond
-	listWait   = 1200 * time.Millisecond
+	// news: a connection that fell silent is noticed after that, and the others
+	// learn that the store still answers. A change must be in force within two
+	// seconds.
+	configWait = 700 * time.Millisecond
+	listWait   = 700 * time.Millisecond
 	// configPause and listPause gather changes. The list changes with each
 	// heartbeat of each upstream; a leaving one must be obeyed within two
 	// seconds.
 	configPause = 50 * time.Millisecond
-	listPause   = 700 * time.Millisecond
+	listPause   = 600 * time.Millisecond
 	// leaseTime and leaseMargin are those of the duty of planning: a planner
 	// that died is followed after at most leaseTime and a third.
 	leaseTime   = 4500 * time.Millisecond
@@ -52,6 +53,10 @@
 	// instance it does not. What comes later could not end before the process
 	// is killed, 8 s after the signal.
 	acceptMost = 3 * time.Second
+	// dutyPlan is the duty of placing layers; planners instances contend for
+	// it, one of which holds it.
+	dutyPlan = "plan"
+	planners = 2
 	// sweepEvery is the pause between two looks for what is no longer needed.
 	sweepEvery = 100 * time.Millisecond
 )
@@ -129,7 +134,7 @@
 	i.store = &platform.Store{Base: s.Platform.Table, HTTP: newHTTP(i.Dial), Count: i.countCall}
 	calls := &platform.Engines{HTTP: newHTTP(i.Dial)}
 	owner := uuid.NewString()
-	i.lease = &lease.Lease{Table: i.store, Name: "plan", Owner: owner, Time: leaseTime, Margin: leaseMargin, Meters: i.meters}
+	i.lease = &lease.Lease{Table: i.store, Name: dutyPlan, Owner: owner, Time: leaseTime, Margin: leaseMargin, Meters: i.meters}
 	i.watcher = newWatcher(i.router, calls, i.Log)
 	i.watcher.probed = i.counter(`fulmarwick_reports_total`)
 	i.watcher.moved = func(how string) { i.meters.GetOrCreateCounter(`fulmarwick_moves_total{how="` + how + `"}`).Inc() }
@@ -216,13 +221,30 @@
 // parts run beside the servers.
 func (i *Instance) parts() []func(context.Context) {
 	follow := func(table string, wait, pause time.Duration) func(context.Context) {
-		f := &feed.Follower{Table: table, Source: i.store, Sink: i.belief, Wait: wait, Pause: pause, Log: i.Log}
+		f := &feed.Follower{Table: table, Source: i.store, Sink: i.belief, Wait: wait, Pause: pause, Passive: i.crowd.logic.Passive, Log: i.Log}
 		return f.Run
 	}
 	return []func(context.Context){
 		follow(platform.TableConfig, configWait, configPause),
 		follow(platform.TableUpstreams, listWait, listPause),
-		i.watcher.run, i.planner.run, i.lease.Run, i.sweep, i.crowd.run, i.crowd.enlist,
+		i.watcher.run, i.planner.run, i.hold, i.sweep, i.crowd.run, i.crowd.enlist,
+	}
+}
+
+// hold contends for the duty of planning while this instance is one of the
+// first two for it, so that the others need not read the lease.
+func (i *Instance) hold(ctx context.Context) {
+	for {
+		if i.crowd.logic.Place(dutyPlan) < planners {
+			// An error is counted with the call and seen in what is held.
+			_ = i.lease.Step(ctx)
+		} else {
+			i.lease.Release(ctx)
+		}
+		if !wait(ctx, leaseTime/3) {
+			i.lease.Release(context.WithoutCancel(ctx))
+			return
+		}
 	}
 }
 
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -183,8 +183,18 @@
 // Versions is up to where each table is known.
 func (c *crowd) Versions() map[string]uint64 { return c.belief.versions() }
 
-// Cut tells that the store does not answer this instance.
-func (c *crowd) Cut() bool { return c.belief.isCut() }
+// Age is how long ago the store last told of all tables.
+func (c *crowd) Age() time.Duration { return c.belief.age() }
+
+// Paces are the engines that work slower than usual.
+func (c *crowd) Paces() map[spec.UpstreamID]float64 { return c.router.paces() }
+
+// Urgent tells that engines were found dead or rows changed.
+func (c *crowd) Urgent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.dead) > 0 || c.belief.takeNews()
+}
 
 // Since returns the changes of a table.
 func (c *crowd) Since(table string, version uint64) (feed.Page, bool) {
@@ -205,6 +215,11 @@
 	c.router.used(from, uses)
 }
 
+// Paced takes how slow engines are.
+func (c *crowd) Paced(from spec.InstanceID, paces map[spec.UpstreamID]float64) {
+	c.router.paced(from, paces)
+}
+
 // Told takes rows that another instance knows.
 func (c *crowd) Told(table string, since uint64, p feed.Page, from spec.InstanceID) {
 	c.belief.Told(table, since, p, from)
@@ -232,6 +247,7 @@
 func (c *crowd) Missed(id spec.InstanceID) {
 	c.log.Warn("edge: instance missed", zap.String("peer", string(id)))
 	c.router.used(id, nil)
+	c.router.paced(id, nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.alive, id)
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -355,3 +355,30 @@
 
 // crashed takes fingerprints that another instance saw.
 func (r *router) crashed([]uint64) {}
+
+// paces are the engines that said here that they are slow.
+func (r *router) paces() map[spec.UpstreamID]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[spec.UpstreamID]float64{}
+	for _, g := range r.groups {
+		if g.model == nil {
+			continue
+		}
+		for id, pace := range g.model.Slow(r.now()) {
+			out[id] = pace
+		}
+	}
+	return out
+}
+
+// paced takes what engines told another instance.
+func (r *router) paced(from spec.InstanceID, paces map[spec.UpstreamID]float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, g := range r.groups {
+		if g.model != nil {
+			g.model.Paced(from, paces)
+		}
+	}
+}
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -26,6 +26,18 @@
 	askTime = 45 * time.Millisecond
 	// repathTime bounds the answer to an order for another path.
 	repathTime = 60 * time.Millisecond
+	// lagEvery is the pause between two looks for slow engines, and between two
+	// questions to one that is known to be slow.
+	lagEvery = time.Second
+	// lagging is how many times longer than predicted the pauses of a stream
+	// are when it lags: reading the prompts of others makes them 1.2 to 1.8
+	// times as long on a calm day, by the bench. lagStreams of an engine, and
+	// more than half, must lag before it is asked for its pace.
+	lagging    = 1.9
+	lagStreams = 2
+	// lagLeast is the least pause between events that counts as lagging: below
+	// it nobody is late.
+	lagLeast = 30 * time.Millisecond
 	// knockEvery is the pause between questions to engines that are down.
 	knockEvery = 500 * time.Millisecond
 )
@@ -53,6 +65,7 @@
 	watch  map[string]*stall.Watch
 	asking map[spec.UpstreamID]bool
 	knock  time.Time
+	lag    time.Time
 }
 
 func newWatcher(r *router, e engines, log *zap.Logger) *watcher {
@@ -86,15 +99,66 @@
 			w.ask(ctx, up, ups)
 		}
 	}
-	if now.Sub(w.knock) < knockEvery {
-		return
+	if now.Sub(w.knock) >= knockEvery {
+		w.knock = now
+		for _, up := range w.router.downs() {
+			w.ask(ctx, up, nil)
+		}
 	}
-	w.knock = now
-	for _, up := range w.router.downs() {
-		w.ask(ctx, up, nil)
+	if now.Sub(w.lag) >= lagEvery {
+		w.lag = now
+		for _, up := range w.router.laggards() {
+			w.ask(ctx, up, nil)
+		}
 	}
 }
 
+// laggards are the engines that may be slow, and those that are.
+func (r *router) laggards() []site.Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []site.Upstream
+	for _, g := range r.groups {
+		if g.model == nil {
+			continue
+		}
+		slow := g.model.Slow(r.now())
+		lags := g.lags()
+		for _, up := range g.model.Engines() {
+			l := lags[up.ID]
+			if _, ok := slow[up.ID]; ok || l.late >= lagStreams && 2*l.late > l.all {
+				out = append(out, up)
+			}
+		}
+	}
+	return out
+}
+
+// lag counts the streams that pass an engine, and those of them that make
+// events much slower than predicted.
+type lag struct{ late, all int }
+
+func (g *group) lags() map[spec.UpstreamID]lag {
+	out := map[spec.UpstreamID]lag{}
+	for f, t := range g.flights {
+		gap := f.Gap()
+		if gap == 0 {
+			continue
+		}
+		predicted := g.model.Step(t.chain) * time.Duration(g.model.Model.Stride)
+		late := gap >= lagLeast && float64(gap) >= lagging*float64(predicted)
+		for _, stage := range t.chain {
+			l := out[stage.Engine()]
+			l.all++
+			if late {
+				l.late++
+			}
+			out[stage.Engine()] = l
+		}
+	}
+	return out
+}
+
 // silent returns the engines of each service that may be dead.
 func (w *watcher) silent(now time.Time) map[string][]site.Upstream {
 	r := w.router
@@ -214,7 +278,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	g := r.group(up.Service)
-	return g.model == nil || g.model.Heard(up.ID, report)
+	return g.model == nil || g.model.Heard(r.now(), up.ID, report)
 }
 
 // down marks an engine as dead; false if it was, or is another one by now.
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -31,12 +31,16 @@
 	// counted is how long an instance that fell silent still counts for what
 	// all share: it may serve callers while it cannot be heard.
 	counted = 15 * time.Second
-	// behind is how long an instance may lack what the store told here before
-	// it is told: as a rule it reads the same from the store by then.
-	behind = 900 * time.Millisecond
 	// tellers is how many instances tell one that is behind; more would only
 	// repeat each other.
-	tellers = 3
+	tellers = 2
+	// fresh is how old what another instance read may be for this one to read
+	// nothing itself, times its place among the readers. With the pause between
+	// messages a change is known within the two seconds that it may take, also
+	// if the first reader dies.
+	fresh = 600 * time.Millisecond
+	// places is how many places of readers are told apart.
+	places = 3
 )
 
 // Message is what an instance tells another one. Fields are exported because
@@ -48,13 +52,17 @@
 	// Versions is up to where it knows each table; Cut tells that the store
 	// does not answer it.
 	Versions map[string]uint64 `cbor:"3,keyasint,omitempty"`
-	Cut      bool              `cbor:"4,keyasint,omitempty"`
+	// Age is how long ago the store last told it of all tables, in
+	// milliseconds; negative if it never did.
+	Age int64 `cbor:"4,keyasint"`
 	// Dead are engines that did not answer it.
 	Dead []spec.UpstreamID `cbor:"5,keyasint,omitempty"`
 	// Tables are rows that the receiver lacks.
 	Tables []Table `cbor:"6,keyasint,omitempty"`
 	// Crashes are fingerprints of requests on whose runs engines died.
 	Crashes []uint64 `cbor:"7,keyasint,omitempty"`
+	// Paces are engines that work slower than usual, and how many times.
+	Paces map[spec.UpstreamID]float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Table is the changes of a table after a version.
@@ -68,9 +76,13 @@
 // Self gives what this instance has to tell. It is called on the goroutine
 // that ticks.
 type Self interface {
+	// Urgent tells that there is something to tell before the next beat.
+	Urgent() bool
 	Uses() map[string]map[spec.UpstreamID]path.Use
 	Versions() map[string]uint64
-	Cut() bool
+	// Age is how long ago the store last told of all tables; negative if never.
+	Age() time.Duration
+	Paces() map[spec.UpstreamID]float64
 	Since(table string, version uint64) (feed.Page, bool)
 	// Fresh returns the engines found dead and the fingerprints of requests
 	// that crashed engines since the last call.
@@ -80,6 +92,7 @@
 // Taker is told what others tell. It is called on the goroutine that ticks.
 type Taker interface {
 	Used(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Use)
+	Paced(from spec.InstanceID, paces map[spec.UpstreamID]float64)
 	Told(table string, since uint64, p feed.Page, from spec.InstanceID)
 	Dead(from spec.InstanceID, engines []spec.UpstreamID)
 	Crashed(from spec.InstanceID, prints []uint64)
@@ -95,9 +108,10 @@
 	heard    time.Duration
 	alive    bool
 	versions map[string]uint64
-	cut      bool
-	// lacks is since when it knows less of a table than this instance.
-	lacks map[string]time.Duration
+	// told is up to where it was told of each table.
+	told map[string]uint64
+	// read is when the store last told it of all tables; negative if never.
+	read time.Duration
 }
 
 // Logic is one instance's part. Set the exported fields before use.
@@ -112,6 +126,9 @@
 
 	mu    sync.Mutex
 	count int
+	alive []spec.InstanceID
+	start time.Time
+	read  time.Duration
 }
 
 // Count is how many instances share what is bounded for all, this one among
@@ -135,7 +152,7 @@
 			l.heard(now, ev)
 		}
 	}
-	if now < l.next {
+	if now < l.next && !l.Self.Urgent() {
 		return nil
 	}
 	l.next = now + beat
@@ -156,7 +173,7 @@
 func (l *Logic) peer(id spec.InstanceID) *peer {
 	p := l.peers[id]
 	if p == nil {
-		p = &peer{id: id, lacks: map[string]time.Duration{}}
+		p = &peer{id: id, told: map[string]uint64{}, read: -1}
 		l.peers[id] = p
 	}
 	return p
@@ -170,12 +187,16 @@
 		return
 	}
 	p := l.peer(ev.From)
-	p.url, p.heard, p.versions, p.cut = m.URL, now, m.Versions, m.Cut
+	p.url, p.heard, p.versions, p.read = m.URL, now, m.Versions, -1
+	if m.Age >= 0 {
+		p.read = max(0, now-time.Duration(m.Age)*time.Millisecond)
+	}
 	if !p.alive {
 		p.alive = true
 		l.Taker.Met(p.id)
 	}
 	l.Taker.Used(p.id, m.Uses)
+	l.Taker.Paced(p.id, m.Paces)
 	if len(m.Dead) > 0 {
 		l.Taker.Dead(p.id, m.Dead)
 	}
@@ -190,18 +211,26 @@
 // silence drops the instances that are not heard any more.
 func (l *Logic) silence(now time.Duration) {
 	count := 0
+	read := time.Duration(-1)
+	var alive []spec.InstanceID
 	for _, p := range l.sorted() {
 		if p.heard > 0 && now-p.heard < counted {
 			count++
 		}
 		if p.alive && now-p.heard >= silent {
 			p.alive = false
+			p.told = map[string]uint64{}
 			l.Taker.Missed(p.id)
 		}
+		if p.alive {
+			alive = append(alive, p.id)
+			read = max(read, p.read)
+		}
 	}
 	l.mu.Lock()
-	l.count = count
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	l.count, l.alive, l.read = count, alive, read
+	l.start = time.Now().Add(-now)
 }
 
 func (l *Logic) sorted() []*peer {
@@ -216,7 +245,8 @@
 func (l *Logic) tell(now time.Duration) []node.Command {
 	dead, crashes := l.Self.Fresh()
 	m := Message{
-		URL: l.URL, Uses: l.Self.Uses(), Versions: l.Self.Versions(), Cut: l.Self.Cut(), Dead: dead, Crashes: crashes,
+		URL: l.URL, Uses: l.Self.Uses(), Versions: l.Self.Versions(), Age: l.Self.Age().Milliseconds(),
+		Dead: dead, Crashes: crashes, Paces: l.Self.Paces(),
 	}
 	plain, err := cbor.Marshal(m)
 	if err != nil {
@@ -229,7 +259,7 @@
 			continue
 		}
 		data := plain
-		if m.Tables = l.lacking(now, p, m.Versions); len(m.Tables) > 0 {
+		if m.Tables = l.lacking(p, m.Versions); len(m.Tables) > 0 {
 			if data, err = cbor.Marshal(m); err != nil {
 				panic(err)
 			}
@@ -240,28 +270,24 @@
 }
 
 // lacking is what another instance does not know yet and this one is to tell.
-func (l *Logic) lacking(now time.Duration, p *peer, versions map[string]uint64) []Table {
-	if !p.alive || p.versions == nil {
+// It is told once: what is lost with a connection is told again, since an
+// instance that fell silent is told anew.
+func (l *Logic) lacking(p *peer, versions map[string]uint64) []Table {
+	if !p.alive || p.versions == nil || !l.teller(p) {
 		return nil
 	}
 	var out []Table
 	for _, name := range names(versions) {
-		theirs := p.versions[name]
-		if theirs >= versions[name] {
-			delete(p.lacks, name)
+		since := max(p.versions[name], p.told[name])
+		if since >= versions[name] {
 			continue
 		}
-		since, ok := p.lacks[name]
-		if !ok {
-			p.lacks[name] = now
-			since = now
-		}
-		if !p.cut && now-since < behind || !l.teller(p) {
+		page, ok := l.Self.Since(name, since)
+		if !ok || len(page.Rows) == 0 {
 			continue
 		}
-		if page, ok := l.Self.Since(name, theirs); ok {
-			out = append(out, Table{Name: name, Since: theirs, Version: page.Version, Rows: page.Rows})
-		}
+		p.told[name] = page.Version
+		out = append(out, Table{Name: name, Since: since, Version: page.Version, Rows: page.Rows})
 	}
 	return out
 }
@@ -290,3 +316,33 @@
 	}
 	return false
 }
+
+// Place is the place of this instance among those that may hold a duty: 0 is
+// the first one. All that hear each other agree.
+func (l *Logic) Place(duty string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ids := append([]spec.InstanceID{l.ID}, l.alive...)
+	for i, id := range rank.Top(duty, ids, places) {
+		if id == l.ID {
+			return i
+		}
+	}
+	return places
+}
+
+// dutyRead is the duty of reading the store for all.
+const dutyRead = "read"
+
+// Passive reports whether others read the store often enough for this one not
+// to: with a few dozen instances their calls would cost more than anything
+// else, and each would learn the same.
+func (l *Logic) Passive() bool {
+	place := l.Place(dutyRead)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if place == 0 || l.read < 0 {
+		return false
+	}
+	return time.Since(l.start)-l.read < fresh*time.Duration(1+place)
+}
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -36,8 +36,11 @@
 	up    site.Upstream
 	card  site.Card
 	cells int
-	// pace is how much slower than usual it works, as it last said.
-	pace float64
+	// pace is how much slower than usual it works. said is what it said here
+	// last, and when.
+	pace   float64
+	said   float64
+	saidAt time.Duration
 	// down engines do not answer.
 	down bool
 	// rest is until when it gets no new requests.
@@ -61,6 +64,7 @@
 	engines []*engine
 	byID    map[spec.UpstreamID]*engine
 	peers   map[spec.InstanceID]map[spec.UpstreamID]Use
+	paces   map[spec.InstanceID]map[spec.UpstreamID]float64
 }
 
 // Sync sets which engines there are. What is known of those that stay is kept;
@@ -111,6 +115,10 @@
 func (t *Table) sum() {
 	for _, e := range t.engines {
 		e.others = Use{}
+		e.pace = max(1, e.said)
+		for _, paces := range t.paces {
+			e.pace = max(e.pace, paces[e.up.ID])
+		}
 	}
 	for _, uses := range t.peers {
 		for id, u := range uses {
@@ -135,7 +143,7 @@
 // Heard takes an engine's report: it answers, at that pace. It returns false if
 // the engine is not the one that is listed or holds less, so that it is as good
 // as dead until the list shows what it holds.
-func (t *Table) Heard(id spec.UpstreamID, r site.Report) bool {
+func (t *Table) Heard(now time.Duration, id spec.UpstreamID, r site.Report) bool {
 	e := t.byID[id]
 	if e == nil {
 		return true
@@ -145,11 +153,48 @@
 	}
 	e.down = false
 	if r.Pace > 0 {
-		e.pace = r.Pace
+		e.said, e.saidAt = r.Pace, now
+		t.sum()
 	}
 	return true
 }
 
+// Slow are the engines that said here that they are slow. After forget it
+// counts no more: they may have recovered.
+func (t *Table) Slow(now time.Duration) map[spec.UpstreamID]float64 {
+	out := map[spec.UpstreamID]float64{}
+	for _, e := range t.engines {
+		if e.said > slow && now-e.saidAt < forget {
+			out[e.up.ID] = e.said
+		} else if e.said > slow {
+			e.said = 1
+			t.sum()
+		}
+	}
+	return out
+}
+
+const (
+	// slow is the pace from which an engine counts as slow; reports of sound
+	// ones differ by a few percent.
+	slow = 1.15
+	// forget is how long what an engine said of its pace counts without being
+	// said again.
+	forget = 4 * time.Second
+)
+
+// Paced takes what engines told another instance; nil forgets it.
+func (t *Table) Paced(from spec.InstanceID, paces map[spec.UpstreamID]float64) {
+	if len(paces) == 0 && len(t.paces[from]) == 0 {
+		return
+	}
+	if t.paces == nil {
+		t.paces = map[spec.InstanceID]map[spec.UpstreamID]float64{}
+	}
+	t.paces[from] = paces
+	t.sum()
+}
+
 // Down marks an engine that does not answer. It gets no requests until it is
 // heard of again. It returns false if there is nothing new in that.
 func (t *Table) Down(id spec.UpstreamID, born int64) bool {
--- a/internal/state/feed/follow.go
+++ b/internal/state/feed/follow.go
@@ -31,6 +31,9 @@
 	maxBackoff = 800 * time.Millisecond
 )
 
+// passivePause is the pause between two looks whether others still read.
+const passivePause = 100 * time.Millisecond
+
 // Follower keeps one table followed. Set the exported fields before Run.
 type Follower struct {
 	Table  string
@@ -42,7 +45,10 @@
 	// Pause lies between two calls that bring news, so that changes of many
 	// rows gather in one call.
 	Pause time.Duration
-	Log   *zap.Logger
+	// Passive reports whether others read for this follower for now; nil is
+	// never.
+	Passive func() bool
+	Log     *zap.Logger
 
 	whole   bool
 	known   bool
@@ -55,6 +61,12 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.whole = true
 	for ctx.Err() == nil {
+		if !f.whole && f.Passive != nil && f.Passive() {
+			if !sleep(ctx, passivePause) {
+				return
+			}
+			continue
+		}
 		news, err := f.step(ctx)
 		pause := f.Pause
 		switch {
--- a/internal/state/feed/view.go
+++ b/internal/state/feed/view.go
@@ -38,6 +38,10 @@
 // whoever told it, so a late or repeated message changes nothing. It is not
 // safe for concurrent use.
 type View struct {
+	// Same reports whether two values of a row tell the same, so that a
+	// heartbeat is no change; nil compares nothing.
+	Same func(key string, a, b []byte) bool
+
 	rows    map[string]Row
 	version uint64
 	tombs   int
@@ -77,7 +81,7 @@
 func (v *View) Changes(since uint64, p Page) []Row {
 	var changed []Row
 	for _, r := range p.Rows {
-		if old, ok := v.rows[r.Key]; ok && old.Version >= r.Version {
+		if old, ok := v.rows[r.Key]; ok && (old.Version >= r.Version || v.same(old, r)) {
 			continue
 		}
 		v.put(r)
@@ -89,6 +93,10 @@
 	return changed
 }
 
+func (v *View) same(old, r Row) bool {
+	return v.Same != nil && !old.Gone && !r.Gone && v.Same(r.Key, old.Value, r.Value)
+}
+
 func (v *View) put(r Row) {
 	if v.rows == nil {
 		v.rows = map[string]Row{}
