Count a pass for all layers that an engine holds, and blur costs at random

Cause: a request that used a few layers of an engine was counted for these alone, so paths hopped over up to seven engines and waited at each for passes over all its layers.

--- a/internal/app/edge/ends.go
+++ b/internal/app/edge/ends.go
@@ -122,8 +122,22 @@
 // ended notes how a caller's request ended.
 func (i *Instance) ended(c *relay.Call, r relay.Reply, status int, took time.Duration) {
 	if r.Reason == relay.ReasonNone && status < http.StatusInternalServerError {
+		i.late(c, r, took)
 		return
 	}
 	i.Log.Info("edge: request not served", zap.String("request", c.Ask.ID), zap.String("route", c.Route.Name), zap.Int("status", status),
 		zap.Stringer("reason", r.Reason), zap.Bool("ran", r.Ran), zap.Int("sent", r.Tried), zap.Duration("took", took))
 }
+
+// late notes an answer that missed the target of its route.
+func (i *Instance) late(c *relay.Call, r relay.Reply, took time.Duration) {
+	first := took
+	if c.Service.Model != nil {
+		first = r.First
+	}
+	if first <= c.Route.Target && (c.Route.Gap == 0 || r.Pause <= c.Route.Gap) {
+		return
+	}
+	i.Log.Info("edge: answer late", zap.String("request", c.Ask.ID), zap.String("route", c.Route.Name), zap.Int("sent", r.Tried),
+		zap.Duration("first", first), zap.Duration("pause", r.Pause), zap.Duration("pause at", r.PauseAt), zap.Stringer("path", r.PausePath), zap.Duration("took", took))
+}
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -87,7 +88,7 @@
 			continue
 		}
 		if g.model == nil {
-			g.model = &path.Table{Centre: r.centre}
+			g.model = &path.Table{Centre: r.centre, Random: rand.Float64}
 		}
 		g.model.Model = s.Model
 		g.model.Sync(g.list)
--- a/internal/base/spec/chain.go
+++ b/internal/base/spec/chain.go
@@ -1,6 +1,9 @@
 package spec
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Stage is one link of a chain: an engine and the layers that it runs.
 type Stage struct {
@@ -38,6 +41,15 @@
 	return nil
 }
 
+// String writes the chain as "engine:from-to" entries.
+func (c Chain) String() string {
+	parts := make([]string, 0, len(c))
+	for _, s := range c {
+		parts = append(parts, string(s.engine)+":"+s.layers.String())
+	}
+	return strings.Join(parts, ",")
+}
+
 // Uses reports whether one of the stages runs on engine.
 func (c Chain) Uses(engine UpstreamID) bool {
 	for _, s := range c {
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -29,6 +29,8 @@
 	// promised to the last cell, so that load moves to free engines before
 	// none is left to take over from one that dies.
 	crowd = 400.0
+	// blur is the most by which costs are raised at random.
+	blur = 0.5
 	// hurt weighs the delay that a request brings to those that already pass
 	// an engine against its own.
 	hurt = 0.5
@@ -97,6 +99,7 @@
 	held := e.up.Held.Layers
 	to := min(held.To(), a.To)
 	cost := math.Inf(1)
+	chance := 1 + t.spread()
 	try := func(from int, base float64, before int) {
 		layers := spec.NewLayers(from, to)
 		c, fits := t.cost(a.Need, e, layers.Len())
@@ -104,6 +107,7 @@
 			tight = true
 			return
 		}
+		c *= chance
 		if base+c < cost {
 			cost = base + c
 			out = step{engine: e, layers: layers, cost: cost, before: before}
@@ -123,6 +127,16 @@
 	return out, ok, tight
 }
 
+// spread is the part by which an engine's cost is raised at random. Instances
+// that know of each other's choices only after a while would else all choose
+// the same engines at once: with 33 of them, 50 requests between two messages.
+func (t *Table) spread() float64 {
+	if t.Random == nil {
+		return 0
+	}
+	return blur * t.Random()
+}
+
 func unwind(steps []step, at int) spec.Chain {
 	var back []spec.Stage
 	for ; at >= 0; at = steps[at].before {
@@ -153,18 +167,24 @@
 	if after > limit {
 		return 0, false
 	}
-	held := float64(e.up.Held.Layers.Len())
 	share := float64(layers) / float64(t.Model.Layers)
-	step := share * e.card.Pace * e.pace
-	context := float64(u.Cells) / held / 1000
 	writer := millis(t.Model.Writer) + millis(t.Model.Context)*float64(n.Prompt+n.Answer)/1000
-	own := millis(t.Model.Step) + millis(t.Model.Writer)*float64(u.Streams+1) + millis(t.Model.Context)*context
-	write := step * float64(n.Answer) * (own + hurt*writer*float64(u.Streams))
+	write := float64(n.Answer) * (t.pass(e, u, 1) + hurt*writer*float64(u.Streams)*share*e.card.Pace*e.pace)
 	read := e.card.Read * e.pace * 1000 / t.Model.ReadRate / float64(t.Model.Layers) * (float64(n.Prompt*layers) + float64(u.Unread))
 	fill := after / limit
 	return write + read*(1+hurt) + crowd*share*fill*fill, true
 }
 
+// pass is the time in milliseconds of a step of e with so many more requests
+// than use it. A pass runs all that wait, so a request that needs a few of an
+// engine's layers takes as long as those that need them all.
+func (t *Table) pass(e *engine, u Use, more int) float64 {
+	held := float64(e.up.Held.Layers.Len())
+	context := float64(u.Cells) / max(1, held) / 1000
+	work := millis(t.Model.Step) + millis(t.Model.Writer)*float64(u.Streams+more) + millis(t.Model.Context)*context
+	return held / float64(t.Model.Layers) * e.card.Pace * e.pace * work
+}
+
 // Step is the predicted time of one token over a chain.
 func (t *Table) Step(c spec.Chain) time.Duration {
 	var ms float64
@@ -173,10 +193,7 @@
 		if e == nil {
 			continue
 		}
-		u := e.use()
-		share := float64(s.Layers().Len()) / float64(t.Model.Layers)
-		context := float64(u.Cells) / float64(max(1, e.up.Held.Layers.Len())) / 1000
-		ms += share * e.card.Pace * e.pace * (millis(t.Model.Step) + millis(t.Model.Writer)*float64(u.Streams) + millis(t.Model.Context)*context)
+		ms += t.pass(e, e.use(), 0)
 		if i > 0 {
 			if before := t.byID[c[i-1].Engine()]; before != nil {
 				ms += millis(t.Model.Delay(before.up.Centre, e.up.Centre))
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -60,6 +60,8 @@
 type Table struct {
 	Model  *site.Model
 	Centre spec.DataCentre
+	// Random draws from [0, 1); nil always draws 0.
+	Random func() float64
 
 	engines []*engine
 	byID    map[spec.UpstreamID]*engine
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fulmarwick/internal/base/site"
+	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/wire/send"
 )
 
@@ -86,6 +87,12 @@
 	Begun bool
 	// Tried is how many upstreams the call was sent to.
 	Tried int
+	// First is the time to the first event of a stream, Pause the longest one
+	// between events; PauseAt is when that ended and PausePath the engines then.
+	First     time.Duration
+	Pause     time.Duration
+	PauseAt   time.Duration
+	PausePath spec.Chain
 }
 
 // hopHeaders concern one connection only.
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -82,7 +82,7 @@
 	defer cancel()
 	m.Budget.First(c.Service.Name)
 	s := &stream{models: m, call: c, ctx: ctx, sink: sink, last: c.Ask.After}
-	return s.run()
+	return s.pace.tell(s.run())
 }
 
 // stream is one request over all its runs.
@@ -102,6 +102,36 @@
 	avoid []spec.UpstreamID
 	// answer is an engine's own failure, passed on if nothing better comes.
 	answer *Reply
+
+	// pace is how the events came so far.
+	pace pace
+}
+
+// pace is how the events of an answer came, over all runs.
+type pace struct {
+	last    time.Time
+	first   time.Duration
+	pause   time.Duration
+	pauseAt time.Duration
+	path    spec.Chain
+}
+
+// event notes an event of a run.
+func (p *pace) event(start time.Time, f *Flight) {
+	now := time.Now()
+	if p.last.IsZero() {
+		p.first = now.Sub(start)
+	} else if d := now.Sub(p.last); d > p.pause {
+		p.pause, p.pauseAt = d, now.Sub(start)
+		p.path, _ = f.Chain()
+	}
+	p.last = now
+}
+
+// tell adds how events came to the final answer.
+func (p *pace) tell(r Reply) Reply {
+	r.First, r.Pause, r.PauseAt, r.PausePath = p.first, p.pause, p.pauseAt, p.path
+	return r
 }
 
 func (s *stream) run() Reply {
@@ -322,6 +352,7 @@
 			return err
 		}
 		f.touch()
+		s.pace.event(s.call.Start, f)
 		if r.Seen() == 1 {
 			s.models.Paths.Wrote(f)
 		}
