--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -183,7 +183,7 @@
 }
 
 // Begin chooses a path for a model request and counts a run in.
-func (r *router) Begin(c *relay.Call, avoid []spec.UpstreamID) (*relay.Flight, error) {
+func (r *router) Begin(c *relay.Call, begun bool, avoid []spec.UpstreamID) (*relay.Flight, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	g := r.group(c.Service.Name)
@@ -191,6 +191,7 @@
 		return nil, path.ErrNone
 	}
 	n := need(c.Ask, g.model.Model)
+	n.Haste = begun
 	chain, err := g.model.Choose(r.now(), n, avoiding(avoid))
 	if err != nil {
 		return nil, err
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -23,7 +23,7 @@
 	lookLate = 60 * time.Millisecond
 	// askTime is how long an engine may take to answer how it is; on a calm
 	// day it takes 1 to 3 ms.
-	askTime = 45 * time.Millisecond
+	askTime = 28 * time.Millisecond
 	// repathTime bounds the answer to an order for another path.
 	repathTime = 60 * time.Millisecond
 	// lagEvery is the pause between two looks for slow engines, and between two
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -26,14 +26,20 @@
 	// paid for, about as much as 1% of a request.
 	crossing = 40.0
 	// crowd is the time in milliseconds added for an engine whose memory is
-	// promised to the last cell, so that load moves to free engines before
-	// none is left to take over from one that dies.
-	crowd = 400.0
+	// promised to the last cell, so that load moves to slower free engines
+	// before none is left to take over from one that dies. With 400 the fast
+	// engines of 89 were full while the slow ones were idle, and the loss of
+	// three left most streams late for the rest of the day.
+	crowd = 1500.0
 	// blur is the most by which costs are raised at random.
 	blur = 0.5
+	// haste weighs the time to the next event of an answer that was broken off
+	// against the rest: when an engine dies its streams are read again all at
+	// once, and what counts is that none waits long for it.
+	haste = 6
 	// hurt weighs the delay that a request brings to those that already pass
 	// an engine against its own.
-	hurt = 0.5
+	hurt = 1.0
 )
 
 // Ask is a question for a path over the layers [From, To).
@@ -172,6 +178,9 @@
 	write := float64(n.Answer) * (t.pass(e, u, 1) + hurt*writer*float64(u.Streams)*share*e.card.Pace*e.pace)
 	read := e.card.Read * e.pace * 1000 / t.Model.ReadRate / float64(t.Model.Layers) * (float64(n.Prompt*layers) + float64(u.Unread))
 	fill := after / limit
+	if n.Haste {
+		read *= haste
+	}
 	return write + read*(1+hurt) + crowd*share*fill*fill, true
 }
 
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -269,6 +269,9 @@
 	// Prompt is the tokens to read, Answer those to write.
 	Prompt int
 	Answer int
+	// Haste is set for an answer that was broken off: its caller has begun to
+	// read, and waits for the next event, not for the last one.
+	Haste bool
 }
 
 func (n Need) use(layers int, unread bool) Use {
--- a/internal/route/stall/stall.go
+++ b/internal/route/stall/stall.go
@@ -18,11 +18,15 @@
 
 const (
 	// patience is after how many usual pauses a stream counts as silent. Passes
-	// in which others' prompts are read take two or three times the usual.
-	patience = 4
+	// in which others' prompts are read take up to twice the usual.
+	patience = 3
 	// shortest is the least silence that counts: an engine that reads a chunk
 	// of a prompt between two passes takes up to 60 ms.
 	shortest = 70 * time.Millisecond
+	// many is how many silent streams of one engine are enough to look sooner,
+	// after manyShortest: no chance makes so many fall silent at once.
+	many         = 5
+	manyShortest = 42 * time.Millisecond
 	// unread is the silence that counts before the first event of a stream, on
 	// top of what reading its prompt is predicted to take.
 	unread = 350 * time.Millisecond
@@ -53,6 +57,7 @@
 type sight struct {
 	newest time.Duration
 	silent int
+	hushed int
 	alone  bool
 }
 
@@ -73,28 +78,36 @@
 	}
 	for _, s := range streams {
 		quiet := now - s.Last
-		if quiet < limit(s) {
-			continue
-		}
 		for _, stage := range s.Chain {
 			e := seen[stage.Engine()]
 			// An event of any stream after this one fell silent shows that the
 			// engine lives.
-			if e.newest > s.Last+limit(s)/2 {
+			if e.newest > s.Last+limit(s, shortest)/2 {
 				continue
 			}
-			e.silent++
-			e.alone = e.alone || quiet >= alone*limit(s)
+			if s.Writing && quiet >= limit(s, manyShortest) {
+				e.hushed++
+			}
+			if quiet >= limit(s, shortest) {
+				e.silent++
+				e.alone = e.alone || quiet >= alone*limit(s, shortest)
+			}
 		}
 	}
 	return w.ask(now, seen)
 }
 
-func limit(s Stream) time.Duration {
+// limit is the silence of a stream that counts.
+func limit(s Stream, least time.Duration) time.Duration {
 	if !s.Writing {
 		return unread
 	}
-	return max(shortest, patience*s.Gap)
+	return max(least, patience*s.Gap)
+}
+
+// suspect reports whether the streams of an engine are reason to ask it.
+func (e *sight) suspect() bool {
+	return e.hushed >= many || e.silent > 1 || e.silent == 1 && e.alone
 }
 
 func (w *Watch) ask(now time.Duration, seen map[spec.UpstreamID]*sight) []spec.UpstreamID {
@@ -108,7 +121,7 @@
 	}
 	var out []spec.UpstreamID
 	for id, e := range seen {
-		if _, asked := w.asked[id]; asked || e.silent == 0 || e.silent == 1 && !e.alone {
+		if _, asked := w.asked[id]; asked || !e.suspect() {
 			continue
 		}
 		w.asked[id] = now
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -27,7 +27,8 @@
 // Paths chooses the engines of model requests and follows their runs.
 type Paths interface {
 	// Begin chooses a path without the engines to avoid and counts a run in.
-	Begin(c *Call, avoid []spec.UpstreamID) (*Flight, error)
+	// begun tells that the caller has a part of the answer.
+	Begin(c *Call, begun bool, avoid []spec.UpstreamID) (*Flight, error)
 	// Wrote tells that the first event of a run came, End that the run is over.
 	Wrote(f *Flight)
 	End(f *Flight)
@@ -157,7 +158,7 @@
 func (s *stream) begin() (*Flight, error) {
 	wait := time.Now().Add(s.call.Route.Target / waitPart)
 	for {
-		f, err := s.models.Paths.Begin(s.call, s.avoid)
+		f, err := s.models.Paths.Begin(s.call, s.begun, s.avoid)
 		if err == nil {
 			f.Request = s.call.Ask.ID
 			return f, nil
