--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -62,7 +62,7 @@
 // open makes the connection parts.
 func (c *crowd) open() {
 	c.alive = map[spec.InstanceID]bool{}
-	c.logic = &mesh.Logic{ID: c.id, URL: c.url, Self: c, Taker: c}
+	c.logic = &mesh.Logic{ID: c.id, URL: c.url, Self: c, Taker: c, Now: time.Now}
 	c.hub = &peer.Hub{Self: node.Peer{ID: c.id, URL: c.url}, Logic: c.logic, Silence: meshSilence, Dial: c.dial, Log: c.log}
 }
 
--- a/internal/app/halt/halt_test.go
+++ b/internal/app/halt/halt_test.go
@@ -47,6 +47,40 @@
 	return s
 }
 
+// The balancer has no other instance and goes on sending. The listener closes
+// after the most time all the same; who comes on a kept connection after that
+// is told to go elsewhere, and the answer in progress ends whole.
+func TestListenerClosesThoughRequestsCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t)
+		s.halt.Most = 15 * time.Second
+		s.halt.Late = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+		slow := make(chan string)
+		go func() {
+			text, _ := s.get("/slow")
+			slow <- text
+		}()
+		s.halt.Begin()
+		for range 14 {
+			time.Sleep(time.Second)
+			if text, ok := s.get("/fast"); !ok {
+				t.Errorf("got %q before the most time, want an answer", text)
+			}
+		}
+		time.Sleep(1500 * time.Millisecond)
+		if text, ok := s.get("/fast"); ok && text == "fast" {
+			t.Errorf("got %q after the most time, want none", text)
+		}
+		close(s.gate)
+		if text := <-slow; text != "first last" {
+			t.Errorf("got %q, want the whole slow answer", text)
+		}
+		if err := <-s.ended; err != nil {
+			t.Errorf("got %v, want a clean end", err)
+		}
+	})
+}
+
 // get returns the answer's text, or the error.
 func (s *site) get(path string) (string, bool) {
 	resp, err := s.client.Get("http://in" + path)
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -4,8 +4,7 @@
 // they lack.
 //
 // It imports base/spec, fleet/node for the events and commands of the wire, and
-// fleet/rank. Package peer drives it by Tick; app/edge fills it. It does no I/O
-// and reads no clock.
+// fleet/rank. Package peer drives it by Tick; app/edge fills it. It does no I/O.
 package mesh
 
 import (
@@ -121,6 +120,8 @@
 	URL   string
 	Self  Self
 	Taker Taker
+	// Now is the clock that Passive reads, for callers outside of the ticks.
+	Now func() time.Time
 
 	peers map[spec.InstanceID]*peer
 	next  time.Duration
@@ -231,7 +232,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.count, l.alive, l.read = count, alive, read
-	l.start = time.Now().Add(-now)
+	l.start = l.Now().Add(-now)
 }
 
 func (l *Logic) sorted() []*peer {
@@ -345,5 +346,5 @@
 	if place == 0 || l.read < 0 {
 		return false
 	}
-	return time.Since(l.start)-l.read < fresh*time.Duration(1+place)
+	return l.Now().Sub(l.start)-l.read < fresh*time.Duration(1+place)
 }
--- /dev/null
+++ b/internal/fleet/mesh/mesh_test.go
@@ -0,0 +1,172 @@
+package mesh_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/mesh"
+	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/route/crash"
+	"fulmarwick/internal/route/path"
+	"fulmarwick/internal/state/feed"
+)
+
+// member is one instance as the logic sees it.
+type member struct {
+	logic *mesh.Logic
+	view  feed.View
+	read  time.Time
+	cut   bool
+	dead  []spec.UpstreamID
+
+	used map[spec.InstanceID]int
+	met  map[spec.InstanceID]bool
+	told int
+	from []spec.InstanceID
+}
+
+const table = "t"
+
+func (m *member) Urgent() bool { return len(m.dead) > 0 }
+func (m *member) Uses() map[string]map[spec.UpstreamID]path.Use {
+	return map[string]map[spec.UpstreamID]path.Use{"s": {"e": {Streams: 1}}}
+}
+func (m *member) Versions() map[string]uint64        { return map[string]uint64{table: m.view.Version()} }
+func (m *member) Paces() map[spec.UpstreamID]float64 { return nil }
+func (m *member) Age() time.Duration {
+	if m.read.IsZero() {
+		return -1
+	}
+	return time.Since(m.read)
+}
+func (m *member) Since(_ string, v uint64) (feed.Page, bool) { return m.view.Since(v) }
+func (m *member) Fresh() ([]spec.UpstreamID, []crash.Death) {
+	dead := m.dead
+	m.dead = nil
+	return dead, nil
+}
+
+func (m *member) Used(from spec.InstanceID, _ map[string]map[spec.UpstreamID]path.Use) {
+	m.used[from]++
+}
+func (m *member) Paced(spec.InstanceID, map[spec.UpstreamID]float64) {}
+func (m *member) Told(_ string, since uint64, p feed.Page, _ spec.InstanceID) {
+	m.told++
+	m.view.Changes(since, p)
+}
+func (m *member) Dead(from spec.InstanceID, _ []spec.UpstreamID) { m.from = append(m.from, from) }
+func (m *member) Crashed(spec.InstanceID, []crash.Death)         {}
+func (m *member) Met(id spec.InstanceID)                         { m.met[id] = true }
+func (m *member) Missed(id spec.InstanceID)                      { delete(m.met, id) }
+
+// fleet is instances that tick together; lost drops messages.
+type fleet struct {
+	members map[spec.InstanceID]*member
+	inbox   map[spec.InstanceID][]node.Event
+	lost    func(from, to spec.InstanceID) bool
+	sent    int
+}
+
+func open(n int) *fleet {
+	f := &fleet{members: map[spec.InstanceID]*member{}, inbox: map[spec.InstanceID][]node.Event{}}
+	var peers []node.Peer
+	for k := range n {
+		id := spec.InstanceID(fmt.Sprintf("i%d", k))
+		m := &member{used: map[spec.InstanceID]int{}, met: map[spec.InstanceID]bool{}}
+		m.logic = &mesh.Logic{ID: id, URL: "http://" + string(id), Self: m, Taker: m, Now: time.Now}
+		f.members[id] = m
+		peers = append(peers, node.Peer{ID: id, URL: "http://" + string(id)})
+	}
+	for id := range f.members {
+		f.inbox[id] = []node.Event{node.Listed{Peers: peers}}
+	}
+	return f
+}
+
+// run ticks all members every 50 ms of the given span.
+func (f *fleet) run(from, to time.Duration) {
+	for now := from; now < to; now += 50 * time.Millisecond {
+		for id, m := range f.members {
+			events := f.inbox[id]
+			f.inbox[id] = nil
+			for _, c := range m.logic.Tick(now, events) {
+				s, ok := c.(node.Send)
+				if !ok || f.lost != nil && f.lost(id, s.To) || f.members[s.To] == nil {
+					continue
+				}
+				f.sent++
+				f.inbox[s.To] = append(f.inbox[s.To], node.Heard{From: id, Data: s.Data})
+			}
+		}
+	}
+}
+
+// One instance reads a change, another cannot. It is told within a beat, once
+// by each teller, and everybody counts everybody.
+func TestChangeIsTold(t *testing.T) {
+	f := open(5)
+	f.run(0, time.Second)
+	for id, m := range f.members {
+		if got := m.logic.Count(); got != 5 || len(m.met) != 4 {
+			t.Errorf("%s: got %d counted and %d met, want 5 and 4", id, got, len(m.met))
+		}
+	}
+	page := feed.Page{Rows: []feed.Row{{Key: "k", Version: 7, Value: []byte("v")}}, Version: 7}
+	for id, m := range f.members {
+		if id != "i3" {
+			m.view.Changes(0, page)
+		}
+	}
+	f.run(time.Second, 2*time.Second)
+	m := f.members["i3"]
+	if m.view.Version() != 7 || m.told == 0 || m.told > 2 {
+		t.Errorf("got version %d told %d times, want 7 told once or twice", m.view.Version(), m.told)
+	}
+}
+
+// An engine is found dead between two beats: the others hear at the next tick.
+func TestDeadEngineIsToldAtOnce(t *testing.T) {
+	f := open(2)
+	f.run(0, time.Second)
+	f.members["i0"].dead = []spec.UpstreamID{"e"}
+	f.run(time.Second, 1100*time.Millisecond)
+	if got := f.members["i1"].from; len(got) != 1 {
+		t.Errorf("got %v, want to hear of the dead engine within 100ms", got)
+	}
+}
+
+// An instance falls silent. It counts no more for what engines carry after
+// 1.5 s, but goes on counting for what all share until it surely serves nobody.
+func TestSilentInstance(t *testing.T) {
+	f := open(3)
+	f.run(0, time.Second)
+	f.lost = func(from, to spec.InstanceID) bool { return from == "i2" || to == "i2" }
+	f.run(time.Second, 4*time.Second)
+	m := f.members["i0"]
+	if m.met["i2"] || m.logic.Count() != 3 {
+		t.Errorf("got met %v and %d counted after 3s, want missed and 3", m.met["i2"], m.logic.Count())
+	}
+	f.run(4*time.Second, 20*time.Second)
+	if got := m.logic.Count(); got != 2 {
+		t.Errorf("got %d counted after 19s, want 2", got)
+	}
+}
+
+// Each duty has one first instance, on which all that hear each other agree.
+func TestOneFirstPlace(t *testing.T) {
+	f := open(7)
+	f.run(0, time.Second)
+	for _, duty := range []string{"read", "plan", "x"} {
+		first := 0
+		for _, m := range f.members {
+			if m.logic.Place(duty) == 0 {
+				first++
+			}
+		}
+		if first != 1 {
+			t.Errorf("%s: got %d first places, want 1", duty, first)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/feed/feed_test.go
@@ -0,0 +1,198 @@
+package feed_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/state/feed"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+)
+
+// log is all changes of a table, by version.
+type log []feed.Row
+
+func (l log) since(version uint64) feed.Page {
+	p := feed.Page{Version: uint64(len(l))}
+	newest := map[string]feed.Row{}
+	for _, r := range l {
+		newest[r.Key] = r
+	}
+	for _, r := range l {
+		if r.Version > version && newest[r.Key].Version == r.Version {
+			p.Rows = append(p.Rows, r)
+		}
+	}
+	return p
+}
+
+func (l log) whole(version uint64) feed.Page {
+	p := feed.Page{Version: version}
+	for _, r := range l[:version].since(0).Rows {
+		if !r.Gone {
+			p.Rows = append(p.Rows, r)
+		}
+	}
+	return p
+}
+
+func same(a, b []feed.Row) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Key != b[i].Key || !bytes.Equal(a[i].Value, b[i].Value) {
+			return false
+		}
+	}
+	return true
+}
+
+// Two instances read a table, tell each other what the other one lacks, in any
+// order, late and twice, and read it whole from a stale moment. Both end with
+// the rows of the store, and no row ever goes back to an older version.
+func TestViewsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l log
+		views := []*feed.View{{}, {}}
+		seen := []map[string]uint64{{}, {}}
+		check := func(i int, changed []feed.Row) {
+			for _, r := range changed {
+				if r.Version < seen[i][r.Key] {
+					t.Fatalf("got version %d of %s after %d, want none older", r.Version, r.Key, seen[i][r.Key])
+				}
+				seen[i][r.Key] = r.Version
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			i := rapid.IntRange(0, 1).Draw(t, "view")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				r := feed.Row{Key: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key")), Version: uint64(len(l) + 1)}
+				r.Gone = rapid.Bool().Draw(t, "gone")
+				if !r.Gone {
+					r.Value = []byte(fmt.Sprint(r.Version))
+				}
+				l = append(l, r)
+			case 2:
+				since := views[i].Version()
+				check(i, views[i].Changes(since, l.since(since)))
+			case 3:
+				since := uint64(rapid.IntRange(0, len(l)).Draw(t, "since"))
+				if p, ok := views[1-i].Since(since); ok {
+					check(i, views[i].Changes(since, p))
+				}
+			case 4:
+				at := uint64(rapid.IntRange(0, len(l)).Draw(t, "moment"))
+				check(i, views[i].Whole(l.whole(at)))
+			}
+		}
+		for _, v := range views {
+			v.Changes(v.Version(), l.since(v.Version()))
+			if want := l.whole(uint64(len(l))).Rows; !same(v.Rows(), sorted(want)) {
+				t.Fatalf("got %v, want %v", v.Rows(), want)
+			}
+		}
+	})
+}
+
+func sorted(rows []feed.Row) []feed.Row {
+	var v feed.View
+	v.Whole(feed.Page{Rows: rows, Version: 1 << 40})
+	return v.Rows()
+}
+
+// A heartbeat writes a row anew with the same content: it is told to nobody.
+func TestHeartbeatIsNoChange(t *testing.T) {
+	v := &feed.View{Same: func(_ string, a, b []byte) bool { return a[0] == b[0] }}
+	v.Changes(0, feed.Page{Rows: []feed.Row{{Key: "k", Version: 1, Value: []byte("a1")}}, Version: 1})
+	if got := v.Changes(1, feed.Page{Rows: []feed.Row{{Key: "k", Version: 2, Value: []byte("a2")}}, Version: 2}); len(got) != 0 {
+		t.Errorf("got %v, want no change", got)
+	}
+	if p, _ := v.Since(1); len(p.Rows) != 0 || p.Version != 2 {
+		t.Errorf("got %d rows up to %d, want none up to 2", len(p.Rows), p.Version)
+	}
+	if got := v.Changes(2, feed.Page{Rows: []feed.Row{{Key: "k", Version: 3, Value: []byte("b")}}, Version: 3}); len(got) != 1 {
+		t.Errorf("got %v, want one change", got)
+	}
+}
+
+// source is a table that fails by script.
+type source struct {
+	log    log
+	errs   []error
+	whole  int
+	silent bool
+}
+
+func (s *source) next() error {
+	if len(s.errs) == 0 {
+		return nil
+	}
+	err := s.errs[0]
+	s.errs = s.errs[1:]
+	return err
+}
+
+func (s *source) Rows(context.Context, string) (feed.Page, error) {
+	s.whole++
+	return s.log.whole(uint64(len(s.log))), s.next()
+}
+
+func (s *source) Feed(ctx context.Context, _ string, since uint64, wait time.Duration) (feed.Page, error) {
+	if err := s.next(); err != nil {
+		return feed.Page{}, err
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return s.log.since(since), nil
+}
+
+// sink keeps what a follower brings.
+type sink struct {
+	view  feed.View
+	reach []bool
+}
+
+func (s *sink) Version(string) uint64                       { return s.view.Version() }
+func (s *sink) Whole(_ string, p feed.Page)                 { s.view.Whole(p) }
+func (s *sink) Changes(_ string, since uint64, p feed.Page) { s.view.Changes(since, p) }
+func (s *sink) Reach(_ string, ok bool)                     { s.reach = append(s.reach, ok) }
+
+// The store refuses, loses its history and answers again. The follower reads
+// whole once more and then has every row; the loss and the return are told
+// once each.
+func TestFollowerOutlivesOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down := errors.New("down")
+		src := &source{log: log{{Key: "a", Version: 1, Value: []byte("1")}}}
+		got := &sink{}
+		f := &feed.Follower{Table: "t", Source: src, Sink: got, Wait: time.Second, Pause: 100 * time.Millisecond, Log: zap.NewNop()}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { f.Run(ctx); close(done) }()
+		time.Sleep(3 * time.Second)
+		src.errs = []error{down, down, down, feed.ErrHistory}
+		src.log = append(src.log, feed.Row{Key: "a", Version: 2, Gone: true}, feed.Row{Key: "b", Version: 3, Value: []byte("3")})
+		time.Sleep(10 * time.Second)
+		cancel()
+		<-done
+		if rows := got.view.Rows(); len(rows) != 1 || rows[0].Key != "b" {
+			t.Errorf("got %v, want b alone", rows)
+		}
+		if want := []bool{true, false, true}; fmt.Sprint(got.reach) != fmt.Sprint(want) {
+			t.Errorf("got %v, want %v", got.reach, want)
+		}
+		if src.whole != 2 {
+			t.Errorf("got %d whole reads, want 2", src.whole)
+		}
+	})
+}
