--- a/Makefile
+++ b/Makefile
@@ -4,30 +4,34 @@
 STRINGER := golang.org/x/tools/cmd/stringer@v0.52.0
 PACKAGES := ./...
 # Packages with property tests know the flags that fix their seed.
-RAPID := $(addprefix ./,$(sort $(dir $(shell grep -rl pgregory.net/rapid --include=*_test.go internal))))
-PLAIN := $(filter-out $(RAPID),$(addsuffix /,$(addprefix ./,$(sort $(patsubst %/,%,$(dir $(shell find internal -name '*.go')))))))
+RAPID := $(addprefix ./,$(sort $(dir $(shell grep -rl pgregory.net/rapid --include=*_test.go internal platform))))
+PLAIN := $(filter-out $(RAPID),$(addsuffix /,$(addprefix ./,$(sort $(patsubst %/,%,$(dir $(shell find internal platform -name '*.go')))))))
 
 # The tests that KNOWN-RED.txt names are passed over; .ci/run prints them.
 RED := $(shell awk '/^Test/ {printf "%s%s", n++ ? "|" : "", $$1}' KNOWN-RED.txt)
 SKIP := $(if $(RED),-skip '^($(RED))$$')
 
-.PHONY: build test check format lint generate fresh bench tools
+.PHONY: build deploy test check format lint generate fresh bench tools
 
 build:
 	go build -o fulmarwick .
 
+# The build line of the platform's deploy file.
+deploy:
+	$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
+
 test:
 	go test -race -count=1 $(SKIP) $(PLAIN)
 	$(if $(RAPID),go test -race -count=1 $(SKIP) $(RAPID) -rapid.seed=1 -rapid.nofailfile)
 
-check: fresh lint build test
+check: fresh lint build deploy test
 
 format:
-	go run $(IMPORTS) -local fulmarwick -w main.go internal
-	go run $(FUMPT) -w main.go internal
+	go run $(IMPORTS) -local fulmarwick -w main.go internal platform
+	go run $(FUMPT) -w main.go internal platform
 
 lint:
-	@out=$$(go run $(IMPORTS) -local fulmarwick -l main.go internal && go run $(FUMPT) -l main.go internal); test -z "$$out" || { echo "not formatted: $$out"; exit 1; }
+	@out=$$(go run $(IMPORTS) -local fulmarwick -l main.go internal platform && go run $(FUMPT) -l main.go internal platform); test -z "$$out" || { echo "not formatted: $$out"; exit 1; }
 	go vet $(PACKAGES)
 	go run $(LINT) run
 
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -159,7 +159,7 @@
 	}
 	l.next = now + beat
 	l.silence(now)
-	return l.tell(now)
+	return l.tell()
 }
 
 // listed notes where instances should be. One that moved is asked at its new
@@ -244,7 +244,7 @@
 	return out
 }
 
-func (l *Logic) tell(now time.Duration) []node.Command {
+func (l *Logic) tell() []node.Command {
 	dead, crashes := l.Self.Fresh()
 	m := Message{
 		URL: l.URL, Uses: l.Self.Uses(), Versions: l.Self.Versions(), Age: l.Self.Age().Milliseconds(),
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -18,7 +18,6 @@
 	logic *mesh.Logic
 	view  feed.View
 	read  time.Time
-	cut   bool
 	dead  []spec.UpstreamID
 
 	used map[spec.InstanceID]int
@@ -33,6 +32,7 @@
 func (m *member) Uses() map[string]map[spec.UpstreamID]path.Use {
 	return map[string]map[spec.UpstreamID]path.Use{"s": {"e": {Streams: 1}}}
 }
+
 func (m *member) Versions() map[string]uint64        { return map[string]uint64{table: m.view.Version()} }
 func (m *member) Paces() map[spec.UpstreamID]float64 { return nil }
 func (m *member) Age() time.Duration {
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -59,6 +59,15 @@
 	return t.Find(Ask{Need: n, Now: now, To: t.Model.Layers, Avoid: avoid, Before: t.Centre, After: t.Centre})
 }
 
+// allows reports whether an engine may be on the path.
+func (a *Ask) allows(e *engine) bool {
+	held := e.up.Held.Layers
+	if !e.usable(a.Now) || held.To() <= a.From || held.From() >= a.To {
+		return false
+	}
+	return a.Avoid == nil || !a.Avoid(e.up.ID)
+}
+
 // step is the cheapest way found to the end of an engine's layers.
 type step struct {
 	engine *engine
@@ -74,8 +83,7 @@
 	full := false
 	best, bestCost := -1, math.Inf(1)
 	for _, e := range t.engines {
-		held := e.up.Held.Layers
-		if !e.usable(a.Now) || held.To() <= a.From || held.From() >= a.To || a.Avoid != nil && a.Avoid(e.up.ID) {
+		if !a.allows(e) {
 			continue
 		}
 		s, ok, tight := t.extend(a, steps, e)
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -125,10 +125,9 @@
 
 // source is a table that fails by script.
 type source struct {
-	log    log
-	errs   []error
-	whole  int
-	silent bool
+	log   log
+	errs  []error
+	whole int
 }
 
 func (s *source) next() error {
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -50,8 +50,6 @@
 	unready = 300 * time.Millisecond
 	// bodyPause bounds the time for reading a body.
 	bodyPause = 15 * time.Second
-	// defaultUrgency is the rank that engines assume.
-	defaultUrgency = 5
 	// maxUrgency is the last rank that engines know.
 	maxUrgency = 9
 )
@@ -189,7 +187,7 @@
 	} else {
 		reply = s.Models.Do(r.Context(), c, &sink{w: w})
 	}
-	status := s.finish(w, c, reply)
+	status := s.finish(w, reply)
 	if s.Ended != nil {
 		s.Ended(c, reply, status, time.Since(c.Start))
 	}
@@ -201,7 +199,7 @@
 
 // finish writes the final answer unless it was passed on already. It returns
 // its status, or zero if the connection must be broken.
-func (s *Server) finish(w http.ResponseWriter, c *relay.Call, reply relay.Reply) int {
+func (s *Server) finish(w http.ResponseWriter, reply relay.Reply) int {
 	switch {
 	case reply.Reason == relay.ReasonNone && reply.Header == nil:
 		return http.StatusOK
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -316,9 +316,13 @@
 		conn.Close()
 		return s.cut(f, conn, err)
 	}
+	// A body that is not read to its end belongs to a connection that is closed
+	// by then, so that this does not wait for the rest.
+	defer func() { _ = resp.Body.Close() }()
 	if head.NotRun || resp.StatusCode != http.StatusOK || !head.Sealed {
-		defer conn.Close()
-		return s.rejected(f, resp, head)
+		err := s.rejected(f, resp, head)
+		conn.Close()
+		return err
 	}
 	err = s.events(f, resp)
 	if err != nil {
--- a/internal/wire/relay/plain.go
+++ b/internal/wire/relay/plain.go
@@ -261,6 +261,8 @@
 		conn.Close()
 		return nil, false, err
 	}
+	// What is not read belongs to a connection that is closed by then.
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlain+1))
 	if err != nil || len(body) > maxPlain {
 		conn.Close()
