--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -152,18 +152,14 @@
 // connect tells the parts of each other.
 func (i *Instance) connect() {
 	ctx := context.Background()
-	i.router.doubted = func(up site.Upstream) { i.watcher.ask(ctx, up, nil) }
+	i.router.doubted = func(up site.Upstream) { i.watcher.ask(ctx, up, false) }
 	i.belief.onConfig = i.router.setConfig
 	i.belief.onList = func(list []site.Upstream) {
 		i.router.setList(list)
 		i.planner.listed(list)
 		i.watcher.listed(list)
 	}
-	i.crowd.suspect = func(id spec.UpstreamID) {
-		if up, ok := i.router.find(id); ok {
-			i.watcher.ask(ctx, up, nil)
-		}
-	}
+	i.crowd.suspect = func(id spec.UpstreamID) { i.watcher.told(ctx, id) }
 	i.watcher.found = i.crowd.found
 	i.crowd.open()
 	i.router.instances = i.crowd.logic.Count
--- a/internal/app/edge/ends.go
+++ b/internal/app/edge/ends.go
@@ -126,7 +126,7 @@
 		return
 	}
 	i.Log.Info("edge: request not served", zap.String("request", c.Ask.ID), zap.String("route", c.Route.Name), zap.Int("status", status),
-		zap.Stringer("reason", r.Reason), zap.Bool("ran", r.Ran), zap.Int("sent", r.Tried), zap.Duration("took", took))
+		zap.Stringer("reason", r.Reason), zap.Bool("ran", r.Ran), zap.Int("sent", r.Tried), zap.Duration("first", r.First), zap.Duration("pause", r.Pause), zap.Duration("took", took))
 }
 
 // late notes an answer that missed the target of its route.
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -139,7 +139,7 @@
 	g := r.group(up.Service)
 	g.plain.Done(r.now(), up.ID, took, end)
 	if end == least.EndLost {
-		g.lost = append(g.lost, loss{death: crash.Death{Print: print, Upstream: up.ID, Born: up.Born}, at: r.now()})
+		g.lost = append(g.lost, loss{death: crash.Death{Print: print, Upstream: up.ID, Born: up.Born, Ran: took.Milliseconds()}, at: r.now()})
 		g.lost = g.lost[max(0, len(g.lost)-maxLosses):]
 	}
 }
@@ -413,21 +413,6 @@
 	}
 }
 
-// find returns the engine of that name.
-func (r *router) find(id spec.UpstreamID) (site.Upstream, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, g := range r.groups {
-		if g.model == nil {
-			continue
-		}
-		if up, ok := g.model.Upstream(id); ok {
-			return up, true
-		}
-	}
-	return site.Upstream{}, false
-}
-
 // paces are the engines that said here that they are slow.
 func (r *router) paces() map[spec.UpstreamID]float64 {
 	r.mu.Lock()
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -25,6 +25,19 @@
 	// askTime is how long an engine may take to answer how it is; on a calm
 	// day it takes 1 to 3 ms.
 	askTime = 28 * time.Millisecond
+	// askAgain bounds a second question, where the first one alone proves
+	// little: few streams were silent, or this process itself got the processor
+	// late. Without it one death under load made each of 33 instances take
+	// nearly all of 89 engines for dead within two seconds, and the moves that
+	// followed kept them busy.
+	askAgain = 90 * time.Millisecond
+	// busyLate is the delay of a look that shows that the processor is short,
+	// busyTime how long that counts.
+	busyLate = 12 * time.Millisecond
+	busyTime = 250 * time.Millisecond
+	// doubtRest is how long an engine gets nothing new that another instance
+	// found dead, until it is known here as well.
+	doubtRest = 400 * time.Millisecond
 	// repathTime bounds the answer to an order for another path.
 	repathTime = 60 * time.Millisecond
 	// lagEvery is the pause between two looks for slow engines, and between two
@@ -66,6 +79,7 @@
 	moved func(how string)
 
 	mu     sync.Mutex
+	busy   time.Time
 	watch  map[string]*stall.Watch
 	asking map[spec.UpstreamID]bool
 	knock  time.Time
@@ -98,9 +112,14 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		late := now.Sub(last) > lookLate
+		late := now.Sub(last) - lookEvery
 		last = now
-		if late {
+		if late > busyLate {
+			w.mu.Lock()
+			w.busy = now
+			w.mu.Unlock()
+		}
+		if late > lookLate {
 			continue
 		}
 		w.look(ctx, now)
@@ -108,10 +127,8 @@
 }
 
 func (w *watcher) look(ctx context.Context, now time.Time) {
-	for _, ups := range w.silent(now) {
-		for _, up := range ups {
-			w.ask(ctx, up, ups)
-		}
+	for _, s := range w.silent(now) {
+		w.ask(ctx, s.up, s.many)
 	}
 	for _, up := range w.due(now) {
 		w.leave(ctx, up)
@@ -119,13 +136,13 @@
 	if now.Sub(w.knock) >= knockEvery {
 		w.knock = now
 		for _, up := range w.router.downs() {
-			w.ask(ctx, up, nil)
+			w.ask(ctx, up, false)
 		}
 	}
 	if now.Sub(w.lag) >= lagEvery {
 		w.lag = now
 		for _, up := range w.router.laggards() {
-			w.ask(ctx, up, nil)
+			w.ask(ctx, up, false)
 		}
 	}
 }
@@ -234,12 +251,18 @@
 	return out
 }
 
-// silent returns the engines of each service that may be dead.
-func (w *watcher) silent(now time.Time) map[string][]site.Upstream {
+// silentEngine is an engine that may be dead.
+type silentEngine struct {
+	up   site.Upstream
+	many bool
+}
+
+// silent returns the engines that may be dead.
+func (w *watcher) silent(now time.Time) []silentEngine {
 	r := w.router
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := map[string][]site.Upstream{}
+	var out []silentEngine
 	for name, g := range r.groups {
 		if g.model == nil || len(g.flights) == 0 {
 			continue
@@ -249,9 +272,9 @@
 			watch = &stall.Watch{}
 			w.watch[name] = watch
 		}
-		for _, id := range watch.Look(now.Sub(r.start), g.streams(r.start)) {
-			if up, ok := g.model.Upstream(id); ok {
-				out[name] = append(out[name], up)
+		for _, d := range watch.Look(now.Sub(r.start), g.streams(r.start)) {
+			if up, ok := g.model.Upstream(d.Engine); ok {
+				out = append(out, silentEngine{up: up, many: d.Many})
 			}
 		}
 	}
@@ -280,9 +303,9 @@
 	return out
 }
 
-// ask finds out in the background whether an engine lives. among are the
-// engines that are asked at the same time.
-func (w *watcher) ask(ctx context.Context, up site.Upstream, among []site.Upstream) {
+// ask finds out in the background whether an engine lives. many tells that
+// many of its streams are silent.
+func (w *watcher) ask(ctx context.Context, up site.Upstream, many bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.asking[up.ID] {
@@ -295,17 +318,17 @@
 			defer w.mu.Unlock()
 			delete(w.asking, up.ID)
 		}()
-		w.question(ctx, up, len(among))
+		w.question(ctx, up, many)
 	}()
 }
 
-func (w *watcher) question(ctx context.Context, up site.Upstream, among int) {
+func (w *watcher) question(ctx context.Context, up site.Upstream, many bool) {
 	start := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, askTime)
-	defer cancel()
-	w.probed()
-	report, err := w.engines.Report(ctx, up.Address)
-	if errors.Is(ctx.Err(), context.Canceled) {
+	report, late, err := w.report(ctx, up, askTime)
+	if late && (!many || w.isBusy()) {
+		report, _, err = w.report(ctx, up, askAgain)
+	}
+	if ctx.Err() != nil {
 		return
 	}
 	if err == nil && w.router.heard(up, report) {
@@ -319,9 +342,54 @@
 		return
 	}
 	w.log.Warn("edge: engine does not answer", zap.String("engine", string(up.ID)), zap.String("address", up.Address),
-		zap.Int("asked", among), zap.Duration("after", time.Since(start)), zap.Error(err))
+		zap.Bool("many", many), zap.Duration("after", time.Since(start)), zap.Error(err))
 	w.found(up.ID)
-	w.leave(context.WithoutCancel(ctx), up)
+	w.leave(ctx, up)
+}
+
+// report asks an engine how it is; late tells that it did not answer in time.
+func (w *watcher) report(ctx context.Context, up site.Upstream, limit time.Duration) (r site.Report, late bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	w.probed()
+	r, err = w.engines.Report(ctx, up.Address)
+	return r, errors.Is(ctx.Err(), context.DeadlineExceeded), err
+}
+
+// isBusy reports whether this process got the processor late just now.
+func (w *watcher) isBusy() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.busy) < busyTime
+}
+
+// told takes an engine that another instance found dead. It is asked only if
+// streams of this instance pass it: dozens of instances that all ask would
+// keep each other busy.
+func (w *watcher) told(ctx context.Context, id spec.UpstreamID) {
+	up, used := w.router.avoid(id)
+	if used {
+		w.ask(ctx, up, true)
+	}
+}
+
+// avoid gives an engine nothing new for a moment and reports whether streams
+// pass it.
+func (r *router) avoid(id spec.UpstreamID) (up site.Upstream, used bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, g := range r.groups {
+		if g.model == nil {
+			continue
+		}
+		var ok bool
+		if up, ok = g.model.Upstream(id); !ok || g.model.Silent(id) {
+			continue
+		}
+		g.model.Rest(id, r.now()+doubtRest)
+		return up, len(g.over(id)) > 0
+	}
+	return up, false
 }
 
 // blame asks the engines for which others wait.
@@ -404,9 +472,11 @@
 	for _, f := range g.over(up.ID) {
 		t := g.flights[f]
 		if g.model.Silent(up.ID) {
-			r.strike(crash.Death{Print: f.Print, Upstream: up.ID, Born: up.Born})
+			r.strike(crash.Death{Print: f.Print, Upstream: up.ID, Born: up.Born, Ran: time.Since(f.Start).Milliseconds()})
 		}
-		chain, err := g.model.Mend(r.now(), t.chain, f.Need, bad)
+		n := f.Need
+		n.Haste = true
+		chain, err := g.model.Mend(r.now(), t.chain, n, bad)
 		if err != nil {
 			if f.Resume {
 				moves = append(moves, f)
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -6,8 +6,10 @@
 // A request that crashes what runs it comes again, through any instance. All
 // that ran on an upstream that died are suspects, so one death proves nothing:
 // a suspect counts as guilty after the third upstream, and an answer that comes
-// to its end clears it. Many callers may send the same at once, so a death
-// counts once however many of them it met.
+// to its end clears it. Many callers may send the same at once, and engines may
+// die together for reasons of their own, so a death counts only if the run that
+// met it began after the one before: a request that crashes what runs it is
+// sent again and again.
 package crash
 
 import (
@@ -49,6 +51,8 @@
 	// Upstream is its name, Born the start of the process that died.
 	Upstream spec.UpstreamID `cbor:"2,keyasint"`
 	Born     int64           `cbor:"3,keyasint"`
+	// Ran is how long the request had run, in milliseconds.
+	Ran int64 `cbor:"4,keyasint"`
 }
 
 type suspect struct {
@@ -68,7 +72,9 @@
 		b.suspects = map[uint64]suspect{}
 	}
 	s := b.live(now, d.Print)
-	if slices.Contains(s.deaths, d) {
+	began := now - time.Duration(d.Ran)*time.Millisecond
+	known := slices.ContainsFunc(s.deaths, func(o Death) bool { return o.Upstream == d.Upstream && o.Born == d.Born })
+	if known || len(s.deaths) > 0 && began <= s.at {
 		return false
 	}
 	if len(s.deaths) < guilty {
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -13,6 +13,9 @@
 // ErrFull means that no path has memory for the request now.
 var ErrFull = errors.New("path: no engines with room")
 
+// ErrSlow means that the first event would come after callers have left.
+var ErrSlow = errors.New("path: engines are too busy")
+
 // ErrNone means that no engines cover all layers.
 var ErrNone = errors.New("path: layers without an engine")
 
@@ -31,8 +34,16 @@
 	// engines of 89 were full while the slow ones were idle, and the loss of
 	// three left most streams late for the rest of the day.
 	crowd = 1500.0
-	// blur is the most by which costs are raised at random.
-	blur = 0.5
+	// blur is the most by which costs are raised at random, hasteBlur the same
+	// for answers that were broken off: all instances choose for these at the
+	// same moment, when an engine has died.
+	blur      = 0.5
+	hasteBlur = 3
+	// firstMost is the longest predicted time to the first event for which a
+	// request is taken. Callers leave after two seconds without one, and then
+	// the prompt was read in vain while it held up others; the prediction does
+	// not see the passes that a prompt waits for.
+	firstMost = 900 * time.Millisecond
 	// haste weighs the time to the next event of an answer that was broken off
 	// against the rest: when an engine dies its streams are read again all at
 	// once, and what counts is that none waits long for it.
@@ -56,7 +67,28 @@
 
 // Choose returns the cheapest path by predicted time over all layers.
 func (t *Table) Choose(now time.Duration, n Need, avoid func(spec.UpstreamID) bool) (spec.Chain, error) {
-	return t.Find(Ask{Need: n, Now: now, To: t.Model.Layers, Avoid: avoid, Before: t.Centre, After: t.Centre})
+	c, err := t.Find(Ask{Need: n, Now: now, To: t.Model.Layers, Avoid: avoid, Before: t.Centre, After: t.Centre})
+	if err == nil && !n.Haste && t.First(c, n) > firstMost {
+		return nil, ErrSlow
+	}
+	return c, err
+}
+
+// First is the predicted time to the first event of a request over a chain:
+// its prompt is read after those that are unread, and goes through all passes.
+func (t *Table) First(c spec.Chain, n Need) time.Duration {
+	var ms float64
+	for _, s := range c {
+		if e := t.byID[s.Engine()]; e != nil {
+			ms += t.read(e, float64(n.Prompt*s.Layers().Len()+e.use().Unread))
+		}
+	}
+	return time.Duration(ms*float64(time.Millisecond)) + t.Step(c)*time.Duration(t.Model.Stride)
+}
+
+// read is the time in milliseconds in which e reads tokens times layers.
+func (t *Table) read(e *engine, cells float64) float64 {
+	return e.card.Read * e.pace * 1000 / t.Model.ReadRate / float64(t.Model.Layers) * cells
 }
 
 // allows reports whether an engine may be on the path.
@@ -113,7 +145,7 @@
 	held := e.up.Held.Layers
 	to := min(held.To(), a.To)
 	cost := math.Inf(1)
-	chance := 1 + t.spread()
+	chance := 1 + t.spread(a.Haste)
 	try := func(from int, base float64, before int) {
 		layers := spec.NewLayers(from, to)
 		c, fits := t.cost(a.Need, e, layers.Len())
@@ -144,9 +176,12 @@
 // spread is the part by which an engine's cost is raised at random. Instances
 // that know of each other's choices only after a while would else all choose
 // the same engines at once: with 33 of them, 50 requests between two messages.
-func (t *Table) spread() float64 {
-	if t.Random == nil {
+func (t *Table) spread(haste bool) float64 {
+	switch {
+	case t.Random == nil:
 		return 0
+	case haste:
+		return hasteBlur * t.Random()
 	}
 	return blur * t.Random()
 }
@@ -184,7 +219,7 @@
 	share := float64(layers) / float64(t.Model.Layers)
 	writer := millis(t.Model.Writer) + millis(t.Model.Context)*float64(n.Prompt+n.Answer)/1000
 	write := float64(n.Answer) * (t.pass(e, u, 1) + hurt*writer*float64(u.Streams)*share*e.card.Pace*e.pace)
-	read := e.card.Read * e.pace * 1000 / t.Model.ReadRate / float64(t.Model.Layers) * (float64(n.Prompt*layers) + float64(u.Unread))
+	read := t.read(e, float64(n.Prompt*layers+u.Unread))
 	fill := after / limit
 	if n.Haste {
 		read *= haste
--- a/internal/route/stall/stall.go
+++ b/internal/route/stall/stall.go
@@ -61,8 +61,15 @@
 	alone  bool
 }
 
+// Doubt is an engine that may be dead. Many tells that so many of its streams
+// fell silent at once that one question without an answer settles it.
+type Doubt struct {
+	Engine spec.UpstreamID
+	Many   bool
+}
+
 // Look returns the engines that may be dead, in order of their names.
-func (w *Watch) Look(now time.Duration, streams []Stream) []spec.UpstreamID {
+func (w *Watch) Look(now time.Duration, streams []Stream) []Doubt {
 	seen := map[spec.UpstreamID]*sight{}
 	for _, s := range streams {
 		for _, stage := range s.Chain {
@@ -110,7 +117,7 @@
 	return e.hushed >= many || e.silent > 1 || e.silent == 1 && e.alone
 }
 
-func (w *Watch) ask(now time.Duration, seen map[spec.UpstreamID]*sight) []spec.UpstreamID {
+func (w *Watch) ask(now time.Duration, seen map[spec.UpstreamID]*sight) []Doubt {
 	if w.asked == nil {
 		w.asked = map[spec.UpstreamID]time.Duration{}
 	}
@@ -119,14 +126,14 @@
 			delete(w.asked, id)
 		}
 	}
-	var out []spec.UpstreamID
+	var out []Doubt
 	for id, e := range seen {
 		if _, asked := w.asked[id]; asked || !e.suspect() {
 			continue
 		}
 		w.asked[id] = now
-		out = append(out, id)
+		out = append(out, Doubt{Engine: id, Many: e.hushed >= many})
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	sort.Slice(out, func(i, j int) bool { return out[i].Engine < out[j].Engine })
 	return out
 }
