--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -49,6 +50,8 @@
 	// more than half, must lag before it is asked for its pace.
 	lagging    = 1.9
 	lagStreams = 2
+	// lagAskers is how many instances ask the same engine in that time.
+	lagAskers = 3.0
 	// lagLeast is the least pause between events that counts as lagging: below
 	// it nobody is late.
 	lagLeast = 30 * time.Millisecond
@@ -218,7 +221,12 @@
 		lags := g.lags()
 		for _, up := range g.model.Engines() {
 			l := lags[up.ID]
-			if _, ok := slow[up.ID]; ok || l.late >= lagStreams && 2*l.late > l.all {
+			_, known := slow[up.ID]
+			if !known && (l.late < lagStreams || 2*l.late <= l.all) {
+				continue
+			}
+			// What one instance learns all others are told.
+			if rand.Float64() < lagAskers/float64(r.instances()) {
 				out = append(out, up)
 			}
 		}
