--- a/internal/app/cmds/edge.go
+++ b/internal/app/cmds/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 
 	"fulmarwick/internal/app/edge"
 	"fulmarwick/internal/app/setup"
@@ -25,10 +26,11 @@
 			if err != nil {
 				return err
 			}
-			log, err := newLog(settings.Log)
+			log, stop, err := newLines(settings.Log, os.Stdout)
 			if err != nil {
 				return err
 			}
+			defer stop()
 			return runInstance(cmd.Context(), &edge.Instance{
 				Settings: settings, Log: log, Build: build(),
 				Again: func() (setup.File, error) { return setup.Load(path) },
--- /dev/null
+++ b/internal/app/cmds/explain_test.go
@@ -0,0 +1,37 @@
+package cmds_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"fulmarwick/internal/app/cmds"
+)
+
+// Lines of two instances, recorded: a stream whose second engine died.
+const recorded = `klang-1 {"level":"info","ts":"2026-01-02T03:04:06.100Z","msg":"edge: path changed","request":"9c41","path":"a:0-40,c:40-80","silent":88}
+klang-1 no object
+klang-1 {"level":"warn","ts":"2026-01-02T03:04:06.050Z","msg":"edge: engine does not answer","engine":"b","after":28}
+klang-1 {"level":"warn","ts":"2026-01-02T03:04:08.000Z","msg":"edge: answer late","request":"9c41","first":60,"pause":230}
+klang-1 {"level":"info","ts":"2026-01-02T03:04:08.000Z","msg":"edge: request served","request":"77aa"}
+`
+
+func TestExplain(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(name, []byte(recorded), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errOut bytes.Buffer
+	if got := cmds.Execute([]string{"explain", "9c41", name}, &out, &errOut); got != cmds.ExitOK {
+		t.Fatalf("got %d %s, want 0", got, errOut.String())
+	}
+	want := "2026-01-02T03:04:06.100Z klang-1 edge: path changed  path=a:0-40,c:40-80  request=9c41  silent=88\n" +
+		"2026-01-02T03:04:08.000Z klang-1 edge: answer late  first=60  pause=230  request=9c41\n"
+	if got := out.String(); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got := cmds.Execute([]string{"explain", "none", name}, &out, &errOut); got != cmds.ExitFail {
+		t.Errorf("got %d for an ID that no line names, want 1", got)
+	}
+}
--- a/internal/app/cmds/log.go
+++ b/internal/app/cmds/log.go
@@ -1,13 +1,26 @@
 package cmds
 
 import (
+	"io"
+
+	"fulmarwick/internal/app/lines"
 	"fulmarwick/internal/app/setup"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 )
 
+// newLines returns the log of an instance on a platform: bounded lines on
+// standard output, which never hold up a request. stop writes the last ones.
+func newLines(s setup.Log, out io.Writer) (log *zap.Logger, stop func(), err error) {
+	level, err := zap.ParseAtomicLevel(s.Level)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "cmds: log")
+	}
+	w := &lines.Writer{Out: out, Level: level.Level()}
+	return zap.New(w.Core()), w.Close, nil
+}
+
 // newLog returns the log of a process. Lines go to standard error.
 func newLog(s setup.Log) (*zap.Logger, error) {
 	c := zap.NewProductionConfig()
@@ -20,43 +33,11 @@
 		return nil, errors.Wrap(err, "cmds: log")
 	}
 	c.Level = level
-	c.Sampling = nil
 	c.DisableStacktrace = true
 	c.DisableCaller = true
-	log, err := c.Build(zap.WrapCore(func(core zapcore.Core) zapcore.Core { return shortErrors{core} }))
+	log, err := c.Build()
 	if err != nil {
 		return nil, errors.Wrap(err, "cmds: log")
 	}
 	return log, nil
 }
-
-// shortErrors writes errors as their texts: the stacks that the errors library
-// adds would make most of the log's volume.
-type shortErrors struct{ zapcore.Core }
-
-// With adds fields to each line.
-func (c shortErrors) With(fields []zapcore.Field) zapcore.Core {
-	return shortErrors{c.Core.With(texts(fields))}
-}
-
-// Check adds the core to those that write the line.
-func (c shortErrors) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
-	if c.Enabled(e.Level) {
-		return ce.AddCore(e, c)
-	}
-	return ce
-}
-
-// Write writes one line.
-func (c shortErrors) Write(e zapcore.Entry, fields []zapcore.Field) error {
-	return c.Core.Write(e, texts(fields))
-}
-
-func texts(fields []zapcore.Field) []zapcore.Field {
-	for i, f := range fields {
-		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
-			fields[i] = zap.String(f.Key, err.Error())
-		}
-	}
-	return fields
-}
--- a/internal/app/edge/ends.go
+++ b/internal/app/edge/ends.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"fulmarwick/internal/wire/relay"
@@ -121,23 +122,40 @@
 
 // ended notes how a caller's request ended.
 func (i *Instance) ended(c *relay.Call, r relay.Reply, status int, took time.Duration) {
+	i.measure(c, r, status, took)
 	if r.Reason == relay.ReasonNone && status < http.StatusInternalServerError {
-		i.late(c, r, took)
+		i.served(c, r, status, took)
 		return
 	}
-	i.Log.Info("edge: request not served", zap.String("request", c.Ask.ID), zap.String("route", c.Route.Name), zap.Int("status", status),
+	i.Log.Warn("edge: request not served", zap.String("request", c.Ask.ID), zap.String("route", c.Route.Name), zap.Int("status", status),
 		zap.Stringer("reason", r.Reason), zap.Bool("ran", r.Ran), zap.Int("sent", r.Tried), zap.Duration("first", r.First), zap.Duration("pause", r.Pause), zap.Duration("took", took))
 }
 
-// late notes an answer that missed the target of its route.
-func (i *Instance) late(c *relay.Call, r relay.Reply, took time.Duration) {
+// served notes an answer, and whether it missed the target of its route.
+func (i *Instance) served(c *relay.Call, r relay.Reply, status int, took time.Duration) {
 	first := took
 	if c.Service.Model != nil {
 		first = r.First
 	}
+	fields := []zap.Field{
+		zap.String("request", c.Ask.ID), zap.String("route", c.Route.Name), zap.Int("status", status), zap.Int("sent", r.Tried),
+		zap.Duration("first", first), zap.Duration("took", took),
+	}
 	if first <= c.Route.Target && (c.Route.Gap == 0 || r.Pause <= c.Route.Gap) {
+		i.Log.Info("edge: request served", fields...)
 		return
 	}
-	i.Log.Info("edge: answer late", zap.String("request", c.Ask.ID), zap.String("route", c.Route.Name), zap.Int("sent", r.Tried),
-		zap.Duration("first", first), zap.Duration("pause", r.Pause), zap.Duration("pause at", r.PauseAt), zap.Stringer("path", r.PausePath), zap.Duration("took", took))
+	i.Log.Warn("edge: answer late", append(fields, zap.Duration("target", c.Route.Target), zap.Duration("pause", r.Pause),
+		zap.Duration("pause at", r.PauseAt), zap.Stringer("path", r.PausePath))...)
+}
+
+// measure counts how a request ended and how long it took.
+func (i *Instance) measure(c *relay.Call, r relay.Reply, status int, took time.Duration) {
+	kind := c.Route.Kind.String()
+	i.meters.GetOrCreateCounter(`fulmarwick_edge_requests_total{kind="` + kind + `",status="` + strconv.Itoa(status) + `",reason="` + r.Reason.String() + `"}`).Inc()
+	i.meters.GetOrCreateHistogram(`fulmarwick_edge_seconds{kind="` + kind + `"}`).Update(took.Seconds())
+	if r.First > 0 {
+		i.meters.GetOrCreateHistogram(`fulmarwick_edge_first_seconds`).Update(r.First.Seconds())
+		i.meters.GetOrCreateHistogram(`fulmarwick_edge_pause_seconds`).Update(r.Pause.Seconds())
+	}
 }
--- /dev/null
+++ b/internal/app/lines/lines_test.go
@@ -0,0 +1,104 @@
+package lines_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/app/lines"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// clock is a time that the test moves.
+type clock struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (c *clock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at
+}
+
+func (c *clock) move(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = c.at.Add(d)
+}
+
+func count(out, message string) int { return strings.Count(out, `"msg":"`+message+`"`) }
+
+// A kind of line floods the log. It is cut at its budget, failures are kept
+// beyond that, and what was left out is told in the next second.
+func TestFloodIsCutAndCounted(t *testing.T) {
+	var out bytes.Buffer
+	c := &clock{at: time.Unix(100, 0)}
+	w := &lines.Writer{Out: &out, Level: zapcore.InfoLevel, Now: c.now}
+	log := zap.New(w.Core())
+	for range 200 {
+		log.Info("served")
+		log.Warn("failed", zap.Error(errors.Wrap(errors.New("cause"), "outer")))
+		log.Debug("hidden")
+	}
+	c.move(time.Second)
+	log.Info("served", zap.Duration("took", 1500*time.Microsecond))
+	w.Close()
+	got := out.String()
+	if n := count(got, "served"); n != 61 {
+		t.Errorf("got %d lines of one kind, want 60 and one in the next second", n)
+	}
+	if n := count(got, "failed"); n != 200 || count(got, "hidden") != 0 {
+		t.Errorf("got %d failures, want all 200 and no line below the level", n)
+	}
+	if !strings.Contains(got, `"msg":"lines: left out","lost":0,"served":140`) {
+		t.Errorf("got %s, want the count of what was left out", got[max(0, len(got)-300):])
+	}
+	for line := range strings.Lines(got) {
+		var v map[string]any
+		if err := json.Unmarshal([]byte(line), &v); err != nil {
+			t.Fatalf("got %q: %v, want JSON", line, err)
+		}
+		if v["msg"] == "failed" && v["error"] != "outer: cause" {
+			t.Errorf("got %v, want the error's text alone", v)
+		}
+	}
+}
+
+// stuck is a reader that takes nothing until it is freed.
+type stuck struct {
+	free  chan struct{}
+	taken int
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.free
+	s.taken++
+	return len(p), nil
+}
+
+// The reader of the log stops. Callers of the log go on without waiting; the
+// lines beyond the buffer are lost and counted.
+func TestStoppedReaderCostsNoTime(t *testing.T) {
+	out := &stuck{free: make(chan struct{})}
+	c := &clock{at: time.Unix(100, 0)}
+	w := &lines.Writer{Out: out, Level: zapcore.InfoLevel, Now: c.now}
+	log := zap.New(w.Core())
+	for range 100 {
+		for range 50 {
+			log.Info("a")
+		}
+		c.move(time.Second)
+	}
+	close(out.free)
+	w.Close()
+	if out.taken < 1000 || out.taken > 1100 {
+		t.Errorf("got %d lines, want those of the buffer", out.taken)
+	}
+}
