--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -31,6 +31,9 @@
 	// counted is how long an instance that fell silent still counts for what
 	// all share: it may serve callers while it cannot be heard.
 	counted = 15 * time.Second
+	// tellAgain is after how long an instance that was told of a change and does
+	// not show it is told again: the message was lost, or it restarted.
+	tellAgain = 600 * time.Millisecond
 	// tellers is how many instances tell one that is behind; more would only
 	// repeat each other.
 	tellers = 2
@@ -108,12 +111,18 @@
 	heard    time.Duration
 	alive    bool
 	versions map[string]uint64
-	// told is up to where it was told of each table.
-	told map[string]uint64
+	// told is up to where it was told of each table, and when.
+	told map[string]telling
 	// read is when the store last told it of all tables; negative if never.
 	read time.Duration
 }
 
+// telling is what an instance was told of a table.
+type telling struct {
+	version uint64
+	at      time.Duration
+}
+
 // Logic is one instance's part. Set the exported fields before use.
 type Logic struct {
 	ID    spec.InstanceID
@@ -159,7 +168,7 @@
 	}
 	l.next = now + beat
 	l.silence(now)
-	return l.tell()
+	return l.tell(now)
 }
 
 // listed notes where instances should be. One that moved is asked at its new
@@ -175,7 +184,7 @@
 func (l *Logic) peer(id spec.InstanceID) *peer {
 	p := l.peers[id]
 	if p == nil {
-		p = &peer{id: id, told: map[string]uint64{}, read: -1}
+		p = &peer{id: id, told: map[string]telling{}, read: -1}
 		l.peers[id] = p
 	}
 	return p
@@ -221,7 +230,6 @@
 		}
 		if p.alive && now-p.heard >= silent {
 			p.alive = false
-			p.told = map[string]uint64{}
 			l.Taker.Missed(p.id)
 		}
 		if p.alive {
@@ -244,7 +252,7 @@
 	return out
 }
 
-func (l *Logic) tell() []node.Command {
+func (l *Logic) tell(now time.Duration) []node.Command {
 	dead, crashes := l.Self.Fresh()
 	m := Message{
 		URL: l.URL, Uses: l.Self.Uses(), Versions: l.Self.Versions(), Age: l.Self.Age().Milliseconds(),
@@ -261,7 +269,7 @@
 			continue
 		}
 		data := plain
-		if m.Tables = l.lacking(p, m.Versions); len(m.Tables) > 0 {
+		if m.Tables = l.lacking(now, p, m.Versions); len(m.Tables) > 0 {
 			if data, err = cbor.Marshal(m); err != nil {
 				panic(err)
 			}
@@ -272,15 +280,16 @@
 }
 
 // lacking is what another instance does not know yet and this one is to tell.
-// It is told once: what is lost with a connection is told again, since an
-// instance that fell silent is told anew.
-func (l *Logic) lacking(p *peer, versions map[string]uint64) []Table {
+func (l *Logic) lacking(now time.Duration, p *peer, versions map[string]uint64) []Table {
 	if !p.alive || p.versions == nil || !l.teller(p) {
 		return nil
 	}
 	var out []Table
 	for _, name := range names(versions) {
-		since := max(p.versions[name], p.told[name])
+		since := p.versions[name]
+		if told := p.told[name]; now-told.at < tellAgain {
+			since = max(since, told.version)
+		}
 		if since >= versions[name] {
 			continue
 		}
@@ -288,7 +297,7 @@
 		if !ok || len(page.Rows) == 0 {
 			continue
 		}
-		p.told[name] = page.Version
+		p.told[name] = telling{version: page.Version, at: now}
 		out = append(out, Table{Name: name, Since: since, Version: page.Version, Rows: page.Rows})
 	}
 	return out
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -170,3 +170,28 @@
 		}
 	}
 }
+
+// An instance restarts within a second while the store is away: it knows
+// nothing, and the others have told its former process all. They tell it again
+// soon, as they do if the message was lost.
+func TestRestartedInstanceIsTold(t *testing.T) {
+	for name, lost := range map[string]bool{"restarted": false, "message lost": true} {
+		f := open(3)
+		page := feed.Page{Rows: []feed.Row{{Key: "k", Version: 7, Value: []byte("v")}}, Version: 7}
+		f.members["i0"].view.Changes(0, page)
+		f.members["i1"].view.Changes(0, page)
+		if lost {
+			f.run(0, 100*time.Millisecond)
+			f.lost = func(_, to spec.InstanceID) bool { return to == "i2" }
+			f.run(100*time.Millisecond, 600*time.Millisecond)
+			f.lost = nil
+		} else {
+			f.run(0, time.Second)
+			f.members["i2"].view = feed.View{}
+		}
+		f.run(time.Second, 3*time.Second)
+		if got := f.members["i2"].view.Version(); got != 7 {
+			t.Errorf("%s: got version %d, want 7", name, got)
+		}
+	}
+}
