--- a/internal/app/edge/ends.go
+++ b/internal/app/edge/ends.go
@@ -128,7 +128,8 @@
 		return
 	}
 	i.Log.Warn("edge: request not served", zap.String("request", c.Ask.ID), zap.String("route", c.Route.Name), zap.Int("status", status),
-		zap.Stringer("reason", r.Reason), zap.Bool("ran", r.Ran), zap.Int("sent", r.Tried), zap.Duration("first", r.First), zap.Duration("pause", r.Pause), zap.Duration("took", took))
+		zap.Stringer("reason", r.Reason), zap.Bool("ran", r.Ran), zap.Int("sent", r.Tried), zap.Duration("first", r.First), zap.Duration("pause", r.Pause), zap.Duration("took", took),
+		zap.Any("upstreams", r.Upstreams), zap.Uint64("config", i.belief.Config().Version), zap.Duration("list age", i.belief.age()))
 }
 
 // served notes an answer, and whether it missed the target of its route.
@@ -139,7 +140,7 @@
 	}
 	fields := []zap.Field{
 		zap.String("request", c.Ask.ID), zap.String("route", c.Route.Name), zap.Int("status", status), zap.Int("sent", r.Tried),
-		zap.Duration("first", first), zap.Duration("took", took),
+		zap.Duration("first", first), zap.Duration("took", took), zap.Any("upstreams", r.Upstreams),
 	}
 	if first <= c.Route.Target && (c.Route.Gap == 0 || r.Pause <= c.Route.Gap) {
 		i.Log.Info("edge: request served", fields...)
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -104,8 +104,9 @@
 	// Begun tells that a part of the answer was passed on, so that only
 	// breaking the connection tells the caller of the failure.
 	Begun bool
-	// Tried is how many upstreams the call was sent to.
-	Tried int
+	// Tried is how many upstreams the call was sent to, Upstreams which ones.
+	Tried     int
+	Upstreams []spec.UpstreamID
 	// First is the time to the first event of a stream, Pause the longest one
 	// between events; PauseAt is when that ended and PausePath the engines then.
 	First     time.Duration
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -89,7 +89,9 @@
 	}
 	m.Budget.First(c.Service.Name)
 	s := &stream{models: m, call: c, ctx: ctx, sink: sink, last: c.Ask.After}
-	return s.pace.tell(s.run())
+	r := s.pace.tell(s.run())
+	r.Upstreams = s.firsts
+	return r
 }
 
 // stream is one request over all its runs.
@@ -107,6 +109,8 @@
 	ran   int
 	maybe bool
 	avoid []spec.UpstreamID
+	// firsts are the first engines of the runs.
+	firsts []spec.UpstreamID
 	// fresh asks for new connections.
 	fresh bool
 	// answer is an engine's own failure, passed on if nothing better comes.
@@ -150,6 +154,8 @@
 			return s.refused(err)
 		}
 		s.runs++
+		chain, _ := f.Chain()
+		s.firsts = append(s.firsts, chain[0].Engine())
 		err = s.fly(f)
 		s.models.Paths.End(f)
 		if err == nil {
--- a/internal/wire/relay/plain.go
+++ b/internal/wire/relay/plain.go
@@ -91,7 +91,7 @@
 	ctx   context.Context
 	ends  chan *try
 
-	tried  []spec.UpstreamID
+	tried  []site.Upstream
 	flying int
 	// ran counts upstreams that may have run the call.
 	ran  int
@@ -109,18 +109,26 @@
 		case t := <-r.ends:
 			r.flying--
 			if reply, done := r.ended(t); done {
-				return reply
+				return r.named(reply)
 			}
 		case <-hedge.C:
 			if r.repeatable() {
 				r.again()
 			}
 		case <-r.ctx.Done():
-			return r.giveUp()
+			return r.named(r.giveUp())
 		}
 	}
 }
 
+// named adds which upstreams the call was sent to.
+func (r *race) named(reply Reply) Reply {
+	for _, up := range r.tried {
+		reply.Upstreams = append(reply.Upstreams, up.ID)
+	}
+	return reply
+}
+
 func (r *race) repeatable() bool {
 	return r.call.Route.Repeatable() && r.ran+r.flying < r.call.Route.Attempts
 }
@@ -129,7 +137,7 @@
 	if !r.call.Route.Repeatable() || r.call.Route.Attempts < 2 {
 		return time.Until(r.call.Until) + time.Second
 	}
-	return max(hedgeLeast, hedgeTimes*r.plain.Upstreams.Usual(site.Upstream{ID: r.tried[0]}))
+	return max(hedgeLeast, hedgeTimes*r.plain.Upstreams.Usual(r.tried[0]))
 }
 
 // start sends the call to the next upstream.
@@ -137,11 +145,15 @@
 	if len(r.tried) >= maxSends {
 		return false
 	}
-	up, ok := r.plain.Upstreams.Pick(r.call.Service.Name, r.tried)
+	var avoid []spec.UpstreamID
+	for _, up := range r.tried {
+		avoid = append(avoid, up.ID)
+	}
+	up, ok := r.plain.Upstreams.Pick(r.call.Service.Name, avoid)
 	if !ok {
 		return false
 	}
-	r.tried = append(r.tried, up.ID)
+	r.tried = append(r.tried, up)
 	r.flying++
 	go func() { r.ends <- r.plain.once(r.ctx, r.call, up) }()
 	return true
