--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -228,51 +228,6 @@
 	}
 }
 
-// hold contends for the duty of planning while this instance is one of the
-// first two for it, so that the others need not read the lease.
-func (i *Instance) hold(ctx context.Context) {
-	for {
-		if i.crowd.logic.Place(dutyPlan) < planners {
-			// An error is counted with the call and seen in what is held.
-			_ = i.lease.Step(ctx)
-		} else {
-			i.lease.Release(ctx)
-		}
-		if !wait(ctx, leaseTime/3) {
-			i.lease.Release(context.WithoutCancel(ctx))
-			return
-		}
-	}
-}
-
-// sweep drops what is no longer needed until ctx ends.
-func (i *Instance) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			i.belief.sweep(now)
-			i.pool.Keep(i.router.addresses())
-		}
-	}
-}
-
-// addresses are those of the upstreams.
-func (r *router) addresses() map[string]bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := map[string]bool{}
-	for _, g := range r.groups {
-		for _, u := range g.list {
-			out[u.Address] = true
-		}
-	}
-	return out
-}
-
 // finish waits for the end of the graceful stop.
 func (i *Instance) finish(ctx context.Context, ends []*end) error {
 	if err := i.halt.Run(ctx, ends[0].server); err != nil {
--- /dev/null
+++ b/internal/app/edge/flights.go
@@ -0,0 +1,158 @@
+package edge
+
+import (
+	"time"
+
+	"fulmarwick/internal/base/site"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/path"
+	"fulmarwick/internal/wire/relay"
+)
+
+// tally is how a run is counted in the table of engines.
+type tally struct {
+	chain  spec.Chain
+	unread bool
+}
+
+// need is what a model request is taken to use.
+func need(a site.Ask, m *site.Model) path.Need {
+	n := path.Need{Prompt: a.Prompt, Answer: a.Most}
+	if n.Prompt == 0 {
+		n.Prompt = m.Prompt
+	}
+	if a.Hint > 0 && (a.Most == 0 || a.Hint < a.Most) {
+		n.Answer = a.Hint
+	}
+	if n.Answer == 0 {
+		n.Answer = m.Answer
+	}
+	return n
+}
+
+// Begin chooses a path for a model request and counts a run in.
+func (r *router) Begin(c *relay.Call, begun bool, avoid []spec.UpstreamID) (*relay.Flight, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.group(c.Service.Name)
+	if g.model == nil {
+		return nil, path.ErrNone
+	}
+	n := need(c.Ask, g.model.Model)
+	n.Haste = begun
+	chain, err := g.model.Choose(r.now(), n, avoiding(avoid))
+	if err != nil {
+		return nil, err
+	}
+	f := relay.NewFlight(chain, g.model.Hops(chain))
+	f.Service, f.Need, f.Until = g.name, n, c.Until
+	f.Resume, f.Print = c.Route.Resume, c.Print()
+	g.model.Begin(chain, n)
+	g.flights[f] = &tally{chain: chain, unread: true}
+	return f, nil
+}
+
+// avoiding tests for engines that a request met without luck, but only as
+// first engine or not: any of them may be to blame.
+func avoiding(avoid []spec.UpstreamID) func(spec.UpstreamID) bool {
+	if len(avoid) == 0 {
+		return nil
+	}
+	return func(id spec.UpstreamID) bool {
+		for _, a := range avoid {
+			if a == id {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// Wrote tells that the first event of a run came.
+func (r *router) Wrote(f *relay.Flight) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.group(f.Service)
+	if t := g.flights[f]; t != nil && t.unread {
+		t.unread = false
+		g.model.Wrote(t.chain, f.Need)
+	}
+}
+
+// End tells that a run is over.
+func (r *router) End(f *relay.Flight) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.group(f.Service)
+	if t := g.flights[f]; t != nil {
+		delete(g.flights, f)
+		g.model.End(t.chain, f.Need, t.unread)
+	}
+}
+
+// rechain counts a run over to another path; r.mu is held.
+func (g *group) rechain(f *relay.Flight, chain spec.Chain) {
+	t := g.flights[f]
+	if t == nil {
+		return
+	}
+	g.model.End(t.chain, f.Need, t.unread)
+	t.chain = chain
+	g.model.Begin(chain, f.Need)
+	if !t.unread {
+		g.model.Wrote(chain, f.Need)
+	}
+	f.SetChain(chain, g.model.Hops(chain))
+}
+
+// Doubt tells of an engine that refused or broke a connection.
+func (r *router) Doubt(service string, id spec.UpstreamID) {
+	r.mu.Lock()
+	up, ok := site.Upstream{}, false
+	if g := r.group(service); g.model != nil {
+		up, ok = g.model.Upstream(id)
+	}
+	r.mu.Unlock()
+	if ok {
+		r.doubted(up)
+	}
+}
+
+// Refused tells that an engine refused a run: it is full, leaving, or not what
+// it was. Until it is known why it gets nothing new.
+func (r *router) Refused(f *relay.Flight, address string) spec.UpstreamID {
+	r.mu.Lock()
+	g := r.group(f.Service)
+	id := g.refuser(f, address)
+	up, ok := g.model.Upstream(id)
+	g.model.Rest(id, r.now()+refusedRest)
+	r.mu.Unlock()
+	if ok {
+		r.doubted(up)
+	}
+	return id
+}
+
+// refuser is the engine of a run that refused it; r.mu is held.
+func (g *group) refuser(f *relay.Flight, address string) spec.UpstreamID {
+	chain, hops := f.Chain()
+	for i, hop := range hops {
+		if hop.Address == address && i < len(chain) {
+			return chain[i].Engine()
+		}
+	}
+	return chain[0].Engine()
+}
+
+// refusedRest is how long an engine that refused a run gets no new one: what
+// it holds and whether it leaves is known from the list by then, or the crowd
+// on it has turned over.
+const refusedRest = 300 * time.Millisecond
+
+// Down reports whether an engine is dead or gone.
+func (r *router) Down(service string, id spec.UpstreamID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.group(service)
+	return g.model != nil && g.model.Dead(id)
+}
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -85,7 +85,7 @@
 			c.log.Info("edge: roster not reached", zap.Error(err))
 			pause = rosterPause
 		}
-		if !wait(ctx, pause) {
+		if !feed.Sleep(ctx, pause) {
 			break
 		}
 	}
@@ -94,17 +94,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (c *crowd) round(ctx context.Context, written *bool) error {
 	if !*written {
 		if err := c.write(ctx); err != nil {
--- /dev/null
+++ b/internal/app/edge/question.go
@@ -0,0 +1,144 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"fulmarwick/internal/base/site"
+	"fulmarwick/internal/base/spec"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+)
+
+// ask finds out in the background whether an engine lives. many tells that
+// many of its streams are silent.
+func (w *watcher) ask(ctx context.Context, up site.Upstream, many bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.asking[up.ID] {
+		return
+	}
+	w.asking[up.ID] = true
+	go func() {
+		defer func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			delete(w.asking, up.ID)
+		}()
+		w.question(ctx, up, many)
+	}()
+}
+
+func (w *watcher) question(ctx context.Context, up site.Upstream, many bool) {
+	start := time.Now()
+	report, late, err := w.report(ctx, up, askTime)
+	if late && (!many || w.isBusy()) {
+		report, _, err = w.report(ctx, up, askAgain)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil && w.router.heard(up, report) {
+		if len(report.Stalled) > 0 {
+			w.log.Info("edge: streams stalled", zap.String("engine", string(up.ID)), zap.Int("streams", len(report.Stalled)), zap.String("fault", report.Stalled[0].Address))
+			w.blame(up.Service, report.Stalled)
+		}
+		return
+	}
+	if !w.router.down(up) {
+		return
+	}
+	w.log.Warn("edge: engine does not answer", zap.String("engine", string(up.ID)), zap.String("address", up.Address),
+		zap.Bool("many", many), zap.Duration("after", time.Since(start)), zap.Error(err))
+	w.found(up.ID)
+	w.leave(ctx, up)
+}
+
+// report asks an engine how it is; late tells that it did not answer in time.
+func (w *watcher) report(ctx context.Context, up site.Upstream, limit time.Duration) (r site.Report, late bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	w.probed()
+	r, err = w.engines.Report(ctx, up.Address)
+	return r, errors.Is(ctx.Err(), context.DeadlineExceeded), err
+}
+
+// isBusy reports whether this process got the processor late just now.
+func (w *watcher) isBusy() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.busy) < busyTime
+}
+
+// told takes an engine that another instance found dead. It is asked only if
+// streams of this instance pass it: dozens of instances that all ask would
+// keep each other busy.
+func (w *watcher) told(ctx context.Context, id spec.UpstreamID) {
+	up, used := w.router.avoid(id)
+	if used {
+		w.ask(ctx, up, true)
+	}
+}
+
+// avoid gives an engine nothing new for a moment and reports whether streams
+// pass it.
+func (r *router) avoid(id spec.UpstreamID) (up site.Upstream, used bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, g := range r.groups {
+		if g.model == nil {
+			continue
+		}
+		var ok bool
+		if up, ok = g.model.Upstream(id); !ok || g.model.Silent(id) {
+			continue
+		}
+		g.model.Rest(id, r.now()+doubtRest)
+		return up, len(g.over(id)) > 0
+	}
+	return up, false
+}
+
+// blame asks the engines for which others wait.
+func (w *watcher) blame(service string, stalled []site.Stalled) {
+	seen := map[string]bool{}
+	for _, s := range stalled {
+		if seen[s.Address] {
+			continue
+		}
+		seen[s.Address] = true
+		if up, ok := w.router.at(service, s.Address); ok {
+			w.router.doubted(up)
+		}
+	}
+}
+
+// at returns the engine at an address.
+func (r *router) at(service, address string) (site.Upstream, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if g := r.group(service); g.model != nil {
+		return g.model.At(address)
+	}
+	return site.Upstream{}, false
+}
+
+// heard takes a report; false if it is not that of the engine that is listed.
+func (r *router) heard(up site.Upstream, report site.Report) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.group(up.Service)
+	return g.model == nil || g.model.Heard(r.now(), up.ID, report)
+}
+
+// down marks an engine as dead; false if it was, or is another one by now.
+func (r *router) down(up site.Upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.group(up.Service)
+	if g.model == nil {
+		return false
+	}
+	return g.model.Down(up.ID, up.Born)
+}
--- a/internal/app/edge/site_test.go
+++ b/internal/app/edge/site_test.go
@@ -94,17 +94,10 @@
 
 // ask sends a request through instance k.
 func (w *world) ask(k int, method, path, id, tokens string) answer {
-	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+settings(k).Listen.Callers+path, strings.NewReader("prompt"))
+	req, err := stand.NewRequest(context.Background(), method, "http://"+settings(k).Listen.Callers+path, id, tokens)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	req.Host = "site.example"
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("X-Api-Key", "key-1")
-	req.Header.Set("Deadline-Ms", "20000")
-	if tokens != "" {
-		req.Header.Set("Token-Count", tokens)
-	}
 	start := time.Now()
 	resp, err := w.clients[k].Do(req)
 	if err != nil {
--- /dev/null
+++ b/internal/route/path/cost.go
@@ -0,0 +1,119 @@
+package path
+
+import (
+	"time"
+
+	"fulmarwick/internal/base/spec"
+)
+
+// First is the predicted time to the first event of a request over a chain:
+// its prompt is read after those that are unread, and goes through all passes.
+func (t *Table) First(c spec.Chain, n Need) time.Duration {
+	var ms float64
+	for _, s := range c {
+		if e := t.byID[s.Engine()]; e != nil {
+			ms += t.read(e, float64(n.Prompt*s.Layers().Len()+e.use().Unread))
+		}
+	}
+	return time.Duration(ms*float64(time.Millisecond)) + t.Step(c)*time.Duration(t.Model.Stride)
+}
+
+// read is the time in milliseconds in which e reads tokens times layers.
+func (t *Table) read(e *engine, cells float64) float64 {
+	return e.card.Read * e.pace * 1000 / t.Model.ReadRate / float64(t.Model.Layers) * cells
+}
+
+// spread is the part by which an engine's cost is raised at random. Instances
+// that know of each other's choices only after a while would else all choose
+// the same engines at once: with 33 of them, 50 requests between two messages.
+func (t *Table) spread(haste bool) float64 {
+	switch {
+	case t.Random == nil:
+		return 0
+	case haste:
+		return hasteBlur * t.Random()
+	}
+	return blur * t.Random()
+}
+
+// hop is the cost in milliseconds of passing activations from one data centre
+// to another.
+func (t *Table) hop(a Ask, from, to spec.DataCentre) float64 {
+	if from == to {
+		return 0
+	}
+	cost := crossing * millis(t.Model.Crossing(a.Prompt+a.Answer))
+	if a.Haste {
+		cost *= haste
+	}
+	return cost + float64(a.Answer)*millis(t.Model.Delay(from, to))
+}
+
+// before is the cost of the way to the first engine of a path or of its part.
+func (t *Table) before(a Ask, to spec.DataCentre) float64 {
+	if a.From > 0 {
+		return t.hop(a, a.Before, to)
+	}
+	if a.Before != to {
+		return entry
+	}
+	return 0
+}
+
+// after is the cost of the way from the last engine of a part to the next.
+func (t *Table) after(a Ask, from spec.DataCentre) float64 {
+	if a.To == t.Model.Layers {
+		return 0
+	}
+	return t.hop(a, from, a.After)
+}
+
+// cost is the time in milliseconds that e is predicted to add to a request,
+// and to those that already pass it, for so many layers.
+func (t *Table) cost(n Need, e *engine, layers int) (ms float64, fits bool) {
+	u := e.use()
+	limit := room * float64(e.cells)
+	after := float64(u.Cells + n.use(layers, false).Cells)
+	if after > limit {
+		return 0, false
+	}
+	share := float64(layers) / float64(t.Model.Layers)
+	writer := millis(t.Model.Writer) + millis(t.Model.Context)*float64(n.Prompt+n.Answer)/1000
+	write := float64(n.Answer) * (t.pass(e, u, 1) + hurt*writer*float64(u.Streams)*share*e.card.Pace*e.pace)
+	read := t.read(e, float64(n.Prompt*layers+u.Unread))
+	fill := after / limit
+	if n.Haste {
+		read *= haste
+	}
+	return write + read*(1+hurt) + crowd*share*fill*fill, true
+}
+
+// pass is the time in milliseconds of a step of e with so many more requests
+// than use it. A pass runs all that wait, so a request that needs a few of an
+// engine's layers takes as long as those that need them all.
+func (t *Table) pass(e *engine, u Use, more int) float64 {
+	held := float64(e.up.Held.Layers.Len())
+	context := float64(u.Cells) / max(1, held) / 1000
+	work := millis(t.Model.Step) + millis(t.Model.Writer)*float64(u.Streams+more) + millis(t.Model.Context)*context
+	return held / float64(t.Model.Layers) * e.card.Pace * e.pace * work
+}
+
+// Step is the predicted time of one token over a chain.
+func (t *Table) Step(c spec.Chain) time.Duration {
+	var ms float64
+	for i, s := range c {
+		e := t.byID[s.Engine()]
+		if e == nil {
+			continue
+		}
+		ms += t.pass(e, e.use(), 0)
+		if i > 0 {
+			if before := t.byID[c[i-1].Engine()]; before != nil {
+				ms += millis(t.Model.Delay(before.up.Centre, e.up.Centre))
+			}
+		}
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/state/feed/follow.go
+++ b/internal/state/feed/follow.go
@@ -62,7 +62,7 @@
 	f.whole = true
 	for ctx.Err() == nil {
 		if !f.whole && f.Passive != nil && f.Passive() {
-			if !sleep(ctx, passivePause) {
+			if !Sleep(ctx, passivePause) {
 				return
 			}
 			continue
@@ -84,7 +84,7 @@
 		if err == nil {
 			f.worked()
 		}
-		if !sleep(ctx, pause) {
+		if !Sleep(ctx, pause) {
 			return
 		}
 	}
@@ -137,7 +137,8 @@
 	return time.Since(f.since)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
+// Sleep waits for a time; false if ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
