--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -139,7 +139,7 @@
 	i.watcher.probed = i.counter(`fulmarwick_reports_total`)
 	i.watcher.moved = func(how string) { i.meters.GetOrCreateCounter(`fulmarwick_moves_total{how="` + how + `"}`).Inc() }
 	i.planner = &planner{
-		router: i.router, engines: calls, lease: i.lease, log: i.Log, start: time.Now(), orders: map[spec.UpstreamID]ordered{},
+		router: i.router, engines: calls, lease: i.lease, log: i.Log, start: time.Now(), orders: map[spec.UpstreamID]ordered{}, missing: map[string]time.Time{},
 		counted: func(how string) { i.meters.GetOrCreateCounter(`fulmarwick_orders_total{end="` + how + `"}`).Inc() },
 	}
 	i.crowd = &crowd{
--- a/internal/app/edge/plan.go
+++ b/internal/app/edge/plan.go
@@ -29,6 +29,9 @@
 	// its entry still shows nothing: loading takes up to 14 s for all layers,
 	// five times that if many load at once.
 	orderAgain = 15 * time.Second
+	// moveAfter is how long layers must be missing before an engine gives up
+	// others for them.
+	moveAfter = 4 * time.Second
 	// orderLost is the same for an order without an answer. It may still be
 	// carried out; the count of orders that both expect lets only one win.
 	orderLost = 700 * time.Millisecond
@@ -54,6 +57,8 @@
 	changed time.Time
 	size    int
 	orders  map[spec.UpstreamID]ordered
+	// missing is since when layers of a service are held by no engine.
+	missing map[string]time.Time
 }
 
 // listed notes that the list of upstreams changed.
@@ -103,34 +108,61 @@
 		if g.model == nil {
 			continue
 		}
-		engines, empty, held := p.engineRows(g, now)
-		if !empty || !held && (now.Sub(p.changed) < settle || now.Sub(p.start) < fill) {
+		engines, held := p.engineRows(g, now)
+		if !held && (now.Sub(p.changed) < settle || now.Sub(p.start) < fill) {
 			continue
 		}
-		if orders := grid.Plan(g.model.Model, engines); len(orders) > 0 {
+		if orders := p.patient(name, engines, grid.Plan(g.model.Model, engines), now); len(orders) > 0 {
 			out[name] = orders
 		}
 	}
 	return out
 }
 
+// patient leaves out orders for engines that hold layers until they have been
+// due for a while: an engine that crashed comes back after some seconds and
+// gets its layers again, and one that this instance alone cannot reach is not
+// missing.
+func (p *planner) patient(name string, engines []grid.Engine, orders []grid.Order, now time.Time) []grid.Order {
+	holds := map[spec.UpstreamID]bool{}
+	for _, e := range engines {
+		holds[e.ID] = e.Held.Len() > 0
+	}
+	var out []grid.Order
+	moves := false
+	for _, o := range orders {
+		moves = moves || holds[o.ID]
+		if !holds[o.ID] {
+			out = append(out, o)
+		}
+	}
+	switch {
+	case !moves:
+		delete(p.missing, name)
+	case p.missing[name].IsZero():
+		p.missing[name] = now
+	case now.Sub(p.missing[name]) >= moveAfter:
+		return orders
+	}
+	return out
+}
+
 // engineRows are the engines of a group for the plan. One that was ordered
 // lately counts as if it held what it was told.
-func (p *planner) engineRows(g *group, now time.Time) (out []grid.Engine, empty, held bool) {
+func (p *planner) engineRows(g *group, now time.Time) (out []grid.Engine, held bool) {
 	for _, up := range g.model.Engines() {
 		card, ok := g.model.Model.Card(up.Card)
 		if !ok || up.State != site.StateReady || g.model.Dead(up.ID) {
 			continue
 		}
 		e := grid.Engine{ID: up.ID, Centre: up.Centre, Card: card, Held: up.Held.Layers}
-		if o, ok := p.orders[up.ID]; ok && e.Held.Len() == 0 && o.born == up.Born && now.Before(o.until) {
+		if o, ok := p.orders[up.ID]; ok && o.born == up.Born && now.Before(o.until) {
 			e.Held = o.layers
 		}
-		empty = empty || e.Held.Len() == 0
 		held = held || e.Held.Len() > 0
 		out = append(out, e)
 	}
-	return out, empty, held
+	return out, held
 }
 
 func (p *planner) order(ctx context.Context, service string, o grid.Order) {
@@ -160,8 +192,8 @@
 		zap.Uint64("fence", fence), zap.Int("expect", expect), zap.String("end", how), zap.Error(err))
 }
 
-// errHolds means that an engine is not empty, whatever the list says.
-var errHolds = errors.New("edge: engine holds layers or is busy")
+// errHolds means that an engine does not hold what the list says.
+var errHolds = errors.New("edge: engine holds other layers or is busy")
 
 // give reads how many orders an engine has accepted and gives one that only
 // this state of the engine takes: an order carried out late, or one of another
@@ -171,7 +203,7 @@
 	switch {
 	case err != nil:
 		return 0, err
-	case report.Busy || report.Held.Layers.Len() > 0:
+	case report.Busy || report.Held.Layers != up.Held.Layers:
 		return report.Orders, errHolds
 	}
 	return report.Orders, p.engines.Order(ctx, up.Address, site.Order{Layers: o.Layers, Fence: fence, Expect: report.Orders})
--- a/internal/route/grid/grid.go
+++ b/internal/route/grid/grid.go
@@ -44,13 +44,15 @@
 }
 
 // Plan returns the orders that are due: a whole placement if no engine holds
-// anything yet, else one range for each engine that is empty.
+// anything yet, else one range for each engine that is empty. Engines that hold
+// something are left alone, unless layers are held by none.
 func Plan(m *site.Model, engines []Engine) []Order {
 	sorted := append([]Engine(nil), engines...)
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
 	for _, e := range sorted {
 		if e.Held.Len() > 0 {
-			return fill(m, sorted)
+			orders := fill(m, sorted)
+			return append(orders, rescue(m, apply(sorted, orders))...)
 		}
 	}
 	return fresh(m, sorted)
