--- a/internal/app/edge/belief.go
+++ b/internal/app/edge/belief.go
@@ -204,7 +204,7 @@
 func (b *belief) takeUpstream(r feed.Row, source string) {
 	old, had := b.list[r.Key]
 	if r.Gone {
-		if had && b.missing[r.Key].IsZero() {
+		if _, known := b.missing[r.Key]; had && !known {
 			b.missing[r.Key] = b.hold
 			b.log.Info("edge: upstream gone from the list", zap.String("upstream", r.Key), zap.String("source", source),
 				zap.Uint64("row", r.Version), zap.Time("kept until", b.hold))
@@ -218,7 +218,8 @@
 			b.log.Warn("edge: entry not understood, left out", zap.String("upstream", r.Key), zap.String("source", source), zap.Error(err))
 		}
 		if had {
-			b.missing[r.Key] = time.Time{}.Add(1)
+			// The row names no upstream any more: it goes without a hold.
+			b.missing[r.Key] = time.Time{}
 		}
 		return
 	}
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -41,7 +41,7 @@
 	lagEvery = time.Second
 	// lagging is how many times longer than predicted the pauses of a stream
 	// are when it lags: reading the prompts of others makes them 1.2 to 1.8
-	// times as long on a calm day, by the bench. lagStreams of an engine, and
+	// times as long on a calm day at 33 engines. lagStreams of an engine, and
 	// more than half, must lag before it is asked for its pace.
 	lagging    = 1.9
 	lagStreams = 2
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -105,9 +105,11 @@
 	last  int
 	begun bool
 	runs  int
-	// ran counts runs that may have begun on engines that still live.
+	// ran counts runs that may have begun on engines that still live; maybe
+	// tells that one may have begun on any, so that no promise can be given.
 	ran   int
 	maybe bool
+	// avoid are engines that refused or broke a run.
 	avoid []spec.UpstreamID
 	// firsts are the first engines of the runs.
 	firsts []spec.UpstreamID
