--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"fulmarwick/internal/app/halt"
@@ -73,6 +74,7 @@
 	// Again reads the settings again; nil if they never change.
 	Again func() (setup.File, error)
 
+	once    sync.Once
 	meters  *metrics.Set
 	halt    *halt.Halt
 	belief  *belief
@@ -117,11 +119,10 @@
 		zap.Duration("window", s.Retry.Window), zap.Int64("memory", s.Limits.Memory), zap.Bool("moved", s.Listen != i.Settings.Listen))
 }
 
-// build makes the parts, once.
-func (i *Instance) build() {
-	if i.halt != nil {
-		return
-	}
+// build makes the parts, once: a signal may come while Run does it.
+func (i *Instance) build() { i.once.Do(i.make) }
+
+func (i *Instance) make() {
 	s := i.Settings
 	i.meters = metrics.NewSet()
 	i.halt = &halt.Halt{Grace: s.Times.Grace, Most: acceptMost, Late: front.Stopped{}, Log: i.Log}
--- a/internal/app/edge/fault_test.go
+++ b/internal/app/edge/fault_test.go
@@ -189,9 +189,9 @@
 		w := open(t, 3)
 		defer w.close()
 		var cut atomic.Bool
-		w.site.Store.Trouble = func(r *http.Request) stand.Trouble {
+		w.site.Store.SetTrouble(func(r *http.Request) stand.Trouble {
 			return stand.Trouble{Down: cut.Load() && strings.HasPrefix(r.Header.Get("User-Agent"), settings(0).Instance.Name)}
-		}
+		})
 		cut.Store(true)
 		time.Sleep(3 * time.Second)
 		w.site.Store.Put("op", "config", []byte(strings.Replace(string(w.site.Config(2)), "key-1", "key-2", 1)))
@@ -211,7 +211,7 @@
 		w := open(t, 2)
 		defer w.close()
 		var down atomic.Bool
-		w.site.Store.Trouble = func(*http.Request) stand.Trouble { return stand.Trouble{Silent: down.Load()} }
+		w.site.Store.SetTrouble(func(*http.Request) stand.Trouble { return stand.Trouble{Silent: down.Load()} })
 		w.flood(400, func() { down.Store(true) })
 		time.Sleep(20 * time.Second)
 		w.flood(50, func() { down.Store(false) })
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,6 +126,7 @@
 
 // source is a table that fails by script.
 type source struct {
+	mu    sync.Mutex
 	log   log
 	errs  []error
 	whole int
@@ -140,18 +142,25 @@
 }
 
 func (s *source) Rows(context.Context, string) (feed.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.whole++
 	return s.log.whole(uint64(len(s.log))), s.next()
 }
 
 func (s *source) Feed(ctx context.Context, _ string, since uint64, wait time.Duration) (feed.Page, error) {
-	if err := s.next(); err != nil {
+	s.mu.Lock()
+	err := s.next()
+	s.mu.Unlock()
+	if err != nil {
 		return feed.Page{}, err
 	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.log.since(since), nil
 }
 
@@ -179,8 +188,10 @@
 		done := make(chan struct{})
 		go func() { f.Run(ctx); close(done) }()
 		time.Sleep(3 * time.Second)
+		src.mu.Lock()
 		src.errs = []error{down, down, down, feed.ErrHistory}
 		src.log = append(src.log, feed.Row{Key: "a", Version: 2, Gone: true}, feed.Row{Key: "b", Version: 3, Value: []byte("3")})
+		src.mu.Unlock()
 		time.Sleep(10 * time.Second)
 		cancel()
 		<-done
