--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -122,7 +122,8 @@
 		w.ask(ctx, s.up, s.many)
 	}
 	for _, up := range w.due(now) {
-		w.leave(ctx, up)
+		// Orders for other paths wait for answers; the next look must not.
+		go w.leave(ctx, up)
 	}
 	if now.Sub(w.knock) >= knockEvery {
 		w.knock = now
