--- a/internal/app/edge/fault_test.go
+++ b/internal/app/edge/fault_test.go
@@ -245,3 +245,23 @@
 		}
 	})
 }
+
+// The first engine of a long stream leaves, and so do those that go on with it,
+// three times in all. Each move is the router's own: the caller reads on to the
+// end.
+func TestStreamOutlivesLeavingEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := open(t, 1)
+		defer w.close()
+		done := make(chan answer)
+		go func() { done <- w.ask(0, http.MethodPost, "/write/1", "long", "300,1800") }()
+		for range 3 {
+			time.Sleep(500 * time.Millisecond)
+			w.site.Drain(w.busiest())
+			time.Sleep(2500 * time.Millisecond)
+		}
+		if a := <-done; a.body != whole("long", 600) {
+			t.Errorf("got %d with %d events (%v), want all 600", a.status, a.events, a.err)
+		}
+	})
+}
