--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -128,7 +128,7 @@
 	i.halt = &halt.Halt{Grace: s.Times.Grace, Most: acceptMost, Late: front.Stopped{}, Log: i.Log}
 	i.belief = newBelief(i.Log)
 	i.router = &router{
-		log: i.Log, centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
+		centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
 		bounds: s.Retry, groups: map[string]*group{},
 	}
 	i.pool = &send.Pool{Timeout: dialTime, Dial: i.Dial, Opened: i.counter(`fulmarwick_connections_total`)}
@@ -166,9 +166,9 @@
 	i.router.instances = i.crowd.logic.Count
 	wire := platform.Wire{}
 	i.server = &front.Server{
-		Dialect: wire, Rules: i.belief, Log: i.Log, Ended: i.ended,
+		Dialect: wire, Rules: i.belief, Ended: i.ended,
 		Plain:  &relay.Plain{Dialect: wire, Pool: i.pool, Upstreams: i.router, Budget: i.router, Suspects: i.router},
-		Models: &relay.Models{Dialect: wire, Pool: i.pool, Paths: i.router, Budget: i.router, Suspects: i.router, Log: i.Log},
+		Models: &relay.Models{Dialect: wire, Pool: i.pool, Paths: i.router, Budget: i.router, Suspects: i.router},
 	}
 }
 
--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -45,7 +45,7 @@
 		return nil, err
 	}
 	f := relay.NewFlight(chain, g.model.Hops(chain))
-	f.Service, f.Need, f.Until = g.name, n, c.Until
+	f.Service, f.Need = g.name, n
 	f.Resume, f.Print = c.Route.Resume, c.Print()
 	g.model.Begin(chain, n)
 	g.flights[f] = &tally{chain: chain, unread: true}
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -13,8 +13,6 @@
 	"fulmarwick/internal/route/least"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/wire/relay"
-
-	"go.uber.org/zap"
 )
 
 // group is a service and what is known of its upstreams.
@@ -32,7 +30,6 @@
 
 // router is the tables of all services. It gives the relays their upstreams.
 type router struct {
-	log    *zap.Logger
 	centre spec.DataCentre
 	// instances is how many instances share the bound on repeats.
 	instances func() int
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -16,7 +16,6 @@
 	"fulmarwick/internal/wire/relay"
 
 	"github.com/go-faster/errors"
-	"go.uber.org/zap"
 )
 
 // Dialect reads the headers of a caller's request.
@@ -60,7 +59,6 @@
 	Rules   Rules
 	Plain   Plain
 	Models  Models
-	Log     *zap.Logger
 	// Ended learns how each request ended; nil tells nobody.
 	Ended func(c *relay.Call, r relay.Reply, status int, took time.Duration)
 }
--- a/internal/wire/relay/flight.go
+++ b/internal/wire/relay/flight.go
@@ -21,8 +21,6 @@
 	// Resume tells that another run may go on where this one ends.
 	Resume bool
 	Start  time.Time
-	// Until is when the caller waits no longer.
-	Until time.Time
 
 	// last is the time of the newest event, or of the start, in nanoseconds
 	// since Start.
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -15,7 +15,6 @@
 	"fulmarwick/internal/wire/send"
 
 	"github.com/go-faster/errors"
-	"go.uber.org/zap"
 )
 
 // Sink takes the answer of a model request.
@@ -77,7 +76,6 @@
 	Budget  Budget
 	// Suspects knows requests that crash engines.
 	Suspects Suspects
-	Log      *zap.Logger
 }
 
 // Do runs the call and passes its answer to sink.
