Move engines one by one where memory behind layers has become scarce

Cause (of requests turned away for want of room with engines idle): after engines are lost for good their layers keep few engines, and the planner moved engines only for layers held by none.

--- a/internal/app/edge/plan.go
+++ b/internal/app/edge/plan.go
@@ -157,7 +157,7 @@
 		}
 		e := grid.Engine{ID: up.ID, Centre: up.Centre, Card: card, Held: up.Held.Layers}
 		if o, ok := p.orders[up.ID]; ok && o.born == up.Born && now.Before(o.until) {
-			e.Held = o.layers
+			e.Held, e.Loading = o.layers, up.Held.Layers != o.layers
 		}
 		held = held || e.Held.Len() > 0
 		out = append(out, e)
--- a/internal/route/grid/grid.go
+++ b/internal/route/grid/grid.go
@@ -35,6 +35,8 @@
 	Centre spec.DataCentre
 	Card   site.Card
 	Held   spec.Layers
+	// Loading is set while what it holds was ordered and is not there yet.
+	Loading bool
 }
 
 // Order tells one engine which layers to hold.
@@ -45,14 +47,18 @@
 
 // Plan returns the orders that are due: a whole placement if no engine holds
 // anything yet, else one range for each engine that is empty. Engines that hold
-// something are left alone, unless layers are held by none.
+// something are left alone, unless layers are held by none or by too few.
 func Plan(m *site.Model, engines []Engine) []Order {
 	sorted := append([]Engine(nil), engines...)
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
 	for _, e := range sorted {
 		if e.Held.Len() > 0 {
 			orders := fill(m, sorted)
-			return append(orders, rescue(m, apply(sorted, orders))...)
+			orders = append(orders, rescue(m, apply(sorted, orders))...)
+			if len(orders) == 0 {
+				return even(m, sorted)
+			}
+			return orders
 		}
 	}
 	return fresh(m, sorted)
