--- a/internal/app/edge/fault_test.go
+++ b/internal/app/edge/fault_test.go
@@ -265,3 +265,32 @@
 		}
 	})
 }
+
+// Engines that a stream passes leave one after the other, and no other path is
+// taken for it. While its first engine lives each new run is an attempt, of
+// which its route allows two: then the stream stays where it is, and is whole.
+func TestMovedStreamKeepsToItsAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := open(t, 1)
+		defer w.close()
+		w.site.RefusePaths()
+		done := make(chan answer)
+		go func() { done <- w.ask(0, http.MethodPost, "/write/1", "long", "300,1800") }()
+		for range 4 {
+			time.Sleep(500 * time.Millisecond)
+			for _, e := range w.site.Engines() {
+				if e.Streams() > 0 && e.Running() == 0 {
+					w.site.Drain(e)
+					break
+				}
+			}
+			time.Sleep(2500 * time.Millisecond)
+		}
+		if a := <-done; a.body != whole("long", 600) {
+			t.Errorf("got %d with %d events (%v), want all 600", a.status, a.events, a.err)
+		}
+		if n := w.site.Runs("long"); n > 2 {
+			t.Errorf("got %d runs, want 2 at most", n)
+		}
+	})
+}
--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"fulmarwick/internal/base/site"
@@ -13,6 +14,10 @@
 type tally struct {
 	chain  spec.Chain
 	unread bool
+	// fresh are the engines that read the tokens so far once more, since the
+	// time moved, until the next event shows that they have.
+	fresh spec.Chain
+	moved time.Time
 }
 
 // need is what a model request is taken to use.
@@ -86,6 +91,7 @@
 	g := r.group(f.Service)
 	if t := g.flights[f]; t != nil {
 		delete(g.flights, f)
+		g.model.Reread(t.fresh, f.Need, -1)
 		g.model.End(t.chain, f.Need, t.unread)
 	}
 }
@@ -96,15 +102,39 @@
 	if t == nil {
 		return
 	}
+	g.model.Reread(t.fresh, f.Need, -1)
+	t.fresh = nil
 	g.model.End(t.chain, f.Need, t.unread)
+	if !t.unread {
+		t.fresh, t.moved = without(chain, t.chain), time.Now()
+	}
 	t.chain = chain
 	g.model.Begin(chain, f.Need)
 	if !t.unread {
 		g.model.Wrote(chain, f.Need)
 	}
+	g.model.Reread(t.fresh, f.Need, 1)
 	f.SetChain(chain, g.model.Hops(chain))
 }
 
+// without is the stages of a that are not in b.
+func without(a, b spec.Chain) (out spec.Chain) {
+	for _, s := range a {
+		if !slices.Contains(b, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// reread notes an event after the path of a run changed.
+func (g *group) reread(f *relay.Flight, t *tally) {
+	if len(t.fresh) > 0 && f.Last().After(t.moved) {
+		g.model.Reread(t.fresh, f.Need, -1)
+		t.fresh = nil
+	}
+}
+
 // Doubt tells of an engine that refused or broke a connection.
 func (r *router) Doubt(service string, id spec.UpstreamID) {
 	r.mu.Lock()
--- a/internal/app/edge/leave.go
+++ b/internal/app/edge/leave.go
@@ -4,11 +4,13 @@
 	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
+	"fulmarwick/internal/state/feed"
 	"fulmarwick/internal/wire/relay"
 
 	"go.uber.org/zap"
@@ -79,32 +81,87 @@
 	return out
 }
 
-// shift is a run that leaves an engine.
+// shift is a run that leaves an engine over another path.
 type shift struct {
 	flight *relay.Flight
 	first  string
+	// before is the path that it has until the new one is accepted.
+	before spec.Chain
 	chain  spec.Chain
 	hops   []site.Hop
 }
 
-// leave takes all runs off an engine: over another path where it is not the
-// first one, else by a new run.
+// leaveAgain is the first pause before runs that could not leave an engine are
+// tried once more: some of those that take the room elsewhere have ended by
+// then. Each pause is twice the one before, since orders are paid for.
+const leaveAgain = 200 * time.Millisecond
+
+// leave takes all runs off an engine. Those that can neither change their path
+// nor begin anew at another engine stay, and are tried again until none is left.
 func (w *watcher) leave(ctx context.Context, up site.Upstream) {
+	w.router.strikes(up)
+	for pause := leaveAgain; ; pause *= 2 {
+		kept := w.leaveOnce(ctx, up)
+		if kept == 0 || !feed.Sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+// leaveOnce takes runs off an engine: over another path where it is not the
+// first one, else by a new run. It returns how many stay.
+func (w *watcher) leaveOnce(ctx context.Context, up site.Upstream) int {
 	shifts, moves := w.router.shifts(up)
+	resumed, kept := 0, 0
 	for _, f := range moves {
-		w.moved("resume")
-		f.Move()
+		if w.resume(f, up.ID) {
+			resumed++
+		} else {
+			kept++
+		}
 	}
+	var stay atomic.Int32
 	var group sync.WaitGroup
 	for _, s := range shifts {
-		group.Go(func() { w.repath(ctx, s) })
+		group.Go(func() {
+			if !w.repath(ctx, s, up.ID) {
+				stay.Add(1)
+			}
+		})
 	}
 	group.Wait()
-	w.log.Info("edge: engine left", zap.String("engine", string(up.ID)), zap.Int("repathed", len(shifts)), zap.Int("resumed", len(moves)))
+	kept += int(stay.Load())
+	w.log.Info("edge: engine left", zap.String("engine", string(up.ID)), zap.Int("repathed", len(shifts)-int(stay.Load())),
+		zap.Int("resumed", resumed), zap.Int("kept", kept))
+	return kept
+}
+
+// resume ends a run so that another one goes on; false if it must stay.
+func (w *watcher) resume(f *relay.Flight, left spec.UpstreamID) bool {
+	chain, _ := f.Chain()
+	if !f.Move(chain[0].Engine() == left) {
+		return false
+	}
+	w.moved("resume")
+	return true
+}
+
+// strikes notes the runs that pass an engine that died: one of them may have
+// been why.
+func (r *router) strikes(up site.Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.group(up.Service)
+	if g.model == nil || !g.model.Silent(up.ID) {
+		return
+	}
+	for _, f := range g.over(up.ID) {
+		r.strike(crash.Death{Print: f.Print, Upstream: up.ID, Born: up.Born, Ran: time.Since(f.Start).Milliseconds()})
+	}
 }
 
 // shifts plans how runs leave an engine and counts them over at once, so that
-// the next one sees what is taken.
+// the next one sees what is taken. moves are runs without another path.
 func (r *router) shifts(up site.Upstream) (shifts []shift, moves []*relay.Flight) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -115,9 +172,6 @@
 	bad := func(id spec.UpstreamID) bool { return id == up.ID || g.model.Dead(id) }
 	for _, f := range g.over(up.ID) {
 		t := g.flights[f]
-		if g.model.Silent(up.ID) {
-			r.strike(crash.Death{Print: f.Print, Upstream: up.ID, Born: up.Born, Ran: time.Since(f.Start).Milliseconds()})
-		}
 		n := f.Need
 		n.Haste = true
 		chain, err := g.model.Mend(r.now(), t.chain, n, bad)
@@ -127,9 +181,11 @@
 			}
 			continue
 		}
+		s := shift{flight: f, before: t.chain, chain: chain}
 		g.rechain(f, chain)
-		_, hops := f.Chain()
-		shifts = append(shifts, shift{flight: f, first: hops[0].Address, chain: chain, hops: hops})
+		_, s.hops = f.Chain()
+		s.first = s.hops[0].Address
+		shifts = append(shifts, s)
 	}
 	return shifts, moves
 }
@@ -147,18 +203,28 @@
 	return out
 }
 
-func (w *watcher) repath(ctx context.Context, s shift) {
+// repath has the engines of a run go on over another path; false if they do
+// not and the run stays.
+func (w *watcher) repath(ctx context.Context, s shift, left spec.UpstreamID) bool {
 	ctx, cancel := context.WithTimeout(ctx, repathTime)
 	defer cancel()
 	err := w.engines.Repath(ctx, s.first, site.Repath{Request: s.flight.Request, Path: s.hops})
 	if err == nil {
 		w.moved("repath")
 		w.log.Info("edge: path changed", zap.String("request", s.flight.Request), zap.Stringer("path", s.chain), zap.Duration("silent", time.Since(s.flight.Last())))
-		return
+		return true
 	}
-	w.log.Warn("edge: path not changed, run moves", zap.String("request", s.flight.Request), zap.Error(err))
-	w.moved("resume")
-	if s.flight.Resume {
-		s.flight.Move()
+	moves := w.resume(s.flight, left)
+	w.log.Warn("edge: path not changed", zap.String("request", s.flight.Request), zap.Bool("run moves", moves), zap.Error(err))
+	if !moves {
+		w.router.back(s)
 	}
+	return moves
+}
+
+// back counts a run on the path that it has kept.
+func (r *router) back(s shift) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.group(s.flight.Service).rechain(s.flight, s.before)
 }
--- a/internal/app/edge/question.go
+++ b/internal/app/edge/question.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"fulmarwick/internal/base/site"
@@ -11,30 +12,56 @@
 	"go.uber.org/zap"
 )
 
-// ask finds out in the background whether an engine lives. many tells that
-// many of its streams are silent.
-func (w *watcher) ask(ctx context.Context, up site.Upstream, many bool) {
+// inquiry is a question to an engine that may be dead.
+type inquiry struct {
+	up site.Upstream
+	// proof is closed when there is more against the engine than its silence
+	// to a question: many of its streams are silent, or another instance found
+	// it dead.
+	proof chan struct{}
+	once  sync.Once
+}
+
+func (q *inquiry) prove() { q.once.Do(func() { close(q.proof) }) }
+
+func (q *inquiry) proved() bool {
+	select {
+	case <-q.proof:
+		return true
+	default:
+		return false
+	}
+}
+
+// ask finds out in the background whether an engine lives. proof tells that
+// there is more against it than a missing answer would be.
+func (w *watcher) ask(ctx context.Context, up site.Upstream, proof bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.asking[up.ID] {
-		return
-	}
-	w.asking[up.ID] = true
-	go func() {
-		defer func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			delete(w.asking, up.ID)
+	q := w.asking[up.ID]
+	if q == nil {
+		q = &inquiry{up: up, proof: make(chan struct{})}
+		w.asking[up.ID] = q
+		go func() {
+			defer func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				delete(w.asking, up.ID)
+			}()
+			w.question(ctx, q)
 		}()
-		w.question(ctx, up, many)
-	}()
+	}
+	if proof {
+		q.prove()
+	}
 }
 
-func (w *watcher) question(ctx context.Context, up site.Upstream, many bool) {
+func (w *watcher) question(ctx context.Context, q *inquiry) {
 	start := time.Now()
+	up := q.up
 	report, late, err := w.report(ctx, up, askTime)
-	if late && (!many || w.isBusy()) {
-		report, _, err = w.report(ctx, up, askAgain)
+	if late && (!q.proved() || w.isBusy()) {
+		report, err = w.reportAgain(ctx, q)
 	}
 	if ctx.Err() != nil {
 		return
@@ -50,11 +77,33 @@
 		return
 	}
 	w.log.Warn("edge: engine does not answer", zap.String("engine", string(up.ID)), zap.String("address", up.Address),
-		zap.Bool("many", many), zap.Duration("after", time.Since(start)), zap.Error(err))
+		zap.Bool("proof", q.proved()), zap.Duration("after", time.Since(start)), zap.Error(err))
 	w.found(up.ID)
 	w.leave(ctx, up)
 }
 
+// reportAgain gives an engine that did not answer more time, unless proof comes
+// meanwhile and this process gets the processor in time. Of the streams of a
+// dead engine, half waited 70 ms more for this than for those that found it
+// first, and were late.
+func (w *watcher) reportAgain(ctx context.Context, q *inquiry) (site.Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !w.isBusy() {
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			select {
+			case <-q.proof:
+				cancel()
+			case <-stop:
+			}
+		}()
+	}
+	report, _, err := w.report(ctx, q.up, askAgain)
+	return report, err
+}
+
 // report asks an engine how it is; late tells that it did not answer in time.
 func (w *watcher) report(ctx context.Context, up site.Upstream, limit time.Duration) (r site.Report, late bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -79,7 +79,7 @@
 	mu     sync.Mutex
 	busy   time.Time
 	watch  map[string]*stall.Watch
-	asking map[spec.UpstreamID]bool
+	asking map[spec.UpstreamID]*inquiry
 	knock  time.Time
 	lag    time.Time
 	// leaving are the engines that leave, with the time at which their streams
@@ -88,7 +88,7 @@
 }
 
 func newWatcher(r *router, e engines, log *zap.Logger) *watcher {
-	return &watcher{router: r, engines: e, log: log, watch: map[string]*stall.Watch{}, asking: map[spec.UpstreamID]bool{}, leaving: map[spec.UpstreamID]departure{}}
+	return &watcher{router: r, engines: e, log: log, watch: map[string]*stall.Watch{}, asking: map[spec.UpstreamID]*inquiry{}, leaving: map[spec.UpstreamID]departure{}}
 }
 
 // run looks until ctx ends.
@@ -173,6 +173,7 @@
 func (g *group) streams(start time.Time) []stall.Stream {
 	out := make([]stall.Stream, 0, len(g.flights))
 	for f, t := range g.flights {
+		g.reread(f, t)
 		out = append(out, stall.Stream{Chain: t.chain, Last: f.Last().Sub(start), Gap: f.Gap(), Writing: !t.unread})
 	}
 	return out
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -43,7 +43,7 @@
 	// for answers that were broken off: all instances choose for these at the
 	// same moment, when an engine has died.
 	blur      = 0.5
-	hasteBlur = 3
+	hasteBlur = 0.7
 	// firstMost is the longest predicted time to the first event for which a
 	// request is taken. Callers leave after two seconds without one, and then
 	// the prompt was read in vain while it held up others; the prediction does
--- a/internal/route/path/cost.go
+++ b/internal/route/path/cost.go
@@ -80,7 +80,13 @@
 	share := float64(layers) / float64(t.Model.Layers)
 	writer := millis(t.Model.Writer) + millis(t.Model.Context)*float64(n.Prompt+n.Answer)/1000
 	write := float64(n.Answer) * (t.pass(e, u, 1) + hurt*writer*float64(u.Streams)*share*e.card.Pace*e.pace)
-	read := t.read(e, float64(n.Prompt*layers+u.Unread))
+	unread := u.Unread
+	if n.Haste {
+		// The other instances move their streams in the same moment, and what
+		// they chose is known only after it.
+		unread += e.again * len(t.peers)
+	}
+	read := t.read(e, float64(n.Prompt*layers+unread))
 	fill := after / limit
 	if n.Haste {
 		read *= haste
--- a/internal/route/path/path_test.go
+++ b/internal/route/path/path_test.go
@@ -290,3 +290,40 @@
 	}
 	return served, refused
 }
+
+// An engine dies and all instances move its streams at the same moment. Each
+// takes it that the others move as many to where it moves its own: they spread
+// over all engines that hold the layers, not over the fastest ones alone.
+func TestMovedStreamsSpread(t *testing.T) {
+	n := path.Need{Prompt: 800, Answer: 200, Haste: true}
+	used := func(peers int) int {
+		var ups []site.Upstream
+		for i := range 8 {
+			if i < 4 {
+				ups = append(ups, engine(fmt.Sprintf("fast%d", i), "l40s", "east", 20*i, 20*i+20))
+			}
+			ups = append(ups, engine(fmt.Sprintf("slow%d", i), "l4", "east", 10*i, 10*i+10))
+		}
+		tb := table(ups...)
+		for k := range peers {
+			tb.Peer(spec.InstanceID(rune('a'+k)), map[spec.UpstreamID]path.Use{"none": {Streams: 1}})
+		}
+		seen := map[spec.UpstreamID]bool{}
+		for range 6 {
+			c, err := tb.Choose(0, n, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			tb.Begin(c, n)
+			tb.Wrote(c, n)
+			tb.Reread(c, n, 1)
+			for _, s := range c {
+				seen[s.Engine()] = true
+			}
+		}
+		return len(seen)
+	}
+	if alone, among := used(0), used(32); among <= alone {
+		t.Errorf("got %d engines used among 32 others and %d alone, want more among others", among, alone)
+	}
+}
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -46,6 +46,8 @@
 	// rest is until when it gets no new requests.
 	rest time.Duration
 	mine Use
+	// again is the part of mine.Unread that is read once more.
+	again int
 	// others is what the requests of other instances take.
 	others Use
 }
@@ -297,6 +299,18 @@
 	t.count(c, n, false, 1)
 }
 
+// Reread counts in, or out with a sign of -1, that engines read a prompt once
+// more: what is behind a dead engine moves to a few others at the same moment.
+func (t *Table) Reread(c spec.Chain, n Need, sign int) {
+	for _, s := range c {
+		if e := t.byID[s.Engine()]; e != nil {
+			cells := sign * n.Prompt * s.Layers().Len()
+			e.mine.Unread = max(0, e.mine.Unread+cells)
+			e.again = max(0, e.again+cells)
+		}
+	}
+}
+
 // End counts a request out; unread tells whether it still read its prompt.
 func (t *Table) End(c spec.Chain, n Need, unread bool) { t.count(c, n, unread, -1) }
 
--- a/internal/route/stall/stall.go
+++ b/internal/route/stall/stall.go
@@ -27,6 +27,9 @@
 	// after manyShortest: no chance makes so many fall silent at once.
 	many         = 5
 	manyShortest = 42 * time.Millisecond
+	// manyPatience is after how many usual pauses a stream counts among those.
+	// At 2, instances of a calm day asked 396 times instead of 56.
+	manyPatience = 2.5
 	// unread is the silence that counts before the first event of a stream, on
 	// top of what reading its prompt is predicted to take.
 	unread = 350 * time.Millisecond
@@ -50,7 +53,13 @@
 
 // Watch remembers whom it asked about. It is not safe for concurrent use.
 type Watch struct {
-	asked map[spec.UpstreamID]time.Duration
+	asked map[spec.UpstreamID]question
+}
+
+// question is when an engine was named, and whether with many silent streams.
+type question struct {
+	at   time.Duration
+	many bool
 }
 
 // sight is what the streams show of one engine.
@@ -89,15 +98,15 @@
 			e := seen[stage.Engine()]
 			// An event of any stream after this one fell silent shows that the
 			// engine lives.
-			if e.newest > s.Last+limit(s, shortest)/2 {
+			if e.newest > s.Last+limit(s, shortest, patience)/2 {
 				continue
 			}
-			if s.Writing && quiet >= limit(s, manyShortest) {
+			if s.Writing && quiet >= limit(s, manyShortest, manyPatience) {
 				e.hushed++
 			}
-			if quiet >= limit(s, shortest) {
+			if quiet >= limit(s, shortest, patience) {
 				e.silent++
-				e.alone = e.alone || quiet >= alone*limit(s, shortest)
+				e.alone = e.alone || quiet >= alone*limit(s, shortest, patience)
 			}
 		}
 	}
@@ -105,11 +114,11 @@
 }
 
 // limit is the silence of a stream that counts.
-func limit(s Stream, least time.Duration) time.Duration {
+func limit(s Stream, least time.Duration, patience float64) time.Duration {
 	if !s.Writing {
 		return unread
 	}
-	return max(least, patience*s.Gap)
+	return max(least, time.Duration(patience*float64(s.Gap)))
 }
 
 // suspect reports whether the streams of an engine are reason to ask it.
@@ -119,20 +128,24 @@
 
 func (w *Watch) ask(now time.Duration, seen map[spec.UpstreamID]*sight) []Doubt {
 	if w.asked == nil {
-		w.asked = map[spec.UpstreamID]time.Duration{}
+		w.asked = map[spec.UpstreamID]question{}
 	}
-	for id, at := range w.asked {
-		if now-at >= repeat {
+	for id, q := range w.asked {
+		if now-q.at >= repeat {
 			delete(w.asked, id)
 		}
 	}
 	var out []Doubt
 	for id, e := range seen {
-		if _, asked := w.asked[id]; asked || !e.suspect() {
+		before, asked := w.asked[id]
+		now := question{at: now, many: e.hushed >= many}
+		// Named for a few streams first, an engine is named again once many
+		// are silent: while the answer is waited for, that settles it.
+		if !e.suspect() || asked && (before.many || !now.many) {
 			continue
 		}
 		w.asked[id] = now
-		out = append(out, Doubt{Engine: id, Many: e.hushed >= many})
+		out = append(out, Doubt{Engine: id, Many: now.many})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Engine < out[j].Engine })
 	return out
--- a/internal/route/stall/stall_test.go
+++ b/internal/route/stall/stall_test.go
@@ -70,3 +70,20 @@
 		t.Errorf("got %d questions in a second, want 2 to 4", asked)
 	}
 }
+
+// A few streams fall silent first, and the engine is asked; then many are. It
+// is named again, so that the answer need not be waited for any longer.
+func TestManyAreNamedAfterFew(t *testing.T) {
+	w := &stall.Watch{}
+	few := []stall.Stream{stream(900*ms, "a"), stream(901*ms, "a")}
+	var all []stall.Stream
+	for n := range 6 {
+		all = append(all, stream(900*ms+time.Duration(n)*ms, "a"))
+	}
+	got := w.Look(975*ms, few)
+	got = append(got, w.Look(985*ms, all)...)
+	got = append(got, w.Look(995*ms, all)...)
+	if want := []stall.Doubt{{Engine: "a"}, {Engine: "a", Many: true}}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/internal/wire/relay/flight.go
+++ b/internal/wire/relay/flight.go
@@ -18,8 +18,11 @@
 	Need    path.Need
 	// Print is the fingerprint of the request.
 	Print uint64
-	// Resume tells that another run may go on where this one ends.
+	// Resume tells that another run may go on where this one ends, Spare that
+	// it may do so at another engine while this run's first one lives: each
+	// such engine is an attempt of the request.
 	Resume bool
+	Spare  bool
 	Start  time.Time
 
 	// last is the time of the newest event, or of the start, in nanoseconds
@@ -35,6 +38,8 @@
 	hops  []site.Hop
 	stop  func()
 	moved bool
+	// gone tells that the run was moved since its first engine leaves.
+	gone bool
 }
 
 // NewFlight returns a run over a chain.
@@ -82,15 +87,21 @@
 	f.gap.Store(gap + (now-before-gap)/smooth)
 }
 
-// Move ends the run so that the request goes on elsewhere.
-func (f *Flight) Move() {
+// Move ends the run so that the request goes on elsewhere. gone tells that its
+// first engine leaves or is dead. Else the run counts as an attempt, and it goes
+// on as it is, and false is returned, if the request has no other left.
+func (f *Flight) Move(gone bool) bool {
+	if !f.Resume || !gone && !f.Spare {
+		return false
+	}
 	f.mu.Lock()
-	f.moved = true
+	f.moved, f.gone = true, f.gone || gone
 	stop := f.stop
 	f.mu.Unlock()
 	if stop != nil {
 		stop()
 	}
+	return true
 }
 
 // onMove sets what Move calls; false if it was called already.
@@ -106,3 +117,9 @@
 	defer f.mu.Unlock()
 	return f.moved
 }
+
+func (f *Flight) isGone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gone
+}
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -176,6 +176,7 @@
 		f, err := s.models.Paths.Begin(s.call, s.begun, s.avoid)
 		if err == nil {
 			f.Request = s.call.Ask.ID
+			f.Spare = s.ran+1 < s.call.Route.Attempts
 			return f, nil
 		}
 		if len(s.avoid) > 0 && s.begun {
@@ -217,16 +218,10 @@
 		return
 	}
 	s.maybe = true
+	// Runs on first engines that died or leave do not use up the attempts:
+	// counted, the second such run of a stream cut it.
 	chain, _ := f.Chain()
-	for _, stage := range chain {
-		if s.models.Paths.Down(s.call.Service.Name, stage.Engine()) {
-			// Runs on engines that died do not use up the attempts.
-			return
-		}
-	}
-	// A run that was ended here, since its engine leaves or seemed dead, must go
-	// on elsewhere: counted as an attempt, the second one of a stream cut it.
-	if f.isMoved() || f.Events() == 0 && errors.Is(err, errStale) {
+	if s.models.Paths.Down(s.call.Service.Name, chain[0].Engine()) || f.isGone() || f.Events() == 0 && errors.Is(err, errStale) {
 		return
 	}
 	s.ran++
