Orders name the engine that is meant; load command with plot and report

Cause: an order named an address and a count of orders only. Carried out late, at an address that another engine has by now with as many orders, it may tell a smaller card to hold more than its memory. Not covered: an engine reborn under the same name and with the same count.

--- /dev/null
+++ b/internal/app/cmds/load.go
@@ -0,0 +1,113 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"fulmarwick/internal/fakes/depot"
+	"fulmarwick/internal/fakes/drive"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+)
+
+// loadFlags are what load is asked for.
+type loadFlags struct {
+	addresses []string
+	report    string
+	plot      string
+	quiet     bool
+}
+
+func newLoad() *cobra.Command {
+	var f loadFlags
+	c := &cobra.Command{
+		Use:   "load WORKLOAD",
+		Short: "Put a workload on stand-ins, or on running instances, and tell what callers got",
+		Long: `Load sends the requests of a workload file and makes its faults happen. Without
+--address it starts the platform's stand-in, its upstreams and instances in this
+process; with it the requests go to those instances, and faults are refused.`,
+		Example: "  fulmarwick load examples/usual.load --plot load.svg --report load.json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			data, err := os.ReadFile(args[0])
+			if err != nil {
+				return errors.Wrap(err, "load")
+			}
+			work, err := drive.Parse(data)
+			if err != nil {
+				return errors.Wrap(err, args[0])
+			}
+			return runLoad(cmd.Context(), work, f, cmd.OutOrStdout(), cmd.ErrOrStderr())
+		},
+	}
+	c.Flags().StringSliceVar(&f.addresses, "address", nil, "addresses for callers of running instances, with commas")
+	c.Flags().StringVar(&f.report, "report", "", "write the result as JSON to this file")
+	c.Flags().StringVar(&f.plot, "plot", "", "draw times and the served share over time to this file, as SVG")
+	c.Flags().BoolVar(&f.quiet, "quiet", false, "show no progress")
+	return c
+}
+
+func runLoad(ctx context.Context, work drive.Work, f loadFlags, out, progress io.Writer) (err error) {
+	run, done, err := target(ctx, work, f.addresses)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if cerr := done(); err == nil {
+			err = cerr
+		}
+	}()
+	if !f.quiet {
+		run.Progress = func(n int, s drive.Second) {
+			_, _ = fmt.Fprintf(progress, "%4d s  ended %d  served %.1f%%  first event %.0f ms, %.0f ms at p99\n", n, s.Asked, 100*s.Served, s.FirstP50, s.FirstP99)
+		}
+	}
+	report, err := run.Do(ctx)
+	if err != nil {
+		return errors.Wrap(err, "load")
+	}
+	if err := report.Table(out); err != nil {
+		return errors.Wrap(err, "load: table")
+	}
+	if err := toFile(f.report, report.JSON); err != nil {
+		return err
+	}
+	return toFile(f.plot, report.Plot)
+}
+
+// target is what the workload is put on; done ends it.
+func target(ctx context.Context, work drive.Work, addresses []string) (run *drive.Run, done func() error, err error) {
+	if len(addresses) > 0 {
+		if len(work.Faults) > 0 {
+			return nil, nil, errors.Wrap(drive.ErrWork, "faults can be made in stand-ins only, not at --address")
+		}
+		return &drive.Run{Work: work, Fronts: addresses}, func() error { return nil }, nil
+	}
+	d := &depot.Depot{Instances: work.Instances}
+	if err := d.Open(ctx); err != nil {
+		return nil, nil, err
+	}
+	return d.Drive(work), d.Close, nil
+}
+
+// toFile writes a file; none if it has no name.
+func toFile(name string, write func(io.Writer) error) error {
+	if name == "" {
+		return nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "load")
+	}
+	if err := write(file); err != nil {
+		_ = file.Close()
+		return errors.Wrap(err, name)
+	}
+	if err := file.Close(); err != nil {
+		return errors.Wrap(err, name)
+	}
+	return nil
+}
--- a/internal/app/cmds/root.go
+++ b/internal/app/cmds/root.go
@@ -50,7 +50,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.AddCommand(
-		newServe(), newEdge(), newExplain(), newTrial(), newCheck(), newApply(), newShow(), newStatus(), newDrain(), newVersion(),
+		newServe(), newEdge(), newExplain(), newTrial(), newLoad(), newCheck(), newApply(), newShow(), newStatus(), newDrain(), newVersion(),
 	)
 	return root
 }
--- a/internal/app/edge/leave.go
+++ b/internal/app/edge/leave.go
@@ -209,7 +209,7 @@
 func (w *watcher) repath(ctx context.Context, s shift, left spec.UpstreamID) bool {
 	ctx, cancel := context.WithTimeout(ctx, repathTime)
 	defer cancel()
-	err := w.engines.Repath(ctx, s.first, site.Repath{Request: s.flight.Request, Path: s.hops})
+	err := w.engines.Repath(ctx, s.first, site.Repath{Engine: s.chain[0].Engine(), Request: s.flight.Request, Path: s.hops})
 	if err == nil {
 		w.moved("repath")
 		w.log.Info("edge: path changed", zap.String("request", s.flight.Request), zap.Stringer("path", s.chain), zap.Duration("silent", time.Since(s.flight.Last())))
--- a/internal/app/edge/plan.go
+++ b/internal/app/edge/plan.go
@@ -206,5 +206,5 @@
 	case report.Busy || report.Held.Layers != up.Held.Layers:
 		return report.Orders, errHolds
 	}
-	return report.Orders, p.engines.Order(ctx, up.Address, site.Order{Layers: o.Layers, Fence: fence, Expect: report.Orders})
+	return report.Orders, p.engines.Order(ctx, up.Address, site.Order{Engine: up.ID, Layers: o.Layers, Fence: fence, Expect: report.Orders})
 }
--- a/internal/base/site/ask.go
+++ b/internal/base/site/ask.go
@@ -70,6 +70,9 @@
 
 // Order tells an engine which layers to hold.
 type Order struct {
+	// Engine is the engine that is meant. One that has its address by now, with
+	// another memory perhaps, refuses.
+	Engine spec.UpstreamID
 	Layers spec.Layers
 	// Fence is the number of the lease under which the order is given.
 	Fence uint64
@@ -80,6 +83,7 @@
 
 // Repath tells the first engine of a request to go on over another path.
 type Repath struct {
+	Engine  spec.UpstreamID
 	Request string
 	Path    []Hop
 }
--- /dev/null
+++ b/internal/fakes/drive/drive_test.go
@@ -0,0 +1,130 @@
+package drive_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/fakes/depot"
+	"fulmarwick/internal/fakes/drive"
+)
+
+const small = `
+[load]
+seconds = 6
+[class draft]
+path = /write/1
+rate = 20
+prompt = 400
+answer = 60
+[class booking]
+path = /book/1
+rate = 5
+target = 300ms
+deadline = 3s
+[burst two]
+at = 1s
+for = 1s
+times = 2
+class = draft
+[fault slow]
+at = 2s
+kind = slow
+times = 1.1
+`
+
+// Each request of a calm workload is answered in its target, and the report has
+// them all, as a table, as JSON and as a plot.
+func TestCalmWorkload(t *testing.T) {
+	work, err := drive.Parse([]byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var report drive.Report
+	synctest.Test(t, func(t *testing.T) {
+		d := &depot.Depot{Instances: 2}
+		if err := d.Open(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		seconds := 0
+		run := d.Drive(work)
+		run.Progress = func(int, drive.Second) { seconds++ }
+		if report, err = run.Do(context.Background()); err != nil {
+			t.Error(err)
+		}
+		if err := d.Close(); err != nil {
+			t.Error(err)
+		}
+		if seconds < 6 {
+			t.Errorf("got %d seconds told, want 6", seconds)
+		}
+	})
+	if all := report.Total; all.Asked < 100 || all.InTarget != all.Asked || all.Worth != 1 {
+		t.Errorf("got %+v, want all of more than 100 in target", all)
+	}
+	var table, doc, plot bytes.Buffer
+	for name, err := range map[string]error{"table": report.Table(&table), "json": report.JSON(&doc), "plot": report.Plot(&plot)} {
+		if err != nil {
+			t.Errorf("got %v for the %s, want none", err, name)
+		}
+	}
+	var back drive.Report
+	if err := json.Unmarshal(doc.Bytes(), &back); err != nil || back.Total != report.Total || len(back.Seconds) != 6 {
+		t.Errorf("got %+v (%v) back, want %+v and six seconds", back.Total, err, report.Total)
+	}
+	if !strings.Contains(table.String(), "draft") || !strings.HasPrefix(plot.String(), "<svg") {
+		t.Errorf("got table %q and a plot that begins %.20q, want the class and a picture", table.String(), plot.String())
+	}
+}
+
+// Requests and stay times are those of the file: the same seed sends the same.
+func TestSameSeedSendsTheSame(t *testing.T) {
+	work, err := drive.Parse([]byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var asked [2]int
+	for n := range asked {
+		synctest.Test(t, func(t *testing.T) {
+			d := &depot.Depot{Instances: 1}
+			if err := d.Open(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			report, err := d.Drive(work).Do(context.Background())
+			if err != nil {
+				t.Error(err)
+			}
+			if err := d.Close(); err != nil {
+				t.Error(err)
+			}
+			asked[n] = report.Total.Asked
+		})
+	}
+	if asked[0] != asked[1] {
+		t.Errorf("got %d and %d requests, want as many", asked[0], asked[1])
+	}
+}
+
+// A file with faults is refused, and the error names all of them.
+func TestParseNamesAllFaults(t *testing.T) {
+	_, err := drive.Parse([]byte("[load]\nseconds = never\n[class a]\npath = x\nrate = -1\nrates = 3\n[burst b]\nclass = none\n[fault f]\nkind = rain\n[what]\n"))
+	if !errors.Is(err, drive.ErrWork) {
+		t.Fatalf("got %v, want %v", err, drive.ErrWork)
+	}
+	for _, want := range []string{"seconds", "path", "rate: ", "rates is not known", "none", "rain", "[what]"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want it to name %q", err, want)
+		}
+	}
+	if _, err := drive.Parse([]byte("[load]\nseconds = 3")); !errors.Is(err, drive.ErrWork) {
+		t.Errorf("got %v without a class, want %v", err, drive.ErrWork)
+	}
+	if work, err := drive.Parse([]byte("[class a]\npath = /")); err != nil || work.Span != 30*time.Second {
+		t.Errorf("got %+v and %v, want 30s by default", work, err)
+	}
+}
