--- a/internal/app/edge/belief.go
+++ b/internal/app/edge/belief.go
@@ -55,6 +55,14 @@
 // Config is the configuration in force; nil before one is known.
 func (b *belief) Config() *site.Config { return b.config.Load() }
 
+// limits are those in force; none before a configuration is known.
+func (b *belief) limits() site.Limits {
+	if c := b.config.Load(); c != nil {
+		return c.Limits
+	}
+	return site.Limits{}
+}
+
 // ready reports whether enough is known to serve callers.
 func (b *belief) ready() bool {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/app/edge/caller_test.go
@@ -0,0 +1,91 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/fakes/depot"
+)
+
+// raw is a connection to instance 0 on which the caller writes what it likes.
+func (w *world) raw(text string) net.Conn {
+	w.t.Helper()
+	conn, err := w.site.Dial(context.Background(), "tcp", depot.Settings(0).Listen.Callers)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, text); err != nil {
+		w.t.Fatal(err)
+	}
+	return conn
+}
+
+// head is a request of a caller up to its body.
+func head(path, id, more string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: site.example\r\nRequest-Id: %s\r\nX-Api-Key: key-1\r\nDeadline-Ms: 20000\r\n%s", path, id, more)
+}
+
+// Callers send half a head, or half a body, and then nothing. Nothing is passed
+// on, and their connections are not kept: each gets an answer of its own or a
+// close within the time for heads and the deadline, and others are served.
+func TestSlowHeadsAndBodies(t *testing.T) {
+	tests := []struct {
+		name, text string
+		most       time.Duration
+	}{
+		{"head", head("/book/1", "slow-head", "Content-"), 4 * time.Second},
+		{"body", head("/book/1", "slow-body", "Content-Length: 100\r\n\r\nhalf"), 21 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := open(t, 1)
+				defer w.close()
+				start := time.Now()
+				conn := w.raw(test.text)
+				defer func() { _ = conn.Close() }()
+				if a := w.ask(0, http.MethodPost, "/book/1", "other", ""); a.status != http.StatusOK {
+					t.Errorf("got %d (%v) for another caller, want its booking", a.status, a.err)
+				}
+				answer, err := io.ReadAll(conn)
+				if took := time.Since(start); err != nil || took > test.most {
+					t.Errorf("got an end (%v) after %s, want one within %s", err, took, test.most)
+				}
+				if text := string(answer); text != "" && !strings.HasPrefix(text, "HTTP/1.1 408") && !strings.HasPrefix(text, "HTTP/1.1 400") {
+					t.Errorf("got %.60q, want no answer, 400 or 408", text)
+				}
+				if n := w.site.Runs("slow-" + test.name); n != 0 {
+					t.Errorf("got %d runs, want none", n)
+				}
+			})
+		})
+	}
+}
+
+// A caller asks for a long answer and does not read it. Its engine is told to
+// stop, at the latest when the caller's deadline is over, and the streams of
+// others beside it are in time.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := open(t, 1)
+		defer w.close()
+		conn := w.raw(head("/write/1", "unread", "Token-Count: 300,60000\r\nContent-Length: 0\r\n\r\n"))
+		defer func() { _ = conn.Close() }()
+		for k, a := range w.flood(40, func() {}) {
+			if a.longest > 200*time.Millisecond {
+				t.Errorf("got a pause of %s in answer %d, want 200ms at most", a.longest, k)
+			}
+		}
+		time.Sleep(21 * time.Second)
+		if n := w.busiest().Running(); n != 0 {
+			t.Errorf("got %d runs after the deadline, want none", n)
+		}
+	})
+}
--- a/internal/app/edge/ends.go
+++ b/internal/app/edge/ends.go
@@ -18,12 +18,15 @@
 )
 
 const (
-	// headerTime bounds the wait for a request's headers, idleTime that of an
-	// unused connection. Callers may use a connection that was idle for four
-	// fifths of the configured limit, 15 s as a rule; closing it sooner would
-	// cut their requests.
+	// headerTime bounds the wait for a request's headers where the
+	// configuration does not, idleTime is the least time for which an unused
+	// connection stays open. Callers may use one that was idle for four fifths
+	// of the configured limit, 15 s as a rule; closing it sooner would cut their
+	// requests.
 	headerTime = 10 * time.Second
 	idleTime   = time.Minute
+	// idleMost bounds the idle limit that a configuration may set.
+	idleMost = 10 * time.Minute
 	// heapPercent trades processor time of the garbage collector for memory,
 	// which is paid for by its peak.
 	heapPercent = 50
@@ -77,12 +80,13 @@
 			return errors.Wrapf(err, "edge: listen for %s", name)
 		}
 		ends = append(ends, &end{name: name, at: at, server: &http.Server{
-			Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: quiet,
+			Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleMost, ErrorLog: quiet,
 		}})
 		return nil
 	}
 	err := add("callers", l.Callers, i.halt.Handler(i.server))
 	if err == nil {
+		(&conns{limits: i.belief.limits}).bind(ends[0])
 		err = add("ready", l.Ready, i.readiness())
 	}
 	if err == nil {
--- a/internal/fakes/depot/worst_test.go
+++ b/internal/fakes/depot/worst_test.go
@@ -39,7 +39,9 @@
 		w.Faults = []drive.Fault{{At: 6 * time.Second, Kind: drive.KindZone, Zone: stand.Zones[0].Name}}
 	}},
 	{"pipe 3 times slower", func(w *drive.Work) { w.Faults = []drive.Fault{{At: 4 * time.Second, Kind: drive.KindPipe, Times: 3}} }},
-	{"2 slow", func(w *drive.Work) { w.Faults = []drive.Fault{{At: 6 * time.Second, Kind: drive.KindSlow, Count: 2, Times: 4}} }},
+	{"2 slow", func(w *drive.Work) {
+		w.Faults = []drive.Fault{{At: 6 * time.Second, Kind: drive.KindSlow, Count: 2, Times: 4}}
+	}},
 }
 
 // play plays a workload on a depot of its own in virtual time.
@@ -84,7 +86,11 @@
 		t.Skip("prints figures: WORST=1")
 	}
 	for _, l := range loads {
-		a := play(t, nil, l.add); b, c := a, a; if os.Getenv("WORST") != "mine" { b, c = play(t, &stand.Naive{}, l.add), play(t, &stand.Naive{Least: true}, l.add) }
+		a := play(t, nil, l.add)
+		b, c := a, a
+		if os.Getenv("WORST") != "mine" {
+			b, c = play(t, &stand.Naive{}, l.add), play(t, &stand.Naive{Least: true}, l.add)
+		}
 		fmt.Printf("| %s | %.3f | %.3f | %.3f | %d late, %d refused, %d failed of %d | %.0f, %.0f |\n", l.name, a.Total.Worth, b.Total.Worth, c.Total.Worth,
 			a.Total.Late, a.Total.Refused, a.Total.Failed, a.Total.Asked, a.Total.PauseP50, a.Total.PauseP99)
 	}
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -153,6 +153,9 @@
 	if most <= 0 {
 		most = defaultBody
 	}
+	if config.Limits.Header > 0 && headBytes(r) > config.Limits.Header {
+		return http.StatusRequestHeaderFieldsTooLarge, "headers are too large"
+	}
 	if r.ContentLength > most {
 		return http.StatusRequestEntityTooLarge, "body is too large"
 	}
@@ -274,3 +277,14 @@
 func (Stopped) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	refuse(w, http.StatusServiceUnavailable, "instance is stopping", elsewhere)
 }
+
+// headBytes is the size of a request's head as it was sent.
+func headBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(" HTTP/1.1\r\n\r\n") + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,6 +35,7 @@
 
 func newRules() rules {
 	c := &site.Config{
+		Limits:  site.Limits{Header: 8 << 10},
 		Version: 1,
 		Routes: []site.Route{
 			{Name: "s", Host: "127.0.0.1", Prefix: "/s/", Kind: site.KindStream, Resume: true, Attempts: 2, Split: []site.Share{{Service: "m", Weight: 1}}},
@@ -136,6 +138,14 @@
 	if resp, _ := ask(t, http.MethodPost, url+"/p/1", bytes.NewReader(make([]byte, 5<<20))); resp.StatusCode != http.StatusRequestEntityTooLarge {
 		t.Errorf("got %d for a large body, want 413", resp.StatusCode)
 	}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url+"/p/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Long", strings.Repeat("x", 9<<10))
+	if resp, err := http.DefaultClient.Do(req); err != nil || resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("got %v and %v for large headers, want 431", resp, err)
+	}
 	if resp, _ := ask(t, http.MethodGet, url+"/p/1", nil); resp.StatusCode != http.StatusBadGateway || resp.Header.Get("Retry-After") != "" {
 		t.Errorf("got %d for an answer without a seal, want 502 and no promise", resp.StatusCode)
 	}
