--- a/internal/route/again/again_test.go
+++ b/internal/route/again/again_test.go
@@ -62,3 +62,42 @@
 		t.Error("got no repeat two windows later, want one")
 	}
 }
+
+// All instances repeat whatever they may, and requests come to them unevenly:
+// one has half of them, as where balancers choose by a hash of the caller. What
+// they send together stays below the bound, and how much of it they leave unused
+// is what the split of the allowance costs.
+func TestErrorOfTheSplit(t *testing.T) {
+	for _, test := range []struct {
+		instances int
+		rate      int
+		// least is the part of the bound that is used at least.
+		least float64
+	}{{4, 79, 0.7}, {33, 640, 0.7}} {
+		budgets := make([]*again.Budget, test.instances)
+		for i := range budgets {
+			budgets[i] = &again.Budget{Ratio: ratio, Allowance: allowance, Window: window}
+		}
+		first, more := 0, 0
+		for k := range 10 * test.rate {
+			now := time.Duration(k) * window / time.Duration(10*test.rate)
+			at := 0
+			if k%2 == 0 {
+				at = k / 2 % test.instances
+			}
+			budgets[at].First(now)
+			first++
+			for range 4 {
+				if budgets[at].Allow(now, test.instances) {
+					more++
+				}
+			}
+		}
+		bound := ratio*float64(first) + allowance
+		used := float64(more) / bound
+		t.Logf("%d instances: %d repeats of %.0f allowed, %.3f", test.instances, more, bound, used)
+		if used > 1 || used < test.least {
+			t.Errorf("got %.3f of the bound used by %d instances, want %.2f to 1", used, test.instances, test.least)
+		}
+	}
+}
