--- a/internal/app/edge/leave.go
+++ b/internal/app/edge/leave.go
@@ -97,12 +97,13 @@
 const leaveAgain = 200 * time.Millisecond
 
 // leave takes all runs off an engine. Those that can neither change their path
-// nor begin anew at another engine stay, and are tried again until none is left.
+// nor begin anew at another engine stay, and are tried again until none is left
+// or the engine serves again.
 func (w *watcher) leave(ctx context.Context, up site.Upstream) {
 	w.router.strikes(up)
 	for pause := leaveAgain; ; pause *= 2 {
 		kept := w.leaveOnce(ctx, up)
-		if kept == 0 || !feed.Sleep(ctx, pause) {
+		if kept == 0 || !feed.Sleep(ctx, pause) || w.router.serves(up) {
 			return
 		}
 	}
@@ -146,6 +147,18 @@
 	return true
 }
 
+// serves reports whether an engine that was left serves again.
+func (r *router) serves(up site.Upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.group(up.Service)
+	if g.model == nil || g.model.Dead(up.ID) {
+		return false
+	}
+	now, listed := g.model.Upstream(up.ID)
+	return listed && now.State == site.StateReady
+}
+
 // strikes notes the runs that pass an engine that died: one of them may have
 // been why.
 func (r *router) strikes(up site.Upstream) {
--- a/internal/app/edge/question.go
+++ b/internal/app/edge/question.go
@@ -79,7 +79,8 @@
 	w.log.Warn("edge: engine does not answer", zap.String("engine", string(up.ID)), zap.String("address", up.Address),
 		zap.Bool("proof", q.proved()), zap.Duration("after", time.Since(start)), zap.Error(err))
 	w.found(up.ID)
-	w.leave(ctx, up)
+	// The engine must be asked again meanwhile: it may come back.
+	go w.leave(ctx, up)
 }
 
 // reportAgain gives an engine that did not answer more time, unless proof comes
--- a/internal/route/grid/even.go
+++ b/internal/route/grid/even.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
@@ -27,6 +28,7 @@
 		add(memory, e.Held, tokens(m, e.Card, e.Held.Len()))
 	}
 	best, at := scarcity(memory)*(1-evenGain), -1
+	weakest := slices.Min(memory)
 	var to spec.Layers
 	for i, e := range engines {
 		n := size(m, e.Card)
@@ -37,7 +39,8 @@
 		add(after, e.Held, -tokens(m, e.Card, e.Held.Len()))
 		held := scarcest(after, n)
 		add(after, held, tokens(m, e.Card, n))
-		if s := scarcity(after); s < best {
+		// A move that pays elsewhere may not leave less where there is least.
+		if s := scarcity(after); s < best && slices.Min(after) >= weakest {
 			best, at, to = s, i, held
 		}
 	}
--- /dev/null
+++ b/internal/route/path/use.go
@@ -0,0 +1,79 @@
+package path
+
+import (
+	"fulmarwick/internal/base/spec"
+)
+
+// Use is what requests take of an engine.
+type Use struct {
+	// Streams is how many requests pass it.
+	Streams int `cbor:"1,keyasint"`
+	// Cells is the memory promised to them, in tokens times layers.
+	Cells int `cbor:"2,keyasint"`
+	// Unread is what is still to be read of their prompts, in tokens times
+	// layers.
+	Unread int `cbor:"3,keyasint"`
+}
+
+func (u *Use) add(o Use) {
+	u.Streams += o.Streams
+	u.Cells += o.Cells
+	u.Unread += o.Unread
+}
+
+// Need is what a request takes of each layer.
+type Need struct {
+	// Prompt is the tokens to read, Answer those to write.
+	Prompt int
+	Answer int
+	// Haste is set for an answer that was broken off: its caller has begun to
+	// read, and waits for the next event, not for the last one.
+	Haste bool
+}
+
+func (n Need) use(layers int, unread bool) Use {
+	u := Use{Streams: 1, Cells: (n.Prompt + n.Answer) * layers}
+	if unread {
+		u.Unread = n.Prompt * layers
+	}
+	return u
+}
+
+// Begin counts a request in on a chain of which it still reads the prompt.
+func (t *Table) Begin(c spec.Chain, n Need) { t.count(c, n, true, 1) }
+
+// Wrote tells that the prompt of a request is read.
+func (t *Table) Wrote(c spec.Chain, n Need) {
+	t.count(c, n, true, -1)
+	t.count(c, n, false, 1)
+}
+
+// Reread counts in, or out with a sign of -1, that engines read a prompt once
+// more: what is behind a dead engine moves to a few others at the same moment.
+func (t *Table) Reread(c spec.Chain, n Need, sign int) {
+	for _, s := range c {
+		if e := t.byID[s.Engine()]; e != nil {
+			cells := sign * n.Prompt * s.Layers().Len()
+			e.mine.Unread = max(0, e.mine.Unread+cells)
+			e.again = max(0, e.again+cells)
+		}
+	}
+}
+
+// End counts a request out; unread tells whether it still read its prompt.
+func (t *Table) End(c spec.Chain, n Need, unread bool) { t.count(c, n, unread, -1) }
+
+func (t *Table) count(c spec.Chain, n Need, unread bool, sign int) {
+	for _, s := range c {
+		e := t.byID[s.Engine()]
+		if e == nil {
+			continue
+		}
+		u := n.use(s.Layers().Len(), unread)
+		e.mine.add(Use{Streams: sign * u.Streams, Cells: sign * u.Cells, Unread: sign * u.Unread})
+		// A request that began before its engine was born anew does not count.
+		e.mine.Streams = max(0, e.mine.Streams)
+		e.mine.Cells = max(0, e.mine.Cells)
+		e.mine.Unread = max(0, e.mine.Unread)
+	}
+}
