--- a/internal/fakes/depot/death_test.go
+++ b/internal/fakes/depot/death_test.go
@@ -1,7 +1,6 @@
 package depot_test
 
 import (
-	"fmt"
 	"os"
 	"slices"
 	"testing"
@@ -30,6 +29,6 @@
 		slices.Sort(late)
 		slices.Sort(lost)
 		slices.Sort(p99)
-		fmt.Printf("| %s | %d, %d | %d, %d | %.0f, %.0f |\n", kind, late[4], late[7], lost[4], lost[7], p99[4], p99[7])
+		t.Logf("| %s | %d, %d | %d, %d | %.0f, %.0f |", kind, late[4], late[7], lost[4], lost[7], p99[4], p99[7])
 	}
 }
--- a/internal/fakes/depot/worst_test.go
+++ b/internal/fakes/depot/worst_test.go
@@ -86,12 +86,8 @@
 		t.Skip("prints figures: WORST=1")
 	}
 	for _, l := range loads {
-		a := play(t, nil, l.add)
-		b, c := a, a
-		if os.Getenv("WORST") != "mine" {
-			b, c = play(t, &stand.Naive{}, l.add), play(t, &stand.Naive{Least: true}, l.add)
-		}
-		fmt.Printf("| %s | %.3f | %.3f | %.3f | %d late, %d refused, %d failed of %d | %.0f, %.0f |\n", l.name, a.Total.Worth, b.Total.Worth, c.Total.Worth,
+		a, b, c := play(t, nil, l.add), play(t, &stand.Naive{}, l.add), play(t, &stand.Naive{Least: true}, l.add)
+		t.Logf("| %s | %.3f | %.3f | %.3f | %d late, %d refused, %d failed of %d | %.0f, %.0f |", l.name, a.Total.Worth, b.Total.Worth, c.Total.Worth,
 			a.Total.Late, a.Total.Refused, a.Total.Failed, a.Total.Asked, a.Total.PauseP50, a.Total.PauseP99)
 	}
 }
--- a/internal/fakes/drive/work.go
+++ b/internal/fakes/drive/work.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -125,7 +126,7 @@
 		p.known(s)
 	case "load":
 		p.known(s, "seconds", "instances", "seed")
-		p.work.Span = p.span(s, "seconds", p.work.Span, time.Second, time.Hour)
+		p.work.Span = p.span(s, "seconds", p.work.Span, time.Second)
 		p.work.Instances = int(p.number(s, "instances", 4, 1, 64))
 		p.work.Seed = uint64(p.number(s, "seed", 1, 0, 1e9))
 	case "class":
@@ -133,13 +134,13 @@
 	case "burst":
 		p.known(s, "at", "for", "times", "class")
 		p.work.Bursts = append(p.work.Bursts, Burst{
-			At: p.span(s, "at", 0, 0, time.Hour), For: p.span(s, "for", time.Second, time.Millisecond, time.Hour),
+			At: p.span(s, "at", 0, 0), For: p.span(s, "for", time.Second, time.Millisecond),
 			Times: p.number(s, "times", 2, 0, 100), Class: s.Key("class").String(),
 		})
 	case "fault":
 		p.known(s, "at", "kind", "count", "times", "zone")
 		p.work.Faults = append(p.work.Faults, Fault{
-			At: p.span(s, "at", 0, 0, time.Hour), Kind: Kind(s.Key("kind").String()), Count: int(p.number(s, "count", 1, 1, 1000)),
+			At: p.span(s, "at", 0, 0), Kind: Kind(s.Key("kind").String()), Count: int(p.number(s, "count", 1, 1, 1000)),
 			Times: p.number(s, "times", 3, 1, 1000), Zone: s.Key("zone").String(),
 		})
 	default:
@@ -152,8 +153,8 @@
 	c := Class{
 		Name: name, Method: s.Key("method").MustString("POST"), Key: s.Key("key").MustString(stand.Key(1)), Path: s.Key("path").String(), Rate: p.number(s, "rate", 1, 0, 1e5),
 		Prompt: int(p.number(s, "prompt", 0, 0, 1e6)), Answer: int(p.number(s, "answer", 0, 0, 1e6)),
-		Target: p.span(s, "target", 500*time.Millisecond, time.Millisecond, time.Hour), Gap: p.span(s, "gap", 200*time.Millisecond, time.Millisecond, time.Hour),
-		Deadline: p.span(s, "deadline", 20*time.Second, time.Millisecond, time.Hour),
+		Target: p.span(s, "target", 500*time.Millisecond, time.Millisecond), Gap: p.span(s, "gap", 200*time.Millisecond, time.Millisecond),
+		Deadline: p.span(s, "deadline", 20*time.Second, time.Millisecond),
 		Late:     p.number(s, "late", 0.5, 0, 1), Retries: int(p.number(s, "retries", 1, 0, 10)),
 	}
 	if name == "" {
@@ -183,11 +184,7 @@
 		}
 	}
 	for _, f := range p.work.Faults {
-		known := false
-		for _, k := range kinds {
-			known = known || k == f.Kind
-		}
-		if !known {
+		if !slices.Contains(kinds, f.Kind) {
 			p.fault("fault of kind %q; known are %v", f.Kind, kinds)
 		}
 		if f.Kind == KindZone && f.Zone == "" {
@@ -199,11 +196,7 @@
 // known faults keys that a section does not have.
 func (p *parser) known(s *ini.Section, names ...string) {
 	for _, k := range s.KeyStrings() {
-		found := false
-		for _, n := range names {
-			found = found || n == k
-		}
-		if !found {
+		if !slices.Contains(names, k) {
 			p.fault("[%s] %s is not known", s.Name(), k)
 		}
 	}
@@ -221,8 +214,11 @@
 	return v
 }
 
+// longest is the longest time that a workload may name.
+const longest = time.Hour
+
 // span reads a duration such as 200ms; a bare number is seconds.
-func (p *parser) span(s *ini.Section, key string, usual, least, most time.Duration) time.Duration {
+func (p *parser) span(s *ini.Section, key string, usual, least time.Duration) time.Duration {
 	if !s.HasKey(key) {
 		return usual
 	}
@@ -231,8 +227,8 @@
 	if err != nil {
 		d, err = time.ParseDuration(text + "s")
 	}
-	if err != nil || d < least || d > most {
-		p.fault("[%s] %s: %q is not a time from %s to %s", s.Name(), key, text, least, most)
+	if err != nil || d < least || d > longest {
+		p.fault("[%s] %s: %q is not a time from %s to %s", s.Name(), key, text, least, longest)
 		return usual
 	}
 	return d
