--- a/internal/fakes/depot/worst_test.go
+++ b/internal/fakes/depot/worst_test.go
@@ -96,6 +96,7 @@
 // The others are served as if they were alone, and the heavy team gets the rest.
 func TestSmallTeamsBesideHeavyOne(t *testing.T) {
 	got := play(t, nil, func(w *drive.Work) {
+		w.Span = 10 * time.Second
 		heavy := w.Classes[0]
 		heavy.Rate, heavy.Retries = 300, 0
 		w.Classes = []drive.Class{heavy}
--- a/internal/fakes/drive/run.go
+++ b/internal/fakes/drive/run.go
@@ -104,8 +104,8 @@
 		if at > r.Work.Span || !wait(ctx, time.Until(r.start.Add(at))) {
 			return
 		}
-		id := fmt.Sprintf("%s-%d", c.Name, k)
-		callers.Go(func() { r.call(ctx, c, id, at) })
+		id, sent := fmt.Sprintf("%s-%d", c.Name, k), at
+		callers.Go(func() { r.call(ctx, c, id, sent) })
 	}
 }
 
