One piece of code where the change had written the same twice

The search for the range with the greatest weight, memory behind a layer, the pause that ends with a context, reading the head of an answer past others' and returning its connection, a deployment of stand-ins for tests: each stood twice or more. Work in the wrong place: a team below an even share no longer has the room of all layers added up, and plans are made without the router's lock.

--- a/internal/app/edge/caller_test.go
+++ b/internal/app/edge/caller_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 	"time"
 
 	"fulmarwick/internal/fakes/depot"
+	"fulmarwick/platform/stand"
 )
 
 // raw is a connection to instance 0 on which the caller writes what it likes.
@@ -27,9 +27,18 @@
 	return conn
 }
 
-// head is a request of a caller up to its body.
-func head(path, id, more string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: site.example\r\nRequest-Id: %s\r\nX-Api-Key: key-1\r\nDeadline-Ms: 20000\r\n%s", path, id, more)
+// written is a request of a caller as it goes over the wire.
+func (w *world) written(path, id, tokens string) string {
+	w.t.Helper()
+	req, err := stand.NewRequest(context.Background(), http.MethodPost, "http://site.example"+path, id, tokens)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	var b strings.Builder
+	if err := req.Write(&b); err != nil {
+		w.t.Fatal(err)
+	}
+	return b.String()
 }
 
 // Callers send half a head, or half a body, and then nothing. Nothing is passed
@@ -37,11 +46,14 @@
 // close within the time for heads and the deadline, and others are served.
 func TestSlowHeadsAndBodies(t *testing.T) {
 	tests := []struct {
-		name, text string
-		most       time.Duration
+		name string
+		// left is how many bytes are never sent: the body and the end of the
+		// head, or half of the body.
+		left int
+		most time.Duration
 	}{
-		{"head", head("/book/1", "slow-head", "Content-"), 4 * time.Second},
-		{"body", head("/book/1", "slow-body", "Content-Length: 100\r\n\r\nhalf"), 21 * time.Second},
+		{"head", len("prompt\r\n\r\n") + 4, 4 * time.Second},
+		{"body", len("mpt"), 21 * time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -49,7 +61,8 @@
 				w := open(t, 1)
 				defer w.close()
 				start := time.Now()
-				conn := w.raw(test.text)
+				text := w.written("/book/1", "slow-"+test.name, "")
+				conn := w.raw(text[:len(text)-test.left])
 				defer func() { _ = conn.Close() }()
 				if a := w.ask(0, http.MethodPost, "/book/1", "other", ""); a.status != http.StatusOK {
 					t.Errorf("got %d (%v) for another caller, want its booking", a.status, a.err)
@@ -76,7 +89,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := open(t, 1)
 		defer w.close()
-		conn := w.raw(head("/write/1", "unread", "Token-Count: 300,60000\r\nContent-Length: 0\r\n\r\n"))
+		conn := w.raw(w.written("/write/1", "unread", "300,60000"))
 		defer func() { _ = conn.Close() }()
 		for k, a := range w.flood(40, func() {}) {
 			if a.longest > 200*time.Millisecond {
--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -45,7 +45,7 @@
 	if g.model == nil {
 		return nil, path.ErrNone
 	}
-	if !begun && !g.teams.Allow(c.Team, g.model.Tight(r.now())) {
+	if !begun && !g.teams.Allow(c.Team, func() float64 { return g.model.Tight(r.now()) }) {
 		return nil, share.ErrKept
 	}
 	n := need(c.Ask, g.model.Model)
@@ -70,14 +70,7 @@
 	if len(avoid) == 0 {
 		return nil
 	}
-	return func(id spec.UpstreamID) bool {
-		for _, a := range avoid {
-			if a == id {
-				return true
-			}
-		}
-		return false
-	}
+	return func(id spec.UpstreamID) bool { return slices.Contains(avoid, id) }
 }
 
 // Wrote tells that the first event of a run came.
--- a/internal/app/edge/plan.go
+++ b/internal/app/edge/plan.go
@@ -101,20 +101,39 @@
 func (p *planner) due(now time.Time) map[string][]grid.Order {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	out := map[string][]grid.Order{}
+	// Requests wait for the router's lock; they need not wait for the plan.
+	for name, v := range p.views(now) {
+		if !v.held && (now.Sub(p.changed) < settle || now.Sub(p.start) < fill) {
+			continue
+		}
+		if orders := p.patient(name, v.engines, grid.Plan(v.model, v.engines), now); len(orders) > 0 {
+			out[name] = orders
+		}
+	}
+	return out
+}
+
+// view is what a plan for a service is made of.
+type view struct {
+	model   *site.Model
+	engines []grid.Engine
+	// held tells that any engine holds layers.
+	held bool
+}
+
+// views are those of all services of models; p.mu is held.
+func (p *planner) views(now time.Time) map[string]view {
 	p.router.mu.Lock()
 	defer p.router.mu.Unlock()
-	out := map[string][]grid.Order{}
+	out := map[string]view{}
 	for name, g := range p.router.groups {
 		if g.model == nil {
 			continue
 		}
-		engines, held := p.engineRows(g, now)
-		if !held && (now.Sub(p.changed) < settle || now.Sub(p.start) < fill) {
-			continue
-		}
-		if orders := p.patient(name, engines, grid.Plan(g.model.Model, engines), now); len(orders) > 0 {
-			out[name] = orders
-		}
+		v := view{model: g.model.Model}
+		v.engines, v.held = p.engineRows(g, now)
+		out[name] = v
 	}
 	return out
 }
--- a/internal/app/edge/site_test.go
+++ b/internal/app/edge/site_test.go
@@ -15,56 +15,40 @@
 	"fulmarwick/internal/app/edge"
 	"fulmarwick/internal/fakes/depot"
 	"fulmarwick/platform/stand"
-
-	"go.uber.org/zap"
 )
 
 // world is a site with instances in front of it, in virtual time.
 type world struct {
 	t         *testing.T
+	depot     *depot.Depot
 	site      *stand.Site
 	instances []*edge.Instance
-	ended     sync.WaitGroup
 	clients   []*http.Client
 }
 
 // open starts a filled site and n instances and waits until layers are placed.
 func open(t *testing.T, n int) *world {
 	t.Helper()
-	w := &world{t: t, site: stand.NewSite()}
-	w.site.Store.Put("op", "config", w.site.Config(1))
-	w.site.Fill()
-	for k := range n {
-		w.start(k)
+	w := &world{t: t, depot: &depot.Depot{Instances: n}}
+	if err := w.depot.Open(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	w.site, w.instances = w.depot.Site(), w.depot.Running()
+	for range n {
+		w.clients = append(w.clients, &http.Client{Transport: &http.Transport{DialContext: w.site.Dial}})
 	}
-	time.Sleep(9 * time.Second)
 	return w
 }
 
-func (w *world) start(k int) *edge.Instance {
-	i := &edge.Instance{Settings: depot.Settings(k), Log: zap.NewNop(), Dial: w.site.Dial, Listen: w.site.Net.Listen}
-	w.instances = append(w.instances, i)
-	w.clients = append(w.clients, &http.Client{Transport: &http.Transport{DialContext: w.site.Dial}})
-	w.ended.Go(func() {
-		if err := i.Run(context.Background()); err != nil {
-			w.t.Errorf("got %v, want instance %d to end without error", err, k)
-		}
-	})
-	return i
-}
-
 // close stops all instances and checks what the site saw.
 func (w *world) close() {
 	w.t.Helper()
-	for k, i := range w.instances {
-		w.clients[k].CloseIdleConnections()
-		i.Stop()
+	for _, c := range w.clients {
+		c.CloseIdleConnections()
 	}
-	w.ended.Wait()
-	for _, f := range w.site.Faults() {
-		w.t.Errorf("got fault: %s, want none", f)
+	if err := w.depot.Close(); err != nil {
+		w.t.Errorf("got %v, want no rule broken and no instance failed", err)
 	}
-	w.site.Close()
 }
 
 // answer is what a caller got.
--- a/internal/fakes/depot/depot.go
+++ b/internal/fakes/depot/depot.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +38,7 @@
 	fronts    []string
 	ended     sync.WaitGroup
 	mu        sync.Mutex
-	err       error
+	errs      []error
 }
 
 // Settings are those of instance n.
@@ -81,7 +82,7 @@
 		if err := i.Run(context.Background()); err != nil {
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			d.err = errors.Wrapf(err, "depot: instance %d", n)
+			d.errs = append(d.errs, errors.Wrapf(err, "depot: instance %d", n))
 		}
 	})
 }
@@ -101,8 +102,14 @@
 	return nil
 }
 
-// Close stops everything. It returns the first rule that upstreams saw broken,
-// or the first instance that failed.
+// Site is the platform's stand-in.
+func (d *Depot) Site() *stand.Site { return d.site }
+
+// Running are the instances of the router.
+func (d *Depot) Running() []*edge.Instance { return slices.Clone(d.instances) }
+
+// Close stops everything. It returns every rule that upstreams saw broken and
+// every instance that failed.
 func (d *Depot) Close() error {
 	for _, i := range d.instances {
 		i.Stop()
@@ -113,10 +120,11 @@
 	d.site.Close()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if faults := d.site.Faults(); len(faults) > 0 {
-		return errors.Errorf("depot: %d rules broken, the first: %s", len(faults), faults[0])
+	errs := d.errs
+	for _, f := range d.site.Faults() {
+		errs = append(errs, errors.Errorf("depot: rule broken: %s", f))
 	}
-	return d.err
+	return errors.Join(errs...)
 }
 
 // Drive is a run of a workload on the depot.
--- a/internal/fakes/drive/run.go
+++ b/internal/fakes/drive/run.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"fulmarwick/internal/state/feed"
 	"fulmarwick/platform/stand"
 )
 
@@ -101,7 +102,7 @@
 			return
 		}
 		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
-		if at > r.Work.Span || !wait(ctx, time.Until(r.start.Add(at))) {
+		if at > r.Work.Span || !feed.Sleep(ctx, time.Until(r.start.Add(at))) {
 			return
 		}
 		id, sent := fmt.Sprintf("%s-%d", c.Name, k), at
@@ -121,23 +122,12 @@
 }
 
 func (r *Run) fault(ctx context.Context, f Fault) error {
-	if !wait(ctx, f.At) {
+	if !feed.Sleep(ctx, f.At) {
 		return nil
 	}
 	return r.Fault(f)
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(max(0, d))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // call is one caller: it comes back when it is told to.
 func (r *Run) call(ctx context.Context, c *Class, id string, at time.Duration) {
 	until := time.Now().Add(c.Deadline)
@@ -148,7 +138,7 @@
 	for try := 0; ; try++ {
 		var again time.Duration
 		a, again = r.ask(ctx, c, fmt.Sprintf("%s-%d", id, try), start, time.Until(until))
-		if a.end != EndRefused || try >= c.Retries || !wait(ctx, again) {
+		if a.end != EndRefused || try >= c.Retries || !feed.Sleep(ctx, again) {
 			break
 		}
 	}
--- a/internal/route/grid/even.go
+++ b/internal/route/grid/even.go
@@ -37,7 +37,7 @@
 		}
 		after := append([]float64(nil), memory...)
 		add(after, e.Held, -tokens(m, e.Card, e.Held.Len()))
-		held := scarcest(after, n)
+		held := heaviest(scarcities(after), n)
 		add(after, held, tokens(m, e.Card, n))
 		// A move that pays elsewhere may not leave less where there is least.
 		if s := scarcity(after); s < best && slices.Min(after) >= weakest {
@@ -50,37 +50,26 @@
 	return []Order{{ID: engines[at].ID, Layers: to}}
 }
 
-// tokens is what a card holds of requests behind each of so many layers.
-func tokens(m *site.Model, c site.Card, layers int) float64 {
-	if layers == 0 {
-		return 0
-	}
-	return float64(m.Cells(c, layers)) / float64(layers)
-}
-
 func add(memory []float64, held spec.Layers, tokens float64) {
 	for l := held.From(); l < held.To(); l++ {
 		memory[l] += tokens
 	}
 }
 
-// scarcity grows most with the layers that have least memory.
-func scarcity(memory []float64) float64 {
-	sum := 0.0
-	for _, tokens := range memory {
-		sum += 1 / math.Max(tokens, 1)
+// scarcities grow most with the layers that have least memory.
+func scarcities(memory []float64) []float64 {
+	out := make([]float64, len(memory))
+	for l, held := range memory {
+		out[l] = 1 / math.Max(held, 1)
 	}
-	return sum
+	return out
 }
 
-// scarcest is the range of n layers where memory is scarcest.
-func scarcest(memory []float64, n int) spec.Layers {
-	best, at := -1.0, 0
-	for from := 0; from+n <= len(memory); from++ {
-		// Sums of the same layers in another order differ in the last digits.
-		if s := scarcity(memory[from : from+n]); s > best*(1+1e-9) {
-			best, at = s, from
-		}
+// scarcity is that of all layers together.
+func scarcity(memory []float64) float64 {
+	sum := 0.0
+	for _, s := range scarcities(memory) {
+		sum += s
 	}
-	return spec.NewLayers(at, at+n)
+	return sum
 }
--- a/internal/route/grid/grid.go
+++ b/internal/route/grid/grid.go
@@ -198,11 +198,17 @@
 	for l := range weak {
 		weak[l] = weakness(m, all, centre, l)
 	}
+	return heaviest(weak, n)
+}
+
+// heaviest is the range of n layers with the greatest sum of weights, the first
+// of several.
+func heaviest(weights []float64, n int) spec.Layers {
 	best, at := -1.0, 0
-	for from := 0; from+n <= m.Layers; from++ {
+	for from := 0; from+n <= len(weights); from++ {
 		sum := 0.0
-		for l := from; l < from+n; l++ {
-			sum += weak[l]
+		for _, w := range weights[from : from+n] {
+			sum += w
 		}
 		// Sums of the same layers in another order differ in the last digits.
 		if sum > best*(1+1e-9) {
@@ -212,17 +218,25 @@
 	return spec.NewLayers(at, at+n)
 }
 
+// tokens is what a card holds of requests behind each of so many layers.
+func tokens(m *site.Model, c site.Card, layers int) float64 {
+	if layers == 0 {
+		return 0
+	}
+	return float64(m.Cells(c, layers)) / float64(layers)
+}
+
 func weakness(m *site.Model, all []Engine, centre spec.DataCentre, layer int) float64 {
-	tokens, near := 0.0, 0.0
+	held, near := 0.0, 0.0
 	for _, e := range all {
 		if !e.Held.Has(layer) {
 			continue
 		}
-		t := float64(m.Cells(e.Card, e.Held.Len())) / float64(e.Held.Len())
-		tokens += t
+		t := tokens(m, e.Card, e.Held.Len())
+		held += t
 		if e.Centre == centre {
 			near += t
 		}
 	}
-	return wanted/(tokens+1) + wanted/(near+wanted)
+	return wanted/(held+1) + wanted/(near+wanted)
 }
--- a/internal/route/grid/rescue.go
+++ b/internal/route/grid/rescue.go
@@ -59,14 +59,14 @@
 func without(m *site.Model, all []Engine, i int) float64 {
 	least := -1.0
 	for l := all[i].Held.From(); l < all[i].Held.To(); l++ {
-		tokens := 0.0
+		rest := 0.0
 		for k, e := range all {
 			if k != i && e.Held.Has(l) {
-				tokens += float64(m.Cells(e.Card, e.Held.Len())) / float64(e.Held.Len())
+				rest += tokens(m, e.Card, e.Held.Len())
 			}
 		}
-		if least < 0 || tokens < least {
-			least = tokens
+		if least < 0 || rest < least {
+			least = rest
 		}
 	}
 	return least
--- a/internal/route/share/share.go
+++ b/internal/route/share/share.go
@@ -43,12 +43,14 @@
 	}
 }
 
-// Allow reports whether a team may begin a request while a part of the room is
-// taken.
-func (t *Teams) Allow(team string, taken float64) bool {
-	if taken < 1-reserve {
-		return true
-	}
+// Allow reports whether a team may begin a request. taken is the part of the
+// room that is taken; it is worked out only where that decides.
+func (t *Teams) Allow(team string, taken func() float64) bool {
+	return t.even(team) || taken() < 1-reserve
+}
+
+// even reports whether a team would have no more than an even share in flight.
+func (t *Teams) even(team string) bool {
 	teams := len(t.flying)
 	if t.flying[team] == 0 {
 		teams++
--- a/internal/route/share/share_test.go
+++ b/internal/route/share/share_test.go
@@ -8,6 +8,8 @@
 	"pgregory.net/rapid"
 )
 
+func full() float64 { return 1 }
+
 // Nine small teams ask now and then beside a heavy one that asks without end.
 // The heavy one is turned away where the last of the room is taken, the small
 // ones are not.
@@ -16,7 +18,7 @@
 	const room = 200
 	taken, refused := 0, map[string]int{}
 	ask := func(team string) {
-		if taken == room || !teams.Allow(team, float64(taken)/room) {
+		if taken == room || !teams.Allow(team, func() float64 { return float64(taken) / room }) {
 			refused[team]++
 			return
 		}
@@ -57,14 +59,14 @@
 		}
 		others := 0
 		for _, team := range []string{"a", "b", "c", "d"} {
-			if flying[team] == 0 && !teams.Allow(team, 1) {
+			if flying[team] == 0 && !teams.Allow(team, full) {
 				t.Fatalf("got team %s with nothing in flight turned away beside %v, want it let in", team, flying)
 			}
 			if team != "a" {
 				others += flying[team]
 			}
 		}
-		if others == 0 && !teams.Allow("a", 1) {
+		if others == 0 && !teams.Allow("a", full) {
 			t.Fatalf("got team a alone turned away with %d in flight, want it let in", flying["a"])
 		}
 	})
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -71,6 +71,15 @@
 	Innocent(print uint64)
 }
 
+// answer reads the head of the answer to the call, past those to others.
+func (c *Call) answer(d Dialect, conn *send.Conn) (resp *http.Response, head site.Answer, err error) {
+	resp, err = conn.Read(c.Method, func(resp *http.Response) bool {
+		head = d.Answer(resp.StatusCode, resp.Header)
+		return head.Request == "" || head.Request == c.Ask.ID
+	})
+	return resp, head, err
+}
+
 // Reason says why a call has no answer of an upstream.
 type Reason int
 
--- a/internal/wire/relay/plain.go
+++ b/internal/wire/relay/plain.go
@@ -266,11 +266,7 @@
 
 // read takes an answer. The connection is kept if it ended properly.
 func (p *Plain) read(conn *send.Conn, c *Call, up site.Upstream) (reply *Reply, notRun bool, err error) {
-	var head site.Answer
-	resp, err := conn.Read(c.Method, func(resp *http.Response) bool {
-		head = p.Dialect.Answer(resp.StatusCode, resp.Header)
-		return head.Request == "" || head.Request == c.Ask.ID
-	})
+	resp, head, err := c.answer(p.Dialect, conn)
 	if err != nil {
 		conn.Close()
 		return nil, false, err
@@ -282,11 +278,7 @@
 		conn.Close()
 		return nil, false, errors.Wrap(send.ErrRead, "answer cut or too long")
 	}
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		conn.Close()
-	} else {
-		p.Pool.Put(conn)
-	}
+	p.Pool.Return(conn, resp)
 	if head.Load != nil {
 		p.Upstreams.Load(up, *head.Load)
 	}
--- a/internal/wire/relay/run.go
+++ b/internal/wire/relay/run.go
@@ -65,11 +65,7 @@
 
 // read takes the answer of a run.
 func (s *stream) read(f *Flight, conn *send.Conn) error {
-	var head site.Answer
-	resp, err := conn.Read(s.call.Method, func(resp *http.Response) bool {
-		head = s.models.Dialect.Answer(resp.StatusCode, resp.Header)
-		return head.Request == "" || head.Request == s.call.Ask.ID
-	})
+	resp, head, err := s.call.answer(s.models.Dialect, conn)
 	if err != nil {
 		conn.Close()
 		return s.cut(f, conn, err)
@@ -90,11 +86,7 @@
 		}
 		return s.cut(f, conn, err)
 	}
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		conn.Close()
-		return nil
-	}
-	s.models.Pool.Put(conn)
+	s.models.Pool.Return(conn, resp)
 	return nil
 }
 
--- a/internal/wire/send/conn.go
+++ b/internal/wire/send/conn.go
@@ -109,7 +109,7 @@
 		if mine(resp) {
 			return resp, nil
 		}
-		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if ends(resp) {
 			break
 		}
 		if err := resp.Body.Close(); err != nil {
@@ -119,6 +119,11 @@
 	return nil, errors.Wrap(ErrRead, "answer of another request")
 }
 
+// ends reports whether the connection ends with an answer.
+func ends(resp *http.Response) bool {
+	return resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // quiet reports whether an idle connection is still open with nothing to read.
 // Whatever lies there belongs to no request that will be sent on it.
 func (c *Conn) quiet() bool {
--- a/internal/wire/send/pool.go
+++ b/internal/wire/send/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -61,6 +62,16 @@
 	return c
 }
 
+// Return gives a connection back whose answer was read to its end; one that ends
+// with the answer is closed.
+func (p *Pool) Return(c *Conn, resp *http.Response) {
+	if ends(resp) {
+		c.Close()
+		return
+	}
+	p.Put(c)
+}
+
 // Put gives a connection back whose answer was read to its end.
 func (p *Pool) Put(c *Conn) {
 	c.SetReadDeadline(time.Time{})
