Runs taken off a first engine that leaves are attempts

Such a move needs an attempt now; without one the stream stays, and goes on elsewhere once the engine breaks it or is gone.

--- a/internal/app/edge/fault_test.go
+++ b/internal/app/edge/fault_test.go
@@ -267,6 +267,29 @@
 	})
 }
 
+// The first engines of a stream leave one after the other and go on for long
+// with what they have. Each new run is an attempt, of which the route allows two;
+// then the stream stays with the engine that leaves, and is whole.
+func TestLeavingFirstEnginesAreAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := open(t, 1)
+		defer w.close()
+		done := make(chan answer)
+		go func() { done <- w.ask(0, http.MethodPost, "/write/1", "long", "300,1800") }()
+		for range 3 {
+			time.Sleep(500 * time.Millisecond)
+			w.site.Drain(w.busiest())
+			time.Sleep(2500 * time.Millisecond)
+		}
+		if a := <-done; a.body != whole("long", 600) {
+			t.Errorf("got %d with %d events (%v), want all 600", a.status, a.events, a.err)
+		}
+		if n := w.site.Runs("long"); n > 2 {
+			t.Errorf("got %d runs, want 2 at most", n)
+		}
+	})
+}
+
 // Engines that a stream passes leave one after the other, and no other path is
 // taken for it. While its first engine lives each new run is an attempt, of
 // which its route allows two: then the stream stays where it is, and is whole.
--- a/internal/app/edge/leave.go
+++ b/internal/app/edge/leave.go
@@ -115,7 +115,7 @@
 	shifts, moves := w.router.shifts(up)
 	resumed, kept := 0, 0
 	for _, f := range moves {
-		if w.resume(f, up.ID) {
+		if w.resume(f) {
 			resumed++
 		} else {
 			kept++
@@ -125,7 +125,7 @@
 	var group sync.WaitGroup
 	for _, s := range shifts {
 		group.Go(func() {
-			if !w.repath(ctx, s, up.ID) {
+			if !w.repath(ctx, s) {
 				stay.Add(1)
 			}
 		})
@@ -138,9 +138,9 @@
 }
 
 // resume ends a run so that another one goes on; false if it must stay.
-func (w *watcher) resume(f *relay.Flight, left spec.UpstreamID) bool {
+func (w *watcher) resume(f *relay.Flight) bool {
 	chain, _ := f.Chain()
-	if !f.Move(chain[0].Engine() == left) {
+	if !f.Move(w.router.Down(f.Service, chain[0].Engine())) {
 		return false
 	}
 	w.moved("resume")
@@ -219,7 +219,7 @@
 
 // repath has the engines of a run go on over another path; false if they do
 // not and the run stays.
-func (w *watcher) repath(ctx context.Context, s shift, left spec.UpstreamID) bool {
+func (w *watcher) repath(ctx context.Context, s shift) bool {
 	ctx, cancel := context.WithTimeout(ctx, repathTime)
 	defer cancel()
 	err := w.engines.Repath(ctx, s.first, site.Repath{Engine: s.chain[0].Engine(), Request: s.flight.Request, Path: s.hops})
@@ -228,7 +228,7 @@
 		w.log.Info("edge: path changed", zap.String("request", s.flight.Request), zap.Stringer("path", s.chain), zap.Duration("silent", time.Since(s.flight.Last())))
 		return true
 	}
-	moves := w.resume(s.flight, left)
+	moves := w.resume(s.flight)
 	w.log.Warn("edge: path not changed", zap.String("request", s.flight.Request), zap.Bool("run moves", moves), zap.Error(err))
 	if !moves {
 		w.router.back(s)
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -66,6 +66,7 @@
 func (o one) Doubt(string, spec.UpstreamID)                        {}
 func (o one) Refused(*relay.Flight, string) spec.UpstreamID        { return "u" }
 func (o one) Down(string, spec.UpstreamID) bool                    { return false }
+func (o one) Leaving(string, spec.UpstreamID) bool                 { return false }
 func (o one) Begin(*relay.Call, bool, []spec.UpstreamID) (*relay.Flight, error) {
 	chain := spec.Chain{spec.NewStage("u", spec.NewLayers(0, 1))}
 	return relay.NewFlight(chain, []site.Hop{{Address: o.address}}), nil
--- a/internal/wire/relay/flight.go
+++ b/internal/wire/relay/flight.go
@@ -38,8 +38,6 @@
 	hops  []site.Hop
 	stop  func()
 	moved bool
-	// gone tells that the run was moved since its first engine leaves.
-	gone bool
 }
 
 // NewFlight returns a run over a chain.
@@ -87,15 +85,15 @@
 	f.gap.Store(gap + (now-before-gap)/smooth)
 }
 
-// Move ends the run so that the request goes on elsewhere. gone tells that its
-// first engine leaves or is dead. Else the run counts as an attempt, and it goes
-// on as it is, and false is returned, if the request has no other left.
-func (f *Flight) Move(gone bool) bool {
-	if !f.Resume || !gone && !f.Spare {
+// Move ends the run so that the request goes on elsewhere. ended tells that its
+// first engine has ended. Else the run counts as an attempt, and it goes on as it
+// is, and false is returned, if the request has no other left.
+func (f *Flight) Move(ended bool) bool {
+	if !f.Resume || !ended && !f.Spare {
 		return false
 	}
 	f.mu.Lock()
-	f.moved, f.gone = true, f.gone || gone
+	f.moved = true
 	stop := f.stop
 	f.mu.Unlock()
 	if stop != nil {
@@ -117,9 +115,3 @@
 	defer f.mu.Unlock()
 	return f.moved
 }
-
-func (f *Flight) isGone() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.gone
-}
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -35,6 +35,8 @@
 	Refused(f *Flight, address string) spec.UpstreamID
 	// Down reports whether an engine is known to be dead or gone.
 	Down(service string, id spec.UpstreamID) bool
+	// Leaving reports whether an engine says that it leaves.
+	Leaving(service string, id spec.UpstreamID) bool
 }
 
 // Errors of a run.
@@ -219,10 +221,13 @@
 		return
 	}
 	s.maybe = true
-	// Runs on first engines that died or leave do not use up the attempts:
-	// counted, the second such run of a stream cut it.
+	// Runs on first engines that ended do not use up the attempts: counted, the
+	// second such run of a stream cut it. An engine that leaves and breaks its
+	// runs has ended; one that the router took its runs off may go on for long.
 	chain, _ := f.Chain()
-	if s.models.Paths.Down(s.call.Service.Name, chain[0].Engine()) || f.isGone() || f.Events() == 0 && errors.Is(err, errStale) {
+	name, first := s.call.Service.Name, chain[0].Engine()
+	ended := s.models.Paths.Down(name, first) || !f.isMoved() && s.models.Paths.Leaving(name, first)
+	if ended || f.Events() == 0 && errors.Is(err, errStale) {
 		return
 	}
 	s.ran++
