Promise memory by what requests hold at a moment, not by whole guesses

Cause: each request was promised its prompt and its whole guessed answer, and a twelfth of the memory was left free. An answer fills its part token by token, so engines turned requests away with a tenth of their memory unused.

Change: per class the observed lengths over their guesses give the mean and the variance of what a request holds at a random moment; an engine is full when the sum and 3.09 deviations are (one moment in a thousand).

--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -22,8 +22,9 @@
 	moved time.Time
 }
 
-// need is what a model request is taken to use.
-func need(a site.Ask, m *site.Model) path.Need {
+// need is what a model request of a class is taken to use.
+func (g *group) need(class string, a site.Ask) path.Need {
+	m := g.model.Model
 	n := path.Need{Prompt: a.Prompt, Answer: a.Most}
 	if n.Prompt == 0 {
 		n.Prompt = m.Prompt
@@ -34,6 +35,7 @@
 	if n.Answer == 0 {
 		n.Answer = m.Answer
 	}
+	n.Hold, n.Spread = g.guesses.Hold(class, n.Prompt, n.Answer, a.Most)
 	return n
 }
 
@@ -48,14 +50,14 @@
 	if !begun && !g.teams.Allow(c.Team, func() float64 { return g.model.Tight(r.now()) }) {
 		return nil, share.ErrKept
 	}
-	n := need(c.Ask, g.model.Model)
+	n := g.need(c.Route.Name, c.Ask)
 	n.Haste = begun
 	chain, err := g.model.Choose(r.now(), n, avoiding(avoid))
 	if err != nil {
 		return nil, err
 	}
 	f := relay.NewFlight(chain, g.model.Hops(chain))
-	f.Service, f.Need = g.name, n
+	f.Service, f.Class, f.Need = g.name, c.Route.Name, n
 	f.Resume, f.Print = c.Route.Resume, c.Print()
 	g.model.Begin(chain, n)
 	g.model.Cross(r.now(), chain, n)
@@ -84,11 +86,14 @@
 	}
 }
 
-// End tells that a run is over.
-func (r *router) End(f *relay.Flight) {
+// End tells that a run is over, and whether it brought the whole answer.
+func (r *router) End(f *relay.Flight, whole bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	g := r.group(f.Service)
+	if whole {
+		g.guesses.Ended(f.Class, f.Need.Answer, f.Events()*max(1, g.model.Model.Stride))
+	}
 	if t := g.flights[f]; t != nil {
 		delete(g.flights, f)
 		g.teams.End(t.team)
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -10,6 +10,7 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/again"
 	"fulmarwick/internal/route/crash"
+	"fulmarwick/internal/route/guess"
 	"fulmarwick/internal/route/least"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/share"
@@ -18,11 +19,13 @@
 
 // group is a service and what is known of its upstreams.
 type group struct {
-	name   string
-	list   []site.Upstream
-	plain  least.Table
-	model  *path.Table
-	budget again.Budget
+	name  string
+	list  []site.Upstream
+	plain least.Table
+	model *path.Table
+	// guesses is how long answers get against what callers guess.
+	guesses guess.Book
+	budget  again.Budget
 	// flights are the runs of model requests.
 	flights map[*relay.Flight]*tally
 	teams   share.Teams
--- a/internal/fakes/depot/worst_test.go
+++ b/internal/fakes/depot/worst_test.go
@@ -64,6 +64,8 @@
 		if err := d.Close(); err != nil {
 			t.Error(err)
 		}
+		// Runs behind dead engines stall for three seconds of virtual time.
+		time.Sleep(4 * time.Second)
 		out = report
 	})
 	return out
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -20,10 +20,6 @@
 var ErrNone = errors.New("path: layers without an engine")
 
 const (
-	// room is the part of an engine's memory that is promised to requests. The
-	// rest takes answers that grow longer than their callers guessed; without
-	// it the newest requests are preempted and read again.
-	room = 0.92
 	// entry is the time in milliseconds that a first engine in another data
 	// centre is taken to cost: the bytes of the answer are paid for.
 	entry = 10.0
--- a/internal/route/path/cost.go
+++ b/internal/route/path/cost.go
@@ -59,8 +59,10 @@
 // and to those that already pass it, for so many layers.
 func (t *Table) cost(n Need, e *engine, layers int) (ms float64, fits bool) {
 	u := e.use()
-	limit := room * float64(e.cells)
-	after := float64(u.Cells + n.use(layers, false).Cells)
+	limit := float64(e.cells)
+	with := u
+	with.add(n.use(layers, false))
+	after := with.peak()
 	if after > limit {
 		return 0, false
 	}
--- a/internal/route/path/tight.go
+++ b/internal/route/path/tight.go
@@ -11,7 +11,7 @@
 		if !e.usable(now) || n == 0 {
 			continue
 		}
-		u, l := float64(e.use().Cells)/float64(n), room*float64(e.cells)/float64(n)
+		u, l := e.use().peak()/float64(n), float64(e.cells)/float64(n)
 		for at := e.up.Held.Layers.From(); at < e.up.Held.Layers.To(); at++ {
 			used[at] += u
 			limit[at] += l
--- a/internal/route/path/use.go
+++ b/internal/route/path/use.go
@@ -1,6 +1,8 @@
 package path
 
 import (
+	"math"
+
 	"fulmarwick/internal/base/spec"
 )
 
@@ -13,19 +15,36 @@
 	// Unread is what is still to be read of their prompts, in tokens times
 	// layers.
 	Unread int `cbor:"3,keyasint"`
+	// Spread is the variance of Cells.
+	Spread float64 `cbor:"4,keyasint,omitempty"`
 }
 
 func (u *Use) add(o Use) {
 	u.Streams += o.Streams
 	u.Cells += o.Cells
 	u.Unread += o.Unread
+	u.Spread += o.Spread
+}
+
+// peak is the memory in tokens times layers that the requests take at most but
+// for one moment in a thousand.
+func (u Use) peak() float64 {
+	return float64(u.Cells) + deviations*math.Sqrt(max(0, u.Spread))
 }
 
+// deviations is how many standard deviations above its mean a normal sum is
+// once in a thousand moments.
+const deviations = 3.09
+
 // Need is what a request takes of each layer.
 type Need struct {
 	// Prompt is the tokens to read, Answer those to write.
 	Prompt int
 	Answer int
+	// Hold is the tokens that the request holds at a moment of its run, Spread
+	// their variance; zero stands for all tokens.
+	Hold   float64
+	Spread float64
 	// Haste is set for an answer that was broken off: its caller has begun to
 	// read, and waits for the next event, not for the last one.
 	Haste bool
@@ -33,6 +52,10 @@
 
 func (n Need) use(layers int, unread bool) Use {
 	u := Use{Streams: 1, Cells: (n.Prompt + n.Answer) * layers}
+	if n.Hold > 0 {
+		u.Cells = int(n.Hold * float64(layers))
+		u.Spread = n.Spread * float64(layers) * float64(layers)
+	}
 	if unread {
 		u.Unread = n.Prompt * layers
 	}
@@ -70,10 +93,15 @@
 			continue
 		}
 		u := n.use(s.Layers().Len(), unread)
-		e.mine.add(Use{Streams: sign * u.Streams, Cells: sign * u.Cells, Unread: sign * u.Unread})
+		e.mine.add(Use{Streams: sign * u.Streams, Cells: sign * u.Cells, Unread: sign * u.Unread, Spread: float64(sign) * u.Spread})
 		// A request that began before its engine was born anew does not count.
 		e.mine.Streams = max(0, e.mine.Streams)
 		e.mine.Cells = max(0, e.mine.Cells)
 		e.mine.Unread = max(0, e.mine.Unread)
+		e.mine.Spread = max(0, e.mine.Spread)
+		if e.mine.Streams == 0 {
+			// Sums of fractions leave a rest.
+			e.mine.Cells, e.mine.Spread = 0, 0
+		}
 	}
 }
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -62,7 +62,7 @@
 func (o one) Guilty(uint64) bool                                   { return false }
 func (o one) Innocent(uint64)                                      {}
 func (o one) Wrote(*relay.Flight)                                  {}
-func (o one) End(*relay.Flight)                                    {}
+func (o one) End(*relay.Flight, bool)                              {}
 func (o one) Doubt(string, spec.UpstreamID)                        {}
 func (o one) Refused(*relay.Flight, string) spec.UpstreamID        { return "u" }
 func (o one) Down(string, spec.UpstreamID) bool                    { return false }
--- a/internal/wire/relay/flight.go
+++ b/internal/wire/relay/flight.go
@@ -15,7 +15,9 @@
 type Flight struct {
 	Request string
 	Service string
-	Need    path.Need
+	// Class is the route that the request came on.
+	Class string
+	Need  path.Need
 	// Print is the fingerprint of the request.
 	Print uint64
 	// Resume tells that another run may go on where this one ends, Spare that
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -26,8 +26,9 @@
 	// begun tells that the caller has a part of the answer.
 	Begin(c *Call, begun bool, avoid []spec.UpstreamID) (*Flight, error)
 	// Wrote tells that the first event of a run came, End that the run is over.
+	// whole tells that it brought the whole answer.
 	Wrote(f *Flight)
-	End(f *Flight)
+	End(f *Flight, whole bool)
 	// Doubt tells of an engine that refused or broke a connection.
 	Doubt(service string, id spec.UpstreamID)
 	// Refused tells that a run was refused, and by which engine of its path;
@@ -158,7 +159,7 @@
 		span := hop(s.ctx, chain[0].Engine())
 		err = s.fly(f)
 		landed(span, err)
-		s.models.Paths.End(f)
+		s.models.Paths.End(f, err == nil && s.runs == 1 && s.call.Ask.After == 0)
 		if err == nil {
 			s.models.Suspects.Innocent(s.call.Print())
 			return Reply{Tried: s.runs, Ran: true}
