Answers that were broken off wait in the same line, before all others

A caller of one leaves after two seconds without an event, while new requests wait 0.4 s at most; room that came up went to the line first, and the others polled.

--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -39,18 +39,6 @@
 	return n
 }
 
-// Resume chooses a path for a request whose caller has a part of the answer,
-// and counts a run in. It does not wait behind others: its caller reads already.
-func (r *router) Resume(c *relay.Call, avoid []spec.UpstreamID) (*relay.Flight, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	g := r.group(c.Service.Name)
-	if g.model == nil {
-		return nil, path.ErrNone
-	}
-	return r.begin(g, c, true, avoid)
-}
-
 // begin chooses a path and counts a run in; r.mu is held.
 func (r *router) begin(g *group, c *relay.Call, begun bool, avoid []spec.UpstreamID) (*relay.Flight, error) {
 	if !begun && g.line.Stuck(r.now()) && !g.teams.Allow(c.Team, func() float64 { return g.model.Tight(r.now()) }) {
--- a/internal/app/edge/line.go
+++ b/internal/app/edge/line.go
@@ -25,11 +25,17 @@
 	// firstWeight that of the newest in the average.
 	firstTime   = 100 * time.Millisecond
 	firstWeight = 0.1
+	// resumed is the urgency of answers that were broken off, before all others:
+	// their callers leave after two seconds without an event, while one who
+	// waits for the first event has 0.4 s before it is late.
+	resumed = -1
 )
 
 // waiter is a request in the line.
 type waiter struct {
-	call  *relay.Call
+	call *relay.Call
+	// begun tells that the caller has a part of the answer.
+	begun bool
 	avoid []spec.UpstreamID
 	// why is what kept it from room when it last looked.
 	why error
@@ -43,12 +49,10 @@
 	err    error
 }
 
-// Enter chooses a path for a request of which its caller has nothing yet, and
-// counts a run in. It waits for room while the answer can begin in time; again
-// tells that it is not the request's first run, so that it waits for as long as
-// the target anew: it may have run, and its caller cannot come back.
-func (r *router) Enter(ctx context.Context, c *relay.Call, again bool, avoid []spec.UpstreamID) (*relay.Flight, error) {
-	w, t, flight, err := r.join(c, again, avoid)
+// Enter chooses a path for a request without the engines to avoid and counts a
+// run in. It waits for room while the answer can begin in time.
+func (r *router) Enter(ctx context.Context, c *relay.Call, how relay.Entry, avoid []spec.UpstreamID) (*relay.Flight, error) {
+	w, t, flight, err := r.join(c, how, avoid)
 	if w == nil {
 		return flight, err
 	}
@@ -71,7 +75,7 @@
 }
 
 // join looks for a path, or adds the request to the line.
-func (r *router) join(c *relay.Call, again bool, avoid []spec.UpstreamID) (*waiter, *line.Ticket, *relay.Flight, error) {
+func (r *router) join(c *relay.Call, how relay.Entry, avoid []spec.UpstreamID) (*waiter, *line.Ticket, *relay.Flight, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	g := r.group(c.Service.Name)
@@ -79,30 +83,47 @@
 		return nil, nil, nil, path.ErrNone
 	}
 	now := r.now()
-	err := path.ErrFull
-	if g.line.Len() == 0 {
-		var f *relay.Flight
-		if f, err = r.begin(g, c, false, avoid); err == nil {
+	w := &waiter{call: c, begun: how == relay.EntryResume, avoid: avoid, why: path.ErrFull, ready: make(chan entry, 1)}
+	if g.line.Len() == 0 || w.begun {
+		if f, ok := r.look(g, w); ok {
 			return nil, nil, f, nil
 		}
 	}
-	w := &waiter{call: c, avoid: avoid, why: err, ready: make(chan entry, 1)}
-	t := &line.Ticket{Team: c.Team, Urgency: c.Urgency, Until: r.until(g, c, again, err)}
+	t := &line.Ticket{Team: c.Team, Urgency: c.Urgency, Until: r.until(g, c, how, w.why)}
+	if w.begun {
+		t.Urgency = resumed
+	}
 	if !g.line.Join(now, t, g.teams.Flying) {
-		return nil, nil, nil, err
+		return nil, nil, nil, w.why
 	}
 	g.waiters[t] = w
 	return w, t, nil, nil
 }
 
-// until is when a request that waits could no longer be answered in time.
-func (r *router) until(g *group, c *relay.Call, again bool, err error) time.Duration {
+// look looks for a path for one who waits.
+func (r *router) look(g *group, w *waiter) (*relay.Flight, bool) {
+	f, err := r.begin(g, w.call, w.begun, w.avoid)
+	if err != nil && w.begun && len(w.avoid) > 0 {
+		// An answer that began is worth a try on any engine.
+		w.avoid = nil
+		f, err = r.begin(g, w.call, w.begun, nil)
+	}
+	w.why = err
+	return f, err == nil
+}
+
+// until is when a request that waits could no longer be answered in time. One
+// that ran before may have run, so that its caller cannot come back, and one of
+// which its caller has a part is worth all the time that there is.
+func (r *router) until(g *group, c *relay.Call, how relay.Entry, err error) time.Duration {
 	now := r.now()
 	target := c.Route.Target
 	switch {
+	case how == relay.EntryResume:
+		return now + time.Until(c.Until)
 	case errors.Is(err, path.ErrNone):
 		return now + target/noneWait
-	case again:
+	case how == relay.EntryAgain:
 		return now + target
 	}
 	return now - time.Since(c.Start) + target - g.first
@@ -114,12 +135,10 @@
 	failed := 0
 	for _, t := range g.line.Next(g.teams.Flying) {
 		w := g.waiters[t]
-		f, err := r.begin(g, w.call, false, w.avoid)
-		if err == nil {
+		if f, ok := r.look(g, w); ok {
 			g.answer(t, entry{flight: f})
 			continue
 		}
-		w.why = err
 		if failed++; failed == tries {
 			break
 		}
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -68,11 +68,7 @@
 func (o one) Down(string, spec.UpstreamID) bool                    { return false }
 func (o one) Leaving(string, spec.UpstreamID) bool                 { return false }
 func (o one) Back(*relay.Call) time.Duration                       { return time.Second }
-func (o one) Resume(c *relay.Call, avoid []spec.UpstreamID) (*relay.Flight, error) {
-	return o.Enter(context.Background(), c, true, avoid)
-}
-
-func (o one) Enter(context.Context, *relay.Call, bool, []spec.UpstreamID) (*relay.Flight, error) {
+func (o one) Enter(context.Context, *relay.Call, relay.Entry, []spec.UpstreamID) (*relay.Flight, error) {
 	chain := spec.Chain{spec.NewStage("u", spec.NewLayers(0, 1))}
 	return relay.NewFlight(chain, []site.Hop{{Address: o.address}}), nil
 }
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -19,13 +19,23 @@
 	Event(event []byte, flush bool) error
 }
 
+// Entry is why a request asks for engines.
+type Entry int
+
+//go:generate stringer -type=Entry -linecomment -output=entry_string.go
+
+// The entries.
+const (
+	EntryFirst  Entry = iota // first run
+	EntryAgain               // run after one that brought nothing
+	EntryResume              // run after one that brought a part of the answer
+)
+
 // Paths chooses the engines of model requests and follows their runs.
 type Paths interface {
 	// Enter chooses a path without the engines to avoid and counts a run in; it
-	// waits for room while that helps. again tells that it is not the first run.
-	Enter(ctx context.Context, c *Call, again bool, avoid []spec.UpstreamID) (*Flight, error)
-	// Resume does the same at once for an answer of which the caller has a part.
-	Resume(c *Call, avoid []spec.UpstreamID) (*Flight, error)
+	// waits for room while that helps.
+	Enter(ctx context.Context, c *Call, how Entry, avoid []spec.UpstreamID) (*Flight, error)
 	// Back is after how long a caller that is turned away should come back.
 	Back(c *Call) time.Duration
 	// Wrote tells that the first event of a run came, End that the run is over.
@@ -55,9 +65,6 @@
 )
 
 const (
-	// waitStep is the pause between two looks for room for an answer that was
-	// broken off.
-	waitStep = 10 * time.Millisecond
 	// maxRuns bounds the runs of one request, refusals included.
 	maxRuns = 8
 	// eventBuffer holds a few events, in bytes.
@@ -169,7 +176,14 @@
 
 // begin finds engines with room and counts a run in.
 func (s *stream) begin() (*Flight, error) {
-	f, err := s.enter()
+	how := EntryFirst
+	switch {
+	case s.begun:
+		how = EntryResume
+	case s.runs > 0:
+		how = EntryAgain
+	}
+	f, err := s.models.Paths.Enter(s.ctx, s.call, how, s.avoid)
 	if err != nil {
 		return nil, err
 	}
@@ -178,30 +192,6 @@
 	return f, nil
 }
 
-func (s *stream) enter() (*Flight, error) {
-	if !s.begun {
-		return s.models.Paths.Enter(s.ctx, s.call, s.runs > 0, s.avoid)
-	}
-	for {
-		f, err := s.models.Paths.Resume(s.call, s.avoid)
-		if err == nil {
-			return f, nil
-		}
-		if len(s.avoid) > 0 {
-			// An answer that began is worth a try on any engine.
-			s.avoid = nil
-			continue
-		}
-		timer := time.NewTimer(waitStep)
-		select {
-		case <-timer.C:
-		case <-s.ctx.Done():
-			timer.Stop()
-			return nil, s.ctx.Err()
-		}
-	}
-}
-
 func (s *stream) refused(err error) Reply {
 	r := Reply{Reason: ReasonFull, Ran: s.maybe, Begun: s.begun, Tried: s.runs}
 	switch {
