--- a/internal/app/cmds/explain.go
+++ b/internal/app/cmds/explain.go
@@ -14,33 +14,76 @@
 )
 
 func newExplain() *cobra.Command {
-	return &cobra.Command{
+	var all bool
+	c := &cobra.Command{
 		Use:   "explain ID [FILE ...]",
 		Short: "Show the way of a request, or what is known of an engine, from logs",
 		Long: `Explain reads the logs of instances, from files or standard input, and prints in
 order of time every line that names ID: that of a request, an engine, an address
 or an instance. Lines that are no JSON are passed over; a prefix before the
-object, as log collectors add it, is kept.`,
-		Example: "  fulmarwick explain 9c41d07be2a35f68 klang-1.log klang-2.log",
-		Args:    cobra.MinimumNArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			var found []tale
-			if len(args) == 1 {
-				var err error
-				if found, err = tales(cmd.InOrStdin(), args[0]); err != nil {
-					return err
-				}
+object, as log collectors add it, is kept.
+
+With --losses it takes no ID and prints a table instead: for each two seconds how
+many requests were served, and how many were not or came late for which reason,
+with the engines that died, how runs left them, and the scarcest layer; then the
+same by route, team and data centre. Callers that come back are counted like new
+ones: a request tells nothing of the one before it.`,
+		Example: "  fulmarwick explain 9c41d07be2a35f68 klang-1.log klang-2.log\n  fulmarwick explain --losses klang-1.log klang-2.log",
+		Args: func(_ *cobra.Command, args []string) error {
+			if !all && len(args) == 0 {
+				return errors.New("cmds: explain: an ID is needed, or --losses")
 			}
-			for _, name := range args[1:] {
-				more, err := talesOf(name, args[0])
-				if err != nil {
-					return err
-				}
-				found = append(found, more...)
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if all {
+				return explainLosses(cmd, args)
 			}
-			return tell(cmd.OutOrStdout(), args[0], found)
+			return explainOne(cmd, args[0], args[1:])
 		},
 	}
+	c.Flags().BoolVar(&all, "losses", false, "print a table of what was not served in time")
+	return c
+}
+
+func explainOne(cmd *cobra.Command, id string, names []string) error {
+	var found []tale
+	err := eachLog(cmd, names, func(r io.Reader) error {
+		more, err := tales(r, id)
+		found = append(found, more...)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return tell(cmd.OutOrStdout(), id, found)
+}
+
+func explainLosses(cmd *cobra.Command, names []string) error {
+	l := newLosses()
+	if err := eachLog(cmd, names, l.read); err != nil {
+		return err
+	}
+	return l.write(cmd.OutOrStdout())
+}
+
+// eachLog reads files, or standard input where none is named.
+func eachLog(cmd *cobra.Command, names []string, read func(io.Reader) error) error {
+	if len(names) == 0 {
+		return read(cmd.InOrStdin())
+	}
+	for _, name := range names {
+		f, err := os.Open(name)
+		if err != nil {
+			return errors.Wrap(err, "cmds: explain")
+		}
+		err = read(f)
+		_ = f.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // tale is one line that names what is asked for.
@@ -53,20 +96,16 @@
 // maxLine bounds a line of a log in bytes.
 const maxLine = 1 << 20
 
-func talesOf(name, id string) ([]tale, error) {
-	f, err := os.Open(name)
-	if err != nil {
-		return nil, errors.Wrap(err, "cmds: explain")
-	}
-	defer func() { _ = f.Close() }()
-	return tales(f, id)
+func logLines(r io.Reader) *bufio.Scanner {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	return lines
 }
 
 // tales are the lines of a log that name id.
 func tales(r io.Reader, id string) ([]tale, error) {
 	var out []tale
-	lines := bufio.NewScanner(r)
-	lines.Buffer(nil, maxLine)
+	lines := logLines(r)
 	for lines.Scan() {
 		line := lines.Text()
 		at := strings.IndexByte(line, '{')
--- a/internal/app/edge/ends.go
+++ b/internal/app/edge/ends.go
@@ -131,9 +131,18 @@
 		i.served(c, r, status, took)
 		return
 	}
-	i.Log.Warn("edge: request not served", zap.String("request", c.Ask.ID), zap.String("route", c.Route.Name), zap.Int("status", status),
+	i.Log.Warn("edge: request not served", zap.String("request", c.Ask.ID), zap.String("route", c.Route.Name), zap.String("team", c.Team), zap.String("centre", i.Settings.Instance.DataCentre), zap.Int("status", status),
 		zap.Stringer("reason", r.Reason), zap.Bool("ran", r.Ran), zap.Int("sent", r.Tried), zap.Duration("first", r.First), zap.Duration("pause", r.Pause), zap.Duration("took", took),
-		zap.Any("upstreams", r.Upstreams), zap.Uint64("config", i.belief.Config().Version), zap.Duration("list age", i.belief.age()))
+		zap.Any("upstreams", r.Upstreams), zap.Uint64("config", i.belief.Config().Version), zap.Duration("list age", i.belief.age()), i.scarce(c, r))
+}
+
+// scarce tells of a request without room which layer had least.
+func (i *Instance) scarce(c *relay.Call, r relay.Reply) zap.Field {
+	if r.Reason != relay.ReasonFull && r.Reason != relay.ReasonKept {
+		return zap.Skip()
+	}
+	layer, free := i.router.scarce(c.Service.Name)
+	return zap.Dict("room", zap.Int("layer", layer), zap.Int("free", free))
 }
 
 // served notes an answer, and whether it missed the target of its route.
@@ -150,7 +159,7 @@
 		i.Log.Info("edge: request served", fields...)
 		return
 	}
-	i.Log.Warn("edge: answer late", append(fields, zap.Duration("target", c.Route.Target), zap.Duration("pause", r.Pause),
+	i.Log.Warn("edge: answer late", append(fields, zap.String("team", c.Team), zap.String("centre", i.Settings.Instance.DataCentre), zap.Duration("target", c.Route.Target), zap.Duration("pause", r.Pause),
 		zap.Duration("pause at", r.PauseAt), zap.Stringer("path", r.PausePath))...)
 }
 
--- a/internal/app/edge/line.go
+++ b/internal/app/edge/line.go
@@ -174,3 +174,14 @@
 	defer r.mu.Unlock()
 	return r.group(c.Service.Name).line.Back(r.now(), time.Until(c.Until))
 }
+
+// scarce is the layer of a service behind which there is least room, and the
+// tokens that are free there.
+func (r *router) scarce(service string) (layer, free int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if g := r.group(service); g.model != nil {
+		_, layer, free = g.model.Scarce(r.now())
+	}
+	return layer, free
+}
--- a/internal/route/path/tight.go
+++ b/internal/route/path/tight.go
@@ -5,6 +5,13 @@
 // Tight is the part of the memory that is promised behind the layers where it
 // is scarcest; 1 where no engine can be used.
 func (t *Table) Tight(now time.Duration) float64 {
+	part, _, _ := t.Scarce(now)
+	return part
+}
+
+// Scarce is the part of the memory that is promised behind the layer where it
+// is scarcest, that layer, and the tokens that are free there.
+func (t *Table) Scarce(now time.Duration) (part float64, layer, free int) {
 	used, limit := make([]float64, t.Model.Layers), make([]float64, t.Model.Layers)
 	for _, e := range t.engines {
 		n := e.up.Held.Layers.Len()
@@ -17,12 +24,13 @@
 			limit[at] += l
 		}
 	}
-	tight := 0.0
 	for at := range used {
 		if limit[at] <= 0 {
-			return 1
+			return 1, at, 0
+		}
+		if p := used[at] / limit[at]; p > part {
+			part, layer, free = p, at, int(limit[at]-used[at])
 		}
-		tight = max(tight, used[at]/limit[at])
 	}
-	return tight
+	return part, layer, free
 }
