--- a/internal/app/edge/fault_test.go
+++ b/internal/app/edge/fault_test.go
@@ -238,7 +238,7 @@
 		defer w.close()
 		w.instances[0].Stop()
 		time.Sleep(10 * time.Second)
-		e := &stand.Engine{ID: "new", Address: "10.1.64.99:8080", Zone: "east", Card: stand.Cards[0]}
+		e := &stand.Engine{ID: "new", Address: "10.1.64.99:8080", Zone: "east", Card: stand.Usual.Cards[0]}
 		w.site.AddEngine(e)
 		time.Sleep(8 * time.Second)
 		if from, to := e.Held(); to-from == 0 {
--- a/internal/fakes/depot/depot.go
+++ b/internal/fakes/depot/depot.go
@@ -30,6 +30,8 @@
 	Instances int
 	// Naive puts forwarders in the place of instances; nil is the router.
 	Naive *stand.Naive
+	// Shape is the model and its engines; one without layers is the usual.
+	Shape stand.Shape
 	// Log is that of the instances; nil has none.
 	Log *zap.Logger
 
@@ -43,8 +45,14 @@
 
 // Settings are those of instance n.
 func Settings(n int) setup.File {
+	return settings(n, stand.Usual.Zones)
+}
+
+// settings are those of instance n in front of data centres.
+func settings(n int, zones []stand.Zone) setup.File {
 	f := setup.Default()
-	f.Instance = setup.Instance{Name: fmt.Sprintf("edge-%d", n), DataCentre: stand.Zones[n%len(stand.Zones)].Name, Region: "west"}
+	zone := zones[n%len(zones)].Name
+	f.Instance = setup.Instance{Name: fmt.Sprintf("edge-%d", n), DataCentre: zone, Region: "west"}
 	f.Listen = setup.Listen{
 		Callers: fmt.Sprintf("10.%d.0.1:8000", n+1), Ready: fmt.Sprintf("10.%d.0.1:8001", n+1), Mesh: fmt.Sprintf("10.%d.0.1:8002", n+1),
 	}
@@ -57,6 +65,9 @@
 // Open starts everything and waits until layers are placed.
 func (d *Depot) Open(ctx context.Context) error {
 	d.site = stand.NewSite()
+	if d.Shape.Layers > 0 {
+		d.site.Shape = d.Shape
+	}
 	d.site.Store.Put("op", "config", d.site.Config(1))
 	d.site.Fill()
 	if d.Log == nil {
@@ -76,7 +87,7 @@
 }
 
 func (d *Depot) start(n int) {
-	i := &edge.Instance{Settings: Settings(n), Log: d.Log, Dial: d.site.Dial, Listen: d.site.Net.Listen}
+	i := &edge.Instance{Settings: settings(n, d.site.Shape.Zones), Log: d.Log, Dial: d.site.Dial, Listen: d.site.Net.Listen}
 	d.instances = append(d.instances, i)
 	d.ended.Go(func() {
 		if err := i.Run(context.Background()); err != nil {
--- a/internal/fakes/depot/worst_test.go
+++ b/internal/fakes/depot/worst_test.go
@@ -36,7 +36,7 @@
 	{"2 deaths", func(w *drive.Work) { w.Faults = []drive.Fault{{At: 6 * time.Second, Kind: drive.KindCrash, Count: 2}} }},
 	{"2 dark", func(w *drive.Work) { w.Faults = []drive.Fault{{At: 6 * time.Second, Kind: drive.KindDark, Count: 2}} }},
 	{"lost data centre", func(w *drive.Work) {
-		w.Faults = []drive.Fault{{At: 6 * time.Second, Kind: drive.KindZone, Zone: stand.Zones[0].Name}}
+		w.Faults = []drive.Fault{{At: 6 * time.Second, Kind: drive.KindZone, Zone: stand.Usual.Zones[0].Name}}
 	}},
 	{"pipe 3 times slower", func(w *drive.Work) { w.Faults = []drive.Fault{{At: 4 * time.Second, Kind: drive.KindPipe, Times: 3}} }},
 	{"2 slow", func(w *drive.Work) {
@@ -64,7 +64,7 @@
 		if err := d.Close(); err != nil {
 			t.Error(err)
 		}
-		// Runs behind dead engines stall for three seconds of virtual time.
+		// Runs see that their callers left, in virtual time.
 		time.Sleep(4 * time.Second)
 		out = report
 	})
