--- a/internal/route/share/share.go
+++ b/internal/route/share/share.go
@@ -17,7 +17,7 @@
 
 // reserve is the part of the room that is kept: 1 in 20 of the engines' memory
 // is 18 requests of usual size on 33 engines. Kept at all times, it had 390 of
-// 1,300 requests turned away in the six seconds of a release of six engines.
+// 950 requests turned away in the six seconds of a release of six engines.
 const reserve = 0.05
 
 // Teams counts the requests in flight of one service by team. The zero value
