--- a/internal/fakes/depot/shape_test.go
+++ b/internal/fakes/depot/shape_test.go
@@ -1,9 +1,7 @@
 package depot_test
 
 import (
-	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"fulmarwick/internal/fakes/depot"
@@ -59,31 +57,14 @@
 }
 
 // playShape plays a part of the usual traffic with a death and returns the worth.
-func playShape(t *testing.T, shape *stand.Shape, naive *stand.Naive, load float64) (worth float64) {
+func playShape(t *testing.T, shape *stand.Shape, naive *stand.Naive, load float64) float64 {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		d := &depot.Depot{Instances: 4, Naive: naive, Shape: *shape}
-		if err := d.Open(ctx); err != nil {
-			t.Fatal(err)
-		}
-		w := usual()
+	d := &depot.Depot{Instances: 4, Naive: naive, Shape: *shape}
+	return playOn(t, d, func(w *drive.Work) {
 		w.Span = 10 * time.Second
 		for i := range w.Classes {
 			w.Classes[i].Rate *= load
 		}
 		w.Faults = []drive.Fault{{At: 5 * time.Second, Kind: drive.KindCrash, Count: 1}}
-		report, err := d.Drive(w).Do(ctx)
-		if err != nil {
-			t.Error(err)
-		}
-		cancel()
-		if err := d.Close(); err != nil {
-			t.Error(err)
-		}
-		time.Sleep(4 * time.Second)
-		worth = report.Total.Worth
-	})
-	return worth
+	}).Total.Worth
 }
--- a/internal/fakes/depot/worst_test.go
+++ b/internal/fakes/depot/worst_test.go
@@ -45,12 +45,17 @@
 }
 
 // play plays a workload on a depot of its own in virtual time.
-func play(t *testing.T, naive *stand.Naive, add func(*drive.Work)) (out drive.Report) {
+func play(t *testing.T, naive *stand.Naive, add func(*drive.Work)) drive.Report {
+	t.Helper()
+	return playOn(t, &depot.Depot{Instances: 4, Naive: naive}, add)
+}
+
+// playOn plays the usual traffic with what is added on a depot in virtual time.
+func playOn(t *testing.T, d *depot.Depot, add func(*drive.Work)) (out drive.Report) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		d := &depot.Depot{Instances: 4, Naive: naive}
 		if err := d.Open(ctx); err != nil {
 			t.Fatal(err)
 		}
