Requests wait for the first configuration after a start

Cause: after all instances died at once, a slow store took 0.25 to 0.4 s to tell of the configuration; all requests of that time were refused at once. No line of a log told of them; such refusals now have one.

Change: a request waits up to 0.4 s for the first configuration and list. Ruled out: want of room (no such line), engines (all sound). Test that failed first: TestFirstConfigurationIsWaitedFor.

--- a/internal/app/cmds/losses.go
+++ b/internal/app/cmds/losses.go
@@ -72,6 +72,8 @@
 		if line.Room != nil {
 			bump(l.scarce, at, line.Room.Layer)
 		}
+	case "edge: request turned away":
+		l.note(at, line.Reason, 1)
 	case "edge: answer late":
 		if line.First > line.Target {
 			l.count(at, line, "late first event")
--- a/internal/app/edge/belief.go
+++ b/internal/app/edge/belief.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"sync"
@@ -39,6 +40,9 @@
 	hold    time.Time
 	bad     map[string]bool
 	known   bool
+	// opened is closed once enough is known to serve callers.
+	opened chan struct{}
+	open   bool
 	// read is when the store last told of each table.
 	read map[string]time.Time
 	// news tells that the store told of a change since takeNews.
@@ -47,13 +51,38 @@
 
 func newBelief(log *zap.Logger) *belief {
 	return &belief{
-		log: log, views: map[string]*feed.View{platform.TableConfig: {}, platform.TableUpstreams: {Same: sameUpstream}},
+		log: log, opened: make(chan struct{}), views: map[string]*feed.View{platform.TableConfig: {}, platform.TableUpstreams: {Same: sameUpstream}},
 		list: map[string]site.Upstream{}, missing: map[string]time.Time{}, bad: map[string]bool{}, read: map[string]time.Time{},
 	}
 }
 
-// Config is the configuration in force; nil before one is known.
-func (b *belief) Config() *site.Config { return b.config.Load() }
+// Config is the configuration in force; nil before one and the upstreams are
+// known.
+func (b *belief) Config() *site.Config {
+	select {
+	case <-b.opened:
+		return b.config.Load()
+	default:
+		return nil
+	}
+}
+
+// Await waits for the first configuration.
+func (b *belief) Await(ctx context.Context) *site.Config {
+	select {
+	case <-b.opened:
+	case <-ctx.Done():
+	}
+	return b.Config()
+}
+
+// look opens for callers once enough is known; b.mu is held.
+func (b *belief) look() {
+	if !b.open && b.known && b.config.Load() != nil {
+		b.open = true
+		close(b.opened)
+	}
+}
 
 // limits are those in force; none before a configuration is known.
 func (b *belief) limits() site.Limits {
@@ -67,7 +96,7 @@
 func (b *belief) ready() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.known && b.config.Load() != nil
+	return b.open
 }
 
 // Version is up to where a table is known.
@@ -93,6 +122,7 @@
 	b.news = true
 	b.known = b.known || table == platform.TableUpstreams
 	b.take(table, changed, "store")
+	b.look()
 }
 
 // Changes takes what changed from the store.
@@ -103,6 +133,7 @@
 	changed := b.views[table].Changes(since, p)
 	b.news = b.news || len(changed) > 0
 	b.take(table, changed, "store")
+	b.look()
 }
 
 // Told takes what another instance knows.
@@ -115,6 +146,7 @@
 	changed := b.views[table].Changes(since, p)
 	b.known = b.known || table == platform.TableUpstreams && since == 0 && len(p.Rows) > 0
 	b.take(table, changed, string(from))
+	b.look()
 }
 
 // Reach notes that the store answers again, or no more.
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -168,7 +168,7 @@
 	i.router.instances = i.crowd.logic.Count
 	wire := platform.Wire{}
 	i.server = &front.Server{
-		Dialect: wire, Rules: i.belief, Ended: i.ended,
+		Dialect: wire, Rules: i.belief, Ended: i.ended, Turned: i.turned,
 		Plain:  &relay.Plain{Dialect: wire, Pool: i.pool, Upstreams: i.router, Budget: i.router, Suspects: i.router},
 		Models: &relay.Models{Dialect: wire, Pool: i.pool, Paths: i.router, Budget: i.router, Suspects: i.router},
 	}
--- a/internal/app/edge/ends.go
+++ b/internal/app/edge/ends.go
@@ -136,6 +136,17 @@
 		zap.Any("upstreams", r.Upstreams), zap.Uint64("config", i.belief.Config().Version), zap.Duration("list age", i.belief.age()), i.scarce(c, r))
 }
 
+// turned notes a request that was turned away before it was read whole: without
+// a configuration, a route or a key. Its path is that of the caller.
+func (i *Instance) turned(r *http.Request, status int, reason string) {
+	id := ""
+	if ask, err := i.server.Dialect.Ask(r.Header); err == nil {
+		id = ask.ID
+	}
+	i.meters.GetOrCreateCounter(`fulmarwick_edge_turned_total{status="` + strconv.Itoa(status) + `"}`).Inc()
+	i.Log.Warn("edge: request turned away", zap.String("request", id), zap.Int("status", status), zap.String("reason", reason), zap.String("host", r.Host), zap.String("path", r.URL.Path))
+}
+
 // scarce tells of a request without room which layer had least.
 func (i *Instance) scarce(c *relay.Call, r relay.Reply) zap.Field {
 	if r.Reason != relay.ReasonFull && r.Reason != relay.ReasonKept {
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -27,6 +27,8 @@
 // Rules gives what is in force; nil until something is known.
 type Rules interface {
 	Config() *site.Config
+	// Await waits for the first configuration; nil if none came in time.
+	Await(ctx context.Context) *site.Config
 }
 
 // Plain runs calls of plain services.
@@ -48,6 +50,10 @@
 	// unready is when to come back to an instance that knows no configuration
 	// yet: reading it takes a few calls.
 	unready = 300 * time.Millisecond
+	// firstRules is how long a request waits for the first configuration: an
+	// answer that begins within 500 ms is still on time, and a slow store needs
+	// 0.25 s for each of the first calls.
+	firstRules = 400 * time.Millisecond
 	// bodyPause bounds the time for reading a body.
 	bodyPause = 15 * time.Second
 	// maxUrgency is the last rank that engines know.
@@ -64,28 +70,51 @@
 	Spans trace.TracerProvider
 	// Ended learns how each request ended; nil tells nobody.
 	Ended func(c *relay.Call, r relay.Reply, status int, took time.Duration)
+	// Turned learns of each request that was turned away unread; nil tells
+	// nobody.
+	Turned func(r *http.Request, status int, reason string)
 }
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	config := s.Rules.Config()
+	config := s.rules(r)
 	if config == nil {
-		refuse(w, http.StatusServiceUnavailable, "no configuration yet", unready)
+		s.turn(w, r, http.StatusServiceUnavailable, "no configuration yet", unready)
 		return
 	}
 	c, status, reason := s.admit(config, r, start)
 	if status != 0 {
-		refuse(w, status, reason, 0)
+		s.turn(w, r, status, reason, 0)
 		return
 	}
 	if status, reason := s.read(config, w, r, c); status != 0 {
-		refuse(w, status, reason, 0)
+		s.turn(w, r, status, reason, 0)
 		return
 	}
 	s.run(w, r, c)
 }
 
+// turn answers a request that is not run at all.
+func (s *Server) turn(w http.ResponseWriter, r *http.Request, status int, reason string, after time.Duration) {
+	refuse(w, status, reason, after)
+	if s.Turned != nil {
+		s.Turned(r, status, reason)
+	}
+}
+
+// rules is what is in force. A process that has just started waits a moment for
+// it: after all instances died their callers are back before the store answers,
+// and who is refused then has no other try left.
+func (s *Server) rules(r *http.Request) *site.Config {
+	if config := s.Rules.Config(); config != nil {
+		return config
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), firstRules)
+	defer cancel()
+	return s.Rules.Await(ctx)
+}
+
 // admit finds the route, the team and the time of a request; a status says why
 // it is not served.
 func (s *Server) admit(config *site.Config, r *http.Request, start time.Time) (c *relay.Call, status int, reason string) {
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"fulmarwick/internal/base/site"
@@ -31,7 +32,25 @@
 // rules is one route of each kind.
 type rules struct{ config *site.Config }
 
-func (r rules) Config() *site.Config { return r.config }
+func (r rules) Config() *site.Config               { return r.config }
+func (r rules) Await(context.Context) *site.Config { return r.config }
+
+// lateRules are known after a while.
+type lateRules struct {
+	rules
+	after time.Duration
+}
+
+func (r lateRules) Config() *site.Config { return nil }
+
+func (r lateRules) Await(ctx context.Context) *site.Config {
+	select {
+	case <-time.After(r.after):
+		return r.config
+	case <-ctx.Done():
+		return nil
+	}
+}
 
 func newRules() rules {
 	c := &site.Config{
@@ -132,6 +151,31 @@
 	}
 }
 
+// All instances died and are back, and so are their callers, before the slow
+// store has told of the configuration. A caller who comes then is served once it
+// has; refused, it would have no other try left. One who would be late is told
+// to come back.
+func TestFirstConfigurationIsWaitedFor(t *testing.T) {
+	tests := []struct {
+		after time.Duration
+		want  int
+	}{{100 * time.Millisecond, http.StatusNotFound}, {time.Hour, http.StatusServiceUnavailable}}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			s := &front.Server{Dialect: dialect{}, Rules: lateRules{newRules(), test.after}}
+			w := httptest.NewRecorder()
+			start := time.Now()
+			s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "http://127.0.0.1/none/", nil))
+			if took := time.Since(start); w.Code != test.want || took > 400*time.Millisecond {
+				t.Errorf("got %d after %s, want %d within 400 ms", w.Code, took, test.want)
+			}
+			if after := w.Header().Get("Retry-After"); (after != "") != (test.want == http.StatusServiceUnavailable) {
+				t.Errorf("got Retry-After %q with %d", after, w.Code)
+			}
+		})
+	}
+}
+
 func TestOwnAnswers(t *testing.T) {
 	url := open(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	if resp, _ := ask(t, http.MethodGet, url+"/none/", nil); resp.StatusCode != http.StatusNotFound {
