A card too small for any layer does not hold up moves

It stays empty for good, and the comparison of placements took that for work to be done first, so that no engine was moved beside it. TestUselessCardHoldsNothingUp failed first.

--- a/internal/route/grid/grid_test.go
+++ b/internal/route/grid/grid_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -223,6 +224,23 @@
 	}
 }
 
+// One stage of a chain has little room and spare engines stand elsewhere, so
+// that requests are turned away until one is moved. A card that is too small for
+// any layer stays empty for good: it must not count as work to be done first.
+func TestUselessCardHoldsNothingUp(t *testing.T) {
+	m := model()
+	engines := fleet([][]int{{1, 6, 0}})
+	for i, l := range [][2]int{{0, 25}, {25, 45}, {45, 62}, {62, 80}, {0, 10}, {0, 10}, {0, 10}} {
+		engines[i].Held = spec.NewLayers(l[0], l[1])
+	}
+	want := grid.Plan(m, engines)
+	tiny := grid.Engine{ID: "tiny", Centre: "z0", Card: site.Card{Name: "tiny", MB: 900, Pace: 1, Read: 1}}
+	got := grid.Plan(m, append(engines, tiny))
+	if len(want) != 1 || !slices.Equal(got, want) {
+		t.Errorf("got orders %v beside a useless card, want one as without it: %v", got, want)
+	}
+}
+
 // An engine of a chain dies and comes back empty. It gets the range that no
 // other engine of its data centre holds.
 func TestEngineThatComesBackFillsItsGap(t *testing.T) {
--- a/internal/route/grid/mend.go
+++ b/internal/route/grid/mend.go
@@ -19,7 +19,7 @@
 	if gap := missing(m, out); gap.Len() > 0 {
 		out = cover(m, out)
 	}
-	if !slices.Equal(out, engines) {
+	if len(changes(engines, out)) > 0 {
 		return out
 	}
 	return improve(m, engines)
