--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -41,7 +41,7 @@
 
 // begin chooses a path and counts a run in; r.mu is held.
 func (r *router) begin(g *group, c *relay.Call, begun bool, avoid []spec.UpstreamID) (*relay.Flight, error) {
-	if !begun && g.line.Stuck(r.now()) && !g.teams.Allow(c.Team, func() float64 { return g.model.Tight(r.now()) }) {
+	if !begun && g.queue.Stuck(r.now()) && !g.teams.Allow(c.Team, func() float64 { return g.model.Tight(r.now()) }) {
 		return nil, share.ErrKept
 	}
 	n := g.need(c.Route.Name, c.Ask)
@@ -94,7 +94,7 @@
 		g.teams.End(t.team)
 		g.model.Reread(t.fresh, f.Need, -1)
 		g.model.End(t.chain, f.Need, t.unread)
-		g.line.Ended(r.now())
+		g.queue.Ended(r.now())
 		r.admit(g)
 	}
 }
--- a/internal/app/edge/line.go
+++ b/internal/app/edge/queue.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"fulmarwick/internal/base/spec"
-	"fulmarwick/internal/route/line"
 	"fulmarwick/internal/route/path"
+	"fulmarwick/internal/route/queue"
 	"fulmarwick/internal/wire/relay"
 
 	"github.com/go-faster/errors"
@@ -31,7 +31,7 @@
 	resumed = -1
 )
 
-// waiter is a request in the line.
+// waiter is a request in the queue.
 type waiter struct {
 	call *relay.Call
 	// begun tells that the caller has a part of the answer.
@@ -43,7 +43,7 @@
 	ready chan entry
 }
 
-// entry is what a request in the line gets.
+// entry is what a request in the queue gets.
 type entry struct {
 	flight *relay.Flight
 	err    error
@@ -64,7 +64,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	g := r.group(c.Service.Name)
-	g.line.Leave(t)
+	g.queue.Leave(t)
 	delete(g.waiters, t)
 	select {
 	case e := <-w.ready:
@@ -74,8 +74,8 @@
 	}
 }
 
-// join looks for a path, or adds the request to the line.
-func (r *router) join(c *relay.Call, how relay.Entry, avoid []spec.UpstreamID) (*waiter, *line.Ticket, *relay.Flight, error) {
+// join looks for a path, or adds the request to the queue.
+func (r *router) join(c *relay.Call, how relay.Entry, avoid []spec.UpstreamID) (*waiter, *queue.Ticket, *relay.Flight, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	g := r.group(c.Service.Name)
@@ -84,16 +84,16 @@
 	}
 	now := r.now()
 	w := &waiter{call: c, begun: how == relay.EntryResume, avoid: avoid, why: path.ErrFull, ready: make(chan entry, 1)}
-	if g.line.Len() == 0 || w.begun {
+	if g.queue.Len() == 0 || w.begun {
 		if f, ok := r.look(g, w); ok {
 			return nil, nil, f, nil
 		}
 	}
-	t := &line.Ticket{Team: c.Team, Urgency: c.Urgency, Until: r.until(g, c, how, w.why)}
+	t := &queue.Ticket{Team: c.Team, Urgency: c.Urgency, Until: r.until(g, c, how, w.why)}
 	if w.begun {
 		t.Urgency = resumed
 	}
-	if !g.line.Join(now, t, g.teams.Flying) {
+	if !g.queue.Join(now, t, g.teams.Flying) {
 		return nil, nil, nil, w.why
 	}
 	g.waiters[t] = w
@@ -133,7 +133,7 @@
 // served in time any more; r.mu is held.
 func (r *router) admit(g *group) {
 	failed := 0
-	for _, t := range g.line.Next(g.teams.Flying) {
+	for _, t := range g.queue.Next(g.teams.Flying) {
 		w := g.waiters[t]
 		if f, ok := r.look(g, w); ok {
 			g.answer(t, entry{flight: f})
@@ -143,14 +143,14 @@
 			break
 		}
 	}
-	for _, t := range g.line.Late(r.now(), g.teams.Flying) {
+	for _, t := range g.queue.Late(r.now(), g.teams.Flying) {
 		g.answer(t, entry{err: g.waiters[t].why})
 	}
 }
 
-func (g *group) answer(t *line.Ticket, e entry) {
+func (g *group) answer(t *queue.Ticket, e entry) {
 	w := g.waiters[t]
-	g.line.Leave(t)
+	g.queue.Leave(t)
 	delete(g.waiters, t)
 	w.ready <- e
 }
@@ -161,7 +161,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, g := range r.groups {
-		if g.line.Len() > 0 {
+		if g.queue.Len() > 0 {
 			r.admit(g)
 		}
 	}
@@ -172,7 +172,7 @@
 func (r *router) Back(c *relay.Call) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.group(c.Service.Name).line.Back(r.now(), time.Until(c.Until))
+	return r.group(c.Service.Name).queue.Back(r.now(), time.Until(c.Until))
 }
 
 // scarce is the layer of a service behind which there is least room, and the
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -12,8 +12,8 @@
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/guess"
 	"fulmarwick/internal/route/least"
-	"fulmarwick/internal/route/line"
 	"fulmarwick/internal/route/path"
+	"fulmarwick/internal/route/queue"
 	"fulmarwick/internal/route/share"
 	"fulmarwick/internal/wire/relay"
 )
@@ -30,10 +30,10 @@
 	// flights are the runs of model requests.
 	flights map[*relay.Flight]*tally
 	teams   share.Teams
-	// line is the requests that wait for room, with their waiters; first is the
+	// queue is the requests that wait for room, with their waiters; first is the
 	// usual time to the first event.
-	line    line.Line
-	waiters map[*line.Ticket]*waiter
+	queue   queue.Queue
+	waiters map[*queue.Ticket]*waiter
 	first   time.Duration
 	// lost are plain requests whose answers were lost lately.
 	lost []loss
@@ -62,7 +62,7 @@
 func (r *router) group(name string) *group {
 	g := r.groups[name]
 	if g == nil {
-		g = &group{name: name, flights: map[*relay.Flight]*tally{}, waiters: map[*line.Ticket]*waiter{}, first: firstTime}
+		g = &group{name: name, flights: map[*relay.Flight]*tally{}, waiters: map[*queue.Ticket]*waiter{}, first: firstTime}
 		g.plain.Centre = r.centre
 		g.bound(r.bounds)
 		r.groups[name] = g
--- a/internal/route/line/line.go
+++ b/internal/route/queue/queue.go
@@ -1,16 +1,16 @@
-// Package line decides which requests wait for room, in what order they get it,
+// Package queue decides which requests wait for room, in what order they get it,
 // which are turned away at once, and when those come back.
 //
-// It imports the standard library. Package app/edge keeps one Line per service
+// It imports the standard library. Package app/edge keeps one Queue per service
 // and tells it of requests that end. It does no I/O and reads no clock.
 //
 // The load it answers: engines are full for seconds, since one died or callers
 // came all at once, and each answer that ends makes room for one more. Without
-// a line, room went to whoever asked in the moment that it came up; the others
+// a queue, room went to whoever asked in the moment that it came up; the others
 // were turned away and came back late, in the place of new requests, which were
 // turned away in turn. With one, a request waits here while its answer can still
 // begin in time, and who cannot be served in time is told so at once.
-package line
+package queue
 
 import (
 	"slices"
@@ -33,7 +33,7 @@
 	// soonest is the least time after which one who was turned away comes back:
 	// about that in which a tenth of the answers of usual size end.
 	soonest = 300 * time.Millisecond
-	// rare is the pause between two ends above which the first in the line may
+	// rare is the pause between two ends above which the first in the queue may
 	// be late: with ends at random a third waits longer than the pause, and a
 	// first event takes 100 ms of a target of 500 ms.
 	rare = 150 * time.Millisecond
@@ -55,9 +55,9 @@
 	joined int
 }
 
-// Line is the requests of one service that wait. The zero value is empty. It is
+// Queue is the requests of one service that wait. The zero value is empty. It is
 // not safe for concurrent use.
-type Line struct {
+type Queue struct {
 	waiting []*Ticket
 	joined  int
 	// ends counts the requests that ended by parts of window, the newest in the
@@ -69,29 +69,29 @@
 }
 
 // Len is how many wait.
-func (l *Line) Len() int { return len(l.waiting) }
+func (q *Queue) Len() int { return len(q.waiting) }
 
 // Ended counts a request that made room.
-func (l *Line) Ended(now time.Duration) {
-	l.turn(now)
-	l.ends[l.at%slots]++
+func (q *Queue) Ended(now time.Duration) {
+	q.turn(now)
+	q.ends[q.at%slots]++
 }
 
 // turn clears the parts of the window that are over.
-func (l *Line) turn(now time.Duration) {
+func (q *Queue) turn(now time.Duration) {
 	at := int64(now / (window / slots))
-	for n := 0; l.at < at && n < slots; n++ {
-		l.at++
-		l.ends[l.at%slots] = 0
+	for n := 0; q.at < at && n < slots; n++ {
+		q.at++
+		q.ends[q.at%slots] = 0
 	}
-	l.at = at
+	q.at = at
 }
 
 // pace is the time between two ends; zero if none was seen.
-func (l *Line) pace(now time.Duration) time.Duration {
-	l.turn(now)
+func (q *Queue) pace(now time.Duration) time.Duration {
+	q.turn(now)
 	sum := 0
-	for _, n := range l.ends {
+	for _, n := range q.ends {
 		sum += n
 	}
 	if sum == 0 {
@@ -101,71 +101,71 @@
 }
 
 // expected is the pause between two ends, also while none is seen.
-func (l *Line) expected(now time.Duration) time.Duration {
-	if pace := l.pace(now); pace > 0 {
+func (q *Queue) expected(now time.Duration) time.Duration {
+	if pace := q.pace(now); pace > 0 {
 		return pace
 	}
 	return unknown
 }
 
 // Stuck reports whether room comes up so rarely that a request that is first in
-// the line may have to wait until it is late.
-func (l *Line) Stuck(now time.Duration) bool {
-	pace := l.pace(now)
+// the queue may have to wait until it is late.
+func (q *Queue) Stuck(now time.Duration) bool {
+	pace := q.pace(now)
 	return pace == 0 || pace > rare
 }
 
 // Join adds a request, unless those before it will take all room that comes up
 // until it would be late. flying is how many requests a team has at engines.
-func (l *Line) Join(now time.Duration, t *Ticket, flying func(team string) int) bool {
-	t.joined = l.joined
-	l.joined++
-	l.waiting = append(l.waiting, t)
-	l.sort(flying)
-	wait := doubt * float64(slices.Index(l.waiting, t)) * float64(l.expected(now))
+func (q *Queue) Join(now time.Duration, t *Ticket, flying func(team string) int) bool {
+	t.joined = q.joined
+	q.joined++
+	q.waiting = append(q.waiting, t)
+	q.sort(flying)
+	wait := doubt * float64(slices.Index(q.waiting, t)) * float64(q.expected(now))
 	if now+time.Duration(wait) > t.Until {
-		l.Leave(t)
+		q.Leave(t)
 		return false
 	}
 	return true
 }
 
 // Leave removes a request.
-func (l *Line) Leave(t *Ticket) {
-	if i := slices.Index(l.waiting, t); i >= 0 {
-		l.waiting = slices.Delete(l.waiting, i, i+1)
+func (q *Queue) Leave(t *Ticket) {
+	if i := slices.Index(q.waiting, t); i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
 }
 
 // Late removes and returns the requests that are not served in time any more,
 // even if the next end comes at once.
-func (l *Line) Late(now time.Duration, flying func(team string) int) []*Ticket {
-	l.sort(flying)
+func (q *Queue) Late(now time.Duration, flying func(team string) int) []*Ticket {
+	q.sort(flying)
 	var out []*Ticket
-	for place := 0; place < len(l.waiting); {
-		wait := l.expected(now) * time.Duration(max(0, place-1))
-		if now+wait <= l.waiting[place].Until {
+	for place := 0; place < len(q.waiting); {
+		wait := q.expected(now) * time.Duration(max(0, place-1))
+		if now+wait <= q.waiting[place].Until {
 			place++
 			continue
 		}
-		out = append(out, l.waiting[place])
-		l.waiting = slices.Delete(l.waiting, place, place+1)
+		out = append(out, q.waiting[place])
+		q.waiting = slices.Delete(q.waiting, place, place+1)
 	}
 	return out
 }
 
 // Next are the requests in the order in which they get room.
-func (l *Line) Next(flying func(team string) int) []*Ticket {
-	l.sort(flying)
-	return slices.Clone(l.waiting)
+func (q *Queue) Next(flying func(team string) int) []*Ticket {
+	q.sort(flying)
+	return slices.Clone(q.waiting)
 }
 
 // sort puts the more urgent first; of those, teams with fewer requests at
 // engines, so that a team that floods them waits behind one that asks now and
 // then and yet has all room that nobody else asks for; of a team, the first to
 // come.
-func (l *Line) sort(flying func(team string) int) {
-	slices.SortStableFunc(l.waiting, func(a, b *Ticket) int {
+func (q *Queue) sort(flying func(team string) int) {
+	slices.SortStableFunc(q.waiting, func(a, b *Ticket) int {
 		if a.Urgency != b.Urgency {
 			return a.Urgency - b.Urgency
 		}
@@ -181,13 +181,13 @@
 // Back is after how long one who is turned away should come back: each at a
 // time of its own, at a pace that leaves room for new requests. left is how
 // long its caller waits at all.
-func (l *Line) Back(now, left time.Duration) time.Duration {
-	pause := time.Duration(float64(l.expected(now)) / returning)
-	l.back = max(l.back+pause, now+soonest)
-	after := l.back - now
+func (q *Queue) Back(now, left time.Duration) time.Duration {
+	pause := time.Duration(float64(q.expected(now)) / returning)
+	q.back = max(q.back+pause, now+soonest)
+	after := q.back - now
 	if most := time.Duration(patience * float64(left)); after > most {
 		// Later than that nobody comes; the next ones are spread anew.
-		l.back = now + soonest
+		q.back = now + soonest
 		after = most
 	}
 	return after
--- a/internal/route/line/line_test.go
+++ b/internal/route/queue/queue_test.go
@@ -1,4 +1,4 @@
-package line_test
+package queue_test
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"fulmarwick/internal/route/line"
+	"fulmarwick/internal/route/queue"
 
 	"pgregory.net/rapid"
 )
@@ -16,18 +16,18 @@
 // none is a fleet without requests at engines.
 func none(string) int { return 0 }
 
-func ExampleLine() {
-	var l line.Line
+func ExampleQueue() {
+	var q queue.Queue
 	for n := range 20 {
-		l.Ended(time.Duration(n) * 50 * ms)
+		q.Ended(time.Duration(n) * 50 * ms)
 	}
 	now := time.Second
 	flying := func(team string) int { return map[string]int{"heavy": 40}[team] }
 	for n := range 3 {
-		fmt.Println(l.Join(now, &line.Ticket{Team: "heavy", Until: now + 100*ms}, flying), n)
+		fmt.Println(q.Join(now, &queue.Ticket{Team: "heavy", Until: now + 100*ms}, flying), n)
 	}
-	l.Join(now, &line.Ticket{Team: "small", Until: now + 100*ms}, flying)
-	fmt.Println(l.Next(flying)[0].Team)
+	q.Join(now, &queue.Ticket{Team: "small", Until: now + 100*ms}, flying)
+	fmt.Println(q.Next(flying)[0].Team)
 	// Output:
 	// true 0
 	// true 1
@@ -36,16 +36,16 @@
 }
 
 // Room for two requests comes up each 100 ms, 30 ask each 100 ms, and an answer
-// must begin within 400 ms. Those that are let in line are served in time; the
+// must begin within 400 ms. Those that are let in are served in time; the
 // others are told at once, before they have waited at all.
 func TestFloodIsTurnedAwayAtOnce(t *testing.T) {
-	var l line.Line
+	var q queue.Queue
 	served, lost, refused := 0, 0, 0
 	for now := time.Duration(0); now < 10*time.Second; now += 10 * ms {
 		if now%(50*ms) == 0 {
-			l.Ended(now)
-			if next := l.Next(none); len(next) > 0 {
-				l.Leave(next[0])
+			q.Ended(now)
+			if next := q.Next(none); len(next) > 0 {
+				q.Leave(next[0])
 				if next[0].Until < now {
 					t.Fatalf("got room for a request at %s that was late at %s, want none", now, next[0].Until)
 				}
@@ -53,11 +53,11 @@
 			}
 		}
 		for range 3 {
-			if !l.Join(now, &line.Ticket{Until: now + 400*ms}, none) {
+			if !q.Join(now, &queue.Ticket{Until: now + 400*ms}, none) {
 				refused++
 			}
 		}
-		lost += len(l.Late(now, none))
+		lost += len(q.Late(now, none))
 	}
 	if served < 190 || lost > served/10 || refused < 2500 {
 		t.Errorf("got %d served, %d turned away after a wait and %d at once, want 190 of 200 served and a tenth as many after a wait at most", served, lost, refused)
@@ -67,24 +67,24 @@
 // Ends stop coming: an engine died. Who waits is not held until its time is
 // over but told as soon as the pace shows that it will be late.
 func TestLossIsToldAtOnce(t *testing.T) {
-	var l line.Line
+	var q queue.Queue
 	for n := range 100 {
-		l.Ended(time.Duration(n) * 10 * ms)
+		q.Ended(time.Duration(n) * 10 * ms)
 	}
 	now := time.Second
 	for range 30 {
-		l.Join(now, &line.Ticket{Until: now + 400*ms}, none)
+		q.Join(now, &queue.Ticket{Until: now + 400*ms}, none)
 	}
-	before := l.Len()
+	before := q.Len()
 	now += 950 * ms
 	// One end a tenth of a second is seen now, and each has 400 ms.
 	for range 10 {
-		l.Ended(now)
+		q.Ended(now)
 	}
-	for _, ticket := range l.Next(none) {
+	for _, ticket := range q.Next(none) {
 		ticket.Until = now + 400*ms
 	}
-	if told := len(l.Late(now+50*ms, none)); before < 25 || told < 20 {
+	if told := len(q.Late(now+50*ms, none)); before < 25 || told < 20 {
 		t.Errorf("got %d of %d told that they are late, want most", told, before)
 	}
 }
@@ -93,14 +93,14 @@
 // back one after the other, at a quarter of that pace, and none is told to wait
 // for more than a third of its time.
 func TestReturnsAreSpread(t *testing.T) {
-	var l line.Line
+	var q queue.Queue
 	for n := range 20 {
-		l.Ended(time.Duration(n) * 50 * ms)
+		q.Ended(time.Duration(n) * 50 * ms)
 	}
 	now := time.Second
 	var at []time.Duration
 	for range 300 {
-		after := l.Back(now, 20*time.Second)
+		after := q.Back(now, 20*time.Second)
 		if after < 300*ms || after > 6600*ms {
 			t.Fatalf("got a return after %s, want between 300 ms and a third of 20 s", after)
 		}
@@ -118,25 +118,25 @@
 // engines, then those that came first; nobody is lost or doubled.
 func TestOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var l line.Line
+		var q queue.Queue
 		busy := map[string]int{"a": rapid.IntRange(0, 3).Draw(t, "a"), "b": rapid.IntRange(0, 3).Draw(t, "b")}
 		flying := func(team string) int { return busy[team] }
-		number := map[*line.Ticket]int{}
+		number := map[*queue.Ticket]int{}
 		for n := range rapid.IntRange(0, 30).Draw(t, "steps") {
 			if len(number) > 0 && rapid.IntRange(0, 3).Draw(t, "leaves") == 0 {
-				gone := l.Next(flying)[0]
-				l.Leave(gone)
+				gone := q.Next(flying)[0]
+				q.Leave(gone)
 				delete(number, gone)
 				continue
 			}
-			one := &line.Ticket{Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), Urgency: rapid.IntRange(0, 2).Draw(t, "urgency"), Until: time.Hour}
-			if l.Join(0, one, flying) {
+			one := &queue.Ticket{Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), Urgency: rapid.IntRange(0, 2).Draw(t, "urgency"), Until: time.Hour}
+			if q.Join(0, one, flying) {
 				number[one] = n
 			}
 		}
-		next := l.Next(flying)
-		if len(next) != len(number) || l.Len() != len(number) {
-			t.Fatalf("got %d in line, want %d", len(next), len(number))
+		next := q.Next(flying)
+		if len(next) != len(number) || q.Len() != len(number) {
+			t.Fatalf("got %d waiting, want %d", len(next), len(number))
 		}
 		for i := 1; i < len(next); i++ {
 			a, b := next[i-1], next[i]
