--- /dev/null
+++ b/internal/fakes/depot/rate_test.go
@@ -0,0 +1,74 @@
+package depot_test
+
+import (
+	"context"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/base/site"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fakes/depot"
+	"fulmarwick/internal/fakes/drive"
+	"fulmarwick/internal/route/grid"
+	"fulmarwick/platform/stand"
+)
+
+// predicted is the rate that the planner takes the placed engines of a site to
+// carry, data centre by data centre.
+func predicted(s *stand.Site) float64 {
+	m := &site.Model{
+		Slots: 192, Layers: s.Shape.Layers, LayerMB: s.Shape.LayerMB, TokenBytes: s.Shape.TokenBytes, ReadRate: s.Shape.ReadRate,
+		Step: 1020 * time.Microsecond, Writer: 7140 * time.Nanosecond, Context: 9560 * time.Nanosecond, Prompt: s.Shape.Prompt, Answer: s.Shape.Answer,
+	}
+	by := map[string][]grid.Engine{}
+	for _, e := range s.Engines() {
+		from, to := e.Held()
+		card := site.Card{Name: e.Card.Name, MB: e.Card.MB, Pace: e.Card.Pace, Read: e.Card.Read}
+		by[e.Zone] = append(by[e.Zone], grid.Engine{ID: spec.UpstreamID(e.ID), Card: card, Held: spec.NewLayers(from, to)})
+	}
+	sum := 0.0
+	for _, engines := range by {
+		sum += grid.Rate(m, engines)
+	}
+	return sum
+}
+
+// TestPredictedRate prints the rate that the planner predicts beside the greatest
+// rate of which the stand-in serves nineteen in twenty in their target.
+func TestPredictedRate(t *testing.T) {
+	if os.Getenv("WORST") == "" {
+		t.Skip("prints figures: WORST=1")
+	}
+	for _, s := range shapes[:3] {
+		want, carried := 0.0, 0.0
+		for _, rate := range []float64{10, 20, 40, 60, 80, 100, 120, 140, 170, 200, 250, 300} {
+			var got drive.Row
+			synctest.Test(t, func(t *testing.T) {
+				d := &depot.Depot{Instances: 4, Shape: s.shape}
+				if err := d.Open(context.Background()); err != nil {
+					t.Fatal(err)
+				}
+				want = predicted(d.Site())
+				w := usual()
+				w.Span = 8 * time.Second
+				w.Classes = w.Classes[:1]
+				w.Classes[0].Rate, w.Classes[0].Prompt, w.Classes[0].Answer, w.Classes[0].Retries = rate, s.shape.Prompt, s.shape.Answer, 0
+				report, err := d.Drive(w).Do(context.Background())
+				if err != nil {
+					t.Error(err)
+				}
+				if err := d.Close(); err != nil {
+					t.Error(err)
+				}
+				got = report.Total
+			})
+			if got.InTarget*20 < got.Asked*19 {
+				break
+			}
+			carried = rate
+		}
+		t.Logf("%s: predicted %.0f requests a second, carried %.0f", s.name, want, carried)
+	}
+}
