Engines that go on refusing rest longer

Each instance asked it again every 300 ms; the refused runs used up the bound on repeats, and 76 requests were refused with engines free. Change: the rest doubles up to 2.4 s until the engine has served again. Ruled out: memory (the engines had room), deaths (they answered questions). Test: TestEngineThatGoesOnRefusingRestsLonger.

--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -158,7 +158,7 @@
 	g := r.group(f.Service)
 	id := g.refuser(f, address)
 	up, ok := g.model.Upstream(id)
-	g.model.Rest(id, r.now()+refusedRest)
+	g.model.Refused(r.now(), id)
 	r.mu.Unlock()
 	if ok {
 		r.doubted(up)
@@ -177,11 +177,6 @@
 	return chain[0].Engine()
 }
 
-// refusedRest is how long an engine that refused a run gets no new one: what
-// it holds and whether it leaves is known from the list by then, or the crowd
-// on it has turned over.
-const refusedRest = 300 * time.Millisecond
-
 // Down reports whether an engine is dead or gone.
 func (r *router) Down(service string, id spec.UpstreamID) bool {
 	r.mu.Lock()
--- a/internal/route/path/path_test.go
+++ b/internal/route/path/path_test.go
@@ -327,3 +327,32 @@
 		t.Errorf("got %d engines used among 32 others and %d alone, want more among others", among, alone)
 	}
 }
+
+// An engine was told to hold other layers and refuses for three seconds, while
+// the list still shows the former ones. It is asked a few times and not at every
+// chance; once it has served again, one refusal counts like the first.
+func TestEngineThatGoesOnRefusingRestsLonger(t *testing.T) {
+	tab := table(engine("a", "a100", "east", 0, 40), engine("b", "a100", "east", 40, 80))
+	asked := 0
+	now := time.Duration(0)
+	for ; now < 3*time.Second; now += 10 * time.Millisecond {
+		if _, err := tab.Choose(now, usual, nil); err == nil {
+			asked++
+			tab.Refused(now, "b")
+		}
+	}
+	if asked < 3 || asked > 5 {
+		t.Errorf("got %d requests for an engine that refuses for 3 s, want 3 to 5", asked)
+	}
+	now += 10 * time.Second
+	c, err := tab.Choose(now, usual, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tab.Begin(c, usual)
+	tab.Wrote(c, usual)
+	tab.Refused(now, "b")
+	if _, err := tab.Choose(now+310*time.Millisecond, usual, nil); err != nil {
+		t.Errorf("got %v 310 ms after one refusal, want a path", err)
+	}
+}
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -26,9 +26,11 @@
 	saidAt time.Duration
 	// down engines do not answer.
 	down bool
-	// rest is until when it gets no new requests.
-	rest time.Duration
-	mine Use
+	// rest is until when it gets no new requests, refused how long it rested
+	// for its last refusal; zero once it has served since.
+	rest    time.Duration
+	refused time.Duration
+	mine    Use
 	// again is the part of mine.Unread that is read once more.
 	again int
 	// others is what the requests of other instances take.
@@ -202,6 +204,30 @@
 	}
 }
 
+const (
+	// refusedRest is how long an engine that refused a run gets no new one: what
+	// it holds and whether it leaves is known from the list by then, or the crowd
+	// on it has turned over.
+	refusedRest = 300 * time.Millisecond
+	// refusedMost bounds the rest of an engine that goes on refusing. One that
+	// was told to hold other layers refuses for seconds, until it has loaded them
+	// and the list shows them; asked anew each 300 ms by every instance, such
+	// engines used up the bound on repeats, and 76 requests were refused for it
+	// on one day.
+	refusedMost = 2400 * time.Millisecond
+)
+
+// Refused gives an engine that refused a run no new ones for a while, twice as
+// long as before if it has served none since.
+func (t *Table) Refused(now time.Duration, id spec.UpstreamID) {
+	e := t.byID[id]
+	if e == nil || now < e.rest {
+		return
+	}
+	e.refused = min(refusedMost, max(refusedRest, 2*e.refused))
+	e.rest = now + e.refused
+}
+
 // Silent reports whether an engine that is listed does not answer.
 func (t *Table) Silent(id spec.UpstreamID) bool {
 	e := t.byID[id]
--- a/internal/route/path/use.go
+++ b/internal/route/path/use.go
@@ -69,6 +69,11 @@
 func (t *Table) Wrote(c spec.Chain, n Need) {
 	t.count(c, n, true, -1)
 	t.count(c, n, false, 1)
+	for _, s := range c {
+		if e := t.byID[s.Engine()]; e != nil {
+			e.refused = 0
+		}
+	}
 }
 
 // Reread counts in, or out with a sign of -1, that engines read a prompt once
