--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -49,9 +49,6 @@
 	// against the rest: when an engine dies its streams are read again all at
 	// once, and what counts is that none waits long for it.
 	haste = 6
-	// hurt weighs the delay that a request brings to those that already pass
-	// an engine against its own.
-	hurt = 1.0
 )
 
 // Ask is a question for a path over the layers [From, To).
--- a/internal/route/path/cost.go
+++ b/internal/route/path/cost.go
@@ -55,8 +55,8 @@
 	return t.hop(a, from, a.After)
 }
 
-// cost is the time in milliseconds that e is predicted to add to a request,
-// and to those that already pass it, for so many layers.
+// cost is the time in milliseconds that e is predicted to add to a request for
+// so many layers.
 func (t *Table) cost(n Need, e *engine, layers int) (ms float64, fits bool) {
 	u := e.use()
 	limit := float64(e.cells)
@@ -67,8 +67,7 @@
 		return 0, false
 	}
 	share := float64(layers) / float64(t.Model.Layers)
-	writer := millis(t.Model.Writer) + millis(t.Model.Context)*float64(n.Prompt+n.Answer)/1000
-	write := float64(n.Answer) * (t.pass(e, u, 1) + hurt*writer*float64(u.Streams)*share*e.card.Pace*e.pace)
+	write := float64(n.Answer) * t.pass(e, u, 1)
 	unread := u.Unread
 	if n.Haste {
 		// The other instances move their streams in the same moment, and what
@@ -80,7 +79,7 @@
 	if n.Haste {
 		read *= haste
 	}
-	return write + read*(1+hurt) + crowd*share*fill*fill, true
+	return write + read + crowd*share*fill*fill, true
 }
 
 // pass is the time in milliseconds of a step of e with so many more requests
