An engine that changes its layers is not dead, and runs taken off it are attempts

Traced: an engine that was told to hold other layers refuses new runs, is asked, and reports to hold nothing. That was taken for a restart: it counted as dead, its runs were ended, and runs on dead engines use up no attempt; it went on serving. Since layers are mended by moves this comes more often than before. Ruled out: deaths (the engine's row says ready all the while), leaving engines. Change: a report of fewer layers with a count of orders above zero, which a start clears, is that of an engine that lives; attempts are spared only by engines that do not answer, or that broke a run and left. Test that failed first: TestEngineThatChangesLayersIsNotDead (4 runs, 2 allowed); the stand-in reports nothing held while it gives up layers, as the platform's engines.

--- a/internal/app/edge/fault_test.go
+++ b/internal/app/edge/fault_test.go
@@ -290,6 +290,37 @@
 	})
 }
 
+// The first engine of a stream is told to hold other layers, three times in a
+// row. It refuses what is new and reports to hold nothing, but serves on what it
+// has. It is no dead engine: the stream stays with it, or goes on elsewhere as an
+// attempt, of which the route allows two, and is whole.
+func TestEngineThatChangesLayersIsNotDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := open(t, 1)
+		defer w.close()
+		done := make(chan answer)
+		go func() { done <- w.ask(0, http.MethodPost, "/write/1", "long", "300,1800") }()
+		for n := range 3 {
+			time.Sleep(500 * time.Millisecond)
+			e := w.busiest()
+			from, to := e.Held()
+			w.site.Place(e, from, to-1)
+			// Others find out that it refuses, and its report is asked for.
+			for k := range 8 {
+				go w.ask(0, http.MethodPost, "/write/1", fmt.Sprintf("short-%d-%d", n, k), "300,30")
+			}
+			time.Sleep(1500 * time.Millisecond)
+		}
+		if a := <-done; a.body != whole("long", 600) {
+			t.Errorf("got %d with %d events (%v), want all 600", a.status, a.events, a.err)
+		}
+		if n := w.site.Runs("long"); n > 2 {
+			t.Errorf("got %d runs, want 2 at most", n)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // Engines that a stream passes leave one after the other, and no other path is
 // taken for it. While its first engine lives each new run is an attempt, of
 // which its route allows two: then the stream stays where it is, and is whole.
--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -177,15 +177,16 @@
 	return chain[0].Engine()
 }
 
-// Down reports whether an engine is dead or gone.
+// Down reports whether an engine does not answer.
 func (r *router) Down(service string, id spec.UpstreamID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	g := r.group(service)
-	return g.model != nil && g.model.Dead(id)
+	return g.model != nil && g.model.Silent(id)
 }
 
-// Leaving reports whether an engine says that it leaves.
+// Leaving reports whether an engine says that it leaves, or is gone from the
+// list, perhaps while it still serves.
 func (r *router) Leaving(service string, id spec.UpstreamID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -194,5 +195,5 @@
 		return false
 	}
 	up, listed := g.model.Upstream(id)
-	return listed && up.State != site.StateReady
+	return !listed || up.State != site.StateReady
 }
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -132,16 +132,26 @@
 }
 
 // Heard takes an engine's report: it answers, at that pace. It returns false if
-// the engine is not the one that is listed or holds less, so that it is as good
-// as dead until the list shows what it holds.
+// the engine is not the one that is listed or holds less since it started anew,
+// so that it is as good as dead until the list shows what it holds. One that
+// holds less since it was told to hold other layers serves on what passes them,
+// and gets nothing new until the list shows what it holds: taken for dead, its
+// runs were ended and went on at a third engine where two are allowed.
 func (t *Table) Heard(now time.Duration, id spec.UpstreamID, r site.Report) bool {
 	e := t.byID[id]
 	if e == nil {
 		return true
 	}
-	if r.Born != 0 && r.Born != e.up.Born || !r.Held.Layers.Covers(e.up.Held.Layers) {
+	if r.Born != 0 && r.Born != e.up.Born {
 		return false
 	}
+	if !r.Held.Layers.Covers(e.up.Held.Layers) {
+		// A start clears the count of orders.
+		if r.Orders == 0 {
+			return false
+		}
+		e.rest = max(e.rest, now+changing)
+	}
 	e.down = false
 	if r.Pace > 0 {
 		e.said, e.saidAt = r.Pace, now
@@ -205,6 +215,9 @@
 }
 
 const (
+	// changing is how long an engine gets no new runs that changes its layers:
+	// the list shows it within a heartbeat.
+	changing = 1200 * time.Millisecond
 	// refusedRest is how long an engine that refused a run gets no new one: what
 	// it holds and whether it leaves is known from the list by then, or the crowd
 	// on it has turned over.
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -47,9 +47,9 @@
 	// Refused tells that a run was refused, and by which engine of its path;
 	// empty is the first. It returns the engine.
 	Refused(f *Flight, address string) spec.UpstreamID
-	// Down reports whether an engine is known to be dead or gone.
+	// Down reports whether an engine is known not to answer.
 	Down(service string, id spec.UpstreamID) bool
-	// Leaving reports whether an engine says that it leaves.
+	// Leaving reports whether an engine says that it leaves, or is gone.
 	Leaving(service string, id spec.UpstreamID) bool
 }
 
