--- a/internal/app/edge/fault_test.go
+++ b/internal/app/edge/fault_test.go
@@ -307,7 +307,7 @@
 			w.site.Place(e, from, to-1)
 			// Others find out that it refuses, and its report is asked for.
 			for k := range 8 {
-				go w.ask(0, http.MethodPost, "/write/1", fmt.Sprintf("short-%d-%d", n, k), "300,30")
+				go func() { w.ask(0, http.MethodPost, "/write/1", fmt.Sprintf("short-%d-%d", n, k), "300,30") }()
 			}
 			time.Sleep(1500 * time.Millisecond)
 		}
