A run is not ended for another one that the bound on repeats does not allow

Traced: their first engines left, the router ended the runs so that others go on, and the part of the bound that this instance of 33 has was used up, so that none did. The engines still served. Ruled out: the engines (they were cut off by us), the configuration (idle change). Change: a run whose first engine lives is ended only once its repeat is counted. Test that failed first: TestStreamsStayWhereNoRepeatIsLeft.

--- a/internal/app/edge/fault_test.go
+++ b/internal/app/edge/fault_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"fulmarwick/internal/app/setup"
 	"fulmarwick/internal/fakes/depot"
 	"fulmarwick/platform/stand"
 )
@@ -321,6 +322,30 @@
 	})
 }
 
+// All repeats that are allowed are used up when the first engine of many streams
+// leaves; it goes on for long. A stream that may not begin anew elsewhere stays
+// with the engine, and its caller gets the whole answer instead of a cut one.
+func TestStreamsStayWhereNoRepeatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := openWith(t, 1, setup.Retry{Ratio: 0, Allowance: 2, Window: 10 * time.Second})
+		defer w.close()
+		const streams = 12
+		done := make(chan answer, streams)
+		for n := range streams {
+			go func() { done <- w.ask(0, http.MethodPost, "/write/1", fmt.Sprintf("long-%d", n), "300,1200") }()
+		}
+		time.Sleep(500 * time.Millisecond)
+		for range 3 {
+			w.site.Drain(w.busiest())
+		}
+		for range streams {
+			if a := <-done; a.err != nil || a.events != 400 {
+				t.Errorf("got %d with %d events (%v), want all 400", a.status, a.events, a.err)
+			}
+		}
+	})
+}
+
 // Engines that a stream passes leave one after the other, and no other path is
 // taken for it. While its first engine lives each new run is an attempt, of
 // which its route allows two: then the stream stays where it is, and is whole.
--- a/internal/app/edge/leave.go
+++ b/internal/app/edge/leave.go
@@ -140,7 +140,8 @@
 // resume ends a run so that another one goes on; false if it must stay.
 func (w *watcher) resume(f *relay.Flight) bool {
 	chain, _ := f.Chain()
-	if !f.Move(w.router.Down(f.Service, chain[0].Engine())) {
+	repeat := func() bool { return w.router.Again(f.Service) }
+	if !f.Move(w.router.Down(f.Service, chain[0].Engine()), repeat) {
 		return false
 	}
 	w.moved("resume")
--- a/internal/app/edge/site_test.go
+++ b/internal/app/edge/site_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"fulmarwick/internal/app/edge"
+	"fulmarwick/internal/app/setup"
 	"fulmarwick/internal/fakes/depot"
 	"fulmarwick/platform/stand"
 )
@@ -29,7 +30,13 @@
 // open starts a filled site and n instances and waits until layers are placed.
 func open(t *testing.T, n int) *world {
 	t.Helper()
-	w := &world{t: t, depot: &depot.Depot{Instances: n}}
+	return openWith(t, n, setup.Retry{})
+}
+
+// openWith does the same with other bounds on repeats; zero is the usual.
+func openWith(t *testing.T, n int, retry setup.Retry) *world {
+	t.Helper()
+	w := &world{t: t, depot: &depot.Depot{Instances: n, Retry: retry}}
 	if err := w.depot.Open(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fakes/depot/depot.go
+++ b/internal/fakes/depot/depot.go
@@ -32,6 +32,8 @@
 	Naive *stand.Naive
 	// Shape is the model and its engines; one without layers is the usual.
 	Shape stand.Shape
+	// Retry bounds repeats; zero is the usual bound.
+	Retry setup.Retry
 	// Log is that of the instances; nil has none.
 	Log *zap.Logger
 
@@ -87,7 +89,11 @@
 }
 
 func (d *Depot) start(n int) {
-	i := &edge.Instance{Settings: settings(n, d.site.Shape.Zones), Log: d.Log, Dial: d.site.Dial, Listen: d.site.Net.Listen}
+	s := settings(n, d.site.Shape.Zones)
+	if d.Retry != (setup.Retry{}) {
+		s.Retry = d.Retry
+	}
+	i := &edge.Instance{Settings: s, Log: d.Log, Dial: d.site.Dial, Listen: d.site.Net.Listen}
 	d.instances = append(d.instances, i)
 	d.ended.Go(func() {
 		if err := i.Run(context.Background()); err != nil {
--- a/internal/wire/relay/flight.go
+++ b/internal/wire/relay/flight.go
@@ -40,6 +40,8 @@
 	hops  []site.Hop
 	stop  func()
 	moved bool
+	// paid tells that the run that follows is counted as a repeat already.
+	paid bool
 }
 
 // NewFlight returns a run over a chain.
@@ -89,13 +91,21 @@
 
 // Move ends the run so that the request goes on elsewhere. ended tells that its
 // first engine has ended. Else the run counts as an attempt, and it goes on as it
-// is, and false is returned, if the request has no other left.
-func (f *Flight) Move(ended bool) bool {
+// is, and false is returned, if the request has no other left, or if repeat does
+// not allow another run: ended all the same, the answer would be cut though its
+// engine still makes it.
+func (f *Flight) Move(ended bool, repeat func() bool) bool {
 	if !f.Resume || !ended && !f.Spare {
 		return false
 	}
+	if f.isMoved() {
+		return true
+	}
+	if !ended && !repeat() {
+		return false
+	}
 	f.mu.Lock()
-	f.moved = true
+	f.moved, f.paid = true, !ended
 	stop := f.stop
 	f.mu.Unlock()
 	if stop != nil {
@@ -112,6 +122,12 @@
 	return !f.moved
 }
 
+func (f *Flight) isPaid() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.paid
+}
+
 func (f *Flight) isMoved() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -168,7 +168,7 @@
 			return Reply{Tried: s.runs, Ran: true}
 		}
 		s.judge(f, err)
-		if !s.again(err) {
+		if !s.again(f, err) {
 			return s.failed(err)
 		}
 	}
@@ -231,11 +231,11 @@
 }
 
 // again reports whether the request may run once more.
-func (s *stream) again(err error) bool {
+func (s *stream) again(f *Flight, err error) bool {
 	switch {
 	case s.ctx.Err() != nil, errors.Is(err, errCaller), s.runs >= maxRuns, s.models.Suspects.Guilty(s.call.Print()):
 		return false
-	case errors.Is(err, errUnsent):
+	case errors.Is(err, errUnsent), errors.Is(err, errMoved) && f.isPaid():
 		return true
 	case errors.Is(err, errNotRun):
 		return s.models.Budget.Again(s.call.Service.Name)
