Tests that fail: changes that most instances learn late or never

Callers got 404 for routes that had been added seconds before, from nearly all instances. The stand-in's upstreams write their rows anew when told to, since without heartbeats a second instance reads the list and hides the fault.

--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,24 +13,39 @@
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/state/feed"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // member is one instance as the logic sees it.
 type member struct {
 	logic *mesh.Logic
 	view  feed.View
-	read  time.Time
 	dead  []spec.UpstreamID
 
 	used map[spec.InstanceID]int
 	met  map[spec.InstanceID]bool
 	told int
 	from []spec.InstanceID
+
+	// news tells that the store brought a change; polled is the last read and
+	// readAt the same for what is told of it, zero for none.
+	news           bool
+	polled, readAt time.Duration
+	fleet          *fleet
 }
 
 const table = "t"
 
-func (m *member) Urgent() bool { return len(m.dead) > 0 }
+// tick is the pause between two ticks of the logic.
+const tick = 50 * time.Millisecond
+
+func (m *member) Urgent() bool {
+	news := m.news
+	m.news = false
+	return news || len(m.dead) > 0
+}
+
 func (m *member) Uses() map[string]map[spec.UpstreamID]path.Use {
 	return map[string]map[spec.UpstreamID]path.Use{"s": {"e": {Streams: 1}}}
 }
@@ -36,11 +53,12 @@
 func (m *member) Versions() map[string]uint64        { return map[string]uint64{table: m.view.Version()} }
 func (m *member) Paces() map[spec.UpstreamID]float64 { return nil }
 func (m *member) Age() time.Duration {
-	if m.read.IsZero() {
+	if m.readAt == 0 {
 		return -1
 	}
-	return time.Since(m.read)
+	return m.fleet.now - m.readAt
 }
+
 func (m *member) Since(_ string, v uint64) (feed.Page, bool) { return m.view.Since(v) }
 func (m *member) Fresh() ([]spec.UpstreamID, []crash.Death) {
 	dead := m.dead
@@ -61,21 +79,30 @@
 func (m *member) Met(id spec.InstanceID)                         { m.met[id] = true }
 func (m *member) Missed(id spec.InstanceID)                      { delete(m.met, id) }
 
-// fleet is instances that tick together; lost drops messages.
+// fleet is instances that tick together; lost and drop lose messages, and those
+// that are silent do nothing.
 type fleet struct {
 	members map[spec.InstanceID]*member
 	inbox   map[spec.InstanceID][]node.Event
 	lost    func(from, to spec.InstanceID) bool
+	drop    func(from, to spec.InstanceID, m mesh.Message) bool
+	silent  map[spec.InstanceID]bool
+	now     time.Duration
 	sent    int
 }
 
-func open(n int) *fleet {
-	f := &fleet{members: map[spec.InstanceID]*member{}, inbox: map[spec.InstanceID][]node.Event{}}
+func open(n int) *fleet { return openNamed(n, "i") }
+
+// openNamed opens a fleet of n members; their names begin with a prefix.
+func openNamed(n int, prefix string) *fleet {
+	f := &fleet{members: map[spec.InstanceID]*member{}, inbox: map[spec.InstanceID][]node.Event{}, silent: map[spec.InstanceID]bool{}}
+	clock := func() time.Time { return time.Unix(0, 0).Add(f.now) }
 	var peers []node.Peer
 	for k := range n {
-		id := spec.InstanceID(fmt.Sprintf("i%d", k))
-		m := &member{used: map[spec.InstanceID]int{}, met: map[spec.InstanceID]bool{}}
-		m.logic = &mesh.Logic{ID: id, URL: "http://" + string(id), Self: m, Taker: m, Now: time.Now}
+		id := spec.InstanceID(fmt.Sprintf("%s%d", prefix, k))
+		m := &member{used: map[spec.InstanceID]int{}, met: map[spec.InstanceID]bool{}, fleet: f}
+		m.view.Same = func(_ string, a, b []byte) bool { return string(a) == string(b) }
+		m.logic = &mesh.Logic{ID: id, URL: "http://" + string(id), Self: m, Taker: m, Now: clock}
 		f.members[id] = m
 		peers = append(peers, node.Peer{ID: id, URL: "http://" + string(id)})
 	}
@@ -85,24 +112,49 @@
 	return f
 }
 
-// run ticks all members every 50 ms of the given span.
+// ids are the names of all members, in order.
+func (f *fleet) ids() []spec.InstanceID { return slices.Sorted(maps.Keys(f.members)) }
+
+// run ticks all members of the given span.
 func (f *fleet) run(from, to time.Duration) {
-	for now := from; now < to; now += 50 * time.Millisecond {
-		for id, m := range f.members {
-			events := f.inbox[id]
-			f.inbox[id] = nil
-			for _, c := range m.logic.Tick(now, events) {
-				s, ok := c.(node.Send)
-				if !ok || f.lost != nil && f.lost(id, s.To) || f.members[s.To] == nil {
-					continue
-				}
-				f.sent++
-				f.inbox[s.To] = append(f.inbox[s.To], node.Heard{From: id, Data: s.Data})
+	for now := from; now < to; now += tick {
+		f.now = now
+		f.step(now)
+	}
+}
+
+// step ticks all members once. What they send arrives before the next tick of
+// its receiver, in this step or the next one.
+func (f *fleet) step(now time.Duration) {
+	for _, id := range f.ids() {
+		m := f.members[id]
+		if f.silent[id] {
+			continue
+		}
+		events := f.inbox[id]
+		f.inbox[id] = nil
+		for _, c := range m.logic.Tick(now, events) {
+			s, ok := c.(node.Send)
+			if !ok || f.lost != nil && f.lost(id, s.To) || f.members[s.To] == nil || f.dropped(id, s) {
+				continue
 			}
+			f.sent++
+			f.inbox[s.To] = append(f.inbox[s.To], node.Heard{From: id, Data: s.Data})
 		}
 	}
 }
 
+func (f *fleet) dropped(from spec.InstanceID, s node.Send) bool {
+	if f.drop == nil {
+		return false
+	}
+	var m mesh.Message
+	if err := cbor.Unmarshal(s.Data, &m); err != nil {
+		panic(err)
+	}
+	return f.drop(from, s.To, m)
+}
+
 // One instance reads a change, another cannot. It is told within a beat, once
 // by each teller, and everybody counts everybody.
 func TestChangeIsTold(t *testing.T) {
--- /dev/null
+++ b/internal/fleet/mesh/spread_test.go
@@ -0,0 +1,167 @@
+package mesh_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/mesh"
+	"fulmarwick/internal/state/feed"
+)
+
+const (
+	// inForce is how long a change may take to all instances.
+	inForce = 2 * time.Second
+	// poll is how long the store holds a call without news.
+	poll = 700 * time.Millisecond
+	// beating is how many rows are written anew in turn without a change.
+	beating = 10
+	// seeds is how many fleets of each size are played, each with other names.
+	seeds = 13
+	// changed is the row that changes.
+	changed = "config"
+)
+
+// rows is a store that every member of a fleet may read.
+type rows struct {
+	log []feed.Row
+}
+
+// beat writes a row anew with the same content, as upstreams do.
+func (r *rows) beat() {
+	r.put(fmt.Sprintf("row-%d", len(r.log)%beating), "same")
+}
+
+func (r *rows) put(key, value string) uint64 {
+	version := uint64(len(r.log) + 1)
+	r.log = append(r.log, feed.Row{Key: key, Version: version, Value: []byte(value)})
+	return version
+}
+
+func (r *rows) since(version uint64) feed.Page {
+	newest := map[string]feed.Row{}
+	for _, row := range r.log[version:] {
+		newest[row.Key] = row
+	}
+	p := feed.Page{Version: uint64(len(r.log))}
+	for _, row := range newest {
+		p.Rows = append(p.Rows, row)
+	}
+	return p
+}
+
+// holds reports whether a member knows the changed row as of a version.
+func (m *member) holds(version uint64) bool {
+	for _, r := range m.view.Rows() {
+		if r.Key == changed {
+			return r.Version >= version
+		}
+	}
+	return false
+}
+
+// follow reads the store as a follower does: at once if there is news, after
+// the poll if there is none, not at all while others read.
+func (m *member) follow(now time.Duration, r *rows) {
+	if m.logic.Passive() && m.polled > 0 {
+		return
+	}
+	p := r.since(m.view.Version())
+	if len(p.Rows) == 0 && now-m.polled < poll {
+		return
+	}
+	m.polled, m.readAt = now, now
+	m.news = len(m.view.Changes(m.view.Version(), p)) > 0 || m.news
+}
+
+// watch runs a fleet that follows a store until a time or until done.
+func (f *fleet) watch(r *rows, from, to time.Duration, done func() bool) time.Duration {
+	for now := from; now < to; now += tick {
+		f.now = now
+		r.beat()
+		for id, m := range f.members {
+			if !f.silent[id] {
+				m.follow(now, r)
+			}
+		}
+		f.step(now)
+		if done != nil && done() {
+			return now + tick
+		}
+	}
+	return to
+}
+
+// without lists the live members that do not know a version.
+func (f *fleet) without(version uint64) []spec.InstanceID {
+	var out []spec.InstanceID
+	for id, m := range f.members {
+		if !f.silent[id] && !m.holds(version) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// passive is a member that leaves reading to others.
+func (f *fleet) passive() spec.InstanceID {
+	for _, id := range f.ids() {
+		if f.members[id].logic.Passive() {
+			return id
+		}
+	}
+	return ""
+}
+
+// hush silences some members as if they were frozen.
+func (f *fleet) hush(n int, draw *rand.Rand) {
+	ids := f.ids()
+	for _, k := range draw.Perm(len(ids))[:n] {
+		f.silent[ids[k]] = true
+	}
+}
+
+// Callers got 404 for a route that had been added three seconds before, from
+// nearly all instances. One instance reads the store for all, and the others
+// hear of a change by relays; some instances are frozen. Whoever reads and
+// whoever is frozen, each live instance must know a change within two seconds.
+func TestChangeReachesAllWhoeverIsSilent(t *testing.T) {
+	for _, test := range []struct{ instances, silent int }{{4, 0}, {4, 1}, {4, 2}, {26, 2}, {33, 0}, {33, 2}, {33, 6}} {
+		t.Run(fmt.Sprintf("%d instances, %d silent", test.instances, test.silent), func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				draw := rand.New(rand.NewPCG(seed, 1))
+				f := openNamed(test.instances, fmt.Sprintf("s%d-", seed))
+				r := &rows{}
+				r.put(changed, "old")
+				f.watch(r, tick, 2*time.Second, nil)
+				f.hush(test.silent, draw)
+				at := 2*time.Second + time.Duration(draw.Int64N(int64(2*time.Second)))/tick*tick
+				f.watch(r, 2*time.Second, at, nil)
+				version := r.put(changed, "new")
+				f.watch(r, at, at+inForce, func() bool { return len(f.without(version)) == 0 })
+				if late := f.without(version); len(late) > 0 {
+					t.Errorf("seed %d: got %d of %d without the change after %s, want none: %v", seed, len(late), test.instances, inForce, late)
+				}
+			}
+		})
+	}
+}
+
+// Messages with rows to one instance are lost, the small ones between them
+// arrive. It hears that another instance reads, and that this one knows of a
+// newer row than it does itself: it must read the store for itself in time.
+func TestInstanceThatIsBehindReads(t *testing.T) {
+	f := open(5)
+	r := &rows{}
+	r.put(changed, "old")
+	f.watch(r, tick, 3*time.Second, nil)
+	behind := f.passive()
+	f.drop = func(_, to spec.InstanceID, m mesh.Message) bool { return to == behind && len(m.Tables) > 0 }
+	version := r.put(changed, "new")
+	f.watch(r, 3*time.Second, 3*time.Second+inForce, nil)
+	if !f.members[behind].holds(version) {
+		t.Errorf("got no change at %s after %s, want it read from the store", behind, inForce)
+	}
+}
