Test that fails: a dropped row outlives what a started instance tells

An instance that reads the table whole knows nothing of rows that were dropped before. What it tells as all changes since a version lacks them, and who is told keeps an upstream that is gone, after a later read of the store as well.

--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -109,6 +109,35 @@
 	return v.Rows()
 }
 
+// An upstream's row is dropped; an instance that starts after that reads the table
+// whole and never knew the row. It tells another one that has not heard of the
+// drop what changed since. That one must not take it for all: it would send
+// requests to an upstream that is gone for as long as it lives.
+func TestRowDroppedBeforeAStartIsDropped(t *testing.T) {
+	l := log{{Key: "gone", Version: 1, Value: []byte("1")}}
+	var old, started feed.View
+	old.Whole(l.whole(1))
+	l = append(l, feed.Row{Key: "gone", Version: 2, Gone: true}, feed.Row{Key: "new", Version: 3, Value: []byte("3")})
+	started.Whole(l.whole(3))
+	tell(&started, &old)
+	if rows := old.Rows(); len(rows) != 1 || rows[0].Key != "new" {
+		t.Errorf("got %v at version %d, want the new row alone", rows, old.Version())
+	}
+	// Told before, it must learn it from the store.
+	old.Changes(old.Version(), l.since(old.Version()))
+	if rows := old.Rows(); len(rows) != 1 || rows[0].Key != "new" {
+		t.Errorf("got %v after a read of the store, want the new row alone", rows)
+	}
+}
+
+// tell has a view learn from another one what it lacks.
+func tell(from, to *feed.View) {
+	since := to.Version()
+	if p, ok := from.Since(since); ok {
+		to.Changes(since, p)
+	}
+}
+
 // A heartbeat writes a row anew with the same content: it is told to nobody.
 func TestHeartbeatIsNoChange(t *testing.T) {
 	v := &feed.View{Same: func(_ string, a, b []byte) bool { return a[0] == b[0] }}
