An instance that started later no longer hides dropped rows from others

An upstream that had left stayed in the list of an instance, also after it read the store again, so that requests went to an address without a server. Cause: a table that is read whole has no trace of rows dropped before, yet it was told to others as all changes since their version. Now such a table is told whole, as changes since 0, and who takes it drops what is not in it; rows no newer than what is known are not taken, since they were dropped meanwhile. No gap is left: either all changes since the receiver's version are known, or it gets every row.

--- a/internal/app/edge/belief.go
+++ b/internal/app/edge/belief.go
@@ -106,8 +106,8 @@
 	return b.views[table].Version()
 }
 
-// Since returns the changes of a table after a version.
-func (b *belief) Since(table string, version uint64) (feed.Page, bool) {
+// Since returns the changes of a table after a version, or all of it since 0.
+func (b *belief) Since(table string, version uint64) (since uint64, p feed.Page) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.views[table].Since(version)
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -187,7 +187,7 @@
 }
 
 // Since returns the changes of a table.
-func (c *crowd) Since(table string, version uint64) (feed.Page, bool) {
+func (c *crowd) Since(table string, version uint64) (since uint64, p feed.Page) {
 	return c.belief.Since(table, version)
 }
 
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -86,7 +86,8 @@
 	// Age is how long ago the store last told of all tables; negative if never.
 	Age() time.Duration
 	Paces() map[spec.UpstreamID]float64
-	Since(table string, version uint64) (feed.Page, bool)
+	// Since returns the changes after a version, or the whole table since 0.
+	Since(table string, version uint64) (since uint64, p feed.Page)
 	// Fresh returns the engines found dead and the deaths of upstreams with the
 	// requests that they ran since the last call.
 	Fresh() (dead []spec.UpstreamID, crashes []crash.Death)
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -59,7 +59,7 @@
 	return m.fleet.now - m.readAt
 }
 
-func (m *member) Since(_ string, v uint64) (feed.Page, bool) { return m.view.Since(v) }
+func (m *member) Since(_ string, v uint64) (since uint64, p feed.Page) { return m.view.Since(v) }
 func (m *member) Fresh() ([]spec.UpstreamID, []crash.Death) {
 	dead := m.dead
 	m.dead = nil
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -52,8 +52,8 @@
 		if since >= versions[name] {
 			continue
 		}
-		page, ok := l.Self.Since(name, since)
-		if !ok || len(page.Rows) == 0 {
+		since, page := l.Self.Since(name, since)
+		if len(page.Rows) == 0 {
 			continue
 		}
 		p.told[name] = telling{version: page.Version, at: now}
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -86,9 +86,7 @@
 				check(i, views[i].Changes(since, l.since(since)))
 			case 3:
 				since := uint64(rapid.IntRange(0, len(l)).Draw(t, "since"))
-				if p, ok := views[1-i].Since(since); ok {
-					check(i, views[i].Changes(since, p))
-				}
+				check(i, views[i].Changes(views[1-i].Since(since)))
 			case 4:
 				at := uint64(rapid.IntRange(0, len(l)).Draw(t, "moment"))
 				check(i, views[i].Whole(l.whole(at)))
@@ -132,10 +130,7 @@
 
 // tell has a view learn from another one what it lacks.
 func tell(from, to *feed.View) {
-	since := to.Version()
-	if p, ok := from.Since(since); ok {
-		to.Changes(since, p)
-	}
+	to.Changes(from.Since(to.Version()))
 }
 
 // A heartbeat writes a row anew with the same content: it is told to nobody.
@@ -145,7 +140,7 @@
 	if got := v.Changes(1, feed.Page{Rows: []feed.Row{{Key: "k", Version: 2, Value: []byte("a2")}}, Version: 2}); len(got) != 0 {
 		t.Errorf("got %v, want no change", got)
 	}
-	if p, _ := v.Since(1); len(p.Rows) != 0 || p.Version != 2 {
+	if _, p := v.Since(1); len(p.Rows) != 0 || p.Version != 2 {
 		t.Errorf("got %d rows up to %d, want none up to 2", len(p.Rows), p.Version)
 	}
 	if got := v.Changes(2, feed.Page{Rows: []feed.Row{{Key: "k", Version: 3, Value: []byte("b")}}, Version: 3}); len(got) != 1 {
--- a/internal/state/feed/view.go
+++ b/internal/state/feed/view.go
@@ -31,7 +31,7 @@
 }
 
 // maxTombs bounds the gone rows remembered. Beyond it the oldest are forgotten
-// and a peer that is further behind must read the store.
+// and a peer that is further behind is told the whole table.
 const maxTombs = 4096
 
 // View is what is believed of one table. The newest version of each row wins,
@@ -45,7 +45,7 @@
 	rows    map[string]Row
 	version uint64
 	tombs   int
-	// floor is the version below which gone rows were forgotten.
+	// floor is the version below which not all gone rows are known.
 	floor uint64
 }
 
@@ -60,9 +60,9 @@
 	}
 	there := make(map[string]bool, len(p.Rows))
 	for _, r := range p.Rows {
-		there[r.Key] = true
+		there[r.Key] = !r.Gone
 	}
-	changed := v.Changes(v.version, p)
+	changed := v.merge(p, 0)
 	for _, key := range v.keys() {
 		r := v.rows[key]
 		if r.Gone || there[key] || r.Version > p.Version {
@@ -72,24 +72,40 @@
 		v.put(gone)
 		changed = append(changed, gone)
 	}
+	v.version = p.Version
+	// Rows that were dropped before and never held here are not known: telling
+	// the changes since an older version would leave them out.
+	v.floor = max(v.floor, p.Version)
 	return changed
 }
 
 // Changes takes a page with all changes after since and returns those that are
-// new here. Rows are taken in any case; the version rises only if there is no
-// gap between what is known and since.
+// new here; all changes since 0 are the whole table. Rows that are newer than
+// what is known are taken in any case; the version rises only if there is no gap
+// between what is known and since.
 func (v *View) Changes(since uint64, p Page) []Row {
+	if since == 0 {
+		return v.Whole(p)
+	}
+	changed := v.merge(p, v.version)
+	if since <= v.version {
+		v.version = max(v.version, p.Version)
+	}
+	return changed
+}
+
+// merge takes the rows that are newer and returns those that tell something new.
+// Rows up to known are left out: one that is held older was dropped since.
+func (v *View) merge(p Page, known uint64) []Row {
 	var changed []Row
 	for _, r := range p.Rows {
-		if old, ok := v.rows[r.Key]; ok && (old.Version >= r.Version || v.same(old, r)) {
+		old, held := v.rows[r.Key]
+		if r.Version <= known || held && (old.Version >= r.Version || v.same(old, r)) {
 			continue
 		}
 		v.put(r)
 		changed = append(changed, r)
 	}
-	if since <= v.version && p.Version > v.version {
-		v.version = p.Version
-	}
 	return changed
 }
 
@@ -129,11 +145,11 @@
 	}
 }
 
-// Since returns all changes after a version; ok is false if some of them are
-// forgotten.
-func (v *View) Since(version uint64) (p Page, ok bool) {
+// Since returns all changes after a version. Where not all of them are known it
+// returns the whole table, which is all changes since 0.
+func (v *View) Since(version uint64) (since uint64, p Page) {
 	if version < v.floor {
-		return Page{}, false
+		version = 0
 	}
 	p.Version = v.version
 	for _, key := range v.keys() {
@@ -141,7 +157,7 @@
 			p.Rows = append(p.Rows, r)
 		}
 	}
-	return p, true
+	return version, p
 }
 
 // Rows returns the rows that are there, in order of their keys.
