An instance that knows less than others reads the store itself

Callers got 404 for routes that had been added seconds before, and bookings went to an upstream that leaves. One instance reads the store for all; any other one took itself for up to date as long as somebody had read lately, whether or not what was read had come here. Ruled out: instances short of processor time (those that answered wrongly wrote lines all the while, and took the change within milliseconds once it was told), and a feed that lost the change (the reader had it 46 ms after it was sent, and nobody went back).

Instances now tell each other a digest of each table beside its version. So a change is known everywhere whoever fails to tell it, as long as the store answers. The digest leaves out what heartbeats write anew, and each row is decoded once instead of twice a heartbeat.

A line and the counter fulmarwick_behind_total tell when an instance was behind.

--- a/internal/app/edge/belief.go
+++ b/internal/app/edge/belief.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"fulmarwick/internal/state/feed"
 	"fulmarwick/platform"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 )
 
@@ -51,7 +53,7 @@
 
 func newBelief(log *zap.Logger) *belief {
 	return &belief{
-		log: log, opened: make(chan struct{}), views: map[string]*feed.View{platform.TableConfig: {}, platform.TableUpstreams: {Same: sameUpstream}},
+		log: log, opened: make(chan struct{}), views: map[string]*feed.View{platform.TableConfig: {}, platform.TableUpstreams: {Print: printUpstream}},
 		list: map[string]site.Upstream{}, missing: map[string]time.Time{}, bad: map[string]bool{}, read: map[string]time.Time{},
 	}
 }
@@ -137,18 +139,27 @@
 }
 
 // Told takes what another instance knows.
-func (b *belief) Told(table string, since uint64, p feed.Page, from spec.InstanceID) {
+func (b *belief) Told(table string, since uint64, rows []feed.Row, m feed.Mark, from spec.InstanceID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.views[table] == nil {
 		return
 	}
-	changed := b.views[table].Changes(since, p)
-	b.known = b.known || table == platform.TableUpstreams && since == 0 && len(p.Rows) > 0
+	changed := b.views[table].Told(since, rows, m)
+	b.known = b.known || table == platform.TableUpstreams && since == 0 && len(rows) > 0
 	b.take(table, changed, string(from))
 	b.look()
 }
 
+// Known takes how much another instance knows.
+func (b *belief) Known(table string, m feed.Mark) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if v := b.views[table]; v != nil {
+		v.Confirm(m)
+	}
+}
+
 // Reach notes that the store answers again, or no more.
 func (b *belief) Reach(table string, ok bool) {
 	b.mu.Lock()
@@ -183,26 +194,25 @@
 	return news
 }
 
-// versions is up to where each table is known.
-func (b *belief) versions() map[string]uint64 {
+// marks is how much is known of each table.
+func (b *belief) marks() map[string]feed.Mark {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := map[string]uint64{}
+	out := make(map[string]feed.Mark, len(b.views))
 	for name, v := range b.views {
-		out[name] = v.Version()
+		out[name] = v.Mark()
 	}
 	return out
 }
 
-// sameUpstream reports whether two rows tell the same of an upstream: each
-// heartbeat writes the row anew.
-func sameUpstream(key string, a, b []byte) bool {
-	x, err := platform.Upstream(key, 0, a)
+// printUpstream hashes what a row tells of an upstream, without what each
+// heartbeat writes anew.
+func printUpstream(key string, value []byte) uint64 {
+	u, err := platform.Upstream(key, 0, value)
 	if err != nil {
-		return false
+		return xxhash.Sum64(value)
 	}
-	y, err := platform.Upstream(key, 0, b)
-	return err == nil && x == y
+	return xxhash.Sum64String(fmt.Sprintf("%+v", u))
 }
 
 // take turns changed rows into what is in force; b.mu is held.
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -147,7 +147,7 @@
 	}
 	i.crowd = &crowd{
 		id: spec.InstanceID(s.Instance.Name), url: "http://" + s.Listen.Mesh,
-		store: i.store, belief: i.belief, router: i.router, log: i.Log, dial: i.Dial,
+		store: i.store, belief: i.belief, router: i.router, log: i.Log, dial: i.Dial, behind: i.counter(`fulmarwick_behind_total`),
 	}
 	i.connect()
 }
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -49,6 +49,8 @@
 	router *router
 	log    *zap.Logger
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// behind counts how often others knew more and did not tell it.
+	behind func()
 	// suspect is told of engines that others found dead.
 	suspect func(id spec.UpstreamID)
 	logic   *mesh.Logic
@@ -170,8 +172,8 @@
 // Uses is what the own requests take.
 func (c *crowd) Uses() map[string]map[spec.UpstreamID]path.Use { return c.router.uses() }
 
-// Versions is up to where each table is known.
-func (c *crowd) Versions() map[string]uint64 { return c.belief.versions() }
+// Marks is how much is known of each table.
+func (c *crowd) Marks() map[string]feed.Mark { return c.belief.marks() }
 
 // Age is how long ago the store last told of all tables.
 func (c *crowd) Age() time.Duration { return c.belief.age() }
@@ -211,8 +213,17 @@
 }
 
 // Told takes rows that another instance knows.
-func (c *crowd) Told(table string, since uint64, p feed.Page, from spec.InstanceID) {
-	c.belief.Told(table, since, p, from)
+func (c *crowd) Told(table string, since uint64, rows []feed.Row, m feed.Mark, from spec.InstanceID) {
+	c.belief.Told(table, since, rows, m, from)
+}
+
+// Known takes how much another instance knows.
+func (c *crowd) Known(table string, m feed.Mark) { c.belief.Known(table, m) }
+
+// Behind notes that others know more and do not tell it.
+func (c *crowd) Behind(table string, known, there uint64) {
+	c.log.Warn("edge: others know more, reading the store", zap.String("table", table), zap.Uint64("version", known), zap.Uint64("theirs", there))
+	c.behind()
 }
 
 // Dead asks engines that another instance found dead.
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -52,9 +52,9 @@
 	URL string `cbor:"1,keyasint"`
 	// Uses is what its requests take, by service and engine.
 	Uses map[string]map[spec.UpstreamID]path.Use `cbor:"2,keyasint,omitempty"`
-	// Versions is up to where it knows each table; Cut tells that the store
-	// does not answer it.
+	// Versions is up to where it knows each table, Digests of what it holds.
 	Versions map[string]uint64 `cbor:"3,keyasint,omitempty"`
+	Digests  map[string]uint64 `cbor:"9,keyasint,omitempty"`
 	// Age is how long ago the store last told it of all tables, in
 	// milliseconds; negative if it never did.
 	Age int64 `cbor:"4,keyasint"`
@@ -68,12 +68,21 @@
 	Paces map[spec.UpstreamID]float64 `cbor:"8,keyasint,omitempty"`
 }
 
-// Table is the changes of a table after a version.
+// Table is the changes of a table after a version, all of it after 0. Version and
+// Digest are those of its sender.
 type Table struct {
 	Name    string     `cbor:"1,keyasint"`
 	Since   uint64     `cbor:"2,keyasint"`
 	Version uint64     `cbor:"3,keyasint"`
 	Rows    []feed.Row `cbor:"4,keyasint"`
+	Digest  uint64     `cbor:"5,keyasint,omitempty"`
+}
+
+// mark is how much of a table the sender of a message knows; false if it does not
+// say.
+func (m Message) mark(table string) (feed.Mark, bool) {
+	digest, ok := m.Digests[table]
+	return feed.Mark{Version: m.Versions[table], Digest: digest}, ok
 }
 
 // Self gives what this instance has to tell. It is called on the goroutine
@@ -82,7 +91,8 @@
 	// Urgent tells that there is something to tell before the next beat.
 	Urgent() bool
 	Uses() map[string]map[spec.UpstreamID]path.Use
-	Versions() map[string]uint64
+	// Marks is how much is known of each table.
+	Marks() map[string]feed.Mark
 	// Age is how long ago the store last told of all tables; negative if never.
 	Age() time.Duration
 	Paces() map[spec.UpstreamID]float64
@@ -97,7 +107,12 @@
 type Taker interface {
 	Used(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Use)
 	Paced(from spec.InstanceID, paces map[spec.UpstreamID]float64)
-	Told(table string, since uint64, p feed.Page, from spec.InstanceID)
+	Told(table string, since uint64, rows []feed.Row, m feed.Mark, from spec.InstanceID)
+	// Known tells how much another instance knows.
+	Known(table string, m feed.Mark)
+	// Behind tells that another instance knows a table up to a later version for
+	// so long that this one reads the store.
+	Behind(table string, known, there uint64)
 	Dead(from spec.InstanceID, engines []spec.UpstreamID)
 	Crashed(from spec.InstanceID, deaths []crash.Death)
 	// Met tells that an instance is heard, Missed that it fell silent.
@@ -107,11 +122,12 @@
 
 // peer is another instance.
 type peer struct {
-	id       spec.InstanceID
-	url      string
-	heard    time.Duration
-	alive    bool
-	versions map[string]uint64
+	id    spec.InstanceID
+	url   string
+	heard time.Duration
+	alive bool
+	// marks is how much it knows of each table; nil before it is heard.
+	marks map[string]feed.Mark
 	// told is up to where it was told of each table, and when.
 	told map[string]telling
 	// read is when the store last told it of all tables; negative if never.
@@ -135,12 +151,15 @@
 
 	peers map[spec.InstanceID]*peer
 	next  time.Duration
+	lags  map[string]lag
 
 	mu    sync.Mutex
 	count int
 	alive []spec.InstanceID
 	start time.Time
 	read  time.Duration
+	// late tells that others know more for longer than patience.
+	late bool
 }
 
 // Count is how many instances share what is bounded for all, this one among
@@ -155,6 +174,7 @@
 func (l *Logic) Tick(now time.Duration, events []node.Event) []node.Command {
 	if l.peers == nil {
 		l.peers = map[spec.InstanceID]*peer{}
+		l.lags = map[string]lag{}
 	}
 	for _, ev := range events {
 		switch ev := ev.(type) {
@@ -164,6 +184,7 @@
 			l.heard(now, ev)
 		}
 	}
+	l.judge(now)
 	if now < l.next && !l.Self.Urgent() {
 		return nil
 	}
@@ -199,7 +220,7 @@
 		return
 	}
 	p := l.peer(ev.From)
-	p.url, p.heard, p.versions, p.read = m.URL, now, m.Versions, -1
+	p.url, p.heard, p.read = m.URL, now, -1
 	if m.Age >= 0 {
 		p.read = max(0, now-time.Duration(m.Age)*time.Millisecond)
 	}
@@ -216,8 +237,28 @@
 		l.Taker.Crashed(p.id, m.Crashes)
 	}
 	for _, t := range m.Tables {
-		l.Taker.Told(t.Name, t.Since, feed.Page{Rows: t.Rows, Version: t.Version}, p.id)
+		l.Taker.Told(t.Name, t.Since, t.Rows, feed.Mark{Version: t.Version, Digest: t.Digest}, p.id)
+	}
+	p.marks = make(map[string]feed.Mark, len(m.Versions))
+	for name := range m.Versions {
+		mark, ok := m.mark(name)
+		p.marks[name] = mark
+		if ok {
+			l.Taker.Known(name, mark)
+		}
+	}
+}
+
+// ahead is the highest version up to which another instance knows a table while it
+// holds something else than this one; zero if there is none.
+func (l *Logic) ahead(table string, mine feed.Mark) uint64 {
+	version := uint64(0)
+	for _, p := range l.peers {
+		if m, ok := p.marks[table]; ok && m.Digest != mine.Digest && m.Version > max(mine.Version, version) {
+			version = m.Version
+		}
 	}
+	return version
 }
 
 // silence drops the instances that are not heard any more.
@@ -272,12 +313,12 @@
 
 // Passive reports whether others read the store often enough for this one not
 // to: with a few dozen instances their calls would cost more than anything
-// else, and each would learn the same.
+// else, and each would learn the same. One that they know more than reads.
 func (l *Logic) Passive() bool {
 	place := l.Place(dutyRead)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if place == 0 || l.read < 0 {
+	if place == 0 || l.read < 0 || l.late {
 		return false
 	}
 	return l.Now().Sub(l.start)-l.read < fresh*time.Duration(1+place)
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -50,7 +50,7 @@
 	return map[string]map[spec.UpstreamID]path.Use{"s": {"e": {Streams: 1}}}
 }
 
-func (m *member) Versions() map[string]uint64        { return map[string]uint64{table: m.view.Version()} }
+func (m *member) Marks() map[string]feed.Mark        { return map[string]feed.Mark{table: m.view.Mark()} }
 func (m *member) Paces() map[spec.UpstreamID]float64 { return nil }
 func (m *member) Age() time.Duration {
 	if m.readAt == 0 {
@@ -70,10 +70,12 @@
 	m.used[from]++
 }
 func (m *member) Paced(spec.InstanceID, map[spec.UpstreamID]float64) {}
-func (m *member) Told(_ string, since uint64, p feed.Page, _ spec.InstanceID) {
+func (m *member) Told(_ string, since uint64, rows []feed.Row, mark feed.Mark, _ spec.InstanceID) {
 	m.told++
-	m.view.Changes(since, p)
+	m.view.Told(since, rows, mark)
 }
+func (m *member) Known(_ string, mark feed.Mark)                 { m.view.Confirm(mark) }
+func (m *member) Behind(string, uint64, uint64)                  {}
 func (m *member) Dead(from spec.InstanceID, _ []spec.UpstreamID) { m.from = append(m.from, from) }
 func (m *member) Crashed(spec.InstanceID, []crash.Death)         {}
 func (m *member) Met(id spec.InstanceID)                         { m.met[id] = true }
@@ -101,7 +103,6 @@
 	for k := range n {
 		id := spec.InstanceID(fmt.Sprintf("%s%d", prefix, k))
 		m := &member{used: map[spec.InstanceID]int{}, met: map[spec.InstanceID]bool{}, fleet: f}
-		m.view.Same = func(_ string, a, b []byte) bool { return string(a) == string(b) }
 		m.logic = &mesh.Logic{ID: id, URL: "http://" + string(id), Self: m, Taker: m, Now: clock}
 		f.members[id] = m
 		peers = append(peers, node.Peer{ID: id, URL: "http://" + string(id)})
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -1,22 +1,28 @@
 package mesh
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/node"
 	"fulmarwick/internal/fleet/rank"
+	"fulmarwick/internal/state/feed"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
 func (l *Logic) tell(now time.Duration) []node.Command {
 	dead, crashes := l.Self.Fresh()
+	marks := l.Self.Marks()
 	m := Message{
-		URL: l.URL, Uses: l.Self.Uses(), Versions: l.Self.Versions(), Age: l.Self.Age().Milliseconds(),
+		URL: l.URL, Uses: l.Self.Uses(), Versions: map[string]uint64{}, Digests: map[string]uint64{}, Age: l.Self.Age().Milliseconds(),
 		Dead: dead, Crashes: crashes, Paces: l.Self.Paces(),
 	}
+	for name, mark := range marks {
+		m.Versions[name], m.Digests[name] = mark.Version, mark.Digest
+	}
 	plain, err := cbor.Marshal(m)
 	if err != nil {
 		// The message has no field that can fail to encode.
@@ -28,7 +34,7 @@
 			continue
 		}
 		data := plain
-		if m.Tables = l.lacking(now, p, m.Versions); len(m.Tables) > 0 {
+		if m.Tables = l.lacking(now, p, marks); len(m.Tables) > 0 {
 			if data, err = cbor.Marshal(m); err != nil {
 				panic(err)
 			}
@@ -39,38 +45,48 @@
 }
 
 // lacking is what another instance does not know yet and this one is to tell.
-func (l *Logic) lacking(now time.Duration, p *peer, versions map[string]uint64) []Table {
-	if !p.alive || p.versions == nil || !l.teller(p) {
+func (l *Logic) lacking(now time.Duration, p *peer, marks map[string]feed.Mark) []Table {
+	if !p.alive || p.marks == nil || !l.teller(p) {
 		return nil
 	}
 	var out []Table
-	for _, name := range names(versions) {
-		since := p.versions[name]
-		if told := p.told[name]; now-told.at < tellAgain {
-			since = max(since, told.version)
-		}
-		if since >= versions[name] {
-			continue
-		}
-		since, page := l.Self.Since(name, since)
-		if len(page.Rows) == 0 {
-			continue
+	for _, name := range names(marks) {
+		if t, ok := l.table(now, p, name, marks[name]); ok {
+			out = append(out, t)
 		}
-		p.told[name] = telling{version: page.Version, at: now}
-		out = append(out, Table{Name: name, Since: since, Version: page.Version, Rows: page.Rows})
 	}
 	return out
 }
 
-func names(versions map[string]uint64) []string {
-	out := make([]string, 0, len(versions))
-	for name := range versions {
-		out = append(out, name)
+// table is what another instance is to be told of a table; false for nothing.
+func (l *Logic) table(now time.Duration, p *peer, name string, mine feed.Mark) (Table, bool) {
+	theirs := p.marks[name]
+	told := p.told[name]
+	if theirs.Digest == mine.Digest || theirs.Version >= mine.Version {
+		return Table{}, false
 	}
-	sort.Strings(out)
-	return out
+	since := theirs.Version
+	switch {
+	case now-told.at < tellAgain:
+		since = max(since, told.version)
+	case since < told.version:
+		// It does not show what it was told: a change that was undone before this
+		// instance looked is not among the changes, and only the whole table helps.
+		since = 0
+	}
+	if since >= mine.Version {
+		return Table{}, false
+	}
+	since, page := l.Self.Since(name, since)
+	if len(page.Rows) == 0 {
+		return Table{}, false
+	}
+	p.told[name] = telling{version: page.Version, at: now}
+	return Table{Name: name, Since: since, Version: page.Version, Rows: page.Rows, Digest: mine.Digest}, true
 }
 
+func names(marks map[string]feed.Mark) []string { return slices.Sorted(maps.Keys(marks)) }
+
 // teller reports whether this instance is one of those that tell p.
 func (l *Logic) teller(p *peer) bool {
 	ids := []spec.InstanceID{l.ID}
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -55,14 +55,21 @@
 	return true
 }
 
-// Two instances read a table, tell each other what the other one lacks, in any
-// order, late and twice, and read it whole from a stale moment. Both end with
-// the rows of the store, and no row ever goes back to an older version.
+// Three instances read a table, tell each other what the other one lacks, in any
+// order, late and twice, confirm to each other up to where they know all, and
+// read it whole from a stale moment. No row ever goes back to an older version,
+// and where a view says to know all up to a version, it does: an instance that
+// said so wrongly would keep what is no more in force.
 func TestViewsAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var l log
-		views := []*feed.View{{}, {}}
-		seen := []map[string]uint64{{}, {}}
+		views := []*feed.View{{}, {}, {}}
+		values := 1 << 20
+		if rapid.Bool().Draw(t, "heartbeats") {
+			// Rows are written anew with one of two values, so that many are the same.
+			values = 2
+		}
+		seen := []map[string]uint64{{}, {}, {}}
 		check := func(i int, changed []feed.Row) {
 			for _, r := range changed {
 				if r.Version < seen[i][r.Key] {
@@ -70,26 +77,33 @@
 				}
 				seen[i][r.Key] = r.Version
 			}
+			if v := views[i]; !holds(v, l) {
+				t.Fatalf("view %d: got %v up to %d, want %v", i, v.Rows(), v.Version(), l.whole(v.Version()).Rows)
+			}
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			i := rapid.IntRange(0, 1).Draw(t, "view")
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			i := rapid.IntRange(0, 2).Draw(t, "view")
+			other := views[(i+rapid.IntRange(1, 2).Draw(t, "other"))%3]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
 				r := feed.Row{Key: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key")), Version: uint64(len(l) + 1)}
 				r.Gone = rapid.Bool().Draw(t, "gone")
 				if !r.Gone {
-					r.Value = []byte(fmt.Sprint(r.Version))
+					r.Value = []byte(fmt.Sprint(rapid.IntRange(0, values-1).Draw(t, "value")))
 				}
 				l = append(l, r)
 			case 2:
 				since := views[i].Version()
 				check(i, views[i].Changes(since, l.since(since)))
 			case 3:
-				since := uint64(rapid.IntRange(0, len(l)).Draw(t, "since"))
-				check(i, views[i].Changes(views[1-i].Since(since)))
+				since, p := other.Since(uint64(rapid.IntRange(0, len(l)).Draw(t, "since")))
+				check(i, views[i].Told(since, p.Rows, other.Mark()))
 			case 4:
 				at := uint64(rapid.IntRange(0, len(l)).Draw(t, "moment"))
 				check(i, views[i].Whole(l.whole(at)))
+			case 5:
+				views[i].Confirm(other.Mark())
+				check(i, nil)
 			}
 		}
 		for _, v := range views {
@@ -101,6 +115,31 @@
 	})
 }
 
+// holds reports whether a view has the rows of the table as of its version, but
+// for those that are newer.
+func holds(v *feed.View, l log) bool {
+	want := map[string]string{}
+	for _, r := range l.whole(v.Version()).Rows {
+		want[r.Key] = string(r.Value)
+	}
+	newer := map[string]bool{}
+	for _, r := range l[v.Version():] {
+		newer[r.Key] = true
+	}
+	for _, r := range v.Rows() {
+		if value, ok := want[r.Key]; !newer[r.Key] && (!ok || value != string(r.Value)) {
+			return false
+		}
+		delete(want, r.Key)
+	}
+	for key := range want {
+		if !newer[key] {
+			return false
+		}
+	}
+	return true
+}
+
 func sorted(rows []feed.Row) []feed.Row {
 	var v feed.View
 	v.Whole(feed.Page{Rows: rows, Version: 1 << 40})
@@ -130,12 +169,13 @@
 
 // tell has a view learn from another one what it lacks.
 func tell(from, to *feed.View) {
-	to.Changes(from.Since(to.Version()))
+	since, p := from.Since(to.Version())
+	to.Told(since, p.Rows, from.Mark())
 }
 
 // A heartbeat writes a row anew with the same content: it is told to nobody.
 func TestHeartbeatIsNoChange(t *testing.T) {
-	v := &feed.View{Same: func(_ string, a, b []byte) bool { return a[0] == b[0] }}
+	v := &feed.View{Print: func(_ string, value []byte) uint64 { return uint64(value[0]) }}
 	v.Changes(0, feed.Page{Rows: []feed.Row{{Key: "k", Version: 1, Value: []byte("a1")}}, Version: 1})
 	if got := v.Changes(1, feed.Page{Rows: []feed.Row{{Key: "k", Version: 2, Value: []byte("a2")}}, Version: 2}); len(got) != 0 {
 		t.Errorf("got %v, want no change", got)
--- a/internal/state/feed/view.go
+++ b/internal/state/feed/view.go
@@ -1,14 +1,16 @@
 // Package feed follows tables of the platform's store: it reads a table whole
 // once, then only what changed, and merges what other instances learned.
 //
-// It imports the errors and log libraries. The adapter of the platform
+// It imports the errors, hash and log libraries. The adapter of the platform
 // implements Source; app/edge follows the operator's configuration and the
 // list of upstreams with it.
 package feed
 
 import (
+	"encoding/binary"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 )
 
@@ -34,99 +36,185 @@
 // and a peer that is further behind is told the whole table.
 const maxTombs = 4096
 
+// Mark is how much of a table is known: all changes up to Version, and a Digest of
+// the rows that are there. Two views with the same digest hold the same.
+type Mark struct {
+	Version uint64
+	Digest  uint64
+}
+
 // View is what is believed of one table. The newest version of each row wins,
 // whoever told it, so a late or repeated message changes nothing. It is not
 // safe for concurrent use.
 type View struct {
-	// Same reports whether two values of a row tell the same, so that a
-	// heartbeat is no change; nil compares nothing.
-	Same func(key string, a, b []byte) bool
+	// Print hashes what matters of a row's value, the same at all instances, so
+	// that a heartbeat is no change; nil hashes the value.
+	Print func(key string, value []byte) uint64
 
-	rows    map[string]Row
+	rows    map[string]entry
 	version uint64
+	digest  uint64
 	tombs   int
 	// floor is the version below which not all gone rows are known.
 	floor uint64
 }
 
+// entry is a row as it is held.
+type entry struct {
+	Row
+	print uint64
+	// changed is the version with which the content came; the row may have been
+	// written anew since.
+	changed uint64
+}
+
 // Version is up to where everything is known.
 func (v *View) Version() uint64 { return v.version }
 
+// Mark is how much is known.
+func (v *View) Mark() Mark { return Mark{Version: v.version, Digest: v.digest} }
+
+// Behind reports whether a view with that mark knows more.
+func (v *View) Behind(m Mark) bool { return m.Version > v.version && m.Digest != v.digest }
+
+// Confirm raises the version to that of a view which holds the same, without a row
+// being told: nothing that matters changed in between.
+func (v *View) Confirm(m Mark) {
+	if m.Digest == v.digest {
+		v.version = max(v.version, m.Version)
+	}
+}
+
 // Whole takes a page with all rows of the table and returns what changed.
 func (v *View) Whole(p Page) []Row {
 	if p.Version < v.version {
 		// A stale read knows less than the changes taken since.
 		return nil
 	}
-	there := make(map[string]bool, len(p.Rows))
-	for _, r := range p.Rows {
-		there[r.Key] = !r.Gone
-	}
-	changed := v.merge(p, 0)
-	for _, key := range v.keys() {
-		r := v.rows[key]
-		if r.Gone || there[key] || r.Version > p.Version {
-			continue
-		}
-		gone := Row{Key: key, Version: p.Version, Gone: true}
-		v.put(gone)
-		changed = append(changed, gone)
-	}
+	changed := v.replace(p)
 	v.version = p.Version
-	// Rows that were dropped before and never held here are not known: telling
-	// the changes since an older version would leave them out.
-	v.floor = max(v.floor, p.Version)
 	return changed
 }
 
-// Changes takes a page with all changes after since and returns those that are
-// new here; all changes since 0 are the whole table. Rows that are newer than
-// what is known are taken in any case; the version rises only if there is no gap
-// between what is known and since.
+// Changes takes a page of the store with all changes after since and returns
+// those that are new here; all changes since 0 are the whole table. Rows that are
+// newer than what is known are taken in any case; the version rises only if there
+// is no gap between what is known and since.
 func (v *View) Changes(since uint64, p Page) []Row {
 	if since == 0 {
 		return v.Whole(p)
 	}
-	changed := v.merge(p, v.version)
+	changed := v.merge(p)
 	if since <= v.version {
 		v.version = max(v.version, p.Version)
 	}
 	return changed
 }
 
+// Told takes the changes after since that another view with that mark tells. The
+// version rises only if both hold the same after it: the other one may not know
+// of a row that was dropped before it began, or of a change that was undone before
+// it looked.
+func (v *View) Told(since uint64, rows []Row, m Mark) []Row {
+	p := Page{Rows: rows, Version: m.Version}
+	var changed []Row
+	if since == 0 && m.Version >= v.version {
+		changed = v.replace(p)
+	} else {
+		changed = v.merge(p)
+	}
+	v.Confirm(m)
+	return changed
+}
+
 // merge takes the rows that are newer and returns those that tell something new.
-// Rows up to known are left out: one that is held older was dropped since.
-func (v *View) merge(p Page, known uint64) []Row {
+// Rows up to the own version are known: one that is held older was dropped since.
+func (v *View) merge(p Page) []Row {
 	var changed []Row
 	for _, r := range p.Rows {
-		old, held := v.rows[r.Key]
-		if r.Version <= known || held && (old.Version >= r.Version || v.same(old, r)) {
-			continue
+		if r.Version > v.version && v.put(r) {
+			changed = append(changed, r)
 		}
-		v.put(r)
-		changed = append(changed, r)
 	}
 	return changed
 }
 
-func (v *View) same(old, r Row) bool {
-	return v.Same != nil && !old.Gone && !r.Gone && v.Same(r.Key, old.Value, r.Value)
+// replace makes the rows those of a whole table, but for newer ones, and returns
+// what changed.
+func (v *View) replace(p Page) []Row {
+	var changed []Row
+	there := make(map[string]bool, len(p.Rows))
+	for _, r := range p.Rows {
+		there[r.Key] = !r.Gone
+		held, ok := v.rows[r.Key]
+		if ok && held.Version <= p.Version && held.Version > r.Version {
+			// Whoever tells it missed versions in between, but knows what the row is
+			// in the end.
+			r.Version = p.Version
+		}
+		if v.put(r) {
+			changed = append(changed, r)
+		}
+	}
+	for _, key := range v.keys() {
+		held := v.rows[key]
+		if held.Gone || there[key] || held.Version > p.Version {
+			continue
+		}
+		gone := Row{Key: key, Version: p.Version, Gone: true}
+		v.put(gone)
+		changed = append(changed, gone)
+	}
+	// Rows that were dropped before and never held here are not known: telling
+	// the changes since an older version would leave them out.
+	v.floor = max(v.floor, p.Version)
+	return changed
 }
 
-func (v *View) put(r Row) {
-	if v.rows == nil {
-		v.rows = map[string]Row{}
+// put takes a row that is newer and reports whether it tells something new.
+func (v *View) put(r Row) bool {
+	old, held := v.rows[r.Key]
+	if held && old.Version >= r.Version {
+		return false
 	}
-	if v.rows[r.Key].Gone {
-		v.tombs--
+	if v.rows == nil {
+		v.rows = map[string]entry{}
 	}
-	v.rows[r.Key] = r
-	if r.Gone {
-		v.tombs++
+	e := entry{Row: r, print: v.print(r), changed: r.Version}
+	same := held && old.Gone == r.Gone && old.print == e.print
+	if same {
+		e.changed = old.changed
 	}
+	v.rows[r.Key] = e
+	v.digest ^= old.print ^ e.print
+	v.tombs += count(e.Gone) - count(old.Gone)
 	if v.tombs > maxTombs {
 		v.forget()
 	}
+	return !same
+}
+
+func count(gone bool) int {
+	if gone {
+		return 1
+	}
+	return 0
+}
+
+// print is the part of a row in the digest; none for a row that is gone.
+func (v *View) print(r Row) uint64 {
+	if r.Gone {
+		return 0
+	}
+	content := xxhash.Sum64(r.Value)
+	if v.Print != nil {
+		content = v.Print(r.Key, r.Value)
+	}
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(r.Key)
+	_, _ = d.Write(binary.BigEndian.AppendUint64(nil, content))
+	return d.Sum64()
 }
 
 // forget drops the older half of the gone rows.
@@ -134,7 +222,7 @@
 	var gone []Row
 	for _, key := range v.keys() {
 		if r := v.rows[key]; r.Gone {
-			gone = append(gone, r)
+			gone = append(gone, r.Row)
 		}
 	}
 	sort.Slice(gone, func(i, j int) bool { return gone[i].Version < gone[j].Version })
@@ -153,8 +241,8 @@
 	}
 	p.Version = v.version
 	for _, key := range v.keys() {
-		if r := v.rows[key]; r.Version > version {
-			p.Rows = append(p.Rows, r)
+		if r := v.rows[key]; version == 0 || r.changed > version {
+			p.Rows = append(p.Rows, r.Row)
 		}
 	}
 	return version, p
@@ -165,7 +253,7 @@
 	var out []Row
 	for _, key := range v.keys() {
 		if r := v.rows[key]; !r.Gone {
-			out = append(out, r)
+			out = append(out, r.Row)
 		}
 	}
 	return out
