Test that fails: a change known to one instance is told to none

Where the store turns away all instances but the one that reads, callers of up to 31 of 33 instances are served by the former configuration for as long as that lasts: those that the reader tells are not those that tell the others.

--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -89,8 +89,10 @@
 	lost    func(from, to spec.InstanceID) bool
 	drop    func(from, to spec.InstanceID, m mesh.Message) bool
 	silent  map[spec.InstanceID]bool
-	now     time.Duration
-	sent    int
+	// only is the one member that the store answers; empty for all.
+	only spec.InstanceID
+	now  time.Duration
+	sent int
 }
 
 func open(n int) *fleet { return openNamed(n, "i") }
--- a/internal/fleet/mesh/spread_test.go
+++ b/internal/fleet/mesh/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,7 +83,7 @@
 		f.now = now
 		r.beat()
 		for id, m := range f.members {
-			if !f.silent[id] {
+			if !f.silent[id] && (f.only == "" || f.only == id) {
 				m.follow(now, r)
 			}
 		}
@@ -105,6 +106,16 @@
 	return out
 }
 
+// reader is the member that reads the store for all.
+func (f *fleet) reader() spec.InstanceID {
+	for _, id := range f.ids() {
+		if f.members[id].logic.Place("read") == 0 {
+			return id
+		}
+	}
+	return ""
+}
+
 // passive is a member that leaves reading to others.
 func (f *fleet) passive() spec.InstanceID {
 	for _, id := range f.ids() {
@@ -115,9 +126,9 @@
 	return ""
 }
 
-// hush silences some members as if they were frozen.
+// hush silences some members as if they were frozen, but not the only reader.
 func (f *fleet) hush(n int, draw *rand.Rand) {
-	ids := f.ids()
+	ids := slices.DeleteFunc(f.ids(), func(id spec.InstanceID) bool { return id == f.only })
 	for _, k := range draw.Perm(len(ids))[:n] {
 		f.silent[ids[k]] = true
 	}
@@ -149,6 +160,30 @@
 	}
 }
 
+// The store turns away all instances but the one that reads for them, and some
+// are frozen. The others can learn of a change by each other alone, and must
+// within two seconds: whoever knows it has to see to it that all do.
+func TestChangeReachesAllFromOneReader(t *testing.T) {
+	for _, test := range []struct{ instances, silent int }{{4, 1}, {26, 2}, {33, 0}, {33, 2}, {33, 6}} {
+		t.Run(fmt.Sprintf("%d instances, %d silent", test.instances, test.silent), func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				f := openNamed(test.instances, fmt.Sprintf("o%d-", seed))
+				r := &rows{}
+				r.put(changed, "old")
+				f.watch(r, tick, 2*time.Second, nil)
+				f.only = f.reader()
+				f.hush(test.silent, rand.New(rand.NewPCG(seed, 2)))
+				version := r.put(changed, "new")
+				took := f.watch(r, 2*time.Second, 2*time.Second+inForce, func() bool { return len(f.without(version)) == 0 })
+				if late := f.without(version); len(late) > 0 {
+					t.Errorf("seed %d: got %d of %d without the change after %s, want none", seed, len(late), test.instances, inForce)
+				}
+				t.Logf("seed %d: known to all after %s", seed, took-2*time.Second)
+			}
+		})
+	}
+}
+
 // Messages with rows to one instance are lost, the small ones between them
 // arrive. It hears that another instance reads, and that this one knows of a
 // newer row than it does itself: it must read the store for itself in time.
