A started instance reads the roster of the others whoever dials it

An instance wrote where it is, the store did not give it the list of the others, and one that started later dialled it. It took that for having found all and read no more: it took half of the bound on repeats for its own, and heard of changes by one instance only. Now it reads the roster once after its own row is written, whoever is heard. Of two instances the one that writes later finds the other, so all know all.

--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -56,6 +56,11 @@
 	logic   *mesh.Logic
 	hub     *peer.Hub
 
+	// written and listed tell that the own row of the roster was written and those
+	// of the others were read after it; for enlist alone.
+	written bool
+	listed  bool
+
 	mu    sync.Mutex
 	dead  []spec.UpstreamID
 	alive map[spec.InstanceID]bool
@@ -79,9 +84,8 @@
 // enlist writes the own row of the roster and finds the others by it. Those
 // that come later find this instance.
 func (c *crowd) enlist(ctx context.Context) {
-	written := false
 	for ctx.Err() == nil {
-		err := c.round(ctx, &written)
+		err := c.round(ctx)
 		pause := rosterEvery
 		if err != nil {
 			c.log.Info("edge: roster not reached", zap.Error(err))
@@ -91,18 +95,22 @@
 			break
 		}
 	}
-	if written {
+	if c.written {
 		c.leave(context.WithoutCancel(ctx))
 	}
 }
 
-func (c *crowd) round(ctx context.Context, written *bool) error {
-	if !*written {
+// round writes the own row and then reads those of the others, once: of two
+// instances the one that writes later finds the other. To be heard by one of them
+// is not to know all; with none heard it looks again.
+func (c *crowd) round(ctx context.Context) error {
+	if !c.written {
 		if err := c.write(ctx); err != nil {
 			return err
 		}
-		*written = true
-	} else if c.heard() {
+		c.written = true
+	}
+	if c.listed && c.heard() {
 		return nil
 	}
 	p, err := c.store.Rows(ctx, rosterTable)
@@ -110,6 +118,7 @@
 		return err
 	}
 	c.hub.Post(node.Listed{Peers: c.peers(p)})
+	c.listed = true
 	return nil
 }
 
