Test that fails: a lost change is not told again while others come

Each newer change is told as what came after the lost one and begins the wait for a second telling anew, so that an instance which the store turns away keeps what is no more in force for as long as changes come.

--- a/internal/fleet/mesh/spread_test.go
+++ b/internal/fleet/mesh/spread_test.go
@@ -186,6 +186,34 @@
 	}
 }
 
+// The message that tells one instance of a change is lost, while other rows go on
+// changing every 300 ms and the store turns that instance away. Each later change
+// is told to it; the lost one must come with them, though it is never missing for
+// long enough on its own to be told again.
+func TestLostChangeIsMadeUpBesideOthers(t *testing.T) {
+	f := open(2)
+	r := &rows{}
+	r.put(changed, "old")
+	f.watch(r, tick, 3*time.Second, nil)
+	f.only = f.reader()
+	behind, lost := f.passive(), 0
+	f.drop = func(_, to spec.InstanceID, m mesh.Message) bool {
+		if to != behind || len(m.Tables) == 0 || lost > 0 {
+			return false
+		}
+		lost++
+		return true
+	}
+	version := r.put(changed, "new")
+	for from := 3 * time.Second; from < 3*time.Second+inForce; from += 300 * time.Millisecond {
+		f.watch(r, from, from+300*time.Millisecond, nil)
+		r.put("other", from.String())
+	}
+	if !f.members[behind].holds(version) || lost != 1 {
+		t.Errorf("got no change at %s after %s with %d messages lost, want it after one", behind, inForce, lost)
+	}
+}
+
 // Messages with rows to one instance are lost, the small ones between them
 // arrive. It hears that another instance reads, and that this one knows of a
 // newer row than it does itself: it must read the store for itself in time.
