Changes are told since what an instance shows, by those heard last

A relay that had just stopped left its six instances without a change of the list for 0.9 s, until they read the store themselves: newer changes were told as what came after the lost one and put its second telling off. What an instance was told may never have come, so changes are now told since the version that it shows, and each newer change makes up for a lost one. Of each part the instance that was heard last is asked to tell the others, since one that is frozen or ended is silent.

--- a/internal/fleet/mesh/spread.go
+++ b/internal/fleet/mesh/spread.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -82,12 +83,15 @@
 	for _, name := range slices.Sorted(maps.Keys(marks)) {
 		fresh, late := l.due(now, name, marks[name])
 		for _, part := range split(fresh, fanout) {
-			t := l.table(now, part[0], name, marks[name])
-			for _, p := range part[1:] {
-				t.Relay = append(t.Relay, p.id)
+			head := slices.MaxFunc(part, heardFirst)
+			t := l.table(now, head, name, marks[name])
+			for _, p := range part {
+				if p != head {
+					t.Relay = append(t.Relay, p.id)
+				}
 				p.told[name] = telling{version: t.Version, at: now}
 			}
-			out[part[0].id] = append(out[part[0].id], t)
+			out[head.id] = append(out[head.id], t)
 		}
 		for _, p := range late[:min(len(late), again)] {
 			out[p.id] = append(out[p.id], l.table(now, p, name, marks[name]))
@@ -96,6 +100,11 @@
 	return out
 }
 
+// heardFirst orders instances by when they were heard. The one heard last passes
+// changes on: one that is frozen or has just ended is silent, and those behind it
+// would wait until they are told again.
+func heardFirst(a, b *peer) int { return cmp.Compare(a.heard, b.heard) }
+
 // due returns the instances that are to be told of a table: those that have not
 // been told of its last change by this one or whom it asked to, and those that
 // should know it by now.
@@ -140,15 +149,13 @@
 	return overdue
 }
 
-// table is what another instance lacks of a table.
+// table is what another instance lacks of a table: what changed since the version
+// that it shows. What it was told later may never have come.
 func (l *Logic) table(now time.Duration, p *peer, name string, mine feed.Mark) Table {
 	since, told := p.marks[name].Version, p.told[name]
-	switch {
-	case told.version > since && now-told.at < tellAgain:
-		since = told.version
-	case told.version > since:
-		// It does not show what it was told. A change that was undone before this
-		// instance looked is not among the changes: only the whole table helps.
+	if told.version > since && now-told.at >= tellAgain {
+		// A change that was undone before this instance looked is not among the
+		// changes: only the whole table helps.
 		since = 0
 	}
 	since, page := l.Self.Since(name, since)
