--- a/internal/fleet/mesh/lag.go
+++ b/internal/fleet/mesh/lag.go
@@ -3,8 +3,10 @@
 import "time"
 
 // patience is how long an instance that knows less than another one waits to be
-// told before it reads the store itself: telling takes a few messages.
-const patience = 400 * time.Millisecond
+// told before it reads the store itself. It is above the pause between two reads
+// for all: one that has just started may be ahead of the reader by that much, and
+// all would read at each start.
+const patience = 900 * time.Millisecond
 
 // lag is that others know a table up to a version that this instance has not
 // reached.
