A change that is undone at once is told like any other

An instance that read a change told nobody where another one seemed to hold the same. What others show is up to 200 ms old: if a row changed and changed back meanwhile, they seemed to hold the last state, from before both changes, while those that had been told of the first kept it for a second. Another instance now counts as knowing a change only if it shows the same rows as of a version not before it.

--- a/internal/app/edge/belief.go
+++ b/internal/app/edge/belief.go
@@ -47,14 +47,15 @@
 	open   bool
 	// read is when the store last told of each table.
 	read map[string]time.Time
-	// news tells that the store told of a change since takeNews.
-	news bool
+	// news is the version of the last change of each table of which the store told
+	// since takeNews.
+	news map[string]uint64
 }
 
 func newBelief(log *zap.Logger) *belief {
 	return &belief{
 		log: log, opened: make(chan struct{}), views: map[string]*feed.View{platform.TableConfig: {}, platform.TableUpstreams: {Print: printUpstream}},
-		list: map[string]site.Upstream{}, missing: map[string]time.Time{}, bad: map[string]bool{}, read: map[string]time.Time{},
+		list: map[string]site.Upstream{}, missing: map[string]time.Time{}, bad: map[string]bool{}, read: map[string]time.Time{}, news: map[string]uint64{},
 	}
 }
 
@@ -122,8 +123,10 @@
 	first := b.views[table].Version() == 0
 	changed := b.views[table].Whole(p)
 	b.read[table] = time.Now()
-	// What a start brings is no news: all that run know it or read it themselves.
-	b.news = b.news || !first && len(changed) > 0
+	if !first {
+		// What a start brings is no news: all that run know it or read it themselves.
+		b.note(table, changed)
+	}
 	b.known = b.known || table == platform.TableUpstreams
 	b.take(table, changed, "store")
 	b.look()
@@ -135,7 +138,7 @@
 	defer b.mu.Unlock()
 	b.read[table] = time.Now()
 	changed := b.views[table].Changes(since, p)
-	b.news = b.news || len(changed) > 0
+	b.note(table, changed)
 	b.take(table, changed, "store")
 	b.look()
 }
@@ -187,12 +190,23 @@
 	return oldest
 }
 
-// takeNews reports whether the store told of a change since the last call.
-func (b *belief) takeNews() bool {
+// note keeps what the store told for the other instances; b.mu is held.
+func (b *belief) note(table string, changed []feed.Row) {
+	for _, r := range changed {
+		b.news[table] = max(b.news[table], r.Version)
+	}
+}
+
+// takeNews returns the version of the last change of each table of which the store
+// told since the last call.
+func (b *belief) takeNews() map[string]uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.news) == 0 {
+		return nil
+	}
 	news := b.news
-	b.news = false
+	b.news = map[string]uint64{}
 	return news
 }
 
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -197,8 +197,8 @@
 	return len(c.dead) > 0
 }
 
-// News tells that the store told of a change.
-func (c *crowd) News() bool { return c.belief.takeNews() }
+// News is the last changes of which the store told.
+func (c *crowd) News() map[string]uint64 { return c.belief.takeNews() }
 
 // Since returns the changes of a table.
 func (c *crowd) Since(table string, version uint64) (since uint64, p feed.Page) {
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -84,10 +84,11 @@
 // Self gives what this instance has to tell. It is called on the goroutine
 // that ticks.
 type Self interface {
-	// Urgent tells that there is something to tell before the next beat, News that
-	// the store told of a change since the last call.
+	// Urgent tells that there is something to tell before the next beat.
 	Urgent() bool
-	News() bool
+	// News is the version of the last change of each table of which the store told
+	// since the last call.
+	News() map[string]uint64
 	Uses() map[string]map[spec.UpstreamID]path.Use
 	// Marks is how much is known of each table.
 	Marks() map[string]feed.Mark
@@ -124,7 +125,7 @@
 	url   string
 	heard time.Duration
 	alive bool
-	// marks is how much it knows of each table; nil before it is heard.
+	// marks is how much it knows of each table.
 	marks map[string]feed.Mark
 	// told is up to where it was told of each table, and when. charge is up to
 	// where this instance has to see to that; lacks is since when it knows less.
@@ -183,13 +184,13 @@
 	}
 	l.judge(now)
 	news := l.Self.News()
-	if news {
-		l.claim(l.Self.Marks())
+	if len(news) > 0 {
+		l.claim(news, l.Self.Marks())
 	}
 	hurry := l.hurry
 	l.hurry = false
 	switch {
-	case now >= l.next || news || l.Self.Urgent():
+	case now >= l.next || len(news) > 0 || l.Self.Urgent():
 		l.next = now + beat
 		l.silence(now)
 		return l.tell(now)
@@ -250,9 +251,8 @@
 	}
 	p.marks = make(map[string]feed.Mark, len(m.Versions))
 	for name := range m.Versions {
-		mark, ok := m.mark(name)
-		p.marks[name] = mark
-		if ok {
+		if mark, ok := m.mark(name); ok {
+			p.marks[name] = mark
 			l.Taker.Known(name, mark)
 		}
 	}
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -30,7 +30,7 @@
 
 	// news tells that the store brought a change; polled is the last read and
 	// readAt the same for what is told of it, zero for none.
-	news           bool
+	news           map[string]uint64
 	polled, readAt time.Duration
 	fleet          *fleet
 }
@@ -41,9 +41,9 @@
 const tick = 50 * time.Millisecond
 
 func (m *member) Urgent() bool { return len(m.dead) > 0 }
-func (m *member) News() bool {
+func (m *member) News() map[string]uint64 {
 	news := m.news
-	m.news = false
+	m.news = nil
 	return news
 }
 
@@ -90,10 +90,12 @@
 	lost    func(from, to spec.InstanceID) bool
 	drop    func(from, to spec.InstanceID, m mesh.Message) bool
 	silent  map[spec.InstanceID]bool
-	// only is the one member that the store answers; empty for all.
-	only spec.InstanceID
-	now  time.Duration
-	sent int
+	// only is the one member that the store answers, empty for all; it turns away
+	// those that are refused.
+	only    spec.InstanceID
+	refused func(spec.InstanceID) bool
+	now     time.Duration
+	sent    int
 }
 
 func open(n int) *fleet { return openNamed(n, "i") }
@@ -101,13 +103,10 @@
 // openNamed opens a fleet of n members; their names begin with a prefix.
 func openNamed(n int, prefix string) *fleet {
 	f := &fleet{members: map[spec.InstanceID]*member{}, inbox: map[spec.InstanceID][]node.Event{}, silent: map[spec.InstanceID]bool{}}
-	clock := func() time.Time { return time.Unix(0, 0).Add(f.now) }
 	var peers []node.Peer
 	for k := range n {
 		id := spec.InstanceID(fmt.Sprintf("%s%d", prefix, k))
-		m := &member{used: map[spec.InstanceID]int{}, met: map[spec.InstanceID]bool{}, fleet: f}
-		m.logic = &mesh.Logic{ID: id, URL: "http://" + string(id), Self: m, Taker: m, Now: clock}
-		f.members[id] = m
+		f.members[id] = f.newMember(id)
 		peers = append(peers, node.Peer{ID: id, URL: "http://" + string(id)})
 	}
 	for id := range f.members {
@@ -116,6 +115,14 @@
 	return f
 }
 
+// newMember is an instance that has just started.
+func (f *fleet) newMember(id spec.InstanceID) *member {
+	m := &member{used: map[spec.InstanceID]int{}, met: map[spec.InstanceID]bool{}, fleet: f}
+	clock := func() time.Time { return time.Unix(0, 0).Add(f.now) }
+	m.logic = &mesh.Logic{ID: id, URL: "http://" + string(id), Self: m, Taker: m, Now: clock}
+	return m
+}
+
 // ids are the names of all members, in order.
 func (f *fleet) ids() []spec.InstanceID { return slices.Sorted(maps.Keys(f.members)) }
 
--- a/internal/fleet/mesh/spread.go
+++ b/internal/fleet/mesh/spread.go
@@ -37,23 +37,25 @@
 }
 
 // claim has this instance see to it that all others learn what it just read from
-// the store, if it is the first to know. Whoever reads later finds others that
-// know it, and one of them has done so.
-func (l *Logic) claim(marks map[string]feed.Mark) {
-	for name, mine := range marks {
-		if l.known(name, mine) {
+// the store, if it is the first to know. news is the version of the last change of
+// each table. Whoever reads later finds others that know it, and one of them has
+// done so.
+func (l *Logic) claim(news map[string]uint64, marks map[string]feed.Mark) {
+	for name, version := range news {
+		if l.known(name, version, marks[name]) {
 			continue
 		}
 		for _, p := range l.peers {
-			p.charge[name] = mine.Version
+			p.charge[name] = marks[name].Version
 		}
 	}
 }
 
-// known reports whether another instance holds the same of a table.
-func (l *Logic) known(table string, mine feed.Mark) bool {
+// known reports whether another instance knows a change and holds the same of its
+// table. One that shows the same from before the change may hold anything by now.
+func (l *Logic) known(table string, version uint64, mine feed.Mark) bool {
 	for _, p := range l.peers {
-		if p.alive && p.marks[table].Digest == mine.Digest {
+		if m, ok := p.marks[table]; ok && p.alive && m.Digest == mine.Digest && m.Version >= version {
 			return true
 		}
 	}
@@ -128,8 +130,8 @@
 // lacking reports whether an instance knows less of a table than this one, and
 // notes since when.
 func (p *peer) lacking(now time.Duration, name string, mine feed.Mark) bool {
-	theirs := p.marks[name]
-	if p.marks == nil || theirs.Version >= mine.Version || theirs.Digest == mine.Digest {
+	theirs, ok := p.marks[name]
+	if !ok || theirs.Version >= mine.Version || theirs.Digest == mine.Digest {
 		delete(p.lacks, name)
 		return false
 	}
--- a/internal/fleet/mesh/spread_test.go
+++ b/internal/fleet/mesh/spread_test.go
@@ -19,6 +19,8 @@
 	poll = 700 * time.Millisecond
 	// beating is how many rows are written anew in turn without a change.
 	beating = 10
+	// overdue is after how long those that know a change tell it unasked.
+	overdue = time.Second
 	// seeds is how many fleets of each size are played, each with other names.
 	seeds = 13
 	// changed is the row that changes.
@@ -74,7 +76,12 @@
 		return
 	}
 	m.polled, m.readAt = now, now
-	m.news = len(m.view.Changes(m.view.Version(), p)) > 0 || m.news
+	started := m.view.Version() == 0
+	for _, row := range m.view.Changes(m.view.Version(), p) {
+		if !started {
+			m.news = map[string]uint64{table: max(m.news[table], row.Version)}
+		}
+	}
 }
 
 // watch runs a fleet that follows a store until a time or until done.
@@ -83,7 +90,7 @@
 		f.now = now
 		r.beat()
 		for id, m := range f.members {
-			if !f.silent[id] && (f.only == "" || f.only == id) {
+			if !f.silent[id] && f.answered(id) {
 				m.follow(now, r)
 			}
 		}
@@ -95,6 +102,11 @@
 	return to
 }
 
+// answered reports whether the store answers a member.
+func (f *fleet) answered(id spec.InstanceID) bool {
+	return (f.only == "" || f.only == id) && (f.refused == nil || !f.refused(id))
+}
+
 // without lists the live members that do not know a version.
 func (f *fleet) without(version uint64) []spec.InstanceID {
 	var out []spec.InstanceID
@@ -214,6 +226,40 @@
 	}
 }
 
+// A row changes and, 100 ms later, changes back, while the store turns all but one
+// away. Those that were told of the first change must learn of the second: that
+// others seem to hold the former row already says nothing, for what they show is
+// from before both.
+func TestChangeThatIsUndoneReachesAll(t *testing.T) {
+	f := open(9)
+	r := &rows{}
+	r.put(changed, "old")
+	f.watch(r, tick, 3*time.Second, nil)
+	f.only = f.reader()
+	r.put(changed, "new")
+	f.watch(r, 3*time.Second, 3*time.Second+2*tick, nil)
+	version := r.put(changed, "old")
+	took := f.watch(r, 3*time.Second+2*tick, 3*time.Second+overdue, func() bool { return f.all(version, "old") })
+	if !f.all(version, "old") {
+		t.Errorf("got other rows %s after the second change, want the last one everywhere", took-3*time.Second)
+	}
+}
+
+// all reports whether all members know the last row up to a version.
+func (f *fleet) all(version uint64, value string) bool {
+	for _, m := range f.members {
+		if m.view.Version() < version {
+			return false
+		}
+		for _, row := range m.view.Rows() {
+			if row.Key == changed && string(row.Value) != value {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Messages with rows to one instance are lost, the small ones between them
 // arrive. It hears that another instance reads, and that this one knows of a
 // newer row than it does itself: it must read the store for itself in time.
