Instances of the former program version read the store themselves

While instances are replaced by ones of this version, those of the former one show no digests and count on being told when others read. Told by version alone they would get whole tables again and again, or keep an old configuration. They are now told that this version reads nothing, so that they read for themselves, and this version does not leave reading to them. The test failed before.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -125,6 +125,9 @@
 	url   string
 	heard time.Duration
 	alive bool
+	// former tells that it is of the former version of the program, which does not
+	// show what it holds.
+	former bool
 	// marks is how much it knows of each table.
 	marks map[string]feed.Mark
 	// told is up to where it was told of each table, and when. charge is up to
@@ -227,8 +230,8 @@
 		return
 	}
 	p := l.peer(ev.From)
-	p.url, p.heard, p.read = m.URL, now, -1
-	if m.Age >= 0 {
+	p.url, p.heard, p.read, p.former = m.URL, now, -1, len(m.Digests) == 0
+	if m.Age >= 0 && !p.former {
 		p.read = max(0, now-time.Duration(m.Age)*time.Millisecond)
 	}
 	if !p.alive {
--- a/internal/fleet/mesh/spread_test.go
+++ b/internal/fleet/mesh/spread_test.go
@@ -9,7 +9,10 @@
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/mesh"
+	"fulmarwick/internal/fleet/node"
 	"fulmarwick/internal/state/feed"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 const (
@@ -260,6 +263,45 @@
 	return true
 }
 
+// An instance of the former program version does not show what it holds, and
+// counts on being told as soon as others read. It must read the store itself, and
+// it is not told the same tables again and again; nor does one of this version
+// leave reading to it.
+func TestFormerVersionReadsForItself(t *testing.T) {
+	f := open(2)
+	m := f.members["i0"]
+	if f.reader() == "i0" {
+		m = f.members["i1"]
+	}
+	old, err := cbor.Marshal(mesh.Message{URL: "http://old", Versions: map[string]uint64{table: 3}, Age: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.view.Whole(feed.Page{Rows: []feed.Row{{Key: changed, Version: 7}}, Version: 7})
+	m.readAt = time.Second
+	told := 0
+	for now := time.Second; now < 4*time.Second; now += tick {
+		f.now = now
+		for _, c := range m.logic.Tick(now, []node.Event{node.Heard{From: "old", Data: old}}) {
+			s, ok := c.(node.Send)
+			if !ok || s.To != "old" {
+				continue
+			}
+			var got mesh.Message
+			if err := cbor.Unmarshal(s.Data, &got); err != nil || got.Age >= 0 || len(got.Tables) > 0 {
+				t.Fatalf("got age %d and %d tables for the former version (%v), want none", got.Age, len(got.Tables), err)
+			}
+			told++
+		}
+		if m.logic.Passive() {
+			t.Fatal("got an instance that leaves reading to the former version, want it to read")
+		}
+	}
+	if told == 0 {
+		t.Error("got no message to the former version, want some")
+	}
+}
+
 // Messages with rows to one instance are lost, the small ones between them
 // arrive. It hears that another instance reads, and that this one knows of a
 // newer row than it does itself: it must read the store for itself in time.
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -20,7 +20,10 @@
 			continue
 		}
 		data := plain
-		if m.Tables = tables[p.id]; len(m.Tables) > 0 {
+		switch m.Tables = tables[p.id]; {
+		case p.former:
+			data = encode(m.blind())
+		case len(m.Tables) > 0:
 			data = encode(m)
 		}
 		out = append(out, node.Send{To: p.id, URL: p.url, Data: data})
@@ -51,6 +54,13 @@
 	return m
 }
 
+// blind is the message for an instance that does not show what it holds: it is
+// told nothing, so it must not leave reading to this one.
+func (m Message) blind() Message {
+	m.Age = -1
+	return m
+}
+
 func encode(m Message) []byte {
 	data, err := cbor.Marshal(m)
 	if err != nil {
