--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -72,6 +72,9 @@
 	// Dial and Listen open connections and addresses; nil uses the network.
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	Listen func(ctx context.Context, address string) (net.Listener, error)
+	// Ticks makes the ticker by which the instance notices that it got no processor;
+	// nil is one of the real clock.
+	Ticks func(every time.Duration) (ticks <-chan time.Time, stop func())
 	// Again reads the settings again; nil if they never change.
 	Again func() (setup.File, error)
 
@@ -139,6 +142,9 @@
 	owner := uuid.NewString()
 	i.lease = &lease.Lease{Table: i.store, Name: dutyPlan, Owner: owner, Time: leaseTime, Margin: leaseMargin, Meters: i.meters}
 	i.watcher = newWatcher(i.router, calls, i.Log)
+	if i.Ticks != nil {
+		i.watcher.ticks = i.Ticks
+	}
 	i.watcher.probed = i.counter(`fulmarwick_reports_total`)
 	i.watcher.moved = func(how string) { i.meters.GetOrCreateCounter(`fulmarwick_moves_total{how="` + how + `"}`).Inc() }
 	i.planner = &planner{
--- a/internal/app/edge/spread_test.go
+++ b/internal/app/edge/spread_test.go
@@ -129,7 +129,11 @@
 // start runs one more instance and returns what stops it.
 func (w *world) start(n int, log *zap.Logger) func() {
 	w.t.Helper()
-	i := &edge.Instance{Settings: depot.Settings(n), Log: log, Dial: w.site.Dial, Listen: w.site.Net.Listen}
+	return w.run(&edge.Instance{Settings: depot.Settings(n), Log: log, Dial: w.site.Dial, Listen: w.site.Net.Listen})
+}
+
+// run runs an instance and returns what stops it.
+func (w *world) run(i *edge.Instance) func() {
 	done := make(chan error, 1)
 	go func() { done <- i.Run(context.Background()) }()
 	return func() {
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -75,6 +75,7 @@
 	// found is told of engines that do not answer.
 	found func(id spec.UpstreamID)
 	moved func(how string)
+	ticks func(every time.Duration) (ticks <-chan time.Time, stop func())
 
 	mu     sync.Mutex
 	busy   time.Time
@@ -88,19 +89,25 @@
 }
 
 func newWatcher(r *router, e engines, log *zap.Logger) *watcher {
-	return &watcher{router: r, engines: e, log: log, watch: map[string]*stall.Watch{}, asking: map[spec.UpstreamID]*inquiry{}, leaving: map[spec.UpstreamID]departure{}}
+	return &watcher{router: r, engines: e, log: log, watch: map[string]*stall.Watch{}, asking: map[spec.UpstreamID]*inquiry{}, leaving: map[spec.UpstreamID]departure{}, ticks: newTicks}
+}
+
+// newTicks is a ticker of the real clock.
+func newTicks(every time.Duration) (ticks <-chan time.Time, stop func()) {
+	t := time.NewTicker(every)
+	return t.C, t.Stop
 }
 
 // run looks until ctx ends.
 func (w *watcher) run(ctx context.Context) {
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
+	ticks, stop := w.ticks(lookEvery)
+	defer stop()
 	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-ticks:
 		}
 		now := time.Now()
 		late := now.Sub(last) - lookEvery
