Silence counts only while this process could hear

Callers' streams were cut, and requests ran on three engines of two allowed. An instance that had got no processor for half a second took 17 healthy engines for dead within one millisecond, and eight more soon after: its timers were over before it had read the answers that had come meanwhile, so it moved and repeated streams that were whole until no repeat was left.

Ticks that come late now show when the process did not keep up. That time is taken off the silence of streams and off the time of a question, also while the pause lasts, so that a timer which runs first after it finds nobody guilty. A question's connection may take as long as the question.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -137,8 +137,10 @@
 		bounds: s.Retry, groups: map[string]*group{},
 	}
 	i.pool = &send.Pool{Timeout: dialTime, Dial: i.Dial, Opened: i.counter(`fulmarwick_connections_total`)}
-	i.store = &platform.Store{Base: s.Platform.Table, HTTP: newHTTP(i.Dial), Agent: s.Instance.Name, Count: i.countCall}
-	calls := &platform.Engines{HTTP: newHTTP(i.Dial)}
+	i.store = &platform.Store{Base: s.Platform.Table, HTTP: newHTTP(i.Dial, dialTime), Agent: s.Instance.Name, Count: i.countCall}
+	// A question ends by the time in which this process ran, a connection for it must
+	// not end sooner.
+	calls := &platform.Engines{HTTP: newHTTP(i.Dial, askMost)}
 	owner := uuid.NewString()
 	i.lease = &lease.Lease{Table: i.store, Name: dutyPlan, Owner: owner, Time: leaseTime, Margin: leaseMargin, Meters: i.meters}
 	i.watcher = newWatcher(i.router, calls, i.Log)
@@ -270,10 +272,10 @@
 }
 
 // newHTTP returns a client for calls that are answered at once. Calls to the
-// store that wait have their own timeouts.
-func newHTTP(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+// store that wait have their own timeouts. limit bounds new connections.
+func newHTTP(dial func(ctx context.Context, network, address string) (net.Conn, error), limit time.Duration) *http.Client {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTime, KeepAlive: -1}).DialContext
+		dial = (&net.Dialer{Timeout: limit, KeepAlive: -1}).DialContext
 	}
 	return &http.Client{
 		Transport: &http.Transport{
--- a/internal/app/edge/pause_test.go
+++ b/internal/app/edge/pause_test.go
@@ -17,8 +17,13 @@
 	"go.uber.org/zap/zaptest/observer"
 )
 
-// backlog is how long a process that runs again takes for what has come meanwhile.
-const backlog = 100 * time.Millisecond
+const (
+	// backlog is how long a process that runs again takes for what has come
+	// meanwhile.
+	backlog = 100 * time.Millisecond
+	// slow is how much later its ticks come for that time.
+	slow = 30 * time.Millisecond
+)
 
 // pauses is when a process gets no processor: its ticks are late, and what comes
 // to it and what it sends waits, also behind the backlog.
@@ -60,6 +65,9 @@
 	go func() {
 		for {
 			time.Sleep(every)
+			if time.Since(p.end()) < backlog {
+				time.Sleep(slow)
+			}
 			p.wait()
 			select {
 			case c <- time.Now():
--- a/internal/app/edge/question.go
+++ b/internal/app/edge/question.go
@@ -105,13 +105,42 @@
 	return report, err
 }
 
-// report asks an engine how it is; late tells that it did not answer in time.
+// report asks an engine how it is; late tells that it did not answer in the time
+// that this process could have heard it.
 func (w *watcher) report(ctx context.Context, up site.Upstream, limit time.Duration) (r site.Report, late bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := w.within(ctx, limit)
 	defer cancel()
 	w.probed()
 	r, err = w.engines.Report(ctx, up.Address)
-	return r, errors.Is(ctx.Err(), context.DeadlineExceeded), err
+	return r, errors.Is(context.Cause(ctx), errSilent), err
+}
+
+// errSilent is the cause of a question that ended without an answer.
+var errSilent = errors.New("edge: no answer in time")
+
+// within returns a context that ends after a time in which this process ran. A
+// timer alone is over at the end of a pause, before an answer that came meanwhile
+// is read, and healthy engines seemed dead.
+func (w *watcher) within(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	start := time.Now()
+	var timer *time.Timer
+	ready := make(chan struct{})
+	timer = time.AfterFunc(limit, func() {
+		<-ready
+		now := time.Now()
+		left := limit - now.Sub(start) + w.clock.Lost(start, now)
+		if left <= 0 || now.Sub(start) >= askMost {
+			cancel(errSilent)
+			return
+		}
+		timer.Reset(max(left, lookEvery))
+	})
+	close(ready)
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
 }
 
 // isBusy reports whether this process got the processor late just now.
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"fulmarwick/internal/base/awake"
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/stall"
@@ -27,6 +28,8 @@
 	// nearly all of 89 engines for dead within two seconds, and the moves that
 	// followed kept them busy.
 	askAgain = 90 * time.Millisecond
+	// askMost bounds a question though this process does not run.
+	askMost = 2 * time.Second
 	// busyLate is the delay of a look that shows that the processor is short,
 	// busyTime how long that counts.
 	busyLate = 12 * time.Millisecond
@@ -77,6 +80,9 @@
 	moved func(how string)
 	ticks func(every time.Duration) (ticks <-chan time.Time, stop func())
 
+	// clock is the time in which this process could hear engines.
+	clock awake.Clock
+
 	mu     sync.Mutex
 	busy   time.Time
 	watch  map[string]*stall.Watch
@@ -89,7 +95,7 @@
 }
 
 func newWatcher(r *router, e engines, log *zap.Logger) *watcher {
-	return &watcher{router: r, engines: e, log: log, watch: map[string]*stall.Watch{}, asking: map[spec.UpstreamID]*inquiry{}, leaving: map[spec.UpstreamID]departure{}, ticks: newTicks}
+	return &watcher{router: r, engines: e, log: log, watch: map[string]*stall.Watch{}, asking: map[spec.UpstreamID]*inquiry{}, leaving: map[spec.UpstreamID]departure{}, ticks: newTicks, clock: awake.Clock{Every: lookEvery, Least: busyLate}}
 }
 
 // newTicks is a ticker of the real clock.
@@ -102,7 +108,6 @@
 func (w *watcher) run(ctx context.Context) {
 	ticks, stop := w.ticks(lookEvery)
 	defer stop()
-	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -110,8 +115,7 @@
 		case <-ticks:
 		}
 		now := time.Now()
-		late := now.Sub(last) - lookEvery
-		last = now
+		late := w.clock.Tick(now)
 		if late > busyLate {
 			w.mu.Lock()
 			w.busy = now
@@ -168,7 +172,7 @@
 			watch = &stall.Watch{}
 			w.watch[name] = watch
 		}
-		for _, d := range watch.Look(now.Sub(r.start), g.streams(r.start)) {
+		for _, d := range watch.Look(now.Sub(r.start), w.streams(g, now)) {
 			if up, ok := g.model.Upstream(d.Engine); ok {
 				out = append(out, silentEngine{up: up, many: d.Many})
 			}
@@ -177,12 +181,15 @@
 	return out
 }
 
-// streams are the runs as the search for dead engines sees them.
-func (g *group) streams(start time.Time) []stall.Stream {
+// streams are the runs as the search for dead engines sees them. A stream is not
+// silent while this process did not run: its events may wait to be read.
+func (w *watcher) streams(g *group, now time.Time) []stall.Stream {
 	out := make([]stall.Stream, 0, len(g.flights))
 	for f, t := range g.flights {
 		g.reread(f, t)
-		out = append(out, stall.Stream{Chain: t.chain, Last: f.Last().Sub(start), Gap: f.Gap(), Writing: !t.unread})
+		last := f.Last()
+		heard := last.Sub(w.router.start) + w.clock.Lost(last, now)
+		out = append(out, stall.Stream{Chain: t.chain, Last: heard, Gap: f.Gap(), Writing: !t.unread})
 	}
 	return out
 }
--- /dev/null
+++ b/internal/base/awake/awake_test.go
@@ -0,0 +1,47 @@
+package awake_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/awake"
+)
+
+func at(ms int) time.Time { return time.UnixMilli(int64(ms)) }
+
+// A process ticks every 10 ms and stands still twice. What lies in the pauses is
+// lost, also in part, and also in one that is not over for the clock.
+func TestLost(t *testing.T) {
+	c := &awake.Clock{Every: 10 * time.Millisecond, Least: 5 * time.Millisecond}
+	for _, ms := range []int{0, 10, 21, 30, 140, 150, 160, 300} {
+		c.Tick(at(ms))
+	}
+	tests := []struct {
+		name       string
+		since, now int
+		want       time.Duration
+	}{
+		{"no pause", 0, 30, 0},
+		{"a tick a little late", 10, 30, 0},
+		{"one pause", 30, 150, 110 * time.Millisecond},
+		{"both", 0, 300, 250 * time.Millisecond},
+		{"from the middle of the first", 90, 300, 190 * time.Millisecond},
+		{"from the middle of the second", 250, 300, 50 * time.Millisecond},
+		{"after both", 300, 308, 0},
+		{"one that is not over", 300, 400, 100 * time.Millisecond},
+		{"from the middle of one that is not over", 350, 400, 50 * time.Millisecond},
+	}
+	for _, test := range tests {
+		if got := c.Lost(at(test.since), at(test.now)); got != test.want {
+			t.Errorf("%s: got %s, want %s", test.name, got, test.want)
+		}
+	}
+}
+
+func ExampleClock() {
+	c := &awake.Clock{Every: 10 * time.Millisecond, Least: 5 * time.Millisecond}
+	c.Tick(at(0))
+	fmt.Println(c.Tick(at(10)), c.Tick(at(610)), c.Lost(at(0), at(610)))
+	// Output: 0s 590ms 600ms
+}
