--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -153,6 +153,7 @@
 	i.watcher.moved = func(how string) { i.meters.GetOrCreateCounter(`fulmarwick_moves_total{how="` + how + `"}`).Inc() }
 	i.planner = &planner{
 		router: i.router, engines: calls, lease: i.lease, log: i.Log, start: time.Now(), orders: map[spec.UpstreamID]ordered{}, missing: map[string]time.Time{}, plans: map[string]plan{},
+		planned: i.counter(`fulmarwick_plans_total`),
 		counted: func(how string) { i.meters.GetOrCreateCounter(`fulmarwick_orders_total{end="` + how + `"}`).Inc() },
 	}
 	i.crowd = &crowd{
--- a/internal/app/edge/plan.go
+++ b/internal/app/edge/plan.go
@@ -56,6 +56,8 @@
 	log     *zap.Logger
 	start   time.Time
 	counted func(how string)
+	// planned counts the plans that were worked out.
+	planned func()
 
 	mu      sync.Mutex
 	changed time.Time
@@ -79,6 +81,7 @@
 func (p *planner) plan(name string, v view) []grid.Order {
 	last, ok := p.plans[name]
 	if !ok || v.model != last.model || !slices.Equal(v.engines, last.engines) {
+		p.planned()
 		last = plan{model: v.model, engines: v.engines, orders: grid.Plan(v.model, v.engines)}
 		p.plans[name] = last
 	}
