--- a/internal/app/edge/plan.go
+++ b/internal/app/edge/plan.go
@@ -32,9 +32,8 @@
 	orderAgain = 15 * time.Second
 	// moveAfter is how long a move must be due before an engine gives up layers
 	// for others: longer than the list takes to show an engine that was replaced.
-	// An engine that crashed is away for 4 s and loads for seconds more, while
-	// a spare one takes its layers within two; with 4 s here, each death of an
-	// engine without a spare took its data centre out of service for 8 s.
+	// An engine that crashed is away for longer than a spare one takes to load its
+	// layers; to wait for it takes its data centre out of service.
 	moveAfter = 600 * time.Millisecond
 	// orderLost is the same for an order without an answer. It may still be
 	// carried out; the count of orders that both expect lets only one win.
--- a/internal/app/edge/question.go
+++ b/internal/app/edge/question.go
@@ -84,9 +84,8 @@
 }
 
 // reportAgain gives an engine that did not answer more time, unless proof comes
-// meanwhile and this process gets the processor in time. Of the streams of a
-// dead engine, half waited 70 ms more for this than for those that found it
-// first, and were late.
+// meanwhile and this process gets the processor in time: streams of a dead engine
+// must not wait for the second question once others have found it.
 func (w *watcher) reportAgain(ctx context.Context, q *inquiry) (site.Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -19,14 +19,12 @@
 	// lookLate is the pause after which this process itself stood still: what
 	// it missed says nothing about engines.
 	lookLate = 60 * time.Millisecond
-	// askTime is how long an engine may take to answer how it is; on a calm
-	// day it takes 1 to 3 ms.
+	// askTime is how long an engine may take to answer how it is.
 	askTime = 28 * time.Millisecond
 	// askAgain bounds a second question, where the first one alone proves
 	// little: few streams were silent, or this process itself got the processor
-	// late. Without it one death under load made each of 33 instances take
-	// nearly all of 89 engines for dead within two seconds, and the moves that
-	// followed kept them busy.
+	// late. Without it one death under load has all instances take most engines for
+	// dead, and the moves that follow keep them busy.
 	askAgain = 90 * time.Millisecond
 	// askMost bounds a question though this process does not run.
 	askMost = 2 * time.Second
@@ -43,9 +41,8 @@
 	// questions to one that is known to be slow.
 	lagEvery = time.Second
 	// lagging is how many times longer than predicted the pauses of a stream
-	// are when it lags: reading the prompts of others makes them 1.2 to 1.8
-	// times as long on a calm day at 33 engines. lagStreams of an engine, and
-	// more than half, must lag before it is asked for its pace.
+	// are when it lags: above what reading the prompts of others adds. lagStreams
+	// of an engine, and more than half, must lag before it is asked for its pace.
 	lagging    = 1.9
 	lagStreams = 2
 	// lagAskers is how many instances ask the same engine in that time.
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -14,9 +14,6 @@
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/node"
-	"fulmarwick/internal/fleet/rank"
-	"fulmarwick/internal/route/crash"
-	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/state/feed"
 
 	"github.com/fxamacker/cbor/v2"
@@ -31,94 +28,8 @@
 	// counted is how long an instance that fell silent still counts for what
 	// all share: it may serve callers while it cannot be heard.
 	counted = 15 * time.Second
-	// fresh is how old what another instance read may be for this one to read
-	// nothing itself, times its place among the readers. With the pause between
-	// messages a change is known within the two seconds that it may take, also
-	// if the first reader dies.
-	fresh = 600 * time.Millisecond
-	// places is how many places of readers are told apart.
-	places = 3
 )
 
-// Message is what an instance tells another one. Fields are exported because
-// the CBOR codec fills them.
-type Message struct {
-	URL string `cbor:"1,keyasint"`
-	// Uses is what its requests take, by service and engine.
-	Uses map[string]map[spec.UpstreamID]path.Use `cbor:"2,keyasint,omitempty"`
-	// Versions is up to where it knows each table, Digests of what it holds.
-	Versions map[string]uint64 `cbor:"3,keyasint,omitempty"`
-	Digests  map[string]uint64 `cbor:"9,keyasint,omitempty"`
-	// Age is how long ago the store last told it of all tables, in
-	// milliseconds; negative if it never did.
-	Age int64 `cbor:"4,keyasint"`
-	// Dead are engines that did not answer it.
-	Dead []spec.UpstreamID `cbor:"5,keyasint,omitempty"`
-	// Tables are rows that the receiver lacks.
-	Tables []Table `cbor:"6,keyasint,omitempty"`
-	// Crashes are upstreams that died, with the requests that they ran.
-	Crashes []crash.Death `cbor:"7,keyasint,omitempty"`
-	// Paces are engines that work slower than usual, and how many times.
-	Paces map[spec.UpstreamID]float64 `cbor:"8,keyasint,omitempty"`
-}
-
-// Table is the changes of a table after a version, all of it after 0. Version and
-// Digest are those of its sender.
-type Table struct {
-	Name    string     `cbor:"1,keyasint"`
-	Since   uint64     `cbor:"2,keyasint"`
-	Version uint64     `cbor:"3,keyasint"`
-	Rows    []feed.Row `cbor:"4,keyasint"`
-	Digest  uint64     `cbor:"5,keyasint,omitempty"`
-	// Relay are instances that the receiver is to tell.
-	Relay []spec.InstanceID `cbor:"6,keyasint,omitempty"`
-}
-
-// mark is how much of a table the sender of a message knows; false if it does not
-// say.
-func (m Message) mark(table string) (feed.Mark, bool) {
-	digest, ok := m.Digests[table]
-	return feed.Mark{Version: m.Versions[table], Digest: digest}, ok
-}
-
-// Self gives what this instance has to tell. It is called on the goroutine
-// that ticks.
-type Self interface {
-	// Urgent tells that there is something to tell before the next beat.
-	Urgent() bool
-	// News is the version of the last change of each table of which the store told
-	// since the last call.
-	News() map[string]uint64
-	Uses() map[string]map[spec.UpstreamID]path.Use
-	// Marks is how much is known of each table.
-	Marks() map[string]feed.Mark
-	// Age is how long ago the store last told of all tables; negative if never.
-	Age() time.Duration
-	Paces() map[spec.UpstreamID]float64
-	// Since returns the changes after a version, or the whole table since 0.
-	Since(table string, version uint64) (since uint64, p feed.Page)
-	// Fresh returns the engines found dead and the deaths of upstreams with the
-	// requests that they ran since the last call.
-	Fresh() (dead []spec.UpstreamID, crashes []crash.Death)
-}
-
-// Taker is told what others tell. It is called on the goroutine that ticks.
-type Taker interface {
-	Used(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Use)
-	Paced(from spec.InstanceID, paces map[spec.UpstreamID]float64)
-	Told(table string, since uint64, rows []feed.Row, m feed.Mark, from spec.InstanceID)
-	// Known tells how much another instance knows.
-	Known(table string, m feed.Mark)
-	// Behind tells that another instance knows a table up to a later version for
-	// so long that this one reads the store.
-	Behind(table string, known, there uint64)
-	Dead(from spec.InstanceID, engines []spec.UpstreamID)
-	Crashed(from spec.InstanceID, deaths []crash.Death)
-	// Met tells that an instance is heard, Missed that it fell silent.
-	Met(id spec.InstanceID)
-	Missed(id spec.InstanceID)
-}
-
 // peer is another instance.
 type peer struct {
 	id    spec.InstanceID
@@ -305,33 +216,3 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].id < out[j].id })
 	return out
 }
-
-// Place is the place of this instance among those that may hold a duty: 0 is
-// the first one. All that hear each other agree.
-func (l *Logic) Place(duty string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	ids := append([]spec.InstanceID{l.ID}, l.alive...)
-	for i, id := range rank.Top(duty, ids, places) {
-		if id == l.ID {
-			return i
-		}
-	}
-	return places
-}
-
-// dutyRead is the duty of reading the store for all.
-const dutyRead = "read"
-
-// Passive reports whether others read the store often enough for this one not
-// to: with a few dozen instances their calls would cost more than anything
-// else, and each would learn the same. One that they know more than reads.
-func (l *Logic) Passive() bool {
-	place := l.Place(dutyRead)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if place == 0 || l.read < 0 || l.late {
-		return false
-	}
-	return l.Now().Sub(l.start)-l.read < fresh*time.Duration(1+place)
-}
--- /dev/null
+++ b/internal/fleet/mesh/message.go
@@ -0,0 +1,89 @@
+package mesh
+
+import (
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/crash"
+	"fulmarwick/internal/route/path"
+	"fulmarwick/internal/state/feed"
+)
+
+// Message is what an instance tells another one. Fields are exported because
+// the CBOR codec fills them.
+type Message struct {
+	URL string `cbor:"1,keyasint"`
+	// Uses is what its requests take, by service and engine.
+	Uses map[string]map[spec.UpstreamID]path.Use `cbor:"2,keyasint,omitempty"`
+	// Versions is up to where it knows each table, Digests of what it holds.
+	Versions map[string]uint64 `cbor:"3,keyasint,omitempty"`
+	Digests  map[string]uint64 `cbor:"9,keyasint,omitempty"`
+	// Age is how long ago the store last told it of all tables, in
+	// milliseconds; negative if it never did.
+	Age int64 `cbor:"4,keyasint"`
+	// Dead are engines that did not answer it.
+	Dead []spec.UpstreamID `cbor:"5,keyasint,omitempty"`
+	// Tables are rows that the receiver lacks.
+	Tables []Table `cbor:"6,keyasint,omitempty"`
+	// Crashes are upstreams that died, with the requests that they ran.
+	Crashes []crash.Death `cbor:"7,keyasint,omitempty"`
+	// Paces are engines that work slower than usual, and how many times.
+	Paces map[spec.UpstreamID]float64 `cbor:"8,keyasint,omitempty"`
+}
+
+// Table is the changes of a table after a version, all of it after 0. Version and
+// Digest are those of its sender.
+type Table struct {
+	Name    string     `cbor:"1,keyasint"`
+	Since   uint64     `cbor:"2,keyasint"`
+	Version uint64     `cbor:"3,keyasint"`
+	Rows    []feed.Row `cbor:"4,keyasint"`
+	Digest  uint64     `cbor:"5,keyasint,omitempty"`
+	// Relay are instances that the receiver is to tell.
+	Relay []spec.InstanceID `cbor:"6,keyasint,omitempty"`
+}
+
+// mark is how much of a table the sender of a message knows; false if it does not
+// say.
+func (m Message) mark(table string) (feed.Mark, bool) {
+	digest, ok := m.Digests[table]
+	return feed.Mark{Version: m.Versions[table], Digest: digest}, ok
+}
+
+// Self gives what this instance has to tell. It is called on the goroutine
+// that ticks.
+type Self interface {
+	// Urgent tells that there is something to tell before the next beat.
+	Urgent() bool
+	// News is the version of the last change of each table of which the store told
+	// since the last call.
+	News() map[string]uint64
+	Uses() map[string]map[spec.UpstreamID]path.Use
+	// Marks is how much is known of each table.
+	Marks() map[string]feed.Mark
+	// Age is how long ago the store last told of all tables; negative if never.
+	Age() time.Duration
+	Paces() map[spec.UpstreamID]float64
+	// Since returns the changes after a version, or the whole table since 0.
+	Since(table string, version uint64) (since uint64, p feed.Page)
+	// Fresh returns the engines found dead and the deaths of upstreams with the
+	// requests that they ran since the last call.
+	Fresh() (dead []spec.UpstreamID, crashes []crash.Death)
+}
+
+// Taker is told what others tell. It is called on the goroutine that ticks.
+type Taker interface {
+	Used(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Use)
+	Paced(from spec.InstanceID, paces map[spec.UpstreamID]float64)
+	Told(table string, since uint64, rows []feed.Row, m feed.Mark, from spec.InstanceID)
+	// Known tells how much another instance knows.
+	Known(table string, m feed.Mark)
+	// Behind tells that another instance knows a table up to a later version for
+	// so long that this one reads the store.
+	Behind(table string, known, there uint64)
+	Dead(from spec.InstanceID, engines []spec.UpstreamID)
+	Crashed(from spec.InstanceID, deaths []crash.Death)
+	// Met tells that an instance is heard, Missed that it fell silent.
+	Met(id spec.InstanceID)
+	Missed(id spec.InstanceID)
+}
