--- a/internal/state/feed/view.go
+++ b/internal/state/feed/view.go
@@ -74,9 +74,6 @@
 // Mark is how much is known.
 func (v *View) Mark() Mark { return Mark{Version: v.version, Digest: v.digest} }
 
-// Behind reports whether a view with that mark knows more.
-func (v *View) Behind(m Mark) bool { return m.Version > v.version && m.Digest != v.digest }
-
 // Confirm raises the version to that of a view which holds the same, without a row
 // being told: nothing that matters changed in between.
 func (v *View) Confirm(m Mark) {
