--- a/internal/app/edge/whole_test.go
+++ b/internal/app/edge/whole_test.go
@@ -4,3 +4,10 @@
 
 // calmRequests is how many requests a calm minute has.
 const calmRequests = 60 * 20
+
+// changeFleets and listFleets are how many instances follow a change of the
+// configuration and of the list.
+var (
+	changeFleets = []int{2, 5, 9, 12, 16}
+	listFleets   = []int{4, 14, 16, 20}
+)
