Streams stay with a leaving engine that lives, and wait for room once begun

What callers saw: a stream ended in the middle though its engine still made it. Cause: a leaving engine's runs were ended before another engine had taken the request; that one refused (503, not run), and one refusal with the bound on repeats used up ended the request. Two mends: a run of a living engine is never ended for its leaving (it changes its path where the engines take that, once), and a stream whose caller has a part of the answer waits for room and for a repeat, with growing pauses, until its caller leaves or its time is over.

--- a/internal/app/edge/leave.go
+++ b/internal/app/edge/leave.go
@@ -91,31 +91,33 @@
 	hops   []site.Hop
 }
 
-// leaveAgain is the first pause before runs that could not leave an engine are
-// tried once more: some of those that take the room elsewhere have ended by
-// then. Each pause is twice the one before, since orders are paid for.
+// leaveAgain is the first pause before runs that could not leave a dead engine are
+// tried once more: some of those that take the room elsewhere have ended by then.
+// Each pause is twice the one before, since orders are paid for.
 const leaveAgain = 200 * time.Millisecond
 
-// leave takes all runs off an engine. Those that can neither change their path
-// nor begin anew at another engine stay, and are tried again until none is left
-// or the engine serves again.
+// leave takes runs off an engine. An engine that leaves but lives goes on with what
+// it has, so that its runs only change their path where other engines take them. A
+// run that passes a dead engine begins anew elsewhere, or is tried again until none
+// is left or the engine serves again.
 func (w *watcher) leave(ctx context.Context, up site.Upstream) {
 	w.router.strikes(up)
+	dead := w.router.Down(up.Service, up.ID)
 	for pause := leaveAgain; ; pause *= 2 {
-		kept := w.leaveOnce(ctx, up)
-		if kept == 0 || !feed.Sleep(ctx, pause) || w.router.serves(up) {
+		kept := w.leaveOnce(ctx, up, dead)
+		if kept == 0 || !dead || !feed.Sleep(ctx, pause) || w.router.serves(up) {
 			return
 		}
 	}
 }
 
 // leaveOnce takes runs off an engine: over another path where it is not the
-// first one, else by a new run. It returns how many stay.
-func (w *watcher) leaveOnce(ctx context.Context, up site.Upstream) int {
+// first one, else, if it is dead, by a new run. It returns how many stay.
+func (w *watcher) leaveOnce(ctx context.Context, up site.Upstream, dead bool) int {
 	shifts, moves := w.router.shifts(up)
 	resumed, kept := 0, 0
 	for _, f := range moves {
-		if w.resume(f) {
+		if dead && w.resume(f) {
 			resumed++
 		} else {
 			kept++
@@ -125,14 +127,14 @@
 	var group sync.WaitGroup
 	for _, s := range shifts {
 		group.Go(func() {
-			if !w.repath(ctx, s) {
+			if !w.repath(ctx, s, dead) {
 				stay.Add(1)
 			}
 		})
 	}
 	group.Wait()
 	kept += int(stay.Load())
-	w.log.Info("edge: engine left", zap.String("engine", string(up.ID)), zap.Int("repathed", len(shifts)-int(stay.Load())),
+	w.log.Info("edge: engine left", zap.String("engine", string(up.ID)), zap.Bool("dead", dead), zap.Int("repathed", len(shifts)-int(stay.Load())),
 		zap.Int("resumed", resumed), zap.Int("kept", kept))
 	return kept
 }
@@ -218,9 +220,10 @@
 	return out
 }
 
-// repath has the engines of a run go on over another path; false if they do
-// not and the run stays.
-func (w *watcher) repath(ctx context.Context, s shift) bool {
+// repath has the engines of a run go on over another path; false if they do not and
+// the run stays. A run that passes a dead engine cannot go on as it is and begins
+// anew instead.
+func (w *watcher) repath(ctx context.Context, s shift, dead bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, repathTime)
 	defer cancel()
 	err := w.engines.Repath(ctx, s.first, site.Repath{Engine: s.chain[0].Engine(), Request: s.flight.Request, Path: s.hops})
@@ -229,7 +232,7 @@
 		w.log.Info("edge: path changed", zap.String("request", s.flight.Request), zap.Stringer("path", s.chain), zap.Duration("silent", time.Since(s.flight.Last())))
 		return true
 	}
-	moves := w.resume(s.flight)
+	moves := dead && w.resume(s.flight)
 	w.log.Warn("edge: path not changed", zap.String("request", s.flight.Request), zap.Bool("run moves", moves), zap.Error(err))
 	if !moves {
 		w.router.back(s)
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -65,8 +65,13 @@
 )
 
 const (
-	// maxRuns bounds the runs of one request, refusals included.
+	// maxRuns bounds the runs of one request. Refusals count until its caller has a
+	// part of the answer.
 	maxRuns = 8
+	// minPause and maxPause lie between two tries of a stream that was refused or
+	// finds no repeat left. Room comes up as other answers end.
+	minPause = 50 * time.Millisecond
+	maxPause = 400 * time.Millisecond
 	// eventBuffer holds a few events, in bytes.
 	eventBuffer = 2 << 10
 )
@@ -106,6 +111,8 @@
 	last  int
 	begun bool
 	runs  int
+	// refusals counts the runs that engines refused after the answer began.
+	refusals int
 	// ran counts runs that may have begun on engines that still live; maybe
 	// tells that one may have begun on any, so that no promise can be given.
 	ran   int
@@ -230,22 +237,57 @@
 	s.ran++
 }
 
-// again reports whether the request may run once more.
+// again reports whether the request may run once more. One whose caller has a part
+// of the answer waits for that.
 func (s *stream) again(f *Flight, err error) bool {
+	refused := errors.Is(err, errNotRun)
+	if refused && s.begun {
+		s.refusals++
+	}
 	switch {
-	case s.ctx.Err() != nil, errors.Is(err, errCaller), s.runs >= maxRuns, s.models.Suspects.Guilty(s.call.Print()):
+	case s.ctx.Err() != nil, errors.Is(err, errCaller), s.runs-s.refusals >= maxRuns, s.models.Suspects.Guilty(s.call.Print()):
 		return false
 	case errors.Is(err, errUnsent), errors.Is(err, errMoved) && f.isPaid():
 		return true
-	case errors.Is(err, errNotRun):
-		return s.models.Budget.Again(s.call.Service.Name)
-	}
-	if !s.call.Route.Repeatable() || s.ran >= s.call.Route.Attempts {
+	case !refused && (!s.call.Route.Repeatable() || s.ran >= s.call.Route.Attempts):
 		return false
+	case s.begun:
+		return s.awaitRepeat(refused)
 	}
 	return s.models.Budget.Again(s.call.Service.Name)
 }
 
+// awaitRepeat waits until a repeat is allowed, after a pause if an engine just
+// refused the request; false if the caller leaves or the time is over before that.
+func (s *stream) awaitRepeat(refused bool) bool {
+	pause := minPause
+	for range s.refusals - 1 {
+		pause = min(2*pause, maxPause)
+	}
+	if refused && !s.sleep(pause) {
+		return false
+	}
+	for !s.models.Budget.Again(s.call.Service.Name) {
+		if !s.sleep(pause) {
+			return false
+		}
+		pause = min(2*pause, maxPause)
+	}
+	return true
+}
+
+// sleep waits for a time; false if the request ends first.
+func (s *stream) sleep(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
 func (s *stream) failed(err error) Reply {
 	r := Reply{Reason: ReasonLost, Ran: s.maybe, Begun: s.begun, Tried: s.runs}
 	switch {
