--- a/internal/app/setup/setup_test.go
+++ b/internal/app/setup/setup_test.go
@@ -255,3 +255,30 @@
 		}
 	}
 }
+
+// Guards against an instance that does not start because the platform gives a bound
+// or a size as a fraction.
+func TestFractionsAreTaken(t *testing.T) {
+	tests := []struct {
+		name, text string
+		got        func(setup.File) float64
+		want       float64
+	}{
+		{"repeats", "[retry]\nallowance = 40.73684210526316\n", func(f setup.File) float64 { return float64(f.Retry.Allowance) }, 40.73684210526316},
+		{"no repeats", "[retry]\nallowance = 0\n", func(f setup.File) float64 { return float64(f.Retry.Allowance) }, 0},
+		{"ratio", "[retry]\nratio = 0.125\n", func(f setup.File) float64 { return f.Retry.Ratio }, 0.125},
+		{"window", "[retry]\nwindow = 10.5s\n", func(f setup.File) float64 { return f.Retry.Window.Seconds() }, 10.5},
+		{"memory", "[limits]\nmemory = 417.25MiB\n", func(f setup.File) float64 { return float64(f.Limits.Memory) }, 417.25 * (1 << 20)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f, err := setup.Parse("x.ini", []byte(least+test.text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := test.got(f); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
