--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -75,7 +75,7 @@
 	if g.budget.Window != b.Window {
 		g.budget = again.Budget{}
 	}
-	g.budget.Ratio, g.budget.Allowance, g.budget.Window = b.Ratio, float64(b.Allowance), b.Window
+	g.budget.Ratio, g.budget.Allowance, g.budget.Window = b.Ratio, b.Allowance, b.Window
 }
 
 func (r *router) setBounds(b setup.Retry) {
--- a/internal/app/setup/schema.go
+++ b/internal/app/setup/schema.go
@@ -100,7 +100,7 @@
 	}},
 	{name: "retry", keys: []key{
 		{"ratio", false, part(func(f *File) *float64 { return &f.Retry.Ratio })},
-		{"allowance", false, count(func(f *File) *int { return &f.Retry.Allowance })},
+		{"allowance", false, amount(func(f *File) *float64 { return &f.Retry.Allowance })},
 		{"window", false, span(func(f *File) *time.Duration { return &f.Retry.Window }, time.Second, maxTime)},
 	}},
 	{name: "times", keys: []key{
--- a/internal/app/setup/setup_test.go
+++ b/internal/app/setup/setup_test.go
@@ -264,8 +264,8 @@
 		got        func(setup.File) float64
 		want       float64
 	}{
-		{"repeats", "[retry]\nallowance = 40.73684210526316\n", func(f setup.File) float64 { return float64(f.Retry.Allowance) }, 40.73684210526316},
-		{"no repeats", "[retry]\nallowance = 0\n", func(f setup.File) float64 { return float64(f.Retry.Allowance) }, 0},
+		{"repeats", "[retry]\nallowance = 40.73684210526316\n", func(f setup.File) float64 { return f.Retry.Allowance }, 40.73684210526316},
+		{"no repeats", "[retry]\nallowance = 0\n", func(f setup.File) float64 { return f.Retry.Allowance }, 0},
 		{"ratio", "[retry]\nratio = 0.125\n", func(f setup.File) float64 { return f.Retry.Ratio }, 0.125},
 		{"window", "[retry]\nwindow = 10.5s\n", func(f setup.File) float64 { return f.Retry.Window.Seconds() }, 10.5},
 		{"memory", "[limits]\nmemory = 417.25MiB\n", func(f setup.File) float64 { return float64(f.Limits.Memory) }, 417.25 * (1 << 20)},
@@ -282,3 +282,22 @@
 		})
 	}
 }
+
+// FuzzSettings guards against settings that stop the program instead of being
+// refused, and against values out of their range that are taken.
+func FuzzSettings(f *testing.F) {
+	for _, value := range []string{"", "0", "-1", "1e300", "NaN", "inf", "0x1p-2", "40.7", "10s", "417.5MiB", "9e18MiB"} {
+		f.Add(value)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		for _, key := range []string{"[retry]\nallowance = ", "[retry]\nratio = ", "[retry]\nwindow = ", "[limits]\nmemory = "} {
+			s, err := setup.Parse("x.ini", []byte(least+key+value+"\n"))
+			if err != nil {
+				continue
+			}
+			if s.Retry.Allowance < 0 || s.Retry.Ratio < 0 || s.Retry.Ratio > 1 || s.Retry.Window <= 0 || s.Limits.Memory < 0 {
+				t.Errorf("got %+v and %d bytes of memory from %q, want it refused", s.Retry, s.Limits.Memory, key+value)
+			}
+		}
+	})
+}
--- a/internal/app/setup/value.go
+++ b/internal/app/setup/value.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"os"
@@ -87,6 +88,21 @@
 	}
 }
 
+// amount is a number from 0 to maxCount, which may be a fraction.
+func amount(at func(*File) *float64) setter {
+	return func(p *parser, value string) string {
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(x) {
+			return fmt.Sprintf("%q is not a number", value)
+		}
+		if x < 0 || x > maxCount {
+			return fmt.Sprintf("%s is out of range, want 0 to %d", value, maxCount)
+		}
+		*at(&p.out) = x
+		return ""
+	}
+}
+
 // units of sizes, the longer suffixes first.
 var units = []struct {
 	suffix string
@@ -113,11 +129,15 @@
 		if !ok {
 			continue
 		}
-		n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 64)
-		if err != nil || n > (1<<62)/u.bytes {
+		digits = strings.TrimSpace(digits)
+		if n, err := strconv.ParseInt(digits, 10, 64); err == nil && n <= (1<<62)/u.bytes {
+			return n * u.bytes, true
+		}
+		x, err := strconv.ParseFloat(digits, 64)
+		if x *= float64(u.bytes); err != nil || math.IsNaN(x) || math.Abs(x) > 1<<62 {
 			return 0, false
 		}
-		return n * u.bytes, true
+		return int64(x), true
 	}
 	return 0, false
 }
