Large fleets exchange messages by cells, not each with each

Cause: every instance sent its state to every other one five times a second, 118 x 117 x 5 messages, 46 MB/s between data centres under an ordinary load, and 1 s of a core an instance before the first caller came. Profile (stand-in, 66 instances idle, GC and sockets with it): the mesh is nearly all of it; an idle instance cost 2.4, 5.1 and 11.4 ms of a core a second at 13, 33 and 66 instances.

Above 40 instances those of a data centre form cells of some 24. Two heads of each sum up what the requests of the cell take, exchange sums with the heads of other cells and tell their members the rest, with one of the two in full. The others exchange messages with their two heads alone. Heads hold the duties, pass on what was found dead (once) and changes of tables. A head that is quiet for 0.7 s is joined by the next by rank. Members of a fleet learn of each other by the roster, whose rows carry their version.

Up to 40 instances nothing changes.

Tests on fleets of 41 to 360: loads count once, findings are told once, changes reach all with 24 of 118 frozen at once and the store answering one instance alone, heads are replaced and come back, parts of a roster meet, agreement after any trouble.

--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -36,13 +36,15 @@
 
 // rosterRow tells where an instance answers others.
 type rosterRow struct {
-	URL string `cbor:"1,keyasint"`
+	URL        string          `cbor:"1,keyasint"`
+	DataCentre spec.DataCentre `cbor:"2,keyasint,omitempty"`
 }
 
 // crowd is the other instances: it tells them what this one knows and takes
 // what they tell.
 type crowd struct {
 	id     spec.InstanceID
+	centre spec.DataCentre
 	url    string
 	store  *platform.Store
 	belief *belief
@@ -69,7 +71,7 @@
 // open makes the connection parts.
 func (c *crowd) open() {
 	c.alive = map[spec.InstanceID]bool{}
-	c.logic = &mesh.Logic{ID: c.id, URL: c.url, Self: c, Taker: c, Now: time.Now}
+	c.logic = &mesh.Logic{ID: c.id, DataCentre: c.centre, URL: c.url, Self: c, Taker: c, Now: time.Now}
 	c.hub = &peer.Hub{Self: node.Peer{ID: c.id, URL: c.url}, Logic: c.logic, Silence: meshSilence, Dial: c.dial, Log: c.log}
 }
 
@@ -139,7 +141,7 @@
 	case !errors.Is(err, store.ErrMissing):
 		return err
 	}
-	data, err := cbor.Marshal(rosterRow{URL: c.url})
+	data, err := cbor.Marshal(rosterRow{URL: c.url, DataCentre: c.centre})
 	if err != nil {
 		return errors.Wrap(err, "edge: roster")
 	}
@@ -155,7 +157,7 @@
 			c.log.Warn("edge: row of the roster not understood", zap.String("instance", r.Key), zap.Error(err))
 			continue
 		}
-		out = append(out, node.Peer{ID: spec.InstanceID(r.Key), URL: row.URL})
+		out = append(out, node.Peer{ID: spec.InstanceID(r.Key), DataCentre: row.DataCentre, URL: row.URL, Version: r.Version})
 	}
 	return out
 }
@@ -214,7 +216,7 @@
 	return dead, c.router.freshCrashes()
 }
 
-// Used takes what the requests of another instance take.
+// Used takes what the requests of another instance or of several take.
 func (c *crowd) Used(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Use) {
 	c.router.used(from, uses)
 }
--- /dev/null
+++ b/internal/fleet/mesh/cell_test.go
@@ -0,0 +1,141 @@
+package mesh_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/node"
+)
+
+// large is how many instances a large fleet has, larger what is designed for.
+const (
+	large  = 118
+	larger = 360
+)
+
+// others is how many streams of other instances a member knows of.
+func (m *member) others() int {
+	n := 0
+	for _, streams := range m.streams {
+		n += streams
+	}
+	return n
+}
+
+// checkWhole checks that each of n live members counts all and knows the load of all
+// others, each once.
+func (f *fleet) checkWhole(t *testing.T, n int) {
+	t.Helper()
+	for _, id := range f.ids() {
+		if f.silent[id] {
+			continue
+		}
+		m := f.members[id]
+		if m.others() != n-1 || m.logic.Count() != n {
+			t.Errorf("%s: got %d streams of others and %d instances, want %d and %d", id, m.others(), m.logic.Count(), n-1, n)
+		}
+	}
+}
+
+// Guards against requests that count twice or not at all where their load is summed
+// up on the way.
+func TestLargeFleetKnowsTheLoadOfAll(t *testing.T) {
+	for _, n := range append([]int{40, 41}, sizes...) {
+		t.Run(fmt.Sprintf("%d instances", n), func(t *testing.T) {
+			f := open(n)
+			f.run(0, 4*time.Second)
+			f.checkWhole(t, n)
+		})
+	}
+}
+
+// Guards against messages that each instance sends more of, the more there are.
+func TestMessagesDoNotGrowWithTheFleet(t *testing.T) {
+	const (
+		// membersMost and headsMost are messages a second that a member and a head of a
+		// cell may send: two, or one to each member and to each other head, in each round.
+		membersMost = 2 * 5
+		headsMost   = (40 + 2*20) * 5
+	)
+	for _, n := range append([]int{33}, sizes...) {
+		f := open(n)
+		f.run(0, 4*time.Second)
+		clear(f.sentBy)
+		clear(f.bytesBy)
+		f.run(4*time.Second, 9*time.Second)
+		busy, most, bytes := 0, 0, 0
+		for id, sent := range f.sentBy {
+			most, bytes = max(most, sent/5), max(bytes, f.bytesBy[id]/5)
+			if sent/5 > membersMost {
+				busy++
+			}
+		}
+		t.Logf("%d instances: %d messages and %d bytes a second at most, %d of them send more than %d", n, most, bytes, busy, membersMost)
+		if n > 40 && (most > headsMost || busy > n/4) {
+			t.Errorf("%d instances: got %d messages a second at most and %d that send more than %d, want %d and a quarter", n, most, busy, membersMost, headsMost)
+		}
+	}
+}
+
+// Guards against news that are told several times or not at all on their way through
+// the heads: the deaths of upstreams count against requests.
+func TestFindingIsToldOnce(t *testing.T) {
+	f := open(large)
+	f.run(0, 4*time.Second)
+	for _, finder := range f.ids()[:12] {
+		f.members[finder].dead = []spec.UpstreamID{"e"}
+		f.run(f.now+tick, f.now+5*tick)
+		for id, m := range f.members {
+			if got := len(m.from); id != finder && got != 1 {
+				t.Errorf("found by %s: %s heard of it %d times, want once", finder, id, got)
+			}
+			m.from = nil
+		}
+	}
+}
+
+// Guards against load that is forgotten or counted twice, and duties that nobody
+// holds, after heads of cells have died and come back.
+func TestHeadsAreReplaced(t *testing.T) {
+	f := open(large)
+	f.run(0, 4*time.Second)
+	gone := 0
+	for _, id := range f.ids() {
+		if f.members[id].logic.Place("plan") < 3 || f.members[id].logic.Place("read") < 3 {
+			f.silent[id] = true
+			gone++
+		}
+	}
+	f.run(4*time.Second, 24*time.Second)
+	f.checkWhole(t, large-gone)
+	first := 0
+	for id, m := range f.members {
+		if !f.silent[id] && m.logic.Place("plan") == 0 {
+			first++
+		}
+	}
+	if first != 1 {
+		t.Errorf("got %d first places, want 1", first)
+	}
+	clear(f.silent)
+	f.run(24*time.Second, 30*time.Second)
+	f.checkWhole(t, large)
+}
+
+// Guards against a fleet that stays in parts: instances that start together find
+// only those in the roster that wrote their rows before them.
+func TestPartsOfTheRosterMeet(t *testing.T) {
+	f := open(large)
+	ids := f.ids()
+	for k, id := range ids {
+		var peers []node.Peer
+		for _, other := range ids[:k+1] {
+			peers = append(peers, node.Peer{ID: other, DataCentre: centreOf(other), URL: "http://" + string(other), Version: uint64(len(other))})
+		}
+		f.inbox[id] = []node.Event{node.Listed{Peers: peers}}
+	}
+	f.run(0, 8*time.Second)
+	f.checkWhole(t, large)
+}
--- a/internal/fleet/mesh/duty.go
+++ b/internal/fleet/mesh/duty.go
@@ -18,10 +18,13 @@
 )
 
 // Place is the place of this instance among those that may hold a duty: 0 is
-// the first one. All that hear each other agree.
+// the first one. All that hear each other agree. Only heads hold duties.
 func (l *Logic) Place(duty string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.follows {
+		return places
+	}
 	ids := append([]spec.InstanceID{l.ID}, l.alive...)
 	for i, id := range rank.Top(duty, ids, places) {
 		if id == l.ID {
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -1,19 +1,25 @@
-// Package mesh is the deterministic logic of an instance among a few dozen
-// others that all know each other: it tells them what its requests take of the
-// engines, which engines it found dead, and what it learned from the store that
-// they lack.
+// Package mesh is the deterministic logic of an instance among others: it tells
+// them what its requests take of the engines, which engines it found dead, and what
+// it learned from the store that they lack.
+//
+// A few dozen instances all tell each other. In larger fleets those of a data centre
+// form cells, whose heads sum up what the requests of their cells take, exchange the
+// sums with the heads of other cells, and tell their members the rest: what a member
+// sends and hears does not grow with the fleet.
 //
 // It imports base/spec, fleet/node for the events and commands of the wire, and
 // fleet/rank. Package peer drives it by Tick; app/edge fills it. It does no I/O.
 package mesh
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/state/feed"
 
 	"github.com/fxamacker/cbor/v2"
@@ -28,6 +34,8 @@
 	// counted is how long an instance that fell silent still counts for what
 	// all share: it may serve callers while it cannot be heard.
 	counted = 15 * time.Second
+	// judgeEvery is the least pause between two looks for what this instance lacks.
+	judgeEvery = 50 * time.Millisecond
 )
 
 // peer is another instance.
@@ -48,28 +56,65 @@
 	lacks  map[string]time.Duration
 	// read is when the store last told it of all tables; negative if never.
 	read time.Duration
+
+	centre spec.DataCentre
+	// version is that of its row in the roster, digest that of the instances that it
+	// knows; rosterAt is when it was last told them.
+	version  uint64
+	digest   uint64
+	rosterAt time.Duration
+	// cell is its cell by its own word, head whether it is one of the heads there.
+	cell string
+	head bool
+	// asks tells that it exchanges messages with this instance of its own accord.
+	asks bool
+	// tried is since when it is asked without having been heard.
+	tried time.Duration
+	// uses and paces are what it last told of its own requests.
+	uses  uses
+	paces map[spec.UpstreamID]float64
 }
 
+// uses is what requests take, by service and engine.
+type uses map[string]map[spec.UpstreamID]path.Use
+
 // Logic is one instance's part. Set the exported fields before use.
 type Logic struct {
-	ID    spec.InstanceID
-	URL   string
-	Self  Self
-	Taker Taker
+	ID         spec.InstanceID
+	DataCentre spec.DataCentre
+	URL        string
+	Self       Self
+	Taker      Taker
 	// Now is the clock that Passive reads, for callers outside of the ticks.
 	Now func() time.Time
 
 	peers map[spec.InstanceID]*peer
+	order []*peer
 	next  time.Duration
 	lags  map[string]lag
 	// hurry tells that others are to be told before the next beat.
 	hurry bool
+	// judged is when it was last looked for what this instance lacks.
+	judged time.Duration
+
+	layout   layout
+	arranged bool
+	// version is that of the own row in the roster, rosterDigest that of all known.
+	version      uint64
+	rosterDigest uint64
+	// sums is what requests of cells and of all others take, counts how many
+	// instances those are, and passing the events to be passed on.
+	sums    map[spec.InstanceID]sum
+	counts  map[string]headcount
+	passing []event
 
 	mu    sync.Mutex
 	count int
-	alive []spec.InstanceID
-	start time.Time
-	read  time.Duration
+	// follows tells that this instance is no head and holds no duty.
+	follows bool
+	alive   []spec.InstanceID
+	start   time.Time
+	read    time.Duration
 	// late tells that others know more for longer than patience.
 	late bool
 }
@@ -87,6 +132,8 @@
 	if l.peers == nil {
 		l.peers = map[spec.InstanceID]*peer{}
 		l.lags = map[string]lag{}
+		l.sums = map[spec.InstanceID]sum{}
+		l.counts = map[string]headcount{}
 	}
 	for _, ev := range events {
 		switch ev := ev.(type) {
@@ -96,7 +143,10 @@
 			l.heard(now, ev)
 		}
 	}
-	l.judge(now)
+	if l.judged == 0 || now-l.judged >= judgeEvery {
+		l.judged = now
+		l.judge(now)
+	}
 	news := l.Self.News()
 	if len(news) > 0 {
 		l.claim(news, l.Self.Marks())
@@ -104,9 +154,11 @@
 	hurry := l.hurry
 	l.hurry = false
 	switch {
-	case now >= l.next || len(news) > 0 || l.Self.Urgent():
+	case now >= l.next || len(news) > 0 || len(l.passing) > 0 || l.Self.Urgent():
 		l.next = now + beat
 		l.silence(now)
+		l.elect(now)
+		l.expire(now)
 		return l.tell(now)
 	case hurry:
 		return l.pass(now)
@@ -114,21 +166,12 @@
 	return nil
 }
 
-// listed notes where instances should be. One that moved is asked at its new
-// address.
-func (l *Logic) listed(ev node.Listed) {
-	for _, p := range ev.Peers {
-		if p.ID != l.ID {
-			l.peer(p.ID).url = p.URL
-		}
-	}
-}
-
 func (l *Logic) peer(id spec.InstanceID) *peer {
 	p := l.peers[id]
 	if p == nil {
 		p = &peer{id: id, told: map[string]telling{}, charge: map[string]uint64{}, lacks: map[string]time.Duration{}, read: -1}
 		l.peers[id] = p
+		l.arranged, l.rosterDigest = false, 0
 	}
 	return p
 }
@@ -149,20 +192,20 @@
 		p.alive = true
 		l.Taker.Met(p.id)
 	}
-	l.Taker.Used(p.id, m.Uses)
-	l.Taker.Paced(p.id, m.Paces)
+	p.cell, p.head, p.asks, p.digest = m.Cell, m.Head, !m.Reply, m.Known
+	l.settle(p, m.DataCentre)
+	for _, member := range m.Roster {
+		l.enrol(member, false)
+	}
+	l.load(now, p, m)
 	if len(m.Dead) > 0 {
 		l.Taker.Dead(p.id, m.Dead)
 	}
 	if len(m.Crashes) > 0 {
 		l.Taker.Crashed(p.id, m.Crashes)
 	}
-	for _, t := range m.Tables {
-		l.Taker.Told(t.Name, t.Since, t.Rows, feed.Mark{Version: t.Version, Digest: t.Digest}, p.id)
-		if len(t.Relay) > 0 {
-			l.relay(t, l.Self.Marks())
-		}
-	}
+	l.passOn(p, m)
+	l.told(p, m.Tables)
 	p.marks = make(map[string]feed.Mark, len(m.Versions))
 	for name := range m.Versions {
 		if mark, ok := m.mark(name); ok {
@@ -176,7 +219,7 @@
 // holds something else than this one; zero if there is none.
 func (l *Logic) ahead(table string, mine feed.Mark) uint64 {
 	version := uint64(0)
-	for _, p := range l.peers {
+	for _, p := range l.sorted() {
 		if m, ok := p.marks[table]; ok && m.Digest != mine.Digest && m.Version > max(mine.Version, version) {
 			version = m.Version
 		}
@@ -186,33 +229,38 @@
 
 // silence drops the instances that are not heard any more.
 func (l *Logic) silence(now time.Duration) {
-	count := 0
 	read := time.Duration(-1)
 	var alive []spec.InstanceID
 	for _, p := range l.sorted() {
-		if p.heard > 0 && now-p.heard < counted {
-			count++
-		}
 		if p.alive && now-p.heard >= silent {
 			p.alive = false
+			p.uses, p.paces = nil, nil
 			l.Taker.Missed(p.id)
 		}
-		if p.alive {
+		if !p.alive {
+			continue
+		}
+		read = max(read, p.read)
+		if l.layout.isFlat() || p.head {
 			alive = append(alive, p.id)
-			read = max(read, p.read)
 		}
 	}
+	count := l.instances(now) - 1
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.count, l.alive, l.read = count, alive, read
+	l.count, l.alive, l.read, l.follows = count, alive, read, !l.isHead()
 	l.start = l.Now().Add(-now)
 }
 
+// sorted are all other instances in the order of their names.
 func (l *Logic) sorted() []*peer {
-	out := make([]*peer, 0, len(l.peers))
+	if len(l.order) == len(l.peers) {
+		return l.order
+	}
+	l.order = l.order[:0]
 	for _, p := range l.peers {
-		out = append(out, p)
+		l.order = append(l.order, p)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].id < out[j].id })
-	return out
+	slices.SortFunc(l.order, func(a, b *peer) int { return cmp.Compare(a.id, b.id) })
+	return l.order
 }
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -24,9 +24,11 @@
 	dead  []spec.UpstreamID
 
 	used map[spec.InstanceID]int
-	met  map[spec.InstanceID]bool
-	told int
-	from []spec.InstanceID
+	// streams is how many streams the last told loads have, by who they are of.
+	streams map[spec.InstanceID]int
+	met     map[spec.InstanceID]bool
+	told    int
+	from    []spec.InstanceID
 
 	// news tells that the store brought a change; polled is the last read and
 	// readAt the same for what is told of it, zero for none.
@@ -67,8 +69,9 @@
 	return dead, nil
 }
 
-func (m *member) Used(from spec.InstanceID, _ map[string]map[spec.UpstreamID]path.Use) {
+func (m *member) Used(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Use) {
 	m.used[from]++
+	m.streams[from] = uses["s"]["e"].Streams
 }
 func (m *member) Paced(spec.InstanceID, map[spec.UpstreamID]float64) {}
 func (m *member) Told(_ string, since uint64, rows []feed.Row, mark feed.Mark, _ spec.InstanceID) {
@@ -80,7 +83,10 @@
 func (m *member) Dead(from spec.InstanceID, _ []spec.UpstreamID) { m.from = append(m.from, from) }
 func (m *member) Crashed(spec.InstanceID, []crash.Death)         {}
 func (m *member) Met(id spec.InstanceID)                         { m.met[id] = true }
-func (m *member) Missed(id spec.InstanceID)                      { delete(m.met, id) }
+func (m *member) Missed(id spec.InstanceID) {
+	delete(m.met, id)
+	delete(m.streams, id)
+}
 
 // fleet is instances that tick together; lost and drop lose messages, and those
 // that are silent do nothing.
@@ -96,18 +102,20 @@
 	refused func(spec.InstanceID) bool
 	now     time.Duration
 	sent    int
+	// sentBy and bytesBy are how many messages and bytes each member sent.
+	sentBy, bytesBy map[spec.InstanceID]int
 }
 
 func open(n int) *fleet { return openNamed(n, "i") }
 
 // openNamed opens a fleet of n members; their names begin with a prefix.
 func openNamed(n int, prefix string) *fleet {
-	f := &fleet{members: map[spec.InstanceID]*member{}, inbox: map[spec.InstanceID][]node.Event{}, silent: map[spec.InstanceID]bool{}}
+	f := &fleet{members: map[spec.InstanceID]*member{}, inbox: map[spec.InstanceID][]node.Event{}, silent: map[spec.InstanceID]bool{}, sentBy: map[spec.InstanceID]int{}, bytesBy: map[spec.InstanceID]int{}}
 	var peers []node.Peer
 	for k := range n {
 		id := spec.InstanceID(fmt.Sprintf("%s%d", prefix, k))
 		f.members[id] = f.newMember(id)
-		peers = append(peers, node.Peer{ID: id, URL: "http://" + string(id)})
+		peers = append(peers, node.Peer{ID: id, DataCentre: f.members[id].logic.DataCentre, URL: "http://" + string(id)})
 	}
 	for id := range f.members {
 		f.inbox[id] = []node.Event{node.Listed{Peers: peers}}
@@ -115,11 +123,20 @@
 	return f
 }
 
+// centres is how many data centres the members of a fleet are in.
+const centres = 5
+
+// centreOf is the data centre of a member, by the number that ends its name.
+func centreOf(id spec.InstanceID) spec.DataCentre {
+	n := int(id[len(id)-1]-'0') % centres
+	return spec.DataCentre(fmt.Sprintf("dc%d", n))
+}
+
 // newMember is an instance that has just started.
 func (f *fleet) newMember(id spec.InstanceID) *member {
-	m := &member{used: map[spec.InstanceID]int{}, met: map[spec.InstanceID]bool{}, fleet: f}
+	m := &member{used: map[spec.InstanceID]int{}, streams: map[spec.InstanceID]int{}, met: map[spec.InstanceID]bool{}, fleet: f}
 	clock := func() time.Time { return time.Unix(0, 0).Add(f.now) }
-	m.logic = &mesh.Logic{ID: id, URL: "http://" + string(id), Self: m, Taker: m, Now: clock}
+	m.logic = &mesh.Logic{ID: id, DataCentre: centreOf(id), URL: "http://" + string(id), Self: m, Taker: m, Now: clock}
 	return m
 }
 
@@ -150,6 +167,8 @@
 				continue
 			}
 			f.sent++
+			f.sentBy[id]++
+			f.bytesBy[id] += len(s.Data)
 			f.inbox[s.To] = append(f.inbox[s.To], node.Heard{From: id, Data: s.Data})
 		}
 	}
--- a/internal/fleet/mesh/message.go
+++ b/internal/fleet/mesh/message.go
@@ -29,8 +29,36 @@
 	Crashes []crash.Death `cbor:"7,keyasint,omitempty"`
 	// Paces are engines that work slower than usual, and how many times.
 	Paces map[spec.UpstreamID]float64 `cbor:"8,keyasint,omitempty"`
+	// DataCentre is that of the sender, Cell its cell, Head whether it is one of the
+	// heads there.
+	DataCentre spec.DataCentre `cbor:"10,keyasint,omitempty"`
+	Cell       string          `cbor:"11,keyasint,omitempty"`
+	Head       bool            `cbor:"12,keyasint,omitempty"`
+	// Scope tells whose requests Uses and Paces are about, Count how many instances
+	// that are.
+	Scope Scope `cbor:"13,keyasint,omitempty"`
+	Count int   `cbor:"14,keyasint,omitempty"`
+	// Reply tells that the message only answers those of the receiver.
+	Reply bool `cbor:"15,keyasint,omitempty"`
+	// Known is the digest of the instances that the sender knows, Roster those that
+	// the receiver seems to lack.
+	Known  uint64   `cbor:"16,keyasint,omitempty"`
+	Roster []Member `cbor:"17,keyasint,omitempty"`
 }
 
+// Scope is whose requests a message is about.
+type Scope int
+
+//go:generate stringer -type=Scope -linecomment -output=scope_string.go
+
+// The scopes.
+const (
+	ScopeOwn  Scope = iota // sender
+	ScopeCell              // cell of the sender
+	ScopeAll               // all but the receiver
+	ScopeNone              // none
+)
+
 // Table is the changes of a table after a version, all of it after 0. Version and
 // Digest are those of its sender.
 type Table struct {
@@ -73,6 +101,8 @@
 
 // Taker is told what others tell. It is called on the goroutine that ticks.
 type Taker interface {
+	// Used and Paced take what the requests of one instance or of several take and
+	// how slow engines are for them. from names them: an instance, a cell, or all.
 	Used(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Use)
 	Paced(from spec.InstanceID, paces map[spec.UpstreamID]float64)
 	Told(table string, since uint64, rows []feed.Row, m feed.Mark, from spec.InstanceID)
--- /dev/null
+++ b/internal/fleet/mesh/roster.go
@@ -0,0 +1,92 @@
+package mesh
+
+import (
+	"encoding/binary"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/node"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// rosterPause is the pause between two copies of the roster to one instance.
+const rosterPause = time.Second
+
+// Member is an instance that another one knows of.
+type Member struct {
+	ID         spec.InstanceID `cbor:"1,keyasint"`
+	URL        string          `cbor:"2,keyasint"`
+	DataCentre spec.DataCentre `cbor:"3,keyasint,omitempty"`
+	// Version is that of its row in the roster.
+	Version uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// listed notes where instances should be. One that moved is asked at its new
+// address.
+func (l *Logic) listed(ev node.Listed) {
+	for _, p := range ev.Peers {
+		l.enrol(Member{ID: p.ID, URL: p.URL, DataCentre: p.DataCentre, Version: p.Version}, true)
+	}
+}
+
+// enrol takes what the store or another instance knows of an instance. The newer row
+// of the roster holds; another instance that knows the same row may not have heard
+// yet that its instance moved.
+func (l *Logic) enrol(m Member, stored bool) {
+	l.rosterDigest = 0
+	if m.ID == l.ID {
+		l.version = max(l.version, m.Version)
+		return
+	}
+	p := l.peer(m.ID)
+	if p.url != "" && (m.Version < p.version || m.Version == p.version && !stored) {
+		return
+	}
+	p.url, p.version = m.URL, m.Version
+	l.settle(p, m.DataCentre)
+}
+
+// settle notes in which data centre an instance is.
+func (l *Logic) settle(p *peer, centre spec.DataCentre) {
+	if p.centre != centre {
+		p.centre, l.arranged = centre, false
+	}
+}
+
+// digest is that of the instances that this one knows.
+func (l *Logic) digest() uint64 {
+	if l.rosterDigest != 0 {
+		return l.rosterDigest
+	}
+	sum := rowDigest(l.ID, l.version)
+	for _, p := range l.sorted() {
+		sum += rowDigest(p.id, p.version)
+	}
+	l.rosterDigest = max(sum, 1)
+	return l.rosterDigest
+}
+
+func rowDigest(id spec.InstanceID, version uint64) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(id))
+	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, version))
+	return d.Sum64()
+}
+
+// roster is all instances that this one knows, for one that knows others; nil if it
+// knows the same or was told just now.
+func (l *Logic) roster(now time.Duration, p *peer) []Member {
+	if l.layout.isFlat() || !p.alive || p.digest == l.digest() || p.rosterAt > 0 && now-p.rosterAt < rosterPause {
+		return nil
+	}
+	p.rosterAt = now
+	out := []Member{{ID: l.ID, URL: l.URL, DataCentre: l.DataCentre, Version: l.version}}
+	for _, other := range l.sorted() {
+		if other.url != "" {
+			out = append(out, Member{ID: other.id, URL: other.url, DataCentre: other.centre, Version: other.version})
+		}
+	}
+	return out
+}
--- a/internal/fleet/mesh/spread.go
+++ b/internal/fleet/mesh/spread.go
@@ -42,11 +42,48 @@
 // done so.
 func (l *Logic) claim(news map[string]uint64, marks map[string]feed.Mark) {
 	for name, version := range news {
-		if l.known(name, version, marks[name]) {
-			continue
+		known := l.known(name, version, marks[name])
+		for _, p := range l.sorted() {
+			// Members hear of it from their primary head alone, whoever else knows.
+			if !known || l.isMember(p) {
+				p.charge[name] = marks[name].Version
+			}
 		}
-		for _, p := range l.peers {
-			p.charge[name] = marks[name].Version
+	}
+}
+
+// isMember reports whether an instance hears from this one what others know.
+func (l *Logic) isMember(p *peer) bool {
+	return !l.layout.isFlat() && l.isHead() && l.inCell(p.id) && !l.isHeadOf(p.id) && l.isPrimary(p.id)
+}
+
+// told takes rows from another instance and sees to it that those hear of them that
+// depend on this one.
+func (l *Logic) told(from *peer, tables []Table) {
+	for _, t := range tables {
+		before := l.Self.Marks()[t.Name]
+		l.Taker.Told(t.Name, t.Since, t.Rows, feed.Mark{Version: t.Version, Digest: t.Digest}, from.id)
+		marks := l.Self.Marks()
+		if len(t.Relay) > 0 {
+			l.relay(t, marks)
+		}
+		if marks[t.Name].Digest != before.Digest {
+			l.forward(from, t.Name, marks[t.Name].Version)
+		}
+	}
+}
+
+// forward has a head tell its members of a change, and the heads of other cells too
+// if it was one of its members that knew of it.
+func (l *Logic) forward(from *peer, table string, version uint64) {
+	if l.layout.isFlat() || !l.isHead() {
+		return
+	}
+	all := l.inCell(from.id) && !l.isHeadOf(from.id)
+	for _, p := range l.sorted() {
+		if p != from && (all || l.isMember(p)) {
+			p.charge[table] = version
+			l.hurry = true
 		}
 	}
 }
@@ -54,7 +91,7 @@
 // known reports whether another instance knows a change and holds the same of its
 // table. One that shows the same from before the change may hold anything by now.
 func (l *Logic) known(table string, version uint64, mine feed.Mark) bool {
-	for _, p := range l.peers {
+	for _, p := range l.sorted() {
 		if m, ok := p.marks[table]; ok && p.alive && m.Digest == mine.Digest && m.Version >= version {
 			return true
 		}
@@ -84,6 +121,10 @@
 	out := map[spec.InstanceID][]Table{}
 	for _, name := range slices.Sorted(maps.Keys(marks)) {
 		fresh, late := l.due(now, name, marks[name])
+		fresh, direct := l.relays(fresh)
+		for _, p := range direct {
+			out[p.id] = append(out[p.id], l.table(now, p, name, marks[name]))
+		}
 		for _, part := range split(fresh, fanout) {
 			head := slices.MaxFunc(part, heardFirst)
 			t := l.table(now, head, name, marks[name])
@@ -102,6 +143,19 @@
 	return out
 }
 
+// relays parts instances into those that can tell each other, and those that this
+// one has to tell itself.
+func (l *Logic) relays(all []*peer) (relays, direct []*peer) {
+	for _, p := range all {
+		if l.isHead() && l.isHeadOf(p.id) {
+			relays = append(relays, p)
+		} else {
+			direct = append(direct, p)
+		}
+	}
+	return relays, direct
+}
+
 // heardFirst orders instances by when they were heard. The one heard last passes
 // changes on: one that is frozen or has just ended is silent, and those behind it
 // would wait until they are told again.
@@ -169,14 +223,23 @@
 // among those that know it.
 func (l *Logic) teller(p *peer, name string, mine feed.Mark) bool {
 	ids := []spec.InstanceID{l.ID}
-	for _, other := range l.peers {
-		if other.alive && other.marks[name].Digest == mine.Digest {
+	for _, other := range l.sorted() {
+		if other.alive && other.marks[name].Digest == mine.Digest && l.reaches(other, p) {
 			ids = append(ids, other.id)
 		}
 	}
 	return slices.Contains(rank.Top(string(p.id), ids, tellers), l.ID)
 }
 
+// reaches reports whether another instance exchanges messages with p.
+func (l *Logic) reaches(other, p *peer) bool {
+	if l.layout.isFlat() {
+		return true
+	}
+	same := l.layout.by[other.id] == l.layout.by[p.id]
+	return l.isHeadOf(other.id) && (same || l.isHeadOf(p.id)) || same && l.isHeadOf(p.id)
+}
+
 // split parts instances into n groups of about the same size at most.
 func split(all []*peer, n int) [][]*peer {
 	var out [][]*peer
--- a/internal/fleet/mesh/spread_test.go
+++ b/internal/fleet/mesh/spread_test.go
@@ -30,6 +30,14 @@
 	changed = "config"
 )
 
+// seedsOf is how many fleets of a size are played.
+func seedsOf(instances int) uint64 {
+	if instances > 40 {
+		return seedsLarge
+	}
+	return seeds
+}
+
 // rows is a store that every member of a fleet may read.
 type rows struct {
 	log []feed.Row
@@ -154,10 +162,10 @@
 // hear of a change by relays; some instances are frozen. Whoever reads and
 // whoever is frozen, each live instance must know a change within two seconds.
 func TestChangeReachesAllWhoeverIsSilent(t *testing.T) {
-	for _, test := range []struct{ instances, silent int }{{4, 0}, {4, 1}, {4, 2}, {26, 2}, {33, 0}, {33, 2}, {33, 6}} {
+	for _, test := range []struct{ instances, silent int }{{4, 0}, {4, 1}, {4, 2}, {26, 2}, {33, 0}, {33, 2}, {33, 6}, {118, 0}, {118, 6}, {118, 24}} {
 		t.Run(fmt.Sprintf("%d instances, %d silent", test.instances, test.silent), func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(seeds) {
+			for seed := range seedsOf(test.instances) {
 				draw := rand.New(rand.NewPCG(seed, 1))
 				f := openNamed(test.instances, fmt.Sprintf("s%d-", seed))
 				r := &rows{}
@@ -180,10 +188,10 @@
 // are frozen. The others can learn of a change by each other alone, and must
 // within two seconds: whoever knows it has to see to it that all do.
 func TestChangeReachesAllFromOneReader(t *testing.T) {
-	for _, test := range []struct{ instances, silent int }{{4, 1}, {26, 2}, {33, 0}, {33, 2}, {33, 6}} {
+	for _, test := range []struct{ instances, silent int }{{4, 1}, {26, 2}, {33, 0}, {33, 2}, {33, 6}, {118, 0}, {118, 6}, {118, 24}} {
 		t.Run(fmt.Sprintf("%d instances, %d silent", test.instances, test.silent), func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(seeds) {
+			for seed := range seedsOf(test.instances) {
 				f := openNamed(test.instances, fmt.Sprintf("o%d-", seed))
 				r := &rows{}
 				r.put(changed, "old")
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -3,61 +3,189 @@
 import (
 	"time"
 
+	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/route/crash"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
-// tell is a message to each other instance, with what it lacks.
+// event is what was found once and is told once, on its way through a head.
+type event struct {
+	from    *peer
+	dead    []spec.UpstreamID
+	crashes []crash.Death
+}
+
+// passOn keeps what an instance found for those that hear of it through this head:
+// what a member found for all, what another cell found for its own members. Of the
+// heads that hear of it one passes it on.
+func (l *Logic) passOn(p *peer, m Message) {
+	if l.layout.isFlat() || !l.isHead() || len(m.Dead)+len(m.Crashes) == 0 {
+		return
+	}
+	if l.inCell(p.id) && (l.isHeadOf(p.id) || !l.isPrimary(p.id)) {
+		return
+	}
+	l.passing = append(l.passing, event{from: p, dead: m.Dead, crashes: m.Crashes})
+}
+
+// concerns reports whether an event is passed on to an instance.
+func (l *Logic) concerns(ev event, p *peer) bool {
+	switch {
+	case ev.from == p:
+		return false
+	case l.inCell(ev.from.id):
+		// The other head of the cell was told by the member as well.
+		return !l.inCell(p.id) || !l.isHeadOf(p.id)
+	}
+	return l.inCell(p.id) && !l.isHeadOf(p.id) && l.isPrimary(p.id)
+}
+
+// tell is a message to each instance that this one exchanges messages with, with
+// what it lacks.
 func (l *Logic) tell(now time.Duration) []node.Command {
-	m := l.message()
-	m.Dead, m.Crashes = l.Self.Fresh()
-	plain := encode(m)
+	d := l.draft(now)
+	dead, crashes := l.Self.Fresh()
 	tables := l.spread(now, l.Self.Marks())
+	passing := l.passing
+	l.passing = nil
 	var out []node.Command
 	for _, p := range l.sorted() {
-		if p.url == "" {
+		partner := l.isPartner(p.id)
+		if p.url == "" || !partner && !(p.alive && p.asks) {
 			continue
 		}
-		data := plain
-		switch m.Tables = tables[p.id]; {
-		case p.former:
-			data = encode(m.blind())
-		case len(m.Tables) > 0:
-			data = encode(m)
+		m := d.message(l.scope(p), p)
+		m.Reply = !partner
+		m.Dead, m.Crashes, m.Tables, m.Roster = dead, crashes, tables[p.id], l.roster(now, p)
+		for _, ev := range passing {
+			if l.concerns(ev, p) {
+				m.Dead = append(m.Dead[:len(m.Dead):len(m.Dead)], ev.dead...)
+				m.Crashes = append(m.Crashes[:len(m.Crashes):len(m.Crashes)], ev.crashes...)
+			}
 		}
-		out = append(out, node.Send{To: p.id, URL: p.url, Data: data})
+		out = append(out, node.Send{To: p.id, URL: p.url, Data: d.encode(m, p)})
 	}
 	return out
 }
 
 // pass tells those that this instance was asked to tell, before the next beat.
 func (l *Logic) pass(now time.Duration) []node.Command {
-	m := l.message()
+	d := l.draft(now)
 	var out []node.Command
 	for id, tables := range l.spread(now, l.Self.Marks()) {
-		m.Tables = tables
-		out = append(out, node.Send{To: id, URL: l.peers[id].url, Data: encode(m)})
+		p := l.peers[id]
+		m := d.message(ScopeNone, p)
+		if l.layout.isFlat() {
+			m = d.message(ScopeOwn, p)
+		}
+		m.Tables, m.Reply = tables, !l.isPartner(id)
+		out = append(out, node.Send{To: id, URL: p.url, Data: encode(m)})
 	}
 	return out
 }
 
-// message is what all are told, without what is told once.
-func (l *Logic) message() Message {
+// scope is what of the load another instance is told. A head in its own cell is told
+// by all members themselves.
+func (l *Logic) scope(p *peer) Scope {
+	switch {
+	case l.layout.isFlat(), !l.isHead() && l.inCell(p.id), l.inCell(p.id) && l.isHeadOf(p.id):
+		return ScopeOwn
+	case !l.isHead() || !l.isPrimary(p.id):
+		return ScopeNone
+	case l.inCell(p.id):
+		return ScopeAll
+	}
+	return ScopeCell
+}
+
+// draft is what the messages of one round have in common.
+type draft struct {
+	logic *Logic
+	plain Message
+	// own, cell and all are what requests take, summed up as far as it is asked for.
+	own, cell, all   uses
+	paces, cellPaces map[spec.UpstreamID]float64
+	allPaces         map[spec.UpstreamID]float64
+	near, total      int
+	encoded          map[Scope][]byte
+}
+
+func (l *Logic) draft(now time.Duration) *draft {
 	m := Message{
-		URL: l.URL, Uses: l.Self.Uses(), Versions: map[string]uint64{}, Digests: map[string]uint64{},
-		Age: l.Self.Age().Milliseconds(), Paces: l.Self.Paces(),
+		URL: l.URL, DataCentre: l.DataCentre, Versions: map[string]uint64{}, Digests: map[string]uint64{},
+		Age: l.Self.Age().Milliseconds(), Known: l.digest(),
 	}
 	for name, mark := range l.Self.Marks() {
 		m.Versions[name], m.Digests[name] = mark.Version, mark.Digest
 	}
+	if !l.layout.isFlat() {
+		m.Cell, m.Head = l.layout.mine.name, l.isHead()
+	}
+	return &draft{logic: l, plain: m, own: l.Self.Uses(), paces: l.Self.Paces(), near: l.near(now), total: l.instances(now), encoded: map[Scope][]byte{}}
+}
+
+// message is one of a scope, without what is told once.
+func (d *draft) message(scope Scope, p *peer) Message {
+	m := d.plain
+	m.Scope, m.Count = scope, d.near
+	switch scope {
+	case ScopeOwn:
+		m.Uses, m.Paces = d.own, d.paces
+	case ScopeCell:
+		d.sumUp()
+		m.Uses, m.Paces = d.cell, d.cellPaces
+	case ScopeAll:
+		d.sumUp()
+		m.Uses, m.Paces, m.Count = d.all.without(p.uses), d.allPaces, d.total
+		m.Age = d.logic.freshest(m.Age)
+	}
 	return m
 }
 
+// sumUp works out the sums once.
+func (d *draft) sumUp() {
+	if d.cell == nil {
+		d.cell, d.cellPaces = d.logic.cellSum()
+		d.all, d.allPaces = d.logic.total(d.cell, d.cellPaces)
+	}
+}
+
+// encode returns the bytes of a message. Those that differ by nothing but their
+// receiver are encoded once.
+func (d *draft) encode(m Message, p *peer) []byte {
+	if p.former {
+		return encode(m.blind())
+	}
+	if len(m.Dead)+len(m.Crashes)+len(m.Tables)+len(m.Roster) > 0 || m.Scope == ScopeAll || m.Reply {
+		return encode(m)
+	}
+	if d.encoded[m.Scope] == nil {
+		d.encoded[m.Scope] = encode(m)
+	}
+	return d.encoded[m.Scope]
+}
+
+// freshest is how long ago the store last told this instance or another head of all
+// tables, in milliseconds; negative if never. Members hear of other heads by it.
+func (l *Logic) freshest(age int64) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.read < 0 {
+		return age
+	}
+	other := (l.Now().Sub(l.start) - l.read).Milliseconds()
+	if age < 0 {
+		return other
+	}
+	return min(age, other)
+}
+
 // blind is the message for an instance that does not show what it holds: it is
 // told nothing, so it must not leave reading to this one.
 func (m Message) blind() Message {
-	m.Age = -1
+	m.Age, m.Tables = -1, nil
 	return m
 }
 
--- a/internal/fleet/node/api.go
+++ b/internal/fleet/node/api.go
@@ -17,6 +17,8 @@
 	DataCentre spec.DataCentre
 	// URL is where its peer endpoint answers.
 	URL string
+	// Version is that of its row in the roster; zero if it has none.
+	Version uint64
 	// Passive says that it takes no duties and no forwarded requests: it still
 	// catches up, or is on its way out. Only Members fills it.
 	Passive bool
--- a/internal/route/path/use.go
+++ b/internal/route/path/use.go
@@ -26,6 +26,17 @@
 	u.Spread += o.Spread
 }
 
+// Plus is what both take together.
+func (u Use) Plus(o Use) Use {
+	u.add(o)
+	return u
+}
+
+// Minus is what is left of u without a part of it.
+func (u Use) Minus(o Use) Use {
+	return Use{Streams: u.Streams - o.Streams, Cells: u.Cells - o.Cells, Unread: u.Unread - o.Unread, Spread: u.Spread - o.Spread}
+}
+
 // peak is the memory in tokens times layers that the requests take at most but
 // for one moment in a thousand.
 func (u Use) peak() float64 {
