Starting instances ask the store less

Now the duty waits 0.5 s after a start, the row is written first and read on a conflict, and each message of a head to a member carries the newest read it knows of.

--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -132,20 +132,22 @@
 
 func (c *crowd) key() string { return rosterTable + "/" + string(c.id) }
 
+// write writes the own row. Most instances start for the first time, so that the row
+// of a former process is looked for only if there is one.
 func (c *crowd) write(ctx context.Context) error {
-	var version uint64
-	row, err := c.store.Get(ctx, c.key())
-	switch {
-	case err == nil:
-		version = row.Version()
-	case !errors.Is(err, store.ErrMissing):
-		return err
-	}
 	data, err := cbor.Marshal(rosterRow{URL: c.url, DataCentre: c.centre})
 	if err != nil {
 		return errors.Wrap(err, "edge: roster")
 	}
-	_, err = c.store.Commit(ctx, []store.Write{store.Put(c.key(), version, data)})
+	_, err = c.store.Commit(ctx, []store.Write{store.Put(c.key(), 0, data)})
+	if !errors.Is(err, store.ErrConflict) {
+		return err
+	}
+	row, err := c.store.Get(ctx, c.key())
+	if err != nil {
+		return err
+	}
+	_, err = c.store.Commit(ctx, []store.Write{store.Put(c.key(), row.Version(), data)})
 	return err
 }
 
--- a/internal/app/edge/sweep.go
+++ b/internal/app/edge/sweep.go
@@ -7,9 +7,16 @@
 	"fulmarwick/internal/state/feed"
 )
 
+// holdWait is how long after its start an instance contends for no duty: before it
+// hears others it is the first one for each, and all that start would contend.
+const holdWait = 500 * time.Millisecond
+
 // hold contends for the duty of planning while this instance is one of the
 // first two for it, so that the others need not read the lease.
 func (i *Instance) hold(ctx context.Context) {
+	if !feed.Sleep(ctx, holdWait) {
+		return
+	}
 	for {
 		if i.crowd.logic.Place(dutyPlan) < planners {
 			// An error is counted with the call and seen in what is held.
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -109,7 +109,13 @@
 	paces, cellPaces map[spec.UpstreamID]float64
 	allPaces         map[spec.UpstreamID]float64
 	near, total      int
-	encoded          map[Scope][]byte
+	encoded          map[kind][]byte
+}
+
+// kind is what the messages of one round differ by that tell no news.
+type kind struct {
+	scope Scope
+	age   int64
 }
 
 func (l *Logic) draft(now time.Duration) *draft {
@@ -123,7 +129,7 @@
 	if !l.layout.isFlat() {
 		m.Cell, m.Head = l.layout.mine.name, l.isHead()
 	}
-	return &draft{logic: l, plain: m, own: l.Self.Uses(), paces: l.Self.Paces(), near: l.near(now), total: l.instances(now), encoded: map[Scope][]byte{}}
+	return &draft{logic: l, plain: m, own: l.Self.Uses(), paces: l.Self.Paces(), near: l.near(now), total: l.instances(now), encoded: map[kind][]byte{}}
 }
 
 // message is one of a scope, without what is told once.
@@ -139,7 +145,9 @@
 	case ScopeAll:
 		d.sumUp()
 		m.Uses, m.Paces, m.Count = d.all.without(p.uses), d.allPaces, d.total
-		m.Age = d.logic.freshest(m.Age)
+	}
+	if l := d.logic; !l.layout.isFlat() && l.isHead() && l.inCell(p.id) && !l.isHeadOf(p.id) {
+		m.Age = l.freshest(m.Age)
 	}
 	return m
 }
@@ -161,10 +169,11 @@
 	if len(m.Dead)+len(m.Crashes)+len(m.Tables)+len(m.Roster) > 0 || m.Scope == ScopeAll || m.Reply {
 		return encode(m)
 	}
-	if d.encoded[m.Scope] == nil {
-		d.encoded[m.Scope] = encode(m)
+	k := kind{scope: m.Scope, age: m.Age}
+	if d.encoded[k] == nil {
+		d.encoded[k] = encode(m)
 	}
-	return d.encoded[m.Scope]
+	return d.encoded[k]
 }
 
 // freshest is how long ago the store last told this instance or another head of all
