--- a/internal/fakes/depot/depot.go
+++ b/internal/fakes/depot/depot.go
@@ -34,6 +34,8 @@
 	Shape stand.Shape
 	// Retry bounds repeats; zero is the usual bound.
 	Retry setup.Retry
+	// Handshake is how long an engine takes for a new connection.
+	Handshake time.Duration
 	// Log is that of the instances; nil has none.
 	Log *zap.Logger
 
@@ -67,6 +69,7 @@
 // Open starts everything and waits until layers are placed.
 func (d *Depot) Open(ctx context.Context) error {
 	d.site = stand.NewSite()
+	d.site.Handshake = d.Handshake
 	if d.Shape.Layers > 0 {
 		d.site.Shape = d.Shape
 	}
