A large fleet asks engines one after another and does not believe one instance alone

Cause: streams of all 118 instances fall silent at the same moment; each asks every engine it suspects over a new connection, which an engine takes one after another (1 ms each). Healthy engines answer after 28 and 118 ms, are taken for dead, and one such finding cancels the second question of all others. Runs are moved off them, with more connections and questions.

Above 40 instances: each asks at some moment of 1.5 ms times their number, and waits 1 ms longer for each; what another instance found counts as proof once three did, and is believed without a question where the own streams are silent too; of the engines that are down each instance asks a part.

--- a/internal/app/edge/question.go
+++ b/internal/app/edge/question.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/state/feed"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -57,8 +59,11 @@
 }
 
 func (w *watcher) question(ctx context.Context, q *inquiry) {
-	start := time.Now()
 	up := q.up
+	if !feed.Sleep(ctx, w.stagger()) || w.router.Down(up.Service, up.ID) {
+		return
+	}
+	start := time.Now()
 	report, late, err := w.report(ctx, up, askTime)
 	if late && (!q.proved() || w.isBusy()) {
 		report, err = w.reportAgain(ctx, q)
@@ -73,16 +78,41 @@
 		}
 		return
 	}
+	evidence := "silence"
+	if q.proved() {
+		evidence = "silence of many"
+	}
+	if w.condemn(ctx, up, evidence, time.Since(start), err) {
+		w.found(up.ID)
+	}
+}
+
+// condemn marks an engine as dead and takes the runs off it; false if it was marked.
+func (w *watcher) condemn(ctx context.Context, up site.Upstream, evidence string, after time.Duration, err error) bool {
 	if !w.router.down(up) {
-		return
+		return false
 	}
 	w.log.Warn("edge: engine does not answer", zap.String("engine", string(up.ID)), zap.String("address", up.Address),
-		zap.Bool("proof", q.proved()), zap.Duration("after", time.Since(start)), zap.Error(err))
-	w.found(up.ID)
+		zap.String("evidence", evidence), zap.Duration("after", after), zap.Error(err))
 	// The engine must be asked again meanwhile: it may come back.
 	go w.leave(ctx, up)
+	return true
 }
 
+// stagger is how long this instance waits before it asks an engine. Streams of all
+// instances fall silent at the same moment, and an engine takes their connections one
+// after another: asked by all of a large fleet at once, healthy engines answered too
+// late and were taken for dead.
+func (w *watcher) stagger() time.Duration {
+	if !w.isCrowded() {
+		return 0
+	}
+	return rand.N(time.Duration(w.router.instances()) * askSpacing)
+}
+
+// isCrowded reports whether there are more instances than may ask an engine at once.
+func (w *watcher) isCrowded() bool { return w.router.instances() > askAtOnce }
+
 // reportAgain gives an engine that did not answer more time, unless proof comes
 // meanwhile and this process gets the processor in time: streams of a dead engine
 // must not wait for the second question once others have found it.
@@ -100,7 +130,8 @@
 			}
 		}()
 	}
-	report, _, err := w.report(ctx, q.up, askAgain)
+	crowd := max(0, w.router.instances()-askAtOnce)
+	report, _, err := w.report(ctx, q.up, askAgain+time.Duration(crowd)*connectTime)
 	return report, err
 }
 
@@ -151,12 +182,55 @@
 
 // told takes an engine that another instance found dead. It is asked only if
 // streams of this instance pass it: dozens of instances that all ask would
-// keep each other busy.
+// keep each other busy. In a large fleet one instance may be wrong, and all that
+// believed it would be; what several found is believed without a question where the
+// streams of this instance are silent as well.
 func (w *watcher) told(ctx context.Context, id spec.UpstreamID) {
 	up, used := w.router.avoid(id)
-	if used {
-		w.ask(ctx, up, true)
+	proof := !w.isCrowded() || w.isCorroborated(id)
+	switch {
+	case !used:
+	case w.isCrowded() && proof && !w.isBusy() && w.isQuiet(up, time.Now()):
+		w.condemn(ctx, up, "told", 0, nil)
+	default:
+		w.ask(ctx, up, proof)
+	}
+}
+
+// finding is how many instances found an engine dead since a time.
+type finding struct {
+	n     int
+	since time.Time
+}
+
+// isCorroborated notes that one more instance found an engine dead, and reports
+// whether enough of them did.
+func (w *watcher) isCorroborated(id spec.UpstreamID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := w.findings[id]
+	if time.Since(f.since) >= corroboration {
+		f = finding{since: time.Now()}
+	}
+	f.n++
+	w.findings[id] = f
+	return f.n >= corroborated
+}
+
+// isQuiet reports whether all streams that pass an engine are silent for longer than
+// usual.
+func (w *watcher) isQuiet(up site.Upstream, now time.Time) bool {
+	r := w.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.group(up.Service).over(up.ID) {
+		last := f.Last()
+		silence := now.Sub(last) - w.clock.Lost(last, now)
+		if f.Gap() == 0 || silence < max(quietLeast, quietGaps*f.Gap()) {
+			return false
+		}
 	}
+	return true
 }
 
 // avoid gives an engine nothing new for a moment and reports whether streams
--- a/internal/app/edge/race_test.go
+++ b/internal/app/edge/race_test.go
@@ -13,3 +13,6 @@
 	changeFleets = []int{2, 5}
 	listFleets   = []int{4}
 )
+
+// probing is how many instances see the same engine die.
+const probing = 48
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -28,6 +29,21 @@
 	askAgain = 90 * time.Millisecond
 	// askMost bounds a question though this process does not run.
 	askMost = 2 * time.Second
+	// askAtOnce is how many instances may ask an engine at the same moment: that many
+	// new connections are taken within the time for an answer. Of more, each asks at
+	// some moment of askSpacing times their number, and waits connectTime longer for
+	// each.
+	askAtOnce   = 40
+	askSpacing  = 1500 * time.Microsecond
+	connectTime = time.Millisecond
+	// corroborated is how many instances must have found an engine dead, within
+	// corroboration, for another one to believe it.
+	corroborated  = 3
+	corroboration = time.Second
+	// quietLeast and quietGaps are the silence, at least and in usual pauses, that
+	// bears out what another instance found.
+	quietLeast = 40 * time.Millisecond
+	quietGaps  = 2
 	// busyLate is the delay of a look that shows that the processor is short,
 	// busyTime how long that counts.
 	busyLate = 12 * time.Millisecond
@@ -88,13 +104,15 @@
 	asking map[spec.UpstreamID]*inquiry
 	knock  time.Time
 	lag    time.Time
+	// findings are the engines that other instances found dead.
+	findings map[spec.UpstreamID]finding
 	// leaving are the engines that leave, with the time at which their streams
 	// go on elsewhere.
 	leaving map[spec.UpstreamID]departure
 }
 
 func newWatcher(r *router, e engines, log *zap.Logger) *watcher {
-	return &watcher{router: r, engines: e, log: log, watch: map[string]*stall.Watch{}, asking: map[spec.UpstreamID]*inquiry{}, leaving: map[spec.UpstreamID]departure{}, ticks: newTicks, clock: awake.Clock{Every: lookEvery, Least: busyLate}}
+	return &watcher{router: r, engines: e, log: log, watch: map[string]*stall.Watch{}, asking: map[spec.UpstreamID]*inquiry{}, findings: map[spec.UpstreamID]finding{}, leaving: map[spec.UpstreamID]departure{}, ticks: newTicks, clock: awake.Clock{Every: lookEvery, Least: busyLate}}
 }
 
 // newTicks is a ticker of the real clock.
@@ -143,7 +161,7 @@
 func (w *watcher) look(ctx context.Context, now time.Time) {
 	w.router.admitAll()
 	for _, s := range w.silent(now) {
-		w.ask(ctx, s.up, s.many)
+		w.ask(ctx, s.up, s.many && !w.isCrowded())
 	}
 	for _, up := range w.due(now) {
 		// Orders for other paths wait for answers; the next look must not.
@@ -152,7 +170,9 @@
 	if now.Sub(w.knock) >= knockEvery {
 		w.knock = now
 		for _, up := range w.router.downs() {
-			w.ask(ctx, up, false)
+			if w.isTurn() {
+				w.ask(ctx, up, false)
+			}
 		}
 	}
 	if now.Sub(w.lag) >= lagEvery {
@@ -163,6 +183,12 @@
 	}
 }
 
+// isTurn reports whether this instance is among those that ask the engines that are
+// down this time.
+func (w *watcher) isTurn() bool {
+	return rand.IntN(max(1, w.router.instances())) < askAtOnce
+}
+
 // silentEngine is an engine that may be dead.
 type silentEngine struct {
 	up   site.Upstream
@@ -199,13 +225,31 @@
 	out := make([]stall.Stream, 0, len(g.flights))
 	for f, t := range g.flights {
 		g.reread(f, t)
-		last := f.Last()
+		if g.passesDown(t.chain) {
+			// Its silence is explained: the other engines of its path wait as well.
+			continue
+		}
+		last, writing := f.Last(), !t.unread
+		if last.Before(t.moved) {
+			// The engines that are new to the run read all of its tokens first.
+			last, writing = t.moved, false
+		}
 		heard := last.Sub(w.router.start) + w.clock.Lost(last, now)
-		out = append(out, stall.Stream{Chain: t.chain, Last: heard, Gap: f.Gap(), Writing: !t.unread})
+		out = append(out, stall.Stream{Chain: t.chain, Last: heard, Gap: f.Gap(), Writing: writing})
 	}
 	return out
 }
 
+// passesDown reports whether a path passes an engine that does not answer.
+func (g *group) passesDown(chain spec.Chain) bool {
+	for _, stage := range chain {
+		if g.model.Silent(stage.Engine()) {
+			return true
+		}
+	}
+	return false
+}
+
 // downs are the engines that do not answer.
 func (r *router) downs() []site.Upstream {
 	r.mu.Lock()
--- a/internal/app/edge/whole_test.go
+++ b/internal/app/edge/whole_test.go
@@ -11,3 +11,6 @@
 	changeFleets = []int{2, 5, 9, 12, 16}
 	listFleets   = []int{4, 14, 16, 20}
 )
+
+// probing is how many instances see the same engine die.
+const probing = 118
