An engine that seemed dead is asked once more before a stream runs on a third one

Now they count as soon as the engine answers again; before a run that would be one too many but for them they are asked again, for 0.4 s at most; a run is not moved while its first engine lives if the attempts could be used up by them. An order for another path waits for the connections of other instances as well: given up after 60 ms it had the run begin anew. TestEnginesThatStandStillAreAttempts: 4 runs before, 2 at most after.

--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -177,6 +178,18 @@
 	return chain[0].Engine()
 }
 
+// Gone asks an engine that does not answer once more and reports whether it is gone.
+func (r *router) Gone(ctx context.Context, service string, id spec.UpstreamID) bool {
+	r.mu.Lock()
+	g := r.group(service)
+	up, listed := site.Upstream{}, false
+	if g.model != nil {
+		up, listed = g.model.Upstream(id)
+	}
+	r.mu.Unlock()
+	return !listed || up.State != site.StateReady || r.isDead(ctx, up)
+}
+
 // Down reports whether an engine does not answer.
 func (r *router) Down(service string, id spec.UpstreamID) bool {
 	r.mu.Lock()
--- a/internal/app/edge/leave.go
+++ b/internal/app/edge/leave.go
@@ -224,7 +224,7 @@
 // the run stays. A run that passes a dead engine cannot go on as it is and begins
 // anew instead.
 func (w *watcher) repath(ctx context.Context, s shift, dead bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, repathTime)
+	ctx, cancel := context.WithTimeout(ctx, repathTime+w.queueTime())
 	defer cancel()
 	err := w.engines.Repath(ctx, s.first, site.Repath{Engine: s.chain[0].Engine(), Request: s.flight.Request, Path: s.hops})
 	if err == nil {
--- a/internal/app/edge/probe_test.go
+++ b/internal/app/edge/probe_test.go
@@ -57,3 +57,23 @@
 		}
 	})
 }
+
+// Guards against a stream that runs on more engines than its attempts allow: its first
+// engines stand still one after the other, are taken for dead, and live.
+func TestEnginesThatStandStillAreAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := open(t, 1)
+		defer w.close()
+		done := make(chan answer)
+		go func() { done <- w.ask(0, http.MethodPost, "/write/1", "long", "300,1800") }()
+		for range 3 {
+			time.Sleep(500 * time.Millisecond)
+			w.site.Freeze(w.busiest(), 450*time.Millisecond)
+			time.Sleep(1500 * time.Millisecond)
+		}
+		<-done
+		if n := w.site.Runs("long"); n > 2 {
+			t.Errorf("got %d runs, want 2 at most", n)
+		}
+	})
+}
--- a/internal/app/edge/question.go
+++ b/internal/app/edge/question.go
@@ -110,6 +110,19 @@
 	return rand.N(time.Duration(w.router.instances()) * askSpacing)
 }
 
+// queueTime is how long an engine may take for the connections of other instances
+// before that of this one.
+func (w *watcher) queueTime() time.Duration {
+	return time.Duration(max(0, w.router.instances()-askAtOnce)) * connectTime
+}
+
+// isDead asks an engine that seemed dead once more and reports whether it still does
+// not answer.
+func (w *watcher) isDead(ctx context.Context, up site.Upstream) bool {
+	report, _, err := w.report(ctx, up, confirmTime)
+	return err != nil || !w.router.heard(up, report)
+}
+
 // isCrowded reports whether there are more instances than may ask an engine at once.
 func (w *watcher) isCrowded() bool { return w.router.instances() > askAtOnce }
 
@@ -130,8 +143,7 @@
 			}
 		}()
 	}
-	crowd := max(0, w.router.instances()-askAtOnce)
-	report, _, err := w.report(ctx, q.up, askAgain+time.Duration(crowd)*connectTime)
+	report, _, err := w.report(ctx, q.up, askAgain+w.queueTime())
 	return report, err
 }
 
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -45,8 +46,10 @@
 	// instances is how many instances share the bound on repeats.
 	instances func() int
 	start     time.Time
-	// doubted is told of engines that may be dead.
+	// doubted is told of engines that may be dead, isDead asks one that seemed dead
+	// once more.
 	doubted func(site.Upstream)
+	isDead  func(context.Context, site.Upstream) bool
 
 	mu     sync.Mutex
 	bounds setup.Retry
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -27,6 +27,9 @@
 	// late. Without it one death under load has all instances take most engines for
 	// dead, and the moves that follow keep them busy.
 	askAgain = 90 * time.Millisecond
+	// confirmTime is how long an engine that seemed dead may take to answer before a
+	// request may run on one engine more than its attempts allow.
+	confirmTime = 400 * time.Millisecond
 	// askMost bounds a question though this process does not run.
 	askMost = 2 * time.Second
 	// askAtOnce is how many instances may ask an engine at the same moment: that many
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"fulmarwick/internal/base/spec"
@@ -49,6 +50,9 @@
 	Refused(f *Flight, address string) spec.UpstreamID
 	// Down reports whether an engine is known not to answer.
 	Down(service string, id spec.UpstreamID) bool
+	// Gone asks an engine that is known not to answer once more and reports whether it
+	// has ended or leaves.
+	Gone(ctx context.Context, service string, id spec.UpstreamID) bool
 	// Leaving reports whether an engine says that it leaves, or is gone.
 	Leaving(service string, id spec.UpstreamID) bool
 }
@@ -198,7 +202,7 @@
 		return nil, err
 	}
 	f.Request = s.call.Ask.ID
-	f.Spare = s.attempts()+1 < s.call.Route.Attempts
+	f.Spare = s.ran+len(s.spared)+1 < s.call.Route.Attempts
 	return f, nil
 }
 
@@ -254,6 +258,21 @@
 	return n
 }
 
+// mayRunAgain reports whether an attempt is left. Where the next run would be one too
+// many but for engines that seem to have ended, these are asked first.
+func (s *stream) mayRunAgain() bool {
+	if s.ran+len(s.spared) >= s.call.Route.Attempts {
+		s.spared = slices.DeleteFunc(s.spared, func(id spec.UpstreamID) bool {
+			gone := s.models.Paths.Gone(s.ctx, s.call.Service.Name, id)
+			if !gone {
+				s.ran++
+			}
+			return !gone
+		})
+	}
+	return s.attempts() < s.call.Route.Attempts
+}
+
 // again reports whether the request may run once more. One whose caller has a part
 // of the answer waits for that.
 func (s *stream) again(f *Flight, err error) bool {
@@ -266,7 +285,7 @@
 		return false
 	case errors.Is(err, errUnsent), errors.Is(err, errMoved) && f.isPaid():
 		return true
-	case !refused && (!s.call.Route.Repeatable() || s.attempts() >= s.call.Route.Attempts):
+	case !refused && (!s.call.Route.Repeatable() || !s.mayRunAgain()):
 		return false
 	case s.begun:
 		return s.awaitRepeat(refused)
