--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -129,20 +129,7 @@
 
 // Tick takes events and returns what is to be sent.
 func (l *Logic) Tick(now time.Duration, events []node.Event) []node.Command {
-	if l.peers == nil {
-		l.peers = map[spec.InstanceID]*peer{}
-		l.lags = map[string]lag{}
-		l.sums = map[spec.InstanceID]sum{}
-		l.counts = map[string]headcount{}
-	}
-	for _, ev := range events {
-		switch ev := ev.(type) {
-		case node.Listed:
-			l.listed(ev)
-		case node.Heard:
-			l.heard(now, ev)
-		}
-	}
+	l.take(now, events)
 	if l.judged == 0 || now-l.judged >= judgeEvery {
 		l.judged = now
 		l.judge(now)
@@ -166,6 +153,24 @@
 	return nil
 }
 
+// take takes what came since the last tick.
+func (l *Logic) take(now time.Duration, events []node.Event) {
+	if l.peers == nil {
+		l.peers = map[spec.InstanceID]*peer{}
+		l.lags = map[string]lag{}
+		l.sums = map[spec.InstanceID]sum{}
+		l.counts = map[string]headcount{}
+	}
+	for _, ev := range events {
+		switch ev := ev.(type) {
+		case node.Listed:
+			l.listed(ev)
+		case node.Heard:
+			l.heard(now, ev)
+		}
+	}
+}
+
 func (l *Logic) peer(id spec.InstanceID) *peer {
 	p := l.peers[id]
 	if p == nil {
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -52,8 +52,8 @@
 	l.passing = nil
 	var out []node.Command
 	for _, p := range l.sorted() {
-		partner := l.isPartner(p.id)
-		if p.url == "" || !partner && !(p.alive && p.asks) {
+		partner, asks := l.isPartner(p.id), p.alive && p.asks
+		if p.url == "" || !partner && !asks {
 			continue
 		}
 		m := d.message(l.scope(p), p)
