Half of the bound on repeats is a pool for the instances that need it

Load pattern: seven of 190 engines die, and those that the death cuts off refuse runs; the instances in front of them have many refusals in a second, the others none. Instances tell each other how often they sent first and took from the pool; in each round of messages one takes at most an even part of what is left, divided by the three rounds that news take, so that all at once cannot take more than there is. Who is not heard has its even share, and the pool is smaller by it.

--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -10,6 +10,7 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/mesh"
 	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/route/again"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/state/feed"
@@ -228,6 +229,14 @@
 	c.router.paced(from, paces)
 }
 
+// Repeats is how often the own requests were sent.
+func (c *crowd) Repeats() map[string]again.Count { return c.router.repeats() }
+
+// Repeated takes how often requests of other instances were sent.
+func (c *crowd) Repeated(from spec.InstanceID, repeats map[string]again.Count) {
+	c.router.repeated(from, repeats)
+}
+
 // Told takes rows that another instance knows.
 func (c *crowd) Told(table string, since uint64, rows []feed.Row, m feed.Mark, from spec.InstanceID) {
 	c.belief.Told(table, since, rows, m, from)
@@ -265,6 +274,7 @@
 	c.log.Warn("edge: instance missed", zap.String("peer", string(id)))
 	c.router.used(id, nil)
 	c.router.paced(id, nil)
+	c.router.repeated(id, nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.alive, id)
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -54,7 +54,9 @@
 	mu     sync.Mutex
 	bounds setup.Retry
 	groups map[string]*group
-	book   crash.Book
+	// told is how often requests of other instances were sent.
+	told map[spec.InstanceID]toldRepeats
+	book crash.Book
 	// deaths are upstreams that died here with the requests that they ran, for
 	// the other instances.
 	deaths []crash.Death
@@ -144,5 +146,5 @@
 func (r *router) Again(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.group(service).budget.Allow(r.now(), r.instances())
+	return r.group(service).budget.Allow(r.now(), r.instances(), r.others(service))
 }
--- a/internal/app/edge/share.go
+++ b/internal/app/edge/share.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"time"
+
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/again"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
 )
@@ -51,6 +54,48 @@
 	}
 }
 
+// repeatsTime is how long what others told of their repeats counts.
+const repeatsTime = time.Second
+
+// toldRepeats is what other instances told of their repeats.
+type toldRepeats struct {
+	counts map[string]again.Count
+	at     time.Duration
+}
+
+// repeats is how often requests of this instance were sent, by service.
+func (r *router) repeats() map[string]again.Count {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]again.Count, len(r.groups))
+	for name, g := range r.groups {
+		out[name] = g.budget.Count(r.now())
+	}
+	return out
+}
+
+// repeated takes how often requests of others were sent; nil forgets it.
+func (r *router) repeated(from spec.InstanceID, counts map[string]again.Count) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if counts == nil {
+		delete(r.told, from)
+		return
+	}
+	r.told[from] = toldRepeats{counts: counts, at: r.now()}
+}
+
+// others is what other instances did lately for a service; r.mu is held.
+func (r *router) others(service string) again.Count {
+	var sum again.Count
+	for _, t := range r.told {
+		if r.now()-t.at < repeatsTime {
+			sum = sum.Plus(t.counts[service])
+		}
+	}
+	return sum
+}
+
 // paces are the engines that said here that they are slow.
 func (r *router) paces() map[spec.UpstreamID]float64 {
 	r.mu.Lock()
--- a/internal/fleet/mesh/cell_test.go
+++ b/internal/fleet/mesh/cell_test.go
@@ -33,6 +33,13 @@
 			continue
 		}
 		m := f.members[id]
+		first := 0
+		for _, sent := range m.first {
+			first += sent
+		}
+		if first != 2*(n-1) {
+			t.Errorf("%s: got %d requests of others, want %d", id, first, 2*(n-1))
+		}
 		if m.others() != n-1 || m.logic.Count() != n {
 			t.Errorf("%s: got %d streams of others and %d instances, want %d and %d", id, m.others(), m.logic.Count(), n-1, n)
 		}
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -19,7 +19,6 @@
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/node"
-	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/state/feed"
 
 	"github.com/fxamacker/cbor/v2"
@@ -70,14 +69,10 @@
 	asks bool
 	// tried is since when it is asked without having been heard.
 	tried time.Duration
-	// uses and paces are what it last told of its own requests.
-	uses  uses
-	paces map[spec.UpstreamID]float64
+	// load is what it last told of its own requests; nil if that does not count.
+	load *load
 }
 
-// uses is what requests take, by service and engine.
-type uses map[string]map[spec.UpstreamID]path.Use
-
 // Logic is one instance's part. Set the exported fields before use.
 type Logic struct {
 	ID         spec.InstanceID
@@ -202,7 +197,7 @@
 	for _, member := range m.Roster {
 		l.enrol(member, false)
 	}
-	l.load(now, p, m)
+	l.takeLoad(now, p, m)
 	if len(m.Dead) > 0 {
 		l.Taker.Dead(p.id, m.Dead)
 	}
@@ -239,7 +234,7 @@
 	for _, p := range l.sorted() {
 		if p.alive && now-p.heard >= silent {
 			p.alive = false
-			p.uses, p.paces = nil, nil
+			p.load = nil
 			l.Taker.Missed(p.id)
 		}
 		if !p.alive {
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -10,6 +10,7 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/mesh"
 	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/route/again"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/state/feed"
@@ -26,9 +27,11 @@
 	used map[spec.InstanceID]int
 	// streams is how many streams the last told loads have, by who they are of.
 	streams map[spec.InstanceID]int
-	met     map[spec.InstanceID]bool
-	told    int
-	from    []spec.InstanceID
+	// first is how many requests they sent for the first time.
+	first map[spec.InstanceID]int
+	met   map[spec.InstanceID]bool
+	told  int
+	from  []spec.InstanceID
 
 	// news tells that the store brought a change; polled is the last read and
 	// readAt the same for what is told of it, zero for none.
@@ -73,6 +76,13 @@
 	m.used[from]++
 	m.streams[from] = uses["s"]["e"].Streams
 }
+func (m *member) Repeats() map[string]again.Count {
+	return map[string]again.Count{"s": {Of: 1, First: 2}}
+}
+
+func (m *member) Repeated(from spec.InstanceID, repeats map[string]again.Count) {
+	m.first[from] = repeats["s"].First
+}
 func (m *member) Paced(spec.InstanceID, map[spec.UpstreamID]float64) {}
 func (m *member) Told(_ string, since uint64, rows []feed.Row, mark feed.Mark, _ spec.InstanceID) {
 	m.told++
@@ -86,6 +96,7 @@
 func (m *member) Missed(id spec.InstanceID) {
 	delete(m.met, id)
 	delete(m.streams, id)
+	delete(m.first, id)
 }
 
 // fleet is instances that tick together; lost and drop lose messages, and those
@@ -134,7 +145,7 @@
 
 // newMember is an instance that has just started.
 func (f *fleet) newMember(id spec.InstanceID) *member {
-	m := &member{used: map[spec.InstanceID]int{}, streams: map[spec.InstanceID]int{}, met: map[spec.InstanceID]bool{}, fleet: f}
+	m := &member{used: map[spec.InstanceID]int{}, streams: map[spec.InstanceID]int{}, first: map[spec.InstanceID]int{}, met: map[spec.InstanceID]bool{}, fleet: f}
 	clock := func() time.Time { return time.Unix(0, 0).Add(f.now) }
 	m.logic = &mesh.Logic{ID: id, DataCentre: centreOf(id), URL: "http://" + string(id), Self: m, Taker: m, Now: clock}
 	return m
--- a/internal/fleet/mesh/message.go
+++ b/internal/fleet/mesh/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/again"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/state/feed"
@@ -44,6 +45,8 @@
 	// the receiver seems to lack.
 	Known  uint64   `cbor:"16,keyasint,omitempty"`
 	Roster []Member `cbor:"17,keyasint,omitempty"`
+	// Repeats is how often requests were sent, by service.
+	Repeats map[string]again.Count `cbor:"18,keyasint,omitempty"`
 }
 
 // Scope is whose requests a message is about.
@@ -92,6 +95,7 @@
 	// Age is how long ago the store last told of all tables; negative if never.
 	Age() time.Duration
 	Paces() map[spec.UpstreamID]float64
+	Repeats() map[string]again.Count
 	// Since returns the changes after a version, or the whole table since 0.
 	Since(table string, version uint64) (since uint64, p feed.Page)
 	// Fresh returns the engines found dead and the deaths of upstreams with the
@@ -101,10 +105,12 @@
 
 // Taker is told what others tell. It is called on the goroutine that ticks.
 type Taker interface {
-	// Used and Paced take what the requests of one instance or of several take and
-	// how slow engines are for them. from names them: an instance, a cell, or all.
+	// Used, Paced and Repeated take what the requests of one instance or of several
+	// take, how slow engines are for them, and how often they were sent. from names
+	// them: an instance, a cell, or all.
 	Used(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Use)
 	Paced(from spec.InstanceID, paces map[spec.UpstreamID]float64)
+	Repeated(from spec.InstanceID, repeats map[string]again.Count)
 	Told(table string, since uint64, rows []feed.Row, m feed.Mark, from spec.InstanceID)
 	// Known tells how much another instance knows.
 	Known(table string, m feed.Mark)
--- a/internal/fleet/mesh/spread.go
+++ b/internal/fleet/mesh/spread.go
@@ -16,8 +16,8 @@
 	// it; each of them tells its part of the others. A configuration is some ten
 	// kilobytes: to send it to a few dozen instances would fill the link of one.
 	fanout = 4
-	// again is how many instances are told once more in one message round.
-	again = 8
+	// lateMost is how many instances are told once more in one message round.
+	lateMost = 8
 	// tellAgain is after how long an instance that was told of a change and does
 	// not show it is told again: the message was lost, it restarted, or who should
 	// have told it is frozen.
@@ -136,7 +136,7 @@
 			}
 			out[head.id] = append(out[head.id], t)
 		}
-		for _, p := range late[:min(len(late), again)] {
+		for _, p := range late[:min(len(late), lateMost)] {
 			out[p.id] = append(out[p.id], l.table(now, p, name, marks[name]))
 		}
 	}
--- a/internal/fleet/mesh/sum.go
+++ b/internal/fleet/mesh/sum.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/again"
 	"fulmarwick/internal/route/path"
 )
 
@@ -19,11 +20,20 @@
 	sourceCell = "cell:"
 )
 
-// sum is what the requests of several instances take, as last told.
+// load is what requests take and do, as told by one instance or by several.
+type load struct {
+	uses    uses
+	paces   map[spec.UpstreamID]float64
+	repeats map[string]again.Count
+}
+
+// uses is what requests take, by service and engine.
+type uses map[string]map[spec.UpstreamID]path.Use
+
+// sum is the load of several instances, as last told.
 type sum struct {
-	uses  uses
-	paces map[spec.UpstreamID]float64
-	at    time.Duration
+	load
+	at time.Duration
 }
 
 // headcount is how many instances there are somewhere, as last told.
@@ -32,38 +42,44 @@
 	at time.Duration
 }
 
-// load takes what requests elsewhere take. Each request counts once: a member takes
-// the sum of all, a head the sums of other cells and its own members one by one.
-func (l *Logic) load(now time.Duration, p *peer, m Message) {
+// takeLoad takes what requests elsewhere take. Each request counts once: a member
+// takes the sum of all, a head the sums of other cells and its own members one by one.
+func (l *Logic) takeLoad(now time.Duration, p *peer, m Message) {
 	if m.Head && m.Cell != "" {
 		l.counts[m.Cell] = headcount{n: m.Count, at: now}
 	}
+	told := load{uses: m.Uses, paces: m.Paces, repeats: m.Repeats}
 	if m.Scope == ScopeOwn && l.isCountedAlone(p) {
-		p.uses, p.paces = m.Uses, m.Paces
-		l.Taker.Used(p.id, m.Uses)
-		l.Taker.Paced(p.id, m.Paces)
+		p.load = &told
+		l.report(p.id, told)
 		return
 	}
 	l.drop(p)
 	switch {
 	case l.layout.isFlat():
 	case l.isHead() && m.Scope == ScopeCell && m.Cell != l.layout.mine.name:
-		l.sum(spec.InstanceID(sourceCell+m.Cell), sum{uses: m.Uses, paces: m.Paces, at: now})
+		l.takeSum(now, spec.InstanceID(sourceCell+m.Cell), told)
 	case !l.isHead() && m.Scope == ScopeAll && m.Cell == l.layout.mine.name:
 		l.counts[totalCount] = headcount{n: m.Count, at: now}
-		l.sum(sourceAll, sum{uses: m.Uses, paces: m.Paces, at: now})
+		l.takeSum(now, sourceAll, told)
 	}
 }
 
-// totalCount names the count of all instances, as a member hears of it.
-const totalCount = ""
+func (l *Logic) takeSum(now time.Duration, from spec.InstanceID, told load) {
+	l.sums[from] = sum{load: told, at: now}
+	l.report(from, told)
+}
 
-func (l *Logic) sum(from spec.InstanceID, s sum) {
-	l.sums[from] = s
-	l.Taker.Used(from, s.uses)
-	l.Taker.Paced(from, s.paces)
+// report tells of the load of one instance or of several.
+func (l *Logic) report(from spec.InstanceID, told load) {
+	l.Taker.Used(from, told.uses)
+	l.Taker.Paced(from, told.paces)
+	l.Taker.Repeated(from, told.repeats)
 }
 
+// totalCount names the count of all instances, as a member hears of it.
+const totalCount = ""
+
 // expire forgets sums that are not told any more, and what no longer fits the part
 // that this instance has.
 func (l *Logic) expire(now time.Duration) {
@@ -71,8 +87,7 @@
 		stale := now-s.at >= sumTime
 		if misfit := (from == sourceAll) == l.isHead() || l.layout.isFlat(); stale || misfit {
 			delete(l.sums, from)
-			l.Taker.Used(from, nil)
-			l.Taker.Paced(from, nil)
+			l.report(from, load{})
 		}
 	}
 	for _, p := range l.sorted() {
@@ -90,37 +105,64 @@
 
 // drop forgets what an instance told of its own requests.
 func (l *Logic) drop(p *peer) {
-	if p.uses == nil && p.paces == nil {
-		return
+	if p.load != nil {
+		p.load = nil
+		l.report(p.id, load{})
 	}
-	p.uses, p.paces = nil, nil
-	l.Taker.Used(p.id, nil)
-	l.Taker.Paced(p.id, nil)
 }
 
-// cellSum is what the requests of the own cell take.
-func (l *Logic) cellSum() (uses, map[spec.UpstreamID]float64) {
-	out := uses{}
-	out.add(l.Self.Uses())
-	paces := map[spec.UpstreamID]float64{}
-	slower(paces, l.Self.Paces())
+// own is the load of this instance.
+func (l *Logic) own() load {
+	return load{uses: l.Self.Uses(), paces: l.Self.Paces(), repeats: l.Self.Repeats()}
+}
+
+// cellSum is the load of the own cell.
+func (l *Logic) cellSum(own load) load {
+	out := newLoad()
+	out.add(own)
 	for _, p := range l.sorted() {
-		out.add(p.uses)
-		slower(paces, p.paces)
+		if p.load != nil {
+			out.add(*p.load)
+		}
 	}
-	return out, paces
+	return out
 }
 
-// total is what the requests of all instances take.
-func (l *Logic) total(cell uses, paces map[spec.UpstreamID]float64) (uses, map[spec.UpstreamID]float64) {
-	out := uses{}
+// total is the load of all instances.
+func (l *Logic) total(cell load) load {
+	out := newLoad()
 	out.add(cell)
-	slowest := maps.Clone(paces)
 	for _, s := range l.sums {
-		out.add(s.uses)
-		slower(slowest, s.paces)
+		out.add(s.load)
+	}
+	return out
+}
+
+func newLoad() load {
+	return load{uses: uses{}, paces: map[spec.UpstreamID]float64{}, repeats: map[string]again.Count{}}
+}
+
+// add adds what other instances told.
+func (d load) add(o load) {
+	d.uses.add(o.uses)
+	for id, pace := range o.paces {
+		d.paces[id] = max(d.paces[id], pace)
+	}
+	for service, c := range o.repeats {
+		d.repeats[service] = d.repeats[service].Plus(c)
 	}
-	return out, slowest
+}
+
+// without is what is left without one instance. The slowest pace of an engine stays.
+func (d load) without(o *load) load {
+	if o == nil {
+		return d
+	}
+	out := load{uses: d.uses.without(o.uses), paces: d.paces, repeats: maps.Clone(d.repeats)}
+	for service, c := range o.repeats {
+		out.repeats[service] = out.repeats[service].Minus(c)
+	}
+	return out
 }
 
 // add adds what other requests take.
@@ -152,13 +194,6 @@
 	return out
 }
 
-// slower keeps the slower pace of each engine.
-func slower(mine, o map[spec.UpstreamID]float64) {
-	for id, pace := range o {
-		mine[id] = max(mine[id], pace)
-	}
-}
-
 // instances is how many instances share what is bounded for all, this one among
 // them. Those that nothing is known of count.
 func (l *Logic) instances(now time.Duration) int {
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -104,12 +104,12 @@
 type draft struct {
 	logic *Logic
 	plain Message
-	// own, cell and all are what requests take, summed up as far as it is asked for.
-	own, cell, all   uses
-	paces, cellPaces map[spec.UpstreamID]float64
-	allPaces         map[spec.UpstreamID]float64
-	near, total      int
-	encoded          map[kind][]byte
+	// own, cell and all are the loads, summed up as far as it is asked for.
+	own         load
+	cell        *load
+	all         load
+	near, total int
+	encoded     map[kind][]byte
 }
 
 // kind is what the messages of one round differ by that tell no news.
@@ -129,23 +129,25 @@
 	if !l.layout.isFlat() {
 		m.Cell, m.Head = l.layout.mine.name, l.isHead()
 	}
-	return &draft{logic: l, plain: m, own: l.Self.Uses(), paces: l.Self.Paces(), near: l.near(now), total: l.instances(now), encoded: map[kind][]byte{}}
+	return &draft{logic: l, plain: m, own: l.own(), near: l.near(now), total: l.instances(now), encoded: map[kind][]byte{}}
 }
 
 // message is one of a scope, without what is told once.
 func (d *draft) message(scope Scope, p *peer) Message {
 	m := d.plain
 	m.Scope, m.Count = scope, d.near
+	var told load
 	switch scope {
 	case ScopeOwn:
-		m.Uses, m.Paces = d.own, d.paces
+		told = d.own
 	case ScopeCell:
 		d.sumUp()
-		m.Uses, m.Paces = d.cell, d.cellPaces
+		told = *d.cell
 	case ScopeAll:
 		d.sumUp()
-		m.Uses, m.Paces, m.Count = d.all.without(p.uses), d.allPaces, d.total
+		told, m.Count = d.all.without(p.load), d.total
 	}
+	m.Uses, m.Paces, m.Repeats = told.uses, told.paces, told.repeats
 	if l := d.logic; !l.layout.isFlat() && l.isHead() && l.inCell(p.id) && !l.isHeadOf(p.id) {
 		m.Age = l.freshest(m.Age)
 	}
@@ -155,8 +157,8 @@
 // sumUp works out the sums once.
 func (d *draft) sumUp() {
 	if d.cell == nil {
-		d.cell, d.cellPaces = d.logic.cellSum()
-		d.all, d.allPaces = d.logic.total(d.cell, d.cellPaces)
+		cell := d.logic.cellSum(d.own)
+		d.cell, d.all = &cell, d.logic.total(cell)
 	}
 }
 
--- a/internal/route/again/again_test.go
+++ b/internal/route/again/again_test.go
@@ -33,7 +33,7 @@
 				b.First(now)
 				first[tick]++
 				for range 8 {
-					if b.Allow(now, n) {
+					if b.Allow(now, n, again.Count{}) {
 						more[tick]++
 					}
 				}
@@ -52,13 +52,13 @@
 func TestBudgetIsUsed(t *testing.T) {
 	b := &again.Budget{Ratio: ratio, Allowance: allowance, Window: window}
 	got := 0
-	for b.Allow(0, 4) {
+	for b.Allow(0, 4, again.Count{}) {
 		got++
 	}
 	if want := 39; got != want {
 		t.Errorf("got %d repeats, want %d: eight tenths of a quarter of the allowance", got, want)
 	}
-	if !b.Allow(2*window, 4) {
+	if !b.Allow(2*window, 4, again.Count{}) {
 		t.Error("got no repeat two windows later, want one")
 	}
 }
@@ -88,7 +88,7 @@
 			budgets[at].First(now)
 			first++
 			for range 4 {
-				if budgets[at].Allow(now, test.instances) {
+				if budgets[at].Allow(now, test.instances, again.Count{}) {
 					more++
 				}
 			}
@@ -101,3 +101,72 @@
 		}
 	}
 }
+
+// Guards against more repeats than the bound where instances share a pool: what they
+// know of each other is up to three rounds old, some are not heard at all, and all ask
+// at once.
+func TestPoolStaysBelowTheBound(t *testing.T) {
+	const round = 200 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 60).Draw(t, "instances")
+		lost := rapid.IntRange(0, n/4).Draw(t, "not heard")
+		rate := rapid.IntRange(0, 12).Draw(t, "requests")
+		greedy := rapid.IntRange(1, n).Draw(t, "greedy")
+		late := rapid.IntRange(0, 3).Draw(t, "rounds until heard")
+		const rounds = 150
+		budgets := make([]*again.Budget, n)
+		for i := range budgets {
+			budgets[i] = &again.Budget{Ratio: ratio, Allowance: allowance, Window: window}
+		}
+		var counts [rounds][]again.Count
+		var first, more [rounds]int
+		for k := range rounds {
+			now := time.Duration(k) * round
+			for _, b := range budgets {
+				counts[k] = append(counts[k], b.Count(now))
+			}
+			for i, b := range budgets {
+				for range rate {
+					b.First(now)
+					first[k]++
+				}
+				if i >= greedy && i < n-lost {
+					continue
+				}
+				var others again.Count
+				for j, c := range counts[max(0, k-late)][:n-lost] {
+					if j != i && i < n-lost {
+						others = others.Plus(c)
+					}
+				}
+				for b.Allow(now, n, others) {
+					more[k]++
+				}
+			}
+			f, m := 0, 0
+			for j := max(0, k-49); j <= k; j++ {
+				f, m = f+first[j], m+more[j]
+			}
+			if bound := ratio*float64(f) + allowance; float64(m) > bound {
+				t.Fatalf("round %d: got %d repeats for %d requests in a window, want %.0f at most", k, m, f, bound)
+			}
+		}
+	})
+}
+
+// Guards against an instance that refuses callers for want of a repeat while all
+// others use none.
+func TestPoolServesWhoNeedsIt(t *testing.T) {
+	const instances = 118
+	b := &again.Budget{Ratio: ratio, Allowance: 774, Window: window}
+	others := again.Count{Of: instances - 1, First: 5400}
+	got := 0
+	for k := range 50 {
+		for b.Allow(time.Duration(k)*200*time.Millisecond, instances, others) {
+			got++
+		}
+	}
+	if want := 10 * 774 / instances; got < want {
+		t.Errorf("got %d repeats in a window, want ten times its even share of the allowance, %d", got, want)
+	}
+}
