Engines that take requests anew are not rushed, and all other instances count

Load pattern: spares have loaded the layers of dead engines and are seen empty by 118 instances, which hear of each other's choices after up to 0.6 s, at 530 requests a second. The cost of such an engine now falls to what its load says within 2 s, from a height that grows with the instances: 1.1 at 4, 1.8 at 33, 3.9 at 118.

Two counts of the other instances went by the sources of loads, of which there is one in a cell: what the others send over the pipe between data centres, and what they move off a dead engine. Both now count instances.

--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -96,6 +96,7 @@
 	full := false
 	best, bestCost := -1, math.Inf(1)
 	for _, e := range t.engines {
+		e.see(a.Now)
 		if !a.allows(e) {
 			continue
 		}
@@ -126,7 +127,7 @@
 	held := e.up.Held.Layers
 	to := min(held.To(), a.To)
 	cost := math.Inf(1)
-	chance := 1 + t.spread(a.Haste)
+	chance := (1 + t.spread(a.Haste)) * t.warmth(a.Now, e)
 	try := func(from int, base float64, before int) {
 		layers := spec.NewLayers(from, to)
 		c, fits := t.cost(a.Need, e, layers.Len())
--- a/internal/route/path/cost.go
+++ b/internal/route/path/cost.go
@@ -36,6 +36,25 @@
 	return blur * t.Random()
 }
 
+const (
+	// slowStart is how long an engine that takes requests anew is preferred less than
+	// its load says: all instances see it empty, and hear of each other's choices only
+	// after a while.
+	slowStart = 2 * time.Second
+	// slowStartOthers is how many other instances double the cost of such an engine at
+	// first.
+	slowStartOthers = 40.0
+)
+
+// warmth is the factor on the cost of an engine that takes requests anew.
+func (t *Table) warmth(now time.Duration, e *engine) float64 {
+	age := now - e.since
+	if age >= slowStart {
+		return 1
+	}
+	return 1 + float64(t.instances())/slowStartOthers*(1-float64(age)/float64(slowStart))
+}
+
 // before is the cost of the way to the first engine of a path or of its part.
 func (t *Table) before(a Ask, to spec.DataCentre) float64 {
 	if a.From > 0 {
@@ -72,7 +91,7 @@
 	if n.Haste {
 		// The other instances move their streams in the same moment, and what
 		// they chose is known only after it.
-		unread += e.again * len(t.peers)
+		unread += e.again * t.instances()
 	}
 	read := t.read(e, float64(n.Prompt*layers+unread))
 	fill := after / limit
--- a/internal/route/path/path_test.go
+++ b/internal/route/path/path_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -356,3 +358,54 @@
 		t.Errorf("got %v 310 ms after one refusal, want a path", err)
 	}
 }
+
+// Guards against all instances of a large fleet sending what comes in one moment to
+// engines that have just loaded their layers, since each sees them empty.
+func TestFreshEnginesAreNotRushed(t *testing.T) {
+	const (
+		instances = 118
+		chains    = 8
+		streams   = 16
+	)
+	usual := path.Need{Prompt: 774, Answer: 200}
+	rushed := func(others int) int {
+		n := 0
+		for k := range uint64(instances) {
+			random := rand.New(rand.NewPCG(k, 1))
+			tab := &path.Table{Model: model(), Centre: "east", Random: random.Float64, Others: func() int { return others }}
+			var ups []site.Upstream
+			for c := range chains {
+				for i := range 4 {
+					ups = append(ups, engine(fmt.Sprintf("c%d-%d", c, i), "l40s", "east", 20*i, 20*i+20))
+				}
+			}
+			fresh := ups
+			for i := range 4 {
+				fresh = append(fresh, engine(fmt.Sprintf("new-%d", i), "l40s", "east", 20*i, 20*i+20))
+			}
+			tab.Sync(ups)
+			uses := map[spec.UpstreamID]path.Use{}
+			for _, up := range ups {
+				uses[up.ID] = path.Use{Streams: streams, Cells: streams * 874 * 20, Unread: 1500 * 20}
+			}
+			tab.Peer("all", uses)
+			choose(t, tab)
+			tab.Sync(fresh)
+			chain, err := tab.Choose(10*time.Second, usual, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, stage := range chain {
+				if strings.HasPrefix(string(stage.Engine()), "new") {
+					n++
+					break
+				}
+			}
+		}
+		return n
+	}
+	t.Logf("%d of %d choose the new engines as if alone, %d knowing of the others", rushed(0), instances, rushed(instances-1))
+	if got, want := rushed(instances-1), instances/2; got > want {
+		t.Errorf("got %d of %d at the new engines in one moment, want half at most", got, instances)
+	}
+}
--- a/internal/route/path/pipe.go
+++ b/internal/route/path/pipe.go
@@ -23,7 +23,7 @@
 func (t *Table) Cross(now time.Duration, c spec.Chain, n Need) {
 	for i := 1; i < len(c); i++ {
 		if t.centre(c[i-1].Engine()) != t.centre(c[i].Engine()) {
-			t.pipe = max(t.pipe, now) + t.Model.Crossing(n.Prompt+n.Answer)*time.Duration(len(t.peers)+1)
+			t.pipe = max(t.pipe, now) + t.Model.Crossing(n.Prompt+n.Answer)*time.Duration(t.instances()+1)
 		}
 	}
 }
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -30,7 +30,10 @@
 	// for its last refusal; zero once it has served since.
 	rest    time.Duration
 	refused time.Duration
-	mine    Use
+	// since is when it was first seen to take requests after it took none; zero while
+	// it takes none.
+	since time.Duration
+	mine  Use
 	// again is the part of mine.Unread that is read once more.
 	again int
 	// others is what the requests of other instances take.
@@ -49,6 +52,8 @@
 	Centre spec.DataCentre
 	// Random draws from [0, 1); nil always draws 0.
 	Random func() float64
+	// Others is how many other instances choose paths; nil counts those of Peer.
+	Others func() int
 
 	engines []*engine
 	byID    map[spec.UpstreamID]*engine
@@ -90,6 +95,14 @@
 	t.sum()
 }
 
+// instances is how many other instances choose paths.
+func (t *Table) instances() int {
+	if t.Others == nil {
+		return len(t.peers)
+	}
+	return t.Others()
+}
+
 // Peer sets what the requests of another instance take; nil forgets it.
 func (t *Table) Peer(from spec.InstanceID, uses map[spec.UpstreamID]Use) {
 	if t.peers == nil {
@@ -295,3 +308,13 @@
 func (e *engine) usable(now time.Duration) bool {
 	return !e.down && now >= e.rest && e.up.State == site.StateReady && e.up.Held.Layers.Len() > 0
 }
+
+// see notes since when the engine takes requests.
+func (e *engine) see(now time.Duration) {
+	switch {
+	case !e.usable(now):
+		e.since = 0
+	case e.since == 0:
+		e.since = max(now, 1)
+	}
+}
