--- a/internal/app/edge/question.go
+++ b/internal/app/edge/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,35 +13,34 @@
 	"go.uber.org/zap"
 )
 
-// inquiry is a question to an engine that may be dead.
-type inquiry struct {
+// probe is a question to an engine that may be dead.
+type probe struct {
 	up site.Upstream
-	// proof is closed when there is more against the engine than its silence
-	// to a question: many of its streams are silent, or another instance found
-	// it dead.
-	proof chan struct{}
-	once  sync.Once
+	// evidence is closed when there is more against the engine than its silence
+	// to a question: many of its streams are silent, or others found it dead.
+	evidence chan struct{}
+	once     sync.Once
 }
 
-func (q *inquiry) prove() { q.once.Do(func() { close(q.proof) }) }
+func (q *probe) confirm() { q.once.Do(func() { close(q.evidence) }) }
 
-func (q *inquiry) proved() bool {
+func (q *probe) isConfirmed() bool {
 	select {
-	case <-q.proof:
+	case <-q.evidence:
 		return true
 	default:
 		return false
 	}
 }
 
-// ask finds out in the background whether an engine lives. proof tells that
+// ask finds out in the background whether an engine lives. confirmed tells that
 // there is more against it than a missing answer would be.
-func (w *watcher) ask(ctx context.Context, up site.Upstream, proof bool) {
+func (w *watcher) ask(ctx context.Context, up site.Upstream, confirmed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	q := w.asking[up.ID]
 	if q == nil {
-		q = &inquiry{up: up, proof: make(chan struct{})}
+		q = &probe{up: up, evidence: make(chan struct{})}
 		w.asking[up.ID] = q
 		go func() {
 			defer func() {
@@ -50,22 +48,23 @@
 				defer w.mu.Unlock()
 				delete(w.asking, up.ID)
 			}()
-			w.question(ctx, q)
+			w.probe(ctx, q)
 		}()
 	}
-	if proof {
-		q.prove()
+	if confirmed {
+		q.confirm()
 	}
 }
 
-func (w *watcher) question(ctx context.Context, q *inquiry) {
+// probe asks an engine and takes its runs elsewhere if it is dead.
+func (w *watcher) probe(ctx context.Context, q *probe) {
 	up := q.up
 	if !feed.Sleep(ctx, w.stagger()) || w.router.Down(up.Service, up.ID) {
 		return
 	}
 	start := time.Now()
 	report, late, err := w.report(ctx, up, askTime)
-	if late && (!q.proved() || w.isBusy()) {
+	if late && (!q.isConfirmed() || w.isBusy()) {
 		report, err = w.reportAgain(ctx, q)
 	}
 	if ctx.Err() != nil {
@@ -79,7 +78,7 @@
 		return
 	}
 	evidence := "silence"
-	if q.proved() {
+	if q.isConfirmed() {
 		evidence = "silence of many"
 	}
 	if w.condemn(ctx, up, evidence, time.Since(start), err) {
@@ -99,37 +98,10 @@
 	return true
 }
 
-// stagger is how long this instance waits before it asks an engine. Streams of all
-// instances fall silent at the same moment, and an engine takes their connections one
-// after another: asked by all of a large fleet at once, healthy engines answered too
-// late and were taken for dead.
-func (w *watcher) stagger() time.Duration {
-	if !w.isCrowded() {
-		return 0
-	}
-	return rand.N(time.Duration(w.router.instances()) * askSpacing)
-}
-
-// queueTime is how long an engine may take for the connections of other instances
-// before that of this one.
-func (w *watcher) queueTime() time.Duration {
-	return time.Duration(max(0, w.router.instances()-askAtOnce)) * connectTime
-}
-
-// isDead asks an engine that seemed dead once more and reports whether it still does
-// not answer.
-func (w *watcher) isDead(ctx context.Context, up site.Upstream) bool {
-	report, _, err := w.report(ctx, up, confirmTime)
-	return err != nil || !w.router.heard(up, report)
-}
-
-// isCrowded reports whether there are more instances than may ask an engine at once.
-func (w *watcher) isCrowded() bool { return w.router.instances() > askAtOnce }
-
-// reportAgain gives an engine that did not answer more time, unless proof comes
+// reportAgain gives an engine that did not answer more time, unless evidence comes
 // meanwhile and this process gets the processor in time: streams of a dead engine
 // must not wait for the second question once others have found it.
-func (w *watcher) reportAgain(ctx context.Context, q *inquiry) (site.Report, error) {
+func (w *watcher) reportAgain(ctx context.Context, q *probe) (site.Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if !w.isBusy() {
@@ -137,7 +109,7 @@
 		defer close(stop)
 		go func() {
 			select {
-			case <-q.proof:
+			case <-q.evidence:
 				cancel()
 			case <-stop:
 			}
@@ -192,59 +164,6 @@
 	return time.Since(w.busy) < busyTime
 }
 
-// told takes an engine that another instance found dead. It is asked only if
-// streams of this instance pass it: dozens of instances that all ask would
-// keep each other busy. In a large fleet one instance may be wrong, and all that
-// believed it would be; what several found is believed without a question where the
-// streams of this instance are silent as well.
-func (w *watcher) told(ctx context.Context, id spec.UpstreamID) {
-	up, used := w.router.avoid(id)
-	proof := !w.isCrowded() || w.isCorroborated(id)
-	switch {
-	case !used:
-	case w.isCrowded() && proof && !w.isBusy() && w.isQuiet(up, time.Now()):
-		w.condemn(ctx, up, "told", 0, nil)
-	default:
-		w.ask(ctx, up, proof)
-	}
-}
-
-// finding is how many instances found an engine dead since a time.
-type finding struct {
-	n     int
-	since time.Time
-}
-
-// isCorroborated notes that one more instance found an engine dead, and reports
-// whether enough of them did.
-func (w *watcher) isCorroborated(id spec.UpstreamID) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	f := w.findings[id]
-	if time.Since(f.since) >= corroboration {
-		f = finding{since: time.Now()}
-	}
-	f.n++
-	w.findings[id] = f
-	return f.n >= corroborated
-}
-
-// isQuiet reports whether all streams that pass an engine are silent for longer than
-// usual.
-func (w *watcher) isQuiet(up site.Upstream, now time.Time) bool {
-	r := w.router
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, f := range r.group(up.Service).over(up.ID) {
-		last := f.Last()
-		silence := now.Sub(last) - w.clock.Lost(last, now)
-		if f.Gap() == 0 || silence < max(quietLeast, quietGaps*f.Gap()) {
-			return false
-		}
-	}
-	return true
-}
-
 // avoid gives an engine nothing new for a moment and reports whether streams
 // pass it.
 func (r *router) avoid(id spec.UpstreamID) (up site.Upstream, used bool) {
--- a/internal/app/edge/queue.go
+++ b/internal/app/edge/queue.go
@@ -18,8 +18,8 @@
 	// loading takes longer than any target.
 	noneWait = 8
 	// tries is how many waiting requests look for room at each chance: a large
-	// one must not keep out smaller ones behind it, and each look takes some
-	// 30 us of the router's lock.
+	// one must not keep out smaller ones behind it, and each look holds the router's
+	// lock.
 	tries = 4
 	// firstTime is the time to the first event that is assumed before one came,
 	// firstWeight that of the newest in the average.
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -104,7 +104,7 @@
 	mu     sync.Mutex
 	busy   time.Time
 	watch  map[string]*stall.Watch
-	asking map[spec.UpstreamID]*inquiry
+	asking map[spec.UpstreamID]*probe
 	knock  time.Time
 	lag    time.Time
 	// findings are the engines that other instances found dead.
@@ -115,7 +115,7 @@
 }
 
 func newWatcher(r *router, e engines, log *zap.Logger) *watcher {
-	return &watcher{router: r, engines: e, log: log, watch: map[string]*stall.Watch{}, asking: map[spec.UpstreamID]*inquiry{}, findings: map[spec.UpstreamID]finding{}, leaving: map[spec.UpstreamID]departure{}, ticks: newTicks, clock: awake.Clock{Every: lookEvery, Least: busyLate}}
+	return &watcher{router: r, engines: e, log: log, watch: map[string]*stall.Watch{}, asking: map[spec.UpstreamID]*probe{}, findings: map[spec.UpstreamID]finding{}, leaving: map[spec.UpstreamID]departure{}, ticks: newTicks, clock: awake.Clock{Every: lookEvery, Least: busyLate}}
 }
 
 // newTicks is a ticker of the real clock.
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -24,16 +24,11 @@
 	// centre is taken to cost: the bytes of the answer are paid for.
 	entry = 10.0
 	// crossing weighs the time for which a request fills the pipe between data
-	// centres, in which all others wait. One request takes 28 ms of a pipe of
-	// 13 Gbit/s; where streams of a dead engine went on in other data centres,
-	// theirs and all that crossed paused for 1.3 s, though the engines were
-	// told after 0.1 s.
+	// centres, in which all others wait.
 	crossing = 12.0
 	// crowd is the time in milliseconds added for an engine whose memory is
 	// promised to the last cell, so that load moves to slower free engines
-	// before none is left to take over from one that dies. With 400 the fast
-	// engines of 89 were full while the slow ones were idle, and the loss of
-	// three left most streams late for the rest of the day.
+	// before none is left to take over from one that dies.
 	crowd = 1500.0
 	// blur is the most by which costs are raised at random, hasteBlur the same
 	// for answers that were broken off: all instances choose for these at the
--- a/internal/route/path/cost.go
+++ b/internal/route/path/cost.go
@@ -25,7 +25,7 @@
 
 // spread is the part by which an engine's cost is raised at random. Instances
 // that know of each other's choices only after a while would else all choose
-// the same engines at once: with 33 of them, 50 requests between two messages.
+// the same engines at once.
 func (t *Table) spread(haste bool) float64 {
 	switch {
 	case t.Random == nil:
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -237,9 +237,8 @@
 	refusedRest = 300 * time.Millisecond
 	// refusedMost bounds the rest of an engine that goes on refusing. One that
 	// was told to hold other layers refuses for seconds, until it has loaded them
-	// and the list shows them; asked anew each 300 ms by every instance, such
-	// engines used up the bound on repeats, and 76 requests were refused for it
-	// on one day.
+	// and the list shows them; asked again and again by every instance, it would use
+	// up the bound on repeats.
 	refusedMost = 2400 * time.Millisecond
 )
 
