A fleet that starts anew shares the bound on repeats from its first request on

Cause: an instance that has heard of no other takes the whole allowance for its own, and each forgets what the former process took. Known instances now count from the start (any number before the roster is read), and the allowance grows over the first window.

--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -43,8 +43,10 @@
 // router is the tables of all services. It gives the relays their upstreams.
 type router struct {
 	centre spec.DataCentre
-	// instances is how many instances share the bound on repeats.
+	// instances is how many instances there are, sharing how many may share the bound
+	// on repeats.
 	instances func() int
+	sharing   func() int
 	start     time.Time
 	// doubted is told of engines that may be dead, isDead asks one that seemed dead
 	// once more.
@@ -80,7 +82,7 @@
 	if g.budget.Window != b.Window {
 		g.budget = again.Budget{}
 	}
-	g.budget.Ratio, g.budget.Allowance, g.budget.Window = b.Ratio, b.Allowance, b.Window
+	g.budget.Ratio, g.budget.Allowance, g.budget.Window, g.budget.Young = b.Ratio, b.Allowance, b.Window, b.Window
 }
 
 func (r *router) setBounds(b setup.Retry) {
@@ -146,5 +148,5 @@
 func (r *router) Again(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.group(service).budget.Allow(r.now(), r.instances(), r.others(service))
+	return r.group(service).budget.Allow(r.now(), r.sharing(), r.others(service))
 }
--- a/internal/fleet/mesh/cell_test.go
+++ b/internal/fleet/mesh/cell_test.go
@@ -146,3 +146,29 @@
 	f.run(0, 8*time.Second)
 	f.checkWhole(t, large)
 }
+
+// Guards against a fleet that starts anew and in which each instance takes the whole
+// bound on repeats for its own, since it has heard of no other one yet.
+func TestStartedInstancesShareTheBound(t *testing.T) {
+	f := open(large)
+	for _, id := range f.ids() {
+		if got := f.members[id].logic.Sharing(); got < large {
+			t.Errorf("%s: got the bound shared by %d before the start, want %d or more", id, got, large)
+		}
+	}
+	f.lost = func(_, _ spec.InstanceID) bool { return true }
+	f.run(0, time.Second)
+	for _, id := range f.ids() {
+		if got := f.members[id].logic.Sharing(); got < large {
+			t.Errorf("%s: got the bound shared by %d before any is heard, want %d or more", id, got, large)
+		}
+	}
+	f.lost = nil
+	f.run(time.Second, 20*time.Second)
+	f.checkWhole(t, large)
+	for _, id := range f.ids() {
+		if got := f.members[id].logic.Sharing(); got != large {
+			t.Errorf("%s: got the bound shared by %d, want %d", id, got, large)
+		}
+	}
+}
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -33,6 +33,8 @@
 	// counted is how long an instance that fell silent still counts for what
 	// all share: it may serve callers while it cannot be heard.
 	counted = 15 * time.Second
+	// unknownMost is how many other instances there may be before any are known.
+	unknownMost = 1000
 	// judgeEvery is the least pause between two looks for what this instance lacks.
 	judgeEvery = 50 * time.Millisecond
 )
@@ -94,6 +96,8 @@
 
 	layout   layout
 	arranged bool
+	// rostered tells that the roster was read.
+	rostered bool
 	// version is that of the own row in the roster, rosterDigest that of all known.
 	version      uint64
 	rosterDigest uint64
@@ -105,6 +109,8 @@
 
 	mu    sync.Mutex
 	count int
+	// expected is how many others there may be.
+	expected int
 	// follows tells that this instance is no head and holds no duty.
 	follows bool
 	alive   []spec.InstanceID
@@ -114,14 +120,25 @@
 	late bool
 }
 
-// Count is how many instances share what is bounded for all, this one among
-// them.
+// Count is how many instances there are, this one among them.
 func (l *Logic) Count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return 1 + l.count
 }
 
+// Sharing is how many instances may share what is bounded for all, this one among
+// them: after a start those that are known and not heard yet count as well, and before
+// any are known there may be many.
+func (l *Logic) Sharing() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.start.IsZero() {
+		return 1 + unknownMost
+	}
+	return 1 + max(l.count, l.expected)
+}
+
 // Tick takes events and returns what is to be sent.
 func (l *Logic) Tick(now time.Duration, events []node.Event) []node.Command {
 	l.take(now, events)
@@ -245,13 +262,26 @@
 			alive = append(alive, p.id)
 		}
 	}
-	count := l.instances(now) - 1
+	count, expected := l.instances(now)-1, l.expect(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.expected = expected
 	l.count, l.alive, l.read, l.follows = count, alive, read, !l.isHead()
 	l.start = l.Now().Add(-now)
 }
 
+// expect is how many other instances there may be while this one is too young to have
+// heard all.
+func (l *Logic) expect(now time.Duration) int {
+	switch {
+	case now >= counted:
+		return 0
+	case !l.rostered:
+		return unknownMost
+	}
+	return len(l.peers)
+}
+
 // sorted are all other instances in the order of their names.
 func (l *Logic) sorted() []*peer {
 	if len(l.order) == len(l.peers) {
--- a/internal/fleet/mesh/roster.go
+++ b/internal/fleet/mesh/roster.go
@@ -25,6 +25,7 @@
 // listed notes where instances should be. One that moved is asked at its new
 // address.
 func (l *Logic) listed(ev node.Listed) {
+	l.rostered = true
 	for _, p := range ev.Peers {
 		l.enrol(Member{ID: p.ID, URL: p.URL, DataCentre: p.DataCentre, Version: p.Version}, true)
 	}
--- a/internal/route/again/again.go
+++ b/internal/route/again/again.go
@@ -56,6 +56,9 @@
 	Ratio     float64
 	Allowance float64
 	Window    time.Duration
+	// Young is how long after zero the allowance grows to the whole: what a former
+	// process of this instance took still counts. Zero has it whole at once.
+	Young time.Duration
 
 	at     int64
 	first  [slots]int
@@ -81,7 +84,7 @@
 	for _, n := range b.more {
 		more += n
 	}
-	bound := margin * (b.Ratio*float64(own.First) + b.Allowance/float64(max(1, instances)))
+	bound := margin * (b.Ratio*float64(own.First) + b.allowance(now)/float64(max(1, instances)))
 	if others.Of > 0 {
 		bound *= kept
 	}
@@ -103,7 +106,7 @@
 		b.turn, b.taken = t, 0
 	}
 	n := max(instances, all.Of)
-	pool := margin * (1 - kept) * (b.Ratio*float64(all.First) + b.Allowance*float64(all.Of)/float64(n))
+	pool := margin * (1 - kept) * (b.Ratio*float64(all.First) + b.allowance(now)*float64(all.Of)/float64(n))
 	if float64(b.taken+1) > (pool-float64(all.Pooled))/float64(turns*n) {
 		return false
 	}
@@ -111,6 +114,14 @@
 	return true
 }
 
+// allowance is the part of the allowance that may be used by now.
+func (b *Budget) allowance(now time.Duration) float64 {
+	if now >= b.Young {
+		return b.Allowance
+	}
+	return b.Allowance * float64(now) / float64(b.Young)
+}
+
 // Count is what this instance did in the last window.
 func (b *Budget) Count(now time.Duration) Count {
 	b.slot(now)
--- a/internal/route/again/again_test.go
+++ b/internal/route/again/again_test.go
@@ -170,3 +170,35 @@
 		t.Errorf("got %d repeats in a window, want ten times its even share of the allowance, %d", got, want)
 	}
 }
+
+// Guards against a fleet that is killed while it takes all repeats that it may, starts
+// anew, and takes them again within the same window.
+func TestRestartDoesNotDoubleTheBound(t *testing.T) {
+	const (
+		round  = 100 * time.Millisecond
+		rounds = int(2 * window / round)
+	)
+	var first, more [2 * rounds]int
+	for process, young := range []time.Duration{0, window} {
+		b := &again.Budget{Ratio: ratio, Allowance: allowance, Window: window, Young: young}
+		for k := range rounds {
+			now := time.Duration(k) * round
+			b.First(now)
+			first[process*rounds+k]++
+			// The former process takes its part evenly, the one after it all at once.
+			for n := 0; (process == 1 || n < 2) && b.Allow(now, 1, again.Count{}); n++ {
+				more[process*rounds+k]++
+			}
+		}
+	}
+	span := int(window / round)
+	for k := range more {
+		f, m := 0, 0
+		for j := max(0, k-span+1); j <= k; j++ {
+			f, m = f+first[j], m+more[j]
+		}
+		if bound := ratio*float64(f) + allowance; float64(m) > bound {
+			t.Fatalf("round %d: got %d repeats for %d requests in a window, want %.0f at most", k, m, f, bound)
+		}
+	}
+}
