--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -76,6 +76,7 @@
 	m.used[from]++
 	m.streams[from] = uses["s"]["e"].Streams
 }
+
 func (m *member) Repeats() map[string]again.Count {
 	return map[string]again.Count{"s": {Of: 1, First: 2}}
 }
