--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -18,6 +18,7 @@
 	"fulmarwick/internal/wire/peer"
 	"fulmarwick/platform"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -52,6 +53,7 @@
 	router *router
 	log    *zap.Logger
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	meters *metrics.Set
 	// behind counts how often others knew more and did not tell it.
 	behind func()
 	// suspect is told of engines that others found dead.
@@ -73,7 +75,7 @@
 func (c *crowd) open() {
 	c.alive = map[spec.InstanceID]bool{}
 	c.logic = &mesh.Logic{ID: c.id, DataCentre: c.centre, URL: c.url, Self: c, Taker: c, Now: time.Now}
-	c.hub = &peer.Hub{Self: node.Peer{ID: c.id, URL: c.url}, Logic: c.logic, Silence: meshSilence, Dial: c.dial, Log: c.log}
+	c.hub = &peer.Hub{Self: node.Peer{ID: c.id, URL: c.url}, Logic: c.logic, Silence: meshSilence, Dial: c.dial, Log: c.log, Meters: c.meters}
 }
 
 func (c *crowd) handler() http.Handler { return c.hub.Handler() }
