The pool of repeats serves small deployments too

On the small twins of the large site (13 instances, an allowance of 40.7) no instance may take a whole repeat from the pool in one turn, so that half of the bound served nobody. Parts add up over the turns now.

--- a/internal/route/again/again.go
+++ b/internal/route/again/again.go
@@ -64,9 +64,10 @@
 	first  [slots]int
 	more   [slots]int
 	pooled [slots]int
-	// turn is the number of the present turn, taken what was taken in it.
-	turn  int64
-	taken int
+	// turn is the number of the present turn, tokens what may be taken in it. Parts of
+	// a repeat add up over the turns.
+	turn   int64
+	tokens float64
 }
 
 // First notes a request that is sent for the first time.
@@ -102,15 +103,18 @@
 // take takes a repeat from the pool if there is one for this instance in this turn.
 // Instances that are not heard have all of their share for themselves.
 func (b *Budget) take(now time.Duration, instances int, all Count) bool {
-	if t := int64(now / turn); t != b.turn {
-		b.turn, b.taken = t, 0
-	}
 	n := max(instances, all.Of)
 	pool := margin * (1 - kept) * (b.Ratio*float64(all.First) + b.allowance(now)*float64(all.Of)/float64(n))
-	if float64(b.taken+1) > (pool-float64(all.Pooled))/float64(turns*n) {
+	left := pool - float64(all.Pooled)
+	part := max(0, left/float64(turns*n))
+	if t := int64(now / turn); t != b.turn {
+		b.tokens = min(b.tokens+part*float64(t-b.turn), max(1, part))
+		b.turn = t
+	}
+	if left < 1 || b.tokens < 1 {
 		return false
 	}
-	b.taken++
+	b.tokens--
 	return true
 }
 
--- a/internal/route/again/again_test.go
+++ b/internal/route/again/again_test.go
@@ -202,3 +202,22 @@
 		}
 	}
 }
+
+// Guards against a pool of which no instance may take a whole repeat in one turn, so
+// that it serves nobody: the shares of a small deployment are below one.
+func TestSmallPoolIsUsed(t *testing.T) {
+	const instances = 13
+	b := &again.Budget{Ratio: ratio, Allowance: 40.7, Window: window}
+	others := again.Count{Of: instances - 1, First: 260}
+	got := 0
+	for k := range 50 {
+		now := window + time.Duration(k)*200*time.Millisecond
+		b.First(now)
+		for b.Allow(now, instances, others) {
+			got++
+		}
+	}
+	if want := 3 * 40 / instances; got < want {
+		t.Errorf("got %d repeats in a window, want three times the even share of the allowance, %d", got, want)
+	}
+}
