--- a/internal/route/path/cost.go
+++ b/internal/route/path/cost.go
@@ -38,12 +38,13 @@
 
 const (
 	// slowStart is how long an engine that takes requests anew is preferred less than
-	// its load says: all instances see it empty, and hear of each other's choices only
-	// after a while.
+	// its load says, in a fleet whose instances hear of each other's choices only after
+	// a while: all see it empty.
 	slowStart = 2 * time.Second
-	// slowStartOthers is how many other instances double the cost of such an engine at
-	// first.
-	slowStartOthers = 40.0
+	// slowStartFrom is how many other instances hear of each other soon enough; each
+	// slowStartEach more raise the cost of such an engine at first by the whole of it.
+	slowStartFrom = 40
+	slowStartEach = 26.0
 )
 
 // warmth is the factor on the cost of an engine that takes requests anew.
@@ -52,7 +53,8 @@
 	if age >= slowStart {
 		return 1
 	}
-	return 1 + float64(t.instances())/slowStartOthers*(1-float64(age)/float64(slowStart))
+	beyond := max(0, t.instances()-slowStartFrom)
+	return 1 + float64(beyond)/slowStartEach*(1-float64(age)/float64(slowStart))
 }
 
 // before is the cost of the way to the first engine of a path or of its part.
