A silent engine is no engine that ended

Both first engines had stood still for longer than the 0.4 s in which they were asked again. TestEnginesThatStandStillAreAttempts stands still for 1 s now instead of 0.45 s, and fails without this.

--- a/internal/app/edge/fleet.go
+++ b/internal/app/edge/fleet.go
@@ -26,11 +26,18 @@
 	return time.Duration(max(0, w.router.instances()-askAtOnce)) * connectTime
 }
 
-// isDead asks an engine that seemed dead once more and reports whether it still does
-// not answer.
+// isDead asks an engine that seemed dead once more and reports whether it is: its
+// address refuses connections, or another process answers there. One that is silent
+// may stand still and go on with what it runs.
 func (w *watcher) isDead(ctx context.Context, up site.Upstream) bool {
-	report, _, err := w.report(ctx, up, confirmTime)
-	return err != nil || !w.router.heard(up, report)
+	report, silent, err := w.report(ctx, up, confirmTime)
+	switch {
+	case silent:
+		return false
+	case err != nil:
+		return true
+	}
+	return !w.router.heard(up, report)
 }
 
 // isCrowded reports whether there are more instances than may ask an engine at once.
--- a/internal/app/edge/probe_test.go
+++ b/internal/app/edge/probe_test.go
@@ -68,7 +68,7 @@
 		go func() { done <- w.ask(0, http.MethodPost, "/write/1", "long", "300,1800") }()
 		for range 3 {
 			time.Sleep(500 * time.Millisecond)
-			w.site.Freeze(w.busiest(), 450*time.Millisecond)
+			w.site.Freeze(w.busiest(), time.Second)
 			time.Sleep(1500 * time.Millisecond)
 		}
 		<-done
