--- a/Makefile
+++ b/Makefile
@@ -7,11 +7,16 @@
 RAPID := $(addprefix ./,$(sort $(dir $(shell grep -rl pgregory.net/rapid --include=*_test.go internal platform))))
 PLAIN := $(filter-out $(RAPID),$(addsuffix /,$(addprefix ./,$(sort $(patsubst %/,%,$(dir $(shell find internal platform -name '*.go')))))))
 
+# Packages whose tests run in a process each: the runtime of the race detector ends after
+# too many synchronizations in one.
+SOLO := ./internal/app/edge/ ./internal/fakes/depot/
+SHARED := $(filter-out $(SOLO),$(PLAIN))
+
 # The tests that KNOWN-RED.txt names are passed over; .ci/run prints them.
 RED := $(shell awk '/^Test/ {printf "%s%s", n++ ? "|" : "", $$1}' KNOWN-RED.txt)
 SKIP := $(if $(RED),-skip '^($(RED))$$')
 
-.PHONY: build deploy test check format lint generate fresh bench tools
+.PHONY: build deploy test solo check format lint generate fresh bench tools
 
 build:
 	go build -o fulmarwick .
@@ -22,9 +27,18 @@
 
 test:
 	go test -count=1 $(SKIP) ./internal/app/edge/
-	go test -race -count=1 $(SKIP) $(PLAIN)
+	go test -race -count=1 $(SKIP) $(SHARED)
+	$(MAKE) solo
 	$(if $(RAPID),go test -race -count=1 $(SKIP) $(RAPID) -rapid.seed=1 -rapid.nofailfile)
 
+solo:
+	@for package in $(SOLO); do \
+		binary=$$(mktemp); go test -race -c -o $$binary $$package || exit 1; \
+		(cd $$package && $$binary -test.list '^Test' | xargs -P 3 -I NAME \
+			sh -c "echo $$package NAME; exec $$binary -test.run '^NAME\$$' $(if $(RED),-test.skip '^($(RED))$$')") || exit 1; \
+		rm $$binary; \
+	done
+
 check: fresh lint build deploy test
 
 format:
