--- a/internal/fleet/mesh/cell_test.go
+++ b/internal/fleet/mesh/cell_test.go
@@ -172,3 +172,21 @@
 		}
 	}
 }
+
+// Guards against load that is forgotten until the next round, when an instance tells
+// others of a change between two rounds.
+func TestChangeBetweenRoundsKeepsTheLoad(t *testing.T) {
+	for seed := range 6 {
+		f := openNamed(large, fmt.Sprintf("b%d-", seed))
+		r := &rows{}
+		r.put(changed, "old")
+		f.watch(r, tick, 5*time.Second, nil)
+		for k := range 4 {
+			r.put(changed, fmt.Sprint(k))
+			for range 7 {
+				f.watch(r, f.now+tick, f.now+2*tick, nil)
+				f.checkWhole(t, large)
+			}
+		}
+	}
+}
