A message without load says nothing of it

A head that passes a change on between two rounds sends no load with it, and the other head of its cell took that for no load: an instance of the cell was missing from the sums for up to 0.2 s. TestChangeBetweenRoundsKeepsTheLoad fails without this at one of six fleets.

--- a/internal/fleet/mesh/sum.go
+++ b/internal/fleet/mesh/sum.go
@@ -48,6 +48,9 @@
 	if m.Head && m.Cell != "" {
 		l.counts[m.Cell] = headcount{n: m.Count, at: now}
 	}
+	if m.Scope == ScopeNone {
+		return
+	}
 	told := load{uses: m.Uses, paces: m.Paces, repeats: m.Repeats}
 	if m.Scope == ScopeOwn && l.isCountedAlone(p) {
 		p.load = &told
