--- a/internal/fleet/mesh/sum.go
+++ b/internal/fleet/mesh/sum.go
@@ -58,6 +58,11 @@
 		return
 	}
 	l.drop(p)
+	l.takeSums(now, m, told)
+}
+
+// takeSums takes the sum of a cell, or of all.
+func (l *Logic) takeSums(now time.Duration, m Message, told load) {
 	switch {
 	case l.layout.isFlat():
 	case l.isHead() && m.Scope == ScopeCell && m.Cell != l.layout.mine.name:
