--- a/internal/app/edge/fleet.go
+++ b/internal/app/edge/fleet.go
@@ -11,8 +11,8 @@
 
 // stagger is how long this instance waits before it asks an engine. Streams of all
 // instances fall silent at the same moment, and an engine takes their connections one
-// after another: asked by all of a large fleet at once, healthy engines answered too
-// late and were taken for dead.
+// after another: asked by all of a large fleet at once, healthy engines answer too
+// late and are taken for dead.
 func (w *watcher) stagger() time.Duration {
 	if !w.isCrowded() {
 		return 0
--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -141,15 +141,19 @@
 
 // Doubt tells of an engine that refused or broke a connection.
 func (r *router) Doubt(service string, id spec.UpstreamID) {
+	if up, ok := r.upstream(service, id); ok {
+		r.doubted(up)
+	}
+}
+
+// upstream returns the row of an engine; false if it is not listed.
+func (r *router) upstream(service string, id spec.UpstreamID) (site.Upstream, bool) {
 	r.mu.Lock()
-	up, ok := site.Upstream{}, false
+	defer r.mu.Unlock()
 	if g := r.group(service); g.model != nil {
-		up, ok = g.model.Upstream(id)
-	}
-	r.mu.Unlock()
-	if ok {
-		r.doubted(up)
+		return g.model.Upstream(id)
 	}
+	return site.Upstream{}, false
 }
 
 // Refused tells that an engine refused a run: it is full, leaving, or not what
@@ -180,13 +184,7 @@
 
 // Gone asks an engine that does not answer once more and reports whether it is gone.
 func (r *router) Gone(ctx context.Context, service string, id spec.UpstreamID) bool {
-	r.mu.Lock()
-	g := r.group(service)
-	up, listed := site.Upstream{}, false
-	if g.model != nil {
-		up, listed = g.model.Upstream(id)
-	}
-	r.mu.Unlock()
+	up, listed := r.upstream(service, id)
 	return !listed || up.State != site.StateReady || r.isDead(ctx, up)
 }
 
--- a/internal/app/edge/slow.go
+++ b/internal/app/edge/slow.go
@@ -26,7 +26,7 @@
 				continue
 			}
 			// What one instance learns all others are told.
-			if rand.Float64() < lagAskers/float64(r.instances()) {
+			if r.isOneOf(lagAskers) {
 				out = append(out, up)
 			}
 		}
@@ -34,6 +34,12 @@
 	return out
 }
 
+// isOneOf reports whether this instance is among so many that do what one would do
+// for all; others are the next time.
+func (r *router) isOneOf(n float64) bool {
+	return rand.Float64() < n/float64(r.instances())
+}
+
 // lag counts the streams that pass an engine, and those of them that make
 // events much slower than predicted.
 type lag struct{ late, all int }
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -173,7 +172,7 @@
 	if now.Sub(w.knock) >= knockEvery {
 		w.knock = now
 		for _, up := range w.router.downs() {
-			if w.isTurn() {
+			if w.router.isOneOf(askAtOnce) {
 				w.ask(ctx, up, false)
 			}
 		}
@@ -186,12 +185,6 @@
 	}
 }
 
-// isTurn reports whether this instance is among those that ask the engines that are
-// down this time.
-func (w *watcher) isTurn() bool {
-	return rand.IntN(max(1, w.router.instances())) < askAtOnce
-}
-
 // silentEngine is an engine that may be dead.
 type silentEngine struct {
 	up   site.Upstream
--- a/internal/fleet/mesh/cell.go
+++ b/internal/fleet/mesh/cell.go
@@ -112,13 +112,12 @@
 
 func (l *Logic) electIn(now time.Duration, c *cell) {
 	c.heads, c.contacts = c.heads[:0], c.contacts[:0]
-	for _, id := range c.ranked {
-		p := l.peers[id]
+	for k, id := range c.ranked {
 		switch {
-		case len(c.heads) == headCount && p != nil:
-			p.tried = 0
 		case len(c.heads) == headCount:
-		case id == l.ID || l.answers(now, p):
+			l.rest(c.ranked[k:])
+			return
+		case id == l.ID || l.answers(now, l.peers[id]):
 			c.heads = append(c.heads, id)
 		default:
 			c.contacts = append(c.contacts, id)
@@ -129,8 +128,15 @@
 // forget drops the heads of a cell that this instance has nothing to do with.
 func (l *Logic) forget(c *cell) {
 	c.heads, c.contacts = c.heads[:0], c.contacts[:0]
-	for _, id := range c.ranked {
-		l.peers[id].tried = 0
+	l.rest(c.ranked)
+}
+
+// rest notes that instances are not asked to be heads.
+func (l *Logic) rest(ids []spec.InstanceID) {
+	for _, id := range ids {
+		if p := l.peers[id]; p != nil {
+			p.tried = 0
+		}
 	}
 }
 
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -64,8 +64,7 @@
 	version  uint64
 	digest   uint64
 	rosterAt time.Duration
-	// cell is its cell by its own word, head whether it is one of the heads there.
-	cell string
+	// head tells that it is one of the heads of its cell by its own word.
 	head bool
 	// asks tells that it exchanges messages with this instance of its own accord.
 	asks bool
@@ -209,7 +208,7 @@
 		p.alive = true
 		l.Taker.Met(p.id)
 	}
-	p.cell, p.head, p.asks, p.digest = m.Cell, m.Head, !m.Reply, m.Known
+	p.head, p.asks, p.digest = m.Head, !m.Reply, m.Known
 	l.settle(p, m.DataCentre)
 	for _, member := range m.Roster {
 		l.enrol(member, false)
--- a/internal/fleet/mesh/spread.go
+++ b/internal/fleet/mesh/spread.go
@@ -13,8 +13,8 @@
 
 const (
 	// fanout is how many instances are told of a change at once by one that knows
-	// it; each of them tells its part of the others. A configuration is some ten
-	// kilobytes: to send it to a few dozen instances would fill the link of one.
+	// it; each of them tells its part of the others. To send a configuration to a few
+	// dozen instances would fill the link of one.
 	fanout = 4
 	// lateMost is how many instances are told once more in one message round.
 	lateMost = 8
@@ -52,18 +52,26 @@
 	}
 }
 
-// isMember reports whether an instance hears from this one what others know.
-func (l *Logic) isMember(p *peer) bool {
-	return !l.layout.isFlat() && l.isHead() && l.inCell(p.id) && !l.isHeadOf(p.id) && l.isPrimary(p.id)
+// leads reports whether this instance is a head of the cell in which another one is a
+// member.
+func (l *Logic) leads(p *peer) bool {
+	return !l.layout.isFlat() && l.isHead() && l.inCell(p.id) && !l.isHeadOf(p.id)
 }
 
+// isMember reports whether an instance hears from this one what others know.
+func (l *Logic) isMember(p *peer) bool { return l.leads(p) && l.isPrimary(p.id) }
+
 // told takes rows from another instance and sees to it that those hear of them that
 // depend on this one.
 func (l *Logic) told(from *peer, tables []Table) {
+	if len(tables) == 0 {
+		return
+	}
+	marks := l.Self.Marks()
 	for _, t := range tables {
-		before := l.Self.Marks()[t.Name]
+		before := marks[t.Name]
 		l.Taker.Told(t.Name, t.Since, t.Rows, feed.Mark{Version: t.Version, Digest: t.Digest}, from.id)
-		marks := l.Self.Marks()
+		marks = l.Self.Marks()
 		if len(t.Relay) > 0 {
 			l.relay(t, marks)
 		}
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -1,11 +1,13 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/node"
 	"fulmarwick/internal/route/crash"
+	"fulmarwick/internal/state/feed"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -39,15 +41,16 @@
 		// The other head of the cell was told by the member as well.
 		return !l.inCell(p.id) || !l.isHeadOf(p.id)
 	}
-	return l.inCell(p.id) && !l.isHeadOf(p.id) && l.isPrimary(p.id)
+	return l.isMember(p)
 }
 
 // tell is a message to each instance that this one exchanges messages with, with
 // what it lacks.
 func (l *Logic) tell(now time.Duration) []node.Command {
-	d := l.draft(now)
+	marks := l.Self.Marks()
+	d := l.draft(now, marks)
 	dead, crashes := l.Self.Fresh()
-	tables := l.spread(now, l.Self.Marks())
+	tables := l.spread(now, marks)
 	passing := l.passing
 	l.passing = nil
 	var out []node.Command
@@ -61,8 +64,7 @@
 		m.Dead, m.Crashes, m.Tables, m.Roster = dead, crashes, tables[p.id], l.roster(now, p)
 		for _, ev := range passing {
 			if l.concerns(ev, p) {
-				m.Dead = append(m.Dead[:len(m.Dead):len(m.Dead)], ev.dead...)
-				m.Crashes = append(m.Crashes[:len(m.Crashes):len(m.Crashes)], ev.crashes...)
+				m.Dead, m.Crashes = slices.Concat(m.Dead, ev.dead), slices.Concat(m.Crashes, ev.crashes)
 			}
 		}
 		out = append(out, node.Send{To: p.id, URL: p.url, Data: d.encode(m, p)})
@@ -72,9 +74,10 @@
 
 // pass tells those that this instance was asked to tell, before the next beat.
 func (l *Logic) pass(now time.Duration) []node.Command {
-	d := l.draft(now)
+	marks := l.Self.Marks()
+	d := l.draft(now, marks)
 	var out []node.Command
-	for id, tables := range l.spread(now, l.Self.Marks()) {
+	for id, tables := range l.spread(now, marks) {
 		p := l.peers[id]
 		m := d.message(ScopeNone, p)
 		if l.layout.isFlat() {
@@ -118,12 +121,12 @@
 	age   int64
 }
 
-func (l *Logic) draft(now time.Duration) *draft {
+func (l *Logic) draft(now time.Duration, marks map[string]feed.Mark) *draft {
 	m := Message{
 		URL: l.URL, DataCentre: l.DataCentre, Versions: map[string]uint64{}, Digests: map[string]uint64{},
 		Age: l.Self.Age().Milliseconds(), Known: l.digest(),
 	}
-	for name, mark := range l.Self.Marks() {
+	for name, mark := range marks {
 		m.Versions[name], m.Digests[name] = mark.Version, mark.Digest
 	}
 	if !l.layout.isFlat() {
@@ -148,8 +151,8 @@
 		told, m.Count = d.all.without(p.load), d.total
 	}
 	m.Uses, m.Paces, m.Repeats = told.uses, told.paces, told.repeats
-	if l := d.logic; !l.layout.isFlat() && l.isHead() && l.inCell(p.id) && !l.isHeadOf(p.id) {
-		m.Age = l.freshest(m.Age)
+	if d.logic.leads(p) {
+		m.Age = d.logic.freshest(m.Age)
 	}
 	return m
 }
--- a/internal/route/path/use.go
+++ b/internal/route/path/use.go
@@ -33,8 +33,11 @@
 }
 
 // Minus is what is left of u without a part of it.
-func (u Use) Minus(o Use) Use {
-	return Use{Streams: u.Streams - o.Streams, Cells: u.Cells - o.Cells, Unread: u.Unread - o.Unread, Spread: u.Spread - o.Spread}
+func (u Use) Minus(o Use) Use { return u.Plus(o.times(-1)) }
+
+// times is what n such requests take.
+func (u Use) times(n int) Use {
+	return Use{Streams: n * u.Streams, Cells: n * u.Cells, Unread: n * u.Unread, Spread: float64(n) * u.Spread}
 }
 
 // peak is the memory in tokens times layers that the requests take at most but
@@ -108,8 +111,7 @@
 		if e == nil {
 			continue
 		}
-		u := n.use(s.Layers().Len(), unread)
-		e.mine.add(Use{Streams: sign * u.Streams, Cells: sign * u.Cells, Unread: sign * u.Unread, Spread: float64(sign) * u.Spread})
+		e.mine.add(n.use(s.Layers().Len(), unread).times(sign))
 		// A request that began before its engine was born anew does not count.
 		e.mine.Streams = max(0, e.mine.Streams)
 		e.mine.Cells = max(0, e.mine.Cells)
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -1,8 +1,8 @@
 // Package relay runs a caller's request on upstreams: it sends, judges what
 // comes back, and sends again where that is allowed.
 //
-// It imports base/site, wire/send, wire/flow and the logic packages for their
-// types. Package front calls it for each request; app/edge puts it together.
+// It imports base/site, state/feed, wire/send, wire/flow and the logic packages for
+// their types. Package front calls it for each request; app/edge puts it together.
 package relay
 
 import (
--- a/internal/wire/relay/repeat.go
+++ b/internal/wire/relay/repeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/state/feed"
 
 	"github.com/go-faster/errors"
 )
@@ -22,9 +23,9 @@
 		return
 	}
 	s.maybe = true
-	// Runs on first engines that ended do not use up the attempts: counted, the
-	// second such run of a stream cut it. An engine that leaves and breaks its
-	// runs has ended; one that the router took its runs off may go on for long.
+	// Runs on first engines that ended do not use up the attempts. An engine that
+	// leaves and breaks its runs has ended; one that the router took its runs off may
+	// go on for long.
 	chain, _ := f.Chain()
 	name, first := s.call.Service.Name, chain[0].Engine()
 	ended := s.models.Paths.Down(name, first) || !f.isMoved() && s.models.Paths.Leaving(name, first)
@@ -90,26 +91,14 @@
 	for range s.refusals - 1 {
 		pause = min(2*pause, maxPause)
 	}
-	if refused && !s.sleep(pause) {
+	if refused && !feed.Sleep(s.ctx, pause) {
 		return false
 	}
 	for !s.models.Budget.Again(s.call.Service.Name) {
-		if !s.sleep(pause) {
+		if !feed.Sleep(s.ctx, pause) {
 			return false
 		}
 		pause = min(2*pause, maxPause)
 	}
 	return true
 }
-
-// sleep waits for a time; false if the request ends first.
-func (s *stream) sleep(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-s.ctx.Done():
-		return false
-	}
-}
