Tests of streams and of repeats share what they wrote again and again

Assertions, figures and texts are the same, but that the failures of two window checks name no round any more.

--- a/internal/app/edge/fault_test.go
+++ b/internal/app/edge/fault_test.go
@@ -48,12 +48,30 @@
 	return n
 }
 
+// longStream runs a stream of 600 events, named long, and lets event happen several
+// times while it is answered: each time half a second on, with a rest after it.
+func (w *world) longStream(times int, rest time.Duration, event func(n int)) answer {
+	done := make(chan answer)
+	go func() { done <- w.ask(0, http.MethodPost, "/write/1", "long", "300,1800") }()
+	for n := range times {
+		time.Sleep(500 * time.Millisecond)
+		event(n)
+		time.Sleep(rest)
+	}
+	return <-done
+}
+
 // busiest is the engine with the most runs as their first, or one that is on
 // no path as first but holds layers of the middle.
 func (w *world) busiest() *stand.Engine {
+	return w.busiestOf(func(*stand.Engine) bool { return true })
+}
+
+// busiestOf is the engine with the most runs as their first among some.
+func (w *world) busiestOf(some func(*stand.Engine) bool) *stand.Engine {
 	var best *stand.Engine
 	for _, e := range w.site.Engines() {
-		if best == nil || e.Running() > best.Running() {
+		if some(e) && (best == nil || e.Running() > best.Running()) {
 			best = e
 		}
 	}
@@ -255,14 +273,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := open(t, 1)
 		defer w.close()
-		done := make(chan answer)
-		go func() { done <- w.ask(0, http.MethodPost, "/write/1", "long", "300,1800") }()
-		for range 3 {
-			time.Sleep(500 * time.Millisecond)
-			w.site.Drain(w.busiest())
-			time.Sleep(2500 * time.Millisecond)
-		}
-		if a := <-done; a.body != whole("long", 600) {
+		a := w.longStream(3, 2500*time.Millisecond, func(int) { w.site.Drain(w.busiest()) })
+		if a.body != whole("long", 600) {
 			t.Errorf("got %d with %d events (%v), want all 600", a.status, a.events, a.err)
 		}
 	})
@@ -275,14 +287,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := open(t, 1)
 		defer w.close()
-		done := make(chan answer)
-		go func() { done <- w.ask(0, http.MethodPost, "/write/1", "long", "300,1800") }()
-		for range 3 {
-			time.Sleep(500 * time.Millisecond)
-			w.site.Drain(w.busiest())
-			time.Sleep(2500 * time.Millisecond)
-		}
-		if a := <-done; a.body != whole("long", 600) {
+		a := w.longStream(3, 2500*time.Millisecond, func(int) { w.site.Drain(w.busiest()) })
+		if a.body != whole("long", 600) {
 			t.Errorf("got %d with %d events (%v), want all 600", a.status, a.events, a.err)
 		}
 		if n := w.site.Runs("long"); n > 2 {
@@ -299,10 +305,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := open(t, 1)
 		defer w.close()
-		done := make(chan answer)
-		go func() { done <- w.ask(0, http.MethodPost, "/write/1", "long", "300,1800") }()
-		for n := range 3 {
-			time.Sleep(500 * time.Millisecond)
+		a := w.longStream(3, 1500*time.Millisecond, func(n int) {
 			e := w.busiest()
 			from, to := e.Held()
 			w.site.Place(e, from, to-1)
@@ -310,9 +313,8 @@
 			for k := range 8 {
 				go func() { w.ask(0, http.MethodPost, "/write/1", fmt.Sprintf("short-%d-%d", n, k), "300,30") }()
 			}
-			time.Sleep(1500 * time.Millisecond)
-		}
-		if a := <-done; a.body != whole("long", 600) {
+		})
+		if a.body != whole("long", 600) {
 			t.Errorf("got %d with %d events (%v), want all 600", a.status, a.events, a.err)
 		}
 		if n := w.site.Runs("long"); n > 2 {
@@ -329,20 +331,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := openWith(t, 1, setup.Retry{Ratio: 0, Allowance: 2, Window: 10 * time.Second})
 		defer w.close()
-		const streams = 12
-		done := make(chan answer, streams)
-		for n := range streams {
-			go func() { done <- w.ask(0, http.MethodPost, "/write/1", fmt.Sprintf("long-%d", n), "300,1200") }()
-		}
-		time.Sleep(500 * time.Millisecond)
-		for range 3 {
-			w.site.Drain(w.busiest())
-		}
-		for range streams {
-			if a := <-done; a.err != nil || a.events != 400 {
-				t.Errorf("got %d with %d events (%v), want all 400", a.status, a.events, a.err)
+		w.streamsAcross(12, func() {
+			for range 3 {
+				w.site.Drain(w.busiest())
 			}
-		}
+		})
 	})
 }
 
@@ -354,19 +347,15 @@
 		w := open(t, 1)
 		defer w.close()
 		w.site.RefusePaths()
-		done := make(chan answer)
-		go func() { done <- w.ask(0, http.MethodPost, "/write/1", "long", "300,1800") }()
-		for range 4 {
-			time.Sleep(500 * time.Millisecond)
+		a := w.longStream(4, 2500*time.Millisecond, func(int) {
 			for _, e := range w.site.Engines() {
 				if e.Streams() > 0 && e.Running() == 0 {
 					w.site.Drain(e)
 					break
 				}
 			}
-			time.Sleep(2500 * time.Millisecond)
-		}
-		if a := <-done; a.body != whole("long", 600) {
+		})
+		if a.body != whole("long", 600) {
 			t.Errorf("got %d with %d events (%v), want all 600", a.status, a.events, a.err)
 		}
 		if n := w.site.Runs("long"); n > 2 {
--- a/internal/app/edge/leave_test.go
+++ b/internal/app/edge/leave_test.go
@@ -67,12 +67,4 @@
 }
 
 // busiestReady is the engine with the most runs as their first that does not leave.
-func (w *world) busiestReady() *stand.Engine {
-	var best *stand.Engine
-	for _, e := range w.site.Engines() {
-		if e.Sound() && (best == nil || e.Running() > best.Running()) {
-			best = e
-		}
-	}
-	return best
-}
+func (w *world) busiestReady() *stand.Engine { return w.busiestOf((*stand.Engine).Sound) }
--- a/internal/app/edge/probe_test.go
+++ b/internal/app/edge/probe_test.go
@@ -1,7 +1,6 @@
 package edge_test
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -24,14 +23,7 @@
 func TestManyInstancesBlameOnlyTheDead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		lines, seen := observer.New(zap.WarnLevel)
-		w := &world{t: t, depot: &depot.Depot{Instances: probing, Handshake: handshake, Log: zap.New(lines)}}
-		if err := w.depot.Open(context.Background()); err != nil {
-			t.Fatal(err)
-		}
-		w.site, w.instances = w.depot.Site(), w.depot.Running()
-		for range probing {
-			w.clients = append(w.clients, &http.Client{Transport: &http.Transport{DialContext: w.site.Dial}})
-		}
+		w := openDepot(t, &depot.Depot{Instances: probing, Handshake: handshake, Log: zap.New(lines)})
 		defer w.close()
 		var callers sync.WaitGroup
 		for k := range 4 * probing {
@@ -64,14 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := open(t, 1)
 		defer w.close()
-		done := make(chan answer)
-		go func() { done <- w.ask(0, http.MethodPost, "/write/1", "long", "300,1800") }()
-		for range 3 {
-			time.Sleep(500 * time.Millisecond)
-			w.site.Freeze(w.busiest(), time.Second)
-			time.Sleep(1500 * time.Millisecond)
-		}
-		<-done
+		w.longStream(3, 1500*time.Millisecond, func(int) { w.site.Freeze(w.busiest(), time.Second) })
 		if n := w.site.Runs("long"); n > 2 {
 			t.Errorf("got %d runs, want 2 at most", n)
 		}
--- a/internal/app/edge/site_test.go
+++ b/internal/app/edge/site_test.go
@@ -36,12 +36,18 @@
 // openWith does the same with other bounds on repeats; zero is the usual.
 func openWith(t *testing.T, n int, retry setup.Retry) *world {
 	t.Helper()
-	w := &world{t: t, depot: &depot.Depot{Instances: n, Retry: retry}}
+	return openDepot(t, &depot.Depot{Instances: n, Retry: retry})
+}
+
+// openDepot opens a deployment, with a client for each of its instances.
+func openDepot(t *testing.T, d *depot.Depot) *world {
+	t.Helper()
+	w := &world{t: t, depot: d}
 	if err := w.depot.Open(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	w.site, w.instances = w.depot.Site(), w.depot.Running()
-	for range n {
+	for range d.Instances {
 		w.clients = append(w.clients, &http.Client{Transport: &http.Transport{DialContext: w.site.Dial}})
 	}
 	return w
--- a/internal/route/again/again_test.go
+++ b/internal/route/again/again_test.go
@@ -15,6 +15,25 @@
 	window    = 10 * time.Second
 )
 
+// fatal is what ends a test, with or without drawn values.
+type fatal interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// checkWindow checks that the repeats in the parts of a window are no more than the
+// bound on them.
+func checkWindow(t fatal, first, more []int) {
+	t.Helper()
+	f, m := 0, 0
+	for k := range first {
+		f, m = f+first[k], m+more[k]
+	}
+	if bound := ratio*float64(f) + allowance; float64(m) > bound {
+		t.Fatalf("got %d repeats for %d requests in a window, want %.0f at most", m, f, bound)
+	}
+}
+
 // Engines refuse all that is sent, and every instance sends each request as
 // often as it may. In no window do all of them together send more repeats than
 // a fifth of the requests and the allowance.
@@ -38,13 +57,7 @@
 					}
 				}
 			}
-			f, m := 0, 0
-			for k := max(0, tick-19); k <= tick; k++ {
-				f, m = f+first[k], m+more[k]
-			}
-			if bound := ratio*float64(f) + allowance; float64(m) > bound {
-				t.Fatalf("got %d repeats for %d requests in a window, want %.0f at most", m, f, bound)
-			}
+			checkWindow(t, first[max(0, tick-19):tick+1], more[max(0, tick-19):tick+1])
 		}
 	})
 }
@@ -143,13 +156,7 @@
 					more[k]++
 				}
 			}
-			f, m := 0, 0
-			for j := max(0, k-49); j <= k; j++ {
-				f, m = f+first[j], m+more[j]
-			}
-			if bound := ratio*float64(f) + allowance; float64(m) > bound {
-				t.Fatalf("round %d: got %d repeats for %d requests in a window, want %.0f at most", k, m, f, bound)
-			}
+			checkWindow(t, first[max(0, k-49):k+1], more[max(0, k-49):k+1])
 		}
 	})
 }
@@ -193,13 +200,7 @@
 	}
 	span := int(window / round)
 	for k := range more {
-		f, m := 0, 0
-		for j := max(0, k-span+1); j <= k; j++ {
-			f, m = f+first[j], m+more[j]
-		}
-		if bound := ratio*float64(f) + allowance; float64(m) > bound {
-			t.Fatalf("round %d: got %d repeats for %d requests in a window, want %.0f at most", k, m, f, bound)
-		}
+		checkWindow(t, first[max(0, k-span+1):k+1], more[max(0, k-span+1):k+1])
 	}
 }
 
