--- /dev/null
+++ b/internal/route/grid/parts_test.go
@@ -0,0 +1,65 @@
+package grid_test
+
+import (
+	"testing"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/grid"
+)
+
+// Guards against a plan of a large data centre that takes longer than it lasts: it is
+// made in parts, so that an engine more or less changes the orders of its part alone.
+func TestLargeCentreIsPlannedInParts(t *testing.T) {
+	m := small()
+	engines := fleetOf(m, [][]int{{16, 56, 56}})
+	before := grid.Plan(m, engines)
+	if len(before) < len(engines)*9/10 {
+		t.Fatalf("got %d orders for %d engines, want most of them placed", len(before), len(engines))
+	}
+	after := map[spec.UpstreamID]spec.Layers{}
+	for _, o := range grid.Plan(m, engines[1:]) {
+		after[o.ID] = o.Layers
+	}
+	changed := 0
+	for _, o := range before {
+		if after[o.ID] != o.Layers {
+			changed++
+		}
+	}
+	if changed > len(engines)/2 {
+		t.Errorf("got other layers for %d of %d engines once one is away, want half at most", changed, len(engines))
+	}
+}
+
+// Guards against a part of a large data centre that gives up layers to fill a gap
+// which another part of it fills.
+func TestPartsShareTheirLayers(t *testing.T) {
+	m := small()
+	engines := fleetOf(m, [][]int{{16, 56, 56}})
+	engines = held(engines, grid.Plan(m, engines))
+	var left []grid.Engine
+	for i, e := range engines {
+		if i%5 > 0 {
+			left = append(left, e)
+		}
+	}
+	if least(tokens(m, left)) == 0 {
+		t.Fatal("got a layer that no engine holds, want a loss that leaves all")
+	}
+	if moved := grid.Plan(m, left); len(moved) > 1 {
+		t.Errorf("got %d engines moved, want one at most while every layer is held", len(moved))
+	}
+}
+
+// BenchmarkLargeCentre plans 936 engines of five data centres at once.
+func BenchmarkLargeCentre(b *testing.B) {
+	m := small()
+	counts := [][]int{}
+	for range 5 {
+		counts = append(counts, []int{18, 66, 103})
+	}
+	engines := fleetOf(m, counts)
+	for b.Loop() {
+		grid.Plan(m, engines)
+	}
+}
