grid: plan a large data centre in parts of 48 engines at most

Ruled out: the list of upstreams (all known), the lease (held; its holder used 87% of its processor). An engine's part follows from a digest of its ID, so that it stays when others come and go; gaps are covered over the whole data centre. Up to 48 engines nothing changes.

--- a/internal/route/grid/fresh.go
+++ b/internal/route/grid/fresh.go
@@ -16,14 +16,23 @@
 	worthwhile = 0.5
 )
 
-// fresh places a model that no engine of an area holds, in as many groups of
+// whole places a model that no engine of an area holds.
+func whole(m model, engines []Engine) []Engine {
+	var out []Engine
+	for _, part := range split(m, engines) {
+		out = append(out, fresh(m, part)...)
+	}
+	return out
+}
+
+// fresh places a model that no engine of a part holds, in as many groups of
 // engines as are worth most. Engines come sorted, the fastest first.
 func fresh(m model, sorted []Engine) []Engine {
 	var out []Engine
 	best := 0.0
 	top := topRate(m, sorted)
 	for n := (len(sorted) + mostGroup - 1) / mostGroup; n <= len(sorted); n++ {
-		groups := arrangeAll(m, split(sorted, n), top/float64(n))
+		groups := arrangeAll(m, dealOut(sorted, n), top/float64(n))
 		if groups == nil {
 			break
 		}
@@ -63,8 +72,8 @@
 	return out
 }
 
-// split deals engines out to so many groups, to each some of every card.
-func split(sorted []Engine, n int) [][]Engine {
+// dealOut deals engines out to so many groups, to each some of every card.
+func dealOut(sorted []Engine, n int) [][]Engine {
 	out := make([][]Engine, n)
 	for i, e := range sorted {
 		at := i % (2 * n)
--- a/internal/route/grid/grid.go
+++ b/internal/route/grid/grid.go
@@ -49,7 +49,7 @@
 		if slices.ContainsFunc(near, func(e Engine) bool { return e.Held.Len() > 0 }) {
 			orders = append(orders, changes(near, mend(all, near))...)
 		} else {
-			orders = append(orders, changes(near, fresh(all, near))...)
+			orders = append(orders, changes(near, whole(all, near))...)
 		}
 	}
 	return orders
--- a/internal/route/grid/mend.go
+++ b/internal/route/grid/mend.go
@@ -13,16 +13,26 @@
 
 // mend returns how the engines of an area, some of which hold layers, should
 // hold them: empty ones take what is worth most; where layers are missing still,
-// spare engines take these; else the one move is made that gains much.
+// spare engines take these; else the one move is made that gains much, unless an
+// engine loads: what that brings is not there yet.
 func mend(m model, engines []Engine) []Engine {
-	out := fill(m, engines)
+	parts := split(m, engines)
+	var out []Engine
+	for _, part := range parts {
+		out = append(out, fill(m, part)...)
+	}
 	if gap := missing(m, out); gap.Len() > 0 {
 		out = cover(m, out)
 	}
-	if len(changes(engines, out)) > 0 {
+	if len(changes(engines, out)) > 0 || slices.ContainsFunc(engines, func(e Engine) bool { return e.Loading }) {
 		return out
 	}
-	return improve(m, engines)
+	for _, part := range parts {
+		if moved := improve(m, part); len(changes(part, moved)) > 0 {
+			return moved
+		}
+	}
+	return engines
 }
 
 // fill places the engines that hold nothing beside those that do.
@@ -105,12 +115,8 @@
 }
 
 // improve moves the one spare engine by which the rate grows most, if that
-// leaves no less room behind the poorest layer. It waits while an engine loads:
-// what that brings is not there yet.
+// leaves no less room behind the poorest layer.
 func improve(m model, engines []Engine) []Engine {
-	if slices.ContainsFunc(engines, func(e Engine) bool { return e.Loading }) {
-		return engines
-	}
 	best, at, to := moveGain*Rate(m.Model, engines), -1, spec.Layers{}
 	poorest := poorestLayer(m, engines)
 	for i, e := range engines {
