--- a/internal/route/grid/area.go
+++ b/internal/route/grid/area.go
@@ -1,6 +1,8 @@
 package grid
 
 import (
+	"slices"
+
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
 )
@@ -24,6 +26,8 @@
 type area struct {
 	model   model
 	engines []Engine
+	links   []link
+	search  *search
 	// top is the best rate that these engines could carry as one chain.
 	top  float64
 	rate float64
@@ -32,20 +36,20 @@
 }
 
 func survey(m model, engines []Engine, top float64) *area {
-	a := &area{model: m, engines: append([]Engine(nil), engines...), top: top}
-	a.rate = Rate(m.Model, a.engines)
+	a := &area{model: m, engines: slices.Clone(engines), links: links(m.Model, engines), search: newSearch(m.Model), top: top}
+	a.rate = a.search.rate(a.links, none)
 	for i := range a.engines {
-		a.alone = append(a.alone, a.without(i))
+		a.alone = append(a.alone, a.without(a.links, a.rate, i))
 	}
 	return a
 }
 
-// without is the rate without one engine.
-func (a *area) without(i int) float64 {
-	if a.rate == 0 {
+// without is the rate of links without one engine; rate is that of all.
+func (a *area) without(links []link, rate float64, i int) float64 {
+	if rate == 0 {
 		return 0
 	}
-	return Rate(a.model.Model, except(a.engines, i))
+	return a.search.rate(links, i)
 }
 
 func except(engines []Engine, i int) []Engine {
@@ -62,44 +66,55 @@
 
 // worth is what the rate counts, and what is left of it without an engine as
 // the mean over all engines: each may be the next to die, leave or be replaced.
-func (a *area) worth() float64 {
+func (a *area) worth() float64 { return worth(a.rate, a.alone, a.top) }
+
+func worth(rate float64, alone []float64, top float64) float64 {
 	left := 0.0
-	for _, r := range a.alone {
-		left += value(r, a.top)
+	for _, r := range alone {
+		left += value(r, top)
 	}
-	return value(a.rate, a.top) + left/float64(max(1, len(a.alone)))
+	return value(rate, top) + left/float64(max(1, len(alone)))
 }
 
 // add places another engine where the area's worth grows most.
 func (a *area) add(e Engine) {
-	var best *area
-	most := 0.0
+	var best, next trial
+	most, found := 0.0, false
 	for _, held := range places(a.model, a.engines, e.Card) {
 		e.Held = held
-		next := a.with(e)
-		if gain := next.worth() + a.cover(held); best == nil || gain > most {
-			best, most = next, gain
+		a.with(&next, e)
+		if gain := worth(next.rate, next.alone, a.top) + a.cover(held); !found || gain > most {
+			most, found = gain, true
+			best, next = next, best
 		}
 	}
-	if best != nil {
-		*a = *best
+	if found {
+		a.engines, a.links = append(a.engines, best.engine), best.links
+		a.rate, a.alone = best.rate, best.alone
 	}
 }
 
-// with is the area with one engine more. Only the engines whose layers it holds
-// as well are missed less.
-func (a *area) with(e Engine) *area {
-	out := &area{model: a.model, engines: append(append([]Engine(nil), a.engines...), e), top: a.top}
-	out.rate = Rate(a.model.Model, out.engines)
+// trial is an area with one engine more.
+type trial struct {
+	engine Engine
+	links  []link
+	rate   float64
+	alone  []float64
+}
+
+// with works out a trial. Only the engines whose layers the new one holds as well
+// are missed less.
+func (a *area) with(t *trial, e Engine) {
+	t.engine = e
+	t.links = insert(append(t.links[:0], a.links...), newLink(a.model.Model, e, len(a.engines)))
+	t.rate = a.search.rate(t.links, none)
+	t.alone = append(t.alone[:0], a.alone...)
 	for i, other := range a.engines {
-		alone := a.alone[i]
 		if overlap(other.Held, e.Held) {
-			alone = out.without(i)
+			t.alone[i] = a.without(t.links, t.rate, i)
 		}
-		out.alone = append(out.alone, alone)
 	}
-	out.alone = append(out.alone, a.rate)
-	return out
+	t.alone = append(t.alone, a.rate)
 }
 
 func overlap(a, b spec.Layers) bool { return a.From() < b.To() && b.From() < a.To() }
--- a/internal/route/grid/rate.go
+++ b/internal/route/grid/rate.go
@@ -42,9 +42,14 @@
 	cells float64
 	slots float64
 	ms    float64
+	// engine is the place of the engine among those of the area.
+	engine int
 }
 
-// search looks for paths over links with room.
+// none is the engine to leave out where all count.
+const none = -1
+
+// search looks for paths over links with room. One serves for many rates.
 type search struct {
 	model *site.Model
 	// links are in the order of their ends, so that each way is complete before
@@ -57,23 +62,39 @@
 	before []int
 }
 
+func newSearch(m *site.Model) *search { return &search{model: m, usual: usual(m)} }
+
 // Rate is how many usual requests a second engines carry that follow each
 // other over the fastest paths until these are full, then over slower ones. A
 // path holds as many requests as its poorest engine has memory for, and each of
 // them for the time that it takes.
 func Rate(m *site.Model, engines []Engine) float64 {
+	return newSearch(m).rate(links(m, engines), none)
+}
+
+// rate is that of links in the order of their ends, without those of an engine.
+func (s *search) rate(all []link, without int) float64 {
 	// A plan asks for thousands of rates. Streams of a process with one processor
 	// wait for one of them at most.
 	runtime.Gosched()
-	s := &search{model: m, links: links(m, engines), usual: usual(m)}
-	s.cost, s.before = make([]float64, len(s.links)), make([]int, len(s.links))
-	sum := 0.0
+	s.links = s.links[:0]
+	for _, l := range all {
+		if l.engine != without {
+			s.links = append(s.links, l)
+		}
+	}
+	s.cost = slices.Grow(s.cost[:0], len(s.links))[:len(s.links)]
+	s.before = slices.Grow(s.before[:0], len(s.links))[:len(s.links)]
+	sum, changed := 0.0, 0
 	for range s.links {
-		end := s.fastest()
+		end := s.fastest(changed)
 		if end < 0 {
 			break
 		}
-		sum += s.take(end) / s.cost[end] * 1000
+		cost := s.cost[end]
+		most, first := s.take(end)
+		sum += most / cost * 1000
+		changed = first
 	}
 	return sum
 }
@@ -81,18 +102,30 @@
 // links are the engines that hold layers, in the order of their ends.
 func links(m *site.Model, engines []Engine) []link {
 	out := make([]link, 0, len(engines))
-	for _, e := range engines {
-		if n := e.Held.Len(); n > 0 {
-			out = append(out, link{
-				from: e.Held.From(), to: e.Held.To(), slots: slots(m),
-				cells: float64(m.Cells(e.Card, n)), ms: float64(n) * layerTime(m, e.Card),
-			})
+	for i, e := range engines {
+		if e.Held.Len() > 0 {
+			out = append(out, newLink(m, e, i))
 		}
 	}
 	slices.SortStableFunc(out, func(a, b link) int { return a.to - b.to })
 	return out
 }
 
+// newLink is an engine that holds layers, the i-th of its area.
+func newLink(m *site.Model, e Engine, i int) link {
+	n := e.Held.Len()
+	return link{
+		from: e.Held.From(), to: e.Held.To(), slots: slots(m), engine: i,
+		cells: float64(m.Cells(e.Card, n)), ms: float64(n) * layerTime(m, e.Card),
+	}
+}
+
+// insert adds a link after those that end where it does.
+func insert(all []link, l link) []link {
+	at := sort.Search(len(all), func(i int) bool { return all[i].to > l.to })
+	return slices.Insert(all, at, l)
+}
+
 // slots is how many requests enter at one engine; no bound is published as zero.
 func slots(m *site.Model) float64 {
 	if m.Slots <= 0 {
@@ -102,11 +135,13 @@
 }
 
 // fastest finds the fastest path with room for a request and returns its last
-// link, or -1.
-func (s *search) fastest() int {
+// link, or -1. Links before the first one that changed are as they were.
+func (s *search) fastest(changed int) int {
 	best := -1
 	for i := range s.links {
-		s.reach(i)
+		if i >= changed {
+			s.reach(i)
+		}
 		if s.links[i].to == s.model.Layers && !math.IsInf(s.cost[i], 1) && (best < 0 || s.cost[i] < s.cost[best]) {
 			best = i
 		}
@@ -133,9 +168,9 @@
 }
 
 // take fills the path that ends in a link and returns how many requests it
-// holds.
-func (s *search) take(end int) float64 {
-	most, first := math.Inf(1), end
+// holds, and its first link.
+func (s *search) take(end int) (most float64, first int) {
+	most, first = math.Inf(1), end
 	for i := end; i >= 0; i = s.before[i] {
 		most = min(most, s.links[i].cells/s.usual/s.layers(i))
 		first = i
@@ -145,7 +180,7 @@
 		s.links[i].cells -= most * s.usual * s.layers(i)
 	}
 	s.links[first].slots -= most
-	return most
+	return most, first
 }
 
 // layers is how many layers a path runs at one of its links.
