--- a/internal/app/edge/plan_test.go
+++ b/internal/app/edge/plan_test.go
@@ -11,6 +11,7 @@
 
 	"fulmarwick/internal/app/edge"
 	"fulmarwick/internal/fakes/depot"
+	"fulmarwick/platform/stand"
 
 	"go.uber.org/zap"
 )
@@ -62,3 +63,41 @@
 		}
 	})
 }
+
+// Guards against engines that stay empty for as long as the store refuses the one
+// instance that places layers: others take that duty over only after its time.
+func TestEngineIsPlacedWhilePlannerIsCutOff(t *testing.T) {
+	for k := range 3 {
+		t.Run(fmt.Sprint(k), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := open(t, 3)
+				defer w.close()
+				usual := w.placedAfter("first")
+				cut := depot.Settings(k).Instance.Name
+				w.site.Store.SetTrouble(func(r *http.Request) stand.Trouble {
+					return stand.Trouble{Down: strings.HasPrefix(r.Header.Get("User-Agent"), cut)}
+				})
+				time.Sleep(3300 * time.Millisecond)
+				if took := w.placedAfter("second"); took > usual+time.Second {
+					t.Errorf("got an engine that holds layers after %s, want a second more than the usual %s at most", took, usual)
+				}
+			})
+		})
+	}
+}
+
+// placedAfter adds an engine and returns after how long it holds layers.
+func (w *world) placedAfter(name string) time.Duration {
+	w.t.Helper()
+	e := &stand.Engine{ID: name, Address: "10.1.64." + fmt.Sprint(90+len(w.site.Engines())) + ":8080", Zone: "east", Card: stand.Usual.Cards[0]}
+	start := time.Now()
+	w.site.AddEngine(e)
+	for time.Since(start) < 20*time.Second {
+		if from, to := e.Held(); to > from {
+			return time.Since(start)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.t.Fatalf("got no layers on engine %s for 20s, want some", name)
+	return 0
+}
