edge: the planner places empty engines while the store refuses it

Load pattern: the store refuses the instance that places layers for seconds, while engines come new or come back empty. Cause: orders needed the lease, which lapses 3.3 s after the last renewal; the next planner takes over up to 8 s after it (its time, a tenth, and two looks). Ruled out: the plan (ready at once after takeover) and the list (known through the mesh). Orders carry what they expect of the engine, so that of two planners one wins; moves of engines that hold layers still need the lease, since nobody learns of them where the store is out of reach for all. A paused planner does not act: the last look at the store must be recent and have failed.

--- a/internal/app/edge/plan.go
+++ b/internal/app/edge/plan.go
@@ -47,7 +47,8 @@
 	until  time.Time
 }
 
-// planner places layers on engines while it holds the duty's lease.
+// planner places layers on engines while it holds the duty's lease, and on empty ones
+// as long as it can't know whether another instance holds it.
 type planner struct {
 	router  *router
 	engines engines
@@ -106,7 +107,7 @@
 			return
 		case <-ticker.C:
 		}
-		if p.lease.Held() {
+		if _, ok := p.lease.Last(); ok {
 			p.round(ctx)
 		}
 	}
@@ -167,7 +168,8 @@
 // patient leaves out orders for engines that hold layers until they have been
 // due for a while: an engine that crashed comes back after some seconds and
 // gets its layers again, and one that this instance alone cannot reach is not
-// missing.
+// missing. Without the lease none of them is moved: where the store is out of reach
+// for all, nobody would learn what it holds then.
 func (p *planner) patient(name string, engines []grid.Engine, orders []grid.Order, now time.Time) []grid.Order {
 	holds := map[spec.UpstreamID]bool{}
 	for _, e := range engines {
@@ -186,7 +188,7 @@
 		delete(p.missing, name)
 	case p.missing[name].IsZero():
 		p.missing[name] = now
-	case now.Sub(p.missing[name]) >= moveAfter:
+	case now.Sub(p.missing[name]) >= moveAfter && p.lease.Held():
 		return orders
 	}
 	return out
@@ -217,11 +219,11 @@
 	if !ok {
 		return
 	}
-	ctx, cancel, fence, err := p.lease.Guard(ctx)
-	if err != nil {
+	// An engine takes only one of two orders that expect the same of it.
+	fence, ok := p.lease.Last()
+	if !ok {
 		return
 	}
-	defer cancel()
 	ctx, stop := context.WithTimeout(ctx, orderTime)
 	defer stop()
 	expect, err := p.give(ctx, up, o, fence)
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -71,6 +71,8 @@
 	mu   sync.Mutex
 	hold hold
 	seen sight
+	// away is when the table was last found out of reach.
+	away time.Time
 }
 
 // row is the row of a lease. Seq makes each renewal a change.
@@ -120,6 +122,18 @@
 	return l.hold.held && l.hold.until.Sub(l.now()) > l.margin()
 }
 
+// Last is the number of the lease while it is held with time left to act, and after
+// that for as long as all that is known is that the table is out of reach: another
+// instance may hold the lease by then. Acts under it must be such that their
+// receivers take only one of two.
+func (l *Lease) Last() (fence uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	inTime, isAway := l.hold.until.Sub(now) > l.margin(), now.Sub(l.away) < 2*l.time()/renewals
+	return l.hold.row.Fence, l.hold.held && (inTime || isAway)
+}
+
 // Since is how long the lease is held; zero if it is not.
 func (l *Lease) Since() time.Duration {
 	l.mu.Lock()
--- a/internal/state/lease/lease_test.go
+++ b/internal/state/lease/lease_test.go
@@ -60,6 +60,53 @@
 	})
 }
 
+// Guards against a holder that was paused, or was followed by another, and acts on
+// under its number as if the table were only out of reach.
+func TestLastIsForOutagesOnly(t *testing.T) {
+	tests := []struct {
+		name string
+		// lapse lets the lease of a lapse, which contends with b.
+		lapse func(table *infra.Table, a, b *lease.Lease)
+		want  bool
+	}{
+		{"out of reach", func(table *infra.Table, a, _ *lease.Lease) {
+			table.Fault(infra.Faults{Down: true})
+			for range 5 {
+				time.Sleep(4 * second)
+				_ = a.Step(t.Context())
+			}
+		}, true},
+		{"paused", func(*infra.Table, *lease.Lease, *lease.Lease) { time.Sleep(20 * second) }, false},
+		{"out of reach, then paused", func(table *infra.Table, a, _ *lease.Lease) {
+			table.Fault(infra.Faults{Down: true})
+			_ = a.Step(t.Context())
+			time.Sleep(20 * second)
+		}, false},
+		{"followed", func(table *infra.Table, a, b *lease.Lease) {
+			for !b.Held() {
+				_ = b.Step(t.Context())
+				time.Sleep(second)
+			}
+			_ = a.Step(t.Context())
+			table.Fault(infra.Faults{Down: true})
+			_ = a.Step(t.Context())
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := &infra.Table{}
+				a, b := contender(table, "a"), contender(table, "b")
+				step(t, a)
+				test.lapse(table, a, b)
+				if fence, ok := a.Last(); ok != test.want || ok && fence != 1 {
+					t.Errorf("got number %d, %t, want %t", fence, ok, test.want)
+				}
+			})
+		})
+	}
+}
+
 // A renewal takes effect and its answer is lost, then the table is out for
 // longer than the lease. The holder acts only while its own time lasts; when
 // the table is back nobody has taken over, and it goes on under its number.
--- a/internal/state/lease/step.go
+++ b/internal/state/lease/step.go
@@ -16,10 +16,17 @@
 	l.mu.Lock()
 	h := l.hold
 	l.mu.Unlock()
-	if h.held {
-		return l.renew(ctx, h)
+	if !h.held {
+		return l.contend(ctx)
 	}
-	return l.contend(ctx)
+	err := l.renew(ctx, h)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.away = time.Time{}
+	if errors.Is(err, ErrStore) {
+		l.away = l.now()
+	}
+	return err
 }
 
 // renew extends the lease. It also does so after the lease has lapsed: if the
