relay: a stream whose engines died goes on while its caller has time

Load pattern: two engines of a stream die within seconds. Cause: the first one was silent when it was asked again, which counted as an attempt (it may stand still and go on); the second broke the connection and counted at once, before it was known to have ended. Ruled out: the bound on repeats (streams with a part of their answer wait for one), room. One list takes the place of two.

--- a/internal/app/edge/fleet.go
+++ b/internal/app/edge/fleet.go
@@ -26,18 +26,23 @@
 	return time.Duration(max(0, w.router.instances()-askAtOnce)) * connectTime
 }
 
-// isDead asks an engine that seemed dead once more and reports whether it is: its
-// address refuses connections, or another process answers there. One that is silent
-// may stand still and go on with what it runs.
+// isDead asks an engine that seemed dead until it is known whether it is: its address
+// refuses connections, another process answers there, or it stays silent. One that is
+// silent for less may stand still and go on with what it runs.
 func (w *watcher) isDead(ctx context.Context, up site.Upstream) bool {
-	report, silent, err := w.report(ctx, up, confirmTime)
-	switch {
-	case silent:
-		return false
-	case err != nil:
-		return true
+	for start := time.Now(); ctx.Err() == nil; {
+		report, silent, err := w.report(ctx, up, confirmTime)
+		switch {
+		case silent && max(time.Since(start), w.router.silentFor(up)) >= cutOff:
+			return true
+		case silent:
+		case err != nil:
+			return ctx.Err() == nil
+		default:
+			return !w.router.heard(up, report)
+		}
 	}
-	return !w.router.heard(up, report)
+	return false
 }
 
 // isCrowded reports whether there are more instances than may ask an engine at once.
--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -195,16 +195,3 @@
 	g := r.group(service)
 	return g.model != nil && g.model.Silent(id)
 }
-
-// Leaving reports whether an engine says that it leaves, or is gone from the
-// list, perhaps while it still serves.
-func (r *router) Leaving(service string, id spec.UpstreamID) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	g := r.group(service)
-	if g.model == nil {
-		return false
-	}
-	up, listed := g.model.Upstream(id)
-	return !listed || up.State != site.StateReady
-}
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -85,7 +85,6 @@
 func (o one) Doubt(string, spec.UpstreamID)                        {}
 func (o one) Refused(*relay.Flight, string) spec.UpstreamID        { return "u" }
 func (o one) Down(string, spec.UpstreamID) bool                    { return false }
-func (o one) Leaving(string, spec.UpstreamID) bool                 { return false }
 func (o one) Gone(context.Context, string, spec.UpstreamID) bool   { return false }
 func (o one) Back(*relay.Call) time.Duration                       { return time.Second }
 func (o one) Enter(context.Context, *relay.Call, relay.Entry, []spec.UpstreamID) (*relay.Flight, error) {
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -52,8 +52,6 @@
 	// Gone asks an engine that is known not to answer once more and reports whether it
 	// has ended or leaves.
 	Gone(ctx context.Context, service string, id spec.UpstreamID) bool
-	// Leaving reports whether an engine says that it leaves, or is gone.
-	Leaving(service string, id spec.UpstreamID) bool
 }
 
 // Errors of a run.
@@ -112,13 +110,12 @@
 	runs  int
 	// refusals counts the runs that engines refused after the answer began.
 	refusals int
-	// ran counts runs that may have begun on engines that still live; maybe
-	// tells that one may have begun on any, so that no promise can be given.
+	// ran counts runs that used up an attempt; maybe tells that one may have begun on
+	// any engine, so that no promise can be given.
 	ran   int
 	maybe bool
-	// spared are first engines whose runs do not count, since they seemed to have
-	// ended.
-	spared []spec.UpstreamID
+	// doubtful are first engines on which runs broke: those that ended do not count.
+	doubtful []spec.UpstreamID
 	// avoid are engines that refused or broke a run.
 	avoid []spec.UpstreamID
 	// firsts are the first engines of the runs.
@@ -197,7 +194,7 @@
 		return nil, err
 	}
 	f.Request = s.call.Ask.ID
-	f.Spare = s.ran+len(s.spared)+1 < s.call.Route.Attempts
+	f.Spare = s.attempts()+1 < s.call.Route.Attempts
 	return f, nil
 }
 
--- a/internal/wire/relay/repeat.go
+++ b/internal/wire/relay/repeat.go
@@ -23,47 +23,31 @@
 		return
 	}
 	s.maybe = true
-	// Runs on first engines that ended do not use up the attempts. An engine that
-	// leaves and breaks its runs has ended; one that the router took its runs off may
-	// go on for long.
 	chain, _ := f.Chain()
 	name, first := s.call.Service.Name, chain[0].Engine()
-	ended := s.models.Paths.Down(name, first) || !f.isMoved() && s.models.Paths.Leaving(name, first)
 	switch {
-	case ended:
-		s.spared = append(s.spared, first)
-	case f.Events() > 0 || !errors.Is(err, errStale):
+	case errors.Is(err, errStale) && f.Events() == 0 && !s.models.Paths.Down(name, first):
+	case errors.Is(err, errStatus), f.isMoved() && !s.models.Paths.Down(name, first):
 		s.ran++
+	default:
+		s.doubtful = append(s.doubtful, first)
 	}
 }
 
-// attempts is how many runs count. An engine that answers again after it seemed to
-// have ended was sound all the while.
-func (s *stream) attempts() int {
-	n := s.ran
-	for _, id := range s.spared {
-		if name := s.call.Service.Name; !s.models.Paths.Down(name, id) && !s.models.Paths.Leaving(name, id) {
-			n++
-		}
-	}
-	return n
-}
-
-// mayRunAgain reports whether an attempt is left. Where the next run would be one too
-// many but for engines that seem to have ended, these are asked first.
+// mayRunAgain reports whether an attempt is left. Runs on engines that ended do not
+// count: where it matters, those are asked on which runs broke.
 func (s *stream) mayRunAgain() bool {
-	if s.ran+len(s.spared) >= s.call.Route.Attempts {
-		s.spared = slices.DeleteFunc(s.spared, func(id spec.UpstreamID) bool {
-			gone := s.models.Paths.Gone(s.ctx, s.call.Service.Name, id)
-			if !gone {
-				s.ran++
-			}
-			return !gone
+	if s.attempts() >= s.call.Route.Attempts {
+		s.doubtful = slices.DeleteFunc(s.doubtful, func(id spec.UpstreamID) bool {
+			return s.models.Paths.Gone(s.ctx, s.call.Service.Name, id)
 		})
 	}
 	return s.attempts() < s.call.Route.Attempts
 }
 
+// attempts is how many runs count as far as is known.
+func (s *stream) attempts() int { return s.ran + len(s.doubtful) }
+
 // again reports whether the request may run once more. One whose caller has a part
 // of the answer waits for that.
 func (s *stream) again(f *Flight, err error) bool {
