grid: loads take turns

Cause: all were ordered at once and shared it; the first range was whole 16 to 22 s after the deaths instead of 6 s, and moves of serving engines took part in it. Also, an order that an engine still carried out was given again after 15 s with other layers. A bound that is not published is none; it was one.

--- a/internal/app/edge/plan.go
+++ b/internal/app/edge/plan.go
@@ -134,7 +134,11 @@
 		if !v.held && (now.Sub(p.changed) < settle || now.Sub(p.start) < fill) {
 			continue
 		}
-		if orders := p.patient(name, v.engines, p.plan(name, v), now); len(orders) > 0 {
+		orders := p.patient(name, v.engines, p.plan(name, v), now)
+		if v.held {
+			orders = grid.Turn(v.model, v.engines, orders)
+		}
+		if len(orders) > 0 {
 			out[name] = orders
 		}
 	}
@@ -233,14 +237,23 @@
 	}
 	p.counted(how)
 	p.mu.Lock()
-	p.orders[o.ID] = ordered{born: up.Born, layers: o.Layers, until: until}
+	layers := o.Layers
+	if last, ok := p.orders[o.ID]; ok && last.born == up.Born && errors.Is(err, errBusy) {
+		layers = last.layers
+	}
+	p.orders[o.ID] = ordered{born: up.Born, layers: layers, until: until}
 	p.mu.Unlock()
 	p.log.Info("edge: order", zap.String("engine", string(o.ID)), zap.String("address", up.Address), zap.Stringer("layers", o.Layers),
 		zap.Uint64("fence", fence), zap.Int("expect", expect), zap.String("end", how), zap.Error(err))
 }
 
-// errHolds means that an engine does not hold what the list says.
-var errHolds = errors.New("edge: engine holds other layers or is busy")
+// Errors of orders.
+var (
+	// errHolds means that an engine does not hold what the list says.
+	errHolds = errors.New("edge: engine holds other layers")
+	// errBusy means that an engine carries out an earlier order.
+	errBusy = errors.New("edge: engine is busy with an earlier order")
+)
 
 // give reads how many orders an engine has accepted and gives one that only
 // this state of the engine takes: an order carried out late, or one of another
@@ -250,7 +263,9 @@
 	switch {
 	case err != nil:
 		return 0, err
-	case report.Busy || report.Held.Layers != up.Held.Layers:
+	case report.Busy:
+		return report.Orders, errBusy
+	case report.Held.Layers != up.Held.Layers:
 		return report.Orders, errHolds
 	}
 	return report.Orders, p.engines.Order(ctx, up.Address, site.Order{Engine: up.ID, Layers: o.Layers, Fence: fence, Expect: report.Orders})
--- a/internal/base/site/model.go
+++ b/internal/base/site/model.go
@@ -43,7 +43,7 @@
 	Prompt int
 	Answer int
 	// Load is how long loading all layers takes; Loads is how many loads run
-	// at full speed at once.
+	// at full speed at once, zero where nothing is published.
 	Load  time.Duration
 	Loads int
 	Cards []Card
--- /dev/null
+++ b/internal/route/grid/turn.go
@@ -0,0 +1,39 @@
+package grid
+
+import (
+	"slices"
+
+	"fulmarwick/internal/base/site"
+)
+
+// Turn returns the orders that may be given now: so many that no more engines load at
+// once than do so at full speed. Loads beyond that share it, and none of them would
+// end before all do. Layers that no engine holds or loads come first, then engines
+// that hold nothing.
+func Turn(m *site.Model, engines []Engine, orders []Order) []Order {
+	if m.Loads <= 0 {
+		return orders
+	}
+	free := m.Loads
+	for _, e := range engines {
+		if e.Loading {
+			free--
+		}
+	}
+	out := slices.Clone(orders)
+	slices.SortStableFunc(out, func(a, b Order) int { return urgency(engines, b) - urgency(engines, a) })
+	return out[:min(max(0, free), len(out))]
+}
+
+// urgency ranks an order, the most urgent highest.
+func urgency(engines []Engine, o Order) int {
+	for l := o.Layers.From(); l < o.Layers.To(); l++ {
+		if holders(engines, l) == 0 {
+			return 2
+		}
+	}
+	if slices.ContainsFunc(engines, func(e Engine) bool { return e.ID == o.ID && e.Held.Len() == 0 }) {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/route/grid/turn_test.go
@@ -0,0 +1,53 @@
+package grid_test
+
+import (
+	"testing"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/grid"
+)
+
+// Guards against a model that is whole only when the last of many engines has loaded:
+// loads beyond those at full speed share it.
+func TestLoadsTakeTurns(t *testing.T) {
+	m := small()
+	m.Loads = 3
+	engines := fleetOf(m, [][]int{{4, 0, 8}})
+	held := func(i, from, to int) { engines[i].Held = spec.NewLayers(from, to) }
+	held(0, 0, 30)
+	held(1, 0, 30)
+	held(2, 30, 60)
+	engines[3].Held, engines[3].Loading = spec.NewLayers(30, 60), true
+	orders := []grid.Order{
+		{ID: engines[0].ID, Layers: spec.NewLayers(0, 20)},
+		{ID: engines[4].ID, Layers: spec.NewLayers(0, 10)},
+		{ID: engines[5].ID, Layers: spec.NewLayers(60, 70)},
+		{ID: engines[6].ID, Layers: spec.NewLayers(70, 80)},
+		{ID: engines[7].ID, Layers: spec.NewLayers(10, 20)},
+	}
+	tests := []struct {
+		name  string
+		loads int
+		want  []int
+	}{
+		{"one loads, two may", 3, []int{2, 3}},
+		{"what is missing, then the empty", 5, []int{2, 3, 1, 4}},
+		{"none is free", 1, nil},
+		{"no bound is published", 0, []int{0, 1, 2, 3, 4}},
+		{"room for all", 9, []int{2, 3, 1, 4, 0}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m.Loads = test.loads
+			got := grid.Turn(m, engines, orders)
+			if len(got) != len(test.want) {
+				t.Fatalf("got %v, want %d orders", got, len(test.want))
+			}
+			for i, at := range test.want {
+				if got[i] != orders[at] {
+					t.Errorf("got %v as order %d, want %v", got[i], i, orders[at])
+				}
+			}
+		})
+	}
+}
