--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -53,7 +53,14 @@
 }
 
 func (m *member) Uses() map[string]map[spec.UpstreamID]path.Use {
-	return map[string]map[spec.UpstreamID]path.Use{"s": {"e": {Streams: 1}}}
+	engines := map[spec.UpstreamID]path.Use{"e": {Streams: 1}}
+	for k := range m.fleet.engines {
+		// Each uses some engines, all together use all.
+		if at := (k + len(m.logic.ID)*7 + int(m.logic.ID[len(m.logic.ID)-1])) % 20; at == 0 {
+			engines[spec.UpstreamID(fmt.Sprintf("i-%010d", k))] = path.Use{Streams: 1 + k%5, Cells: 1000 * k, Unread: 500 * k, Spread: float64(k) / 3}
+		}
+	}
+	return map[string]map[spec.UpstreamID]path.Use{"s": engines}
 }
 
 func (m *member) Marks() map[string]feed.Mark        { return map[string]feed.Mark{table: m.view.Mark()} }
@@ -116,13 +123,17 @@
 	sent    int
 	// sentBy and bytesBy are how many messages and bytes each member sent.
 	sentBy, bytesBy map[spec.InstanceID]int
+	// heardBy is how many bytes each member got from each other one.
+	heardBy map[[2]spec.InstanceID]int
+	// engines is how many engines they use together beside the one that all do.
+	engines int
 }
 
 func open(n int) *fleet { return openNamed(n, "i") }
 
 // openNamed opens a fleet of n members; their names begin with a prefix.
 func openNamed(n int, prefix string) *fleet {
-	f := &fleet{members: map[spec.InstanceID]*member{}, inbox: map[spec.InstanceID][]node.Event{}, silent: map[spec.InstanceID]bool{}, sentBy: map[spec.InstanceID]int{}, bytesBy: map[spec.InstanceID]int{}}
+	f := &fleet{heardBy: map[[2]spec.InstanceID]int{}, members: map[spec.InstanceID]*member{}, inbox: map[spec.InstanceID][]node.Event{}, silent: map[spec.InstanceID]bool{}, sentBy: map[spec.InstanceID]int{}, bytesBy: map[spec.InstanceID]int{}}
 	var peers []node.Peer
 	for k := range n {
 		id := spec.InstanceID(fmt.Sprintf("%s%d", prefix, k))
@@ -181,6 +192,7 @@
 			f.sent++
 			f.sentBy[id]++
 			f.bytesBy[id] += len(s.Data)
+			f.heardBy[[2]spec.InstanceID{s.To, id}] += len(s.Data)
 			f.inbox[s.To] = append(f.inbox[s.To], node.Heard{From: id, Data: s.Data})
 		}
 	}
