mesh: sums of many engines are told less often

Load pattern: 600 engines and more before hundreds of instances; each round a head told its cell's sum to all other cells and the sum of all to its members, 38 bytes an engine. An instance now tells another one so many bytes of sums a second, 22 KB in its own data centre and 6 KB to another one, and at least one sum in 1.6 s.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -72,6 +72,8 @@
 	tried time.Duration
 	// load is what it last told of its own requests; nil if that does not count.
 	load *load
+	// sumDue is from when on it is told the next sum.
+	sumDue time.Duration
 }
 
 // Logic is one instance's part. Set the exported fields before use.
--- a/internal/fleet/mesh/sum.go
+++ b/internal/fleet/mesh/sum.go
@@ -12,7 +12,13 @@
 const (
 	// sumTime is how long the sum of a cell counts without a new one. It outlasts the
 	// silence after which the other head of the cell sends it.
-	sumTime = silent + 5*beat
+	sumTime = silent + sumPause + beat
+	// nearRate and farRate are the bytes a second that sums for one instance may take,
+	// in the own data centre and in another one: sums of many engines are told less
+	// often, but after sumPause at the latest, well within the time for which they count.
+	nearRate = 22 << 10
+	farRate  = 6 << 10
+	sumPause = 8 * beat
 	// sourceAll names what the requests of all other instances take, as a member
 	// hears of it.
 	sourceAll = spec.InstanceID("all")
@@ -146,6 +152,16 @@
 	return out
 }
 
+// summed notes that an instance was told a sum of some bytes.
+func (l *Logic) summed(now time.Duration, p *peer, bytes int) {
+	rate := farRate
+	if p.centre == l.DataCentre {
+		rate = nearRate
+	}
+	pause := min(sumPause, time.Duration(bytes)*time.Second/time.Duration(rate))
+	p.sumDue = max(p.sumDue, now-beat) + pause
+}
+
 func newLoad() load {
 	return load{uses: uses{}, paces: map[spec.UpstreamID]float64{}, repeats: map[string]again.Count{}}
 }
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -59,7 +59,12 @@
 		if p.url == "" || !partner && !asks {
 			continue
 		}
-		m := d.message(l.scope(p), p)
+		scope := l.scope(p)
+		sum := scope == ScopeCell || scope == ScopeAll
+		if sum && now < p.sumDue {
+			scope, sum = ScopeNone, false
+		}
+		m := d.message(scope, p)
 		m.Reply = !partner
 		m.Dead, m.Crashes, m.Tables, m.Roster = dead, crashes, tables[p.id], l.roster(now, p)
 		for _, ev := range passing {
@@ -67,7 +72,11 @@
 				m.Dead, m.Crashes = slices.Concat(m.Dead, ev.dead), slices.Concat(m.Crashes, ev.crashes)
 			}
 		}
-		out = append(out, node.Send{To: p.id, URL: p.url, Data: d.encode(m, p)})
+		data := d.encode(m, p)
+		if sum {
+			l.summed(now, p, len(data))
+		}
+		out = append(out, node.Send{To: p.id, URL: p.url, Data: data})
 	}
 	return out
 }
