relay: attempts are the engines that live, each once, asked where it matters

Cause of what was left of the property test: a run taken off a living engine counted for good, though that engine ended later; a second run on the same engine counted again; and an engine that stood still twice seemed cut off by the time since it was first found silent. Attempts are now one list of engines, asked all at once for up to 1.5 s where the next run would be one too many.

--- a/internal/app/edge/fleet.go
+++ b/internal/app/edge/fleet.go
@@ -33,7 +33,7 @@
 	for start := time.Now(); ctx.Err() == nil; {
 		report, silent, err := w.report(ctx, up, confirmTime)
 		switch {
-		case silent && max(time.Since(start), w.router.silentFor(up)) >= cutOff:
+		case silent && time.Since(start) >= cutOff:
 			return true
 		case silent:
 		case err != nil:
--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -182,10 +182,14 @@
 	return chain[0].Engine()
 }
 
-// Gone asks an engine that does not answer once more and reports whether it is gone.
-func (r *router) Gone(ctx context.Context, service string, id spec.UpstreamID) bool {
+// Gone asks an engine whether it has ended. One that left the list can't be asked; it
+// has ended if it broke its runs off.
+func (r *router) Gone(ctx context.Context, service string, id spec.UpstreamID, broke bool) bool {
 	up, listed := r.upstream(service, id)
-	return !listed || up.State != site.StateReady || r.isDead(ctx, up)
+	if broke && (!listed || up.State != site.StateReady) {
+		return true
+	}
+	return listed && r.isDead(ctx, up)
 }
 
 // Down reports whether an engine does not answer.
--- a/internal/app/edge/probe.go
+++ b/internal/app/edge/probe.go
@@ -223,15 +223,5 @@
 	if g.model == nil {
 		return false
 	}
-	return g.model.Down(r.now(), up.ID, up.Born)
-}
-
-// silentFor is for how long an engine is known not to answer.
-func (r *router) silentFor(up site.Upstream) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if g := r.group(up.Service); g.model != nil {
-		return g.model.SilentFor(r.now(), up.ID)
-	}
-	return 0
+	return g.model.Down(up.ID, up.Born)
 }
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -27,8 +27,8 @@
 	// dead, and the moves that follow keep them busy.
 	askAgain = 90 * time.Millisecond
 	// confirmTime is how long an engine that seemed dead may take to answer before a
-	// request may run on one engine more than its attempts allow. One that was silent
-	// for cutOff in all is cut off from here.
+	// request may run on one engine more than its attempts allow. One that stays silent
+	// for cutOff is cut off from here.
 	confirmTime = 400 * time.Millisecond
 	cutOff      = 1500 * time.Millisecond
 	// askMost bounds a question though this process does not run.
--- a/internal/route/path/health.go
+++ b/internal/route/path/health.go
@@ -74,12 +74,12 @@
 
 // Down marks an engine that does not answer. It gets no requests until it is
 // heard of again. It returns false if there is nothing new in that.
-func (t *Table) Down(now time.Duration, id spec.UpstreamID, born int64) bool {
+func (t *Table) Down(id spec.UpstreamID, born int64) bool {
 	e := t.byID[id]
 	if e == nil || e.down || e.up.Born != born {
 		return false
 	}
-	e.down, e.downAt = true, now
+	e.down = true
 	return true
 }
 
@@ -116,14 +116,6 @@
 	e.rest = now + e.refused
 }
 
-// SilentFor is for how long an engine that is listed does not answer; zero if it does.
-func (t *Table) SilentFor(now time.Duration, id spec.UpstreamID) time.Duration {
-	if e := t.byID[id]; e != nil && e.down {
-		return now - e.downAt
-	}
-	return 0
-}
-
 // Silent reports whether an engine that is listed does not answer.
 func (t *Table) Silent(id spec.UpstreamID) bool {
 	e := t.byID[id]
--- a/internal/route/path/path_test.go
+++ b/internal/route/path/path_test.go
@@ -104,11 +104,11 @@
 	if c := choose(t, tab); c.Uses("e2") {
 		t.Errorf("got %s, want no slow engine", c)
 	}
-	tab.Down(0, "w2", 1)
+	tab.Down("w2", 1)
 	if c := choose(t, tab); !c.Uses("e2") {
 		t.Errorf("got %s, want the slow engine for the dead one", c)
 	}
-	tab.Down(0, "e2", 1)
+	tab.Down("e2", 1)
 	if _, err := tab.Choose(0, usual, nil); !errors.Is(err, path.ErrNone) {
 		t.Errorf("got %v with no engine for a range, want ErrNone", err)
 	}
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -24,9 +24,8 @@
 	pace   float64
 	said   float64
 	saidAt time.Duration
-	// down engines do not answer, since downAt.
-	down   bool
-	downAt time.Duration
+	// down engines do not answer.
+	down bool
 	// rest is until when it gets no new requests, refused how long it rested
 	// for its last refusal; zero once it has served since.
 	rest    time.Duration
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -71,22 +71,22 @@
 
 func (o one) up() site.Upstream { return site.Upstream{ID: "u", Service: "d", Address: o.address} }
 
-func (o one) Pick(string, []spec.UpstreamID) (site.Upstream, bool) { return o.up(), true }
-func (o one) Done(site.Upstream, uint64, time.Duration, least.End) {}
-func (o one) Rest(site.Upstream)                                   {}
-func (o one) Load(site.Upstream, site.Load)                        {}
-func (o one) Usual(site.Upstream) time.Duration                    { return time.Second }
-func (o one) First(string)                                         {}
-func (o one) Again(string) bool                                    { return true }
-func (o one) Guilty(uint64) bool                                   { return false }
-func (o one) Innocent(uint64)                                      {}
-func (o one) Wrote(*relay.Flight)                                  {}
-func (o one) End(*relay.Flight, bool)                              {}
-func (o one) Doubt(string, spec.UpstreamID)                        {}
-func (o one) Refused(*relay.Flight, string) spec.UpstreamID        { return "u" }
-func (o one) Down(string, spec.UpstreamID) bool                    { return false }
-func (o one) Gone(context.Context, string, spec.UpstreamID) bool   { return false }
-func (o one) Back(*relay.Call) time.Duration                       { return time.Second }
+func (o one) Pick(string, []spec.UpstreamID) (site.Upstream, bool)     { return o.up(), true }
+func (o one) Done(site.Upstream, uint64, time.Duration, least.End)     {}
+func (o one) Rest(site.Upstream)                                       {}
+func (o one) Load(site.Upstream, site.Load)                            {}
+func (o one) Usual(site.Upstream) time.Duration                        { return time.Second }
+func (o one) First(string)                                             {}
+func (o one) Again(string) bool                                        { return true }
+func (o one) Guilty(uint64) bool                                       { return false }
+func (o one) Innocent(uint64)                                          {}
+func (o one) Wrote(*relay.Flight)                                      {}
+func (o one) End(*relay.Flight, bool)                                  {}
+func (o one) Doubt(string, spec.UpstreamID)                            {}
+func (o one) Refused(*relay.Flight, string) spec.UpstreamID            { return "u" }
+func (o one) Down(string, spec.UpstreamID) bool                        { return false }
+func (o one) Gone(context.Context, string, spec.UpstreamID, bool) bool { return false }
+func (o one) Back(*relay.Call) time.Duration                           { return time.Second }
 func (o one) Enter(context.Context, *relay.Call, relay.Entry, []spec.UpstreamID) (*relay.Flight, error) {
 	chain := spec.Chain{spec.NewStage("u", spec.NewLayers(0, 1))}
 	return relay.NewFlight(chain, []site.Hop{{Address: o.address}}), nil
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -50,9 +50,9 @@
 	Refused(f *Flight, address string) spec.UpstreamID
 	// Down reports whether an engine is known not to answer.
 	Down(service string, id spec.UpstreamID) bool
-	// Gone asks an engine that is known not to answer once more and reports whether it
-	// has ended or leaves.
-	Gone(ctx context.Context, service string, id spec.UpstreamID) bool
+	// Gone asks an engine on which a run began whether it has ended. One that broke its
+	// run off has if it was leaving.
+	Gone(ctx context.Context, service string, id spec.UpstreamID, broke bool) bool
 }
 
 // Errors of a run.
@@ -111,12 +111,10 @@
 	runs  int
 	// refusals counts the runs that engines refused after the answer began.
 	refusals int
-	// ran counts runs that used up an attempt; maybe tells that one may have begun on
-	// any engine, so that no promise can be given.
-	ran   int
-	maybe bool
-	// doubtful are first engines on which runs broke: those that ended do not count.
-	doubtful []spec.UpstreamID
+	// attempts are the first engines of runs that may have begun; maybe tells that
+	// there was one, so that no promise can be given.
+	attempts []attempt
+	maybe    bool
 	// avoid are engines that refused or broke a run.
 	avoid []spec.UpstreamID
 	// firsts are the first engines of the runs.
@@ -200,7 +198,7 @@
 		return nil, err
 	}
 	f.Request = s.call.Ask.ID
-	f.Spare = s.attempts()+1 < s.call.Route.Attempts
+	f.Spare = len(s.attempts)+1 < s.call.Route.Attempts
 	return f, nil
 }
 
--- a/internal/wire/relay/repeat.go
+++ b/internal/wire/relay/repeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"fulmarwick/internal/base/spec"
@@ -17,6 +18,13 @@
 	maxPause = 400 * time.Millisecond
 )
 
+// attempt is an engine that ran the request as its first one, or may have.
+type attempt struct {
+	engine spec.UpstreamID
+	// broke tells that the engine broke the run off: if it was leaving, it has ended.
+	broke bool
+}
+
 // judge learns from a run that failed.
 func (s *stream) judge(f *Flight, err error) {
 	if errors.Is(err, errNotRun) || errors.Is(err, errUnsent) {
@@ -24,30 +32,42 @@
 	}
 	s.maybe = true
 	chain, _ := f.Chain()
-	name, first := s.call.Service.Name, chain[0].Engine()
-	switch {
-	case errors.Is(err, errStale) && f.Events() == 0 && !s.models.Paths.Down(name, first):
-	case errors.Is(err, errStatus), f.isMoved() && !s.models.Paths.Down(name, first):
-		s.ran++
-	default:
-		s.doubtful = append(s.doubtful, first)
+	first := chain[0].Engine()
+	down := s.models.Paths.Down(s.call.Service.Name, first)
+	if errors.Is(err, errStale) && f.Events() == 0 && !down {
+		return
+	}
+	broke := down || !f.isMoved() && !errors.Is(err, errStatus)
+	at := slices.IndexFunc(s.attempts, func(a attempt) bool { return a.engine == first })
+	if at < 0 {
+		s.attempts = append(s.attempts, attempt{engine: first, broke: broke})
+	} else {
+		s.attempts[at].broke = broke
 	}
 }
 
-// mayRunAgain reports whether an attempt is left. Runs on engines that ended do not
-// count: where it matters, those are asked on which runs broke.
+// mayRunAgain reports whether an attempt is left. Engines that ended do not count:
+// where it matters, they are asked whether they have.
 func (s *stream) mayRunAgain() bool {
-	if s.attempts() >= s.call.Route.Attempts {
-		s.doubtful = slices.DeleteFunc(s.doubtful, func(id spec.UpstreamID) bool {
-			return s.models.Paths.Gone(s.ctx, s.call.Service.Name, id)
-		})
+	if len(s.attempts) < s.call.Route.Attempts {
+		return true
+	}
+	gone := make([]bool, len(s.attempts))
+	var asked sync.WaitGroup
+	for i, a := range s.attempts {
+		asked.Go(func() { gone[i] = s.models.Paths.Gone(s.ctx, s.call.Service.Name, a.engine, a.broke) })
 	}
-	return s.attempts() < s.call.Route.Attempts
+	asked.Wait()
+	var left []attempt
+	for i, a := range s.attempts {
+		if !gone[i] {
+			left = append(left, a)
+		}
+	}
+	s.attempts = left
+	return len(s.attempts) < s.call.Route.Attempts
 }
 
-// attempts is how many runs count as far as is known.
-func (s *stream) attempts() int { return s.ran + len(s.doubtful) }
-
 // again reports whether the request may run once more. One whose caller has a part
 // of the answer waits for that.
 func (s *stream) again(f *Flight, err error) bool {
