path: instances that started together do not all choose the same engines

Load pattern: all instances come back at the same moment (all lost power) and none knows yet what the others send where. Ruled out: the store (known within 0.3 s), room of the fleet, layers (no order is due). For its first two seconds an instance draws how much it prefers engines, and counts for each engine that nothing is heard of what it sends there itself as often as there are others in a data centre.

--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -91,7 +91,7 @@
 	full := false
 	best, bestCost := -1, math.Inf(1)
 	for _, e := range t.engines {
-		e.see(a.Now)
+		t.see(a.Now, e)
 		if !a.allows(e) {
 			continue
 		}
@@ -125,7 +125,7 @@
 	chance := (1 + t.spread(a.Haste)) * t.warmth(a.Now, e)
 	try := func(from int, base float64, before int) {
 		layers := spec.NewLayers(from, to)
-		c, fits := t.cost(a.Need, e, layers.Len())
+		c, fits := t.cost(a.Now, a.Need, e, layers.Len())
 		if !fits {
 			tight = true
 			return
--- a/internal/route/path/cost.go
+++ b/internal/route/path/cost.go
@@ -53,8 +53,24 @@
 	if age >= slowStart {
 		return 1
 	}
-	beyond := max(0, t.instances()-slowStartFrom)
-	return 1 + float64(beyond)/slowStartEach*(1-float64(age)/float64(slowStart))
+	raise := float64(max(0, t.instances()-slowStartFrom)) / slowStartEach * (1 - float64(age)/float64(slowStart))
+	if e.since == t.since && t.Random != nil {
+		// This instance is as new as the engine seems, and so are others perhaps:
+		// by chance each prefers other engines.
+		raise *= t.Random()
+	}
+	return 1 + raise
+}
+
+// unheard is what an engine probably has to read for other instances that started
+// with this one and are not heard yet: each chose as this one did.
+func (t *Table) unheard(now time.Duration, e *engine) int {
+	age := now - t.since
+	if age >= slowStart || e.others.Streams > 0 {
+		return 0
+	}
+	near := float64(t.instances()) / float64(max(1, t.centres))
+	return int(float64(e.mine.Unread) * near * (1 - float64(age)/float64(slowStart)))
 }
 
 // before is the cost of the way to the first engine of a path or of its part.
@@ -78,7 +94,7 @@
 
 // cost is the time in milliseconds that e is predicted to add to a request for
 // so many layers.
-func (t *Table) cost(n Need, e *engine, layers int) (ms float64, fits bool) {
+func (t *Table) cost(now time.Duration, n Need, e *engine, layers int) (ms float64, fits bool) {
 	u := e.use()
 	limit := float64(e.cells)
 	with := u
@@ -89,7 +105,7 @@
 	}
 	share := float64(layers) / float64(t.Model.Layers)
 	write := float64(n.Answer) * t.pass(e, u, 1)
-	unread := u.Unread
+	unread := u.Unread + t.unheard(now, e)
 	if n.Haste {
 		// The other instances move their streams in the same moment, and what
 		// they chose is known only after it.
--- a/internal/route/path/health.go
+++ b/internal/route/path/health.go
@@ -143,12 +143,15 @@
 	return !e.down && now >= e.rest && e.up.State == site.StateReady && e.up.Held.Layers.Len() > 0
 }
 
-// see notes since when the engine takes requests.
-func (e *engine) see(now time.Duration) {
+// see notes since when an engine takes requests.
+func (t *Table) see(now time.Duration, e *engine) {
 	switch {
 	case !e.usable(now):
 		e.since = 0
 	case e.since == 0:
 		e.since = max(now, 1)
+		if t.since == 0 {
+			t.since = e.since
+		}
 	}
 }
--- a/internal/route/path/path_test.go
+++ b/internal/route/path/path_test.go
@@ -409,3 +409,68 @@
 		t.Errorf("got %d of %d at the new engines in one moment, want half at most", got, instances)
 	}
 }
+
+// Guards against requests that engines refuse after all instances of a large fleet
+// started at the same moment: none knows yet what the others send where.
+func TestStartedInstancesSpread(t *testing.T) {
+	const (
+		// near instances of one data centre take requests, each those of its callers
+		// who came while it was away.
+		near     = 24
+		requests = 8
+	)
+	var ups []site.Upstream
+	for i := range 4 {
+		ups = append(ups, engine(fmt.Sprintf("a%d", i), "a100", "east", 20*i, 20*i+20))
+	}
+	for c := range 3 {
+		for i := range 5 {
+			ups = append(ups, engine(fmt.Sprintf("b%d-%d", c, i), "l40s", "east", 16*i, 16*i+16))
+		}
+	}
+	for c := range 2 {
+		for i := range 10 {
+			ups = append(ups, engine(fmt.Sprintf("c%d-%d", c, i), "l4", "east", 8*i, 8*i+8))
+		}
+	}
+	room := map[spec.UpstreamID]int{}
+	for _, up := range ups {
+		m := model()
+		card, _ := m.Card(up.Card)
+		room[up.ID] = m.Cells(card, up.Held.Layers.Len())
+	}
+	refused, first := 0, map[spec.UpstreamID]int{}
+	var tabs []*path.Table
+	for k := range uint64(near) {
+		random := rand.New(rand.NewPCG(k, 1))
+		tab := &path.Table{Model: model(), Centre: "east", Random: random.Float64, Others: func() int { return 117 }}
+		tab.Sync(ups)
+		tabs = append(tabs, tab)
+	}
+	for range requests {
+		for _, tab := range tabs {
+			chain, err := tab.Choose(time.Second, usual, nil)
+			if err != nil {
+				refused++
+				continue
+			}
+			tab.Begin(chain, usual)
+			full := false
+			for _, s := range chain {
+				full = full || room[s.Engine()] < (usual.Prompt+usual.Answer)*s.Layers().Len()
+			}
+			if full {
+				refused++
+				continue
+			}
+			first[chain[0].Engine()]++
+			for _, s := range chain {
+				room[s.Engine()] -= (usual.Prompt + usual.Answer) * s.Layers().Len()
+			}
+		}
+	}
+	t.Logf("%d of %d refused, first engines %v", refused, near*requests, first)
+	if refused > near*requests/20 {
+		t.Errorf("got %d of %d requests refused, want a twentieth at most", refused, near*requests)
+	}
+}
