edge: quick loads take no turns; orders in a file of their own

Turns are taken where loads take 3 s or more, as seen by the planner, before that as published. Test: with turns always, engines without layers 2 s after 30 came; none without.

--- a/internal/app/edge/plan.go
+++ b/internal/app/edge/plan.go
@@ -11,7 +11,6 @@
 	"fulmarwick/internal/route/grid"
 	"fulmarwick/internal/state/lease"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 )
 
@@ -24,29 +23,13 @@
 	// engines would have to be undone.
 	settle = 1200 * time.Millisecond
 	fill   = 3500 * time.Millisecond
-	// orderTime bounds the answer to an order.
-	orderTime = 500 * time.Millisecond
-	// orderAgain is when an order that an engine accepted is given again if
-	// its entry still shows nothing: loading takes up to 14 s for all layers,
-	// five times that if many load at once.
-	orderAgain = 15 * time.Second
 	// moveAfter is how long a move must be due before an engine gives up layers
 	// for others: longer than the list takes to show an engine that was replaced.
 	// An engine that crashed is away for longer than a spare one takes to load its
 	// layers; to wait for it takes its data centre out of service.
 	moveAfter = 600 * time.Millisecond
-	// orderLost is the same for an order without an answer. It may still be
-	// carried out; the count of orders that both expect lets only one win.
-	orderLost = 700 * time.Millisecond
 )
 
-// ordered is an order given to an engine.
-type ordered struct {
-	born   int64
-	layers spec.Layers
-	until  time.Time
-}
-
 // planner places layers on engines while it holds the duty's lease, and on empty ones
 // as long as it can't know whether another instance holds it.
 type planner struct {
@@ -66,6 +49,9 @@
 	// missing is since when moves of engines that hold layers are due.
 	missing map[string]time.Time
 	plans   map[string]plan
+	// loading is the time from orders to the list that shows what they brought, the
+	// last ones weigh most; zero while none is known.
+	loading time.Duration
 }
 
 // plan is the orders that were due for engines as they were. They are worked out
@@ -135,7 +121,7 @@
 			continue
 		}
 		orders := p.patient(name, v.engines, p.plan(name, v), now)
-		if v.held {
+		if v.held && p.isSlow(v.model, orders) {
 			orders = grid.Turn(v.model, v.engines, orders)
 		}
 		if len(orders) > 0 {
@@ -209,64 +195,14 @@
 		e := grid.Engine{ID: up.ID, Centre: up.Centre, Card: card, Held: up.Held.Layers}
 		if o, ok := p.orders[up.ID]; ok && o.born == up.Born && now.Before(o.until) {
 			e.Held, e.Loading = o.layers, up.Held.Layers != o.layers
+			if !e.Loading && !o.listed {
+				o.listed = true
+				p.orders[up.ID] = o
+				p.loaded(now.Sub(o.at))
+			}
 		}
 		held = held || e.Held.Len() > 0
 		out = append(out, e)
 	}
 	return out, held
 }
-
-func (p *planner) order(ctx context.Context, service string, o grid.Order) {
-	p.router.mu.Lock()
-	up, ok := p.router.group(service).model.Upstream(o.ID)
-	p.router.mu.Unlock()
-	if !ok {
-		return
-	}
-	// An engine takes only one of two orders that expect the same of it.
-	fence, ok := p.lease.Last()
-	if !ok {
-		return
-	}
-	ctx, stop := context.WithTimeout(ctx, orderTime)
-	defer stop()
-	expect, err := p.give(ctx, up, o, fence)
-	until, how := time.Now().Add(orderAgain), "accepted"
-	if err != nil {
-		until, how = time.Now().Add(orderLost), "failed"
-	}
-	p.counted(how)
-	p.mu.Lock()
-	layers := o.Layers
-	if last, ok := p.orders[o.ID]; ok && last.born == up.Born && errors.Is(err, errBusy) {
-		layers = last.layers
-	}
-	p.orders[o.ID] = ordered{born: up.Born, layers: layers, until: until}
-	p.mu.Unlock()
-	p.log.Info("edge: order", zap.String("engine", string(o.ID)), zap.String("address", up.Address), zap.Stringer("layers", o.Layers),
-		zap.Uint64("fence", fence), zap.Int("expect", expect), zap.String("end", how), zap.Error(err))
-}
-
-// Errors of orders.
-var (
-	// errHolds means that an engine does not hold what the list says.
-	errHolds = errors.New("edge: engine holds other layers")
-	// errBusy means that an engine carries out an earlier order.
-	errBusy = errors.New("edge: engine is busy with an earlier order")
-)
-
-// give reads how many orders an engine has accepted and gives one that only
-// this state of the engine takes: an order carried out late, or one of another
-// planner, then changes nothing.
-func (p *planner) give(ctx context.Context, up site.Upstream, o grid.Order, fence uint64) (expect int, err error) {
-	report, err := p.engines.Report(ctx, up.Address)
-	switch {
-	case err != nil:
-		return 0, err
-	case report.Busy:
-		return report.Orders, errBusy
-	case report.Held.Layers != up.Held.Layers:
-		return report.Orders, errHolds
-	}
-	return report.Orders, p.engines.Order(ctx, up.Address, site.Order{Engine: up.ID, Layers: o.Layers, Fence: fence, Expect: report.Orders})
-}
--- a/internal/app/edge/plan_test.go
+++ b/internal/app/edge/plan_test.go
@@ -101,3 +101,24 @@
 	w.t.Fatalf("got no layers on engine %s for 20s, want some", name)
 	return 0
 }
+
+// Guards against engines that wait for their turn to load though loads end before the
+// list could tell of them, as when a whole site starts.
+func TestQuickLoadsTakeNoTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := open(t, 2)
+		defer w.close()
+		var added []*stand.Engine
+		for k := range 30 {
+			e := &stand.Engine{ID: fmt.Sprintf("new-%d", k), Address: fmt.Sprintf("10.1.64.%d:8080", 100+k), Zone: "east", Card: stand.Usual.Cards[2]}
+			added = append(added, e)
+			w.site.AddEngine(e)
+		}
+		time.Sleep(2 * time.Second)
+		for _, e := range added {
+			if from, to := e.Held(); to == from {
+				t.Errorf("got no layers on %s after 2s, want some", e.ID)
+			}
+		}
+	})
+}
