--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -84,10 +84,33 @@
 	before int
 }
 
+// ways are the steps of a search.
+type ways struct {
+	steps []step
+	// ends are the cheapest steps to the end of each layer, one for each data centre:
+	// any other costs as much more, whatever follows.
+	ends [][]int
+}
+
+// add takes a step.
+func (w *ways) add(a Ask, s step) {
+	w.steps = append(w.steps, s)
+	at, last := s.layers.To()-a.From, len(w.steps)-1
+	for i, other := range w.ends[at] {
+		if o := w.steps[other]; o.engine.up.Centre == s.engine.up.Centre {
+			if s.cost < o.cost {
+				w.ends[at][i] = last
+			}
+			return
+		}
+	}
+	w.ends[at] = append(w.ends[at], last)
+}
+
 // Find returns the cheapest path for a question. Engines come in the order of
 // their ends, so each way is complete before another one builds on it.
 func (t *Table) Find(a Ask) (spec.Chain, error) {
-	var steps []step
+	w := &ways{ends: make([][]int, a.To-a.From+1)}
 	full := false
 	best, bestCost := -1, math.Inf(1)
 	for _, e := range t.engines {
@@ -95,15 +118,15 @@
 		if !a.allows(e) {
 			continue
 		}
-		s, ok, tight := t.extend(a, steps, e)
+		s, ok, tight := t.extend(a, w, e)
 		full = full || tight
 		if !ok {
 			continue
 		}
-		steps = append(steps, s)
+		w.add(a, s)
 		if s.layers.To() == a.To {
 			if cost := s.cost + t.after(a, e.up.Centre); cost < bestCost {
-				best, bestCost = len(steps)-1, cost
+				best, bestCost = len(w.steps)-1, cost
 			}
 		}
 	}
@@ -113,40 +136,47 @@
 		}
 		return nil, ErrNone
 	}
-	return unwind(steps, best), nil
+	return unwind(w.steps, best), nil
 }
 
-// extend finds the cheapest way to use e after one of steps, or as the first
+// extend finds the cheapest way to use e after one of the steps, or as the first
 // engine. tight tells that e lacks the memory, or the way to it the room.
-func (t *Table) extend(a Ask, steps []step, e *engine) (out step, ok, tight bool) {
+func (t *Table) extend(a Ask, w *ways, e *engine) (out step, ok, tight bool) {
 	held := e.up.Held.Layers
 	to := min(held.To(), a.To)
 	cost := math.Inf(1)
 	chance := (1 + t.spread(a.Haste)) * t.warmth(a.Now, e)
-	try := func(from int, base float64, before int) {
-		layers := spec.NewLayers(from, to)
-		c, fits := t.cost(a.Now, a.Need, e, layers.Len())
+	// try takes the layers after one, over ways that cost so much up to there.
+	try := func(from int, bases func(yield func(base float64, before int))) {
+		c, fits := t.cost(a.Now, a.Need, e, to-from)
 		if !fits {
 			tight = true
 			return
 		}
-		tight = tight || math.IsInf(base, 1)
 		c *= chance
-		if base+c < cost {
-			cost = base + c
-			out = step{engine: e, layers: layers, cost: cost, before: before}
-			ok = true
-		}
+		bases(func(base float64, before int) {
+			tight = tight || math.IsInf(base, 1)
+			if base+c < cost {
+				cost = base + c
+				out = step{engine: e, layers: spec.NewLayers(from, to), cost: cost, before: before}
+				ok = true
+			}
+		})
 	}
 	if held.From() <= a.From {
-		try(a.From, t.before(a, e.up.Centre), -1)
+		try(a.From, func(yield func(float64, int)) { yield(t.before(a, e.up.Centre), -1) })
 	}
-	for i, s := range steps {
-		at := s.layers.To()
-		if at < held.From() || at >= to {
+	for at := max(held.From(), a.From+1); at < to; at++ {
+		ends := w.ends[at-a.From]
+		if len(ends) == 0 {
 			continue
 		}
-		try(at, s.cost+t.hop(a, s.engine.up.Centre, e.up.Centre), i)
+		try(at, func(yield func(float64, int)) {
+			for _, i := range ends {
+				s := w.steps[i]
+				yield(s.cost+t.hop(a, s.engine.up.Centre, e.up.Centre), i)
+			}
+		})
 	}
 	return out, ok, tight
 }
--- a/internal/route/path/path_test.go
+++ b/internal/route/path/path_test.go
@@ -474,3 +474,29 @@
 		t.Errorf("got %d of %d requests refused, want a twentieth at most", refused, near*requests)
 	}
 }
+
+// BenchmarkChoose chooses a path among 200 and 3,000 engines of five data centres.
+func BenchmarkChoose(b *testing.B) {
+	for _, chains := range []int{8, 120} {
+		b.Run(fmt.Sprint(25*chains), func(b *testing.B) {
+			tab := &path.Table{Model: model(), Centre: "dc0", Random: rand.New(rand.NewPCG(1, 1)).Float64}
+			var ups []site.Upstream
+			for z := range 5 {
+				for c := range chains {
+					for i := range 5 {
+						ups = append(ups, engine(fmt.Sprintf("z%d-%03d-%d", z, c, i), "l40s", fmt.Sprintf("dc%d", z), 16*i, 16*i+16))
+					}
+				}
+			}
+			tab.Sync(ups)
+			for b.Loop() {
+				c, err := tab.Choose(time.Second, usual, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				tab.Begin(c, usual)
+				tab.End(c, usual, true)
+			}
+		})
+	}
+}
