--- a/internal/app/edge/pause_test.go
+++ b/internal/app/edge/pause_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 
 	"fulmarwick/internal/app/edge"
 	"fulmarwick/internal/fakes/depot"
+	"fulmarwick/platform/stand"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -152,38 +154,64 @@
 		{"ten times for 100 ms", 100 * time.Millisecond, 10, 60 * time.Millisecond},
 		{"four times for 200 ms", 200 * time.Millisecond, 4, 40 * time.Millisecond},
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := open(t, 3)
-				defer w.close()
-				lines, seen := observer.New(zap.InfoLevel)
-				p := &pauses{}
-				stop := w.startPaused(3, p, zap.New(lines))
-				defer stop()
-				w.clients = append(w.clients, &http.Client{Transport: &http.Transport{DialContext: w.site.Dial}})
-				time.Sleep(2 * time.Second)
-				var callers sync.WaitGroup
-				for k := range 60 {
-					callers.Go(func() {
-						id := fmt.Sprintf("p%d", k)
-						if a := w.ask(3, http.MethodPost, "/write/1", id, "500,540"); a.body != whole(id, 180) {
-							t.Errorf("got %d with %d events (%v) for %s, want 180", a.status, a.events, a.err, id)
+	for _, others := range pausedAmong {
+		for _, test := range tests {
+			t.Run(fmt.Sprintf("%s among %d", test.name, others), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := openDepot(t, &depot.Depot{Instances: others, Shape: grown(1 + others/16)})
+					defer w.close()
+					w.pauseOne(func(p *pauses) {
+						for range test.times {
+							p.begin(test.pause)
+							time.Sleep(test.pause + test.between)
 						}
 					})
-					time.Sleep(10 * time.Millisecond)
-				}
-				for range test.times {
-					p.begin(test.pause)
-					time.Sleep(test.pause + test.between)
-				}
-				callers.Wait()
-				for _, what := range []string{"edge: engine does not answer", "edge: path changed", "edge: engine left"} {
-					if n := seen.FilterMessage(what).Len(); n > 0 {
-						t.Errorf("got %d lines %q, want none: all engines are well", n, what)
-					}
-				}
+				})
 			})
+		}
+	}
+}
+
+// grown is the usual shape with so many times the engines.
+func grown(times int) stand.Shape {
+	s := stand.Usual
+	s.Zones = nil
+	for _, z := range stand.Usual.Zones {
+		cards := slices.Clone(z.Cards)
+		for i := range cards {
+			cards[i] *= times
+		}
+		s.Zones = append(s.Zones, stand.Zone{Name: z.Name, Cards: cards})
+	}
+	return s
+}
+
+// pauseOne starts one more instance, lets its process be paused while it answers 60
+// streams, and checks that all are whole and that it blames no engine.
+func (w *world) pauseOne(pause func(p *pauses)) {
+	w.t.Helper()
+	n := len(w.instances)
+	lines, seen := observer.New(zap.InfoLevel)
+	p := &pauses{}
+	stop := w.startPaused(n, p, zap.New(lines))
+	defer stop()
+	w.clients = append(w.clients, &http.Client{Transport: &http.Transport{DialContext: w.site.Dial}})
+	time.Sleep(2 * time.Second)
+	var callers sync.WaitGroup
+	for k := range 60 {
+		callers.Go(func() {
+			id := fmt.Sprintf("p%d", k)
+			if a := w.ask(n, http.MethodPost, "/write/1", id, "500,540"); a.body != whole(id, 180) {
+				w.t.Errorf("got %d with %d events (%v) for %s, want 180", a.status, a.events, a.err, id)
+			}
 		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	pause(p)
+	callers.Wait()
+	for _, what := range []string{"edge: engine does not answer", "edge: path changed", "edge: engine left"} {
+		if n := seen.FilterMessage(what).Len(); n > 0 {
+			w.t.Errorf("got %d lines %q, want none: all engines are well", n, what)
+		}
 	}
 }
--- a/internal/app/edge/race_test.go
+++ b/internal/app/edge/race_test.go
@@ -19,3 +19,6 @@
 
 // orderSeeds is how many orders of trouble are played.
 const orderSeeds = 3
+
+// pausedAmong is among how many others an instance is paused.
+var pausedAmong = []int{3}
--- a/internal/app/edge/whole_test.go
+++ b/internal/app/edge/whole_test.go
@@ -17,3 +17,6 @@
 
 // orderSeeds is how many orders of trouble are played.
 const orderSeeds = 12
+
+// pausedAmong is among how many others an instance is paused.
+var pausedAmong = []int{3, 33}
