--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -116,10 +116,9 @@
 type draft struct {
 	logic *Logic
 	plain Message
-	// own, cell and all are the loads, summed up as far as it is asked for.
-	own         load
-	cell        *load
-	all         load
+	// own, cell and all are the loads, worked out as far as they are asked for.
+	own, cell *load
+	all       load
 	near, total int
 	encoded     map[kind][]byte
 }
@@ -141,7 +140,7 @@
 	if !l.layout.isFlat() {
 		m.Cell, m.Head = l.layout.mine.name, l.isHead()
 	}
-	return &draft{logic: l, plain: m, own: l.own(), near: l.near(now), total: l.instances(now), encoded: map[kind][]byte{}}
+	return &draft{logic: l, plain: m, near: l.near(now), total: l.instances(now), encoded: map[kind][]byte{}}
 }
 
 // message is one of a scope, without what is told once.
@@ -151,7 +150,7 @@
 	var told load
 	switch scope {
 	case ScopeOwn:
-		told = d.own
+		told = *d.mine()
 	case ScopeCell:
 		d.sumUp()
 		told = *d.cell
@@ -166,10 +165,19 @@
 	return m
 }
 
+// mine is the load of this instance, worked out once.
+func (d *draft) mine() *load {
+	if d.own == nil {
+		own := d.logic.own()
+		d.own = &own
+	}
+	return d.own
+}
+
 // sumUp works out the sums once.
 func (d *draft) sumUp() {
 	if d.cell == nil {
-		cell := d.logic.cellSum(d.own)
+		cell := d.logic.cellSum(*d.mine())
 		d.cell, d.all = &cell, d.logic.total(cell)
 	}
 }
