--- a/internal/route/path/cost.go
+++ b/internal/route/path/cost.go
@@ -62,14 +62,15 @@
 	return 1 + raise
 }
 
-// likely is what uses an engine, with what other instances that started together with
-// this one and are not heard yet probably send there: each chooses as this one did.
-func (t *Table) likely(now time.Duration, e *engine) Use {
-	u := e.use()
-	if age := now - t.since; age < slowStart && e.others.Streams == 0 && t.instances() > slowStartFrom {
-		u.add(e.mine.times(int(float64(t.instances()) * (1 - float64(age)/float64(slowStart)))))
+// unheard is what an engine probably has to read for other instances that started
+// with this one and are not heard yet: each chose as this one did.
+func (t *Table) unheard(now time.Duration, e *engine) int {
+	age := now - t.since
+	if age >= slowStart || e.others.Streams > 0 {
+		return 0
 	}
-	return u
+	near := float64(t.instances()) / float64(max(1, t.centres))
+	return int(float64(e.mine.Unread) * near * (1 - float64(age)/float64(slowStart)))
 }
 
 // before is the cost of the way to the first engine of a path or of its part.
@@ -94,19 +95,17 @@
 // cost is the time in milliseconds that e is predicted to add to a request for
 // so many layers.
 func (t *Table) cost(now time.Duration, n Need, e *engine, layers int) (ms float64, fits bool) {
+	u := e.use()
 	limit := float64(e.cells)
-	sure := e.use()
-	sure.add(n.use(layers, false))
-	if sure.peak() > limit {
-		return 0, false
-	}
-	u := t.likely(now, e)
 	with := u
 	with.add(n.use(layers, false))
 	after := with.peak()
+	if after > limit {
+		return 0, false
+	}
 	share := float64(layers) / float64(t.Model.Layers)
 	write := float64(n.Answer) * t.pass(e, u, 1)
-	unread := u.Unread
+	unread := u.Unread + t.unheard(now, e)
 	if n.Haste {
 		// The other instances move their streams in the same moment, and what
 		// they chose is known only after it.
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -61,8 +61,10 @@
 	paces   map[spec.InstanceID]map[spec.UpstreamID]float64
 	// pipe is until when the way between data centres is taken.
 	pipe time.Duration
-	// since is when engines that take requests were first seen.
-	since time.Duration
+	// since is when engines that take requests were first seen, centres how many data
+	// centres engines are in.
+	since   time.Duration
+	centres int
 }
 
 // Sync sets which engines there are. What is known of those that stay is kept;
@@ -71,7 +73,9 @@
 	old := t.byID
 	t.engines = t.engines[:0:0]
 	t.byID = map[spec.UpstreamID]*engine{}
+	centres := map[spec.DataCentre]bool{}
 	for _, up := range ups {
+		centres[up.Centre] = true
 		card, ok := t.Model.Card(up.Card)
 		if !ok {
 			continue
@@ -86,6 +90,7 @@
 		t.engines = append(t.engines, e)
 		t.byID[up.ID] = e
 	}
+	t.centres = len(centres)
 	// The search for paths goes through engines in the order of their ends.
 	sort.Slice(t.engines, func(i, j int) bool {
 		a, b := t.engines[i].up, t.engines[j].up
