edge: an instance that starts counts all others that may be there

Load pattern: 60 (118) instances start at once and get what their callers sent meanwhile, 4 requests each. Cause: for the first 200 ms an instance counted no others, so that neither the spread of starts nor the pipe between data centres knew of them. The bound on repeats had that count already.

--- a/internal/app/edge/race_test.go
+++ b/internal/app/edge/race_test.go
@@ -22,3 +22,6 @@
 
 // pausedAmong is among how many others an instance is paused.
 var pausedAmong = []int{3}
+
+// startedFleet is how many instances start at the same moment.
+const startedFleet = 4
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		if g.model == nil {
-			g.model = &path.Table{Centre: r.centre, Random: rand.Float64, Others: func() int { return r.instances() - 1 }}
+			g.model = &path.Table{Centre: r.centre, Random: rand.Float64, Others: func() int { return r.sharing() - 1 }}
 		}
 		if s.Model.Equal(g.model.Model) {
 			// Most changes touch no model. A new one has all layers planned anew, which
--- a/internal/app/edge/whole_test.go
+++ b/internal/app/edge/whole_test.go
@@ -20,3 +20,6 @@
 
 // pausedAmong is among how many others an instance is paused.
 var pausedAmong = []int{3, 33}
+
+// startedFleet is how many instances start at the same moment.
+const startedFleet = 60
