--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -117,8 +117,8 @@
 	logic *Logic
 	plain Message
 	// own, cell and all are the loads, worked out as far as they are asked for.
-	own, cell *load
-	all       load
+	own, cell   *load
+	all         load
 	near, total int
 	encoded     map[kind][]byte
 }
--- a/internal/wire/relay/repeat.go
+++ b/internal/wire/relay/repeat.go
@@ -73,27 +73,37 @@
 func (s *stream) again(f *Flight, err error) bool {
 	unsent := errors.Is(err, errUnsent)
 	refused := unsent || errors.Is(err, errNotRun)
+	paid := errors.Is(err, errMoved) && f.isPaid()
 	if refused && s.begun {
 		s.refusals++
 	}
-	paid := errors.Is(err, errMoved) && f.isPaid()
+	if s.why = s.spent(err, refused || paid); s.why != ReasonNone {
+		return false
+	}
 	s.why = ReasonLost
-	switch {
-	case s.ctx.Err() != nil, errors.Is(err, errCaller):
+	if refused && s.begun && !feed.Sleep(s.ctx, pauseAfter(s.refusals)) {
 		return false
+	}
+	return unsent || paid || s.repeat()
+}
+
+// spent is what keeps the request from another run, if anything does. free tells that
+// the last one used up no attempt, or that the next one is counted already.
+func (s *stream) spent(err error, free bool) Reason {
+	switch {
+	case s.ctx.Err() != nil, errors.Is(err, errCaller), !free && !s.call.Route.Repeatable():
+		return ReasonLost
 	case s.models.Suspects.Guilty(s.call.Print()):
-		s.why = ReasonPoison
-		return false
-	case !refused && !paid && !s.call.Route.Repeatable():
-		return false
-	case s.runs-s.refusals >= maxRuns, !refused && !paid && !s.mayRunAgain():
-		s.why = ReasonSpent
-		return false
-	case refused && s.begun && !feed.Sleep(s.ctx, pauseAfter(s.refusals)):
-		return false
-	case unsent, paid:
-		return true
-	case s.begun:
+		return ReasonPoison
+	case s.runs-s.refusals >= maxRuns, !free && !s.mayRunAgain():
+		return ReasonSpent
+	}
+	return ReasonNone
+}
+
+// repeat reports whether the bound on repeats allows another run.
+func (s *stream) repeat() bool {
+	if s.begun {
 		return s.awaitRepeat()
 	}
 	return s.models.Budget.Again(s.call.Service.Name)
