--- a/internal/route/grid/area.go
+++ b/internal/route/grid/area.go
@@ -9,10 +9,8 @@
 
 const (
 	// enough is the part of the best rate of a chain up to which rates count in
-	// full: engines are bought for about 1.7 times the usual load. surplus is
-	// what more than that counts. With all of it counted, engines went into the
-	// one chain that holds most, and a release of five engines had 4.6% of
-	// requests refused instead of none.
+	// full, surplus what more than that counts. With all of it counted, engines would
+	// go into the one chain that holds most, and none would stand in for them.
 	enough  = 0.6
 	surplus = 0.1
 	// heldByNone and heldByOne are what a layer counts that no other engine
--- a/internal/route/grid/fresh.go
+++ b/internal/route/grid/fresh.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// mostGroup is how many engines are planned together at most. Each engine
-	// of a chain is one whose death breaks it, and the time of the search grows
-	// with the third power of their number: see BenchmarkFresh.
+	// mostGroup is how many engines make up a group at most. Each engine of a chain
+	// is one whose death breaks it, and the time of the search grows with the third
+	// power of their number.
 	mostGroup = 16
 	// worthwhile is the part of the best chain's rate that a chain of fewer
 	// engines must reach to be tried: what it leaves over serves as spares.
--- a/internal/route/grid/mend.go
+++ b/internal/route/grid/mend.go
@@ -12,9 +12,9 @@
 const moveGain = 1.15
 
 // mend returns how the engines of an area, some of which hold layers, should
-// hold them: empty ones take what is worth most; where layers are missing still,
-// spare engines take these; else the one move is made that gains much, unless an
-// engine loads: what that brings is not there yet.
+// hold them, those that change at least: empty ones take what is worth most; where
+// layers are missing still, spare engines take these; else the one move is made that
+// gains much, unless an engine loads: what that brings is not there yet.
 func mend(m model, engines []Engine) []Engine {
 	parts := split(m, engines)
 	var out []Engine
--- a/internal/route/grid/rate.go
+++ b/internal/route/grid/rate.go
@@ -13,8 +13,7 @@
 const (
 	// busy is how many times longer than its own steps a token takes over a
 	// loaded path: at each engine it waits for the pass in progress and reads
-	// of prompts. 2.4 s instead of 1.1 s an answer at 93 requests a second on
-	// 38 engines.
+	// of prompts.
 	busy = 2.2
 	// batch is how many requests write in a pass of a loaded engine.
 	batch = 8
--- a/internal/route/grid/turn.go
+++ b/internal/route/grid/turn.go
@@ -25,15 +25,22 @@
 	return out[:min(max(0, free), len(out))]
 }
 
+// How urgent orders are.
+const (
+	urgencyMove = iota
+	urgencyEmpty
+	urgencyMissing
+)
+
 // urgency ranks an order, the most urgent highest.
 func urgency(engines []Engine, o Order) int {
 	for l := o.Layers.From(); l < o.Layers.To(); l++ {
 		if holders(engines, l) == 0 {
-			return 2
+			return urgencyMissing
 		}
 	}
 	if slices.ContainsFunc(engines, func(e Engine) bool { return e.ID == o.ID && e.Held.Len() == 0 }) {
-		return 1
+		return urgencyEmpty
 	}
-	return 0
+	return urgencyMove
 }
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -146,37 +146,38 @@
 	to := min(held.To(), a.To)
 	cost := math.Inf(1)
 	chance := (1 + t.spread(a.Haste)) * t.warmth(a.Now, e)
-	// try takes the layers after one, over ways that cost so much up to there.
-	try := func(from int, bases func(yield func(base float64, before int))) {
-		c, fits := t.cost(a.Now, a.Need, e, to-from)
-		if !fits {
-			tight = true
-			return
+	// load is the cost of the layers after one, if e has the memory for them.
+	load := func(from int) (c float64, fits bool) {
+		c, fits = t.cost(a.Now, a.Need, e, to-from)
+		tight = tight || !fits
+		return c * chance, fits
+	}
+	consider := func(from int, c, base float64, before int) {
+		tight = tight || math.IsInf(base, 1)
+		if base+c < cost {
+			cost = base + c
+			out = step{engine: e, layers: spec.NewLayers(from, to), cost: cost, before: before}
+			ok = true
 		}
-		c *= chance
-		bases(func(base float64, before int) {
-			tight = tight || math.IsInf(base, 1)
-			if base+c < cost {
-				cost = base + c
-				out = step{engine: e, layers: spec.NewLayers(from, to), cost: cost, before: before}
-				ok = true
-			}
-		})
 	}
 	if held.From() <= a.From {
-		try(a.From, func(yield func(float64, int)) { yield(t.before(a, e.up.Centre), -1) })
+		if c, fits := load(a.From); fits {
+			consider(a.From, c, t.before(a, e.up.Centre), -1)
+		}
 	}
 	for at := max(held.From(), a.From+1); at < to; at++ {
 		ends := w.ends[at-a.From]
 		if len(ends) == 0 {
 			continue
 		}
-		try(at, func(yield func(float64, int)) {
-			for _, i := range ends {
-				s := w.steps[i]
-				yield(s.cost+t.hop(a, s.engine.up.Centre, e.up.Centre), i)
-			}
-		})
+		c, fits := load(at)
+		if !fits {
+			continue
+		}
+		for _, i := range ends {
+			s := w.steps[i]
+			consider(at, c, s.cost+t.hop(a, s.engine.up.Centre, e.up.Centre), i)
+		}
 	}
 	return out, ok, tight
 }
