--- a/internal/app/edge/probe_test.go
+++ b/internal/app/edge/probe_test.go
@@ -62,3 +62,20 @@
 		}
 	})
 }
+
+// Guards against a stream that runs on more engines than its attempts allow: its first
+// engines leave and stand still one after the other, are taken for dead, and live.
+func TestLeavingEnginesThatStandStillAreAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := open(t, 1)
+		defer w.close()
+		w.longStream(3, 1500*time.Millisecond, func(int) {
+			e := w.busiest()
+			w.site.Drain(e)
+			w.site.Freeze(e, time.Second)
+		})
+		if n := w.site.Attempts("long"); n > 2 {
+			t.Errorf("got %d engines that live, want 2 at most", n)
+		}
+	})
+}
