relay: a silent engine did not break its run off

One that leaves and stands still so used up no attempt. Only a run that its engine broke counts so now; a silent engine is asked. Ruled out: the time for which an engine must be silent (the test stands still for a second of the 1.5 that cut off takes). Test: 4 engines that live of two allowed (2 of 2) to 2 (3 of 3).

--- a/internal/app/edge/flights.go
+++ b/internal/app/edge/flights.go
@@ -182,7 +182,7 @@
 	return chain[0].Engine()
 }
 
-// Gone asks an engine whether it has ended. One that left the list can't be asked; it
+// Gone asks an engine whether it has ended. One that is off the list can't be asked; it
 // has ended if it broke its runs off.
 func (r *router) Gone(ctx context.Context, service string, id spec.UpstreamID, broke bool) bool {
 	up, listed := r.upstream(service, id)
--- a/internal/wire/relay/repeat.go
+++ b/internal/wire/relay/repeat.go
@@ -37,7 +37,7 @@
 	if errors.Is(err, errStale) && f.Events() == 0 && !down {
 		return
 	}
-	broke := down || !f.isMoved() && !errors.Is(err, errStatus)
+	broke := !f.isMoved() && !errors.Is(err, errStatus)
 	at := slices.IndexFunc(s.attempts, func(a attempt) bool { return a.engine == first })
 	if at < 0 {
 		s.attempts = append(s.attempts, attempt{engine: first, broke: broke})
