--- a/internal/app/edge/order.go
+++ b/internal/app/edge/order.go
@@ -24,6 +24,8 @@
 	// slowLoad is from which time between an order and the list that shows it on loads
 	// take turns: of quicker ones too few would run while the list is waited for.
 	slowLoad = 3 * time.Second
+	// smoothLoad is how many loads the usual time of one is averaged over.
+	smoothLoad = 4
 )
 
 // ordered is an order given to an engine.
@@ -50,7 +52,7 @@
 	if p.loading == 0 {
 		p.loading = took
 	}
-	p.loading += (took - p.loading) / 4
+	p.loading += (took - p.loading) / smoothLoad
 }
 
 // order gives one order.
--- a/internal/route/path/health.go
+++ b/internal/route/path/health.go
@@ -11,8 +11,7 @@
 // the engine is not the one that is listed or holds less since it started anew,
 // so that it is as good as dead until the list shows what it holds. One that
 // holds less since it was told to hold other layers serves on what passes them,
-// and gets nothing new until the list shows what it holds: taken for dead, its
-// runs were ended and went on at a third engine where two are allowed.
+// and gets nothing new until the list shows what it holds.
 func (t *Table) Heard(now time.Duration, id spec.UpstreamID, r site.Report) bool {
 	e := t.byID[id]
 	if e == nil {
--- a/internal/wire/relay/repeat.go
+++ b/internal/wire/relay/repeat.go
@@ -33,8 +33,7 @@
 	s.maybe = true
 	chain, _ := f.Chain()
 	first := chain[0].Engine()
-	down := s.models.Paths.Down(s.call.Service.Name, first)
-	if errors.Is(err, errStale) && f.Events() == 0 && !down {
+	if errors.Is(err, errStale) && f.Events() == 0 && !s.models.Paths.Down(s.call.Service.Name, first) {
 		return
 	}
 	broke := !f.isMoved() && !errors.Is(err, errStatus)
