Logs: panics of a request, the time that an unserved request had left, what a stop still waits for

The three hypotheses on requests that end without an answer beside a change could not be told apart: a panic closed the connection and nothing told of it (the server's error log is discarded), a cut stream did not say how long its caller would still have waited, and a killed instance said nothing of what it cut. No behaviour changes; TestPanicIsReported.

--- a/internal/app/edge/endpoints.go
+++ b/internal/app/edge/endpoints.go
@@ -137,19 +137,30 @@
 	}
 	i.Log.Warn("edge: request not served", zap.String("request", c.ParsedHeader.ID), zap.String("route", c.Route.Name), zap.String("team", c.Team), zap.String("centre", i.Settings.Instance.DataCentre), zap.Int("status", status),
 		zap.Stringer("reason", r.Reason), zap.Bool("ran", r.MayHaveRun), zap.Int("sent", r.SendCount), zap.Duration("first", r.FirstEventLatency), zap.Duration("pause", r.MaxEventGap), zap.Duration("took", took),
-		zap.Any("upstreams", r.Upstreams), zap.Uint64("config", i.state.Config().Version), zap.Duration("list age", i.state.age()), i.scarcestLayerField(c, r))
+		zap.Duration("left", time.Until(c.Deadline)), zap.Any("upstreams", r.Upstreams), zap.Uint64("config", i.state.Config().Version), zap.Duration("list age", i.state.age()), i.scarcestLayerField(c, r))
 }
 
 // recordRejected counts and logs a request that was rejected before it was read whole,
 // because there was no configuration, route or key. The logged path is the URL path that
 // the caller sent.
 func (i *Instance) recordRejected(r *http.Request, status int, reason string) {
-	id := ""
-	if header, err := i.server.Dialect.ParseRequest(r.Header); err == nil {
-		id = header.ID
-	}
 	i.meters.GetOrCreateCounter(`fulmarwick_edge_turned_total{status="` + strconv.Itoa(status) + `"}`).Inc()
-	i.Log.Warn("edge: request turned away", zap.String("request", id), zap.Int("status", status), zap.String("reason", reason), zap.String("host", r.Host), zap.String("path", r.URL.Path))
+	i.Log.Warn("edge: request turned away", zap.String("request", i.requestID(r)), zap.Int("status", status), zap.String("reason", reason), zap.String("host", r.Host), zap.String("path", r.URL.Path))
+}
+
+// requestID returns the ID of a caller's request, empty if its headers are malformed.
+func (i *Instance) requestID(r *http.Request) string {
+	header, err := i.server.Dialect.ParseRequest(r.Header)
+	if err != nil {
+		return ""
+	}
+	return header.ID
+}
+
+// recordPanic counts and logs a panic while a request was served: its caller got no answer.
+func (i *Instance) recordPanic(r *http.Request, value any) {
+	i.meters.GetOrCreateCounter(`fulmarwick_edge_panics_total`).Inc()
+	i.Log.Error("edge: request handler panicked", zap.String("request", i.requestID(r)), zap.Any("panic", value), zap.Stack("stack"))
 }
 
 // scarcestLayerField returns a log field with the layer that has the least free KV memory,
--- a/internal/app/halt/halt.go
+++ b/internal/app/halt/halt.go
@@ -21,6 +21,10 @@
 	"go.uber.org/zap"
 )
 
+// progressInterval is the interval between two log lines with the number of requests that
+// a stopping instance still waits for.
+const progressInterval = time.Second
+
 // Drainer shuts down one instance gracefully. Set the exported fields before use.
 type Drainer struct {
 	// Grace is how long no request must have arrived before the listeners close.
@@ -150,6 +154,9 @@
 	}
 	d.awaitIdle()
 	d.Log.Info("halt: no new requests, waiting for those in progress", zap.Int("running", d.Running()))
+	ended := make(chan struct{})
+	defer close(ended)
+	go d.logProgress(ended)
 	for _, s := range servers {
 		// No deadline: an answer that takes hours must be completed.
 		if err := s.Shutdown(context.WithoutCancel(ctx)); err != nil {
@@ -160,6 +167,21 @@
 	return nil
 }
 
+// logProgress logs how many requests are still in progress until ended is closed. If the
+// process is killed, the last line tells how many it cut.
+func (d *Drainer) logProgress(ended <-chan struct{}) {
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case <-ticker.C:
+			d.Log.Info("halt: still waiting", zap.Int("running", d.Running()))
+		}
+	}
+}
+
 // awaitIdle returns once no request has arrived for Grace, MaxAccept is over, or
 // CloseListeners was called.
 func (d *Drainer) awaitIdle() {
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -73,10 +73,14 @@
 	// OnReject is called for each request that was rejected before it was run; it may
 	// be nil.
 	OnReject func(r *http.Request, status int, reason string)
+	// OnPanic is called with the value of a panic while a request was served; it may be
+	// nil. The connection is then closed without a response.
+	OnPanic func(r *http.Request, value any)
 }
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer s.reportPanic(r)
 	start := time.Now()
 	config := s.currentConfig(r)
 	if config == nil {
@@ -95,6 +99,19 @@
 	s.forward(w, r, c)
 }
 
+// reportPanic reports a panic that is in progress and lets it continue, so that net/http
+// closes the connection. It must be called directly by a deferred call.
+func (s *Server) reportPanic(r *http.Request) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if value != http.ErrAbortHandler && s.OnPanic != nil {
+		s.OnPanic(r, value)
+	}
+	panic(value)
+}
+
 // reject responds to a request that is not run at all.
 func (s *Server) reject(w http.ResponseWriter, r *http.Request, status int, reason string, after time.Duration) {
 	writeRefusal(w, status, reason, after)
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -187,6 +187,27 @@
 	}
 }
 
+// panickingRunner panics instead of running a call.
+type panickingRunner struct{}
+
+func (panickingRunner) Do(context.Context, *relay.Call) relay.Reply { panic("bug") }
+
+// Guards against requests that end without an answer and without a trace, because the
+// handler panicked.
+func TestPanicIsReported(t *testing.T) {
+	var reported []any
+	s := &front.Server{
+		Dialect: dialect{}, ConfigSource: newStaticConfig(), PlainRunner: panickingRunner{},
+		OnPanic: func(_ *http.Request, value any) { reported = append(reported, value) },
+	}
+	defer func() {
+		if value := recover(); value != "bug" || len(reported) != 1 || reported[0] != "bug" {
+			t.Errorf("got panic %v with %v reported, want the panic reported once and continued", value, reported)
+		}
+	}()
+	s.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "http://127.0.0.1/p/1", nil))
+}
+
 func TestRouterErrorResponses(t *testing.T) {
 	url := startProxy(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	if resp, _ := doRequest(t, http.MethodGet, url+"/none/", nil); resp.StatusCode != http.StatusNotFound {
