--- a/internal/app/edge/evacuate_test.go
+++ b/internal/app/edge/evacuate_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,6 +67,33 @@
 	})
 }
 
+// Guards against cutting streams at once because too many others wait to be continued:
+// four engines crash under full KV memory, and answers end rarely. A stream that its
+// caller has a part of may end early only at its deadline.
+func TestBegunStreamsAreNotCutWhileManyWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		defer f.close()
+		const streams, events = 160, 400
+		var callers sync.WaitGroup
+		for k := range streams {
+			callers.Go(func() {
+				start := time.Now()
+				a := f.request(0, http.MethodPost, "/write/1", fmt.Sprintf("long-%d", k), "9000,1200")
+				if took := time.Since(start); a.status == http.StatusOK && a.events < events && took < 19*time.Second {
+					t.Errorf("got %d of %d events (%v) after %s, want all or the wait until the deadline", a.events, events, a.err, took)
+				}
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for range 4 {
+			f.site.Crash(f.busiestReadyEngine())
+		}
+		callers.Wait()
+	})
+}
+
 // busiestReadyEngine returns the engine that is the first stage of the most runs, among
 // the engines that are not leaving.
 func (f *fixture) busiestReadyEngine() *stand.Engine {
