queue: a begun answer waits until its deadline whatever the forecast

Callers saw: a stream cut in the middle with seconds left (neither an answer nor a refusal). Cause: the queue drops whoever it forecasts not to get capacity in time, on joining and while waiting. For a request without an answer that is a true refusal, at once; for a stream whose caller has a part of the answer it is a cut. Many streams have to go on elsewhere at the same moment (engines leave or die) while answers end rarely. Others are still rejected at once behind them.

--- a/internal/app/edge/queue.go
+++ b/internal/app/edge/queue.go
@@ -90,7 +90,7 @@
 			return nil, nil, run, nil
 		}
 	}
-	t := &queue.Ticket{Team: c.Team, Urgency: c.Urgency, Deadline: r.waitDeadline(svc, c, how, w.lastErr)}
+	t := &queue.Ticket{Team: c.Team, Urgency: c.Urgency, Deadline: r.waitDeadline(svc, c, how, w.lastErr), Begun: w.hasPartialAnswer}
 	if w.hasPartialAnswer {
 		t.Urgency = resumedUrgency
 	}
--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -55,6 +55,9 @@
 	Urgency int
 	// Deadline is when the answer has to begin at the latest.
 	Deadline time.Duration
+	// Begun means that the caller has a part of the answer. Such a request can't be
+	// rejected any more, only cut, so it waits until its deadline whatever the forecast.
+	Begun bool
 
 	sequence int
 }
@@ -122,12 +125,15 @@
 }
 
 // Join adds a request, unless those before it will take all capacity that comes up
-// until its deadline. running returns how many requests of a team run at engines.
+// until its deadline; a begun answer is always added. running returns how many requests of a team run at engines.
 func (q *Queue) Join(now time.Duration, t *Ticket, running func(team string) int) bool {
 	t.sequence = q.nextSequence
 	q.nextSequence++
 	q.waiting = append(q.waiting, t)
 	q.sort(running)
+	if t.Begun {
+		return true
+	}
 	wait := waitSafetyFactor * float64(slices.Index(q.waiting, t)) * float64(q.expectedInterval(now))
 	if now+time.Duration(wait) > t.Deadline {
 		q.Leave(t)
@@ -144,12 +150,16 @@
 }
 
 // RemoveExpired removes and returns the requests that cannot be served in time any
-// more, even if the next completion comes at once.
+// more, even if the next completion comes at once. A begun answer is removed only after
+// its deadline.
 func (q *Queue) RemoveExpired(now time.Duration, running func(team string) int) []*Ticket {
 	q.sort(running)
 	var expired []*Ticket
 	for position := 0; position < len(q.waiting); {
 		wait := q.expectedInterval(now) * time.Duration(max(0, position-1))
+		if q.waiting[position].Begun {
+			wait = 0
+		}
 		if now+wait <= q.waiting[position].Deadline {
 			position++
 			continue
--- a/internal/route/queue/queue_test.go
+++ b/internal/route/queue/queue_test.go
@@ -90,6 +90,28 @@
 	}
 }
 
+// Guards against a begun answer that is given up before its deadline because many others
+// wait: its caller can't be rejected any more. Requests that have no answer yet must still
+// be rejected at once behind it.
+func TestBegunAnswersWaitUntilTheirDeadline(t *testing.T) {
+	var q queue.Queue
+	deadline := 5 * time.Second
+	for n := range 100 {
+		if !q.Join(time.Second, &queue.Ticket{Urgency: -1, Deadline: deadline, Begun: true}, noneRunning) {
+			t.Fatalf("got begun answer %d rejected, want it to wait", n)
+		}
+	}
+	if q.Join(time.Second, &queue.Ticket{Deadline: deadline}, noneRunning) {
+		t.Error("got a request behind 100 begun answers accepted, want it rejected at once")
+	}
+	if removed := q.RemoveExpired(deadline, noneRunning); len(removed) != 0 {
+		t.Errorf("got %d begun answers removed at their deadline, want none before it is over", len(removed))
+	}
+	if removed := q.RemoveExpired(deadline+ms, noneRunning); len(removed) != 100 {
+		t.Errorf("got %d begun answers removed after their deadline, want all 100", len(removed))
+	}
+}
+
 // Hundreds of requests are rejected within a second, while 20 complete. Their retries
 // must come one after the other, at a quarter of that rate, and no caller may be
 // asked to wait for more than a third of its time.
