relay: refusals before the answer began do not use up a begun stream's runs

Callers saw: a stream cut at the first death of its engine ('attempts used up') though its route had an attempt left. Cause: of the eight runs that a request may have, those that engines had refused before the answer began counted, those refused later did not. Seven refusals (engines that shed load) and one death ended the stream. Now refusals have a limit of their own, which holds until the answer begins; their repeats come out of the budget as before. TestRefusalsDoNotCutBegunStream: connection broken after one event of two before, both events now.

--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,7 +29,7 @@
 }
 func (dialect) SetForwardHeaders(http.Header, site.ForwardHeader) {}
 func (dialect) ParseResponse(_ int, h http.Header) site.ResponseHeader {
-	return site.ResponseHeader{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != ""}
+	return site.ResponseHeader{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotExecuted: h.Get("Not-Run") != ""}
 }
 
 // staticConfig is a configuration with a model route and a plain route.
@@ -192,6 +193,32 @@
 
 func (panickingRunner) Do(context.Context, *relay.Call) relay.Reply { panic("bug") }
 
+// Guards against cutting a begun stream because engines refused its request before one of
+// them began: refusals use up no attempt.
+func TestRefusalsDoNotCutBegunStream(t *testing.T) {
+	const refusals = 7
+	var requests atomic.Int32
+	url := startProxy(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "r")
+		switch n := requests.Add(1); {
+		case n <= refusals:
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case n == refusals+1:
+			w.Header().Set("Seal", "s")
+			writeEvents(w, 1)
+			panic(http.ErrAbortHandler)
+		default:
+			w.Header().Set("Seal", "s")
+			_, _ = io.WriteString(w, "id: 2\ndata: x\n\n")
+		}
+	})
+	_, body := doRequest(t, http.MethodPost, url+"/s/1", bytes.NewReader([]byte("x")))
+	if got := strings.Count(string(body), "id: "); got != 2 {
+		t.Errorf("got %d events, want 2", got)
+	}
+}
+
 // Guards against requests that end without an answer and without a trace, because the
 // handler panicked.
 func TestPanicIsReported(t *testing.T) {
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -69,9 +69,11 @@
 )
 
 const (
-	// maxRunsPerRequest limits the runs of one request. Refused runs count until the
-	// caller has received a part of the answer.
+	// maxRunsPerRequest limits the runs of one request that engines did not refuse.
 	maxRunsPerRequest = 8
+	// maxRefusalsPerRequest limits how often engines may refuse a request whose answer has
+	// not begun.
+	maxRefusalsPerRequest = 8
 	// eventBufferBytes is the size of the read buffer in bytes; it holds a few events.
 	eventBufferBytes = 2 << 10
 )
@@ -112,8 +114,10 @@
 	// started means that a part of the answer was forwarded.
 	started bool
 	runs    int
-	// refusals counts the runs that engines refused after the answer began.
-	refusals int
+	// refusals counts the runs that engines refused; refusalsSinceStart those after the
+	// answer began.
+	refusals           int
+	refusalsSinceStart int
 	// attempts are the first engines of runs that may have begun.
 	attempts []attempt
 	// mayHaveRun means that a run may have begun, so that the caller cannot be
--- a/internal/wire/relay/retry.go
+++ b/internal/wire/relay/retry.go
@@ -77,14 +77,17 @@
 	unsent := errors.Is(err, errUnsent)
 	refused := unsent || errors.Is(err, errNotRun)
 	counted := errors.Is(err, errRerouted) && run.isRetryCounted()
-	if refused && c.started {
+	if refused {
 		c.refusals++
 	}
+	if refused && c.started {
+		c.refusalsSinceStart++
+	}
 	if c.noRetryReason = c.retryBlocker(err, refused || counted); c.noRetryReason != ReasonNone {
 		return false
 	}
 	c.noRetryReason = ReasonResponseLost
-	if refused && c.started && !feed.Sleep(c.ctx, retryBackoff(c.refusals)) {
+	if refused && c.started && !feed.Sleep(c.ctx, retryBackoff(c.refusalsSinceStart)) {
 		return false
 	}
 	return unsent || counted || c.takeRetry()
@@ -99,7 +102,7 @@
 		return ReasonResponseLost
 	case c.runner.CrashTracker.IsCulprit(c.call.Fingerprint()):
 		return ReasonPoison
-	case c.runs-c.refusals >= maxRunsPerRequest, !free && !c.hasAttemptLeft():
+	case !c.started && c.refusals >= maxRefusalsPerRequest, c.runs-c.refusals >= maxRunsPerRequest, !free && !c.hasAttemptLeft():
 		return ReasonAttemptsExhausted
 	}
 	return ReasonNone
