--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -89,8 +89,10 @@
 	run *relay.Run
 	// firstAddress is the address of the first engine, which stays the same.
 	firstAddress string
-	// oldChain is the path of the run until the first engine accepts the new one.
+	// oldChain and oldHops are the path of the run until the first engine accepts the new
+	// one. The list may no longer have the addresses of its engines.
 	oldChain spec.Chain
+	oldHops  []site.Hop
 	newChain spec.Chain
 	hops     []site.Hop
 }
@@ -205,10 +207,10 @@
 			}
 			continue
 		}
-		change := pathChange{run: run, oldChain: t.chain, newChain: chain}
-		svc.changePath(run, chain)
+		change := pathChange{run: run, oldChain: t.chain, newChain: chain, hops: svc.model.Hops(chain)}
+		_, change.oldHops = run.Chain()
+		svc.changePath(run, chain, change.hops)
 		svc.model.RecordTransfer(r.now(), chain, demand)
-		_, change.hops = run.Chain()
 		change.firstAddress = change.hops[0].Address
 		changes = append(changes, change)
 	}
@@ -252,5 +254,5 @@
 func (r *router) restorePath(change pathChange) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.service(change.run.Service).changePath(change.run, change.oldChain)
+	r.service(change.run.Service).changePath(change.run, change.oldChain, change.oldHops)
 }
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -104,8 +104,9 @@
 	}
 }
 
-// changePath moves the usage of a run to another path; router.mu is held.
-func (svc *serviceState) changePath(run *relay.Run, chain spec.Chain) {
+// changePath moves the usage of a run to another path; hops are the addresses of its
+// engines. router.mu is held.
+func (svc *serviceState) changePath(run *relay.Run, chain spec.Chain, hops []site.Hop) {
 	t := svc.runs[run]
 	if t == nil {
 		return
@@ -122,7 +123,7 @@
 		svc.model.PrefillDone(chain, run.Demand)
 	}
 	svc.model.AdjustRetryPrefill(t.rereading, run.Demand, 1)
-	run.SetChain(chain, svc.model.Hops(chain))
+	run.SetChain(chain, hops)
 }
 
 // stagesNotIn returns the stages of a that are not in b.
