--- /dev/null
+++ b/internal/app/edge/parts.go
@@ -0,0 +1,115 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"fulmarwick/internal/app/halt"
+	"fulmarwick/internal/base/site"
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/state/lease"
+	"fulmarwick/internal/wire/client"
+	"fulmarwick/internal/wire/front"
+	"fulmarwick/internal/wire/relay"
+	"fulmarwick/platform"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+)
+
+// ensureInit creates the parts once: a signal may arrive before Run did it.
+func (i *Instance) ensureInit() { i.once.Do(i.initParts) }
+
+// initParts creates the parts and connects them.
+func (i *Instance) initParts() {
+	s := i.Settings
+	i.meters = metrics.NewSet()
+	i.drainer = &halt.Drainer{Grace: s.Times.Grace, MaxAccept: maxAcceptAfterStop, AfterClose: front.StoppingHandler{}, Log: i.Log}
+	i.state = newStateView(i.Log)
+	i.router = &router{
+		centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
+		retryBounds: s.Retry, services: map[string]*serviceState{}, peerRetries: map[spec.InstanceID]peerRetryReport{},
+	}
+	i.pool = &client.Pool{DialTimeout: dialTimeout, Dial: i.Dial, OnDial: i.counter(`fulmarwick_connections_total`)}
+	i.store = &platform.Store{BaseURL: s.Platform.Table, HTTP: newHTTP(i.Dial, dialTimeout), UserAgent: s.Instance.Name, OnCall: i.countStoreCall}
+	// The timeouts of report requests count only the time in which this process ran;
+	// dialing must not time out sooner.
+	calls := &platform.EngineClient{HTTP: newHTTP(i.Dial, maxProbeWallTime)}
+	owner := uuid.NewString()
+	i.lease = &lease.Lease{Table: i.store, Duty: planLeaseName, Owner: owner, Duration: leaseDuration, Margin: leaseMargin, Meters: i.meters}
+	i.watcher = newWatcher(i.router, calls, i.Log)
+	if i.NewTicker != nil {
+		i.watcher.newTicker = i.NewTicker
+	}
+	late := i.meters.GetOrCreateFloatCounter(`fulmarwick_late_seconds_total`)
+	i.watcher.countLostTime = func(d time.Duration) { late.Add(d.Seconds()) }
+	i.watcher.countProbe = i.counter(`fulmarwick_reports_total`)
+	i.watcher.countMove = func(kind string) { i.meters.GetOrCreateCounter(`fulmarwick_moves_total{how="` + kind + `"}`).Inc() }
+	i.planner = &planner{
+		router: i.router, engines: calls, lease: i.lease, log: i.Log, start: time.Now(), lastOrders: map[spec.UpstreamID]sentOrder{}, movesDueSince: map[string]time.Time{}, plans: map[string]cachedPlan{},
+		countPlan:  i.counter(`fulmarwick_plans_total`),
+		countOrder: func(kind string) { i.meters.GetOrCreateCounter(`fulmarwick_orders_total{end="` + kind + `"}`).Inc() },
+	}
+	i.mesh = &meshNode{
+		id: spec.InstanceID(s.Instance.Name), centre: spec.DataCentre(s.Instance.DataCentre), url: "http://" + s.Listen.Mesh,
+		store: i.store, state: i.state, router: i.router, log: i.Log, dial: i.Dial, meters: i.meters, countBehind: i.counter(`fulmarwick_behind_total`),
+	}
+	i.connectParts()
+}
+
+// connectParts sets the callbacks between the parts.
+func (i *Instance) connectParts() {
+	ctx := context.Background()
+	i.router.onSuspect = func(up site.Upstream) { i.watcher.startProbe(ctx, up, false) }
+	i.router.isDead = i.watcher.isDead
+	i.state.onConfig = i.router.setConfig
+	i.state.onList = func(list []site.Upstream) {
+		i.router.setList(list)
+		i.planner.noteListSize(list)
+		i.watcher.updateLeaving(list)
+	}
+	i.mesh.onReportedDead = func(id spec.UpstreamID) { i.watcher.handleReportedDead(ctx, id) }
+	i.watcher.onDead = i.mesh.addDead
+	i.mesh.initHub()
+	i.router.instanceCount = i.mesh.logic.Count
+	i.router.retryBudgetSharers = i.mesh.logic.BudgetShares
+	codec := platform.HeaderCodec{}
+	i.server = &front.Server{
+		Dialect: codec, ConfigSource: i.state, OnRequestEnd: i.recordEnd, OnReject: i.recordRejected, OnPanic: i.recordPanic,
+		PlainRunner: &relay.PlainRunner{Dialect: codec, Pool: i.pool, Upstreams: i.router, RetryBudget: i.router, CrashTracker: i.router},
+		ModelRunner: &relay.ModelRunner{Dialect: codec, Pool: i.pool, Paths: i.router, RetryBudget: i.router, CrashTracker: i.router},
+	}
+}
+
+// counter returns a function that increments a counter.
+func (i *Instance) counter(name string) func() {
+	c := i.meters.GetOrCreateCounter(name)
+	return c.Inc
+}
+
+// countStoreCall counts a call to the store by its outcome.
+func (i *Instance) countStoreCall(call string, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	i.meters.GetOrCreateCounter(`fulmarwick_store_calls_total{call="` + call + `",end="` + outcome + `"}`).Inc()
+}
+
+// newHTTP returns an HTTP client for calls that are answered at once; long polls of the
+// store set their own timeouts. timeout limits the time to connect if dial is nil.
+func newHTTP(dial func(ctx context.Context, network, address string) (net.Conn, error), timeout time.Duration) *http.Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: timeout, KeepAlive: -1}).DialContext
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: 4,
+			IdleConnTimeout:     10 * time.Second,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
