--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -14,34 +14,16 @@
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/resend"
 	"fulmarwick/internal/state/feed"
-	"fulmarwick/internal/state/store"
 	"fulmarwick/internal/wire/peer"
 	"fulmarwick/platform"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/fxamacker/cbor/v2"
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 )
 
-const (
-	// meshIdleTimeout is how long a connection to another instance stays open without a
-	// message; six were due in that time.
-	meshIdleTimeout = 1200 * time.Millisecond
-	// rosterTable is the table with a row for each instance, under its name.
-	rosterTable = "instances"
-	// rosterInterval is the interval between two reads of the roster while no other
-	// instance is connected.
-	rosterInterval = 5 * time.Second
-	// rosterRetryDelay is the delay after a failed call.
-	rosterRetryDelay = 400 * time.Millisecond
-)
-
-// rosterRow holds the address of an instance for other instances.
-type rosterRow struct {
-	URL        string          `cbor:"1,keyasint"`
-	DataCentre spec.DataCentre `cbor:"2,keyasint,omitempty"`
-}
+// meshIdleTimeout is how long a connection to another instance stays open without a
+// message; six were due in that time.
+const meshIdleTimeout = 1200 * time.Millisecond
 
 // meshNode exchanges state with the other instances: it provides what this instance sends
 // and applies what it receives.
@@ -93,49 +75,6 @@
 	}
 }
 
-// maintainRoster writes the own row of the roster and discovers the other instances by
-// their rows. Instances that start later discover this one. The row is removed when ctx
-// ends.
-func (m *meshNode) maintainRoster(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := m.syncRoster(ctx)
-		delay := rosterInterval
-		if err != nil {
-			m.log.Info("edge: cannot sync roster", zap.Error(err))
-			delay = rosterRetryDelay
-		}
-		if !feed.Sleep(ctx, delay) {
-			break
-		}
-	}
-	if m.rosterWritten {
-		m.removeRosterRow(context.WithoutCancel(ctx))
-	}
-}
-
-// syncRoster writes the own row and then reads the rows of the others, each once: of two
-// instances the one that writes later discovers the other. A connection to one instance
-// doesn't replace that read, as it doesn't make all others known. While no instance is
-// connected, the rows are read again.
-func (m *meshNode) syncRoster(ctx context.Context) error {
-	if !m.rosterWritten {
-		if err := m.writeRosterRow(ctx); err != nil {
-			return err
-		}
-		m.rosterWritten = true
-	}
-	if m.rosterRead && m.hasPeers() {
-		return nil
-	}
-	page, err := m.store.ReadTable(ctx, rosterTable)
-	if err != nil {
-		return err
-	}
-	m.hub.Post(node.DiscoveryList{Peers: m.decodeRoster(page)})
-	m.rosterRead = true
-	return nil
-}
-
 // hasPeers reports whether any other instance is connected.
 func (m *meshNode) hasPeers() bool {
 	m.mu.Lock()
@@ -143,53 +82,6 @@
 	return len(m.livePeers) > 0
 }
 
-// rosterKey returns the key of the own row.
-func (m *meshNode) rosterKey() string { return rosterTable + "/" + string(m.id) }
-
-// writeRosterRow writes the own row. Most instances start for the first time, so the row of
-// a former process is read only if the write conflicts with it.
-func (m *meshNode) writeRosterRow(ctx context.Context) error {
-	data, err := cbor.Marshal(rosterRow{URL: m.url, DataCentre: m.centre})
-	if err != nil {
-		return errors.Wrap(err, "edge: encode roster row")
-	}
-	_, err = m.store.Commit(ctx, []store.Write{store.Put(m.rosterKey(), 0, data)})
-	if !errors.Is(err, store.ErrConflict) {
-		return err
-	}
-	row, err := m.store.Get(ctx, m.rosterKey())
-	if err != nil {
-		return err
-	}
-	_, err = m.store.Commit(ctx, []store.Write{store.Put(m.rosterKey(), row.Version(), data)})
-	return err
-}
-
-// decodeRoster returns the instances listed in the roster, without malformed rows.
-func (m *meshNode) decodeRoster(page feed.Page) []node.Peer {
-	var out []node.Peer
-	for _, r := range page.Rows {
-		var row rosterRow
-		if err := cbor.Unmarshal(r.Value, &row); err != nil {
-			m.log.Warn("edge: malformed roster row skipped", zap.String("instance", r.Key), zap.Error(err))
-			continue
-		}
-		out = append(out, node.Peer{ID: spec.InstanceID(r.Key), DataCentre: row.DataCentre, URL: row.URL, Version: r.Version})
-	}
-	return out
-}
-
-// removeRosterRow removes the own row, so that no instance dials one that has stopped.
-func (m *meshNode) removeRosterRow(ctx context.Context) {
-	row, err := m.store.Get(ctx, m.rosterKey())
-	if err == nil {
-		_, err = m.store.Commit(ctx, []store.Write{store.Remove(m.rosterKey(), row.Version())})
-	}
-	if err != nil {
-		m.log.Info("edge: cannot remove own roster row", zap.Error(err))
-	}
-}
-
 // addDead queues an engine that was found dead to be reported to the other instances.
 func (m *meshNode) addDead(id spec.UpstreamID) {
 	m.mu.Lock()
