--- /dev/null
+++ b/internal/fleet/mesh/peer.go
@@ -0,0 +1,124 @@
+package mesh
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/state/feed"
+)
+
+// peer is another instance.
+type peer struct {
+	id       spec.InstanceID
+	url      string
+	lastSeen time.Duration
+	alive    bool
+	// isFormerVersion means that the peer runs the former version of the program, which
+	// does not send digests of its tables.
+	isFormerVersion bool
+	// checkpoints is how much of each table the peer knows.
+	checkpoints map[string]feed.Checkpoint
+	// sentUpdates is the version of each table up to which this instance updated the
+	// peer, and when. assignedVersions is the version up to which this instance has to
+	// see that the peer is updated. behindSince is since when the peer lags behind.
+	sentUpdates      map[string]sentUpdate
+	assignedVersions map[string]uint64
+	behindSince      map[string]time.Duration
+	// lastSync is when the peer was last in sync with the store for all tables;
+	// negative if never.
+	lastSync time.Duration
+
+	centre spec.DataCentre
+	// version is the version of the peer's row in the roster. digest is the digest of
+	// the instances that the peer knows. rosterSentAt is when the roster was last sent
+	// to it.
+	version      uint64
+	digest       uint64
+	rosterSentAt time.Duration
+	// isHead means that the peer reports itself as a head of its cell.
+	isHead bool
+	// initiates means that the peer sends messages on its own, not only replies.
+	initiates bool
+	// probedSince is since when the peer has been probed without a message from it.
+	probedSince time.Duration
+	// load is the last reported load of the peer's own requests; nil if it does not
+	// count.
+	load *load
+	// nextSumAt is the earliest time for the next sum to the peer.
+	nextSumAt time.Duration
+}
+
+func (l *Logic) ensurePeer(id spec.InstanceID) *peer {
+	p := l.peers[id]
+	if p == nil {
+		p = &peer{id: id, sentUpdates: map[string]sentUpdate{}, assignedVersions: map[string]uint64{}, behindSince: map[string]time.Duration{}, lastSync: -1}
+		l.peers[id] = p
+		l.cellsAssigned, l.rosterDigest = false, 0
+	}
+	return p
+}
+
+// aheadVersion returns the highest version up to which another instance knows a table
+// while its content differs from the local one; zero if there is none.
+func (l *Logic) aheadVersion(table string, local feed.Checkpoint) uint64 {
+	version := uint64(0)
+	for _, p := range l.peersByID() {
+		if remote, ok := p.checkpoints[table]; ok && remote.Digest != local.Digest && remote.Version > max(local.Version, version) {
+			version = remote.Version
+		}
+	}
+	return version
+}
+
+// dropUnresponsive drops the instances from which no more messages arrive.
+func (l *Logic) dropUnresponsive(now time.Duration) {
+	lastSync := time.Duration(-1)
+	var alive []spec.InstanceID
+	for _, p := range l.peersByID() {
+		if p.alive && now-p.lastSeen >= peerTimeout {
+			p.alive = false
+			p.load = nil
+			l.Receiver.PeerLost(p.id)
+		}
+		if !p.alive {
+			continue
+		}
+		lastSync = max(lastSync, p.lastSync)
+		if l.layout.isFlat() || p.isHead {
+			alive = append(alive, p.id)
+		}
+	}
+	count, expected := l.countInstances(now)-1, l.expectedPeers(now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maxPeers = expected
+	l.peerCount, l.candidates, l.lastSync, l.isFollower = count, alive, lastSync, !l.isHead()
+	l.start = l.Now().Add(-now)
+}
+
+// expectedPeers returns how many other instances there may be while this one is too
+// young to have received a message from each.
+func (l *Logic) expectedPeers(now time.Duration) int {
+	switch {
+	case now >= countTimeout:
+		return 0
+	case !l.rosterReceived:
+		return maxUnknownPeers
+	}
+	return len(l.peers)
+}
+
+// peersByID returns all other instances, sorted by ID.
+func (l *Logic) peersByID() []*peer {
+	if len(l.sortedPeers) == len(l.peers) {
+		return l.sortedPeers
+	}
+	l.sortedPeers = l.sortedPeers[:0]
+	for _, p := range l.peers {
+		l.sortedPeers = append(l.sortedPeers, p)
+	}
+	slices.SortFunc(l.sortedPeers, func(a, b *peer) int { return cmp.Compare(a.id, b.id) })
+	return l.sortedPeers
+}
