relay: an event is forwarded once it is whole, not once the buffer is empty

Callers would see: no answer and no refusal. An engine that stops in the middle of an event (it may) left the whole events before it in the router's buffer, status and headers with them, while the stream waited to be continued; at the deadline the connection closed bare. Cause: a flush only when no byte was buffered. TestEventBeforeBrokenOneIsForwardedAtOnce: no status within 2 s before, the first event at once now.

--- a/internal/wire/events/events.go
+++ b/internal/wire/events/events.go
@@ -49,8 +49,12 @@
 // EventsRead returns how many events this run delivered, including skipped ones.
 func (r *Reader) EventsRead() int { return r.eventsRead }
 
-// Buffered returns how many bytes can be read without waiting.
-func (r *Reader) Buffered() int { return r.source.Buffered() }
+// HasBufferedEvent reports whether Next can return an event without waiting for more bytes.
+func (r *Reader) HasBufferedEvent() bool {
+	// Peek of the buffered bytes does not fail.
+	buffered, _ := r.source.Peek(r.source.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
 
 // Next returns the next complete event, including its final empty line. It skips
 // events that were returned before, since a run may start by repeating the last
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -219,6 +220,43 @@
 	}
 }
 
+// Guards against events that the router keeps to itself while a stream waits to be
+// continued: the engine stops in the middle of the second event, and no engine takes the
+// stream for a while. Its caller must get the first event at once. Without it the caller has
+// neither an answer nor a refusal, and gets none if the wait ends at the deadline.
+func TestEventBeforeBrokenOneIsForwardedAtOnce(t *testing.T) {
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	url := startProxy(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "r")
+		select {
+		case <-first:
+			w.Header().Set("Seal", "s")
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\nda")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		default:
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/s/1", bytes.NewReader([]byte("x")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Id", "r")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatalf("got %v within 2s, want the status and the first event", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if line, err := bufio.NewReader(resp.Body).ReadString('\n'); line != "id: 1\n" {
+		t.Errorf("got %q (%v) within 2s, want the first event", line, err)
+	}
+}
+
 // Guards against requests that end without an answer and without a trace, because the
 // handler panicked.
 func TestPanicIsReported(t *testing.T) {
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -125,7 +125,7 @@
 			c.runner.Paths.RecordFirstEvent(run)
 		}
 		c.writeHead(resp)
-		if err := c.sink.WriteEvent(event, r.Buffered() == 0); err != nil {
+		if err := c.sink.WriteEvent(event, !r.HasBufferedEvent()); err != nil {
 			return errors.Wrap(errCallerGone, err.Error())
 		}
 		c.lastEventID = r.LastID()
