edge: a run that has delivered events for a second is no suspect of its engine's death

Callers saw: a stream cut with half of its time left, 'request crashes upstreams', after three of its engines had fallen silent one after the other beside leaving or frozen engines. Cause: each death counted against every run on the engine, also against those that it had served for long; a request that crashes engines does so as they begin to run it. Ruled out: attempts (frozen engines are cut off after 1.5 s), repeats, deadline. TestBegunStreamsAreNotCutWhileManyWait is stricter: how many streams began, and no connection that closes without an answer.

--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -171,8 +171,12 @@
 	return listed && now.State == site.StateReady
 }
 
-// recordCrashesOf records a crash against each run on a dead engine: one of them may
-// have caused it.
+// maxCrashDelay is how long after its first event a run may crash its engine: a request
+// that crashes engines does so as they begin to run it.
+const maxCrashDelay = time.Second
+
+// recordCrashesOf records a crash against each run on a dead engine that had just begun:
+// one of them may have caused it.
 func (r *router) recordCrashesOf(up site.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -181,6 +185,9 @@
 		return
 	}
 	for _, run := range svc.runsThrough(up.ID) {
+		if run.ProducingTime() > maxCrashDelay {
+			continue
+		}
 		r.recordCrash(crash.Event{Fingerprint: run.Fingerprint, Upstream: up.ID, Incarnation: up.Born, RanMs: time.Since(run.Start).Milliseconds()})
 	}
 }
--- a/internal/app/edge/evacuate_test.go
+++ b/internal/app/edge/evacuate_test.go
@@ -4,12 +4,17 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"fulmarwick/internal/app/setup"
+	"fulmarwick/internal/fakes/depot"
 	"fulmarwick/platform/stand"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // runStreams runs n streams of 400 events through instance 0 and calls action once all
@@ -75,13 +80,21 @@
 		f := newFixture(t, 1)
 		defer f.close()
 		const streams, events = 160, 400
+		var begun atomic.Int32
 		var callers sync.WaitGroup
 		for k := range streams {
 			callers.Go(func() {
 				start := time.Now()
 				a := f.request(0, http.MethodPost, "/write/1", fmt.Sprintf("long-%d", k), "9000,1200")
-				if took := time.Since(start); a.status == http.StatusOK && a.events < events && took < 19*time.Second {
-					t.Errorf("got %d of %d events (%v) after %s, want all or the wait until the deadline", a.events, events, a.err, took)
+				took := time.Since(start)
+				switch {
+				case a.status == http.StatusOK:
+					begun.Add(1)
+					if a.events < events && took < 19*time.Second {
+						t.Errorf("got %d of %d events (%v) after %s, want all or the wait until the deadline", a.events, events, a.err, took)
+					}
+				case a.status != http.StatusServiceUnavailable:
+					t.Errorf("got %d (%v) after %s for an answer that has not begun, want it refused", a.status, a.err, took)
 				}
 			})
 			time.Sleep(20 * time.Millisecond)
@@ -91,6 +104,33 @@
 			f.site.Crash(f.busiestReadyEngine())
 		}
 		callers.Wait()
+		if n := begun.Load(); n < 20 {
+			t.Errorf("got %d streams that began, want 20 or more", n)
+		}
+	})
+}
+
+// Guards against cutting a begun stream as a request that crashes engines although each
+// engine delivered many events of it. Three of its first engines fall silent without
+// closing a connection, one after the other, and engines reject runs for a moment each
+// time, so that the next run begins after the death and not at the same instant of the
+// virtual clock. Other engines are left, and the caller still has half of its time.
+func TestBegunStreamOutlivesSilentEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, logs := observer.New(zap.WarnLevel)
+		f := newFixtureFrom(t, &depot.Depot{Instances: 1, Log: zap.New(core)})
+		defer f.close()
+		a := f.runLongStream(3, 2200*time.Millisecond, func(int) {
+			f.site.RejectRuns(true)
+			f.site.Freeze(f.busiestReadyEngine(), time.Minute)
+			time.Sleep(800 * time.Millisecond)
+			f.site.RejectRuns(false)
+		})
+		if a.body != wholeAnswer("long", 600) {
+			living, all := f.site.EnginesReached("long")
+			t.Errorf("got %d with %d events (%v), longest pause %s, reason %q, %d engines reached, %d of them alive; want all 600 events",
+				a.status, a.events, a.err, a.longestGap, loggedReason(logs, "long"), all, living)
+		}
 	})
 }
 
--- a/internal/wire/relay/run.go
+++ b/internal/wire/relay/run.go
@@ -28,9 +28,10 @@
 	HasSpareAttempt bool
 	Start           time.Time
 
-	// lastEvent is the time of the newest event in nanoseconds since Start; zero
-	// before the first event.
-	lastEvent atomic.Int64
+	// firstEvent and lastEvent are the times of the first and the newest event in
+	// nanoseconds since Start; zero before the first event.
+	firstEvent atomic.Int64
+	lastEvent  atomic.Int64
 	// meanGap is the moving average of the gap between events in nanoseconds; zero
 	// before the second event.
 	meanGap    atomic.Int64
@@ -72,6 +73,11 @@
 // the second event.
 func (r *Run) MeanEventGap() time.Duration { return time.Duration(r.meanGap.Load()) }
 
+// ProducingTime returns the time from the first event to the newest one.
+func (r *Run) ProducingTime() time.Duration {
+	return time.Duration(r.lastEvent.Load() - r.firstEvent.Load())
+}
+
 // EventCount returns how many events were received.
 func (r *Run) EventCount() int { return int(r.eventCount.Load()) }
 
@@ -82,6 +88,9 @@
 // recordEvent records that an event was received.
 func (r *Run) recordEvent() {
 	now := int64(time.Since(r.Start))
+	if r.eventCount.Load() == 0 {
+		r.firstEvent.Store(now)
+	}
 	previous := r.lastEvent.Swap(now)
 	if r.eventCount.Add(1) < 2 {
 		return
