--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -184,6 +184,7 @@
 	if svc.model == nil || !svc.model.ListedDead(up.ID) {
 		return
 	}
+	r.recordLostAnswersAsCrashes(up)
 	for _, run := range svc.runsThrough(up.ID) {
 		if run.ProducingTime() > maxCrashDelay {
 			continue
--- a/internal/app/edge/evacuate_test.go
+++ b/internal/app/edge/evacuate_test.go
@@ -134,6 +134,31 @@
 	})
 }
 
+// Guards against a stream that crashes each engine soon after it begins to run it, and is
+// continued on one engine after the other.
+func TestStreamThatCrashesEnginesIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		defer f.close()
+		done := make(chan callerResponse, 1)
+		go func() { done <- f.request(0, http.MethodPost, "/write/1", "poison", "300,1200") }()
+		crashes := 0
+		for range 8 {
+			time.Sleep(300 * time.Millisecond)
+			if e := f.busiestEngine(); e.Running() > 0 {
+				f.site.RejectRuns(true)
+				f.site.Crash(e)
+				crashes++
+			}
+			time.Sleep(100 * time.Millisecond)
+			f.site.RejectRuns(false)
+		}
+		if a := <-done; a.events >= 400 || crashes > 4 {
+			t.Errorf("got %d with %d events after %d crashes, want the request given up after 4 at most", a.status, a.events, crashes)
+		}
+	})
+}
+
 // busiestReadyEngine returns the engine that is the first stage of the most runs, among
 // the engines that are not leaving.
 func (f *fixture) busiestReadyEngine() *stand.Engine {
--- a/internal/app/edge/plain.go
+++ b/internal/app/edge/plain.go
@@ -25,18 +25,37 @@
 	svc := r.service(up.Service)
 	svc.plain.RecordOutcome(r.now(), up.ID, took, outcome)
 	if outcome == ewma.OutcomeLost {
-		svc.lostAnswers = append(svc.lostAnswers, lostAnswer{event: crash.Event{Fingerprint: fingerprint, Upstream: up.ID, Incarnation: up.Born, RanMs: took.Milliseconds()}, at: r.now()})
-		svc.lostAnswers = svc.lostAnswers[max(0, len(svc.lostAnswers)-maxLostAnswers):]
+		r.addLostAnswer(up, fingerprint, took)
 	}
 }
 
+// recordLostAnswer remembers a request whose answer from an upstream was lost.
+func (r *router) recordLostAnswer(up site.Upstream, fingerprint uint64, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addLostAnswer(up, fingerprint, took)
+}
+
+// addLostAnswer is recordLostAnswer with r.mu held.
+func (r *router) addLostAnswer(up site.Upstream, fingerprint uint64, took time.Duration) {
+	svc := r.service(up.Service)
+	svc.lostAnswers = append(svc.lostAnswers, lostAnswer{event: crash.Event{Fingerprint: fingerprint, Upstream: up.ID, Incarnation: up.Born, RanMs: took.Milliseconds()}, at: r.now()})
+	svc.lostAnswers = svc.lostAnswers[max(0, len(svc.lostAnswers)-maxLostAnswers):]
+}
+
 // StartCooldown keeps requests off an upstream that accepts no connection. Requests whose
 // answers it lost just before are recorded as possible causes of its crash.
 func (r *router) StartCooldown(up site.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.service(up.Service).plain.StartCooldown(r.now(), up.ID)
+	r.recordLostAnswersAsCrashes(up)
+}
+
+// recordLostAnswersAsCrashes records a crash of an upstream that ended against the requests
+// whose answers it lost just before; r.mu is held.
+func (r *router) recordLostAnswersAsCrashes(up site.Upstream) {
 	svc := r.service(up.Service)
-	svc.plain.StartCooldown(r.now(), up.ID)
 	remaining := svc.lostAnswers[:0]
 	for _, l := range svc.lostAnswers {
 		switch {
@@ -49,7 +68,7 @@
 	svc.lostAnswers = remaining
 }
 
-// lostAnswer is a plain request whose answer was lost.
+// lostAnswer is a request whose answer was lost.
 type lostAnswer struct {
 	event crash.Event
 	at    time.Duration
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -152,6 +152,20 @@
 	}
 }
 
+// ReportBrokenRun reports the first engine of a run as suspect. The run is remembered: it
+// ends before a probe shows whether the engine crashed.
+func (r *router) ReportBrokenRun(run *relay.Run) {
+	chain, _ := run.Chain()
+	up, ok := r.upstream(run.Service, chain[0].Engine())
+	if !ok {
+		return
+	}
+	if run.ProducingTime() <= maxCrashDelay {
+		r.recordLostAnswer(up, run.Fingerprint, time.Since(run.Start))
+	}
+	r.onSuspect(up)
+}
+
 // upstream returns the row of an engine, or false if it is not listed.
 func (r *router) upstream(service string, id spec.UpstreamID) (site.Upstream, bool) {
 	r.mu.Lock()
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -58,7 +58,7 @@
 		return errStaleConn
 	}
 	chain, _ := run.Chain()
-	c.runner.Paths.ReportConnFailure(c.call.Service.Name, chain[0].Engine())
+	c.runner.Paths.ReportBrokenRun(run)
 	c.avoid = append(c.avoid, chain[0].Engine())
 	return err
 }
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -44,8 +44,10 @@
 	// EndRun records that the run is over. complete means that this run delivered
 	// the complete answer.
 	EndRun(run *Run, complete bool)
-	// ReportConnFailure reports an engine that refused or broke a connection.
+	// ReportConnFailure reports an engine that refused a connection.
 	ReportConnFailure(service string, id spec.UpstreamID)
+	// ReportBrokenRun reports that the first engine of a run broke it off.
+	ReportBrokenRun(run *Run)
 	// RecordRefusal records that the engine at an address of the path refused the
 	// run, and returns that engine. An empty address means the first engine.
 	RecordRefusal(run *Run, address string) spec.UpstreamID
