--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -106,7 +106,8 @@
 	if value == nil {
 		return
 	}
-	if value != http.ErrAbortHandler && s.OnPanic != nil {
+	err, isError := value.(error)
+	if aborted := isError && errors.Is(err, http.ErrAbortHandler); !aborted && s.OnPanic != nil {
 		s.OnPanic(r, value)
 	}
 	panic(value)
--- a/internal/wire/relay/retry.go
+++ b/internal/wire/relay/retry.go
@@ -78,10 +78,7 @@
 	refused := unsent || errors.Is(err, errNotRun)
 	counted := errors.Is(err, errRerouted) && run.isRetryCounted()
 	if refused {
-		c.refusals++
-	}
-	if refused && c.started {
-		c.refusalsSinceStart++
+		c.countRefusal()
 	}
 	if c.noRetryReason = c.retryBlocker(err, refused || counted); c.noRetryReason != ReasonNone {
 		return false
@@ -93,6 +90,14 @@
 	return unsent || counted || c.takeRetry()
 }
 
+// countRefusal counts a run that an engine refused, or that was not sent.
+func (c *modelCall) countRefusal() {
+	c.refusals++
+	if c.started {
+		c.refusalsSinceStart++
+	}
+}
+
 // retryBlocker returns why the request must not run again, or ReasonNone. free means
 // that the last run used no attempt, or that the next run is already counted as a
 // retry.
