relay, edge: what a run needs is set before others can see it, and a run always ends

Found by the review of the incident, by reading: the ID of the request and whether it has an attempt left were set after the run was registered, so that an evacuation in between sent a path change without ID or ended a run that had no attempt left; a panic while a run was served left it counted for good; and a refused path change overwrote a newer path of the same run. No run shows them; existing tests of leaving, silent and random faults pass.

--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -258,9 +259,13 @@
 	return restarted
 }
 
-// restorePath moves the usage of a run back to the path that it kept.
+// restorePath moves the usage of a run back to the path that it kept, unless the run got yet
+// another path meanwhile.
 func (r *router) restorePath(change pathChange) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if chain, _ := change.run.Chain(); !slices.Equal(chain, change.newChain) {
+		return
+	}
 	r.service(change.run.Service).changePath(change.run, change.oldChain, change.oldHops)
 }
--- a/internal/app/edge/queue.go
+++ b/internal/app/edge/queue.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/queue"
 	"fulmarwick/internal/wire/relay"
@@ -33,26 +32,27 @@
 
 // waiter is a request that waits in the queue.
 type waiter struct {
-	call *relay.Call
-	// hasPartialAnswer is set if the caller has a part of the answer.
-	hasPartialAnswer bool
-	avoid            []spec.UpstreamID
+	call    *relay.Call
+	options relay.RunOptions
 	// lastErr is why the last search for a path failed.
 	lastErr error
 	// result receives the run or the error, once; its buffer holds one value.
 	result chan admission
 }
 
+// hasPartialAnswer reports whether the caller has a part of the answer.
+func (w *waiter) hasPartialAnswer() bool { return w.options.Kind == relay.RunResume }
+
 // admission is the outcome of waiting: a run or an error.
 type admission struct {
 	run *relay.Run
 	err error
 }
 
-// StartRun chooses a path without the engines to avoid and registers a run on it.
+// StartRun chooses a path and registers a run on it.
 // It waits for capacity as long as the answer can still begin in time.
-func (r *router) StartRun(ctx context.Context, c *relay.Call, how relay.RunKind, avoid []spec.UpstreamID) (*relay.Run, error) {
-	w, t, run, err := r.startOrQueue(c, how, avoid)
+func (r *router) StartRun(ctx context.Context, c *relay.Call, o relay.RunOptions) (*relay.Run, error) {
+	w, t, run, err := r.startOrQueue(c, o)
 	if w == nil {
 		return run, err
 	}
@@ -76,7 +76,7 @@
 
 // startOrQueue starts a run at once or, if there is no capacity, adds the request to
 // the queue. The waiter is nil if the request was not queued.
-func (r *router) startOrQueue(c *relay.Call, how relay.RunKind, avoid []spec.UpstreamID) (*waiter, *queue.Ticket, *relay.Run, error) {
+func (r *router) startOrQueue(c *relay.Call, o relay.RunOptions) (*waiter, *queue.Ticket, *relay.Run, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	svc := r.service(c.Service.Name)
@@ -84,14 +84,14 @@
 		return nil, nil, nil, path.ErrNoPath
 	}
 	now := r.now()
-	w := &waiter{call: c, hasPartialAnswer: how == relay.RunResume, avoid: avoid, lastErr: path.ErrNoMemory, result: make(chan admission, 1)}
-	if svc.queue.Len() == 0 || w.hasPartialAnswer {
+	w := &waiter{call: c, options: o, lastErr: path.ErrNoMemory, result: make(chan admission, 1)}
+	if svc.queue.Len() == 0 || w.hasPartialAnswer() {
 		if run, ok := r.tryStart(svc, w); ok {
 			return nil, nil, run, nil
 		}
 	}
-	t := &queue.Ticket{Team: c.Team, Urgency: c.Urgency, Deadline: r.waitDeadline(svc, c, how, w.lastErr), Begun: w.hasPartialAnswer}
-	if w.hasPartialAnswer {
+	t := &queue.Ticket{Team: c.Team, Urgency: c.Urgency, Deadline: r.waitDeadline(svc, c, o.Kind, w.lastErr), Begun: w.hasPartialAnswer()}
+	if w.hasPartialAnswer() {
 		t.Urgency = resumedUrgency
 	}
 	if !svc.queue.Join(now, t, svc.teams.InFlight) {
@@ -103,11 +103,11 @@
 
 // tryStart searches a path for a waiting request and starts a run on it.
 func (r *router) tryStart(svc *serviceState, w *waiter) (*relay.Run, bool) {
-	run, err := r.startRun(svc, w.call, w.hasPartialAnswer, w.avoid)
-	if err != nil && w.hasPartialAnswer && len(w.avoid) > 0 {
+	run, err := r.startRun(svc, w.call, w.options)
+	if err != nil && w.hasPartialAnswer() && len(w.options.Avoid) > 0 {
 		// A partly delivered answer is worth an attempt on any engine.
-		w.avoid = nil
-		run, err = r.startRun(svc, w.call, w.hasPartialAnswer, nil)
+		w.options.Avoid = nil
+		run, err = r.startRun(svc, w.call, w.options)
 	}
 	w.lastErr = err
 	return run, err == nil
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -42,21 +42,21 @@
 	return demand
 }
 
-// startRun chooses a path and registers a run on it. resumed means that the caller has
-// a part of the answer already. r.mu is held.
-func (r *router) startRun(svc *serviceState, c *relay.Call, resumed bool, avoid []spec.UpstreamID) (*relay.Run, error) {
+// startRun chooses a path and registers a run on it; r.mu is held.
+func (r *router) startRun(svc *serviceState, c *relay.Call, o relay.RunOptions) (*relay.Run, error) {
+	resumed := o.Kind == relay.RunResume
 	if !resumed && svc.queue.IsStalled(r.now()) && !svc.teams.Allow(c.Team, func() float64 { return svc.model.MaxUtilization(r.now()) }) {
 		return nil, share.ErrReserved
 	}
 	demand := svc.estimateDemand(c.Route.Name, c.ParsedHeader)
 	demand.Resumed = resumed
-	chain, err := svc.model.Choose(r.now(), demand, avoidFilter(avoid))
+	chain, err := svc.model.Choose(r.now(), demand, avoidFilter(o.Avoid))
 	if err != nil {
 		return nil, err
 	}
 	run := relay.NewRun(chain, svc.model.Hops(chain))
-	run.Service, run.Route, run.Demand = svc.name, c.Route.Name, demand
-	run.Resumable, run.Fingerprint = c.Route.Resumable, c.Fingerprint()
+	run.Request, run.Service, run.Route, run.Demand = c.ParsedHeader.ID, svc.name, c.Route.Name, demand
+	run.Resumable, run.Fingerprint, run.HasSpareAttempt = c.Route.Resumable, c.Fingerprint(), o.HasSpareAttempt
 	svc.model.Begin(chain, demand)
 	svc.model.RecordTransfer(r.now(), chain, demand)
 	svc.runs[run] = &runState{team: c.Team, chain: chain, awaitingFirstEvent: true}
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -101,7 +101,7 @@
 
 func (u singleUpstream) RetryAfter(*relay.Call) time.Duration { return time.Second }
 
-func (u singleUpstream) StartRun(context.Context, *relay.Call, relay.RunKind, []spec.UpstreamID) (*relay.Run, error) {
+func (u singleUpstream) StartRun(context.Context, *relay.Call, relay.RunOptions) (*relay.Run, error) {
 	chain := spec.Chain{spec.NewStage("u", spec.NewLayers(0, 1))}
 	return relay.NewRun(chain, []site.Hop{{Address: u.address}}), nil
 }
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -32,11 +32,21 @@
 	RunResume                // run after one that brought a part of the answer
 )
 
+// RunOptions are the properties of a run that follow from the earlier runs of its request.
+type RunOptions struct {
+	Kind RunKind
+	// Avoid lists engines that must not be on the path.
+	Avoid []spec.UpstreamID
+	// HasSpareAttempt means that another run may start at a different engine while the
+	// first engine of this run is alive.
+	HasSpareAttempt bool
+}
+
 // PathSelector selects the engines for model requests and tracks their runs.
 type PathSelector interface {
-	// StartRun selects a path without the engines in avoid and registers a run on
-	// it. It waits for free capacity while waiting can help.
-	StartRun(ctx context.Context, c *Call, kind RunKind, avoid []spec.UpstreamID) (*Run, error)
+	// StartRun selects a path and registers a run on it. It waits for free capacity while
+	// waiting can help.
+	StartRun(ctx context.Context, c *Call, o RunOptions) (*Run, error)
 	// RetryAfter returns how long a rejected caller should wait before a retry.
 	RetryAfter(c *Call) time.Duration
 	// RecordFirstEvent records that the first event of a run was received.
@@ -177,13 +187,7 @@
 		if err != nil {
 			return c.refusedReply(err)
 		}
-		c.runs++
-		chain, _ := run.Chain()
-		c.firstEngines = append(c.firstEngines, chain[0].Engine())
-		span := startSendSpan(c.ctx, chain[0].Engine())
-		err = c.runOnce(run)
-		endSendSpan(span, err)
-		c.runner.Paths.EndRun(run, err == nil && c.runs == 1 && c.call.ParsedHeader.LastEventID == 0)
+		err = c.execute(run)
 		if err == nil {
 			c.runner.CrashTracker.Clear(c.call.Fingerprint())
 			return Reply{SendCount: c.runs, MayHaveRun: true}
@@ -204,13 +208,23 @@
 	case c.runs > 0:
 		kind = RunRetry
 	}
-	run, err := c.runner.Paths.StartRun(c.ctx, c.call, kind, c.avoid)
-	if err != nil {
-		return nil, err
-	}
-	run.Request = c.call.ParsedHeader.ID
-	run.HasSpareAttempt = len(c.attempts)+1 < c.call.Route.MaxAttempts
-	return run, nil
+	return c.runner.Paths.StartRun(c.ctx, c.call, RunOptions{Kind: kind, Avoid: c.avoid, HasSpareAttempt: len(c.attempts)+1 < c.call.Route.MaxAttempts})
+}
+
+// execute runs the request on the path of a run and ends the run, also in a panic.
+func (c *modelCall) execute(run *Run) (err error) {
+	c.runs++
+	chain, _ := run.Chain()
+	c.firstEngines = append(c.firstEngines, chain[0].Engine())
+	span := startSendSpan(c.ctx, chain[0].Engine())
+	complete := false
+	defer func() {
+		endSendSpan(span, err)
+		c.runner.Paths.EndRun(run, complete && c.runs == 1 && c.call.ParsedHeader.LastEventID == 0)
+	}()
+	err = c.runOnce(run)
+	complete = err == nil
+	return err
 }
 
 func (c *modelCall) refusedReply(err error) Reply {
