front: the end of an answer is written though its engine was silent before it

Callers would see: an answer whose end is cut after more than ten seconds without an event, since the deadline for writing was that of the last event. Streams that wait to be continued make it reachable. TestLateEndOfAnswerIsWhole: unexpected EOF before, whole now.

--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -237,7 +237,9 @@
 	if c.Service.Model == nil {
 		reply = s.PlainRunner.Do(r.Context(), c)
 	} else {
-		reply = s.ModelRunner.Do(r.Context(), c, &callerSink{w: w})
+		sink := &callerSink{w: w}
+		reply = s.ModelRunner.Do(r.Context(), c, sink)
+		sink.extendDeadline()
 	}
 	status := s.writeReply(w, reply)
 	endSpan(reply, status)
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -16,6 +16,7 @@
 
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fakes/inmem"
 	"fulmarwick/internal/route/ewma"
 	"fulmarwick/internal/wire/client"
 	"fulmarwick/internal/wire/front"
@@ -106,19 +107,22 @@
 	return relay.NewRun(chain, []site.Hop{{Address: u.address}}), nil
 }
 
+// newServer returns a Server in front of the upstream at an address.
+func newServer(pool *client.Pool, address string) *front.Server {
+	single := singleUpstream{address: address}
+	return &front.Server{
+		Dialect: dialect{}, ConfigSource: newStaticConfig(),
+		PlainRunner: &relay.PlainRunner{Dialect: dialect{}, Pool: pool, Upstreams: single, RetryBudget: single, CrashTracker: single},
+		ModelRunner: &relay.ModelRunner{Dialect: dialect{}, Pool: pool, Paths: single, RetryBudget: single, CrashTracker: single},
+	}
+}
+
 // startProxy starts a Server in front of an upstream and returns its URL.
 func startProxy(t testing.TB, upstream http.HandlerFunc) string {
 	t.Helper()
 	upstreamServer := httptest.NewServer(upstream)
 	t.Cleanup(upstreamServer.Close)
-	single := singleUpstream{address: upstreamServer.Listener.Addr().String()}
-	pool := &client.Pool{DialTimeout: time.Second}
-	s := &front.Server{
-		Dialect: dialect{}, ConfigSource: newStaticConfig(),
-		PlainRunner: &relay.PlainRunner{Dialect: dialect{}, Pool: pool, Upstreams: single, RetryBudget: single, CrashTracker: single},
-		ModelRunner: &relay.ModelRunner{Dialect: dialect{}, Pool: pool, Paths: single, RetryBudget: single, CrashTracker: single},
-	}
-	server := httptest.NewServer(s)
+	server := httptest.NewServer(newServer(&client.Pool{DialTimeout: time.Second}, upstreamServer.Listener.Addr().String()))
 	t.Cleanup(server.Close)
 	return server.URL
 }
@@ -258,6 +262,43 @@
 	}
 }
 
+// Guards against cutting the end of an answer whose engine was silent before it for longer
+// than a caller may read nothing.
+func TestLateEndOfAnswerIsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &inmem.Net{}
+		upstream, err := network.Listen(t.Context(), "engine")
+		if err != nil {
+			t.Fatal(err)
+		}
+		engine := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.Header().Set("Id", "r")
+			w.Header().Set("Seal", "s")
+			writeEvents(w, 1)
+			time.Sleep(11 * time.Second)
+		})}
+		go func() { _ = engine.Serve(upstream) }()
+		callers := inmem.Listen()
+		server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: newServer(&client.Pool{DialTimeout: time.Second, Dial: network.Dial}, "engine")}
+		go func() { _ = server.Serve(callers) }()
+		defer func() { _, _ = server.Close(), engine.Close() }()
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://127.0.0.1/s/1", strings.NewReader("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Id", "r")
+		resp, err := callers.Client().Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		if body, err := io.ReadAll(resp.Body); err != nil || !bytes.HasPrefix(body, []byte("id: 1")) {
+			t.Errorf("got %q and %v, want the whole answer", body, err)
+		}
+	})
+}
+
 // Guards against requests that end without an answer and without a trace, because the
 // handler panicked.
 func TestPanicIsReported(t *testing.T) {
--- a/internal/wire/front/sink.go
+++ b/internal/wire/front/sink.go
@@ -22,10 +22,18 @@
 	s.w.WriteHeader(status)
 }
 
+// extendDeadline gives the caller time to read what is written next. A stream may be
+// silent for longer than eventWriteTimeout.
+func (s *callerSink) extendDeadline() {
+	if s.controller != nil {
+		// SetWriteDeadline fails only for writers without deadlines, as in tests.
+		_ = s.controller.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
+	}
+}
+
 // WriteEvent writes one event; flush means that no other event follows immediately.
 func (s *callerSink) WriteEvent(event []byte, flush bool) error {
-	// SetWriteDeadline fails only for writers without deadlines, as in tests.
-	_ = s.controller.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
+	s.extendDeadline()
 	if _, err := s.w.Write(event); err != nil {
 		return err
 	}
