--- a/internal/app/edge/fault_test.go
+++ b/internal/app/edge/fault_test.go
@@ -258,6 +258,55 @@
 	})
 }
 
+// Guards against requests that get no answer at all because their instance is killed after
+// its grace time. Before that, those whose answers have not begun must be answered by the
+// router, and begun streams must go on.
+func TestStoppingInstanceAnswersBeforeItIsKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureFrom(t, &depot.Depot{Instances: 1, Kill: 8 * time.Second})
+		defer f.close()
+		begun := make(chan time.Duration, 1)
+		go func() {
+			start := time.Now()
+			f.request(0, http.MethodPost, "/write/1", "begun", "300,1800")
+			begun <- time.Since(start)
+		}()
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range f.site.Engines() {
+			f.site.SetSlowdown(e, 5000)
+		}
+		f.instances[0].Stop()
+		start := time.Now()
+		waiting := f.request(0, http.MethodPost, "/write/2", "waiting", "300,1800")
+		if took := time.Since(start); waiting.err != nil || waiting.status != http.StatusBadGateway || took < 7*time.Second || took > 8*time.Second {
+			t.Errorf("got %d and %v after %s, want 502 shortly before 8 s", waiting.status, waiting.err, took)
+		}
+		if took := <-begun; took < 19*time.Second {
+			t.Errorf("got the begun stream ended after %s, want it to go on to its deadline", took)
+		}
+	})
+}
+
+// Guards against requests that a stopping instance accepts so late that it is killed before
+// their answers can end.
+func TestStoppingInstanceRefusesLateRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		defer f.close()
+		go f.request(0, http.MethodPost, "/write/1", "begun", "300,1800")
+		f.instances[0].Stop()
+		start := time.Now()
+		for n := range 30 {
+			at := time.Since(start)
+			a := f.request(0, http.MethodPost, "/book/1", fmt.Sprintf("b%d", n), "")
+			if late := at >= 2700*time.Millisecond; (a.status == http.StatusOK) == late {
+				t.Errorf("got %d and %v for a request after %s, want served %v", a.status, a.err, at, !late)
+			}
+			time.Sleep(73 * time.Millisecond)
+		}
+	})
+}
+
 // Guards against an engine that stays without layers because the instance that plans
 // ended or its load orders got no answer for a while. An engine that joins empty must
 // hold layers within 8 s, and none may be ordered to hold more than its memory.
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -26,7 +26,7 @@
 func (i *Instance) initParts() {
 	s := i.Settings
 	i.meters = metrics.NewSet()
-	i.drainer = &halt.Drainer{Grace: s.Times.Grace, MaxAccept: maxAcceptAfterStop, AfterClose: front.StoppingHandler{}, Log: i.Log}
+	i.drainer = &halt.Drainer{Grace: s.Times.Grace, MaxAccept: maxAcceptAfterStop, KillAfter: s.Times.Kill, AfterClose: front.StoppingHandler{}, Log: i.Log}
 	i.state = newStateView(i.Log)
 	i.router = &router{
 		centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
@@ -77,7 +77,7 @@
 	i.router.retryBudgetSharers = i.mesh.logic.BudgetShares
 	codec := platform.HeaderCodec{}
 	i.server = &front.Server{
-		Dialect: codec, ConfigSource: i.state, OnRequestEnd: i.recordEnd, OnReject: i.recordRejected, OnPanic: i.recordPanic,
+		Dialect: codec, ConfigSource: i.state, LastCall: i.drainer.LastCall(), OnRequestEnd: i.recordEnd, OnReject: i.recordRejected, OnPanic: i.recordPanic,
 		PlainRunner: &relay.PlainRunner{Dialect: codec, Pool: i.pool, Upstreams: i.router, RetryBudget: i.router, CrashTracker: i.router},
 		ModelRunner: &relay.ModelRunner{Dialect: codec, Pool: i.pool, Paths: i.router, RetryBudget: i.router, CrashTracker: i.router},
 	}
--- a/internal/app/halt/halt.go
+++ b/internal/app/halt/halt.go
@@ -8,7 +8,8 @@
 // continue to accept requests until none has arrived for the grace period; close
 // the listeners; wait for every request in progress, however long it takes. No
 // timer ends a request, and neither does a second signal: it only ends the wait for
-// the balancer.
+// the balancer. Where the process will be killed, LastCall tells when requests without an
+// answer have to be answered.
 package halt
 
 import (
@@ -25,6 +26,10 @@
 // a stopping instance still waits for.
 const progressInterval = time.Second
 
+// lastCallMargin is how long before the process is killed LastCall ends: time to write the
+// answers of all requests in progress.
+const lastCallMargin = 500 * time.Millisecond
+
 // Drainer shuts down one instance gracefully. Set the exported fields before use.
 type Drainer struct {
 	// Grace is how long no request must have arrived before the listeners close.
@@ -37,11 +42,15 @@
 	// that still arrive on keep-alive connections. If it is nil, the handler serves
 	// them like any other.
 	AfterClose http.Handler
-	Log        *zap.Logger
+	// KillAfter is how long after Begin the process is killed; zero means never.
+	KillAfter time.Duration
+	Log       *zap.Logger
 
 	initOnce           sync.Once
 	begun              chan struct{}
 	closeListeners     chan struct{}
+	lastCall           context.Context
+	endLastCall        context.CancelFunc
 	beginOnce          sync.Once
 	closeListenersOnce sync.Once
 
@@ -56,6 +65,7 @@
 	d.initOnce.Do(func() {
 		d.begun = make(chan struct{})
 		d.closeListeners = make(chan struct{})
+		d.lastCall, d.endLastCall = context.WithCancel(context.Background())
 	})
 }
 
@@ -68,6 +78,9 @@
 		d.beginTime = d.lastArrival
 		d.mu.Unlock()
 		close(d.begun)
+		if d.KillAfter > 0 {
+			time.AfterFunc(max(0, d.KillAfter-lastCallMargin), d.endLastCall)
+		}
 		d.Log.Info("halt: stopping, requests in progress go on", zap.Int("running", d.Running()))
 	})
 }
@@ -82,6 +95,13 @@
 	})
 }
 
+// LastCall returns a context that ends shortly before the process is killed. A request whose
+// answer has not begun by then must be answered at once.
+func (d *Drainer) LastCall() context.Context {
+	d.init()
+	return d.lastCall
+}
+
 // Begun returns a channel that is closed once the shutdown has begun.
 func (d *Drainer) Begun() <-chan struct{} {
 	d.init()
--- a/internal/app/setup/schema.go
+++ b/internal/app/setup/schema.go
@@ -111,6 +111,7 @@
 		{"idle", false, duration(func(f *Settings) *time.Duration { return &f.Times.Idle }, minTime, maxTime)},
 		{"comment", false, duration(func(f *Settings) *time.Duration { return &f.Times.Comment }, minTime, maxTime)},
 		{"grace", false, duration(func(f *Settings) *time.Duration { return &f.Times.Grace }, 0, maxTime)},
+		{"kill", false, duration(func(f *Settings) *time.Duration { return &f.Times.Kill }, 0, maxTime)},
 	}},
 	{name: "log", keys: []key{
 		{"level", false, choice(func(f *Settings) *string { return &f.Log.Level }, "debug", "info", "warn", "error")},
--- a/internal/fakes/depot/depot.go
+++ b/internal/fakes/depot/depot.go
@@ -37,6 +37,8 @@
 	Deployment stand.Deployment
 	// Retry is the retry budget; the zero value keeps that of Settings.
 	Retry setup.Retry
+	// Kill is how long after a stop signal an instance is killed; zero means never.
+	Kill time.Duration
 	// Handshake is how long an engine takes to accept a connection.
 	Handshake time.Duration
 	// Log is the logger of the instances; nil logs nothing.
@@ -100,6 +102,7 @@
 	if d.Retry != (setup.Retry{}) {
 		s.Retry = d.Retry
 	}
+	s.Times.Kill = d.Kill
 	i := &edge.Instance{Settings: s, Log: d.Log, Dial: d.site.Dial, Listen: d.site.Net.Listen}
 	d.instances = append(d.instances, i)
 	d.wg.Go(func() {
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -66,6 +66,8 @@
 	ConfigSource ConfigSource
 	PlainRunner  PlainRunner
 	ModelRunner  ModelRunner
+	// LastCall ends shortly before the process is killed; nil means that it never is.
+	LastCall context.Context
 	// TracerProvider creates a span for each request; nil creates none.
 	TracerProvider trace.TracerProvider
 	// OnRequestEnd is called with the result of each request; it may be nil.
@@ -231,16 +233,39 @@
 	return 0, ""
 }
 
-func (s *Server) forward(w http.ResponseWriter, r *http.Request, c *relay.Call) {
+// errStopping is the cancellation cause of requests that are ended before the process is
+// killed.
+var errStopping = errors.New("front: instance is stopping")
+
+// run runs the call. If the process is about to be killed and the answer has not begun, the
+// call is ended, so that its caller gets an answer of the router at least.
+func (s *Server) run(w http.ResponseWriter, r *http.Request, c *relay.Call) relay.Reply {
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	sink := &callerSink{w: w}
+	if s.LastCall != nil {
+		defer context.AfterFunc(s.LastCall, func() {
+			if !sink.begun.Load() {
+				cancel(errStopping)
+			}
+		})()
+	}
 	var reply relay.Reply
-	r, endSpan := s.startSpan(r, c)
 	if c.Service.Model == nil {
-		reply = s.PlainRunner.Do(r.Context(), c)
+		reply = s.PlainRunner.Do(ctx, c)
 	} else {
-		sink := &callerSink{w: w}
-		reply = s.ModelRunner.Do(r.Context(), c, sink)
+		reply = s.ModelRunner.Do(ctx, c, sink)
 		sink.extendDeadline()
 	}
+	if reply.Reason == relay.ReasonCallerLeft && errors.Is(context.Cause(ctx), errStopping) {
+		reply.Reason, reply.RetryAfter = relay.ReasonStopping, stoppingRetryAfter
+	}
+	return reply
+}
+
+func (s *Server) forward(w http.ResponseWriter, r *http.Request, c *relay.Call) {
+	r, endSpan := s.startSpan(r, c)
+	reply := s.run(w, r, c)
 	status := s.writeReply(w, reply)
 	endSpan(reply, status)
 	if s.OnRequestEnd != nil {
--- a/internal/wire/front/sink.go
+++ b/internal/wire/front/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,10 +14,13 @@
 type callerSink struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
+	// begun is set once a part of the response was written.
+	begun atomic.Bool
 }
 
 // WriteHead writes the status and headers of an upstream's response.
 func (s *callerSink) WriteHead(status int, h http.Header) {
+	s.begun.Store(true)
 	s.controller = http.NewResponseController(s.w)
 	copyHeader(s.w.Header(), h)
 	s.w.WriteHeader(status)
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -100,6 +100,7 @@
 	ReasonPoison                          // request crashes upstreams
 	ReasonReserved                        // room kept for other teams
 	ReasonAttemptsExhausted               // attempts used up
+	ReasonStopping                        // instance stops
 )
 
 // Reply is the final response to a call.
--- a/internal/wire/relay/reason_string.go
+++ b/internal/wire/relay/reason_string.go
@@ -18,11 +18,12 @@
 	_ = x[ReasonPoison-7]
 	_ = x[ReasonReserved-8]
 	_ = x[ReasonAttemptsExhausted-9]
+	_ = x[ReasonStopping-10]
 }
 
-const _Reason_name = "answeredno roomno upstreamrefused by upstreamsanswer losttimeoutcaller leftrequest crashes upstreamsroom kept for other teamsattempts used up"
+const _Reason_name = "answeredno roomno upstreamrefused by upstreamsanswer losttimeoutcaller leftrequest crashes upstreamsroom kept for other teamsattempts used upinstance stops"
 
-var _Reason_index = [...]uint8{0, 8, 15, 26, 46, 57, 64, 75, 100, 125, 141}
+var _Reason_index = [...]uint8{0, 8, 15, 26, 46, 57, 64, 75, 100, 125, 141, 155}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
