edge, path: engines that hold layers beyond the model end neither a process nor a request

Callers would see: all requests of the planning instance gone, or a refusal that never comes. Cause: the plan and the search for the scarcest layer index arrays of the model's size by the layers that engines list; a configuration with fewer layers, or one wrong row, puts them out of range. The second panics while a refusal is logged, before it is flushed: a whole request that gets neither an answer nor a refusal beside a change of the configuration.

--- a/internal/app/edge/plan.go
+++ b/internal/app/edge/plan.go
@@ -204,9 +204,9 @@
 		if !ok || up.State != site.StateReady || svc.model.DeadOrUnlisted(up.ID) {
 			continue
 		}
-		e := layout.Engine{ID: up.ID, Centre: up.Centre, Card: card, Held: up.Held.Layers}
+		e := layout.Engine{ID: up.ID, Centre: up.Centre, Card: card, Held: up.Held.Layers.Within(svc.model.Model.Layers)}
 		if o, ok := p.lastOrders[up.ID]; ok && o.incarnation == up.Born && now.Before(o.retryAt) {
-			e.Held, e.Loading = o.layers, up.Held.Layers != o.layers
+			e.Held, e.Loading = o.layers.Within(svc.model.Model.Layers), up.Held.Layers != o.layers
 			if !e.Loading && !o.seenInList {
 				o.seenInList = true
 				p.lastOrders[up.ID] = o
--- a/internal/base/spec/layers.go
+++ b/internal/base/spec/layers.go
@@ -26,6 +26,16 @@
 	return l.from <= other.from && other.to <= l.to
 }
 
+// Within returns the part of the range that lies in a model of n layers, the empty range if
+// none does.
+func (l Layers) Within(n int) Layers {
+	part := Layers{from: max(0, l.from), to: min(n, l.to)}
+	if part.Len() == 0 {
+		return Layers{}
+	}
+	return part
+}
+
 // Has reports whether layer n is in l.
 func (l Layers) Has(n int) bool { return l.from <= n && n < l.to }
 
--- a/internal/route/path/scarcity.go
+++ b/internal/route/path/scarcity.go
@@ -19,7 +19,8 @@
 			continue
 		}
 		usage, capacity := e.usage().peak()/float64(n), float64(e.capacity)/float64(n)
-		for at := e.upstream.Held.Layers.From(); at < e.upstream.Held.Layers.To(); at++ {
+		held := e.upstream.Held.Layers.Within(t.Model.Layers)
+		for at := held.From(); at < held.To(); at++ {
 			used[at] += usage
 			limit[at] += capacity
 		}
