An upstream that refuses and asks for rest gets no request of this instance for so long

Cause: Retry-After of a refusal was not read; a refused engine got a cooldown of our own, 0.3 s doubling to 2.4 s, so that requests came again at 0.3, 0.9 and 2.1 s. Class: a signal of the upstream's own is replaced by a guess. Engines and plain upstreams that rest are not chosen for anything (first run, repeat, resumed stream, part of a path, hedge, order, probe after a refusal), and a request that was chosen or queued before is not sent. Where all upstreams of a plain service rest, callers are refused at once with the time at which the first accepts requests. A cooldown is no longer cut short by a later shorter one.

--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -36,7 +36,7 @@
 	i.store = &platform.Store{BaseURL: s.Platform.Table, HTTP: newHTTP(i.Dial, dialTimeout), UserAgent: s.Instance.Name, OnCall: i.countStoreCall}
 	// The timeouts of report requests count only the time in which this process ran;
 	// dialing must not time out sooner.
-	calls := &platform.EngineClient{HTTP: newHTTP(i.Dial, maxProbeWallTime)}
+	calls := &platform.EngineClient{HTTP: newHTTP(i.Dial, maxProbeWallTime), OnNotice: i.router.recordNoticeAt}
 	owner := uuid.NewString()
 	i.lease = &lease.Lease{Table: i.store, Duty: planLeaseName, Owner: owner, Duration: leaseDuration, Margin: leaseMargin, Meters: i.meters}
 	i.watcher = newWatcher(i.router, calls, i.Log)
@@ -65,6 +65,7 @@
 	i.router.onSuspect = func(up site.Upstream) { i.watcher.startProbe(ctx, up, false) }
 	i.router.isDead = i.watcher.isDead
 	i.state.onConfig = i.router.setConfig
+	i.router.onNotice = i.recordNotice
 	i.state.onList = func(list []site.Upstream) {
 		i.router.setList(list)
 		i.planner.noteListSize(list)
@@ -78,8 +79,8 @@
 	codec := platform.HeaderCodec{}
 	i.server = &front.Server{
 		Dialect: codec, ConfigSource: i.state, LastCall: i.drainer.LastCall(), OnRequestEnd: i.recordEnd, OnReject: i.recordRejected, OnPanic: i.recordPanic,
-		PlainRunner: &relay.PlainRunner{Dialect: codec, Pool: i.pool, Upstreams: i.router, RetryBudget: i.router, CrashTracker: i.router},
-		ModelRunner: &relay.ModelRunner{Dialect: codec, Pool: i.pool, Paths: i.router, RetryBudget: i.router, CrashTracker: i.router},
+		PlainRunner: &relay.PlainRunner{Dialect: codec, Pool: i.pool, Upstreams: i.router, RetryBudget: i.router, Notices: i.router, CrashTracker: i.router},
+		ModelRunner: &relay.ModelRunner{Dialect: codec, Pool: i.pool, Paths: i.router, RetryBudget: i.router, Notices: i.router, CrashTracker: i.router},
 	}
 }
 
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -12,6 +12,7 @@
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/ewma"
 	"fulmarwick/internal/route/length"
+	"fulmarwick/internal/route/notice"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/queue"
 	"fulmarwick/internal/route/resend"
@@ -54,6 +55,9 @@
 	start              time.Time
 	// onSuspect is called for each engine that may be dead.
 	onSuspect func(site.Upstream)
+	// onNotice is called for each notice; newlyLeaving is set for the first one with which
+	// an upstream says that it leaves.
+	onNotice func(id spec.UpstreamID, n site.Notice, newlyLeaving bool)
 	// isDead probes a suspect engine again and reports whether it is dead.
 	isDead func(context.Context, site.Upstream) bool
 
@@ -63,6 +67,7 @@
 	// peerRetries holds the retry usage that each other instance reported.
 	peerRetries map[spec.InstanceID]peerRetryReport
 	crashBook   crash.Tracker
+	notices     notice.Book
 	// unreportedCrashes holds crashes seen by this instance, each with the request
 	// that the upstream ran, that were not yet sent to the other instances.
 	unreportedCrashes []crash.Event
@@ -75,7 +80,7 @@
 	svc := r.services[name]
 	if svc == nil {
 		svc = &serviceState{name: name, runs: map[*relay.Run]*runState{}, waiters: map[*queue.Ticket]*waiter{}, firstLatency: initialFirstLatency}
-		svc.plain.DataCentre = r.centre
+		svc.plain.DataCentre, svc.plain.InBackoff = r.centre, r.notices.InBackoff
 		svc.setRetryBounds(r.retryBounds)
 		r.services[name] = svc
 	}
@@ -110,7 +115,7 @@
 			continue
 		}
 		if svc.model == nil {
-			svc.model = &path.Table{Centre: r.centre, Random: rand.Float64, PeerCount: func() int { return r.retryBudgetSharers() - 1 }}
+			svc.model = &path.Table{Centre: r.centre, Random: rand.Float64, InBackoff: r.notices.InBackoff, PeerCount: func() int { return r.retryBudgetSharers() - 1 }}
 		}
 		if s.Model.Equal(svc.model.Model) {
 			// Most changes don't affect the model. A new model makes the planner place
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -178,15 +178,16 @@
 
 // RecordRefusal records that an engine refused a run: it is full, leaving, or no
 // longer the same engine. It gets no new runs for a while, and a probe finds out
-// the cause.
+// the cause, unless the engine asked for backoff: then it is alive and wants no probe.
 func (r *router) RecordRefusal(run *relay.Run, address string) spec.UpstreamID {
 	r.mu.Lock()
 	svc := r.service(run.Service)
 	id := svc.refusingEngine(run, address)
 	up, ok := svc.model.Upstream(id)
 	svc.model.RecordRefusal(r.now(), id)
+	backoff := r.notices.InBackoff(r.now(), id)
 	r.mu.Unlock()
-	if ok {
+	if ok && !backoff {
 		r.onSuspect(up)
 	}
 	return id
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -197,7 +197,9 @@
 	if now.Sub(w.lastLagCheck) >= lagCheckInterval {
 		w.lastLagCheck = now
 		for _, up := range w.router.lagProbeTargets() {
-			w.startProbe(ctx, up, false)
+			if !w.router.inBackoff(up.ID) {
+				w.startProbe(ctx, up, false)
+			}
 		}
 	}
 }
--- a/internal/base/site/header.go
+++ b/internal/base/site/header.go
@@ -66,6 +66,17 @@
 	FailedAddress string
 	// Load is the load that the upstream reports; nil if it reports none.
 	Load *Load
+	// Notice is what the upstream says about later requests to it.
+	Notice Notice
+}
+
+// Notice is what an upstream says in an answer about later requests to it.
+type Notice struct {
+	// Leaving reports that the upstream will exit and wants no new requests.
+	Leaving bool
+	// Backoff is for how long the upstream wants no requests from this instance; zero if it
+	// asks for none.
+	Backoff time.Duration
 }
 
 // Load is the number of requests that an upstream reports to run and to queue, and its slots.
--- a/internal/route/ewma/ewma.go
+++ b/internal/route/ewma/ewma.go
@@ -74,6 +74,9 @@
 // Balancer holds the upstreams of one service. It is not safe for concurrent use.
 type Balancer struct {
 	DataCentre spec.DataCentre
+	// InBackoff reports whether an upstream asked for backoff; nil means that
+	// none did.
+	InBackoff func(now time.Duration, id spec.UpstreamID) bool
 
 	upstreams []*upstreamStats
 	byID      map[spec.UpstreamID]*upstreamStats
@@ -105,7 +108,7 @@
 	lowest := math.Inf(1)
 	for i, s := range b.upstreams {
 		costs[i] = math.Inf(1)
-		if s.upstream.State == site.StateReady && !slices.Contains(avoid, s.upstream.ID) {
+		if b.accepts(now, s.upstream) && !slices.Contains(avoid, s.upstream.ID) {
 			costs[i] = s.cost(now, b.DataCentre)
 		}
 		lowest = min(lowest, costs[i])
@@ -124,6 +127,11 @@
 	return site.Upstream{}, false
 }
 
+// accepts reports whether an upstream may get new requests.
+func (b *Balancer) accepts(now time.Duration, up site.Upstream) bool {
+	return up.State == site.StateReady && (b.InBackoff == nil || !b.InBackoff(now, up.ID))
+}
+
 // similarCostRatio is the ratio of costs within which upstreams are used in rotation.
 // Without it all instances would load the same upstream, and one that failed once would
 // keep a small remainder of its failure rate and never be tried again.
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -68,10 +68,10 @@
 	return c, err
 }
 
-// allows reports whether an engine may be part of the path.
-func (q *Query) allows(e *engine) bool {
+// allows reports whether an engine may be part of the path of a query.
+func (t *Table) allows(q *Query, e *engine) bool {
 	held := e.upstream.Held.Layers
-	if !e.usable(q.Now) || held.To() <= q.From || held.From() >= q.To {
+	if !t.usable(q.Now, e) || held.To() <= q.From || held.From() >= q.To {
 		return false
 	}
 	return q.Avoid == nil || !q.Avoid(e.upstream.ID)
@@ -119,7 +119,7 @@
 	bestEnd, bestCost := -1, math.Inf(1)
 	for _, e := range t.engines {
 		t.updateUsableSince(q.Now, e)
-		if !q.allows(e) {
+		if !t.allows(&q, e) {
 			continue
 		}
 		s, ok, lacksMemory := t.extendPath(q, state, e)
--- a/internal/route/path/health.go
+++ b/internal/route/path/health.go
@@ -84,10 +84,11 @@
 	return true
 }
 
-// StartCooldown gives an engine no new requests until the given time.
+// StartCooldown gives an engine no new requests until the given time, or until its present
+// cooldown ends if that is later.
 func (t *Table) StartCooldown(id spec.UpstreamID, until time.Duration) {
 	if e := t.byID[id]; e != nil {
-		e.cooldownUntil = until
+		e.cooldownUntil = max(e.cooldownUntil, until)
 	}
 }
 
@@ -141,14 +142,18 @@
 	return out
 }
 
-func (e *engine) usable(now time.Duration) bool {
-	return !e.dead && now >= e.cooldownUntil && e.upstream.State == site.StateReady && e.upstream.Held.Layers.Len() > 0
+// usable reports whether an engine may get new requests.
+func (t *Table) usable(now time.Duration, e *engine) bool {
+	if e.dead || now < e.cooldownUntil || e.upstream.State != site.StateReady || e.upstream.Held.Layers.Len() == 0 {
+		return false
+	}
+	return t.InBackoff == nil || !t.InBackoff(now, e.upstream.ID)
 }
 
 // updateUsableSince records since when an engine has been usable.
 func (t *Table) updateUsableSince(now time.Duration, e *engine) {
 	switch {
-	case !e.usable(now):
+	case !t.usable(now, e):
 		e.usableSince = 0
 	case e.usableSince == 0:
 		e.usableSince = max(now, 1)
--- a/internal/route/path/scarcity.go
+++ b/internal/route/path/scarcity.go
@@ -15,7 +15,7 @@
 	used, limit := make([]float64, t.Model.Layers), make([]float64, t.Model.Layers)
 	for _, e := range t.engines {
 		n := e.upstream.Held.Layers.Len()
-		if !e.usable(now) || n == 0 {
+		if !t.usable(now, e) || n == 0 {
 			continue
 		}
 		usage, capacity := e.usage().peak()/float64(n), float64(e.capacity)/float64(n)
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -57,6 +57,9 @@
 	// PeerCount returns how many other instances choose paths; if nil, those known
 	// from SetPeerUsage count.
 	PeerCount func() int
+	// InBackoff reports whether an engine asked for backoff; nil means that
+	// none did.
+	InBackoff func(now time.Duration, id spec.UpstreamID) bool
 
 	engines       []*engine
 	byID          map[spec.UpstreamID]*engine
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -88,6 +88,10 @@
 func (u singleUpstream) RecordRequest(string)                                             {}
 func (u singleUpstream) AllowRetry(string) bool                                           { return true }
 
+func (u singleUpstream) RecordNotice(string, spec.UpstreamID, site.Notice) {}
+func (u singleUpstream) AcceptsRequests(spec.UpstreamID) bool              { return true }
+func (u singleUpstream) BackoffLeft(string) time.Duration                  { return 0 }
+
 func (u singleUpstream) IsCulprit(uint64) bool                            { return false }
 func (u singleUpstream) Clear(uint64)                                     {}
 func (u singleUpstream) RecordFirstEvent(*relay.Run)                      {}
@@ -112,8 +116,8 @@
 	single := singleUpstream{address: address}
 	return &front.Server{
 		Dialect: dialect{}, ConfigSource: newStaticConfig(),
-		PlainRunner: &relay.PlainRunner{Dialect: dialect{}, Pool: pool, Upstreams: single, RetryBudget: single, CrashTracker: single},
-		ModelRunner: &relay.ModelRunner{Dialect: dialect{}, Pool: pool, Paths: single, RetryBudget: single, CrashTracker: single},
+		PlainRunner: &relay.PlainRunner{Dialect: dialect{}, Pool: pool, Upstreams: single, RetryBudget: single, Notices: single, CrashTracker: single},
+		ModelRunner: &relay.ModelRunner{Dialect: dialect{}, Pool: pool, Paths: single, RetryBudget: single, Notices: single, CrashTracker: single},
 	}
 }
 
--- a/internal/wire/front/span_test.go
+++ b/internal/wire/front/span_test.go
@@ -27,7 +27,7 @@
 	single := singleUpstream{address: upstream.Listener.Addr().String()}
 	server := httptest.NewServer(&front.Server{
 		Dialect: dialect{}, ConfigSource: newStaticConfig(), TracerProvider: sdk.NewTracerProvider(sdk.WithSpanProcessor(recorder)),
-		PlainRunner: &relay.PlainRunner{Dialect: dialect{}, Pool: &client.Pool{DialTimeout: time.Second}, Upstreams: single, RetryBudget: single, CrashTracker: single},
+		PlainRunner: &relay.PlainRunner{Dialect: dialect{}, Pool: &client.Pool{DialTimeout: time.Second}, Upstreams: single, RetryBudget: single, Notices: single, CrashTracker: single},
 	})
 	defer server.Close()
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, server.URL+"/p/1", nil)
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -73,11 +73,21 @@
 	Clear(fingerprint uint64)
 }
 
-// readResponse reads the status and headers of the response to the call and skips
-// responses to other requests.
-func (c *Call) readResponse(d Dialect, conn *client.Conn) (resp *http.Response, head site.ResponseHeader, err error) {
+// UpstreamNotices records what upstreams say in their answers about later requests.
+type UpstreamNotices interface {
+	RecordNotice(service string, id spec.UpstreamID, n site.Notice)
+	// AcceptsRequests reports whether an upstream may be sent a request now.
+	AcceptsRequests(id spec.UpstreamID) bool
+}
+
+// readResponse reads the status and headers of the response of an upstream to the call and
+// skips responses to other requests. It records the notices in all of them.
+func (c *Call) readResponse(d Dialect, notices UpstreamNotices, conn *client.Conn, from spec.UpstreamID) (resp *http.Response, head site.ResponseHeader, err error) {
 	resp, err = conn.ReadResponse(c.Method, func(resp *http.Response) bool {
 		head = d.ParseResponse(resp.StatusCode, resp.Header)
+		if head.Notice != (site.Notice{}) {
+			notices.RecordNotice(c.Service.Name, from, head.Notice)
+		}
 		return head.RequestID == "" || head.RequestID == c.ParsedHeader.ID
 	})
 	return resp, head, err
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"fulmarwick/internal/base/site"
+	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/wire/client"
 	"fulmarwick/internal/wire/events"
 
@@ -25,6 +26,10 @@
 		c.avoid = append(c.avoid, first)
 		return errUnsent
 	}
+	if !c.acceptsRequests(chain) {
+		c.runner.Pool.Put(conn)
+		return errUnsent
+	}
 	stop := context.AfterFunc(c.ctx, conn.Close)
 	defer stop()
 	if !run.onReroute(conn.Close) || c.ctx.Err() != nil {
@@ -41,6 +46,17 @@
 	return c.readResponse(run, conn)
 }
 
+// acceptsRequests reports whether all engines of a path may still get requests: one may
+// have said otherwise after it was chosen.
+func (c *modelCall) acceptsRequests(chain spec.Chain) bool {
+	for _, stage := range chain {
+		if !c.runner.Notices.AcceptsRequests(stage.Engine()) {
+			return false
+		}
+	}
+	return true
+}
+
 // classifyBreak returns why a run broke off and records the engine that failed.
 func (c *modelCall) classifyBreak(run *Run, conn *client.Conn, err error) error {
 	switch {
@@ -65,7 +81,8 @@
 
 // readResponse reads and forwards the response of a run.
 func (c *modelCall) readResponse(run *Run, conn *client.Conn) error {
-	resp, head, err := c.call.readResponse(c.runner.Dialect, conn)
+	chain, _ := run.Chain()
+	resp, head, err := c.call.readResponse(c.runner.Dialect, c.runner.Notices, conn, chain[0].Engine())
 	if err != nil {
 		conn.Close()
 		return c.classifyBreak(run, conn, err)
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -96,6 +96,7 @@
 	Pool        *client.Pool
 	Paths       PathSelector
 	RetryBudget RetryBudget
+	Notices     UpstreamNotices
 	// CrashTracker tracks requests that crash engines.
 	CrashTracker CrashTracker
 }
--- a/internal/wire/relay/plain.go
+++ b/internal/wire/relay/plain.go
@@ -24,6 +24,9 @@
 	StartCooldown(up site.Upstream)
 	ApplyReportedLoad(up site.Upstream, load site.Load)
 	ExpectedLatency(up site.Upstream) time.Duration
+	// BackoffLeft returns how long it takes until an upstream of a service accepts requests
+	// again, if all of them asked for backoff.
+	BackoffLeft(service string) time.Duration
 }
 
 // RetryBudget limits how often requests are retried.
@@ -56,10 +59,14 @@
 	Pool        *client.Pool
 	Upstreams   UpstreamSelector
 	RetryBudget RetryBudget
+	Notices     UpstreamNotices
 	// CrashTracker tracks requests that crash upstreams.
 	CrashTracker CrashTracker
 }
 
+// errNotAccepting means that an upstream asked for no requests after it was chosen.
+var errNotAccepting = errors.New("relay: upstream accepts no requests at present")
+
 // sendResult is the result of sending the call to one upstream.
 type sendResult struct {
 	upstream site.Upstream
@@ -106,7 +113,7 @@
 
 func (c *plainCall) run() Reply {
 	if !c.sendNext() {
-		return Reply{Reason: ReasonNoUpstream, RetryAfter: plainRetryAfter}
+		return Reply{Reason: ReasonNoUpstream, RetryAfter: c.retryAfter()}
 	}
 	hedge := time.NewTimer(c.hedgeDelay())
 	defer hedge.Stop()
@@ -212,7 +219,13 @@
 	if c.mayHaveRunCount > 0 {
 		return Reply{Reason: ReasonResponseLost, MayHaveRun: true, SendCount: len(c.sentTo)}
 	}
-	return Reply{Reason: ReasonRefused, RetryAfter: plainRetryAfter, SendCount: len(c.sentTo)}
+	return Reply{Reason: ReasonRefused, RetryAfter: c.retryAfter(), SendCount: len(c.sentTo)}
+}
+
+// retryAfter returns the Retry-After of a refused call: until an upstream accepts requests
+// again, if all of them asked for backoff.
+func (c *plainCall) retryAfter() time.Duration {
+	return max(plainRetryAfter, c.runner.Upstreams.BackoffLeft(c.call.Service.Name))
 }
 
 // giveUpReply returns the reply after the caller disconnected or the deadline passed.
@@ -233,6 +246,8 @@
 	endSendSpan(span, result.err)
 	outcome := ewma.OutcomeOK
 	switch {
+	case errors.Is(result.err, errNotAccepting):
+		outcome = ewma.OutcomeUnknown
 	case result.notRun || result.unsent:
 		outcome = ewma.OutcomeRefused
 	case result.err != nil && errors.Is(ctx.Err(), context.Canceled):
@@ -256,6 +271,12 @@
 		result.unsent, result.err = true, err
 		return result
 	}
+	if !p.Notices.AcceptsRequests(up.ID) {
+		// The upstream said so after it was chosen.
+		p.Pool.Put(conn)
+		result.unsent, result.err = true, errNotAccepting
+		return result
+	}
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	if ctx.Err() != nil {
@@ -274,7 +295,7 @@
 // readResponse reads a response. The connection is reused if the response ended
 // properly.
 func (p *PlainRunner) readResponse(conn *client.Conn, c *Call, up site.Upstream) (reply *Reply, notRun bool, err error) {
-	resp, head, err := c.readResponse(p.Dialect, conn)
+	resp, head, err := c.readResponse(p.Dialect, p.Notices, conn, up.ID)
 	if err != nil {
 		conn.Close()
 		return nil, false, err
