--- a/internal/app/edge/notice.go
+++ b/internal/app/edge/notice.go
@@ -68,10 +68,23 @@
 	return r.notices.BackoffLeft(r.now(), r.service(service).upstreams)
 }
 
-// recordNotice counts and logs a notice.
-func (i *Instance) recordNotice(id spec.UpstreamID, n site.Notice, _ bool) {
+// applyNotices returns the list of upstreams with those marked as draining that said in an
+// answer that they leave.
+func (r *router) applyNotices(list []site.Upstream) []site.Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.notices.Apply(r.now(), list)
+}
+
+// recordNotice counts and logs a notice, and takes an upstream out of use that leaves.
+func (i *Instance) recordNotice(id spec.UpstreamID, n site.Notice, newlyLeaving bool) {
 	if n.Backoff > 0 {
 		i.meters.GetOrCreateCounter(`fulmarwick_notices_total{kind="backoff"}`).Inc()
 		i.Log.Info("edge: upstream asked for backoff", zap.String("upstream", string(id)), zap.Duration("backoff", n.Backoff))
 	}
+	if newlyLeaving {
+		i.meters.GetOrCreateCounter(`fulmarwick_notices_total{kind="leaving"}`).Inc()
+		i.Log.Info("edge: upstream says that it leaves", zap.String("upstream", string(id)))
+		i.state.republish()
+	}
 }
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -67,6 +67,7 @@
 	i.state.onConfig = i.router.setConfig
 	i.router.onNotice = i.recordNotice
 	i.state.onList = func(list []site.Upstream) {
+		list = i.router.applyNotices(list)
 		i.router.setList(list)
 		i.planner.noteListSize(list)
 		i.watcher.updateLeaving(list)
--- a/internal/app/edge/upstreams.go
+++ b/internal/app/edge/upstreams.go
@@ -80,6 +80,15 @@
 	s.onList(list)
 }
 
+// republish passes the list to onList again, after another source of it changed.
+func (s *stateView) republish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.upstreamsKnown {
+		s.publish()
+	}
+}
+
 // dropExpired removes the missing upstreams whose grace period is over.
 func (s *stateView) dropExpired(now time.Time) {
 	s.mu.Lock()
