edge: an engine that left the list is watched while streams use it

Cause: an engine that is no longer listed is in no table; when it kept its runs, since other paths were refused, and then exited without closing connections, nothing asked it, its death could not be marked, and the stalls that the first engine reported named an address that nobody knew. Class: what is known of an upstream is thrown away with its row, though requests depend on it. Engines that runs use, or still use while a change of path is not accepted, stay in the table as leaving ones until the last run ends.

--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -218,6 +218,7 @@
 		}
 		change := pathChange{run: run, oldChain: t.chain, newChain: chain, hops: svc.model.Hops(chain)}
 		_, change.oldHops = run.Chain()
+		t.formerChain = t.chain
 		svc.changePath(run, chain, change.hops)
 		svc.model.RecordTransfer(r.now(), chain, demand)
 		change.firstAddress = change.hops[0].Address
@@ -247,6 +248,7 @@
 	defer cancel()
 	err := w.engines.Repath(ctx, change.firstAddress, site.Repath{Engine: change.newChain[0].Engine(), Request: change.run.Request, Path: change.hops})
 	if err == nil {
+		w.router.confirmPath(change)
 		w.countMove("repath")
 		w.log.Info("edge: path changed", zap.String("request", change.run.Request), zap.Stringer("path", change.newChain), zap.Duration("silent", time.Since(change.run.LastEvent())))
 		return true
@@ -259,6 +261,15 @@
 	return restarted
 }
 
+// confirmPath records that the engines of a run accepted its new path.
+func (r *router) confirmPath(change pathChange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.service(change.run.Service).runs[change.run]; t != nil {
+		t.formerChain = nil
+	}
+}
+
 // restorePath moves the usage of a run back to the path that it kept, unless the run got yet
 // another path meanwhile.
 func (r *router) restorePath(change pathChange) {
@@ -267,5 +278,9 @@
 	if chain, _ := change.run.Chain(); !slices.Equal(chain, change.newChain) {
 		return
 	}
-	r.service(change.run.Service).changePath(change.run, change.oldChain, change.oldHops)
+	svc := r.service(change.run.Service)
+	svc.changePath(change.run, change.oldChain, change.oldHops)
+	if t := svc.runs[change.run]; t != nil {
+		t.formerChain = nil
+	}
 }
--- a/internal/app/edge/evacuate_test.go
+++ b/internal/app/edge/evacuate_test.go
@@ -159,6 +159,30 @@
 	})
 }
 
+// Guards against streams that stall for seconds on an engine that left the list, kept its
+// runs since other paths were rejected, and then exits without closing a connection.
+func TestUnlistedEngineThatExitsIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		defer f.close()
+		f.site.RejectRepaths()
+		a := f.runLongStream(1, 0, func(int) {
+			for _, e := range f.site.Engines() {
+				if e.Streams() > 0 && e.Running() == 0 {
+					f.site.RemoveRow(e)
+					time.Sleep(2 * time.Second)
+					f.site.StopResponding(e)
+					return
+				}
+			}
+			t.Error("got no engine of a later stage, want one")
+		})
+		if a.body != wholeAnswer("long", 600) || a.longestGap > time.Second {
+			t.Errorf("got %d with %d events (%v) and a pause of %s, want all 600 without a pause over 1s", a.status, a.events, a.err, a.longestGap)
+		}
+	})
+}
+
 // busiestReadyEngine returns the engine that is the first stage of the most runs, among
 // the engines that are not leaving.
 func (f *fixture) busiestReadyEngine() *stand.Engine {
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,8 +26,10 @@
 type serviceState struct {
 	name      string
 	upstreams []site.Upstream
-	plain     ewma.Balancer
-	model     *path.Table
+	// unlistedInUse is set while the model's table has engines that are not in upstreams.
+	unlistedInUse bool
+	plain         ewma.Balancer
+	model         *path.Table
 	// answerLengths estimates the lengths of answers from the hints of callers
 	// and the lengths observed.
 	answerLengths length.Estimator
@@ -124,7 +127,7 @@
 			continue
 		}
 		svc.model.Model = s.Model
-		svc.model.Sync(svc.upstreams)
+		svc.syncModel()
 	}
 }
 
@@ -142,13 +145,55 @@
 	for name, svc := range r.services {
 		svc.upstreams = byService[name]
 		if svc.model != nil {
-			svc.model.Sync(svc.upstreams)
+			svc.syncModel()
 			continue
 		}
 		svc.plain.SetUpstreams(svc.upstreams)
 	}
 }
 
+// syncModel passes the listed engines to the model's table. Engines that are no longer listed
+// stay in it as leaving ones while runs use them, so that their death is noticed; router.mu
+// is held.
+func (svc *serviceState) syncModel() {
+	listed := map[spec.UpstreamID]bool{}
+	for _, up := range svc.upstreams {
+		listed[up.ID] = true
+	}
+	engines := slices.Clone(svc.upstreams)
+	svc.unlistedInUse = false
+	for _, up := range svc.model.Engines() {
+		if listed[up.ID] || !svc.isUsed(up.ID) {
+			continue
+		}
+		up.State = site.StateDraining
+		engines = append(engines, up)
+		svc.unlistedInUse = true
+	}
+	svc.model.Sync(engines)
+}
+
+// isUsed reports whether a run uses an engine; router.mu is held.
+func (svc *serviceState) isUsed(id spec.UpstreamID) bool {
+	for _, t := range svc.runs {
+		if t.chain.Uses(id) || t.formerChain.Uses(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// dropUnusedEngines removes the engines that are neither listed nor used any more.
+func (r *router) dropUnusedEngines() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, svc := range r.services {
+		if svc.unlistedInUse {
+			svc.syncModel()
+		}
+	}
+}
+
 // RecordRequest counts a first attempt in the retry budget of a service.
 func (r *router) RecordRequest(service string) {
 	r.mu.Lock()
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -17,6 +17,9 @@
 	team               string
 	chain              spec.Chain
 	awaitingFirstEvent bool
+	// formerChain is the path that the run still uses while its engines have not accepted
+	// chain.
+	formerChain spec.Chain
 	// rereading holds the stages that read the tokens so far again after a change of
 	// path at movedAt. It is cleared by the next event, which shows that they are
 	// done.
--- a/internal/app/edge/sweep.go
+++ b/internal/app/edge/sweep.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// sweep removes expired upstreams and closes connections to unlisted addresses, at each
+// sweep removes expired upstreams and unused engines, and closes connections to unlisted addresses, at each
 // interval until ctx ends.
 func (i *Instance) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
@@ -43,6 +43,7 @@
 			return
 		case now := <-ticker.C:
 			i.state.dropExpired(now)
+			i.router.dropUnusedEngines()
 			i.pool.CloseUnused(i.router.upstreamAddresses())
 		}
 	}
