Upstreams whose rows expired in an outage of the store are kept for the grace period on each instance

Cause: the grace period began when a follower told that the store is reachable, which is after it applied the page that carries the removals; and an instance that takes its rows from others never told it at all, so that its grace period was that of an earlier outage. Now a row that is deleted while the list can't be read gets a grace period of its own, and a follower that rests because others read the store counts it as reachable.

Ruled out: keeping all deleted rows for a while (an upstream that leaves without a word would get requests past its bound); telling the period from instance to instance (each instance polls itself once the last read of any is 2.4 s old, and rows don't expire sooner).

TestExpiredUpstreamsServeAfterOutage: 267 requests refused before, none after, with 1, 4 and 16 instances, the store refusing and silent.

--- a/internal/app/edge/state.go
+++ b/internal/app/edge/state.go
@@ -32,6 +32,9 @@
 	missing map[string]time.Time
 	// keepMissingUntil is that time for rows that are deleted now.
 	keepMissingUntil time.Time
+	// listUnreachable is set while the list of upstreams can't be read. Rows that turn out
+	// to be deleted when it can be read again may have expired meanwhile.
+	listUnreachable bool
 	// malformed holds the keys of rows that can't be parsed, so that each is logged once.
 	malformed map[string]bool
 	// upstreamsKnown is set once the list of upstreams was received.
@@ -166,7 +169,11 @@
 func (s *stateView) SetReachable(table string, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ok && s.upstreamsKnown && table == platform.TableUpstreams {
+	if table != platform.TableUpstreams {
+		return
+	}
+	s.listUnreachable = !ok
+	if ok && s.upstreamsKnown {
 		s.keepMissingUntil = time.Now().Add(missingUpstreamGrace)
 	}
 }
--- a/internal/app/edge/upstreams.go
+++ b/internal/app/edge/upstreams.go
@@ -34,9 +34,10 @@
 	old, had := s.upstreams[r.Key]
 	if r.Deleted {
 		if _, known := s.missing[r.Key]; had && !known {
-			s.missing[r.Key] = s.keepMissingUntil
+			until := s.missingUntil()
+			s.missing[r.Key] = until
 			s.log.Info("edge: upstream removed from the list", zap.String("upstream", r.Key), zap.String("source", source),
-				zap.Uint64("row", r.Version), zap.Time("kept until", s.keepMissingUntil))
+				zap.Uint64("row", r.Version), zap.Time("kept until", until))
 		}
 		return
 	}
@@ -62,6 +63,16 @@
 	}
 }
 
+// missingUntil returns until when an upstream is kept whose row is deleted now. The first
+// read after an outage, by this instance or another one, shows which rows expired in it,
+// before the store counts as reachable again. s.mu is held.
+func (s *stateView) missingUntil() time.Time {
+	if s.listUnreachable {
+		return time.Now().Add(missingUpstreamGrace)
+	}
+	return s.keepMissingUntil
+}
+
 // publish removes the missing upstreams whose grace period is over and passes the list to
 // onList; s.mu is held.
 func (s *stateView) publish() {
--- a/internal/state/feed/follow.go
+++ b/internal/state/feed/follow.go
@@ -24,7 +24,8 @@
 	Version(table string) uint64
 	ApplySnapshot(table string, p Page)
 	ApplyChanges(table string, since uint64, p Page)
-	// SetReachable reports whether the store is reachable, each time this changes.
+	// SetReachable reports whether the store is reachable, each time this changes. While
+	// other instances read the store for this one, it is.
 	SetReachable(table string, reachable bool)
 }
 
@@ -66,6 +67,7 @@
 	f.needSnapshot = true
 	for ctx.Err() == nil {
 		if !f.needSnapshot && f.IsPassive != nil && f.IsPassive() {
+			f.recordSuccess()
 			if !Sleep(ctx, passivePollInterval) {
 				return
 			}
