Callers that return for the rest of an answer are continued, not taken for new ones

Load pattern: all instances lose power; up to 300 streams break, and their callers return within 0.3 s of the restart, each with the last event that it has and without another retry. Engines go on with the runs of the former processes, since nothing tells them of the loss, and refuse for want of memory.

--- a/internal/app/edge/fixture_test.go
+++ b/internal/app/edge/fixture_test.go
@@ -85,6 +85,11 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	return f.send(k, req)
+}
+
+// send sends a request through instance k and reads the whole answer.
+func (f *fixture) send(k int, req *http.Request) callerResponse {
 	start := time.Now()
 	resp, err := f.clients[k].Do(req)
 	if err != nil {
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -29,7 +29,7 @@
 const (
 	RunFirst  RunKind = iota // first run
 	RunRetry                 // run after one that brought nothing
-	RunResume                // run after one that brought a part of the answer
+	RunResume                // run that continues a partly delivered answer
 )
 
 // RunOptions are the properties of a run that follow from the earlier runs of its request.
@@ -127,10 +127,10 @@
 	// started means that a part of the answer was forwarded.
 	started bool
 	runs    int
-	// refusals counts the runs that engines refused; refusalsSinceStart those after the
-	// answer began.
-	refusals           int
-	refusalsSinceStart int
+	// refusals counts the runs that engines refused; resumeRefusals those while the caller
+	// had a part of the answer.
+	refusals       int
+	resumeRefusals int
 	// attempts are the first engines of runs that may have begun.
 	attempts []attempt
 	// mayHaveRun means that a run may have begun, so that the caller cannot be
@@ -182,7 +182,7 @@
 func (c *modelCall) run() Reply {
 	for {
 		run, err := c.startRun()
-		if c.started && errors.Is(err, path.ErrNoPath) && feed.Sleep(c.ctx, maxRetryBackoff) {
+		if c.hasPartialAnswer() && errors.Is(err, path.ErrNoPath) && feed.Sleep(c.ctx, maxRetryBackoff) {
 			continue
 		}
 		if err != nil {
@@ -200,11 +200,16 @@
 	}
 }
 
+// hasPartialAnswer reports whether the caller has a part of the answer: from this request,
+// or from an earlier one that was broken off. A caller that returns with such a part has
+// no further retry, and loses the whole answer if it is rejected.
+func (c *modelCall) hasPartialAnswer() bool { return c.started || c.call.ParsedHeader.LastEventID > 0 }
+
 // startRun finds engines with free capacity and registers a run on them.
 func (c *modelCall) startRun() (*Run, error) {
 	kind := RunFirst
 	switch {
-	case c.started:
+	case c.hasPartialAnswer():
 		kind = RunResume
 	case c.runs > 0:
 		kind = RunRetry
--- a/internal/wire/relay/retry.go
+++ b/internal/wire/relay/retry.go
@@ -84,7 +84,7 @@
 		return false
 	}
 	c.noRetryReason = ReasonResponseLost
-	if refused && c.started && !feed.Sleep(c.ctx, retryBackoff(c.refusalsSinceStart)) {
+	if refused && c.hasPartialAnswer() && !feed.Sleep(c.ctx, retryBackoff(c.resumeRefusals)) {
 		return false
 	}
 	return unsent || counted || c.takeRetry()
@@ -93,8 +93,8 @@
 // countRefusal counts a run that an engine refused, or that was not sent.
 func (c *modelCall) countRefusal() {
 	c.refusals++
-	if c.started {
-		c.refusalsSinceStart++
+	if c.hasPartialAnswer() {
+		c.resumeRefusals++
 	}
 }
 
@@ -107,7 +107,7 @@
 		return ReasonResponseLost
 	case c.runner.CrashTracker.IsCulprit(c.call.Fingerprint()):
 		return ReasonPoison
-	case !c.started && c.refusals >= maxRefusalsPerRequest, c.runs-c.refusals >= maxRunsPerRequest, !free && !c.hasAttemptLeft():
+	case !c.hasPartialAnswer() && c.refusals >= maxRefusalsPerRequest, c.runs-c.refusals >= maxRunsPerRequest, !free && !c.hasAttemptLeft():
 		return ReasonAttemptsExhausted
 	}
 	return ReasonNone
@@ -115,7 +115,7 @@
 
 // takeRetry reports whether the retry budget allows another run.
 func (c *modelCall) takeRetry() bool {
-	if c.started {
+	if c.hasPartialAnswer() {
 		return c.awaitRetry()
 	}
 	return c.runner.RetryBudget.AllowRetry(c.call.Service.Name)
