--- /dev/null
+++ b/internal/app/edge/survey.go
@@ -0,0 +1,71 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"fulmarwick/internal/base/site"
+	"fulmarwick/internal/fleet/mesh"
+)
+
+const (
+	// surveyTimeout limits the report request to an engine when this instance starts.
+	surveyTimeout = 100 * time.Millisecond
+	// maxSurveyDelay is how long after its start an instance waits to learn how many other
+	// instances there are before it surveys the engines.
+	maxSurveyDelay = 300 * time.Millisecond
+)
+
+// survey asks the engines that hold layers once for what they hold of earlier requests.
+// It returns false if it is too early for that. In a large fleet each instance asks a part
+// of the engines, so that none has to accept a connection of every instance at once.
+func (w *watcher) survey(ctx context.Context) bool {
+	engines := w.router.loadedEngines()
+	if len(engines) == 0 {
+		return false
+	}
+	sharers := w.router.retryBudgetSharers()
+	if sharers > mesh.MaxUnknownPeers && w.router.now() < maxSurveyDelay {
+		return false
+	}
+	for _, up := range engines {
+		if rand.Float64() >= maxConcurrentProbers/float64(sharers) {
+			continue
+		}
+		go func() {
+			report, _, err := w.fetchReport(ctx, up, surveyTimeout)
+			if err == nil {
+				w.router.recordLeftover(up, report)
+			}
+		}()
+	}
+	return true
+}
+
+// loadedEngines returns the engines of all services that hold layers.
+func (r *router) loadedEngines() []site.Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []site.Upstream
+	for _, svc := range r.services {
+		if svc.model == nil {
+			continue
+		}
+		for _, up := range svc.model.Engines() {
+			if up.Held.Layers.Len() > 0 {
+				out = append(out, up)
+			}
+		}
+	}
+	return out
+}
+
+// recordLeftover records what an engine holds of requests that no instance knows of.
+func (r *router) recordLeftover(up site.Upstream, report site.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if svc := r.service(up.Service); svc.model != nil {
+		svc.model.RecordLeftover(r.now(), up.ID, report)
+	}
+}
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -34,8 +34,8 @@
 	// countTimeout is how long an unresponsive instance still counts as a sharer of
 	// fleet-wide limits: it may serve callers while its messages do not arrive.
 	countTimeout = 15 * time.Second
-	// maxUnknownPeers is how many other instances are assumed before any are known.
-	maxUnknownPeers = 1000
+	// MaxUnknownPeers is how many other instances are assumed before any are known.
+	MaxUnknownPeers = 1000
 	// lagCheckInterval is the minimum interval between two checks for missing changes.
 	lagCheckInterval = 50 * time.Millisecond
 )
@@ -101,7 +101,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.start.IsZero() {
-		return 1 + maxUnknownPeers
+		return 1 + MaxUnknownPeers
 	}
 	return 1 + max(l.peerCount, l.maxPeers)
 }
@@ -163,7 +163,7 @@
 		p.lastSync = max(0, now-time.Duration(m.SyncAgeMs)*time.Millisecond)
 	}
 	if !p.alive {
-		p.alive = true
+		p.alive, p.nextLoadAt = true, 0
 		l.Receiver.PeerJoined(p.id)
 	}
 	p.isHead, p.initiates, p.digest = m.Head, !m.Reply, m.RosterDigest
--- a/internal/fleet/mesh/peer.go
+++ b/internal/fleet/mesh/peer.go
@@ -46,8 +46,8 @@
 	// load is the last reported load of the peer's own requests; nil if it does not
 	// count.
 	load *load
-	// nextSumAt is the earliest time for the next sum to the peer.
-	nextSumAt time.Duration
+	// nextLoadAt is the earliest time for the next load that is not sent in every round.
+	nextLoadAt time.Duration
 }
 
 func (l *Logic) ensurePeer(id spec.InstanceID) *peer {
@@ -105,7 +105,7 @@
 	case now >= countTimeout:
 		return 0
 	case !l.rosterReceived:
-		return maxUnknownPeers
+		return MaxUnknownPeers
 	}
 	return len(l.peers)
 }
--- a/internal/fleet/mesh/round.go
+++ b/internal/fleet/mesh/round.go
@@ -61,9 +61,9 @@
 			continue
 		}
 		scope := l.loadScope(p)
-		isSum := scope == ScopeCell || scope == ScopeAllButReceiver
-		if isSum && now < p.nextSumAt {
-			scope, isSum = ScopeNone, false
+		paced := l.isPaced(scope, p)
+		if paced && now < p.nextLoadAt {
+			scope, paced = ScopeNone, false
 		}
 		m := d.message(scope, p)
 		m.Reply = !partner
@@ -74,8 +74,8 @@
 			}
 		}
 		data := d.encode(m, p)
-		if isSum {
-			l.scheduleNextSum(now, p, len(data))
+		if paced {
+			l.scheduleNextLoad(now, p, scope, len(data))
 		}
 		out = append(out, node.Send{To: p.id, URL: p.url, Data: data})
 	}
@@ -162,6 +162,10 @@
 		sent, m.Count = d.fleetLoad.without(p.load), d.fleetCount
 	}
 	m.Usage, m.Slowdowns, m.Retries = sent.usage, sent.slowdowns, sent.retries
+	if scope == ScopeNone && d.logic.layout.isFlat() {
+		// The pool of the retry budget counts on a report in each round.
+		m.Retries = d.local().retries
+	}
 	if d.logic.isHeadFor(p) {
 		m.SyncAgeMs = d.logic.lowestSyncAgeMs(m.SyncAgeMs)
 	}
--- a/internal/fleet/mesh/sum.go
+++ b/internal/fleet/mesh/sum.go
@@ -19,6 +19,10 @@
 	localSumBytesPerSecond = 22 << 10
 	// remoteSumBytesPerSecond is the same for an instance in another data centre.
 	remoteSumBytesPerSecond = 6 << 10
+	// remoteLoadInterval is the interval between two loads of a single instance to one in
+	// another data centre, where fewer of its requests run. An engine turns over a few
+	// percent of its requests in that time.
+	remoteLoadInterval = 3 * roundInterval
 	// maxSumInterval is the maximum interval between two sums to one instance.
 	maxSumInterval = 8 * roundInterval
 	// fleetSource names the load of all other instances in reports to a member.
@@ -58,6 +62,9 @@
 		l.cellCounts[m.Cell] = instanceCount{n: m.Count, receivedAt: now}
 	}
 	if m.Scope == ScopeNone {
+		if l.layout.isFlat() && len(m.Retries) > 0 {
+			l.Receiver.ReceiveRetries(p.id, m.Retries)
+		}
 		return
 	}
 	reported := load{usage: m.Usage, slowdowns: m.Slowdowns, retries: m.Retries}
@@ -156,14 +163,28 @@
 	return out
 }
 
-// scheduleNextSum records that a sum of the given size was sent to a peer.
-func (l *Logic) scheduleNextSum(now time.Duration, p *peer, bytes int) {
+// isPaced reports whether load of a scope is not sent to a peer in every round: that of
+// many instances, and in a flat fleet that for another data centre, to which traffic is
+// charged for.
+func (l *Logic) isPaced(scope Scope, p *peer) bool {
+	return scope == ScopeCell || scope == ScopeAllButReceiver || scope == ScopeSender && l.layout.isFlat() && p.centre != l.DataCentre
+}
+
+// scheduleNextLoad records that a load whose message has the given size was sent to a peer.
+func (l *Logic) scheduleNextLoad(now time.Duration, p *peer, scope Scope, bytes int) {
+	p.nextLoadAt = max(p.nextLoadAt, now-roundInterval) + l.loadInterval(p, scope, bytes)
+}
+
+// loadInterval returns the interval between two loads to a peer.
+func (l *Logic) loadInterval(p *peer, scope Scope, bytes int) time.Duration {
 	rate := remoteSumBytesPerSecond
-	if p.centre == l.DataCentre {
+	switch {
+	case scope == ScopeSender:
+		return remoteLoadInterval
+	case p.centre == l.DataCentre:
 		rate = localSumBytesPerSecond
 	}
-	pause := min(maxSumInterval, time.Duration(bytes)*time.Second/time.Duration(rate))
-	p.nextSumAt = max(p.nextSumAt, now-roundInterval) + pause
+	return min(maxSumInterval, time.Duration(bytes)*time.Second/time.Duration(rate))
 }
 
 func newLoad() load {
