An instance asks engines once, as it starts, for what they hold of requests that nobody knows

Load pattern: all 36 instances lose power at 34 s and are back 1.3 s later; engines notice nothing and go on with some 300 streams, whose callers return within 0.3 s.

Now the first report counts, less what others turn out to know, falling to nothing in two seconds. Only in the first second after a start, and in fleets above 40 a part of the engines each.

--- a/internal/app/edge/survey.go
+++ b/internal/app/edge/survey.go
@@ -12,21 +12,26 @@
 const (
 	// surveyTimeout limits the report request to an engine when this instance starts.
 	surveyTimeout = 100 * time.Millisecond
-	// maxSurveyDelay is how long after its start an instance waits to learn how many other
-	// instances there are before it surveys the engines.
-	maxSurveyDelay = 300 * time.Millisecond
+	// fleetSizeTimeout is how long after its start an instance waits to learn how many
+	// other instances there are before it surveys the engines.
+	fleetSizeTimeout = 300 * time.Millisecond
+	// surveyPeriod is how long after its start an instance may survey the engines. Later
+	// it knows the requests of the others.
+	surveyPeriod = time.Second
 )
 
-// survey asks the engines that hold layers once for what they hold of earlier requests.
-// It returns false if it is too early for that. In a large fleet each instance asks a part
-// of the engines, so that none has to accept a connection of every instance at once.
+// survey asks the engines that hold layers once for what they hold of requests that this
+// instance knows nothing of. It returns false if it is too early for that. In a large fleet
+// each instance asks a part of the engines, so that none has to accept a connection of
+// every instance at once.
 func (w *watcher) survey(ctx context.Context) bool {
+	age := w.router.now()
 	engines := w.router.loadedEngines()
 	if len(engines) == 0 {
-		return false
+		return age >= surveyPeriod
 	}
 	sharers := w.router.retryBudgetSharers()
-	if sharers > mesh.MaxUnknownPeers && w.router.now() < maxSurveyDelay {
+	if sharers > mesh.MaxUnknownPeers && age < fleetSizeTimeout {
 		return false
 	}
 	for _, up := range engines {
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -122,6 +122,8 @@
 	probes        map[spec.UpstreamID]*probe
 	lastDeadProbe time.Time
 	lastLagCheck  time.Time
+	// surveyed is set once the engines were asked for what they hold.
+	surveyed bool
 	// deadReports counts, by engine, the recent reports of other instances that found it
 	// dead.
 	deadReports map[spec.UpstreamID]deadReport
@@ -179,6 +181,9 @@
 // check runs the periodic checks: for stalled streams, leaving, dead and slow engines.
 func (w *watcher) check(ctx context.Context, now time.Time) {
 	w.router.admitAll()
+	if !w.surveyed {
+		w.surveyed = w.survey(ctx)
+	}
 	for _, s := range w.findSuspects(now) {
 		w.startProbe(ctx, s.up, s.manyStreams && !w.isLargeFleet())
 	}
--- a/internal/route/path/cost.go
+++ b/internal/route/path/cost.go
@@ -100,7 +100,7 @@
 // engineCost returns the time in milliseconds that e is predicted to add to a request
 // for the given number of layers, and whether its KV memory suffices.
 func (t *Table) engineCost(now time.Duration, d Demand, e *engine, layers int) (ms float64, fits bool) {
-	current := e.usage()
+	current := e.usageAt(now)
 	limit := float64(e.capacity)
 	total := current
 	total.add(d.usage(layers, false))
--- a/internal/route/path/scarcity.go
+++ b/internal/route/path/scarcity.go
@@ -18,7 +18,7 @@
 		if !t.usable(now, e) || n == 0 {
 			continue
 		}
-		usage, capacity := e.usage().peak()/float64(n), float64(e.capacity)/float64(n)
+		usage, capacity := e.usageAt(now).peak()/float64(n), float64(e.capacity)/float64(n)
 		held := e.upstream.Held.Layers.Within(t.Model.Layers)
 		for at := held.From(); at < held.To(); at++ {
 			used[at] += usage
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -39,15 +39,20 @@
 	// streams.
 	retryPrefill int
 	// remote is the usage by requests of other instances.
-	remote Usage
+	remote   Usage
+	leftover leftover
 }
 
+// usage returns the usage by the requests of all instances.
 func (e *engine) usage() Usage {
 	u := e.local
 	u.add(e.remote)
 	return u
 }
 
+// usageAt returns the usage with that by requests that no instance knows of.
+func (e *engine) usageAt(now time.Duration) Usage { return e.usage().Plus(e.leftover.at(now)) }
+
 // Table holds the engines of one service. It is not safe for concurrent use.
 type Table struct {
 	Model  *site.Model
@@ -124,6 +129,9 @@
 	if usages == nil {
 		delete(t.peerUsage, from)
 	} else {
+		if t.peerUsage[from] == nil {
+			t.subtractLeftovers(usages)
+		}
 		t.peerUsage[from] = usages
 	}
 	t.recompute()
