edge: one search for the engine at an address; the table is synced when an unlisted engine ends its last run

Two methods searched the same tables, one of them in one service only. Behaviour stays: TestUnlistedEngineThatExitsIsNoticed and the leaving tests pass.

--- a/internal/app/edge/notice.go
+++ b/internal/app/edge/notice.go
@@ -26,13 +26,13 @@
 
 // recordNoticeAt is like RecordNotice for the model engine at an address.
 func (r *router) recordNoticeAt(address string, n site.Notice) {
-	if up, ok := r.modelEngineAt(address); ok {
+	if up, ok := r.engineAt(address); ok {
 		r.RecordNotice(up.Service, up.ID, n)
 	}
 }
 
-// modelEngineAt returns the engine at an address, of any service.
-func (r *router) modelEngineAt(address string) (site.Upstream, bool) {
+// engineAt returns the engine at an address, of any service.
+func (r *router) engineAt(address string) (site.Upstream, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, svc := range r.services {
--- a/internal/app/edge/probe.go
+++ b/internal/app/edge/probe.go
@@ -74,7 +74,7 @@
 	if err == nil && w.router.applyReport(up, report) {
 		if len(report.Stalled) > 0 {
 			w.log.Info("edge: streams stalled", zap.String("engine", string(up.ID)), zap.Int("streams", len(report.Stalled)), zap.String("fault", report.Stalled[0].Address))
-			w.probeStallCauses(up.Service, report.Stalled)
+			w.probeStallCauses(report.Stalled)
 		}
 		return
 	}
@@ -186,29 +186,19 @@
 }
 
 // probeStallCauses probes the engines for which stalled streams of other engines wait.
-func (w *watcher) probeStallCauses(service string, stalled []site.StalledRequest) {
+func (w *watcher) probeStallCauses(stalled []site.StalledRequest) {
 	seen := map[string]bool{}
 	for _, s := range stalled {
 		if seen[s.Address] {
 			continue
 		}
 		seen[s.Address] = true
-		if up, ok := w.router.engineAt(service, s.Address); ok {
+		if up, ok := w.router.engineAt(s.Address); ok {
 			w.router.onSuspect(up)
 		}
 	}
 }
 
-// engineAt returns the engine at an address.
-func (r *router) engineAt(service, address string) (site.Upstream, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if svc := r.service(service); svc.model != nil {
-		return svc.model.UpstreamAt(address)
-	}
-	return site.Upstream{}, false
-}
-
 // applyReport applies the report of an engine. It returns false if the report is not from
 // the listed engine process.
 func (r *router) applyReport(up site.Upstream, report site.Report) bool {
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -26,8 +26,8 @@
 type serviceState struct {
 	name      string
 	upstreams []site.Upstream
-	// unlistedInUse is set while the model's table has engines that are not in upstreams.
-	unlistedInUse bool
+	// unlisted holds the engines of the model's table that are not in upstreams.
+	unlisted []spec.UpstreamID
 	plain         ewma.Balancer
 	model         *path.Table
 	// answerLengths estimates the lengths of answers from the hints of callers
@@ -161,14 +161,14 @@
 		listed[up.ID] = true
 	}
 	engines := slices.Clone(svc.upstreams)
-	svc.unlistedInUse = false
+	svc.unlisted = nil
 	for _, up := range svc.model.Engines() {
 		if listed[up.ID] || !svc.isUsed(up.ID) {
 			continue
 		}
 		up.State = site.StateDraining
 		engines = append(engines, up)
-		svc.unlistedInUse = true
+		svc.unlisted = append(svc.unlisted, up.ID)
 	}
 	svc.model.Sync(engines)
 }
@@ -188,7 +188,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, svc := range r.services {
-		if svc.unlistedInUse {
+		if slices.ContainsFunc(svc.unlisted, func(id spec.UpstreamID) bool { return !svc.isUsed(id) }) {
 			svc.syncModel()
 		}
 	}
--- a/internal/app/edge/sweep.go
+++ b/internal/app/edge/sweep.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// sweep removes expired upstreams and unused engines, and closes connections to unlisted addresses, at each
-// interval until ctx ends.
+// sweep removes expired upstreams and unused engines, and closes connections to unlisted
+// addresses, at each interval until ctx ends.
 func (i *Instance) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
