--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -28,8 +28,8 @@
 	upstreams []site.Upstream
 	// unlisted holds the engines of the model's table that are not in upstreams.
 	unlisted []spec.UpstreamID
-	plain         ewma.Balancer
-	model         *path.Table
+	plain    ewma.Balancer
+	model    *path.Table
 	// answerLengths estimates the lengths of answers from the hints of callers
 	// and the lengths observed.
 	answerLengths length.Estimator
