--- a/internal/route/path/leftover_test.go
+++ b/internal/route/path/leftover_test.go
@@ -21,23 +21,38 @@
 	exchangePause = 200 * time.Millisecond
 )
 
-// fastAndSlowChains returns a chain of fast engines and two of slower ones with less memory.
-func fastAndSlowChains() []site.Upstream {
+// startDeployment is a fleet of engines that serves when instances start.
+type startDeployment struct {
+	name string
+	// fast and slow are indexes of cards: one chain of the fast card, two of the slow one.
+	fast, slow int
+	// layers is how many layers each engine holds.
+	layers int
+	demand path.Demand
+}
+
+var startDeployments = []startDeployment{
+	{name: "large cards", fast: 0, slow: 1, layers: 20, demand: typicalDemand},
+	{name: "small cards, short prompts", fast: 1, slow: 2, layers: 10, demand: path.Demand{Prompt: 300, Answer: 900}},
+	{name: "unlike cards, long prompts", fast: 0, slow: 2, layers: 8, demand: path.Demand{Prompt: 1500, Answer: 100}},
+}
+
+// upstreams returns the engines, those of the fast chain first.
+func (d startDeployment) upstreams() []site.Upstream {
 	var ups []site.Upstream
-	for i := range 4 {
-		ups = append(ups, engine(fmt.Sprintf("f%d", i), "a100", "east", 20*i, 20*i+20),
-			engine(fmt.Sprintf("s%d", i), "l40s", "east", 20*i, 20*i+20), engine(fmt.Sprintf("t%d", i), "l40s", "east", 20*i, 20*i+20))
+	for k, card := range []int{d.fast, d.slow, d.slow} {
+		for from := 0; from < model().Layers; from += d.layers {
+			ups = append(ups, engine(fmt.Sprintf("%d-%d", k, from), cards[card].Name, "east", from, from+d.layers))
+		}
 	}
 	return ups
 }
 
 // replayStart starts instances together while the fast engines still hold requests of
-// earlier processes, and returns how many requests exceed the memory of an engine.
+// earlier processes, and returns how many of all requests exceed the memory of an engine.
 // If surveyed is set, the instances know the reports of the engines.
-func replayStart(t *testing.T, surveyed bool) (refused int) {
-	t.Helper()
-	ups := fastAndSlowChains()
-	free := map[spec.UpstreamID]float64{}
+func (d startDeployment) replayStart(surveyed bool) (refused, all int) {
+	ups := d.upstreams()
 	random := rand.New(rand.NewPCG(1, 2))
 	var tables []*path.Table
 	for range startingInstances {
@@ -45,10 +60,13 @@
 		tab.Random, tab.PeerCount = random.Float64, func() int { return startingInstances - 1 }
 		tables = append(tables, tab)
 	}
+	free := map[spec.UpstreamID]float64{}
+	chainLen := model().Layers / d.layers
 	for i, up := range ups {
-		capacity := model().KVCapacity(cards[min(i%3, 1)], 20)
+		card, _ := model().Card(up.Card)
+		capacity := model().KVCapacity(card, d.layers)
 		report := site.Report{Born: 1, KVTotal: capacity}
-		if i%3 == 0 {
+		if i < chainLen {
 			report.KVUsed, report.Active = capacity*9/10, 150
 		}
 		free[up.ID] = float64(capacity - report.KVUsed)
@@ -65,18 +83,19 @@
 			exchangeUsage(tables)
 		}
 		for _, tab := range tables {
-			chain, err := tab.Choose(at, typicalDemand, nil)
+			all++
+			chain, err := tab.Choose(at, d.demand, nil)
 			if err != nil {
 				refused++
 				continue
 			}
-			tab.Begin(chain, typicalDemand)
-			if !takeMemory(free, chain) {
+			tab.Begin(chain, d.demand)
+			if !takeMemory(free, chain, d.demand) {
 				refused++
 			}
 		}
 	}
-	return refused
+	return refused, all
 }
 
 // exchangeUsage tells each instance the usage by the requests of the others.
@@ -92,14 +111,14 @@
 
 // takeMemory takes the memory of a request on the engines of a chain, or none if one of them
 // has too little.
-func takeMemory(free map[spec.UpstreamID]float64, chain spec.Chain) bool {
+func takeMemory(free map[spec.UpstreamID]float64, chain spec.Chain, d path.Demand) bool {
 	for _, s := range chain {
-		if free[s.Engine()] < float64((typicalDemand.Prompt+typicalDemand.Answer)*s.Layers().Len()) {
+		if free[s.Engine()] < float64((d.Prompt+d.Answer)*s.Layers().Len()) {
 			return false
 		}
 	}
 	for _, s := range chain {
-		free[s.Engine()] -= float64((typicalDemand.Prompt + typicalDemand.Answer) * s.Layers().Len())
+		free[s.Engine()] -= float64((d.Prompt + d.Answer) * s.Layers().Len())
 	}
 	return true
 }
@@ -107,25 +126,30 @@
 // Guards against overloading engines that still hold the requests of earlier processes when
 // all instances start together.
 func TestStartingInstancesCountLeftoverRequests(t *testing.T) {
-	if n := replayStart(t, false); n < startingInstances*requestsPerStart/4 {
-		t.Errorf("got %d of %d requests refused without reports, want a load under which a quarter is", n, startingInstances*requestsPerStart)
-	}
-	if n := replayStart(t, true); n > startingInstances*requestsPerStart/20 {
-		t.Errorf("got %d of %d requests refused, want one in twenty at most", n, startingInstances*requestsPerStart)
+	for _, d := range startDeployments {
+		t.Run(d.name, func(t *testing.T) {
+			without, all := d.replayStart(false)
+			if without < all/4 {
+				t.Errorf("got %d of %d requests refused without reports, want a load under which a quarter is", without, all)
+			}
+			if refused, _ := d.replayStart(true); refused > all/20 {
+				t.Errorf("got %d of %d requests refused (%d without reports), want one in twenty at most", refused, all, without)
+			}
+		})
 	}
 }
 
 // Guards against counting the requests of other instances twice after one instance
 // restarts: they are in the reports of the engines as well.
 func TestKnownRequestsAreNoLeftover(t *testing.T) {
-	tab := table(fastAndSlowChains()...)
+	tab := table(startDeployments[0].upstreams()...)
 	const cells = 500000
-	for _, id := range []spec.UpstreamID{"f0", "f1", "f2", "f3"} {
+	for _, id := range []spec.UpstreamID{"0-0", "0-20", "0-40", "0-60"} {
 		tab.RecordLeftover(0, id, site.Report{Born: 1, KVUsed: cells, Active: 25})
 	}
 	alone := tab.MaxUtilization(0)
 	usage := map[spec.UpstreamID]path.Usage{}
-	for _, id := range []spec.UpstreamID{"f0", "f1", "f2", "f3"} {
+	for _, id := range []spec.UpstreamID{"0-0", "0-20", "0-40", "0-60"} {
 		usage[id] = path.Usage{Streams: 25, Cells: cells}
 	}
 	tab.SetPeerUsage("other", usage)
@@ -139,12 +163,12 @@
 
 // Guards against keeping memory free for requests that have long ended.
 func TestLeftoverRequestsEnd(t *testing.T) {
-	tab := table(fastAndSlowChains()...)
-	tab.RecordLeftover(0, "f0", site.Report{Born: 1, KVUsed: 500000, Active: 25})
+	tab := table(startDeployments[0].upstreams()...)
+	tab.RecordLeftover(0, "0-0", site.Report{Born: 1, KVUsed: 500000, Active: 25})
 	if got := tab.MaxUtilization(10 * time.Second); got != 0 {
 		t.Errorf("got a utilization of %.3f after 10 s, want 0", got)
 	}
-	tab.RecordLeftover(20*time.Second, "f0", site.Report{Born: 7, KVUsed: 500000, Active: 25})
+	tab.RecordLeftover(20*time.Second, "0-0", site.Report{Born: 7, KVUsed: 500000, Active: 25})
 	if got := tab.MaxUtilization(20 * time.Second); got != 0 {
 		t.Errorf("got a utilization of %.3f by the report of another process, want 0", got)
 	}
