--- a/internal/app/edge/survey.go
+++ b/internal/app/edge/survey.go
@@ -18,12 +18,15 @@
 	// surveyPeriod is how long after its start an instance may survey the engines. Later
 	// it knows the requests of the others.
 	surveyPeriod = time.Second
+	// maxSurveyed is how many engines one instance asks. Each answer takes processor time
+	// at the moment when callers return.
+	maxSurveyed = 100
 )
 
 // survey asks the engines that hold layers once for what they hold of requests that this
-// instance knows nothing of. It returns false if it is too early for that. In a large fleet
-// each instance asks a part of the engines, so that none has to accept a connection of
-// every instance at once.
+// instance knows nothing of. It returns false if it is too early for that. Of many engines,
+// and in a large fleet, each instance asks a part, so that no engine has to accept a
+// connection of every instance at once.
 func (w *watcher) survey(ctx context.Context) bool {
 	age := w.router.now()
 	engines := w.router.loadedEngines()
@@ -34,8 +37,9 @@
 	if sharers > mesh.MaxUnknownPeers && age < fleetSizeTimeout {
 		return false
 	}
+	share := min(maxConcurrentProbers/float64(sharers), maxSurveyed/float64(len(engines)))
 	for _, up := range engines {
-		if rand.Float64() >= maxConcurrentProbers/float64(sharers) {
+		if rand.Float64() >= share {
 			continue
 		}
 		go func() {
