--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -29,7 +29,7 @@
 const (
 	RunFirst  RunKind = iota // first run
 	RunRetry                 // run after one that brought nothing
-	RunResume                // run that continues a partly delivered answer
+	RunResume                // run after one that brought a part of the answer
 )
 
 // RunOptions are the properties of a run that follow from the earlier runs of its request.
