Edge: log and count crashes of upstreams under requests

A line for each crash that is not the first of its request says whether it counted and how many do now; fulmarwick_crashes_total counts all. No change of logic: the functions move to app/edge/crash.go.

--- /dev/null
+++ b/internal/app/edge/crash.go
@@ -0,0 +1,67 @@
+package edge
+
+import (
+	"strconv"
+
+	"fulmarwick/internal/route/crash"
+
+	"go.uber.org/zap"
+)
+
+// recordCrash records a crash against the request that the upstream ran, and keeps it for
+// the other instances if it is new; r.mu is held.
+func (r *router) recordCrash(c crash.Event) {
+	if r.applyCrash(c) {
+		r.unreportedCrashes = append(r.unreportedCrashes, c)
+	}
+}
+
+// applyCrash records a crash and reports whether it counts; r.mu is held.
+func (r *router) applyCrash(c crash.Event) bool {
+	counted := r.crashBook.Record(r.now(), c)
+	r.onCrash(c, counted, r.crashBook.Count(r.now(), c.Fingerprint))
+	return counted
+}
+
+// takeCrashes returns the crashes recorded since the last call.
+func (r *router) takeCrashes() []crash.Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.unreportedCrashes
+	r.unreportedCrashes = nil
+	return out
+}
+
+// applyPeerCrashes records crashes that another instance reported.
+func (r *router) applyPeerCrashes(crashes []crash.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range crashes {
+		r.applyCrash(c)
+	}
+}
+
+// IsCulprit reports whether the request with a fingerprint is held to crash upstreams.
+func (r *router) IsCulprit(fingerprint uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashBook.IsCulprit(r.now(), fingerprint)
+}
+
+// Clear removes the suspicion from a request that was answered.
+func (r *router) Clear(fingerprint uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashBook.Clear(fingerprint)
+}
+
+// logCrash counts a crash of an upstream under a request. It logs the crash unless it is
+// the first one of the request: most requests on a crashed upstream have no part in it.
+func (i *Instance) logCrash(c crash.Event, counted bool, crashes int) {
+	i.meters.GetOrCreateCounter(`fulmarwick_crashes_total{counted="` + strconv.FormatBool(counted) + `"}`).Inc()
+	if counted && crashes == 1 {
+		return
+	}
+	i.Log.Info("edge: upstream crashed under a request", zap.String("fingerprint", strconv.FormatUint(c.Fingerprint, 16)), zap.String("upstream", string(c.Upstream)),
+		zap.Int64("incarnation", c.Incarnation), zap.Int64("ran ms", c.RanMs), zap.Bool("counted", counted), zap.Int("crashes", crashes))
+}
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -66,6 +66,7 @@
 	i.router.isDead = i.watcher.isDead
 	i.state.onConfig = i.router.setConfig
 	i.router.onNotice = i.recordNotice
+	i.router.onCrash = i.logCrash
 	i.state.onList = func(list []site.Upstream) {
 		list = i.router.applyNotices(list)
 		i.router.setList(list)
--- a/internal/app/edge/peers.go
+++ b/internal/app/edge/peers.go
@@ -4,29 +4,10 @@
 	"time"
 
 	"fulmarwick/internal/base/spec"
-	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/resend"
 )
 
-// takeCrashes returns the crashes recorded since the last call.
-func (r *router) takeCrashes() []crash.Event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := r.unreportedCrashes
-	r.unreportedCrashes = nil
-	return out
-}
-
-// applyPeerCrashes records crashes that another instance reported.
-func (r *router) applyPeerCrashes(crashes []crash.Event) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range crashes {
-		r.crashBook.Record(r.now(), c)
-	}
-}
-
 // localUsage returns the usage of the engines by the requests of this instance, by
 // service.
 func (r *router) localUsage() map[string]map[spec.UpstreamID]path.Usage {
--- a/internal/app/edge/plain.go
+++ b/internal/app/edge/plain.go
@@ -82,28 +82,6 @@
 	maxLostAnswers = 64
 )
 
-// recordCrash records a crash against the request that the upstream ran, and keeps it for
-// the other instances if it is new; r.mu is held.
-func (r *router) recordCrash(c crash.Event) {
-	if r.crashBook.Record(r.now(), c) {
-		r.unreportedCrashes = append(r.unreportedCrashes, c)
-	}
-}
-
-// IsCulprit reports whether the request with a fingerprint is held to crash upstreams.
-func (r *router) IsCulprit(fingerprint uint64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.crashBook.IsCulprit(r.now(), fingerprint)
-}
-
-// Clear removes the suspicion from a request that was answered.
-func (r *router) Clear(fingerprint uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.crashBook.Clear(fingerprint)
-}
-
 // ApplyReportedLoad applies the load that an upstream reported.
 func (r *router) ApplyReportedLoad(up site.Upstream, l site.Load) {
 	r.mu.Lock()
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -61,6 +61,9 @@
 	// onNotice is called for each notice; newlyLeaving is set for the first one with which
 	// an upstream says that it leaves.
 	onNotice func(id spec.UpstreamID, n site.Notice, newlyLeaving bool)
+	// onCrash is called for each crash of an upstream under a request, with whether it
+	// counts and how many count now.
+	onCrash func(c crash.Event, counted bool, crashes int)
 	// isDead probes a suspect engine again and reports whether it is dead.
 	isDead func(context.Context, site.Upstream) bool
 
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -112,7 +112,12 @@
 // Clear drops a suspect whose request an upstream completed.
 func (t *Tracker) Clear(fingerprint uint64) { delete(t.suspects, fingerprint) }
 
+// Count returns how many crashes count against a request.
+func (t *Tracker) Count(now time.Duration, fingerprint uint64) int {
+	return len(t.unexpired(now, fingerprint).crashes)
+}
+
 // IsCulprit reports whether a request must not be sent any more.
 func (t *Tracker) IsCulprit(now time.Duration, fingerprint uint64) bool {
-	return len(t.unexpired(now, fingerprint).crashes) >= culpritCrashes
+	return t.Count(now, fingerprint) >= culpritCrashes
 }
