Crash: count crashes under retries that begin before the crash is known

In the record most callers of a service got no answer while engines crashed under one request faster than they came back.

A crash counted only if its run began after the crash that counted last, at the time at which it was recorded. But a request is sent again as soon as its connection breaks, a few ms before a probe shows the crash; so of one caller's retries each second crash counted (log of the test: counted, not counted, counted). Copies that wait in overloaded engines all began before, and count once per round: seven crashes in 1.3 s of the record count as one.

A crash now counts unless it shares its cause with one that counts: the same process, or runs that overlap by over 50 ms and end within 0.5 s of each other. Events carry how long ago the run ended, so that late and unordered reports count alike. What stays: crashes that come together under overlapping runs count once (TestSimultaneousCrashesCountOnce).

New unit tests fail before (1 of 3, 1 of 3 counted).

--- a/internal/app/edge/plain.go
+++ b/internal/app/edge/plain.go
@@ -60,6 +60,7 @@
 	for _, l := range svc.lostAnswers {
 		switch {
 		case l.event.Upstream == up.ID && r.now()-l.at < lostAnswerWindow:
+			l.event.AgeMs = (r.now() - l.at).Milliseconds()
 			r.recordCrash(l.event)
 		case r.now()-l.at < lostAnswerWindow:
 			remaining = append(remaining, l)
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -7,8 +7,7 @@
 // that ran on a crashed upstream are suspects, so one crash proves nothing: a suspect
 // counts as the culprit after the third upstream, and a completed answer clears it.
 // Many callers may send the same request at once, and engines may crash together for
-// other reasons. So a crash counts only if the run that it ended began after the crash
-// that counted before: a request that crashes upstreams is sent again and again.
+// other reasons. So of crashes that come together under runs that overlap, one counts.
 package crash
 
 import (
@@ -26,6 +25,13 @@
 	// more. Streams that share an engine with a culprit are affected by two crashes now
 	// and then.
 	culpritCrashes = 3
+	// incidentWindow is how close to each other crashes come that have one cause, such as
+	// a rack without power. It covers what their detection and the reports of other
+	// instances differ by.
+	incidentWindow = 500 * time.Millisecond
+	// overlapTolerance is how long two runs may seem to overlap of which one began as the
+	// other ended: an instance receives the report of a crash later than it happens.
+	overlapTolerance = 50 * time.Millisecond
 	// suspectTTL is how long a crash counts against a request.
 	suspectTTL = time.Minute
 	// maxSuspects is the maximum number of suspects in memory.
@@ -54,10 +60,34 @@
 	Incarnation int64           `cbor:"3,keyasint"`
 	// RanMs is how long the request had run, in milliseconds.
 	RanMs int64 `cbor:"4,keyasint"`
+	// AgeMs is how long ago the run ended, in milliseconds.
+	AgeMs int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// endedRun is a run that a crash ended.
+type endedRun struct {
+	upstream       spec.UpstreamID
+	incarnation    int64
+	started, ended time.Duration
+}
+
+func newEndedRun(now time.Duration, e Event) endedRun {
+	ended := now - time.Duration(e.AgeMs)*time.Millisecond
+	return endedRun{upstream: e.Upstream, incarnation: e.Incarnation, started: ended - time.Duration(e.RanMs)*time.Millisecond, ended: ended}
+}
+
+// sharesCause reports whether the ends of two runs prove no more than one of them: the same
+// process crashed, or the runs overlapped and ended together.
+func (r endedRun) sharesCause(o endedRun) bool {
+	if r.upstream == o.upstream && r.incarnation == o.incarnation {
+		return true
+	}
+	overlap := min(r.ended, o.ended) - max(r.started, o.started)
+	return overlap > overlapTolerance && (r.ended-o.ended).Abs() < incidentWindow
 }
 
 type suspect struct {
-	crashes   []Event
+	crashes   []endedRun
 	lastCrash time.Duration
 }
 
@@ -66,23 +96,21 @@
 	suspects map[uint64]suspect
 }
 
-// Record counts a crash against a request. It returns false if the crash does not
-// count: the same crash was counted before, or the run began before the last one that
-// counted.
+// Record counts a crash against a request. It returns false if the crash does not count
+// because it shares its cause with one that counts.
 func (t *Tracker) Record(now time.Duration, e Event) bool {
 	if t.suspects == nil {
 		t.suspects = map[uint64]suspect{}
 	}
 	s := t.unexpired(now, e.Fingerprint)
-	startedAt := now - time.Duration(e.RanMs)*time.Millisecond
-	counted := slices.ContainsFunc(s.crashes, func(o Event) bool { return o.Upstream == e.Upstream && o.Incarnation == e.Incarnation })
-	if counted || len(s.crashes) > 0 && startedAt <= s.lastCrash {
+	run := newEndedRun(now, e)
+	if slices.ContainsFunc(s.crashes, run.sharesCause) {
 		return false
 	}
 	if len(s.crashes) < culpritCrashes {
-		s.crashes = append(slices.Clip(s.crashes), e)
+		s.crashes = append(slices.Clip(s.crashes), run)
 	}
-	t.suspects[e.Fingerprint] = suspect{crashes: s.crashes, lastCrash: now}
+	t.suspects[e.Fingerprint] = suspect{crashes: s.crashes, lastCrash: max(s.lastCrash, run.ended)}
 	if len(t.suspects) > maxSuspects {
 		t.evictOldest()
 	}
--- a/internal/route/crash/crash_test.go
+++ b/internal/route/crash/crash_test.go
@@ -48,6 +48,39 @@
 	}
 }
 
+// Crashes under copies of a request that are under way all the time must count: each engine
+// crashes while copies run that were sent before. Crashes that other instances report late,
+// and out of order, must count like those seen here.
+func TestCrashesUnderOverlappingCopiesCount(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"seen here": 0, "reported": 400 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			tracker := &crash.Tracker{}
+			for _, n := range []int{0, 2, 1, 3, 4, 5, 6} {
+				event := crashEvent(1, n)
+				event.RanMs, event.AgeMs = 2500, delay.Milliseconds()
+				tracker.Record(time.Duration(n)*200*time.Millisecond+delay, event)
+			}
+			if !tracker.IsCulprit(2*time.Second, 1) {
+				t.Errorf("got %d crashes that count of seven in 1.2 s, want three", tracker.Count(2*time.Second, 1))
+			}
+		})
+	}
+}
+
+// A request is sent again as soon as its connection breaks, before a probe shows that the
+// engine has crashed: each of its runs must count.
+func TestRetriesAtOnceCount(t *testing.T) {
+	tracker := &crash.Tracker{}
+	for n := range 3 {
+		event := crashEvent(1, n)
+		event.RanMs, event.AgeMs = 20, 5
+		tracker.Record(time.Duration(n)*20*time.Millisecond+5*time.Millisecond, event)
+	}
+	if got, want := tracker.Count(time.Second, 1), 3; got != want {
+		t.Errorf("got %d crashes that count, want %d", got, want)
+	}
+}
+
 func crashEvent(fingerprint uint64, n int) crash.Event {
 	return crash.Event{Fingerprint: fingerprint, Upstream: "e", Incarnation: int64(n)}
 }
