Edge: count crashes under runs that are over before the crash is known

Three ways by which a crash was not seen: a run that broke off on a reused connection before its first event was taken for one on an idle connection that the engine closed, and forgotten; one that broke off after the engine was declared dead was remembered for a probe that had already come; and 64 lost answers were kept per service, fewer than break off with one engine. Now each such run is remembered, counts at once if the engine is known to be dead, and 1,024 are kept. An engine that only closed an idle connection is alive, so nothing is counted. Crashes are told to the other instances at once, like deaths: a verdict waited up to 0.2 s for the next round.

--- a/internal/app/edge/crash.go
+++ b/internal/app/edge/crash.go
@@ -23,6 +23,13 @@
 	return counted
 }
 
+// hasUnreportedCrashes reports whether crashes were recorded since the last takeCrashes.
+func (r *router) hasUnreportedCrashes() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.unreportedCrashes) > 0
+}
+
 // takeCrashes returns the crashes recorded since the last call.
 func (r *router) takeCrashes() []crash.Event {
 	r.mu.Lock()
--- a/internal/app/edge/crash_test.go
+++ b/internal/app/edge/crash_test.go
@@ -68,6 +68,25 @@
 	}
 }
 
+// Guards against a crash that does not count because the request was sent on a connection that
+// had been used before, as if the engine had only closed it.
+func TestCrashOnReusedConnectionCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		defer f.close()
+		f.sendCopies("/write/warm", 20, 20*time.Millisecond)
+		p := &stand.Poison{Path: "/write/poison", Delay: 20 * time.Millisecond}
+		f.site.AddPoison(p)
+		f.request(0, http.MethodPost, p.Path, "copy", "300,600")
+		f.checkCrashes(p, true)
+		// The fourth run is sent when the connection to the third engine breaks, before a
+		// probe shows why.
+		if got, want := f.site.PoisonCrashes(p), 4; got > want {
+			t.Errorf("got %d engines crashed under one request, want %d at most", got, want)
+		}
+	})
+}
+
 // Guards against path changes that put a request which crashes engines of later stages on
 // one engine after the other.
 func TestPathChangesOfCrashingRequestEnd(t *testing.T) {
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -102,11 +102,12 @@
 // Slowdowns returns the slowdown factors that slow engines reported to this instance.
 func (m *meshNode) Slowdowns() map[spec.UpstreamID]float64 { return m.router.localSlowdowns() }
 
-// HasUrgent reports whether engines were found dead since the last TakeFailures.
+// HasUrgent reports whether engines were found dead or crashes were recorded since the
+// last TakeFailures.
 func (m *meshNode) HasUrgent() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.unreportedDead) > 0
+	return len(m.unreportedDead) > 0 || m.router.hasUnreportedCrashes()
 }
 
 // TakeChangedVersions returns the version of the last change of each table that was read
--- a/internal/app/edge/plain.go
+++ b/internal/app/edge/plain.go
@@ -29,17 +29,16 @@
 	}
 }
 
-// recordLostAnswer remembers a request whose answer from an upstream was lost.
-func (r *router) recordLostAnswer(up site.Upstream, fingerprint uint64, took time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.addLostAnswer(up, fingerprint, took)
-}
-
-// addLostAnswer is recordLostAnswer with r.mu held.
+// addLostAnswer remembers a request whose answer from an upstream was lost, or records the
+// crash if the upstream is known to have ended by now; r.mu is held.
 func (r *router) addLostAnswer(up site.Upstream, fingerprint uint64, took time.Duration) {
 	svc := r.service(up.Service)
-	svc.lostAnswers = append(svc.lostAnswers, lostAnswer{event: crash.Event{Fingerprint: fingerprint, Upstream: up.ID, Incarnation: up.Born, RanMs: took.Milliseconds()}, at: r.now()})
+	event := crash.Event{Fingerprint: fingerprint, Upstream: up.ID, Incarnation: up.Born, RanMs: took.Milliseconds()}
+	if svc.model != nil && svc.model.ListedDead(up.ID) {
+		r.recordCrash(event)
+		return
+	}
+	svc.lostAnswers = append(svc.lostAnswers, lostAnswer{event: event, at: r.now()})
 	svc.lostAnswers = svc.lostAnswers[max(0, len(svc.lostAnswers)-maxLostAnswers):]
 }
 
@@ -79,8 +78,9 @@
 	// lostAnswerWindow is how soon after a lost answer the upstream must refuse a
 	// connection for the request to be suspected of the crash.
 	lostAnswerWindow = time.Second
-	// maxLostAnswers is the number of lost answers remembered per service.
-	maxLostAnswers = 64
+	// maxLostAnswers is the number of lost answers remembered per service. An engine that
+	// crashes breaks off all of its runs at once.
+	maxLostAnswers = 1024
 )
 
 // ApplyReportedLoad applies the load that an upstream reported.
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -158,15 +158,25 @@
 // ReportBrokenRun reports the first engine of a run as suspect. The run is remembered: it
 // ends before a probe shows whether the engine crashed.
 func (r *router) ReportBrokenRun(run *relay.Run) {
+	r.RecordLostRun(run)
 	chain, _ := run.Chain()
-	up, ok := r.upstream(run.Service, chain[0].Engine())
-	if !ok {
+	if up, ok := r.upstream(run.Service, chain[0].Engine()); ok {
+		r.onSuspect(up)
+	}
+}
+
+// RecordLostRun remembers a run that broke off, in case its first engine has crashed.
+func (r *router) RecordLostRun(run *relay.Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	svc := r.service(run.Service)
+	chain, _ := run.Chain()
+	if svc.model == nil || run.ProducingTime() > maxCrashDelay {
 		return
 	}
-	if run.ProducingTime() <= maxCrashDelay {
-		r.recordLostAnswer(up, run.Fingerprint, time.Since(run.Start))
+	if up, ok := svc.model.Upstream(chain[0].Engine()); ok {
+		r.addLostAnswer(up, run.Fingerprint, time.Since(run.Start))
 	}
-	r.onSuspect(up)
 }
 
 // upstream returns the row of an engine, or false if it is not listed.
