--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -29,9 +29,12 @@
 	// a rack without power. It covers what their detection and the reports of other
 	// instances differ by.
 	incidentWindow = 500 * time.Millisecond
+	// minCrashGap is the same for runs that do not overlap. Engines that crash at one moment
+	// are found dead within it, some of them by requests that were sent on meanwhile.
+	minCrashGap = 100 * time.Millisecond
 	// overlapTolerance is how long two runs may seem to overlap of which one began as the
 	// other ended: an instance receives the report of a crash later than it happens.
-	overlapTolerance = 50 * time.Millisecond
+	overlapTolerance = 5 * time.Millisecond
 	// suspectTTL is how long a crash counts against a request.
 	suspectTTL = time.Minute
 	// maxSuspects is the maximum number of suspects in memory.
@@ -76,14 +79,15 @@
 	return endedRun{upstream: e.Upstream, incarnation: e.Incarnation, started: ended - time.Duration(e.RanMs)*time.Millisecond, ended: ended}
 }
 
-// sharesCause reports whether the ends of two runs prove no more than one of them: the same
-// process crashed, or the runs overlapped and ended together.
+// sharesCause reports whether the ends of two runs may have one cause: the same process
+// crashed, or they ended together.
 func (r endedRun) sharesCause(o endedRun) bool {
 	if r.upstream == o.upstream && r.incarnation == o.incarnation {
 		return true
 	}
 	overlap := min(r.ended, o.ended) - max(r.started, o.started)
-	return overlap > overlapTolerance && (r.ended-o.ended).Abs() < incidentWindow
+	gap := (r.ended - o.ended).Abs()
+	return gap < minCrashGap || overlap > overlapTolerance && gap < incidentWindow
 }
 
 type suspect struct {
