Edge: count crashes that follow a path change, and move no request that crashes engines

Crashes counted only within 1 s after the first event of the run, whichever engine it began on, so that those after a path change did not count; and a path change asked nobody whether the request is known by then.

The time now counts from the change for engines that joined the path with it. A request that is known to crash engines is ended instead of moved.

--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -172,8 +172,7 @@
 	return listed && now.State == site.StateReady
 }
 
-// maxCrashDelay is how long after its first event a run may crash its engine: a request
-// that crashes engines does so as they begin to run it.
+// maxCrashDelay is how long after its first event on an engine a run may crash it.
 const maxCrashDelay = time.Second
 
 // recordCrashesOf records a crash against each run on a dead engine that had just begun:
@@ -187,16 +186,22 @@
 	}
 	r.recordLostAnswersAsCrashes(up)
 	for _, run := range svc.runsThrough(up.ID) {
-		if run.ProducingTime() > maxCrashDelay {
+		t := svc.runs[run]
+		if !t.isNewOn(up.ID, run) {
 			continue
 		}
-		r.recordCrash(crash.Event{Fingerprint: run.Fingerprint, Upstream: up.ID, Incarnation: up.Born, RanMs: time.Since(run.Start).Milliseconds()})
+		since := run.Start
+		if t.joined.Uses(up.ID) {
+			since = t.movedAt
+		}
+		r.recordCrash(crash.Event{Fingerprint: run.Fingerprint, Upstream: up.ID, Incarnation: up.Born, RanMs: time.Since(since).Milliseconds()})
 	}
 }
 
 // planMoves finds other paths for the runs on an engine. Usage is moved to the new path
 // at once, so that the search for the next run sees it. restarts are the resumable
-// runs without another path.
+// runs without another path, and those that crash engines: they end as they are
+// started again.
 func (r *router) planMoves(up site.Upstream) (changes []pathChange, restarts []*relay.Run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -210,7 +215,7 @@
 		demand := run.Demand
 		demand.Resumed = true
 		chain, err := svc.model.Repair(r.now(), t.chain, demand, mustLeave)
-		if err != nil {
+		if err != nil || r.crashBook.IsCulprit(r.now(), run.Fingerprint) {
 			if run.Resumable {
 				restarts = append(restarts, run)
 			}
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -24,8 +24,16 @@
 	// path at movedAt. It is cleared by the next event, which shows that they are
 	// done.
 	rereading spec.Chain
-	// movedAt is the time of the last change of path.
+	// movedAt is the time of the last change of path, and joined are the stages that were
+	// new on the path then.
 	movedAt time.Time
+	joined  spec.Chain
+}
+
+// isNewOn reports whether a run had just begun on an engine of its path when it delivered
+// its newest event: a request that crashes engines does so as they begin to run it.
+func (t *runState) isNewOn(id spec.UpstreamID, run *relay.Run) bool {
+	return run.ProducingTime() <= maxCrashDelay || t.joined.Uses(id) && run.LastEvent().Sub(t.movedAt) <= maxCrashDelay
 }
 
 // estimateDemand returns the estimated token demand of a model request of a class.
@@ -118,7 +126,8 @@
 	t.rereading = nil
 	svc.model.End(t.chain, run.Demand, t.awaitingFirstEvent)
 	if !t.awaitingFirstEvent {
-		t.rereading, t.movedAt = stagesNotIn(chain, t.chain), time.Now()
+		t.movedAt, t.joined = time.Now(), stagesNotIn(chain, t.chain)
+		t.rereading = t.joined
 	}
 	t.chain = chain
 	svc.model.Begin(chain, run.Demand)
