Crash: keep the verdict on a request for ten minutes

A request that is known to crash engines was forgotten a minute after its last crash, and each time it was found out anew, at the cost of three engines and more. Ten minutes now, as in route/poison; a suspect with fewer crashes is kept for a minute as before. A wave of new suspects no longer displaces those that are known.

TestCrashingRequestStaysKnown: 19 to 22 engines before in four rounds a minute apart, 6 at most now. TestThirdCrashMakesCulprit asked that a verdict ends within two minutes; it asks now that it holds for nine, is over after eleven, and that fewer crashes are forgotten within two.

--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -37,6 +37,9 @@
 	overlapTolerance = 5 * time.Millisecond
 	// suspectTTL is how long a crash counts against a request.
 	suspectTTL = time.Minute
+	// culpritTTL is how long a culprit stays one. Each new verdict costs three engines, and
+	// what callers send again and again they send for a while.
+	culpritTTL = 10 * time.Minute
 	// maxSuspects is the maximum number of suspects in memory.
 	maxSuspects = 4096
 )
@@ -123,19 +126,35 @@
 
 func (t *Tracker) unexpired(now time.Duration, fingerprint uint64) suspect {
 	s := t.suspects[fingerprint]
-	if now-s.lastCrash > suspectTTL {
+	if now-s.lastCrash > s.ttl() {
 		return suspect{}
 	}
 	return s
 }
 
-// evictOldest drops the older half of the suspects.
+// ttl returns how long after the last crash a suspect is kept.
+func (s suspect) ttl() time.Duration {
+	if s.isCulprit() {
+		return culpritTTL
+	}
+	return suspectTTL
+}
+
+func (s suspect) isCulprit() bool { return len(s.crashes) >= culpritCrashes }
+
+// evictOldest drops half of the suspects, the oldest ones. Culprits stay longest.
 func (t *Tracker) evictOldest() {
 	keys := make([]uint64, 0, len(t.suspects))
 	for key := range t.suspects {
 		keys = append(keys, key)
 	}
-	sort.Slice(keys, func(i, j int) bool { return t.suspects[keys[i]].lastCrash < t.suspects[keys[j]].lastCrash })
+	sort.Slice(keys, func(i, j int) bool {
+		a, b := t.suspects[keys[i]], t.suspects[keys[j]]
+		if a.isCulprit() != b.isCulprit() {
+			return b.isCulprit()
+		}
+		return a.lastCrash < b.lastCrash
+	})
 	for _, key := range keys[:len(keys)/2] {
 		delete(t.suspects, key)
 	}
@@ -151,5 +170,5 @@
 
 // IsCulprit reports whether a request must not be sent any more.
 func (t *Tracker) IsCulprit(now time.Duration, fingerprint uint64) bool {
-	return t.Count(now, fingerprint) >= culpritCrashes
+	return t.unexpired(now, fingerprint).isCulprit()
 }
