Edge: tell instances that start which requests crash engines

An instance that started sent a request once more that all others refused: what was known lived in the memory of each instance and was told once, to those connected at that moment. After a restart of all nobody knew it, and three engines and more crashed again.

Instances that know a verdict tell it again, in the next round, when another one joins: it may have started, or been cut off when the verdict was reported. A verdict is an event of its own, so that instances need not have seen the same crashes.

--- a/internal/app/edge/crash.go
+++ b/internal/app/edge/crash.go
@@ -9,13 +9,27 @@
 )
 
 // recordCrash records a crash against the request that the upstream ran, and keeps it for
-// the other instances if it is new; r.mu is held.
+// the other instances if it is new, with the verdict that follows from it; r.mu is held.
 func (r *router) recordCrash(c crash.Event) {
-	if r.applyCrash(c) {
-		r.unreportedCrashes = append(r.unreportedCrashes, c)
+	known := r.crashBook.IsCulprit(r.now(), c.Fingerprint)
+	if !r.applyCrash(c) {
+		return
+	}
+	r.unreportedCrashes = append(r.unreportedCrashes, c)
+	if !known && r.crashBook.IsCulprit(r.now(), c.Fingerprint) {
+		r.unreportedCrashes = append(r.unreportedCrashes, crash.Event{Fingerprint: c.Fingerprint, IsVerdict: true})
+		r.onVerdict(c.Fingerprint)
 	}
 }
 
+// reportVerdicts keeps all verdicts for the other instances: one of them has joined, and may
+// have been started or cut off when they were reported.
+func (r *router) reportVerdicts() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.verdictsDue = true
+}
+
 // applyCrash records a crash and reports whether it counts; r.mu is held.
 func (r *router) applyCrash(c crash.Event) bool {
 	counted := r.crashBook.Record(r.now(), c)
@@ -36,6 +50,10 @@
 	defer r.mu.Unlock()
 	out := r.unreportedCrashes
 	r.unreportedCrashes = nil
+	if r.verdictsDue {
+		r.verdictsDue = false
+		out = append(out, r.crashBook.Verdicts(r.now())...)
+	}
 	return out
 }
 
@@ -66,9 +84,9 @@
 // the first one of the request: most requests on a crashed upstream have no part in it.
 func (i *Instance) logCrash(c crash.Event, counted bool, crashes int) {
 	i.meters.GetOrCreateCounter(`fulmarwick_crashes_total{counted="` + strconv.FormatBool(counted) + `"}`).Inc()
-	if counted && crashes == 1 {
+	if counted && crashes == 1 || c.IsVerdict && !counted {
 		return
 	}
-	i.Log.Info("edge: upstream crashed under a request", zap.String("fingerprint", strconv.FormatUint(c.Fingerprint, 16)), zap.String("upstream", string(c.Upstream)),
-		zap.Int64("incarnation", c.Incarnation), zap.Int64("ran ms", c.RanMs), zap.Bool("counted", counted), zap.Int("crashes", crashes))
+	i.Log.Info("edge: upstream crashed under a request", zap.String("fingerprint", formatFingerprint(c.Fingerprint)), zap.String("upstream", string(c.Upstream)),
+		zap.Int64("incarnation", c.Incarnation), zap.Int64("ran ms", c.RanMs), zap.Bool("counted", counted), zap.Int("crashes", crashes), zap.Bool("verdict", c.IsVerdict))
 }
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -56,6 +56,7 @@
 		id: spec.InstanceID(s.Instance.Name), centre: spec.DataCentre(s.Instance.DataCentre), url: "http://" + s.Listen.Mesh,
 		store: i.store, state: i.state, router: i.router, log: i.Log, dial: i.Dial, meters: i.meters, countBehind: i.counter(`fulmarwick_behind_total`),
 	}
+	i.culprits = newCulpritTable(i.store, i.router, i.Log)
 	i.connectParts()
 }
 
@@ -67,6 +68,7 @@
 	i.state.onConfig = i.router.setConfig
 	i.router.onNotice = i.recordNotice
 	i.router.onCrash = i.logCrash
+	i.router.onVerdict = i.culprits.add
 	i.state.onList = func(list []site.Upstream) {
 		list = i.router.applyNotices(list)
 		i.router.setList(list)
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -64,6 +64,8 @@
 	// onCrash is called for each crash of an upstream under a request, with whether it
 	// counts and how many count now.
 	onCrash func(c crash.Event, counted bool, crashes int)
+	// onVerdict is called for each request that this instance found to crash upstreams.
+	onVerdict func(fingerprint uint64)
 	// isDead probes a suspect engine again and reports whether it is dead.
 	isDead func(context.Context, site.Upstream) bool
 
@@ -77,6 +79,8 @@
 	// unreportedCrashes holds crashes seen by this instance, each with the request
 	// that the upstream ran, that were not yet sent to the other instances.
 	unreportedCrashes []crash.Event
+	// verdictsDue means that all verdicts on requests have to be sent to the others again.
+	verdictsDue bool
 }
 
 func (r *router) now() time.Duration { return time.Since(r.start) }
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -56,8 +56,8 @@
 	return h.Sum64()
 }
 
-// Event is the crash of an upstream while it ran a request. Fields are exported because
-// the CBOR codec fills them.
+// Event is the crash of an upstream while it ran a request, or the verdict on a request.
+// Fields are exported because the CBOR codec fills them.
 type Event struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
 	// Upstream is the name of the upstream, Incarnation the start time of the process
@@ -68,6 +68,9 @@
 	RanMs int64 `cbor:"4,keyasint"`
 	// AgeMs is how long ago the run ended, in milliseconds.
 	AgeMs int64 `cbor:"5,keyasint,omitempty"`
+	// IsVerdict means that the request is known to crash upstreams, the last one AgeMs ago.
+	// Upstream, Incarnation and RanMs are not set then.
+	IsVerdict bool `cbor:"6,keyasint,omitempty"`
 }
 
 // endedRun is a run that a crash ended.
@@ -96,6 +99,8 @@
 type suspect struct {
 	crashes   []endedRun
 	lastCrash time.Duration
+	// convicted means that a verdict was recorded.
+	convicted bool
 }
 
 // Tracker records suspects. It is not safe for concurrent use.
@@ -103,25 +108,39 @@
 	suspects map[uint64]suspect
 }
 
-// Record counts a crash against a request. It returns false if the crash does not count
-// because it shares its cause with one that counts.
+// Record counts a crash against a request, or records a verdict. It returns false if that
+// changes nothing: the crash shares its cause with one that counts, or the verdict is known.
 func (t *Tracker) Record(now time.Duration, e Event) bool {
 	if t.suspects == nil {
 		t.suspects = map[uint64]suspect{}
 	}
 	s := t.unexpired(now, e.Fingerprint)
 	run := newEndedRun(now, e)
+	if e.IsVerdict {
+		known := s.isCulprit()
+		if !known || run.ended > s.lastCrash {
+			s.convicted, s.lastCrash = true, run.ended
+			t.store(e.Fingerprint, s)
+		}
+		return !known
+	}
 	if slices.ContainsFunc(s.crashes, run.sharesCause) {
 		return false
 	}
 	if len(s.crashes) < culpritCrashes {
 		s.crashes = append(slices.Clip(s.crashes), run)
 	}
-	t.suspects[e.Fingerprint] = suspect{crashes: s.crashes, lastCrash: max(s.lastCrash, run.ended)}
+	s.lastCrash = max(s.lastCrash, run.ended)
+	t.store(e.Fingerprint, s)
+	return true
+}
+
+// store stores a suspect. The number of suspects stays bounded.
+func (t *Tracker) store(fingerprint uint64, s suspect) {
+	t.suspects[fingerprint] = s
 	if len(t.suspects) > maxSuspects {
 		t.evictOldest()
 	}
-	return true
 }
 
 func (t *Tracker) unexpired(now time.Duration, fingerprint uint64) suspect {
@@ -140,7 +159,7 @@
 	return suspectTTL
 }
 
-func (s suspect) isCulprit() bool { return len(s.crashes) >= culpritCrashes }
+func (s suspect) isCulprit() bool { return s.convicted || len(s.crashes) >= culpritCrashes }
 
 // evictOldest drops half of the suspects, the oldest ones. Culprits stay longest.
 func (t *Tracker) evictOldest() {
@@ -160,6 +179,18 @@
 	}
 }
 
+// Verdicts returns the verdicts on all requests that are known to crash upstreams.
+func (t *Tracker) Verdicts(now time.Duration) []Event {
+	var out []Event
+	for fingerprint := range t.suspects {
+		if s := t.unexpired(now, fingerprint); s.isCulprit() {
+			out = append(out, Event{Fingerprint: fingerprint, IsVerdict: true, AgeMs: (now - s.lastCrash).Milliseconds()})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Fingerprint < out[j].Fingerprint })
+	return out
+}
+
 // Clear drops a suspect whose request an upstream completed.
 func (t *Tracker) Clear(fingerprint uint64) { delete(t.suspects, fingerprint) }
 
--- a/internal/route/crash/crash_test.go
+++ b/internal/route/crash/crash_test.go
@@ -110,6 +110,26 @@
 	}
 }
 
+// An instance that starts must learn what the others know, as long as it holds.
+func TestVerdictsAreTakenOver(t *testing.T) {
+	known, started := &crash.Tracker{}, &crash.Tracker{}
+	for k := range 3 {
+		known.Record(time.Duration(k)*150*time.Millisecond, crashEvent(1, k))
+	}
+	known.Record(time.Second, crashEvent(2, 0))
+	for _, e := range known.Verdicts(9 * time.Minute) {
+		if !started.Record(time.Second, e) || started.Record(time.Second, e) {
+			t.Errorf("got verdict %v old or new twice, want it new once", e)
+		}
+	}
+	if !started.IsCulprit(time.Second, 1) || started.IsCulprit(time.Second, 2) {
+		t.Error("got the suspect or not the culprit, want only the culprit")
+	}
+	if started.IsCulprit(2*time.Minute, 1) {
+		t.Error("got the verdict two minutes after it was nine minutes old, want it expired")
+	}
+}
+
 // A wave of crashes must not displace the requests that are known to crash upstreams.
 func TestCulpritsOutliveSuspects(t *testing.T) {
 	tracker := &crash.Tracker{}
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -97,7 +97,7 @@
 func (u singleUpstream) RecordFirstEvent(*relay.Run)                      {}
 func (u singleUpstream) EndRun(*relay.Run, bool)                          {}
 func (u singleUpstream) ReportBrokenRun(*relay.Run)                       {}
-func (u singleUpstream) RecordLostRun(*relay.Run) {}
+func (u singleUpstream) RecordLostRun(*relay.Run)                         {}
 func (u singleUpstream) ReportConnFailure(string, spec.UpstreamID)        {}
 func (u singleUpstream) RecordRefusal(*relay.Run, string) spec.UpstreamID { return "u" }
 func (u singleUpstream) IsDead(string, spec.UpstreamID) bool              { return false }
