Platform: decode the rate limit that an upstream names; log and count it

It is decoded once, beside the other notices, for answers to requests, reports and orders, and not used yet.

--- a/internal/app/edge/notice.go
+++ b/internal/app/edge/notice.go
@@ -82,6 +82,10 @@
 		i.meters.GetOrCreateCounter(`fulmarwick_notices_total{kind="backoff"}`).Inc()
 		i.Log.Info("edge: upstream asked for backoff", zap.String("upstream", string(id)), zap.Duration("backoff", n.Backoff))
 	}
+	if n.RateLimit > 0 {
+		i.meters.GetOrCreateCounter(`fulmarwick_notices_total{kind="rate limit"}`).Inc()
+		i.Log.Info("edge: upstream named a rate limit", zap.String("upstream", string(id)), zap.Float64("per second", n.RateLimit))
+	}
 	if newlyLeaving {
 		i.meters.GetOrCreateCounter(`fulmarwick_notices_total{kind="leaving"}`).Inc()
 		i.Log.Info("edge: upstream says that it leaves", zap.String("upstream", string(id)))
--- a/internal/base/site/header.go
+++ b/internal/base/site/header.go
@@ -77,6 +77,9 @@
 	// Backoff is for how long the upstream wants no requests from this instance; zero if it
 	// asks for none.
 	Backoff time.Duration
+	// RateLimit is how many requests a second the upstream takes from all instances
+	// together, for as long as it says so; zero if it names no limit.
+	RateLimit float64
 }
 
 // Load is the number of requests that an upstream reports to run and to queue, and its slots.
