Edge: keep to the rate limits that upstreams name, all instances together

Nothing read the limit, so each instance sent what its own choice of paths said, and an engine that takes few requests answers them soon and seems free to all of them.

route/limit divides the time of a limit of r a second into slots of 1/r; of n instances each owns one slot in n, by its place among the known names, and may send one request within 2 s after each begins. So the sum keeps to 6r + 1 in 4 s without any exchange, also after a pause, where 6r + 5 are allowed; buckets of n instances that fill in a pause would let n requests come at once. Weighed and left: buckets with counts told to each other (the counts are 0.2 to 0.6 s old).

Every way counts: first runs, repeats, hedges, resumed streams and bookings where an upstream is chosen; each engine of a path; engines that join a path by a change; reports and orders, which wait if they can and count against later slots if not. What a limit leaves no room for goes to another upstream; if there is none it is refused at once, not run, with the time of the next slot. A request whose caller has a part of the answer waits.

Instances tell each other in each round what upstreams said last, with its age; the newest statement holds, an answer without a limit to a request sent after it ends it, and one that is not confirmed ends after 30 s.

--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -226,6 +226,7 @@
 		t.formerChain = t.chain
 		svc.changePath(run, chain, change.hops)
 		svc.model.RecordTransfer(r.now(), chain, demand)
+		r.takeStages(stagesNotIn(chain, change.oldChain))
 		change.firstAddress = change.hops[0].Address
 		changes = append(changes, change)
 	}
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -11,6 +11,7 @@
 	"fulmarwick/internal/fleet/mesh"
 	"fulmarwick/internal/fleet/node"
 	"fulmarwick/internal/route/crash"
+	"fulmarwick/internal/route/limit"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/resend"
 	"fulmarwick/internal/state/feed"
@@ -129,6 +130,14 @@
 	return dead, m.router.takeCrashes()
 }
 
+// RateLimits returns what is known of the rate limits of upstreams.
+func (m *meshNode) RateLimits() map[spec.UpstreamID]limit.Statement { return m.router.rateLimits() }
+
+// ReceiveRateLimits applies what another instance knows of the rate limits of upstreams.
+func (m *meshNode) ReceiveRateLimits(limits map[spec.UpstreamID]limit.Statement) {
+	m.router.applyPeerRateLimits(limits)
+}
+
 // ReceiveUsage applies the usage by the requests of another instance, or of several.
 func (m *meshNode) ReceiveUsage(from spec.InstanceID, usage map[string]map[spec.UpstreamID]path.Usage) {
 	m.router.applyPeerUsage(from, usage)
--- a/internal/app/edge/notice.go
+++ b/internal/app/edge/notice.go
@@ -20,6 +20,9 @@
 		}
 	}
 	newlyLeaving := r.notices.Record(r.now(), id, incarnation, n)
+	if n.RateLimit > 0 {
+		r.recordRateLimit(id, n.RateLimit)
+	}
 	r.mu.Unlock()
 	r.onNotice(id, n, newlyLeaving)
 }
@@ -53,19 +56,20 @@
 	return r.notices.Accepts(r.now(), id)
 }
 
-// inBackoff reports whether an upstream asked for backoff that isn't over.
-func (r *router) inBackoff(id spec.UpstreamID) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.notices.InBackoff(r.now(), id)
-}
-
 // BackoffLeft returns how long it takes until an upstream of a service accepts requests
-// again, if all of them asked for backoff.
+// again, if all of them asked for backoff or have a rate limit without room.
 func (r *router) BackoffLeft(service string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.notices.BackoffLeft(r.now(), r.service(service).upstreams)
+	wait, open := r.limitWait(r.service(service).upstreams)
+	left := r.notices.BackoffLeft(r.now(), open)
+	switch {
+	case len(open) == 0:
+		return wait
+	case wait == 0 || left < wait:
+		return left
+	}
+	return wait
 }
 
 // applyNotices returns the list of upstreams with those marked as draining that said in an
@@ -82,10 +86,6 @@
 		i.meters.GetOrCreateCounter(`fulmarwick_notices_total{kind="backoff"}`).Inc()
 		i.Log.Info("edge: upstream asked for backoff", zap.String("upstream", string(id)), zap.Duration("backoff", n.Backoff))
 	}
-	if n.RateLimit > 0 {
-		i.meters.GetOrCreateCounter(`fulmarwick_notices_total{kind="rate limit"}`).Inc()
-		i.Log.Info("edge: upstream named a rate limit", zap.String("upstream", string(id)), zap.Float64("per second", n.RateLimit))
-	}
 	if newlyLeaving {
 		i.meters.GetOrCreateCounter(`fulmarwick_notices_total{kind="leaving"}`).Inc()
 		i.Log.Info("edge: upstream says that it leaves", zap.String("upstream", string(id)))
--- a/internal/app/edge/order.go
+++ b/internal/app/edge/order.go
@@ -65,7 +65,7 @@
 	p.router.mu.Lock()
 	up, ok := p.router.service(service).model.Upstream(o.ID)
 	p.router.mu.Unlock()
-	if !ok || p.router.inBackoff(o.ID) {
+	if !ok || !p.router.mayCall(o.ID) {
 		return
 	}
 	// The last token known is enough, even if the lease is no longer held: of two orders
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -67,6 +67,7 @@
 	i.router.isDead = i.watcher.isDead
 	i.state.onConfig = i.router.setConfig
 	i.router.onNotice = i.recordNotice
+	i.router.onRateLimit = i.logRateLimit
 	i.router.onCrash = i.logCrash
 	i.router.onVerdict = i.culprits.add
 	i.state.onList = func(list []site.Upstream) {
@@ -80,6 +81,7 @@
 	i.mesh.initHub()
 	i.router.instanceCount = i.mesh.logic.Count
 	i.router.retryBudgetSharers = i.mesh.logic.BudgetShares
+	i.router.limits.Share = i.mesh.logic.LimitShare
 	codec := platform.HeaderCodec{}
 	i.server = &front.Server{
 		Dialect: codec, ConfigSource: i.state, LastCall: i.drainer.LastCall(), OnRequestEnd: i.recordEnd, OnReject: i.recordRejected, OnPanic: i.recordPanic,
--- a/internal/app/edge/plain.go
+++ b/internal/app/edge/plain.go
@@ -14,7 +14,11 @@
 func (r *router) Pick(service string, avoid []spec.UpstreamID) (site.Upstream, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.service(service).plain.Pick(r.now(), avoid)
+	up, ok := r.service(service).plain.Pick(r.now(), avoid)
+	if ok {
+		r.limits.Take(time.Now(), up.ID)
+	}
+	return up, ok
 }
 
 // RecordOutcome records how a request to an upstream ended. An answer that was lost may
--- a/internal/app/edge/queue.go
+++ b/internal/app/edge/queue.go
@@ -90,6 +90,9 @@
 			return nil, nil, run, nil
 		}
 	}
+	if errors.Is(w.lastErr, path.ErrRateLimited) && !w.hasPartialAnswer() {
+		return nil, nil, nil, w.lastErr
+	}
 	t := &queue.Ticket{Team: c.Team, Urgency: c.Urgency, Deadline: r.waitDeadline(svc, c, o.Kind, w.lastErr), Begun: w.hasPartialAnswer()}
 	if w.hasPartialAnswer() {
 		t.Urgency = resumedUrgency
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -13,6 +13,7 @@
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/ewma"
 	"fulmarwick/internal/route/length"
+	"fulmarwick/internal/route/limit"
 	"fulmarwick/internal/route/notice"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/queue"
@@ -61,6 +62,9 @@
 	// onNotice is called for each notice; newlyLeaving is set for the first one with which
 	// an upstream says that it leaves.
 	onNotice func(id spec.UpstreamID, n site.Notice, newlyLeaving bool)
+	// onRateLimit is called for each change of the rate limit of an upstream; zero means that
+	// it names none any more.
+	onRateLimit func(id spec.UpstreamID, perSecond float64)
 	// onCrash is called for each crash of an upstream under a request, with whether it
 	// counts and how many count now.
 	onCrash func(c crash.Event, counted bool, crashes int)
@@ -76,6 +80,7 @@
 	peerRetries map[spec.InstanceID]peerRetryReport
 	crashBook   crash.Tracker
 	notices     notice.Book
+	limits      limit.Limiter
 	// unreportedCrashes holds crashes seen by this instance, each with the request
 	// that the upstream ran, that were not yet sent to the other instances.
 	unreportedCrashes []crash.Event
@@ -90,7 +95,7 @@
 	svc := r.services[name]
 	if svc == nil {
 		svc = &serviceState{name: name, runs: map[*relay.Run]*runState{}, waiters: map[*queue.Ticket]*waiter{}, firstLatency: initialFirstLatency}
-		svc.plain.DataCentre, svc.plain.InBackoff = r.centre, r.notices.InBackoff
+		svc.plain.DataCentre, svc.plain.InBackoff, svc.plain.IsLimited = r.centre, r.notices.InBackoff, r.isLimited
 		svc.setRetryBounds(r.retryBounds)
 		r.services[name] = svc
 	}
@@ -125,7 +130,7 @@
 			continue
 		}
 		if svc.model == nil {
-			svc.model = &path.Table{Centre: r.centre, Random: rand.Float64, InBackoff: r.notices.InBackoff, PeerCount: func() int { return r.retryBudgetSharers() - 1 }}
+			svc.model = &path.Table{Centre: r.centre, Random: rand.Float64, InBackoff: r.notices.InBackoff, IsLimited: r.isLimited, PeerCount: func() int { return r.retryBudgetSharers() - 1 }}
 		}
 		if s.Model.Equal(svc.model.Model) {
 			// Most changes don't affect the model. A new model makes the planner place
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -70,6 +70,7 @@
 	run.Resumable, run.Fingerprint, run.HasSpareAttempt = c.Route.Resumable, c.Fingerprint(), o.HasSpareAttempt
 	svc.model.Begin(chain, demand)
 	svc.model.RecordTransfer(r.now(), chain, demand)
+	r.takeStages(chain)
 	svc.runs[run] = &runState{team: c.Team, chain: chain, awaitingFirstEvent: true}
 	svc.teams.Begin(c.Team)
 	return run, nil
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -202,7 +202,7 @@
 	if now.Sub(w.lastLagCheck) >= lagCheckInterval {
 		w.lastLagCheck = now
 		for _, up := range w.router.lagProbeTargets() {
-			if !w.router.inBackoff(up.ID) {
+			if w.router.mayCall(up.ID) {
 				w.startProbe(ctx, up, false)
 			}
 		}
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -19,6 +19,7 @@
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/route/limit"
 	"fulmarwick/internal/state/feed"
 
 	"github.com/fxamacker/cbor/v2"
@@ -81,8 +82,10 @@
 	// isFollower means that this instance is no head and holds no duty.
 	isFollower bool
 	candidates []spec.InstanceID
-	start      time.Time
-	lastSync   time.Duration
+	// index is the number of known instances whose ID is less than that of this one.
+	index    int
+	start    time.Time
+	lastSync time.Duration
 	// isLagging means that other instances have known more for longer than lagTimeout.
 	isLagging bool
 }
@@ -106,6 +109,14 @@
 	return 1 + max(l.peerCount, l.maxPeers)
 }
 
+// LimitShare returns the part of this instance in limits that all of them share.
+func (l *Logic) LimitShare() limit.Share {
+	count := l.BudgetShares()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return limit.Share{Index: l.index, Count: count}
+}
+
 // Tick processes events and returns the messages to send.
 func (l *Logic) Tick(now time.Duration, events []node.Event) []node.Command {
 	l.handleEvents(now, events)
@@ -172,6 +183,9 @@
 		l.updateMember(member, false)
 	}
 	l.handleLoad(now, p, m)
+	if len(m.RateLimits) > 0 {
+		l.Receiver.ReceiveRateLimits(m.RateLimits)
+	}
 	if len(m.Dead) > 0 {
 		l.Receiver.ReceiveDead(p.id, m.Dead)
 	}
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -11,6 +11,7 @@
 	"fulmarwick/internal/fleet/mesh"
 	"fulmarwick/internal/fleet/node"
 	"fulmarwick/internal/route/crash"
+	"fulmarwick/internal/route/limit"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/resend"
 	"fulmarwick/internal/state/feed"
@@ -23,6 +24,7 @@
 	logic          *mesh.Logic
 	view           feed.View
 	unreportedDead []spec.UpstreamID
+	limits         limit.Limiter
 
 	used map[spec.InstanceID]int
 	// streams is the number of streams in the last reported loads, by their source.
@@ -67,6 +69,16 @@
 func (m *member) Checkpoints() map[string]feed.Checkpoint {
 	return map[string]feed.Checkpoint{table: m.view.Checkpoint()}
 }
+
+func (m *member) RateLimits() map[spec.UpstreamID]limit.Statement {
+	return m.limits.Statements(time.Unix(0, 0).Add(m.fleet.now))
+}
+
+func (m *member) ReceiveRateLimits(limits map[spec.UpstreamID]limit.Statement) {
+	for id, s := range limits {
+		m.limits.Record(time.Unix(0, 0).Add(m.fleet.now), id, s)
+	}
+}
 func (m *member) Slowdowns() map[spec.UpstreamID]float64 { return nil }
 func (m *member) SyncAge() time.Duration {
 	if m.lastSync == 0 {
--- a/internal/fleet/mesh/message.go
+++ b/internal/fleet/mesh/message.go
@@ -5,6 +5,7 @@
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
+	"fulmarwick/internal/route/limit"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/resend"
 	"fulmarwick/internal/state/feed"
@@ -48,6 +49,9 @@
 	Roster       []Member `cbor:"17,keyasint,omitempty"`
 	// Retries counts requests and retries, by service.
 	Retries map[string]resend.Usage `cbor:"18,keyasint,omitempty"`
+	// RateLimits is what the sender knows of the rate limits of upstreams, itself or from
+	// others.
+	RateLimits map[spec.UpstreamID]limit.Statement `cbor:"19,keyasint,omitempty"`
 }
 
 // Scope is the set of instances whose requests a message describes.
@@ -98,6 +102,7 @@
 	SyncAge() time.Duration
 	Slowdowns() map[spec.UpstreamID]float64
 	Retries() map[string]resend.Usage
+	RateLimits() map[spec.UpstreamID]limit.Statement
 	// ChangesSince returns the changes since a version, or the whole table since 0.
 	ChangesSince(table string, version uint64) (since uint64, p feed.Page)
 	// TakeFailures returns, since the last call, the engines found dead and the crashes
@@ -114,6 +119,8 @@
 	ReceiveUsage(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Usage)
 	ReceiveSlowdowns(from spec.InstanceID, slowdowns map[spec.UpstreamID]float64)
 	ReceiveRetries(from spec.InstanceID, retries map[string]resend.Usage)
+	// ReceiveRateLimits receives what another instance knows of the rate limits of upstreams.
+	ReceiveRateLimits(limits map[spec.UpstreamID]limit.Statement)
 	ReceiveRows(table string, since uint64, rows []feed.Row, checkpoint feed.Checkpoint, from spec.InstanceID)
 	// ReceiveCheckpoint receives how much of a table another instance knows.
 	ReceiveCheckpoint(table string, checkpoint feed.Checkpoint)
--- a/internal/fleet/mesh/peer.go
+++ b/internal/fleet/mesh/peer.go
@@ -74,7 +74,7 @@
 
 // dropUnresponsive drops the instances from which no more messages arrive.
 func (l *Logic) dropUnresponsive(now time.Duration) {
-	lastSync := time.Duration(-1)
+	lastSync, index := time.Duration(-1), 0
 	var alive []spec.InstanceID
 	for _, p := range l.peersByID() {
 		if p.alive && now-p.lastSeen >= peerTimeout {
@@ -82,6 +82,9 @@
 			p.load = nil
 			l.Receiver.PeerLost(p.id)
 		}
+		if p.id < l.ID {
+			index++
+		}
 		if !p.alive {
 			continue
 		}
@@ -93,7 +96,7 @@
 	count, expected := l.countInstances(now)-1, l.expectedPeers(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.maxPeers = expected
+	l.maxPeers, l.index = expected, index
 	l.peerCount, l.candidates, l.lastSync, l.isFollower = count, alive, lastSync, !l.isHead()
 	l.start = l.Now().Add(-now)
 }
--- a/internal/route/ewma/ewma.go
+++ b/internal/route/ewma/ewma.go
@@ -77,6 +77,9 @@
 	// InBackoff reports whether an upstream asked for backoff; nil means that
 	// none did.
 	InBackoff func(now time.Duration, id spec.UpstreamID) bool
+	// IsLimited reports whether the rate limit of an upstream leaves no room for a request
+	// at present; nil means that none has a limit.
+	IsLimited func(id spec.UpstreamID) bool
 
 	upstreams []*upstreamStats
 	byID      map[spec.UpstreamID]*upstreamStats
@@ -129,7 +132,7 @@
 
 // accepts reports whether an upstream may get new requests.
 func (b *Balancer) accepts(now time.Duration, up site.Upstream) bool {
-	return up.State == site.StateReady && (b.InBackoff == nil || !b.InBackoff(now, up.ID))
+	return up.State == site.StateReady && (b.InBackoff == nil || !b.InBackoff(now, up.ID)) && (b.IsLimited == nil || !b.IsLimited(up.ID))
 }
 
 // similarCostRatio is the ratio of costs within which upstreams are used in rotation.
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"fulmarwick/internal/base/site"
@@ -47,6 +48,10 @@
 	resumedWeight = 6
 )
 
+// ErrRateLimited means that the rate limits of engines leave no room for the request, and
+// that it has a path otherwise.
+var ErrRateLimited = errors.New("path: rate limits of engines leave no room")
+
 // Query asks for a path over the layers [From, To).
 type Query struct {
 	Demand
@@ -57,6 +62,8 @@
 	Avoid func(spec.UpstreamID) bool
 	// CentreBefore and CentreAfter are the data centres before and after the layers.
 	CentreBefore, CentreAfter spec.DataCentre
+	// ignoreLimits means that the rate limits of engines do not matter.
+	ignoreLimits bool
 }
 
 // Choose returns the path over all layers with the lowest predicted cost.
@@ -74,7 +81,12 @@
 	if !t.usable(q.Now, e) || held.To() <= q.From || held.From() >= q.To {
 		return false
 	}
-	return q.Avoid == nil || !q.Avoid(e.upstream.ID)
+	return (q.Avoid == nil || !q.Avoid(e.upstream.ID)) && !t.isLimited(q, e)
+}
+
+// isLimited reports whether the rate limit of an engine keeps it off the path of a query.
+func (t *Table) isLimited(q *Query, e *engine) bool {
+	return t.IsLimited != nil && !q.ignoreLimits && t.IsLimited(e.upstream.ID)
 }
 
 // step is an engine appended to the cheapest path found to the start of its layers.
@@ -135,14 +147,25 @@
 		}
 	}
 	if bestEnd < 0 {
-		if anyLacksMemory {
-			return nil, ErrNoMemory
-		}
-		return nil, ErrNoPath
+		return nil, t.noPathError(q, anyLacksMemory)
 	}
 	return buildChain(state.steps, bestEnd), nil
 }
 
+// noPathError returns why a query has no path.
+func (t *Table) noPathError(q Query, lacksMemory bool) error {
+	if t.IsLimited != nil && !q.ignoreLimits && slices.ContainsFunc(t.engines, func(e *engine) bool { return t.usable(q.Now, e) && t.isLimited(&q, e) }) {
+		q.ignoreLimits = true
+		if _, err := t.Find(q); err == nil {
+			return ErrRateLimited
+		}
+	}
+	if lacksMemory {
+		return ErrNoMemory
+	}
+	return ErrNoPath
+}
+
 // extendPath finds the cheapest way to append e to one of the steps, or to use it as
 // the first engine. lacksMemory is set if e has too little free KV memory, or if the
 // link to it is too busy.
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -65,6 +65,9 @@
 	// InBackoff reports whether an engine asked for backoff; nil means that
 	// none did.
 	InBackoff func(now time.Duration, id spec.UpstreamID) bool
+	// IsLimited reports whether the rate limit of an engine leaves no room for a request at
+	// present; nil means that none has a limit.
+	IsLimited func(id spec.UpstreamID) bool
 
 	engines       []*engine
 	byID          map[spec.UpstreamID]*engine
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -89,6 +89,7 @@
 func (u singleUpstream) AllowRetry(string) bool                                           { return true }
 
 func (u singleUpstream) RecordNotice(string, spec.UpstreamID, site.Notice) {}
+func (u singleUpstream) RecordUnlimited(spec.UpstreamID, time.Time)        {}
 func (u singleUpstream) AcceptsRequests(spec.UpstreamID) bool              { return true }
 func (u singleUpstream) BackoffLeft(string) time.Duration                  { return 0 }
 
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -76,18 +76,25 @@
 // UpstreamNotices records what upstreams say in their answers about later requests.
 type UpstreamNotices interface {
 	RecordNotice(service string, id spec.UpstreamID, n site.Notice)
+	// RecordUnlimited records that an upstream named no rate limit in its answer to a request
+	// that was sent at a time.
+	RecordUnlimited(id spec.UpstreamID, sentAt time.Time)
 	// AcceptsRequests reports whether an upstream may be sent a request now.
 	AcceptsRequests(id spec.UpstreamID) bool
 }
 
 // readResponse reads the status and headers of the response of an upstream to the call and
-// skips responses to other requests. It records the notices in all of them.
-func (c *Call) readResponse(d Dialect, notices UpstreamNotices, conn *client.Conn, from spec.UpstreamID) (resp *http.Response, head site.ResponseHeader, err error) {
+// skips responses to other requests. It records the notices in all of them. The request was sent
+// at sentAt.
+func (c *Call) readResponse(d Dialect, notices UpstreamNotices, conn *client.Conn, from spec.UpstreamID, sentAt time.Time) (resp *http.Response, head site.ResponseHeader, err error) {
 	resp, err = conn.ReadResponse(c.Method, func(resp *http.Response) bool {
 		head = d.ParseResponse(resp.StatusCode, resp.Header)
 		if head.Notice != (site.Notice{}) {
 			notices.RecordNotice(c.Service.Name, from, head.Notice)
 		}
+		if head.Sealed && head.Notice.RateLimit == 0 {
+			notices.RecordUnlimited(from, sentAt)
+		}
 		return head.RequestID == "" || head.RequestID == c.ParsedHeader.ID
 	})
 	return resp, head, err
@@ -111,6 +118,7 @@
 	ReasonReserved                        // room kept for other teams
 	ReasonAttemptsExhausted               // attempts used up
 	ReasonStopping                        // instance stops
+	ReasonRateLimited                     // rate limits of upstreams
 )
 
 // Reply is the final response to a call.
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -83,7 +83,7 @@
 // readResponse reads and forwards the response of a run.
 func (c *modelCall) readResponse(run *Run, conn *client.Conn) error {
 	chain, _ := run.Chain()
-	resp, head, err := c.call.readResponse(c.runner.Dialect, c.runner.Notices, conn, chain[0].Engine())
+	resp, head, err := c.call.readResponse(c.runner.Dialect, c.runner.Notices, conn, chain[0].Engine(), run.Start)
 	if err != nil {
 		conn.Close()
 		return c.classifyBreak(run, conn, err)
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -185,7 +185,7 @@
 func (c *modelCall) run() Reply {
 	for {
 		run, err := c.startRun()
-		if c.hasPartialAnswer() && errors.Is(err, path.ErrNoPath) && feed.Sleep(c.ctx, maxRetryBackoff) {
+		if c.hasPartialAnswer() && (errors.Is(err, path.ErrNoPath) || errors.Is(err, path.ErrRateLimited)) && feed.Sleep(c.ctx, maxRetryBackoff) {
 			continue
 		}
 		if err != nil {
@@ -247,6 +247,8 @@
 		r.Reason = ReasonTimeout
 	case errors.Is(err, path.ErrNoPath):
 		r.Reason = ReasonNoUpstream
+	case errors.Is(err, path.ErrRateLimited):
+		r.Reason = ReasonRateLimited
 	case errors.Is(err, share.ErrReserved):
 		r.Reason = ReasonReserved
 	}
--- a/internal/wire/relay/reason_string.go
+++ b/internal/wire/relay/reason_string.go
@@ -19,11 +19,12 @@
 	_ = x[ReasonReserved-8]
 	_ = x[ReasonAttemptsExhausted-9]
 	_ = x[ReasonStopping-10]
+	_ = x[ReasonRateLimited-11]
 }
 
-const _Reason_name = "answeredno roomno upstreamrefused by upstreamsanswer losttimeoutcaller leftrequest crashes upstreamsroom kept for other teamsattempts used upinstance stops"
+const _Reason_name = "answeredno roomno upstreamrefused by upstreamsanswer losttimeoutcaller leftrequest crashes upstreamsroom kept for other teamsattempts used upinstance stopsrate limits of upstreams"
 
-var _Reason_index = [...]uint8{0, 8, 15, 26, 46, 57, 64, 75, 100, 125, 141, 155}
+var _Reason_index = [...]uint8{0, 8, 15, 26, 46, 57, 64, 75, 100, 125, 141, 155, 179}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/wire/relay/send.go
+++ b/internal/wire/relay/send.go
@@ -57,19 +57,20 @@
 		result.unsent, result.err = true, ctx.Err()
 		return result
 	}
+	sentAt := time.Now()
 	if err := conn.WriteRequest(c.newRequest(p.Dialect, site.ForwardHeader{Expect: up.ID}), c.Deadline); err != nil {
 		conn.Close()
 		result.err = err
 		return result
 	}
-	result.response, result.notRun, result.err = p.readResponse(conn, c, up)
+	result.response, result.notRun, result.err = p.readResponse(conn, c, up, sentAt)
 	return result
 }
 
 // readResponse reads a response. The connection is reused if the response ended
 // properly.
-func (p *PlainRunner) readResponse(conn *client.Conn, c *Call, up site.Upstream) (reply *Reply, notRun bool, err error) {
-	resp, head, err := c.readResponse(p.Dialect, p.Notices, conn, up.ID)
+func (p *PlainRunner) readResponse(conn *client.Conn, c *Call, up site.Upstream, sentAt time.Time) (reply *Reply, notRun bool, err error) {
+	resp, head, err := c.readResponse(p.Dialect, p.Notices, conn, up.ID, sentAt)
 	if err != nil {
 		conn.Close()
 		return nil, false, err
