Crash: count a crash weakly against requests that had delivered events beside others

A request crashes its engine as it begins to run there. A run that had delivered more than its first event on the engine, which ran others as well, is an unlikely cause: such crashes are weak, and it takes six to refuse a request, or three others. Weighed: to ignore such crashes; a request that delivers a few events before each crash would never be found.

--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -194,7 +194,10 @@
 		if t.joined.Uses(up.ID) {
 			since = t.movedAt
 		}
-		r.recordCrash(crash.Event{Fingerprint: run.Fingerprint, Upstream: up.ID, Incarnation: up.Born, RanMs: time.Since(since).Milliseconds()})
+		r.recordCrash(crash.Event{
+			Fingerprint: run.Fingerprint, Upstream: up.ID, Incarnation: up.Born, RanMs: time.Since(since).Milliseconds(),
+			IsWeak: t.deliveredOn(up.ID, run) && svc.model.StreamCount(up.ID) > 1,
+		})
 	}
 }
 
--- a/internal/app/edge/plain.go
+++ b/internal/app/edge/plain.go
@@ -29,15 +29,15 @@
 	svc := r.service(up.Service)
 	svc.plain.RecordOutcome(r.now(), up.ID, took, outcome)
 	if outcome == ewma.OutcomeLost {
-		r.addLostAnswer(up, fingerprint, took)
+		r.addLostAnswer(up, crash.Event{Fingerprint: fingerprint, RanMs: took.Milliseconds()})
 	}
 }
 
 // addLostAnswer remembers a request whose answer from an upstream was lost, or records the
 // crash if the upstream is known to have ended by now; r.mu is held.
-func (r *router) addLostAnswer(up site.Upstream, fingerprint uint64, took time.Duration) {
+func (r *router) addLostAnswer(up site.Upstream, event crash.Event) {
 	svc := r.service(up.Service)
-	event := crash.Event{Fingerprint: fingerprint, Upstream: up.ID, Incarnation: up.Born, RanMs: took.Milliseconds()}
+	event.Upstream, event.Incarnation = up.ID, up.Born
 	if svc.model != nil && svc.model.ListedDead(up.ID) {
 		r.recordCrash(event)
 		return
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -7,6 +7,7 @@
 
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/share"
 	"fulmarwick/internal/wire/relay"
@@ -28,6 +29,17 @@
 	// new on the path then.
 	movedAt time.Time
 	joined  spec.Chain
+	// eventsAtMove is the number of events before the last change of path.
+	eventsAtMove int
+}
+
+// deliveredOn reports whether a run has delivered more than its first event on an engine.
+func (t *runState) deliveredOn(id spec.UpstreamID, run *relay.Run) bool {
+	events := run.EventCount()
+	if t.joined.Uses(id) {
+		events -= t.eventsAtMove
+	}
+	return events > 1
 }
 
 // isNewOn reports whether a run had just begun on an engine of its path when it delivered
@@ -127,7 +139,7 @@
 	t.rereading = nil
 	svc.model.End(t.chain, run.Demand, t.awaitingFirstEvent)
 	if !t.awaitingFirstEvent {
-		t.movedAt, t.joined = time.Now(), stagesNotIn(chain, t.chain)
+		t.movedAt, t.joined, t.eventsAtMove = time.Now(), stagesNotIn(chain, t.chain), run.EventCount()
 		t.rereading = t.joined
 	}
 	t.chain = chain
@@ -185,7 +197,8 @@
 		return
 	}
 	if up, ok := svc.model.Upstream(chain[0].Engine()); ok {
-		r.addLostAnswer(up, run.Fingerprint, time.Since(run.Start))
+		weak := run.EventCount() > 1 && svc.model.StreamCount(up.ID) > 1
+		r.addLostAnswer(up, crash.Event{Fingerprint: run.Fingerprint, RanMs: time.Since(run.Start).Milliseconds(), IsWeak: weak})
 	}
 }
 
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -8,6 +8,8 @@
 // counts as the culprit after the third upstream, and a completed answer clears it.
 // Many callers may send the same request at once, and engines may crash together for
 // other reasons. So of crashes that come together under runs that overlap, one counts.
+// Requests crash upstreams as they begin to run, so a crash is weak evidence against one
+// that had delivered a part of its answer beside others.
 package crash
 
 import (
@@ -25,6 +27,8 @@
 	// more. Streams that share an engine with a culprit are affected by two crashes now
 	// and then.
 	culpritCrashes = 3
+	// maxCrashes is the same if weak ones count as well.
+	maxCrashes = 6
 	// incidentWindow is how close to each other crashes come that have one cause, such as
 	// a rack without power. It covers what their detection and the reports of other
 	// instances differ by.
@@ -71,6 +75,9 @@
 	// IsVerdict means that the request is known to crash upstreams, the last one AgeMs ago.
 	// Upstream, Incarnation and RanMs are not set then.
 	IsVerdict bool `cbor:"6,keyasint,omitempty"`
+	// IsWeak means that the request is an unlikely cause: it had delivered a part of its
+	// answer on the upstream, which ran others as well.
+	IsWeak bool `cbor:"7,keyasint,omitempty"`
 }
 
 // endedRun is a run that a crash ended.
@@ -78,11 +85,12 @@
 	upstream       spec.UpstreamID
 	incarnation    int64
 	started, ended time.Duration
+	weak           bool
 }
 
 func newEndedRun(now time.Duration, e Event) endedRun {
 	ended := now - time.Duration(e.AgeMs)*time.Millisecond
-	return endedRun{upstream: e.Upstream, incarnation: e.Incarnation, started: ended - time.Duration(e.RanMs)*time.Millisecond, ended: ended}
+	return endedRun{upstream: e.Upstream, incarnation: e.Incarnation, started: ended - time.Duration(e.RanMs)*time.Millisecond, ended: ended, weak: e.IsWeak}
 }
 
 // sharesCause reports whether the ends of two runs may have one cause: the same process
@@ -124,10 +132,13 @@
 		}
 		return !known
 	}
-	if slices.ContainsFunc(s.crashes, run.sharesCause) {
-		return false
+	if i := slices.IndexFunc(s.crashes, run.sharesCause); i >= 0 {
+		if run.weak || !s.crashes[i].weak {
+			return false
+		}
+		s.crashes = slices.Delete(slices.Clone(s.crashes), i, i+1)
 	}
-	if len(s.crashes) < culpritCrashes {
+	if len(s.crashes) < maxCrashes {
 		s.crashes = append(slices.Clip(s.crashes), run)
 	}
 	s.lastCrash = max(s.lastCrash, run.ended)
@@ -159,7 +170,20 @@
 	return suspectTTL
 }
 
-func (s suspect) isCulprit() bool { return s.convicted || len(s.crashes) >= culpritCrashes }
+func (s suspect) isCulprit() bool {
+	return s.convicted || s.strongCrashes() >= culpritCrashes || len(s.crashes) >= maxCrashes
+}
+
+// strongCrashes returns the number of crashes that are not weak.
+func (s suspect) strongCrashes() int {
+	n := 0
+	for _, run := range s.crashes {
+		if !run.weak {
+			n++
+		}
+	}
+	return n
+}
 
 // evictOldest drops half of the suspects, the oldest ones. Culprits stay longest.
 func (t *Tracker) evictOldest() {
@@ -194,7 +218,7 @@
 // Clear drops a suspect whose request an upstream completed.
 func (t *Tracker) Clear(fingerprint uint64) { delete(t.suspects, fingerprint) }
 
-// Count returns how many crashes count against a request.
+// Count returns how many crashes count against a request, weak ones included.
 func (t *Tracker) Count(now time.Duration, fingerprint uint64) int {
 	return len(t.unexpired(now, fingerprint).crashes)
 }
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -81,6 +81,15 @@
 	centreCount int
 }
 
+// StreamCount returns how many requests use an engine, of all instances.
+func (t *Table) StreamCount(id spec.UpstreamID) int {
+	e := t.byID[id]
+	if e == nil {
+		return 0
+	}
+	return e.usage().Streams
+}
+
 // Sync sets the list of engines. The state of engines that stay is kept. An engine
 // with the same ID but another start time or address counts as a new engine.
 func (t *Table) Sync(upstreams []site.Upstream) {
