--- a/internal/route/crash/crash_test.go
+++ b/internal/route/crash/crash_test.go
@@ -110,6 +110,39 @@
 	}
 }
 
+// A request that runs beside a culprit, and delivers its answer until its engine crashes, must
+// not be refused with it. One that crashes engines after a few events must be found all the same.
+func TestWeakCrashesCountHalf(t *testing.T) {
+	tracker := &crash.Tracker{}
+	for k := range 6 {
+		if tracker.IsCulprit(time.Duration(k)*time.Second, 1) {
+			t.Errorf("got a culprit after %d weak crashes, want 6", k)
+		}
+		event := crashEvent(1, k)
+		event.IsWeak = true
+		tracker.Record(time.Duration(k)*time.Second, event)
+	}
+	if !tracker.IsCulprit(6*time.Second, 1) {
+		t.Error("got no culprit after six weak crashes, want one")
+	}
+}
+
+// Two instances may see the same crash with different evidence. The stronger one must count.
+func TestStrongerEvidenceReplacesWeak(t *testing.T) {
+	tracker := &crash.Tracker{}
+	for k := range 3 {
+		event := crashEvent(1, k)
+		event.IsWeak = true
+		at := time.Duration(k) * time.Second
+		if !tracker.Record(at, event) || !tracker.Record(at, crashEvent(1, k)) || tracker.Record(at, event) {
+			t.Errorf("got crash %d not counted weak, then strong, then not again", k)
+		}
+	}
+	if !tracker.IsCulprit(4*time.Second, 1) || tracker.Count(4*time.Second, 1) != 3 {
+		t.Errorf("got %d crashes that count, want three that make a culprit", tracker.Count(4*time.Second, 1))
+	}
+}
+
 // An instance that starts must learn what the others know, as long as it holds.
 func TestVerdictsAreTakenOver(t *testing.T) {
 	known, started := &crash.Tracker{}, &crash.Tracker{}
