Crash: report a verdict where the request was sent, and count strong evidence once

Now each instance that sent the request when an upstream crashed reports and stores the verdict, whoever saw the last crash. TestVerdictIsOfInstancesThatSentTheRequest, TestStrongEvidenceCountsOnce.

--- a/internal/app/edge/crash.go
+++ b/internal/app/edge/crash.go
@@ -8,17 +8,12 @@
 	"go.uber.org/zap"
 )
 
-// recordCrash records a crash against the request that the upstream ran, and keeps it for
-// the other instances if it is new, with the verdict that follows from it; r.mu is held.
+// recordCrash records a crash against the request that the upstream ran for this instance, and
+// keeps it for the other instances if it is new; r.mu is held.
 func (r *router) recordCrash(c crash.Event) {
-	known := r.crashBook.IsCulprit(r.now(), c.Fingerprint)
-	if !r.applyCrash(c) {
-		return
-	}
-	r.unreportedCrashes = append(r.unreportedCrashes, c)
-	if !known && r.crashBook.IsCulprit(r.now(), c.Fingerprint) {
-		r.unreportedCrashes = append(r.unreportedCrashes, crash.Event{Fingerprint: c.Fingerprint, IsVerdict: true})
-		r.onVerdict(c.Fingerprint)
+	c.Own = true
+	if r.applyCrash(c) {
+		r.unreportedCrashes = append(r.unreportedCrashes, c)
 	}
 }
 
@@ -30,10 +25,16 @@
 	r.verdictsDue = true
 }
 
-// applyCrash records a crash and reports whether it counts; r.mu is held.
+// applyCrash records a crash and reports whether it counts. A verdict that follows from it is
+// reported by the instances that sent the request; r.mu is held.
 func (r *router) applyCrash(c crash.Event) bool {
+	known := r.crashBook.IsCulprit(r.now(), c.Fingerprint)
 	counted := r.crashBook.Record(r.now(), c)
 	r.onCrash(c, counted, r.crashBook.Count(r.now(), c.Fingerprint))
+	if !known && !c.IsVerdict && r.crashBook.IsOwnCulprit(r.now(), c.Fingerprint) {
+		r.unreportedCrashes = append(r.unreportedCrashes, crash.Event{Fingerprint: c.Fingerprint, IsVerdict: true})
+		r.onVerdict(c.Fingerprint)
+	}
 	return counted
 }
 
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -68,7 +68,7 @@
 	// onCrash is called for each crash of an upstream under a request, with whether it
 	// counts and how many count now.
 	onCrash func(c crash.Event, counted bool, crashes int)
-	// onVerdict is called for each request that this instance found to crash upstreams.
+	// onVerdict is called for each request of this instance that is found to crash upstreams.
 	onVerdict func(fingerprint uint64)
 	// isDead probes a suspect engine again and reports whether it is dead.
 	isDead func(context.Context, site.Upstream) bool
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -37,7 +37,7 @@
 	// are found dead within it, some of them by requests that were sent on meanwhile.
 	minCrashGap = 100 * time.Millisecond
 	// overlapTolerance is how long two runs may seem to overlap of which one began as the
-	// other ended: an instance receives the report of a crash later than it happens.
+	// other ended: reports are in whole milliseconds.
 	overlapTolerance = 5 * time.Millisecond
 	// suspectTTL is how long a crash counts against a request.
 	suspectTTL = time.Minute
@@ -78,6 +78,8 @@
 	// IsWeak means that the request is an unlikely cause: it had delivered a part of its
 	// answer on the upstream, which ran others as well.
 	IsWeak bool `cbor:"7,keyasint,omitempty"`
+	// Own means that this instance sent the request.
+	Own bool `cbor:"-"`
 }
 
 // endedRun is a run that a crash ended.
@@ -109,6 +111,8 @@
 	lastCrash time.Duration
 	// convicted means that a verdict was recorded.
 	convicted bool
+	// own means that this instance sent the request when an upstream crashed.
+	own bool
 }
 
 // Tracker records suspects. It is not safe for concurrent use.
@@ -132,14 +136,14 @@
 		}
 		return !known
 	}
-	if i := slices.IndexFunc(s.crashes, run.sharesCause); i >= 0 {
-		if run.weak || !s.crashes[i].weak {
-			return false
-		}
-		s.crashes = slices.Delete(slices.Clone(s.crashes), i, i+1)
+	s.own = s.own || e.Own
+	if slices.ContainsFunc(s.crashes, func(o endedRun) bool { return run.sharesCause(o) && (run.weak || !o.weak) }) {
+		t.store(e.Fingerprint, s)
+		return false
 	}
+	s.crashes = slices.DeleteFunc(slices.Clone(s.crashes), run.sharesCause)
 	if len(s.crashes) < maxCrashes {
-		s.crashes = append(slices.Clip(s.crashes), run)
+		s.crashes = append(s.crashes, run)
 	}
 	s.lastCrash = max(s.lastCrash, run.ended)
 	t.store(e.Fingerprint, s)
@@ -223,6 +227,13 @@
 	return len(t.unexpired(now, fingerprint).crashes)
 }
 
+// IsOwnCulprit reports whether a request must not be sent any more, and this instance sent it
+// when one of the upstreams crashed.
+func (t *Tracker) IsOwnCulprit(now time.Duration, fingerprint uint64) bool {
+	s := t.unexpired(now, fingerprint)
+	return s.own && s.isCulprit()
+}
+
 // IsCulprit reports whether a request must not be sent any more.
 func (t *Tracker) IsCulprit(now time.Duration, fingerprint uint64) bool {
 	return t.unexpired(now, fingerprint).isCulprit()
--- a/internal/route/crash/crash_test.go
+++ b/internal/route/crash/crash_test.go
@@ -143,6 +143,33 @@
 	}
 }
 
+// Each instance sees the crash under its own copy first, and hears of the others later. One
+// that sent the request must know that it is a verdict to report; one that did not need not.
+func TestVerdictIsOfInstancesThatSentTheRequest(t *testing.T) {
+	sender, other := &crash.Tracker{}, &crash.Tracker{}
+	for k := range 3 {
+		event, at := crashEvent(1, k), time.Duration(k)*time.Second
+		other.Record(at, event)
+		event.Own = k == 0
+		sender.Record(at, event)
+	}
+	if !sender.IsOwnCulprit(4*time.Second, 1) || other.IsOwnCulprit(4*time.Second, 1) || !other.IsCulprit(4*time.Second, 1) {
+		t.Error("got no own culprit at the sender or one elsewhere, want it a culprit at both and own at the sender")
+	}
+}
+
+// A crash with strong evidence that shares its cause with a weak and a strong one is no new one.
+func TestStrongEvidenceCountsOnce(t *testing.T) {
+	tracker := &crash.Tracker{}
+	weak := crashEvent(1, 0)
+	weak.IsWeak = true
+	tracker.Record(0, weak)
+	tracker.Record(150*time.Millisecond, crashEvent(1, 1))
+	if tracker.Record(80*time.Millisecond, crashEvent(1, 2)) || tracker.Count(time.Second, 1) != 2 {
+		t.Errorf("got %d crashes that count, want 2", tracker.Count(time.Second, 1))
+	}
+}
+
 // An instance that starts must learn what the others know, as long as it holds.
 func TestVerdictsAreTakenOver(t *testing.T) {
 	known, started := &crash.Tracker{}, &crash.Tracker{}
