Edge: refuse waiting requests at once when rate limits leave no room

Read as a newcomer: a request that waits for memory, and finds at a later search that only rate limits are in its way, waited until its target time was over; one that found this at once was refused. Both are refused at once now. Not shown by a test of its own: in the stand-in a limit keeps memory free, so that nothing waits. The limits are asked for each engine of each search: where nothing is known of any, the clock is not read.

--- a/internal/app/edge/limit.go
+++ b/internal/app/edge/limit.go
@@ -12,7 +12,9 @@
 
 // isLimited reports whether the rate limit of an upstream leaves no room for a request; r.mu
 // is held.
-func (r *router) isLimited(id spec.UpstreamID) bool { return r.limits.Wait(time.Now(), id) > 0 }
+func (r *router) isLimited(id spec.UpstreamID) bool {
+	return !r.limits.IsEmpty() && r.limits.Wait(time.Now(), id) > 0
+}
 
 // takeStages counts a run on the stages of its path that are new to it in the rate limits of
 // their engines; r.mu is held.
--- a/internal/app/edge/queue.go
+++ b/internal/app/edge/queue.go
@@ -43,6 +43,12 @@
 // hasPartialAnswer reports whether the caller has a part of the answer.
 func (w *waiter) hasPartialAnswer() bool { return w.options.Kind == relay.RunResume }
 
+// isRateLimited reports whether rate limits left no room at the last search, so that the request
+// is refused instead of waiting. One whose caller has a part of the answer waits.
+func (w *waiter) isRateLimited() bool {
+	return errors.Is(w.lastErr, path.ErrRateLimited) && !w.hasPartialAnswer()
+}
+
 // admission is the outcome of waiting: a run or an error.
 type admission struct {
 	run *relay.Run
@@ -90,7 +96,7 @@
 			return nil, nil, run, nil
 		}
 	}
-	if errors.Is(w.lastErr, path.ErrRateLimited) && !w.hasPartialAnswer() {
+	if w.isRateLimited() {
 		return nil, nil, nil, w.lastErr
 	}
 	t := &queue.Ticket{Team: c.Team, Urgency: c.Urgency, Deadline: r.waitDeadline(svc, c, o.Kind, w.lastErr), Begun: w.hasPartialAnswer()}
@@ -144,6 +150,9 @@
 			svc.resolve(t, admission{run: run})
 			continue
 		}
+		if w.isRateLimited() {
+			svc.resolve(t, admission{err: w.lastErr})
+		}
 		if failed++; failed == maxAdmitTries {
 			break
 		}
--- a/internal/route/limit/limit.go
+++ b/internal/route/limit/limit.go
@@ -59,6 +59,9 @@
 	upstreams map[spec.UpstreamID]*limited
 }
 
+// IsEmpty reports whether nothing is known of any upstream.
+func (l *Limiter) IsEmpty() bool { return len(l.upstreams) == 0 }
+
 // Record records what an upstream said, unless something newer is known. It returns true if
 // the limit changes.
 func (l *Limiter) Record(now time.Time, id spec.UpstreamID, s Statement) bool {
