Daemon: a test of the status waits until all engines are connected

Traced: a request is answered by the engines of one path, while others still connect, and the status was read at once.

--- a/internal/app/daemon/daemon_test.go
+++ b/internal/app/daemon/daemon_test.go
@@ -159,6 +159,9 @@
 	}
 }
 
+// connectTimeout is how long instances may take to connect to all engines.
+const connectTimeout = 5 * time.Second
+
 // After a served request, the status and the metrics of an instance must
 // contain the classes with their targets and every engine.
 func TestOperatorsSeeTargetsAndEngines(t *testing.T) {
@@ -166,6 +169,11 @@
 	answer(t, base, `{"model":"levy-13b","max_tokens":3,"messages":[{"role":"user","content":"x"}]}`)
 	c := &admin.Client{Base: operators, HTTP: http.DefaultClient}
 	got, err := c.Status(t.Context())
+	// The request is answered by the engines of one path, while others may still be connecting.
+	for deadline := time.Now().Add(connectTimeout); err == nil && len(got.Engines) < 6 && time.Now().Before(deadline); {
+		pause(t.Context())
+		got, err = c.Status(t.Context())
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
