Edge: count calls to engines against rate limits in one place, one loop for waits

Four callers of the engine client each counted its calls by hand, so that a new one could forget it. The client calls a hook before each call, beside the one for notices; where nothing is known of any limit no engine is looked up. limitWait repeated the loop of notice.Book.BackoffLeft, which now takes a further wait by upstream. One difference: an upstream that asked for backoff and has a limit without room counts with the longer of both waits, not with that of its limit. The clock is read once for the stages of a path.

TestBackoffLeft passes nil for the new argument; its assertions are unchanged.

--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -255,7 +255,6 @@
 func (w *watcher) repath(ctx context.Context, change pathChange, dead bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, repathTimeout+w.connectQueueTime())
 	defer cancel()
-	w.router.takeCall(change.newChain[0].Engine())
 	err := w.engines.Repath(ctx, change.firstAddress, site.Repath{Engine: change.newChain[0].Engine(), Request: change.run.Request, Path: change.hops})
 	if err == nil {
 		w.router.confirmPath(change)
--- a/internal/app/edge/limit.go
+++ b/internal/app/edge/limit.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/limit"
 
@@ -19,16 +18,23 @@
 // takeStages counts a run on the stages of its path that are new to it in the rate limits of
 // their engines; r.mu is held.
 func (r *router) takeStages(stages spec.Chain) {
+	now := time.Now()
 	for _, stage := range stages {
-		r.limits.Take(time.Now(), stage.Engine())
+		r.limits.Take(now, stage.Engine())
 	}
 }
 
-// takeCall counts a call to an engine that is no request of a caller in its rate limit.
-func (r *router) takeCall(id spec.UpstreamID) {
+// takeCallAt counts a call to the engine at an address that is no request of a caller in its
+// rate limit.
+func (r *router) takeCallAt(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.limits.Take(time.Now(), id)
+	if r.limits.IsEmpty() {
+		return
+	}
+	if up, ok := r.findEngineAt(address); ok {
+		r.limits.Take(time.Now(), up.ID)
+	}
 }
 
 // mayCall reports whether an engine may be called without need: it neither asked for backoff
@@ -73,20 +79,6 @@
 	}
 }
 
-// limitWait returns how long it takes until the rate limit of one of some upstreams leaves
-// room, and the upstreams that leave room now.
-func (r *router) limitWait(ups []site.Upstream) (wait time.Duration, open []site.Upstream) {
-	for _, up := range ups {
-		switch w := r.limits.Wait(time.Now(), up.ID); {
-		case w == 0:
-			open = append(open, up)
-		case up.State == site.StateReady && (wait == 0 || w < wait):
-			wait = w
-		}
-	}
-	return wait, open
-}
-
 // logRateLimit counts and logs a change of the rate limit of an upstream.
 func (i *Instance) logRateLimit(id spec.UpstreamID, perSecond float64) {
 	i.meters.GetOrCreateCounter(`fulmarwick_notices_total{kind="rate limit"}`).Inc()
--- a/internal/app/edge/notice.go
+++ b/internal/app/edge/notice.go
@@ -38,6 +38,11 @@
 func (r *router) engineAt(address string) (site.Upstream, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.findEngineAt(address)
+}
+
+// findEngineAt is engineAt with r.mu held.
+func (r *router) findEngineAt(address string) (site.Upstream, bool) {
 	for _, svc := range r.services {
 		if svc.model == nil {
 			continue
@@ -61,15 +66,9 @@
 func (r *router) BackoffLeft(service string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	wait, open := r.limitWait(r.service(service).upstreams)
-	left := r.notices.BackoffLeft(r.now(), open)
-	switch {
-	case len(open) == 0:
-		return wait
-	case wait == 0 || left < wait:
-		return left
-	}
-	return wait
+	now := time.Now()
+	limitWait := func(id spec.UpstreamID) time.Duration { return r.limits.Wait(now, id) }
+	return r.notices.BackoffLeft(r.now(), r.service(service).upstreams, limitWait)
 }
 
 // applyNotices returns the list of upstreams with those marked as draining that said in an
--- a/internal/app/edge/order.go
+++ b/internal/app/edge/order.go
@@ -106,7 +106,6 @@
 // engine accepts only in this state. An order that arrives late, or an order of another
 // planner, then has no effect.
 func (p *planner) sendOrder(ctx context.Context, up site.Upstream, o layout.Order, fence uint64) (expect int, err error) {
-	p.router.takeCall(up.ID)
 	report, err := p.engines.Report(ctx, up.Address)
 	switch {
 	case err != nil:
@@ -116,6 +115,5 @@
 	case report.Held.Layers != up.Held.Layers:
 		return report.OrdersAccepted, errLayersDiffer
 	}
-	p.router.takeCall(up.ID)
 	return report.OrdersAccepted, p.engines.Order(ctx, up.Address, site.Order{Engine: up.ID, Layers: o.Layers, FencingToken: fence, ExpectedOrders: report.OrdersAccepted})
 }
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -36,7 +36,7 @@
 	i.store = &platform.Store{BaseURL: s.Platform.Table, HTTP: newHTTP(i.Dial, dialTimeout), UserAgent: s.Instance.Name, OnCall: i.countStoreCall}
 	// The timeouts of report requests count only the time in which this process ran;
 	// dialing must not time out sooner.
-	calls := &platform.EngineClient{HTTP: newHTTP(i.Dial, maxProbeWallTime), OnNotice: i.router.recordNoticeAt}
+	calls := &platform.EngineClient{HTTP: newHTTP(i.Dial, maxProbeWallTime), OnNotice: i.router.recordNoticeAt, OnCall: i.router.takeCallAt}
 	owner := uuid.NewString()
 	i.lease = &lease.Lease{Table: i.store, Duty: planLeaseName, Owner: owner, Duration: leaseDuration, Margin: leaseMargin, Meters: i.meters}
 	i.watcher = newWatcher(i.router, calls, i.Log)
--- a/internal/app/edge/probe.go
+++ b/internal/app/edge/probe.go
@@ -127,7 +127,6 @@
 	ctx, cancel := w.withRunningTimeout(ctx, limit)
 	defer cancel()
 	w.countProbe()
-	w.router.takeCall(up.ID)
 	r, err = w.engines.Report(ctx, up.Address)
 	return r, errors.Is(context.Cause(ctx), errNoAnswer), err
 }
--- a/internal/route/notice/notice.go
+++ b/internal/route/notice/notice.go
@@ -66,11 +66,16 @@
 }
 
 // BackoffLeft returns how long it takes until the first of some upstreams accepts requests
-// again; zero if one accepts them now or none will.
-func (b *Book) BackoffLeft(now time.Duration, ups []site.Upstream) time.Duration {
+// again; zero if one accepts them now or none will. otherWait returns how long an upstream
+// accepts none for another reason; nil means that there is none.
+func (b *Book) BackoffLeft(now time.Duration, ups []site.Upstream, otherWait func(spec.UpstreamID) time.Duration) time.Duration {
 	left := time.Duration(0)
 	for _, up := range ups {
-		switch wait := b.backoffUntil[up.ID] - now; {
+		wait := b.backoffUntil[up.ID] - now
+		if otherWait != nil {
+			wait = max(wait, otherWait(up.ID))
+		}
+		switch {
 		case up.State != site.StateReady:
 		case wait <= 0:
 			return 0
--- a/internal/route/notice/notice_test.go
+++ b/internal/route/notice/notice_test.go
@@ -83,7 +83,7 @@
 		{"one accepts requests", []site.Upstream{upstream("a", 1), upstream("c", 1)}, 0},
 	}
 	for _, test := range tests {
-		if got := b.BackoffLeft(second, test.list); got != test.want {
+		if got := b.BackoffLeft(second, test.list, nil); got != test.want {
 			t.Errorf("%s: got %s, want %s", test.name, got, test.want)
 		}
 	}
