Edge: one constant for the age of a verdict and one for the delay after a failed store call

The ten minutes stood in route/crash and in app/edge, and could have come apart; the delay of the roster and of the table of culprits was the same twice. The comment on incidentWindow gives its reason only.

--- a/internal/app/edge/culprit.go
+++ b/internal/app/edge/culprit.go
@@ -20,12 +20,8 @@
 	// upstreams, under its fingerprint. Instances read it when they start: if all start at
 	// once, no other one can tell them.
 	culpritTableName = "culprits"
-	// culpritRetryDelay is the delay after a failed call.
-	culpritRetryDelay = 400 * time.Millisecond
 	// maxPendingCulprits is how many rows may wait to be written.
 	maxPendingCulprits = 64
-	// maxCulpritAge is the age from which a row is removed by the instance that reads it.
-	maxCulpritAge = 10 * time.Minute
 	// maxCulpritRemovals is how many rows are removed at once: a call to the store changes
 	// a hundred at most.
 	maxCulpritRemovals = 100
@@ -82,7 +78,7 @@
 			return
 		}
 		c.log.Info("edge: cannot "+what, zap.Error(err))
-		feed.Sleep(ctx, culpritRetryDelay)
+		feed.Sleep(ctx, storeRetryDelay)
 	}
 }
 
@@ -99,7 +95,7 @@
 			c.log.Warn("edge: malformed row skipped", zap.String("table", culpritTableName), zap.String("row", r.Key), zap.Error(err))
 			continue
 		}
-		if time.Duration(event.AgeMs)*time.Millisecond > maxCulpritAge {
+		if time.Duration(event.AgeMs)*time.Millisecond > crash.CulpritTTL {
 			if len(expired) < maxCulpritRemovals {
 				expired = append(expired, store.Remove(culpritKey(event.Fingerprint), r.Version))
 			}
--- a/internal/app/edge/roster.go
+++ b/internal/app/edge/roster.go
@@ -20,8 +20,8 @@
 	// rosterInterval is the interval between two reads of the roster while no other
 	// instance is connected.
 	rosterInterval = 5 * time.Second
-	// rosterRetryDelay is the delay after a failed call.
-	rosterRetryDelay = 400 * time.Millisecond
+	// storeRetryDelay is the delay after a failed call to the store.
+	storeRetryDelay = 400 * time.Millisecond
 )
 
 // rosterRow holds the address of an instance for other instances.
@@ -39,7 +39,7 @@
 		delay := rosterInterval
 		if err != nil {
 			m.log.Info("edge: cannot sync roster", zap.Error(err))
-			delay = rosterRetryDelay
+			delay = storeRetryDelay
 		}
 		if !feed.Sleep(ctx, delay) {
 			break
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -30,8 +30,8 @@
 	// maxCrashes is the same if weak ones count as well.
 	maxCrashes = 6
 	// incidentWindow is how close to each other crashes come that have one cause, such as
-	// a rack without power. It covers what their detection and the reports of other
-	// instances differ by.
+	// a rack without power: they are found, and reported by other instances, one after the
+	// other.
 	incidentWindow = 500 * time.Millisecond
 	// minCrashGap is the same for runs that do not overlap. Engines that crash at one moment
 	// are found dead within it, some of them by requests that were sent on meanwhile.
@@ -41,9 +41,9 @@
 	overlapTolerance = 5 * time.Millisecond
 	// suspectTTL is how long a crash counts against a request.
 	suspectTTL = time.Minute
-	// culpritTTL is how long a culprit stays one. Each new verdict costs three engines, and
+	// CulpritTTL is how long a culprit stays one. Each new verdict costs three engines, and
 	// what callers send again and again they send for a while.
-	culpritTTL = 10 * time.Minute
+	CulpritTTL = 10 * time.Minute
 	// maxSuspects is the maximum number of suspects in memory.
 	maxSuspects = 4096
 )
@@ -169,7 +169,7 @@
 // ttl returns how long after the last crash a suspect is kept.
 func (s suspect) ttl() time.Duration {
 	if s.isCulprit() {
-		return culpritTTL
+		return CulpritTTL
 	}
 	return suspectTTL
 }
