Edge: failing test of upstreams that crash together under one request

Copies of a request go through four instances, one of which may restart after each wave, and crash all upstreams of the plain service at once, six times, 5 s apart.

--- a/internal/app/edge/crash_test.go
+++ b/internal/app/edge/crash_test.go
@@ -207,3 +207,50 @@
 		f.checkCrashes(p, maxCrashes)
 	})
 }
+
+// waveClasses are the kinds of requests that crash upstreams in the tests of waves.
+var waveClasses = map[string]struct{ method, path, tokens string }{
+	"safe":   {http.MethodGet, "/look/poison", ""},
+	"unsafe": {http.MethodPost, "/book/poison", ""},
+	"stream": {http.MethodPost, "/write/poison", "300,600"},
+}
+
+// Guards against upstreams that crash together counting as one: copies of a request through
+// all instances crash all upstreams of a service at once, again and again, while instances
+// restart. The site fails if more than three late retries reach upstreams.
+func TestUpstreamsThatCrashTogetherCountEach(t *testing.T) {
+	for name, class := range waveClasses {
+		for _, restart := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/restart=%t", name, restart), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f, processes := newProcessFixture(t, 4)
+					defer f.close()
+					p := &stand.Poison{Path: class.path, Delay: 20 * time.Millisecond, Together: 300 * time.Millisecond}
+					f.site.AddPoison(p)
+					for wave := range 6 {
+						f.sendWave(class.method, class.path, class.tokens, wave)
+						if restart {
+							processes[wave%len(processes)].end()
+							processes[wave%len(processes)].start()
+						}
+						time.Sleep(4 * time.Second)
+					}
+					f.checkCrashes(p, 0)
+					for _, process := range processes {
+						process.end()
+					}
+				})
+			})
+		}
+	}
+}
+
+// sendWave sends copies of a request through all instances for a second.
+func (f *fixture) sendWave(method, path, tokens string, wave int) {
+	var callers sync.WaitGroup
+	for n := range 40 {
+		callers.Go(func() { f.request(n%len(f.clients), method, path, fmt.Sprintf("wave%d-%d", wave, n), tokens) })
+		time.Sleep(25 * time.Millisecond)
+	}
+	callers.Wait()
+}
