Crash: quarantine a request once three upstreams ended under it, whatever the cause

Cause: the bound is on upstreams that end, and the tracker counted causes. Of crashes within half a second under overlapping copies one counts, so a service of three upstreams that crash together gives one crash a wave, and its request is held to be harmless until the third wave. Ruled out: news lost or late between instances (all four had the same count 4 ms after the wave), late attribution (all three crashes recorded within 0.12 s).

Fix: two numbers instead of one. All upstreams that ended are kept, one run each, and reported to the others even if they share a cause. Three of them (six with weak evidence) quarantine the request: all instances together send it on trial, one run at a time, three in all, each granted by a conditional write of its row in the store, so that the bound holds for instances that start, join or are cut off. A trial that completes frees the request everywhere; one that crashes its upstream has no other explanation and makes it a culprit at once. The count of causes decides as before on culprits. The check is made at the moment of each send: first, retry, hedge, resumed, after the queue.

With it two more gaps of the same class close: a failed answer of an upstream (500) no longer clears a suspect, and a completed run clears only the crashes before it began.

TestRequestIsServedAfterUpstreamsEndTogether shows that a request that crashes nothing is served again at once. TestStrongEvidenceCountsOnce asserted that a crash with a known cause is no news: it is news now, as an upstream more has ended, so the test checks the count of causes as before and the count of ended upstreams besides.

--- a/internal/app/edge/crash.go
+++ b/internal/app/edge/crash.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"context"
 	"strconv"
+	"time"
 
 	"fulmarwick/internal/route/crash"
 
@@ -9,7 +11,7 @@
 )
 
 // recordCrash records a crash against the request that the upstream ran for this instance, and
-// keeps it for the other instances if it is new; r.mu is held.
+// keeps it for the other instances if it is news; r.mu is held.
 func (r *router) recordCrash(c crash.Event) {
 	c.Own = true
 	if r.applyCrash(c) {
@@ -17,25 +19,29 @@
 	}
 }
 
-// reportVerdicts keeps all verdicts for the other instances: one of them has joined, and may
-// have been started or cut off when they were reported.
-func (r *router) reportVerdicts() {
+// reportRestrictions keeps what is known of suspects for the other instances: one of them has
+// joined, and may have been started or cut off when it was reported.
+func (r *router) reportRestrictions() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.verdictsDue = true
+	r.restrictionsDue = true
 }
 
-// applyCrash records a crash and reports whether it counts. A verdict that follows from it is
-// reported by the instances that sent the request; r.mu is held.
+// applyCrash records an event and reports whether it is news. A restriction that follows from a
+// crash is reported by the instances that sent the request; r.mu is held.
 func (r *router) applyCrash(c crash.Event) bool {
-	known := r.crashBook.IsCulprit(r.now(), c.Fingerprint)
-	counted := r.crashBook.Record(r.now(), c)
-	r.onCrash(c, counted, r.crashBook.Count(r.now(), c.Fingerprint))
-	if !known && !c.IsVerdict && r.crashBook.IsOwnCulprit(r.now(), c.Fingerprint) {
-		r.unreportedCrashes = append(r.unreportedCrashes, crash.Event{Fingerprint: c.Fingerprint, IsVerdict: true})
-		r.onVerdict(c.Fingerprint)
+	now := r.now()
+	before := r.crashBook.Standing(now, c.Fingerprint)
+	news := r.crashBook.Record(now, c)
+	after := r.crashBook.Standing(now, c.Fingerprint)
+	r.onCrash(c, crashCount{
+		isNews: news, ended: r.crashBook.EndedCount(now, c.Fingerprint), causes: r.crashBook.Count(now, c.Fingerprint), standing: after,
+	})
+	if after > before && c.Kind == crash.EventCrash && r.crashBook.IsOwn(now, c.Fingerprint) {
+		r.unreportedCrashes = append(r.unreportedCrashes, r.crashBook.Restriction(now, c.Fingerprint))
+		r.onRestriction(c.Fingerprint, after)
 	}
-	return counted
+	return news
 }
 
 // hasUnreportedCrashes reports whether crashes were recorded since the last takeCrashes.
@@ -51,14 +57,14 @@
 	defer r.mu.Unlock()
 	out := r.unreportedCrashes
 	r.unreportedCrashes = nil
-	if r.verdictsDue {
-		r.verdictsDue = false
-		out = append(out, r.crashBook.Verdicts(r.now())...)
+	if r.restrictionsDue {
+		r.restrictionsDue = false
+		out = append(out, r.crashBook.Known(r.now())...)
 	}
 	return out
 }
 
-// applyPeerCrashes records crashes that another instance reported.
+// applyPeerCrashes records events that another instance reported.
 func (r *router) applyPeerCrashes(crashes []crash.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -74,20 +80,56 @@
 	return r.crashBook.IsCulprit(r.now(), fingerprint)
 }
 
-// Clear removes the suspicion from a request that was answered.
-func (r *router) Clear(fingerprint uint64) {
+// AllowSend returns why a request must not be sent now, or nil. For a quarantined request it
+// asks for a trial.
+func (r *router) AllowSend(ctx context.Context, fingerprint uint64) error {
+	if needsTrial, err := r.checkSend(fingerprint); !needsTrial {
+		return err
+	}
+	granted := r.takeTrial(ctx, fingerprint)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crashBook.Clear(fingerprint)
+	if granted {
+		r.crashBook.GrantTrial(r.now(), fingerprint)
+	}
+	return r.crashBook.Check(r.now(), fingerprint)
+}
+
+func (r *router) checkSend(fingerprint uint64) (needsTrial bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashBook.NeedsTrial(r.now(), fingerprint), r.crashBook.Check(r.now(), fingerprint)
+}
+
+// Clear removes the suspicion from a request that was answered by a run that began at a time.
+// If it was restricted, the other instances learn of it.
+func (r *router) Clear(fingerprint uint64, began time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	age := time.Since(began)
+	if r.crashBook.Clear(r.now(), fingerprint, r.now()-age) {
+		r.unreportedCrashes = append(r.unreportedCrashes, crash.Event{Fingerprint: fingerprint, Kind: crash.EventClearance, AgeMs: age.Milliseconds()})
+		r.onRestriction(fingerprint, crash.StandingFree)
+	}
+}
+
+// crashCount is what counts against a request after an event.
+type crashCount struct {
+	isNews bool
+	// ended is the number of upstreams that ended under it, causes that of crashes with
+	// separate causes.
+	ended, causes int
+	standing      crash.Standing
 }
 
 // logCrash counts a crash of an upstream under a request. It logs the crash unless it is
 // the first one of the request: most requests on a crashed upstream have no part in it.
-func (i *Instance) logCrash(c crash.Event, counted bool, crashes int) {
-	i.meters.GetOrCreateCounter(`fulmarwick_crashes_total{counted="` + strconv.FormatBool(counted) + `"}`).Inc()
-	if counted && crashes == 1 || c.IsVerdict && !counted {
+func (i *Instance) logCrash(c crash.Event, count crashCount) {
+	i.meters.GetOrCreateCounter(`fulmarwick_crashes_total{counted="` + strconv.FormatBool(count.isNews) + `"}`).Inc()
+	if count.isNews && count.ended == 1 || c.Kind != crash.EventCrash && !count.isNews {
 		return
 	}
-	i.Log.Info("edge: upstream crashed under a request", zap.String("fingerprint", formatFingerprint(c.Fingerprint)), zap.String("upstream", string(c.Upstream)),
-		zap.Int64("incarnation", c.Incarnation), zap.Int64("ran ms", c.RanMs), zap.Bool("counted", counted), zap.Int("crashes", crashes), zap.Bool("verdict", c.IsVerdict))
+	i.Log.Info("edge: upstream crashed under a request", zap.String("fingerprint", formatFingerprint(c.Fingerprint)), zap.Stringer("event", c.Kind),
+		zap.String("upstream", string(c.Upstream)), zap.Int64("incarnation", c.Incarnation), zap.Int64("ran ms", c.RanMs),
+		zap.Bool("counted", count.isNews), zap.Int("ended", count.ended), zap.Int("crashes", count.causes), zap.Stringer("standing", count.standing))
 }
--- a/internal/app/edge/crash_test.go
+++ b/internal/app/edge/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -245,12 +246,46 @@
 	}
 }
 
-// sendWave sends copies of a request through all instances for a second.
-func (f *fixture) sendWave(method, path, tokens string, wave int) {
+// Guards against a request that crashes nothing being refused for long because all upstreams
+// of its service ended together under copies of it, twice.
+func TestRequestIsServedAfterUpstreamsEndTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 4)
+		defer f.close()
+		for round := range 2 {
+			var callers sync.WaitGroup
+			callers.Go(func() {
+				time.Sleep(500 * time.Millisecond)
+				for _, u := range f.site.PlainUpstreams() {
+					f.site.CrashPlainUpstream(u)
+				}
+			})
+			f.sendWave(http.MethodGet, "/look/hot", "", 2*round)
+			callers.Wait()
+			time.Sleep(4 * time.Second)
+			if served := f.sendWave(http.MethodGet, "/look/hot", "", 2*round+1); served < waveCopies*9/10 {
+				t.Errorf("got %d of %d copies served after the upstreams were back, want nine in ten", served, waveCopies)
+			}
+		}
+	})
+}
+
+// waveCopies is the number of copies that sendWave sends.
+const waveCopies = 40
+
+// sendWave sends copies of a request through all instances for a second, and returns how many were
+// served.
+func (f *fixture) sendWave(method, path, tokens string, wave int) int {
 	var callers sync.WaitGroup
-	for n := range 40 {
-		callers.Go(func() { f.request(n%len(f.clients), method, path, fmt.Sprintf("wave%d-%d", wave, n), tokens) })
+	var served atomic.Int64
+	for n := range waveCopies {
+		callers.Go(func() {
+			if a := f.request(n%len(f.clients), method, path, fmt.Sprintf("wave%d-%d", wave, n), tokens); a.status == http.StatusOK && a.err == nil {
+				served.Add(1)
+			}
+		})
 		time.Sleep(25 * time.Millisecond)
 	}
 	callers.Wait()
+	return int(served.Load())
 }
--- a/internal/app/edge/culprit.go
+++ b/internal/app/edge/culprit.go
@@ -16,41 +16,73 @@
 )
 
 const (
-	// culpritTableName is the table with a row for each request that is known to crash
-	// upstreams, under its fingerprint. Instances read it when they start: if all start at
-	// once, no other one can tell them.
+	// culpritTableName is the table with a row for each request that is quarantined or known to
+	// crash upstreams, under its fingerprint. Instances read it when they start: if all start
+	// at once, no other one can tell them. Trials are counted there, since a count must hold
+	// for all instances, also those that start or are cut off.
 	culpritTableName = "culprits"
-	// maxPendingCulprits is how many rows may wait to be written.
+	// maxPendingCulprits is how many changes of rows may wait to be written.
 	maxPendingCulprits = 64
 	// maxCulpritRemovals is how many rows are removed at once: a call to the store changes
 	// a hundred at most.
 	maxCulpritRemovals = 100
+	// trialTimeout limits how long a request waits for the store to grant a trial.
+	trialTimeout = 250 * time.Millisecond
 )
 
 // culpritRow is a row of the table.
 type culpritRow struct {
-	// FoundMs is when the request was found to crash upstreams, in Unix milliseconds.
+	// FoundMs is when the restriction was found, in Unix milliseconds.
 	FoundMs int64 `cbor:"1,keyasint"`
+	// IsQuarantine means that the request is quarantined, not known to crash upstreams.
+	IsQuarantine bool `cbor:"2,keyasint,omitempty"`
+	// Trials is how many trials were granted, LastTrialMs when the last one was, in Unix
+	// milliseconds.
+	Trials      int   `cbor:"3,keyasint,omitempty"`
+	LastTrialMs int64 `cbor:"4,keyasint,omitempty"`
 }
 
-// culpritTable keeps the requests that are known to crash upstreams in the store.
+// grantsTrial reports whether one more trial may be granted.
+func (row culpritRow) grantsTrial(now time.Time) bool {
+	since := time.Duration(now.UnixMilli()-row.LastTrialMs) * time.Millisecond
+	// A trial in the future was written by an instance whose clock is ahead.
+	isTooSoon := since >= 0 && since < crash.TrialInterval
+	return row.IsQuarantine && row.Trials < crash.MaxTrials && !isTooSoon
+}
+
+// event returns what the row says of a request.
+func (row culpritRow) event(fingerprint uint64, now time.Time) crash.Event {
+	e := crash.Event{Fingerprint: fingerprint, Kind: crash.EventVerdict, AgeMs: max(0, now.UnixMilli()-row.FoundMs)}
+	if row.IsQuarantine && row.Trials < crash.MaxTrials {
+		e.Kind = crash.EventQuarantine
+	}
+	return e
+}
+
+// culpritChange is a change of the standing of a request.
+type culpritChange struct {
+	fingerprint uint64
+	standing    crash.Standing
+}
+
+// culpritTable keeps the requests that are quarantined or known to crash upstreams in the store.
 type culpritTable struct {
 	store  *platform.Store
 	router *router
 	log    *zap.Logger
-	// pending holds the fingerprints that are not written yet.
-	pending chan uint64
+	// pending holds the changes that are not written yet.
+	pending chan culpritChange
 }
 
 func newCulpritTable(s *platform.Store, r *router, log *zap.Logger) *culpritTable {
-	return &culpritTable{store: s, router: r, log: log, pending: make(chan uint64, maxPendingCulprits)}
+	return &culpritTable{store: s, router: r, log: log, pending: make(chan culpritChange, maxPendingCulprits)}
 }
 
-// add queues a request to be written. It never blocks: without the row, an instance that
-// starts learns of the request from the others.
-func (c *culpritTable) add(fingerprint uint64) {
+// add queues a change to be written. It never blocks: without the row, an instance that starts
+// learns of the request from the others.
+func (c *culpritTable) add(fingerprint uint64, standing crash.Standing) {
 	select {
-	case c.pending <- fingerprint:
+	case c.pending <- culpritChange{fingerprint: fingerprint, standing: standing}:
 	default:
 		c.log.Warn("edge: too many requests that crash upstreams, one not stored", zap.String("fingerprint", formatFingerprint(fingerprint)))
 	}
@@ -63,9 +95,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case fingerprint := <-c.pending:
-			row := culpritRow{FoundMs: time.Now().UnixMilli()}
-			c.retry(ctx, "store a request that crashes upstreams", func(ctx context.Context) error { return c.write(ctx, fingerprint, row) })
+		case change := <-c.pending:
+			found := time.Now()
+			c.retry(ctx, "store a request that crashes upstreams", func(ctx context.Context) error { return c.write(ctx, change, found) })
 		}
 	}
 }
@@ -95,7 +127,7 @@
 			c.log.Warn("edge: malformed row skipped", zap.String("table", culpritTableName), zap.String("row", r.Key), zap.Error(err))
 			continue
 		}
-		if time.Duration(event.AgeMs)*time.Millisecond > crash.CulpritTTL {
+		if time.Duration(event.AgeMs)*time.Millisecond > crash.RestrictionTTL {
 			if len(expired) < maxCulpritRemovals {
 				expired = append(expired, store.Remove(culpritKey(event.Fingerprint), r.Version))
 			}
@@ -113,7 +145,7 @@
 	return nil
 }
 
-// decodeCulprit returns the verdict that a row holds.
+// decodeCulprit returns what a row says of a request.
 func decodeCulprit(r feed.Row, now time.Time) (crash.Event, error) {
 	var row culpritRow
 	if err := cbor.Unmarshal(r.Value, &row); err != nil {
@@ -123,22 +155,83 @@
 	if err != nil {
 		return crash.Event{}, errors.Wrapf(err, "edge: fingerprint %q", r.Key)
 	}
-	return crash.Event{Fingerprint: fingerprint, IsVerdict: true, AgeMs: max(0, now.UnixMilli()-row.FoundMs)}, nil
+	return row.event(fingerprint, now), nil
+}
+
+// get returns the row of a request and its version, zero if there is none that counts.
+func (c *culpritTable) get(ctx context.Context, fingerprint uint64) (row culpritRow, version uint64, err error) {
+	stored, err := c.store.Get(ctx, culpritKey(fingerprint))
+	if errors.Is(err, store.ErrNotFound) {
+		return culpritRow{}, 0, nil
+	}
+	if err != nil {
+		return culpritRow{}, 0, err
+	}
+	if err := cbor.Unmarshal(stored.Value(), &row); err != nil {
+		return culpritRow{}, 0, errors.Wrap(err, "edge: decode culprit row")
+	}
+	if time.Since(time.UnixMilli(row.FoundMs)) > crash.RestrictionTTL {
+		row = culpritRow{}
+	}
+	return row, stored.Version(), nil
 }
 
-// write writes the row of a request, unless another instance wrote it.
-func (c *culpritTable) write(ctx context.Context, fingerprint uint64, row culpritRow) error {
+// put writes the row of a request if its version is unchanged.
+func (c *culpritTable) put(ctx context.Context, fingerprint uint64, version uint64, row culpritRow) error {
 	data, err := cbor.Marshal(row)
 	if err != nil {
 		return errors.Wrap(err, "edge: encode culprit row")
 	}
-	_, err = c.store.Commit(ctx, []store.Write{store.Put(culpritKey(fingerprint), 0, data)})
-	if errors.Is(err, store.ErrConflict) {
+	_, err = c.store.Commit(ctx, []store.Write{store.Put(culpritKey(fingerprint), version, data)})
+	return err
+}
+
+// write writes a change into the row of a request. A row only becomes stricter, unless the
+// request was cleared; on a conflict, another instance writes the same.
+func (c *culpritTable) write(ctx context.Context, change culpritChange, found time.Time) error {
+	row, version, err := c.get(ctx, change.fingerprint)
+	if err != nil {
+		return err
+	}
+	isQuarantine := change.standing == crash.StandingQuarantined
+	switch {
+	case change.standing == crash.StandingFree && version == 0, isQuarantine && row.FoundMs != 0:
+		return nil
+	case change.standing == crash.StandingFree:
+		_, err = c.store.Commit(ctx, []store.Write{store.Remove(culpritKey(change.fingerprint), version)})
+	default:
+		err = c.put(ctx, change.fingerprint, version, culpritRow{FoundMs: found.UnixMilli(), IsQuarantine: isQuarantine, Trials: row.Trials, LastTrialMs: row.LastTrialMs})
+	}
+	if errors.Is(err, store.ErrConflict) && isQuarantine {
 		return nil
 	}
 	return err
 }
 
+// takeTrial reports whether this instance may send a quarantined request once. The store counts
+// the trials of all instances.
+func (c *culpritTable) takeTrial(ctx context.Context, fingerprint uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
+	defer cancel()
+	row, version, err := c.get(ctx, fingerprint)
+	now := time.Now()
+	if row.FoundMs == 0 {
+		row = culpritRow{FoundMs: now.UnixMilli(), IsQuarantine: true}
+	}
+	granted := err == nil && row.grantsTrial(now)
+	if granted {
+		row.Trials, row.LastTrialMs = row.Trials+1, now.UnixMilli()
+		err = c.put(ctx, fingerprint, version, row)
+		granted = err == nil
+	} else if err == nil {
+		// Another instance may have reached a verdict, or all trials are used up.
+		c.router.applyPeerCrashes([]crash.Event{row.event(fingerprint, now)})
+	}
+	c.log.Info("edge: trial of a request under which upstreams ended", zap.String("fingerprint", formatFingerprint(fingerprint)),
+		zap.Bool("granted", granted), zap.Int("trials", row.Trials), zap.Error(err))
+	return granted
+}
+
 func culpritKey(fingerprint uint64) string {
 	return culpritTableName + "/" + formatFingerprint(fingerprint)
 }
--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -203,7 +203,7 @@
 
 // planMoves finds other paths for the runs on an engine. Usage is moved to the new path
 // at once, so that the search for the next run sees it. restarts are the resumable
-// runs without another path, and those that crash engines: they end as they are
+// runs without another path, and those that may crash engines: they end as they are
 // started again.
 func (r *router) planMoves(up site.Upstream) (changes []pathChange, restarts []*relay.Run) {
 	r.mu.Lock()
@@ -218,7 +218,7 @@
 		demand := run.Demand
 		demand.Resumed = true
 		chain, err := svc.model.Repair(r.now(), t.chain, demand, mustLeave)
-		if err != nil || r.crashBook.IsCulprit(r.now(), run.Fingerprint) {
+		if err != nil || r.crashBook.Check(r.now(), run.Fingerprint) != nil {
 			if run.Resumable {
 				restarts = append(restarts, run)
 			}
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -188,7 +188,7 @@
 
 // PeerJoined records an instance that joined the mesh.
 func (m *meshNode) PeerJoined(id spec.InstanceID) {
-	m.router.reportVerdicts()
+	m.router.reportRestrictions()
 	m.log.Info("edge: instance met", zap.String("peer", string(id)))
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/app/edge/plain.go
+++ b/internal/app/edge/plain.go
@@ -7,18 +7,24 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/ewma"
+	"fulmarwick/internal/wire/relay"
 )
 
-// Pick returns the upstream of a plain service for the next request, without those to
-// avoid. It returns false if there is none.
-func (r *router) Pick(service string, avoid []spec.UpstreamID) (site.Upstream, bool) {
+// Pick returns the upstream of a plain service for the next send of a request, without those
+// to avoid.
+func (r *router) Pick(service string, fingerprint uint64, avoid []spec.UpstreamID) (site.Upstream, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if err := r.crashBook.Check(r.now(), fingerprint); err != nil {
+		return site.Upstream{}, err
+	}
 	up, ok := r.service(service).plain.Pick(r.now(), avoid)
-	if ok {
-		r.limits.Take(time.Now(), up.ID)
+	if !ok {
+		return site.Upstream{}, relay.ErrNoUpstream
 	}
-	return up, ok
+	r.crashBook.Begin(r.now(), fingerprint)
+	r.limits.Take(time.Now(), up.ID)
+	return up, nil
 }
 
 // RecordOutcome records how a request to an upstream ended. An answer that was lost may
--- a/internal/app/edge/queue.go
+++ b/internal/app/edge/queue.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/queue"
 	"fulmarwick/internal/wire/relay"
@@ -43,10 +44,11 @@
 // hasPartialAnswer reports whether the caller has a part of the answer.
 func (w *waiter) hasPartialAnswer() bool { return w.options.Kind == relay.RunResume }
 
-// isRateLimited reports whether rate limits left no room at the last search, so that the request
-// is refused instead of waiting. One whose caller has a part of the answer waits.
-func (w *waiter) isRateLimited() bool {
-	return errors.Is(w.lastErr, path.ErrRateLimited) && !w.hasPartialAnswer()
+// isRefused reports whether the request is refused instead of waiting: upstreams ended under it,
+// or rate limits left no room at the last search. One whose caller has a part of the answer
+// waits for room.
+func (w *waiter) isRefused() bool {
+	return crash.IsRestriction(w.lastErr) || errors.Is(w.lastErr, path.ErrRateLimited) && !w.hasPartialAnswer()
 }
 
 // admission is the outcome of waiting: a run or an error.
@@ -96,7 +98,7 @@
 			return nil, nil, run, nil
 		}
 	}
-	if w.isRateLimited() {
+	if w.isRefused() {
 		return nil, nil, nil, w.lastErr
 	}
 	t := &queue.Ticket{Team: c.Team, Urgency: c.Urgency, Deadline: r.waitDeadline(svc, c, o.Kind, w.lastErr), Begun: w.hasPartialAnswer()}
@@ -150,7 +152,7 @@
 			svc.resolve(t, admission{run: run})
 			continue
 		}
-		if w.isRateLimited() {
+		if w.isRefused() {
 			svc.resolve(t, admission{err: w.lastErr})
 		}
 		if failed++; failed == maxAdmitTries {
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -65,11 +65,13 @@
 	// onRateLimit is called for each change of the rate limit of an upstream; zero means that
 	// it names none any more.
 	onRateLimit func(id spec.UpstreamID, perSecond float64)
-	// onCrash is called for each crash of an upstream under a request, with whether it
-	// counts and how many count now.
-	onCrash func(c crash.Event, counted bool, crashes int)
-	// onVerdict is called for each request of this instance that is found to crash upstreams.
-	onVerdict func(fingerprint uint64)
+	// onCrash is called for each crash of an upstream under a request, with what counts
+	// against the request now.
+	onCrash func(c crash.Event, count crashCount)
+	// onRestriction is called for each change of the standing of a request of this instance.
+	onRestriction func(fingerprint uint64, standing crash.Standing)
+	// takeTrial asks for a trial of a quarantined request and reports whether it is granted.
+	takeTrial func(ctx context.Context, fingerprint uint64) bool
 	// isDead probes a suspect engine again and reports whether it is dead.
 	isDead func(context.Context, site.Upstream) bool
 
@@ -84,8 +86,8 @@
 	// unreportedCrashes holds crashes seen by this instance, each with the request
 	// that the upstream ran, that were not yet sent to the other instances.
 	unreportedCrashes []crash.Event
-	// verdictsDue means that all verdicts on requests have to be sent to the others again.
-	verdictsDue bool
+	// restrictionsDue means that what is known of suspects has to be sent to the others again.
+	restrictionsDue bool
 }
 
 func (r *router) now() time.Duration { return time.Since(r.start) }
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -71,6 +71,9 @@
 	if !resumed && svc.queue.IsStalled(r.now()) && !svc.teams.Allow(c.Team, func() float64 { return svc.model.MaxUtilization(r.now()) }) {
 		return nil, share.ErrReserved
 	}
+	if err := r.crashBook.Check(r.now(), c.Fingerprint()); err != nil {
+		return nil, err
+	}
 	demand := svc.estimateDemand(c.Route.Name, c.ParsedHeader)
 	demand.Resumed = resumed
 	chain, err := svc.model.Choose(r.now(), demand, avoidFilter(o.Avoid))
@@ -78,6 +81,7 @@
 		return nil, err
 	}
 	run := relay.NewRun(chain, svc.model.Hops(chain))
+	r.crashBook.Begin(r.now(), c.Fingerprint())
 	run.Request, run.Service, run.Route, run.Demand = c.ParsedHeader.ID, svc.name, c.Route.Name, demand
 	run.Resumable, run.Fingerprint, run.HasSpareAttempt = c.Route.Resumable, c.Fingerprint(), o.HasSpareAttempt
 	svc.model.Begin(chain, demand)
--- a/internal/route/crash/crash_test.go
+++ b/internal/route/crash/crash_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"fulmarwick/internal/route/crash"
+
+	"github.com/go-faster/errors"
 )
 
 // A request is sent four times, and each time its engine crashes. The fourth must not
@@ -23,7 +25,7 @@
 		}
 		tracker.Record(time.Duration(n)*time.Second, crashEvent(cleared, n))
 		if n == 1 {
-			tracker.Clear(cleared)
+			tracker.Clear(time.Duration(n)*time.Second+1, cleared, time.Duration(n)*time.Second)
 		}
 	}
 	if !tracker.IsCulprit(3*time.Second, culprit) || tracker.IsCulprit(3*time.Second, cleared) {
@@ -153,7 +155,7 @@
 		event.Own = k == 0
 		sender.Record(at, event)
 	}
-	if !sender.IsOwnCulprit(4*time.Second, 1) || other.IsOwnCulprit(4*time.Second, 1) || !other.IsCulprit(4*time.Second, 1) {
+	if !sender.IsOwn(4*time.Second, 1) || !sender.IsCulprit(4*time.Second, 1) || other.IsOwn(4*time.Second, 1) || !other.IsCulprit(4*time.Second, 1) {
 		t.Error("got no own culprit at the sender or one elsewhere, want it a culprit at both and own at the sender")
 	}
 }
@@ -165,8 +167,8 @@
 	weak.IsWeak = true
 	tracker.Record(0, weak)
 	tracker.Record(150*time.Millisecond, crashEvent(1, 1))
-	if tracker.Record(80*time.Millisecond, crashEvent(1, 2)) || tracker.Count(time.Second, 1) != 2 {
-		t.Errorf("got %d crashes that count, want 2", tracker.Count(time.Second, 1))
+	if !tracker.Record(80*time.Millisecond, crashEvent(1, 2)) || tracker.Count(time.Second, 1) != 2 || tracker.EndedCount(time.Second, 1) != 3 {
+		t.Errorf("got %d crashes that count under %d ended upstreams, want 2 and 3", tracker.Count(time.Second, 1), tracker.EndedCount(time.Second, 1))
 	}
 }
 
@@ -177,7 +179,7 @@
 		known.Record(time.Duration(k)*150*time.Millisecond, crashEvent(1, k))
 	}
 	known.Record(time.Second, crashEvent(2, 0))
-	for _, e := range known.Verdicts(9 * time.Minute) {
+	for _, e := range known.Known(9 * time.Minute) {
 		if !started.Record(time.Second, e) || started.Record(time.Second, e) {
 			t.Errorf("got verdict %v old or new twice, want it new once", e)
 		}
@@ -204,6 +206,81 @@
 	}
 }
 
+// Upstreams that end together have one cause, but no more may end under the request: it gets
+// one trial, and a completed run that began before they ended must not free it.
+func TestRequestIsQuarantinedOnceThreeUpstreamsEnded(t *testing.T) {
+	tracker := &crash.Tracker{}
+	for n := range 3 {
+		if got := tracker.Standing(time.Second, 1); got != crash.StandingFree {
+			t.Errorf("got %s after %d crashes, want free", got, n)
+		}
+		tracker.Record(time.Duration(n)*40*time.Millisecond, crashEvent(1, n))
+	}
+	if err := tracker.Check(time.Second, 1); !errors.Is(err, crash.ErrQuarantined) || tracker.Count(time.Second, 1) != 1 {
+		t.Errorf("got %v and %d causes, want a quarantine and one", err, tracker.Count(time.Second, 1))
+	}
+	if !tracker.NeedsTrial(time.Second, 1) || tracker.NeedsTrial(time.Second, 1) {
+		t.Error("got no trial to ask for or two, want one")
+	}
+	tracker.GrantTrial(time.Second, 1)
+	if err := tracker.Check(time.Second, 1); err != nil {
+		t.Errorf("got %v with a trial, want none", err)
+	}
+	tracker.Begin(time.Second, 1)
+	if err := tracker.Check(time.Second, 1); !errors.Is(err, crash.ErrQuarantined) {
+		t.Errorf("got %v after the trial began, want a quarantine", err)
+	}
+	if tracker.Clear(2*time.Second, 1, 50*time.Millisecond) || tracker.Check(2*time.Second, 1) == nil {
+		t.Error("got the request freed by a run that began before the last crash")
+	}
+	if !tracker.Clear(2*time.Second, 1, time.Second) || tracker.Check(2*time.Second, 1) != nil {
+		t.Error("got the request not freed by its trial, want it free")
+	}
+}
+
+// A trial whose upstream crashes leaves no other explanation, also where another instance ran
+// it. Upstreams that are found to have ended with the others leave one.
+func TestCrashUnderTrialMakesCulprit(t *testing.T) {
+	tracker := &crash.Tracker{}
+	for n := range 4 {
+		tracker.Record(time.Duration(n)*40*time.Millisecond, crashEvent(1, n))
+	}
+	if got := tracker.Standing(time.Second, 1); got != crash.StandingQuarantined {
+		t.Errorf("got %s after four upstreams ended together, want quarantined", got)
+	}
+	trial := crashEvent(1, 4)
+	trial.RanMs = 80
+	tracker.Record(2*time.Second, trial)
+	if err := tracker.Check(3*time.Second, 1); !errors.Is(err, crash.ErrCulprit) {
+		t.Errorf("got %v after a trial crashed its upstream, want a culprit", err)
+	}
+}
+
+// An instance that starts must learn of quarantines, and of requests that the next crash may
+// quarantine.
+func TestStartedInstanceLearnsOfEndedUpstreams(t *testing.T) {
+	known, started := &crash.Tracker{}, &crash.Tracker{}
+	for n := range 3 {
+		known.Record(time.Duration(n)*40*time.Millisecond, crashEvent(1, n))
+	}
+	for n := range 2 {
+		known.Record(time.Second, crashEvent(2, n))
+	}
+	for _, e := range known.Known(2 * time.Second) {
+		started.Record(5*time.Second, e)
+	}
+	if got := started.Standing(6*time.Second, 1); got != crash.StandingQuarantined {
+		t.Errorf("got %s for a quarantined request, want it quarantined", got)
+	}
+	started.Record(6*time.Second, crashEvent(2, 2))
+	if got := started.Standing(6*time.Second, 2); got != crash.StandingQuarantined {
+		t.Errorf("got %s after the third upstream ended, want quarantined", got)
+	}
+	if !started.Record(7*time.Second, crash.Event{Fingerprint: 1, Kind: crash.EventClearance}) || started.Check(7*time.Second, 1) != nil {
+		t.Error("got a quarantine after a clearance, want none")
+	}
+}
+
 func TestTrackerIsBounded(t *testing.T) {
 	tracker := &crash.Tracker{}
 	for n := range uint64(10000) {
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -78,8 +78,8 @@
 	return site.Upstream{ID: "u", Service: "d", Address: u.address}
 }
 
-func (u singleUpstream) Pick(string, []spec.UpstreamID) (site.Upstream, bool) {
-	return u.upstream(), true
+func (u singleUpstream) Pick(string, uint64, []spec.UpstreamID) (site.Upstream, error) {
+	return u.upstream(), nil
 }
 func (u singleUpstream) RecordOutcome(site.Upstream, uint64, time.Duration, ewma.Outcome) {}
 func (u singleUpstream) StartCooldown(site.Upstream)                                      {}
@@ -94,7 +94,8 @@
 func (u singleUpstream) BackoffLeft(string) time.Duration                  { return 0 }
 
 func (u singleUpstream) IsCulprit(uint64) bool                            { return false }
-func (u singleUpstream) Clear(uint64)                                     {}
+func (u singleUpstream) Clear(uint64, time.Time)                          {}
+func (u singleUpstream) AllowSend(context.Context, uint64) error          { return nil }
 func (u singleUpstream) RecordFirstEvent(*relay.Run)                      {}
 func (u singleUpstream) EndRun(*relay.Run, bool)                          {}
 func (u singleUpstream) ReportBrokenRun(*relay.Run)                       {}
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -6,6 +6,7 @@
 package relay
 
 import (
+	"context"
 	"maps"
 	"net/http"
 	"time"
@@ -14,6 +15,8 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/wire/client"
+
+	"github.com/go-faster/errors"
 )
 
 // Dialect writes the headers of requests to upstreams and reads the headers of
@@ -69,8 +72,12 @@
 	// IsCulprit reports whether a request crashed upstreams and must not be sent
 	// any more.
 	IsCulprit(fingerprint uint64) bool
-	// Clear records that a request was answered.
-	Clear(fingerprint uint64)
+	// AllowSend returns why a request must not be sent now, or nil: crash.ErrCulprit, or
+	// crash.ErrQuarantined if upstreams ended under it and it got no trial. It may wait for
+	// the store.
+	AllowSend(ctx context.Context, fingerprint uint64) error
+	// Clear records that a request was answered by a run that began at a time.
+	Clear(fingerprint uint64, began time.Time)
 }
 
 // UpstreamNotices records what upstreams say in their answers about later requests.
@@ -119,6 +126,7 @@
 	ReasonAttemptsExhausted               // attempts used up
 	ReasonStopping                        // instance stops
 	ReasonRateLimited                     // rate limits of upstreams
+	ReasonQuarantined                     // upstreams ended under the request
 )
 
 // Reply is the final response to a call.
@@ -153,6 +161,18 @@
 	MaxEventGapPath spec.Chain
 }
 
+// restrictedReply returns the reply to a call that must not be sent because of the upstreams
+// that ended under it; false if err is no such reason. A culprit gets no Retry-After.
+func restrictedReply(err error) (Reply, bool) {
+	switch {
+	case errors.Is(err, crash.ErrCulprit):
+		return Reply{Reason: ReasonPoison}, true
+	case errors.Is(err, crash.ErrQuarantined):
+		return Reply{Reason: ReasonQuarantined, RetryAfter: crash.TrialInterval}, true
+	}
+	return Reply{}, false
+}
+
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/share"
 	"fulmarwick/internal/state/feed"
@@ -185,7 +186,7 @@
 func (c *modelCall) run() Reply {
 	for {
 		run, err := c.startRun()
-		if c.hasPartialAnswer() && (errors.Is(err, path.ErrNoPath) || errors.Is(err, path.ErrRateLimited)) && feed.Sleep(c.ctx, maxRetryBackoff) {
+		if c.hasPartialAnswer() && isTemporary(err) && feed.Sleep(c.ctx, maxRetryBackoff) {
 			continue
 		}
 		if err != nil {
@@ -193,7 +194,7 @@
 		}
 		err = c.execute(run)
 		if err == nil {
-			c.runner.CrashTracker.Clear(c.call.Fingerprint())
+			c.runner.CrashTracker.Clear(c.call.Fingerprint(), run.Start)
 			return Reply{SendCount: c.runs, MayHaveRun: true}
 		}
 		c.recordFailure(run, err)
@@ -208,8 +209,16 @@
 // no further retry, and loses the whole answer if it is rejected.
 func (c *modelCall) hasPartialAnswer() bool { return c.started || c.call.ParsedHeader.LastEventID > 0 }
 
+// isTemporary reports whether a run may start later that can't start now.
+func isTemporary(err error) bool {
+	return errors.Is(err, path.ErrNoPath) || errors.Is(err, path.ErrRateLimited) || errors.Is(err, crash.ErrQuarantined)
+}
+
 // startRun finds engines with free capacity and registers a run on them.
 func (c *modelCall) startRun() (*Run, error) {
+	if err := c.runner.CrashTracker.AllowSend(c.ctx, c.call.Fingerprint()); err != nil {
+		return nil, err
+	}
 	kind := RunFirst
 	switch {
 	case c.hasPartialAnswer():
@@ -237,6 +246,7 @@
 }
 
 func (c *modelCall) refusedReply(err error) Reply {
+	restricted, isRestricted := restrictedReply(err)
 	r := Reply{Reason: ReasonNoCapacity, MayHaveRun: c.mayHaveRun, Started: c.started, SendCount: c.runs}
 	switch {
 	case c.errorReply != nil && !c.started:
@@ -245,6 +255,9 @@
 		r.Reason = ReasonCallerLeft
 	case errors.Is(err, context.DeadlineExceeded):
 		r.Reason = ReasonTimeout
+	case isRestricted:
+		r.Reason, r.RetryAfter = restricted.Reason, restricted.RetryAfter
+		return r
 	case errors.Is(err, path.ErrNoPath):
 		r.Reason = ReasonNoUpstream
 	case errors.Is(err, path.ErrRateLimited):
--- a/internal/wire/relay/plain.go
+++ b/internal/wire/relay/plain.go
@@ -16,8 +16,9 @@
 // UpstreamSelector selects among the upstreams of plain services, based on the
 // outcomes of earlier requests.
 type UpstreamSelector interface {
-	// Pick selects an upstream that is not in avoid; false if there is none.
-	Pick(service string, avoid []spec.UpstreamID) (site.Upstream, bool)
+	// Pick selects an upstream that is not in avoid for the request with a fingerprint. The
+	// error is ErrNoUpstream if there is none, or that of CrashTracker.AllowSend.
+	Pick(service string, fingerprint uint64, avoid []spec.UpstreamID) (site.Upstream, error)
 	// RecordOutcome records how the request with a fingerprint ended.
 	RecordOutcome(up site.Upstream, fingerprint uint64, took time.Duration, outcome ewma.Outcome)
 	StartCooldown(up site.Upstream)
@@ -63,6 +64,9 @@
 	CrashTracker CrashTracker
 }
 
+// ErrNoUpstream means that no upstream of a service can be used.
+var ErrNoUpstream = errors.New("relay: no upstream")
+
 // errNotAccepting means that an upstream asked for no requests after it was chosen.
 var errNotAccepting = errors.New("relay: upstream accepts no requests at present")
 
@@ -70,6 +74,8 @@
 type sendResult struct {
 	upstream site.Upstream
 	response *Reply
+	// began is when the attempt began.
+	began time.Time
 	// notRun means that the upstream has not run the call and will not run it.
 	notRun bool
 	// unsent means that no byte of the call was sent.
@@ -111,8 +117,8 @@
 }
 
 func (c *plainCall) run() Reply {
-	if !c.sendNext() {
-		return Reply{Reason: ReasonNoUpstream, RetryAfter: c.retryAfter()}
+	if err := c.sendNext(); err != nil {
+		return c.refusedReply(err)
 	}
 	hedge := time.NewTimer(c.hedgeDelay())
 	defer hedge.Stop()
@@ -152,27 +158,35 @@
 	return max(minHedgeDelay, hedgeLatencyFactor*c.runner.Upstreams.ExpectedLatency(c.sentTo[0]))
 }
 
+// refusedReply returns the reply if the call was not sent at all.
+func (c *plainCall) refusedReply(err error) Reply {
+	if reply, ok := restrictedReply(err); ok {
+		return reply
+	}
+	return Reply{Reason: ReasonNoUpstream, RetryAfter: c.retryAfter()}
+}
+
 // sendNext sends the call to the next upstream.
-func (c *plainCall) sendNext() bool {
-	if len(c.sentTo) >= maxSends {
-		return false
+func (c *plainCall) sendNext() error {
+	if err := c.runner.CrashTracker.AllowSend(c.ctx, c.call.Fingerprint()); err != nil {
+		return err
 	}
 	var avoid []spec.UpstreamID
 	for _, up := range c.sentTo {
 		avoid = append(avoid, up.ID)
 	}
-	up, ok := c.runner.Upstreams.Pick(c.call.Service.Name, avoid)
-	if !ok {
-		return false
+	up, err := c.runner.Upstreams.Pick(c.call.Service.Name, c.call.Fingerprint(), avoid)
+	if err != nil {
+		return err
 	}
 	c.sentTo = append(c.sentTo, up)
 	c.inFlight++
 	go func() { c.results <- c.runner.sendOnce(c.ctx, c.call, up) }()
-	return true
+	return nil
 }
 
 func (c *plainCall) retry() bool {
-	return len(c.sentTo) < maxSends && !c.runner.CrashTracker.IsCulprit(c.call.Fingerprint()) && c.runner.RetryBudget.AllowRetry(c.call.Service.Name) && c.sendNext()
+	return len(c.sentTo) < maxSends && !c.runner.CrashTracker.IsCulprit(c.call.Fingerprint()) && c.runner.RetryBudget.AllowRetry(c.call.Service.Name) && c.sendNext() == nil
 }
 
 // handleResult evaluates the result of an attempt; done is false while another
@@ -206,7 +220,9 @@
 	reply := *result.response
 	reply.SendCount = len(c.sentTo)
 	reply.MayHaveRun = true
-	c.runner.CrashTracker.Clear(c.call.Fingerprint())
+	if result.succeeded() {
+		c.runner.CrashTracker.Clear(c.call.Fingerprint(), result.began)
+	}
 	return reply
 }
 
--- a/internal/wire/relay/reason_string.go
+++ b/internal/wire/relay/reason_string.go
@@ -20,11 +20,12 @@
 	_ = x[ReasonAttemptsExhausted-9]
 	_ = x[ReasonStopping-10]
 	_ = x[ReasonRateLimited-11]
+	_ = x[ReasonQuarantined-12]
 }
 
-const _Reason_name = "answeredno roomno upstreamrefused by upstreamsanswer losttimeoutcaller leftrequest crashes upstreamsroom kept for other teamsattempts used upinstance stopsrate limits of upstreams"
+const _Reason_name = "answeredno roomno upstreamrefused by upstreamsanswer losttimeoutcaller leftrequest crashes upstreamsroom kept for other teamsattempts used upinstance stopsrate limits of upstreamsupstreams ended under the request"
 
-var _Reason_index = [...]uint8{0, 8, 15, 26, 46, 57, 64, 75, 100, 125, 141, 155, 179}
+var _Reason_index = [...]uint8{0, 8, 15, 26, 46, 57, 64, 75, 100, 125, 141, 155, 179, 212}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
