Edge: failing test of crashes of plain upstreams that nothing else meets

Eight copies of a safe request, 5 s apart, crash 16 plain upstreams (each copy and its retry), and none counts: an upstream is known to have ended only if another request is refused a connection within a second of the lost answer.

--- a/internal/app/edge/crash_test.go
+++ b/internal/app/edge/crash_test.go
@@ -270,6 +270,22 @@
 	})
 }
 
+// Guards against a crash of a plain upstream that does not count because no other request meets
+// the upstream while it is down.
+func TestCrashesOfPlainUpstreamsCountWithoutOtherRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		p := &stand.Poison{Path: "/look/poison", Delay: crashDelay}
+		f.site.AddPoison(p)
+		for n := range 8 {
+			f.request(n%2, http.MethodGet, p.Path, fmt.Sprintf("copy%d", n), "")
+			time.Sleep(5 * time.Second)
+		}
+		f.checkCrashes(p, maxCrashes)
+	})
+}
+
 // waveCopies is the number of copies that sendWave sends.
 const waveCopies = 40
 
