--- a/internal/app/edge/culprit.go
+++ b/internal/app/edge/culprit.go
@@ -211,7 +211,8 @@
 // takeTrial reports whether this instance may send a quarantined request once. The store counts
 // the trials of all instances.
 func (c *culpritTable) takeTrial(ctx context.Context, fingerprint uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
+	// A trial that is granted as the caller leaves serves the next copy of the request.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), trialTimeout)
 	defer cancel()
 	row, version, err := c.get(ctx, fingerprint)
 	now := time.Now()
