Edge: check a plain upstream that lost an answer, so that its crash counts

What callers would see: a request that crashes plain upstreams is sent on for ever if it comes seldom. Cause: the crash of a plain upstream was recorded only if some other request was refused a connection within a second of the lost answer; on a calm service none is, and the tracker counts nothing. Engines of models are probed after a lost answer, plain upstreams were not.

Fix: an instance opens a connection to a plain upstream that lost an answer, one at a time for each; refused, the upstream cools down and its lost answers count as crashes, accepted, the connection joins the pool.

--- a/internal/app/edge/plain.go
+++ b/internal/app/edge/plain.go
@@ -36,6 +36,22 @@
 	svc.plain.RecordOutcome(r.now(), up.ID, took, outcome)
 	if outcome == ewma.OutcomeLost {
 		r.addLostAnswer(up, crash.Event{Fingerprint: fingerprint, RanMs: took.Milliseconds()})
+		if !svc.checking[up.ID] {
+			svc.checking[up.ID] = true
+			go r.checkUpstream(up)
+		}
+	}
+}
+
+// checkUpstream tries to connect to a plain upstream that lost an answer, as it may have ended.
+// No other request may find out in time.
+func (r *router) checkUpstream(up site.Upstream) {
+	err := r.connect(up)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.service(up.Service).checking, up.ID)
+	if err != nil {
+		r.startCooldown(up)
 	}
 }
 
@@ -57,6 +73,11 @@
 func (r *router) StartCooldown(up site.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.startCooldown(up)
+}
+
+// startCooldown is StartCooldown; r.mu is held.
+func (r *router) startCooldown(up site.Upstream) {
 	r.service(up.Service).plain.StartCooldown(r.now(), up.ID)
 	r.recordLostAnswersAsCrashes(up)
 }
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -46,6 +46,8 @@
 	firstLatency time.Duration
 	// lostAnswers holds plain requests whose answers were lost recently.
 	lostAnswers []lostAnswer
+	// checking holds the plain upstreams that are being checked after a lost answer.
+	checking map[spec.UpstreamID]bool
 }
 
 // router holds the routing state of all services. It selects upstreams and paths
@@ -72,6 +74,8 @@
 	onRestriction func(fingerprint uint64, standing crash.Standing)
 	// takeTrial asks for a trial of a quarantined request and reports whether it is granted.
 	takeTrial func(ctx context.Context, fingerprint uint64) bool
+	// connect opens a connection to a plain upstream and keeps it for later requests.
+	connect func(site.Upstream) error
 	// isDead probes a suspect engine again and reports whether it is dead.
 	isDead func(context.Context, site.Upstream) bool
 
@@ -96,7 +100,7 @@
 func (r *router) service(name string) *serviceState {
 	svc := r.services[name]
 	if svc == nil {
-		svc = &serviceState{name: name, runs: map[*relay.Run]*runState{}, waiters: map[*queue.Ticket]*waiter{}, firstLatency: initialFirstLatency}
+		svc = &serviceState{name: name, runs: map[*relay.Run]*runState{}, waiters: map[*queue.Ticket]*waiter{}, checking: map[spec.UpstreamID]bool{}, firstLatency: initialFirstLatency}
 		svc.plain.DataCentre, svc.plain.InBackoff, svc.plain.IsLimited = r.centre, r.notices.InBackoff, r.isLimited
 		svc.setRetryBounds(r.retryBounds)
 		r.services[name] = svc
--- a/internal/wire/client/pool.go
+++ b/internal/wire/client/pool.go
@@ -51,6 +51,16 @@
 	return p.dial(ctx, address)
 }
 
+// Open opens a connection to address and keeps it for reuse.
+func (p *Pool) Open(ctx context.Context, address string) error {
+	c, err := p.Get(ctx, address, true)
+	if err != nil {
+		return err
+	}
+	p.Put(c)
+	return nil
+}
+
 func (p *Pool) takeIdle(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
