Edge: find out and log whether the links to all upstreams are lost

Sight for the incident of lost links: nothing showed whether an instance knows that it reaches no upstream, as opposed to upstreams that ended. route/reach judges by connection attempts: two failed ones in a row bring a check of five other upstreams, five failures without a success mean that the links are lost, two good checks 0.3 s apart that they are back. It is logged, and a gauge tells it (fulmarwick_links_lost). Nothing is decided by it yet.

--- /dev/null
+++ b/internal/app/edge/links.go
@@ -0,0 +1,118 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fulmarwick/internal/route/reach"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+// linkCheckInterval is the interval at which links are checked while they are in doubt.
+const linkCheckInterval = 50 * time.Millisecond
+
+// linkWatcher finds out whether this instance has lost its links to all upstreams.
+type linkWatcher struct {
+	start time.Time
+	// addresses returns the addresses of the upstreams that can be tried.
+	addresses func() []string
+	// open opens a connection to an upstream. Its outcome is recorded by recordDial.
+	open func(ctx context.Context, address string) error
+	// isBusy reports whether this process is short of CPU time: connections then fail
+	// without a fault of the links.
+	isBusy func() bool
+	log    *zap.Logger
+
+	mu      sync.Mutex
+	tracker reach.Tracker
+	// lostAt is when the links were lost.
+	lostAt time.Time
+}
+
+// recordDial records the outcome of a connection attempt.
+func (l *linkWatcher) recordDial(address string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.tracker.RecordSuccess()
+	case !l.isBusy():
+		l.update(func() { l.tracker.RecordFailure(time.Since(l.start), address) })
+	}
+}
+
+// update changes the tracker and logs if the links are lost or restored by that; l.mu is held.
+func (l *linkWatcher) update(change func()) {
+	before := l.tracker.IsCut()
+	change()
+	switch after := l.tracker.IsCut(); {
+	case after && !before:
+		l.lostAt = time.Now()
+		l.log.Warn("edge: links to upstreams lost")
+	case before && !after:
+		l.log.Warn("edge: links to upstreams restored", zap.Duration("after", time.Since(l.lostAt)))
+	}
+}
+
+// areLost reports whether the links to all upstreams are lost.
+func (l *linkWatcher) areLost() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tracker.IsCut()
+}
+
+// run checks the links while they are in doubt, until ctx ends.
+func (l *linkWatcher) run(ctx context.Context) {
+	ticker := time.NewTicker(linkCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		l.mu.Lock()
+		due := l.tracker.NeedsCheck(time.Since(l.start))
+		l.mu.Unlock()
+		if due {
+			l.check(ctx)
+		}
+	}
+}
+
+// check tries a sample of the upstreams.
+func (l *linkWatcher) check(ctx context.Context) {
+	addresses := l.addresses()
+	l.mu.Lock()
+	l.tracker.SetListed(len(addresses))
+	sample := l.tracker.Sample(addresses)
+	l.mu.Unlock()
+	accepted := make([]bool, len(sample))
+	var tries sync.WaitGroup
+	for i, address := range sample {
+		tries.Go(func() { accepted[i] = l.open(ctx, address) == nil })
+	}
+	tries.Wait()
+	n := 0
+	for _, ok := range accepted {
+		if ok {
+			n++
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.update(func() { l.tracker.RecordCheck(n, len(sample)) })
+}
+
+// register registers the metric of the links.
+func (l *linkWatcher) register(meters *metrics.Set) {
+	meters.NewGauge(`fulmarwick_links_lost`, func() float64 {
+		if l.areLost() {
+			return 1
+		}
+		return 0
+	})
+}
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -56,6 +56,9 @@
 		id: spec.InstanceID(s.Instance.Name), centre: spec.DataCentre(s.Instance.DataCentre), url: "http://" + s.Listen.Mesh,
 		store: i.store, state: i.state, router: i.router, log: i.Log, dial: i.Dial, meters: i.meters, countBehind: i.counter(`fulmarwick_behind_total`),
 	}
+	i.links = &linkWatcher{start: time.Now(), addresses: i.router.readyAddresses, open: i.pool.Open, isBusy: i.watcher.isBusy, log: i.Log}
+	i.links.register(i.meters)
+	i.pool.OnDialed = i.links.recordDial
 	i.culprits = newCulpritTable(i.store, i.router, i.Log)
 	i.connectParts()
 }
--- a/internal/app/edge/sweep.go
+++ b/internal/app/edge/sweep.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/state/feed"
 )
 
@@ -49,6 +50,21 @@
 	}
 }
 
+// readyAddresses returns the addresses of the upstreams that are ready.
+func (r *router) readyAddresses() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, svc := range r.services {
+		for _, u := range svc.upstreams {
+			if u.State == site.StateReady {
+				out = append(out, u.Address)
+			}
+		}
+	}
+	return out
+}
+
 // upstreamAddresses returns the addresses of all listed upstreams.
 func (r *router) upstreamAddresses() map[string]bool {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/route/reach/reach.go
@@ -0,0 +1,109 @@
+// Package reach judges whether an instance has lost its links to all upstreams.
+//
+// It imports the standard library. Package app/edge reports the outcomes of connection attempts to it
+// and makes the checks that it asks for. It does no I/O and reads no clock.
+//
+// One upstream that accepts no connection has ended or is overloaded. If none of several
+// does, the links of this instance are the likelier cause, so the evidence is gathered at
+// once: a few other upstreams are checked as soon as two have failed.
+package reach
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// evidenceWindow is how long a failed connection attempt counts.
+	evidenceWindow = 2 * time.Second
+	// suspectFailures is how many upstreams must accept no connection, one after the other,
+	// before others are checked.
+	suspectFailures = 2
+	// cutFailures is how many upstreams must accept no connection, with none that does, for
+	// the links to count as lost; all of them if there are fewer.
+	cutFailures = 5
+	// sampleSize is the number of upstreams in a check.
+	sampleSize = 5
+	// checkInterval is the interval between two checks.
+	checkInterval = 300 * time.Millisecond
+	// restoreChecks is how many checks in a row must succeed before the links count as
+	// restored: links that come back may be lost again.
+	restoreChecks = 2
+)
+
+// Tracker holds the outcomes of recent connection attempts. It is not safe for concurrent use.
+type Tracker struct {
+	// failures holds the addresses that accepted no connection since the last success, with
+	// the time of the newest attempt.
+	failures map[string]time.Duration
+	// listed is the number of upstreams that can be tried.
+	listed    int
+	lastCheck time.Duration
+	isCut     bool
+	// goodChecks is the number of good checks in a row while the links count as lost.
+	goodChecks int
+}
+
+// SetListed sets the number of upstreams that can be tried.
+func (t *Tracker) SetListed(n int) { t.listed = n }
+
+// RecordSuccess records that an upstream accepted a connection.
+func (t *Tracker) RecordSuccess() { clear(t.failures) }
+
+// RecordFailure records that an upstream accepted no connection.
+func (t *Tracker) RecordFailure(now time.Duration, address string) {
+	if t.failures == nil {
+		t.failures = map[string]time.Duration{}
+	}
+	t.failures[address] = now
+	for other, at := range t.failures {
+		if now-at > evidenceWindow {
+			delete(t.failures, other)
+		}
+	}
+	if t.listed > 0 && len(t.failures) >= min(cutFailures, t.listed) {
+		t.isCut, t.goodChecks = true, 0
+	}
+}
+
+// IsCut reports whether the links to all upstreams are lost.
+func (t *Tracker) IsCut() bool { return t.isCut }
+
+// NeedsCheck reports whether a sample of the upstreams has to be checked now. It returns true
+// once in checkInterval.
+func (t *Tracker) NeedsCheck(now time.Duration) bool {
+	if !t.isCut && len(t.failures) < suspectFailures || now-t.lastCheck < checkInterval {
+		return false
+	}
+	t.lastCheck = now
+	return true
+}
+
+// Sample returns the addresses to check: some of those listed, preferably ones that have not
+// failed.
+func (t *Tracker) Sample(listed []string) []string {
+	var untried, failed []string
+	for _, i := range rand.Perm(len(listed)) {
+		if _, ok := t.failures[listed[i]]; ok {
+			failed = append(failed, listed[i])
+			continue
+		}
+		untried = append(untried, listed[i])
+	}
+	sample := append(untried, failed...)
+	return sample[:min(sampleSize, len(sample))]
+}
+
+// RecordCheck records the outcome of a check: how many upstreams of the sample accepted a
+// connection.
+func (t *Tracker) RecordCheck(accepted, size int) {
+	switch {
+	case !t.isCut || size == 0:
+	case 2*accepted < size:
+		t.goodChecks = 0
+	default:
+		if t.goodChecks++; t.goodChecks >= restoreChecks {
+			t.isCut, t.goodChecks = false, 0
+		}
+	}
+}
--- a/internal/wire/client/pool.go
+++ b/internal/wire/client/pool.go
@@ -25,6 +25,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnDial is called before each new connection is opened; it may be nil.
 	OnDial func()
+	// OnDialed is called with the outcome of each attempt to open a connection that was not
+	// given up; it may be nil.
+	OnDialed func(address string, err error)
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -48,7 +51,11 @@
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	return p.dial(ctx, address)
+	c, err := p.dial(ctx, address)
+	if p.OnDialed != nil && ctx.Err() == nil {
+		p.OnDialed(address, err)
+	}
+	return c, err
 }
 
 // Open opens a connection to address and keeps it for reuse.
