Edge: failing test of instances that lose their links to all upstreams

The stand-in's network can cut a client from addresses: new connections are refused (open ones live on or are closed), or hang and open ones fall silent. Four instances, of which one, all of a data centre, or all but one are cut for 9 s; streams, look-ups and bookings go to each. The bound is that of the aim: served as well as others.

--- /dev/null
+++ b/internal/app/edge/links_test.go
@@ -0,0 +1,122 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fulmarwick/internal/fakes/inmem"
+)
+
+const (
+	// cutDelay is how long after the start of the traffic the links are cut.
+	cutDelay = 2 * time.Second
+	// cutTime is how long the links are cut.
+	cutTime = 9 * time.Second
+	// cutGrace is how long after the cut began callers of the instances that are cut off
+	// may be served worse than those of others.
+	cutGrace = 3 * time.Second
+	// cutInterval is the time between two requests to one instance.
+	cutInterval = 30 * time.Millisecond
+)
+
+// cutCases are the instances that lose their links. Of the four instances, 0 and 3 are in one
+// data centre.
+var cutCases = map[string][]int{"one": {0}, "data centre": {0, 3}, "all but one": {0, 1, 3}}
+
+// served counts the requests to some instances, and those that were served.
+type served struct {
+	mu          sync.Mutex
+	sent, whole int
+}
+
+func (s *served) add(whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent++
+	if whole {
+		s.whole++
+	}
+}
+
+func (s *served) share() float64 { return float64(s.whole) / float64(s.sent) }
+
+// sendMixed sends a stream, a look-up or a booking and returns whether it was served. No
+// booking may run twice, or run although the answer says that it did not.
+func (f *fixture) sendMixed(k int, id string, n int) bool {
+	switch n % 3 {
+	case 0:
+		a := f.request(k, http.MethodPost, "/write/"+id, id, "300,60")
+		if a.status == http.StatusOK && a.err == nil && a.body != wholeAnswer(id, 20) {
+			f.t.Errorf("got the answer %q to %s, want it whole", a.body, id)
+		}
+		return a.status == http.StatusOK && a.err == nil
+	case 1:
+		a := f.request(k, http.MethodGet, "/look/"+id, id, "")
+		return a.status == http.StatusOK && a.body == "answer of "+id
+	}
+	a := f.request(k, http.MethodPost, "/book/"+id, id, "")
+	runs := f.site.Runs(id)
+	if runs > 1 || runs > 0 && a.status == http.StatusServiceUnavailable {
+		f.t.Errorf("got status %d after %d runs of booking %s, want one at most, and none if it is refused", a.status, runs, id)
+	}
+	return a.status == http.StatusOK && a.body == "answer of "+id
+}
+
+// Guards against callers being served worse at instances that lost their links to all
+// upstreams, in each way in which links are lost.
+func TestCallersOfCutInstancesAreServedAsWell(t *testing.T) {
+	for name, cutOff := range cutCases {
+		for _, mode := range []inmem.CutMode{inmem.CutRefuse, inmem.CutReset, inmem.CutHang} {
+			t.Run(fmt.Sprintf("%s/%s", name, mode), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFixture(t, 4)
+					// Attempts to connect that hang end after the instances.
+					defer time.Sleep(inmem.ConnectTimeout)
+					defer f.close()
+					atCut, atOthers := f.sendDuringCut(cutOff, mode)
+					t.Logf("served %d of %d at instances that were cut off, %d of %d at others", atCut.whole, atCut.sent, atOthers.whole, atOthers.sent)
+					if atOthers.share() < 0.98 || atCut.share() < 0.98*atOthers.share() {
+						t.Errorf("got %.3f served at instances that were cut off, want the %.3f of the others, and these at least 0.98", atCut.share(), atOthers.share())
+					}
+				})
+			})
+		}
+	}
+}
+
+// sendDuringCut sends requests to all instances while some are cut off, and a while longer. It
+// counts those that were sent from cutGrace after the cut.
+func (f *fixture) sendDuringCut(cutOff []int, mode inmem.CutMode) (atCut, atOthers *served) {
+	atCut, atOthers = &served{}, &served{}
+	start := time.Now()
+	instance := func(k int) string { return fmt.Sprintf("edge-%d", k) }
+	for _, k := range cutOff {
+		time.AfterFunc(cutDelay, func() { f.site.CutInstance(instance(k), mode) })
+		time.AfterFunc(cutDelay+cutTime, func() { f.site.HealInstance(instance(k)) })
+	}
+	var callers sync.WaitGroup
+	for n := 0; time.Since(start) < cutDelay+cutTime+cutGrace; n++ {
+		for k := range f.clients {
+			callers.Go(func() {
+				sent := time.Since(start)
+				whole := f.sendMixed(k, fmt.Sprintf("r%d-%d", k, n), n)
+				if sent < cutDelay+cutGrace {
+					return
+				}
+				counts := atOthers
+				if slices.Contains(cutOff, k) {
+					counts = atCut
+				}
+				counts.add(whole)
+			})
+		}
+		time.Sleep(cutInterval)
+	}
+	callers.Wait()
+	return atCut, atOthers
+}
--- a/internal/fakes/inmem/net.go
+++ b/internal/fakes/inmem/net.go
@@ -14,6 +14,9 @@
 type Net struct {
 	mu    sync.Mutex
 	hosts map[string]*host
+	// cuts holds the cuts of clients, dialed their open connections.
+	cuts   map[string]cut
+	dialed map[string]map[*clientConn]bool
 }
 
 // host is the listener at one address and the connections made to it.
@@ -47,8 +50,16 @@
 // connections has the client's name as its remote address.
 func (n *Net) DialFrom(name string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
-		client, server := net.Pipe()
-		return n.connect(ctx, address, client, namedConn{Conn: server, name: name})
+		if err := n.checkCut(ctx, name, address); err != nil {
+			return nil, err
+		}
+		pipe, server := net.Pipe()
+		client := &clientConn{Conn: pipe, address: address, onClose: func() {}}
+		c, err := n.connect(ctx, address, client, namedConn{Conn: server, name: name})
+		if err == nil {
+			n.remember(name, client)
+		}
+		return c, err
 	}
 }
 
