Edge: pass requests on to other instances while the links to all upstreams are lost

Cause: an instance had one way to an upstream, its own link, and took lost links for engines that ended: it declared them dead one by one, told the others so, put crashes down to the requests that ran there, and kept its callers waiting for the last ones, while the store, the mesh and callers reached it. Readiness was not the mend: with a whole data centre cut off no instance there would be ready, and open connections stay.

Fix: requests go over another instance, one step. wire/peer carries a caller's request and its response as frames on the connections of the mesh; relay passes a call on where the links are lost, and where its own sends reached no upstream and nothing ran; the other instance serves it by its own front, so that keys, routes, retry budget, rate limits, notices and crashes count there, once. A request that is passed on is not passed again: an instance without links refuses it, truly not run, and up to four are asked, of the own data centre first, then of others. A lost instance ends a booking with 502; streams and safe requests go on elsewhere, streams from the last event, against the retry budget. A stopping instance takes none and ends those that it has. The deadline is what is left, and an instance with an older configuration refuses.

Links count as lost when five upstreams in a row accept no connection; while that is in doubt, no engine is declared dead and no crash recorded. Streams that stall on lost links go on elsewhere.

The tests of app/edge, wire, fleet, app/daemon and the stand-in pass.

--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -184,7 +184,7 @@
 	if svc.model == nil || !svc.model.ListedDead(up.ID) {
 		return
 	}
-	r.recordLostAnswersAsCrashes(up)
+	r.recordCrashes(r.takeLostAnswers(up))
 	for _, run := range svc.runsThrough(up.ID) {
 		t := svc.runs[run]
 		if !t.isNewOn(up.ID, run) {
--- a/internal/app/edge/fleet.go
+++ b/internal/app/edge/fleet.go
@@ -7,6 +7,7 @@
 
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/wire/relay"
 )
 
 // probeDelay returns how long this instance waits before it probes an engine. The streams
@@ -97,11 +98,30 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, run := range r.service(up.Service).runsThrough(up.ID) {
-		last := run.LastEvent()
-		idle := now.Sub(last) - w.clock.PausedBetween(last, now)
-		if run.MeanEventGap() == 0 || idle < max(minStallTime, minStallGaps*run.MeanEventGap()) {
+		if run.MeanEventGap() == 0 || !w.isStalled(run, now) {
 			return false
 		}
 	}
 	return true
 }
+
+// isStalled reports whether a stream has been without an event for longer than usual.
+func (w *watcher) isStalled(run *relay.Run, now time.Time) bool {
+	last := run.LastEvent()
+	idle := now.Sub(last) - w.clock.PausedBetween(last, now)
+	return idle >= max(minStallTime, minStallGaps*run.MeanEventGap())
+}
+
+// stalledRuns returns the stalled streams on an engine. One that waits for its first event
+// counts as stalled.
+func (w *watcher) stalledRuns(up site.Upstream, now time.Time) (out []*relay.Run) {
+	r := w.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range r.service(up.Service).runsThrough(up.ID) {
+		if w.isStalled(run, now) {
+			out = append(out, run)
+		}
+	}
+	return out
+}
--- a/internal/app/edge/links.go
+++ b/internal/app/edge/links.go
@@ -24,12 +24,16 @@
 	// isBusy reports whether this process is short of CPU time: connections then fail
 	// without a fault of the links.
 	isBusy func() bool
+	// onLost is called once the links are lost.
+	onLost func()
 	log    *zap.Logger
 
 	mu      sync.Mutex
 	tracker reach.Tracker
 	// lostAt is when the links were lost.
 	lostAt time.Time
+	// checking is closed at the end of the running check; nil if none is running.
+	checking chan struct{}
 }
 
 // recordDial records the outcome of a connection attempt.
@@ -52,6 +56,7 @@
 	case after && !before:
 		l.lostAt = time.Now()
 		l.log.Warn("edge: links to upstreams lost")
+		go l.onLost()
 	case before && !after:
 		l.log.Warn("edge: links to upstreams restored", zap.Duration("after", time.Since(l.lostAt)))
 	}
@@ -64,6 +69,18 @@
 	return l.tracker.IsCut()
 }
 
+// confirmLost reports whether the links to all upstreams are lost. While they are in doubt, it
+// waits for a check.
+func (l *linkWatcher) confirmLost(ctx context.Context) bool {
+	l.mu.Lock()
+	doubt := l.tracker.InDoubt()
+	l.mu.Unlock()
+	if doubt {
+		l.check(ctx)
+	}
+	return l.areLost()
+}
+
 // run checks the links while they are in doubt, until ctx ends.
 func (l *linkWatcher) run(ctx context.Context) {
 	ticker := time.NewTicker(linkCheckInterval)
@@ -83,28 +100,45 @@
 	}
 }
 
-// check tries a sample of the upstreams.
+// check tries a sample of the upstreams, or waits for the check that is running.
 func (l *linkWatcher) check(ctx context.Context) {
 	addresses := l.addresses()
 	l.mu.Lock()
+	if running := l.checking; running != nil {
+		l.mu.Unlock()
+		<-running
+		return
+	}
+	done := make(chan struct{})
+	l.checking = done
 	l.tracker.SetListed(len(addresses))
 	sample := l.tracker.Sample(addresses)
 	l.mu.Unlock()
-	accepted := make([]bool, len(sample))
-	var tries sync.WaitGroup
-	for i, address := range sample {
-		tries.Go(func() { accepted[i] = l.open(ctx, address) == nil })
+	defer close(done)
+	n := l.countAccepted(ctx, sample)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checking = nil
+	l.update(func() { l.tracker.RecordCheck(n, len(sample)) })
+}
+
+// countAccepted returns how many of the addresses accept a connection. If one shows that the
+// links are not lost, it does not wait for the others.
+func (l *linkWatcher) countAccepted(ctx context.Context, addresses []string) int {
+	outcomes := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() { outcomes <- l.open(ctx, address) == nil }()
 	}
-	tries.Wait()
 	n := 0
-	for _, ok := range accepted {
-		if ok {
+	for range addresses {
+		if <-outcomes {
 			n++
 		}
+		if n > 0 && !l.areLost() {
+			break
+		}
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.update(func() { l.tracker.RecordCheck(n, len(sample)) })
+	return n
 }
 
 // register registers the metric of the links.
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -57,8 +57,12 @@
 		store: i.store, state: i.state, router: i.router, log: i.Log, dial: i.Dial, meters: i.meters, countBehind: i.counter(`fulmarwick_behind_total`),
 	}
 	i.links = &linkWatcher{start: time.Now(), addresses: i.router.readyAddresses, open: i.pool.Open, isBusy: i.watcher.isBusy, log: i.Log}
+	i.links.onLost = func() { i.pool.CloseUnused(nil) }
+	i.watcher.links, i.router.linksLost = i.links, i.links.confirmLost
 	i.links.register(i.meters)
 	i.pool.OnDialed = i.links.recordDial
+	i.passer = newPasser(s.Instance.DataCentre, i.Log, i.meters)
+	i.passer.links, i.passer.drainer = i.links, i.drainer
 	i.culprits = newCulpritTable(i.store, i.router, i.Log)
 	i.connectParts()
 }
@@ -87,12 +91,15 @@
 	i.router.instanceCount = i.mesh.logic.Count
 	i.router.retryBudgetSharers = i.mesh.logic.BudgetShares
 	i.router.limits.Share = i.mesh.logic.LimitShare
+	i.passer.hub, i.passer.neighbors = i.mesh.hub, i.mesh.logic.Neighbors
+	i.mesh.hub.RequestServer = i.passer
 	codec := platform.HeaderCodec{}
 	i.server = &front.Server{
 		Dialect: codec, ConfigSource: i.state, LastCall: i.drainer.LastCall(), OnRequestEnd: i.recordEnd, OnReject: i.recordRejected, OnPanic: i.recordPanic,
-		PlainRunner: &relay.PlainRunner{Dialect: codec, Pool: i.pool, Upstreams: i.router, RetryBudget: i.router, Notices: i.router, CrashTracker: i.router},
-		ModelRunner: &relay.ModelRunner{Dialect: codec, Pool: i.pool, Paths: i.router, RetryBudget: i.router, Notices: i.router, CrashTracker: i.router},
+		PlainRunner: &relay.PlainRunner{Dialect: codec, Pool: i.pool, Upstreams: i.router, RetryBudget: i.router, Notices: i.router, CrashTracker: i.router, Peers: i.passer},
+		ModelRunner: &relay.ModelRunner{Dialect: codec, Pool: i.pool, Paths: i.router, RetryBudget: i.router, Notices: i.router, CrashTracker: i.router, Peers: i.passer},
 	}
+	i.passer.server = i.server
 }
 
 // counter returns a function that increments a counter.
--- a/internal/app/edge/plain.go
+++ b/internal/app/edge/plain.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"fulmarwick/internal/base/site"
@@ -79,24 +80,46 @@
 // startCooldown is StartCooldown; r.mu is held.
 func (r *router) startCooldown(up site.Upstream) {
 	r.service(up.Service).plain.StartCooldown(r.now(), up.ID)
-	r.recordLostAnswersAsCrashes(up)
+	if lost := r.takeLostAnswers(up); len(lost) > 0 {
+		go r.recordCrashesOfPlain(lost)
+	}
 }
 
-// recordLostAnswersAsCrashes records a crash of an upstream that ended against the requests
-// whose answers it lost just before; r.mu is held.
-func (r *router) recordLostAnswersAsCrashes(up site.Upstream) {
+// recordCrashesOfPlain records the crash of a plain upstream against the requests whose answers
+// it lost, unless this instance has lost its own links.
+func (r *router) recordCrashesOfPlain(lost []lostAnswer) {
+	isCut := r.linksLost(context.Background())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !isCut {
+		r.recordCrashes(lost)
+	}
+}
+
+// takeLostAnswers returns the requests whose answers an upstream that ended lost just before;
+// r.mu is held.
+func (r *router) takeLostAnswers(up site.Upstream) (lost []lostAnswer) {
 	svc := r.service(up.Service)
 	remaining := svc.lostAnswers[:0]
 	for _, l := range svc.lostAnswers {
 		switch {
 		case l.event.Upstream == up.ID && r.now()-l.at < lostAnswerWindow:
-			l.event.AgeMs = (r.now() - l.at).Milliseconds()
-			r.recordCrash(l.event)
+			lost = append(lost, l)
 		case r.now()-l.at < lostAnswerWindow:
 			remaining = append(remaining, l)
 		}
 	}
 	svc.lostAnswers = remaining
+	return lost
+}
+
+// recordCrashes records the crash of an upstream against the requests whose answers it lost;
+// r.mu is held.
+func (r *router) recordCrashes(lost []lostAnswer) {
+	for _, l := range lost {
+		l.event.AgeMs = (r.now() - l.at).Milliseconds()
+		r.recordCrash(l.event)
+	}
 }
 
 // lostAnswer is a request whose answer was lost.
--- a/internal/app/edge/probe.go
+++ b/internal/app/edge/probe.go
@@ -78,6 +78,11 @@
 		}
 		return
 	}
+	w.links.recordDial(up.Address, err)
+	if w.links.confirmLost(ctx) {
+		w.resumeStalled(up)
+		return
+	}
 	evidence := "silence"
 	if p.isConfirmed() {
 		evidence = "silence of many"
@@ -87,6 +92,16 @@
 	}
 }
 
+// resumeStalled continues the stalled streams of an engine elsewhere. The engine is not to blame:
+// this instance has lost its links.
+func (w *watcher) resumeStalled(up site.Upstream) {
+	for _, run := range w.stalledRuns(up, time.Now()) {
+		if run.Reroute(true, nil) {
+			w.countMove("resume")
+		}
+	}
+}
+
 // declareDead marks an engine as dead and starts to evacuate its runs. It returns false
 // if the engine was not marked: it was dead already or is another one by now.
 func (w *watcher) declareDead(ctx context.Context, up site.Upstream, evidence string, after time.Duration, err error) bool {
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -74,6 +74,9 @@
 	onRestriction func(fingerprint uint64, standing crash.Standing)
 	// takeTrial asks for a trial of a quarantined request and reports whether it is granted.
 	takeTrial func(ctx context.Context, fingerprint uint64) bool
+	// linksLost reports whether this instance has lost its links to all upstreams. It may wait
+	// for a check.
+	linksLost func(context.Context) bool
 	// connect opens a connection to a plain upstream and keeps it for later requests.
 	connect func(site.Upstream) error
 	// isDead probes a suspect engine again and reports whether it is dead.
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -100,6 +100,7 @@
 	router  *router
 	engines engineClient
 	log     *zap.Logger
+	links   *linkWatcher
 	// countProbe counts report requests.
 	countProbe func()
 	// onDead is called for each engine that this instance found dead by a probe.
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -82,6 +82,7 @@
 	// isFollower means that this instance is no head and holds no duty.
 	isFollower bool
 	candidates []spec.InstanceID
+	neighbors  []Neighbor
 	// index is the number of known instances whose ID is less than that of this one.
 	index    int
 	start    time.Time
@@ -97,6 +98,21 @@
 	return 1 + l.peerCount
 }
 
+// Neighbor is another instance that requests may be passed on to.
+type Neighbor struct {
+	ID         spec.InstanceID
+	DataCentre spec.DataCentre
+	URL        string
+}
+
+// Neighbors returns the other instances that are known to run. In a fleet with cells, those of
+// other cells are known by the roster only.
+func (l *Logic) Neighbors() []Neighbor {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.neighbors
+}
+
 // BudgetShares returns how many instances may share a fleet-wide limit, including this
 // one. After a start, known instances from which no message has come yet count as well.
 // Before any are known, there may be many.
--- a/internal/fleet/mesh/peer.go
+++ b/internal/fleet/mesh/peer.go
@@ -76,6 +76,7 @@
 func (l *Logic) dropUnresponsive(now time.Duration) {
 	lastSync, index := time.Duration(-1), 0
 	var alive []spec.InstanceID
+	var neighbors []Neighbor
 	for _, p := range l.peersByID() {
 		if p.alive && now-p.lastSeen >= peerTimeout {
 			p.alive = false
@@ -85,6 +86,9 @@
 		if p.id < l.ID {
 			index++
 		}
+		if p.url != "" && (p.alive || !l.layout.isFlat() && !l.inCell(p.id)) {
+			neighbors = append(neighbors, Neighbor{ID: p.id, DataCentre: p.centre, URL: p.url})
+		}
 		if !p.alive {
 			continue
 		}
@@ -98,7 +102,7 @@
 	defer l.mu.Unlock()
 	l.maxPeers, l.index = expected, index
 	l.peerCount, l.candidates, l.lastSync, l.isFollower = count, alive, lastSync, !l.isHead()
-	l.start = l.Now().Add(-now)
+	l.start, l.neighbors = l.Now().Add(-now), neighbors
 }
 
 // expectedPeers returns how many other instances there may be while this one is too
--- a/internal/route/reach/reach.go
+++ b/internal/route/reach/reach.go
@@ -69,10 +69,13 @@
 // IsCut reports whether the links to all upstreams are lost.
 func (t *Tracker) IsCut() bool { return t.isCut }
 
+// InDoubt reports whether several upstreams accepted no connection since the last success.
+func (t *Tracker) InDoubt() bool { return !t.isCut && len(t.failures) >= suspectFailures }
+
 // NeedsCheck reports whether a sample of the upstreams has to be checked now. It returns true
 // once in checkInterval.
 func (t *Tracker) NeedsCheck(now time.Duration) bool {
-	if !t.isCut && len(t.failures) < suspectFailures || now-t.lastCheck < checkInterval {
+	if !t.isCut && !t.InDoubt() || now-t.lastCheck < checkInterval {
 		return false
 	}
 	t.lastCheck = now
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		return nil, http.StatusBadRequest, err.Error()
 	}
-	c = &relay.Call{ParsedHeader: parsed, Route: route, Start: start, Urgency: urgency(route.Priority)}
+	c = &relay.Call{ParsedHeader: parsed, Route: route, Start: start, ConfigVersion: config.Version, Urgency: urgency(route.Priority)}
 	if config.RequiresKey() && !route.AuthExempt {
 		team := config.TeamByKey(parsed.Key)
 		if team == nil {
@@ -162,6 +162,9 @@
 		return nil, http.StatusServiceUnavailable, "the route's service is not known"
 	}
 	c.Deadline = start.Add(requestTimeout(parsed.Timeout, route.Timeout))
+	if passed := passedFrom(r.Context()); passed != nil {
+		passed.apply(r.Context(), c)
+	}
 	return c, 0, ""
 }
 
@@ -266,7 +269,7 @@
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, c *relay.Call) {
 	r, endSpan := s.startSpan(r, c)
 	reply := s.run(w, r, c)
-	status := s.writeReply(w, reply)
+	status := s.writeReply(w, r, reply)
 	endSpan(reply, status)
 	if s.OnRequestEnd != nil {
 		s.OnRequestEnd(c, reply, status, time.Since(c.Start))
--- a/internal/wire/front/reply.go
+++ b/internal/wire/front/reply.go
@@ -11,7 +11,7 @@
 
 // writeReply writes the final response unless it was forwarded already. It returns the
 // status, or zero if the connection must be broken.
-func (s *Server) writeReply(w http.ResponseWriter, reply relay.Reply) int {
+func (s *Server) writeReply(w http.ResponseWriter, r *http.Request, reply relay.Reply) int {
 	switch {
 	case reply.Reason == relay.ReasonNone && reply.Header == nil:
 		return http.StatusOK
@@ -26,6 +26,9 @@
 	if !reply.MayHaveRun {
 		after = reply.RetryAfter
 	}
+	if reply.Unreached && passedFrom(r.Context()) != nil {
+		w.Header().Set(unreachedHeader, "1")
+	}
 	writeRefusal(w, status, reply.Reason.String(), after)
 	return status
 }
--- a/internal/wire/peer/conn.go
+++ b/internal/wire/peer/conn.go
@@ -138,11 +138,13 @@
 		c.hub.Post(node.Received{From: c.id, Data: f.Data})
 	case kindForward:
 		c.serveForward(f.ID, *f.Job)
+	case kindRequest:
+		c.serveRequest(f.ID, *f.Request)
 	case kindCancel:
 		c.cancelJob(f.ID)
 	case kindSnapshotRequest:
 		c.serveSnapshot(f.ID)
-	case kindToken, kindEnd, kindSnapshot:
+	case kindToken, kindEnd, kindSnapshot, kindHead, kindChunk:
 		c.mu.Lock()
 		s := c.streams[f.ID]
 		c.mu.Unlock()
@@ -157,6 +159,8 @@
 func (c *conn) writeLoop() {
 	idle := time.NewTicker(max(c.hub.Idle/4, time.Millisecond))
 	defer idle.Stop()
+	alive := time.NewTicker(c.aliveInterval())
+	defer alive.Stop()
 	for {
 		select {
 		case <-c.closed:
@@ -166,6 +170,10 @@
 				c.closeNormally()
 				return
 			}
+		case <-alive.C:
+			if c.hasWork() {
+				c.sendAlive()
+			}
 		case data := <-c.queue:
 			if err := c.writeFrame(data); err != nil {
 				c.close(errors.Wrap(ErrBroken, err.Error()))
@@ -175,6 +183,29 @@
 	}
 }
 
+// aliveInterval is the interval between two frames that keep a connection with requests open if
+// nothing else is sent on it.
+func (c *conn) aliveInterval() time.Duration {
+	if c.hub.ReadTimeout == 0 {
+		return time.Hour
+	}
+	return c.hub.ReadTimeout / 4
+}
+
+// sendAlive sends a frame that belongs to no stream, which the other side ignores.
+func (c *conn) sendAlive() {
+	if data, err := encode(&frame{Kind: kindChunk}); err == nil {
+		c.tryEnqueue(data)
+	}
+}
+
+// hasWork reports whether requests are under way on the connection.
+func (c *conn) hasWork() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.streams) > 0 || len(c.jobs) > 0
+}
+
 func (c *conn) writeFrame(data []byte) error {
 	c.hub.meter.sent.Inc()
 	c.hub.meter.sentBytes.Add(len(data))
--- a/internal/wire/peer/forward.go
+++ b/internal/wire/peer/forward.go
@@ -36,7 +36,7 @@
 		return End{}, errors.Wrap(ErrRefused, "already forwarded")
 	}
 	job.Hops++
-	c, err := h.connect(ctx, to)
+	c, err := h.connect(ctx, to, "")
 	if err != nil {
 		return End{}, err
 	}
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithCancel(c.hub.ctx)
 	if !c.addJob(id, cancel) {
 		cancel()
-		c.reply(&frame{Kind: kindEnd, ID: id, End: &End{Fault: &Fault{Code: "busy", Ran: "no"}}})
+		c.reply(&frame{Kind: kindEnd, ID: id, End: &End{Fault: &Fault{Code: "busy", Ran: ranNo}}})
 		return
 	}
 	c.hub.meter.served.Inc()
@@ -145,9 +145,9 @@
 func (h *Hub) checkJob(job *Job) *Fault {
 	switch {
 	case h.JobServer == nil:
-		return &Fault{Code: "not-served", Ran: "no"}
+		return &Fault{Code: "not-served", Ran: ranNo}
 	case job.Hops != maxHops:
-		return &Fault{Code: "hops", Text: "The request was forwarded already.", Ran: "no"}
+		return &Fault{Code: "hops", Text: "The request was forwarded already.", Ran: ranNo}
 	}
 	return nil
 }
--- a/internal/wire/peer/frame.go
+++ b/internal/wire/peer/frame.go
@@ -35,20 +35,29 @@
 	kindEnd                             // end
 	kindSnapshotRequest                 // ask
 	kindSnapshot                        // snapshot
+	kindRequest                         // request
+	kindHead                            // head
+	kindChunk                           // chunk
 )
 
+// ranNo is the value of Fault.Ran of a request that was not run and never will be.
+const ranNo = "no"
+
 // frame is one WebSocket message. ID identifies a stream among those opened by
 // the same side.
 type frame struct {
 	Kind kind   `cbor:"1,keyasint"`
 	ID   uint64 `cbor:"2,keyasint,omitempty"`
-	// Data is a message of the fleet logic or a chunk of a snapshot.
+	// Data is a message of the fleet logic, or a chunk of a snapshot or of a response.
 	Data []byte `cbor:"3,keyasint,omitempty"`
 	// Last marks the last chunk of a snapshot.
 	Last  bool   `cbor:"4,keyasint,omitempty"`
 	Job   *Job   `cbor:"5,keyasint,omitempty"`
 	Token *Token `cbor:"6,keyasint,omitempty"`
 	End   *End   `cbor:"7,keyasint,omitempty"`
+	// Request is passed on as its caller sent it; Head and Data are parts of the response.
+	Request *Request `cbor:"8,keyasint,omitempty"`
+	Head    *head    `cbor:"9,keyasint,omitempty"`
 }
 
 // Job is a model request that is forwarded to another instance.
@@ -158,6 +167,10 @@
 		return f.End != nil && f.End.Count >= 0 && f.End.Count <= maxCount
 	case kindSnapshot:
 		return len(f.Data) <= snapshotChunk
+	case kindRequest:
+		return f.Request != nil && f.Request.valid()
+	case kindHead:
+		return f.Head != nil && f.Head.valid()
 	default:
 		return f.Kind > 0
 	}
--- a/internal/wire/peer/hub.go
+++ b/internal/wire/peer/hub.go
@@ -85,9 +85,10 @@
 	// Low and High are the lowest and highest supported protocol versions; zero
 	// means the current version.
 	Low, High int
-	// JobServer and Config may be nil; such requests are then refused.
-	JobServer Server
-	Config    Snapshots
+	// JobServer, RequestServer and Config may be nil; such requests are then refused.
+	JobServer     Server
+	RequestServer RequestServer
+	Config        Snapshots
 	// HandleCommand receives all commands of the logic except Send. It is called on the
 	// Hub's goroutine and must not block.
 	HandleCommand func(node.Command)
--- a/internal/wire/peer/kind_string.go
+++ b/internal/wire/peer/kind_string.go
@@ -15,11 +15,14 @@
 	_ = x[kindEnd-5]
 	_ = x[kindSnapshotRequest-6]
 	_ = x[kindSnapshot-7]
+	_ = x[kindRequest-8]
+	_ = x[kindHead-9]
+	_ = x[kindChunk-10]
 }
 
-const _kind_name = "newsforwardcanceltokenendasksnapshot"
+const _kind_name = "newsforwardcanceltokenendasksnapshotrequestheadchunk"
 
-var _kind_index = [...]uint8{0, 4, 11, 17, 22, 25, 28, 36}
+var _kind_index = [...]uint8{0, 4, 11, 17, 22, 25, 28, 36, 43, 47, 52}
 
 func (i kind) String() string {
 	idx := int(i) - 1
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -90,10 +90,13 @@
 	}
 }
 
-// connect returns a connection to id and dials if there is none.
-func (h *Hub) connect(ctx context.Context, id spec.InstanceID) (*conn, error) {
+// connect returns a connection to id and dials if there is none. An empty base means the URL
+// of the member.
+func (h *Hub) connect(ctx context.Context, id spec.InstanceID, base string) (*conn, error) {
 	h.mu.Lock()
-	base := h.urls[id]
+	if base == "" {
+		base = h.urls[id]
+	}
 	l := h.link(id)
 	if l.conn == nil && base == "" {
 		h.mu.Unlock()
--- a/internal/wire/peer/snapshot.go
+++ b/internal/wire/peer/snapshot.go
@@ -16,7 +16,7 @@
 // interrupted.
 func (h *Hub) Snapshot(ctx context.Context, from spec.InstanceID) ([]byte, error) {
 	h.init()
-	c, err := h.connect(ctx, from)
+	c, err := h.connect(ctx, from, "")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -41,6 +41,14 @@
 	Header http.Header
 	Body   []byte
 
+	// ConfigVersion is the version of the configuration by which the request was accepted.
+	ConfigVersion uint64
+	// Passed means that another instance passed the request on. It is not passed on again.
+	Passed bool
+	// Counted means that the request is counted in the retry budget, here or by the instance
+	// that passed it on.
+	Counted bool
+
 	// Start is when the request was received.
 	Start time.Time
 	// Deadline is when the caller or the route stops waiting.
@@ -67,6 +75,14 @@
 	return &client.Request{Method: c.Method, Path: c.Path, Host: c.Host, Header: h, Body: c.Body}
 }
 
+// countRequest counts a call that is sent from here in the retry budget, once.
+func (c *Call) countRequest(budget RetryBudget) {
+	if !c.Counted {
+		c.Counted = true
+		budget.RecordRequest(c.Service.Name)
+	}
+}
+
 // CrashTracker tracks the requests that crash upstreams.
 type CrashTracker interface {
 	// IsCulprit reports whether a request crashed upstreams and must not be sent
@@ -143,6 +159,9 @@
 	// RetryAfter is how long the caller should wait before a retry; zero gives no
 	// advice.
 	RetryAfter time.Duration
+	// Unreached means that the call was not run since this instance does not reach the
+	// upstreams that it needs.
+	Unreached bool
 	// Started means that a part of the response was forwarded already, so that a
 	// failure can be signalled only by breaking the caller's connection.
 	Started bool
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -24,6 +24,7 @@
 			c.runner.Paths.ReportConnFailure(c.call.Service.Name, first)
 		}
 		c.avoid = append(c.avoid, first)
+		c.unreached = true
 		return errUnsent
 	}
 	if !c.acceptsRequests(chain) {
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -103,6 +103,8 @@
 	Notices     UpstreamNotices
 	// CrashTracker tracks requests that crash engines.
 	CrashTracker CrashTracker
+	// Peers passes calls on that reach no engine from here; nil passes none on.
+	Peers Peers
 }
 
 // Do runs the call and forwards the answer to sink.
@@ -112,7 +114,9 @@
 	if m.CrashTracker.IsCulprit(c.Fingerprint()) {
 		return Reply{Reason: ReasonPoison}
 	}
-	m.RetryBudget.RecordRequest(c.Service.Name)
+	if c.Passed && m.Peers != nil && m.Peers.LinksLost() {
+		return unreachedReply()
+	}
 	mc := &modelCall{runner: m, call: c, ctx: ctx, sink: sink, lastEventID: c.ParsedHeader.LastEventID}
 	r := mc.timing.addTo(mc.run())
 	r.Upstreams = mc.firstEngines
@@ -140,6 +144,10 @@
 	// mayHaveRun means that a run may have begun, so that the caller cannot be
 	// promised that the request has not run.
 	mayHaveRun bool
+	// unreached means that an engine accepted no connection. passes is how often the request
+	// was passed on to another instance.
+	unreached bool
+	passes    int
 	// avoid lists engines that refused or broke off a run.
 	avoid []spec.UpstreamID
 	// firstEngines are the first engines of the runs.
@@ -185,7 +193,17 @@
 
 func (c *modelCall) run() Reply {
 	for {
+		if c.runner.Peers != nil && c.runner.Peers.LinksLost() {
+			if reply, done := c.passOn(); done {
+				return reply
+			}
+		}
 		run, err := c.startRun()
+		if errors.Is(err, path.ErrNoPath) {
+			if reply, done := c.passOn(); done {
+				return reply
+			}
+		}
 		if c.hasPartialAnswer() && isTemporary(err) && feed.Sleep(c.ctx, maxRetryBackoff) {
 			continue
 		}
@@ -198,9 +216,15 @@
 			return Reply{SendCount: c.runs, MayHaveRun: true}
 		}
 		c.recordFailure(run, err)
-		if !c.shouldRetry(run, err) {
-			return c.failedReply(err)
+		if c.shouldRetry(run, err) {
+			continue
+		}
+		if c.unreached && !c.mayHaveRun {
+			if reply, done := c.passOn(); done {
+				return reply
+			}
 		}
+		return c.failedReply(err)
 	}
 }
 
@@ -219,6 +243,7 @@
 	if err := c.runner.CrashTracker.AllowSend(c.ctx, c.call.Fingerprint()); err != nil {
 		return nil, err
 	}
+	c.call.countRequest(c.runner.RetryBudget)
 	kind := RunFirst
 	switch {
 	case c.hasPartialAnswer():
@@ -259,7 +284,7 @@
 		r.Reason, r.RetryAfter = restricted.Reason, restricted.RetryAfter
 		return r
 	case errors.Is(err, path.ErrNoPath):
-		r.Reason = ReasonNoUpstream
+		r.Reason, r.Unreached = ReasonNoUpstream, !c.mayHaveRun
 	case errors.Is(err, path.ErrRateLimited):
 		r.Reason = ReasonRateLimited
 	case errors.Is(err, share.ErrReserved):
@@ -281,7 +306,7 @@
 	case c.ctx.Err() != nil:
 		r.Reason = ReasonTimeout
 	case !c.mayHaveRun:
-		r.Reason = ReasonRefused
+		r.Reason, r.Unreached = ReasonRefused, c.unreached
 		r.RetryAfter = c.runner.Paths.RetryAfter(c.call)
 	}
 	return r
--- /dev/null
+++ b/internal/wire/relay/pass.go
@@ -0,0 +1,132 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"fulmarwick/internal/state/feed"
+	"fulmarwick/internal/wire/client"
+
+	"github.com/go-faster/errors"
+)
+
+// maxPasses limits how often a request is passed on after the instance that served it was lost.
+const maxPasses = 3
+
+// Errors of calls that are passed on to another instance.
+var (
+	// ErrNoPeer means that no other instance took the call. It was not run.
+	ErrNoPeer = errors.New("relay: no other instance takes the request")
+	// ErrPeerLost means that an instance took the call and no response came.
+	ErrPeerLost = errors.New("relay: instance with the request lost")
+)
+
+// Peers passes calls on to other instances, for an instance that does not reach the upstreams.
+type Peers interface {
+	// LinksLost reports whether this instance has lost its links to all upstreams.
+	LinksLost() bool
+	// Pass passes a call on to an instance that reaches its upstreams and returns the
+	// response. The caller has the events up to lastEventID. The error is ErrNoPeer or
+	// ErrPeerLost.
+	Pass(ctx context.Context, c *Call, lastEventID int) (*http.Response, error)
+}
+
+// mayPass reports whether a call may be passed on: it is, once at most.
+func (c *Call) mayPass(peers Peers) bool { return peers != nil && !c.Passed }
+
+// unreachedReply is the reply to a call that was passed on to an instance without links itself.
+func unreachedReply() Reply { return Reply{Reason: ReasonNoUpstream, Unreached: true} }
+
+// passOn passes the call on; false if no other instance took it.
+func (p *PlainRunner) passOn(ctx context.Context, c *Call) (Reply, bool) {
+	for pass := 1; ; pass++ {
+		resp, err := p.Peers.Pass(ctx, c, 0)
+		if errors.Is(err, ErrNoPeer) {
+			return Reply{Reason: ReasonResponseLost, MayHaveRun: true}, pass > 1
+		}
+		if err == nil {
+			var reply Reply
+			if reply, err = readReply(resp); err == nil {
+				return reply, true
+			}
+		}
+		if ctx.Err() != nil || !c.Route.Retryable() || pass == maxPasses || !p.RetryBudget.AllowRetry(c.Service.Name) {
+			return lostReply(ctx), true
+		}
+	}
+}
+
+// lostReply returns the reply to a call whose response was lost or did not come in time.
+func lostReply(ctx context.Context) Reply {
+	r := Reply{Reason: ReasonResponseLost, MayHaveRun: true}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		r.Reason = ReasonCallerLeft
+	case ctx.Err() != nil:
+		r.Reason = ReasonTimeout
+	}
+	return r
+}
+
+// readReply reads the whole response of another instance.
+func readReply(resp *http.Response) (Reply, error) {
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainBodyBytes+1))
+	if err != nil || len(body) > maxPlainBodyBytes {
+		return Reply{}, errors.Wrap(client.ErrRead, "response truncated or too long")
+	}
+	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: body, MayHaveRun: resp.StatusCode != http.StatusServiceUnavailable, SendCount: 1}, nil
+}
+
+// passOn passes the request on to another instance, from the last event that the caller has.
+// done is false if the request has to be run here, or passed on again.
+func (c *modelCall) passOn() (reply Reply, done bool) {
+	if !c.call.mayPass(c.runner.Peers) || c.passes >= maxPasses {
+		return Reply{}, false
+	}
+	resp, err := c.runner.Peers.Pass(c.ctx, c.call, c.lastEventID)
+	if errors.Is(err, ErrNoPeer) {
+		return Reply{}, false
+	}
+	if err == nil {
+		reply, done, err = c.readPassed(resp)
+	}
+	if err == nil {
+		return reply, done
+	}
+	c.passes++
+	c.mayHaveRun = true
+	c.noRetryReason = ReasonResponseLost
+	if c.ctx.Err() != nil || errors.Is(err, errCallerGone) || !c.call.Route.Retryable() || !c.takeRetry() {
+		return c.failedReply(err), true
+	}
+	return Reply{}, false
+}
+
+// readPassed forwards the response of another instance. If the caller has a part of the answer, a
+// refusal is not passed to it.
+func (c *modelCall) readPassed(resp *http.Response) (reply Reply, done bool, err error) {
+	defer func() { _ = resp.Body.Close() }()
+	head := c.runner.Dialect.ParseResponse(resp.StatusCode, resp.Header)
+	if resp.StatusCode == http.StatusOK && head.Sealed {
+		run := NewRun(nil, nil)
+		run.Service = c.call.Service.Name
+		if err := c.forwardEvents(run, resp); err != nil {
+			return Reply{}, false, err
+		}
+		return Reply{SendCount: c.runs + c.passes, MayHaveRun: true}, true, nil
+	}
+	reply, err = readReply(resp)
+	switch {
+	case err != nil:
+		return Reply{}, false, err
+	case c.hasPartialAnswer():
+		feed.Sleep(c.ctx, maxRetryBackoff)
+		return Reply{}, false, nil
+	case c.mayHaveRun && !reply.MayHaveRun:
+		c.noRetryReason = ReasonResponseLost
+		return c.failedReply(errUnsent), true, nil
+	}
+	return reply, true, nil
+}
--- a/internal/wire/relay/plain.go
+++ b/internal/wire/relay/plain.go
@@ -62,6 +62,8 @@
 	Notices     UpstreamNotices
 	// CrashTracker tracks requests that crash upstreams.
 	CrashTracker CrashTracker
+	// Peers passes calls on that reach no upstream from here; nil passes none on.
+	Peers Peers
 }
 
 // ErrNoUpstream means that no upstream of a service can be used.
@@ -95,9 +97,23 @@
 	if p.CrashTracker.IsCulprit(c.Fingerprint()) {
 		return Reply{Reason: ReasonPoison}
 	}
-	p.RetryBudget.RecordRequest(c.Service.Name)
+	if p.Peers != nil && p.Peers.LinksLost() {
+		if c.Passed {
+			return unreachedReply()
+		}
+		if reply, ok := p.passOn(ctx, c); ok {
+			return reply
+		}
+	}
+	c.countRequest(p.RetryBudget)
 	pc := &plainCall{runner: p, call: c, ctx: ctx, results: make(chan *sendResult, maxSends)}
-	return pc.run()
+	reply := pc.run()
+	if reply.Unreached && c.mayPass(p.Peers) {
+		if passed, ok := p.passOn(ctx, c); ok {
+			return passed
+		}
+	}
+	return reply
 }
 
 // plainCall is the state of one call across its attempts. An idempotent call may
@@ -113,7 +129,9 @@
 	inFlight int
 	// mayHaveRunCount is how many upstreams may have run the call.
 	mayHaveRunCount int
-	lastResult      *sendResult
+	// unreached means that an upstream accepted no connection.
+	unreached  bool
+	lastResult *sendResult
 }
 
 func (c *plainCall) run() Reply {
@@ -195,6 +213,9 @@
 	if result.succeeded() {
 		return c.finalReply(result), true
 	}
+	if result.unsent && errors.Is(result.err, client.ErrDial) {
+		c.unreached = true
+	}
 	if !result.notRun && !result.unsent {
 		c.mayHaveRunCount++
 		c.lastResult = result
@@ -234,7 +255,7 @@
 	if c.mayHaveRunCount > 0 {
 		return Reply{Reason: ReasonResponseLost, MayHaveRun: true, SendCount: len(c.sentTo)}
 	}
-	return Reply{Reason: ReasonRefused, RetryAfter: c.retryAfter(), SendCount: len(c.sentTo)}
+	return Reply{Reason: ReasonRefused, RetryAfter: c.retryAfter(), SendCount: len(c.sentTo), Unreached: c.unreached}
 }
 
 // retryAfter returns the Retry-After of a refused call: until an upstream accepts requests
