Tests of requests passed on to other instances

Of the whole: bookings run once at most, and not if they are refused, while the connections to the instances that serve them break and these start again; an engine that is silent for a second is no lost link; a stream passed on ends with its caller.

--- a/internal/app/edge/links_test.go
+++ b/internal/app/edge/links_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -9,7 +10,12 @@
 	"testing/synctest"
 	"time"
 
+	"fulmarwick/internal/fakes/depot"
 	"fulmarwick/internal/fakes/inmem"
+	"fulmarwick/platform/stand"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 const (
@@ -120,3 +126,93 @@
 	callers.Wait()
 	return atCut, atOthers
 }
+
+// Guards against bookings that run twice, or run although their callers are told otherwise, and
+// against broken streams, while an instance that lost its links passes requests on to instances
+// whose connections break and that are started again.
+func TestPassedRequestsSurviveRestarts(t *testing.T) {
+	for _, mode := range []inmem.CutMode{inmem.CutRefuse, inmem.CutReset, inmem.CutHang} {
+		t.Run(mode.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, processes := newProcessFixture(t, 4)
+				defer time.Sleep(inmem.ConnectTimeout)
+				defer f.close()
+				f.site.CutInstance("edge-0", mode)
+				time.Sleep(time.Second)
+				counts := &served{}
+				var callers sync.WaitGroup
+				for n := range 400 {
+					callers.Go(func() { counts.add(f.sendMixed(0, fmt.Sprintf("r%d", n), n)) })
+					if n%100 == 50 {
+						p := processes[1+n/100%3]
+						f.site.Net.Reset(p.settings.Listen.Mesh)
+						p.end()
+						p.start()
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				callers.Wait()
+				t.Logf("served %d of %d", counts.whole, counts.sent)
+				if counts.share() < 0.9 {
+					t.Errorf("got %d of %d served, want nine in ten", counts.whole, counts.sent)
+				}
+				for _, p := range processes {
+					p.end()
+				}
+			})
+		})
+	}
+}
+
+// Guards against an instance that takes an engine which is silent for a second for lost links,
+// or for an engine that ended.
+func TestSilentEngineIsNoLostLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, logs := observer.New(zap.WarnLevel)
+		f := newFixtureFrom(t, &depot.Depot{Instances: 4, Log: zap.New(core)})
+		defer f.close()
+		counts := &served{}
+		var callers sync.WaitGroup
+		for n := range 200 {
+			if n == 60 {
+				f.site.Freeze(f.busiestEngine(), time.Second)
+			}
+			callers.Go(func() { counts.add(f.sendMixed(n%4, fmt.Sprintf("r%d", n), n)) })
+			time.Sleep(20 * time.Millisecond)
+		}
+		callers.Wait()
+		if counts.whole != counts.sent {
+			t.Errorf("got %d of %d served, want all", counts.whole, counts.sent)
+		}
+		if got := logs.FilterMessage("edge: links to upstreams lost").Len(); got != 0 {
+			t.Errorf("got the links lost %d times, want never", got)
+		}
+	})
+}
+
+// Guards against requests that run on after their caller has left, where another instance sends
+// them.
+func TestPassedStreamEndsWithItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		f.site.CutInstance("edge-0", inmem.CutReset)
+		time.Sleep(time.Second)
+		f.sendMixed(0, "warm", 0)
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		req, err := stand.NewRequest(ctx, http.MethodPost, "http://"+depot.Settings(0).Listen.Callers+"/write/long", "long", "300,3000")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a := f.send(0, req); a.events == 0 {
+			t.Errorf("got no event (%v), want some before the caller leaves", a.err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, e := range f.site.Engines() {
+			if got := e.Running(); got != 0 {
+				t.Errorf("got %d runs on %s after the caller left, want none", got, e.ID)
+			}
+		}
+	})
+}
--- a/internal/fakes/inmem/net.go
+++ b/internal/fakes/inmem/net.go
@@ -99,6 +99,22 @@
 	return c, nil
 }
 
+// Reset closes all connections made to an address.
+func (n *Net) Reset(address string) {
+	n.mu.Lock()
+	h := n.hosts[address]
+	if h == nil {
+		n.mu.Unlock()
+		return
+	}
+	conns := h.conns
+	h.conns = nil
+	n.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
 // Kill closes the listener at an address and all connections made to it, as happens
 // when a process dies.
 func (n *Net) Kill(address string) {
