Edge: ask no more instances for a while after none took a request

A request that no instance can serve, as while all engines of a layer load, asked up to four others, and each of these waited for engines as for its own callers. A passed request does not wait for engines any more; instances that refuse are remembered by service, and after a request that nobody took the service passes none on for 0.3 s, so that an outage of upstreams does not multiply the work of a large fleet.

--- a/internal/app/edge/pass.go
+++ b/internal/app/edge/pass.go
@@ -25,9 +25,12 @@
 const (
 	// maxPassTries is how many instances are asked to take a request.
 	maxPassTries = 4
-	// unreachedTime is how long an instance that does not reach the upstreams either, or that
-	// is stopping, is not asked again.
+	// unreachedTime is how long an instance that does not reach the upstreams of a service
+	// either, or that is stopping, is not asked again.
 	unreachedTime = time.Second
+	// unreachedPause is how long requests of a service are not passed on after no instance took
+	// one: the fault is not in the links then.
+	unreachedPause = 300 * time.Millisecond
 )
 
 // passer passes requests on to other instances while this one does not reach the upstreams, and
@@ -44,14 +47,20 @@
 	meters    *metrics.Set
 
 	mu sync.Mutex
-	// unreached holds the instances that are not asked, with the time until then.
-	unreached map[spec.InstanceID]time.Time
+	// unreached holds the instances that are not asked for a service, with the time until then.
+	// An entry without an instance holds for all.
+	unreached map[unreachedKey]time.Time
 	// passed holds the number of requests that each instance serves for this one.
 	passed map[spec.InstanceID]int
 }
 
+type unreachedKey struct {
+	service  string
+	instance spec.InstanceID
+}
+
 func newPasser(centre string, log *zap.Logger, meters *metrics.Set) *passer {
-	return &passer{centre: spec.DataCentre(centre), log: log, meters: meters, unreached: map[spec.InstanceID]time.Time{}, passed: map[spec.InstanceID]int{}}
+	return &passer{centre: spec.DataCentre(centre), log: log, meters: meters, unreached: map[unreachedKey]time.Time{}, passed: map[spec.InstanceID]int{}}
 }
 
 // LinksLost reports whether this instance has lost its links to all upstreams.
@@ -65,7 +74,7 @@
 	}
 	var tried []spec.InstanceID
 	for len(tried) < maxPassTries && ctx.Err() == nil {
-		to, ok := p.choose(tried)
+		to, ok := p.choose(c.Service.Name, tried)
 		if !ok {
 			break
 		}
@@ -73,23 +82,27 @@
 		resp, err := p.hub.RoundTrip(ctx, node.Peer{ID: to.ID, URL: to.URL}, request)
 		switch {
 		case errors.Is(err, peer.ErrRefused) || err == nil && front.IsUnreached(resp):
-			p.release(to.ID, true)
+			p.release(to.ID)
+			p.avoid(unreachedKey{service: c.Service.Name, instance: to.ID}, unreachedTime)
 			p.count("refused")
 			if err == nil {
 				_ = resp.Body.Close()
 			}
 			continue
 		case err != nil:
-			p.release(to.ID, false)
+			p.release(to.ID)
 			p.count("lost")
 			p.log.Info("edge: passed request lost", zap.String("request", c.ParsedHeader.ID), zap.String("peer", string(to.ID)), zap.Error(err))
 			return nil, errors.Wrap(relay.ErrPeerLost, err.Error())
 		}
 		p.count("taken")
-		resp.Body = &passedBody{ReadCloser: resp.Body, end: func() { p.release(to.ID, false) }}
+		resp.Body = &passedBody{ReadCloser: resp.Body, end: func() { p.release(to.ID) }}
 		return resp, nil
 	}
-	p.log.Info("edge: request not passed on", zap.String("request", c.ParsedHeader.ID), zap.Int("asked", len(tried)))
+	if len(tried) > 0 {
+		p.avoid(unreachedKey{service: c.Service.Name}, unreachedPause)
+		p.log.Info("edge: request not passed on", zap.String("request", c.ParsedHeader.ID), zap.Int("asked", len(tried)))
+	}
 	return nil, relay.ErrNoPeer
 }
 
@@ -100,16 +113,19 @@
 // choose returns the instance to ask next and counts a request for it: one of the own data
 // centre first, then of others, since the instances of a data centre may lose their links
 // together. Among equals it is the one that serves the fewest requests for this one.
-func (p *passer) choose(tried []spec.InstanceID) (mesh.Neighbor, bool) {
+func (p *passer) choose(service string, tried []spec.InstanceID) (mesh.Neighbor, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	if now.Before(p.unreached[unreachedKey{service: service}]) {
+		return mesh.Neighbor{}, false
+	}
 	var best mesh.Neighbor
 	bestCost, found := 0, false
 	neighbors := p.neighbors()
 	for _, i := range rand.Perm(len(neighbors)) {
 		n := neighbors[i]
-		if slices.Contains(tried, n.ID) || now.Before(p.unreached[n.ID]) {
+		if slices.Contains(tried, n.ID) || now.Before(p.unreached[unreachedKey{service: service, instance: n.ID}]) {
 			continue
 		}
 		cost := 2 * p.passed[n.ID]
@@ -127,23 +143,26 @@
 	return best, found
 }
 
-// release ends the count of a request for an instance. unreached means that it did not take the
-// request.
-func (p *passer) release(id spec.InstanceID, unreached bool) {
+// release ends the count of a request for an instance.
+func (p *passer) release(id spec.InstanceID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.passed[id]--; p.passed[id] <= 0 {
 		delete(p.passed, id)
 	}
+}
+
+// avoid keeps requests from being passed on for a while.
+func (p *passer) avoid(key unreachedKey, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := time.Now()
 	for other, until := range p.unreached {
 		if now.After(until) {
 			delete(p.unreached, other)
 		}
 	}
-	if unreached {
-		p.unreached[id] = now.Add(unreachedTime)
-	}
+	p.unreached[key] = now.Add(d)
 }
 
 // passedBody is the body of a response from another instance.
--- a/internal/app/edge/queue.go
+++ b/internal/app/edge/queue.go
@@ -46,9 +46,16 @@
 
 // isRefused reports whether the request is refused instead of waiting: upstreams ended under it,
 // or rate limits left no room at the last search. One whose caller has a part of the answer
-// waits for room.
+// waits for room. One that was passed on does not wait for engines: another instance may have
+// them.
 func (w *waiter) isRefused() bool {
-	return crash.IsRestriction(w.lastErr) || errors.Is(w.lastErr, path.ErrRateLimited) && !w.hasPartialAnswer()
+	switch {
+	case crash.IsRestriction(w.lastErr):
+		return true
+	case errors.Is(w.lastErr, path.ErrNoPath):
+		return w.call.Passed
+	}
+	return errors.Is(w.lastErr, path.ErrRateLimited) && !w.hasPartialAnswer()
 }
 
 // admission is the outcome of waiting: a run or an error.
--- a/internal/wire/peer/proxy_test.go
+++ b/internal/wire/peer/proxy_test.go
@@ -79,9 +79,15 @@
 		serve requestServer
 		sever bool
 	}{
-		"handler":    {func(_ context.Context, w http.ResponseWriter, _ peer.Request) { _, _ = io.WriteString(w, "part"); panic(http.ErrAbortHandler) }, false},
-		"connection": {func(ctx context.Context, w http.ResponseWriter, _ peer.Request) { _, _ = io.WriteString(w, "part"); <-ctx.Done() }, true},
-		"no head":    {func(context.Context, http.ResponseWriter, peer.Request) { panic(http.ErrAbortHandler) }, false},
+		"handler": {func(_ context.Context, w http.ResponseWriter, _ peer.Request) {
+			_, _ = io.WriteString(w, "part")
+			panic(http.ErrAbortHandler)
+		}, false},
+		"connection": {func(ctx context.Context, w http.ResponseWriter, _ peer.Request) {
+			_, _ = io.WriteString(w, "part")
+			<-ctx.Done()
+		}, true},
+		"no head": {func(context.Context, http.ResponseWriter, peer.Request) { panic(http.ErrAbortHandler) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			passRequest(t, broken.serve, func(s *network, _ context.Context, pass func() (*http.Response, error)) {
