Relay, edge: shorter functions around passed requests; parts in files of their own

One change of behaviour: a crash event without an upstream is ignored, as former versions report verdicts like that during an upgrade.

--- a/internal/app/edge/pass.go
+++ b/internal/app/edge/pass.go
@@ -79,24 +79,15 @@
 			break
 		}
 		tried = append(tried, to.ID)
-		resp, err := p.hub.RoundTrip(ctx, node.Peer{ID: to.ID, URL: to.URL}, request)
+		resp, err := p.ask(ctx, to, request)
 		switch {
-		case errors.Is(err, peer.ErrRefused) || err == nil && front.IsUnreached(resp):
-			p.release(to.ID)
+		case errors.Is(err, peer.ErrRefused):
 			p.avoid(unreachedKey{service: c.Service.Name, instance: to.ID}, unreachedTime)
-			p.count("refused")
-			if err == nil {
-				_ = resp.Body.Close()
-			}
 			continue
 		case err != nil:
-			p.release(to.ID)
-			p.count("lost")
 			p.log.Info("edge: passed request lost", zap.String("request", c.ParsedHeader.ID), zap.String("peer", string(to.ID)), zap.Error(err))
 			return nil, errors.Wrap(relay.ErrPeerLost, err.Error())
 		}
-		p.count("taken")
-		resp.Body = &passedBody{ReadCloser: resp.Body, end: func() { p.release(to.ID) }}
 		return resp, nil
 	}
 	if len(tried) > 0 {
@@ -106,6 +97,27 @@
 	return nil, relay.ErrNoPeer
 }
 
+// ask asks an instance to take a request. The error is peer.ErrRefused if it does not.
+func (p *passer) ask(ctx context.Context, to mesh.Neighbor, request peer.Request) (*http.Response, error) {
+	resp, err := p.hub.RoundTrip(ctx, node.Peer{ID: to.ID, URL: to.URL}, request)
+	if err == nil && front.IsUnreached(resp) {
+		_ = resp.Body.Close()
+		err = errors.Wrap(peer.ErrRefused, "upstreams not reached")
+	}
+	switch {
+	case errors.Is(err, peer.ErrRefused):
+		p.count("refused")
+	case err != nil:
+		p.count("lost")
+	default:
+		p.count("taken")
+		resp.Body = &passedBody{ReadCloser: resp.Body, end: func() { p.release(to.ID) }}
+		return resp, nil
+	}
+	p.release(to.ID)
+	return nil, err
+}
+
 func (p *passer) count(end string) {
 	p.meters.GetOrCreateCounter(`fulmarwick_passed_total{end="` + end + `"}`).Inc()
 }
--- a/internal/app/edge/probe.go
+++ b/internal/app/edge/probe.go
@@ -78,22 +78,27 @@
 		}
 		return
 	}
-	w.links.recordDial(up.Address, err)
+	w.handleSilence(ctx, p, time.Since(start), err)
+}
+
+// handleSilence declares an engine dead that did not answer a probe. If this instance has lost
+// its links, the engine is not to blame, and the stalled streams go on elsewhere.
+func (w *watcher) handleSilence(ctx context.Context, p *probe, after time.Duration, err error) {
+	w.links.recordDial(p.up.Address, err)
 	if w.links.confirmLost(ctx) {
-		w.resumeStalled(up)
+		w.resumeStalled(p.up)
 		return
 	}
 	evidence := "silence"
 	if p.isConfirmed() {
 		evidence = "silence of many"
 	}
-	if w.declareDead(ctx, up, evidence, time.Since(start), err) {
-		w.onDead(up.ID)
+	if w.declareDead(ctx, p.up, evidence, after, err) {
+		w.onDead(p.up.ID)
 	}
 }
 
-// resumeStalled continues the stalled streams of an engine elsewhere. The engine is not to blame:
-// this instance has lost its links.
+// resumeStalled continues the stalled streams of an engine elsewhere.
 func (w *watcher) resumeStalled(up site.Upstream) {
 	for _, run := range w.stalledRuns(up, time.Now()) {
 		if run.Reroute(true, nil) {
--- a/internal/route/crash/suspect.go
+++ b/internal/route/crash/suspect.go
@@ -82,6 +82,34 @@
 	return strong, len(causes)
 }
 
+// apply records an event other than a clearance and reports whether it is news.
+func (s *suspect) apply(now time.Duration, e Event) bool {
+	at := now - time.Duration(e.AgeMs)*time.Millisecond
+	before, news := s.standing(), false
+	if before == StandingFree && len(s.ended) == 0 {
+		s.lastCrash = at
+	}
+	s.own = s.own || e.Own
+	switch e.Kind {
+	case EventVerdict:
+		s.convicted = true
+	case EventQuarantine:
+		s.quarantined = true
+	default:
+		news = s.add(newEndedRun(now, e))
+	}
+	if news || e.Kind != EventCrash {
+		s.lastCrash = max(s.lastCrash, at)
+	}
+	after := s.standing()
+	if before == StandingFree && after > before {
+		s.restrictedAt = s.lastCrash
+	}
+	// Only a run that began after the last crash lifts a restriction.
+	s.quarantined, s.convicted = after >= StandingQuarantined, after == StandingCulprit
+	return news || after > before
+}
+
 // add adds an ended run and reports whether that is news: an upstream that was not counted, or
 // stronger evidence on one that was.
 func (s *suspect) add(run endedRun) bool {
--- a/internal/route/crash/tracker.go
+++ b/internal/route/crash/tracker.go
@@ -31,31 +31,14 @@
 	if e.Kind == EventClearance {
 		return t.Clear(now, e.Fingerprint, at)
 	}
-	s := t.unexpired(now, e.Fingerprint)
-	s.own = s.own || e.Own
-	before, news := s.standing(), false
-	if before == StandingFree && len(s.ended) == 0 {
-		s.lastCrash = at
-	}
-	switch e.Kind {
-	case EventVerdict:
-		s.convicted = true
-	case EventQuarantine:
-		s.quarantined = true
-	default:
-		news = s.add(newEndedRun(now, e))
-	}
-	if news || e.Kind != EventCrash {
-		s.lastCrash = max(s.lastCrash, at)
-	}
-	after := s.standing()
-	if before == StandingFree && after > before {
-		s.restrictedAt = s.lastCrash
+	if e.Kind == EventCrash && e.Upstream == "" {
+		// Former versions report verdicts like this.
+		return false
 	}
-	// Only a run that began after the last crash lifts a restriction.
-	s.quarantined, s.convicted = after >= StandingQuarantined, after == StandingCulprit
+	s := t.unexpired(now, e.Fingerprint)
+	news := s.apply(now, e)
 	t.store(e.Fingerprint, s)
-	return news || after > before
+	return news
 }
 
 // store stores a suspect. The number of suspects stays bounded.
--- a/internal/route/reach/reach.go
+++ b/internal/route/reach/reach.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -93,7 +94,7 @@
 		}
 		untried = append(untried, listed[i])
 	}
-	sample := append(untried, failed...)
+	sample := slices.Concat(untried, failed)
 	return sample[:min(sampleSize, len(sample))]
 }
 
--- a/internal/wire/peer/frame.go
+++ b/internal/wire/peer/frame.go
@@ -167,15 +167,21 @@
 		return f.End != nil && f.End.Count >= 0 && f.End.Count <= maxCount
 	case kindSnapshot:
 		return len(f.Data) <= snapshotChunk
-	case kindRequest:
-		return f.Request != nil && f.Request.valid()
-	case kindHead:
-		return f.Head != nil && f.Head.valid()
+	case kindRequest, kindHead:
+		return f.validProxied()
 	default:
 		return f.Kind > 0
 	}
 }
 
+// validProxied reports whether a frame of a passed request is valid.
+func (f *frame) validProxied() bool {
+	if f.Kind == kindRequest {
+		return f.Request != nil && f.Request.valid()
+	}
+	return f.Head != nil && f.Head.valid()
+}
+
 func (j *Job) valid() bool {
 	names := []int{len(j.Request), len(j.Team), len(j.Class), len(j.Model)}
 	for _, n := range names {
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -8,7 +8,6 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
-	"fulmarwick/internal/route/share"
 	"fulmarwick/internal/state/feed"
 	"fulmarwick/internal/wire/client"
 
@@ -193,23 +192,18 @@
 
 func (c *modelCall) run() Reply {
 	for {
-		if c.runner.Peers != nil && c.runner.Peers.LinksLost() {
+		if c.linksLost() {
 			if reply, done := c.passOn(); done {
 				return reply
 			}
 		}
 		run, err := c.startRun()
-		if errors.Is(err, path.ErrNoPath) {
-			if reply, done := c.passOn(); done {
+		if err != nil {
+			if reply, done := c.handleNoRun(err); done {
 				return reply
 			}
-		}
-		if c.hasPartialAnswer() && isTemporary(err) && feed.Sleep(c.ctx, maxRetryBackoff) {
 			continue
 		}
-		if err != nil {
-			return c.refusedReply(err)
-		}
 		err = c.execute(run)
 		if err == nil {
 			c.runner.CrashTracker.Clear(c.call.Fingerprint(), run.Start)
@@ -219,13 +213,36 @@
 		if c.shouldRetry(run, err) {
 			continue
 		}
-		if c.unreached && !c.mayHaveRun {
-			if reply, done := c.passOn(); done {
-				return reply
-			}
+		return c.giveUp(err)
+	}
+}
+
+// linksLost reports whether this instance has lost its links to all engines.
+func (c *modelCall) linksLost() bool { return c.runner.Peers != nil && c.runner.Peers.LinksLost() }
+
+// handleNoRun handles that no run could be started. done is false if the request has to be tried
+// again.
+func (c *modelCall) handleNoRun(err error) (reply Reply, done bool) {
+	if errors.Is(err, path.ErrNoPath) {
+		if reply, done := c.passOn(); done {
+			return reply, true
+		}
+	}
+	if c.hasPartialAnswer() && isTemporary(err) && feed.Sleep(c.ctx, maxRetryBackoff) {
+		return Reply{}, false
+	}
+	return c.refusedReply(err), true
+}
+
+// giveUp returns the reply after the last run failed. A request that has not run, since engines
+// accepted no connection, is passed on.
+func (c *modelCall) giveUp(err error) Reply {
+	if c.unreached && !c.mayHaveRun {
+		if reply, done := c.passOn(); done {
+			return reply
 		}
-		return c.failedReply(err)
 	}
+	return c.failedReply(err)
 }
 
 // hasPartialAnswer reports whether the caller has a part of the answer: from this request,
@@ -269,45 +286,3 @@
 	complete = err == nil
 	return err
 }
-
-func (c *modelCall) refusedReply(err error) Reply {
-	restricted, isRestricted := restrictedReply(err)
-	r := Reply{Reason: ReasonNoCapacity, MayHaveRun: c.mayHaveRun, Started: c.started, SendCount: c.runs}
-	switch {
-	case c.errorReply != nil && !c.started:
-		return *c.errorReply
-	case errors.Is(err, context.Canceled):
-		r.Reason = ReasonCallerLeft
-	case errors.Is(err, context.DeadlineExceeded):
-		r.Reason = ReasonTimeout
-	case isRestricted:
-		r.Reason, r.RetryAfter = restricted.Reason, restricted.RetryAfter
-		return r
-	case errors.Is(err, path.ErrNoPath):
-		r.Reason, r.Unreached = ReasonNoUpstream, !c.mayHaveRun
-	case errors.Is(err, path.ErrRateLimited):
-		r.Reason = ReasonRateLimited
-	case errors.Is(err, share.ErrReserved):
-		r.Reason = ReasonReserved
-	}
-	if !r.MayHaveRun && r.Reason != ReasonCallerLeft {
-		r.RetryAfter = c.runner.Paths.RetryAfter(c.call)
-	}
-	return r
-}
-
-func (c *modelCall) failedReply(err error) Reply {
-	r := Reply{Reason: c.noRetryReason, MayHaveRun: c.mayHaveRun, Started: c.started, SendCount: c.runs}
-	switch {
-	case c.errorReply != nil && !c.started:
-		return *c.errorReply
-	case errors.Is(err, errCallerGone) || errors.Is(c.ctx.Err(), context.Canceled):
-		r.Reason = ReasonCallerLeft
-	case c.ctx.Err() != nil:
-		r.Reason = ReasonTimeout
-	case !c.mayHaveRun:
-		r.Reason, r.Unreached = ReasonRefused, c.unreached
-		r.RetryAfter = c.runner.Paths.RetryAfter(c.call)
-	}
-	return r
-}
--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -41,7 +41,7 @@
 // passOn passes the call on; false if no other instance took it.
 func (p *PlainRunner) passOn(ctx context.Context, c *Call) (Reply, bool) {
 	for pass := 1; ; pass++ {
-		resp, err := p.Peers.Pass(ctx, c, 0)
+		resp, err := p.Peers.Pass(ctx, c, 0) //nolint:bodyclose // readReply closes it.
 		if errors.Is(err, ErrNoPeer) {
 			return Reply{Reason: ReasonResponseLost, MayHaveRun: true}, pass > 1
 		}
@@ -85,7 +85,7 @@
 	if !c.call.mayPass(c.runner.Peers) || c.passes >= maxPasses {
 		return Reply{}, false
 	}
-	resp, err := c.runner.Peers.Pass(c.ctx, c.call, c.lastEventID)
+	resp, err := c.runner.Peers.Pass(c.ctx, c.call, c.lastEventID) //nolint:bodyclose // readPassed closes it.
 	if errors.Is(err, ErrNoPeer) {
 		return Reply{}, false
 	}
--- a/internal/wire/relay/plain.go
+++ b/internal/wire/relay/plain.go
@@ -213,16 +213,7 @@
 	if result.succeeded() {
 		return c.finalReply(result), true
 	}
-	if result.unsent && errors.Is(result.err, client.ErrDial) {
-		c.unreached = true
-	}
-	if !result.notRun && !result.unsent {
-		c.mayHaveRunCount++
-		c.lastResult = result
-	}
-	if c.lastResult == nil {
-		c.lastResult = result
-	}
+	c.recordFailure(result)
 	if c.ctx.Err() != nil {
 		return c.giveUpReply(), true
 	}
@@ -237,6 +228,21 @@
 	return c.failedReply(), true
 }
 
+// recordFailure records whether a failed attempt may have run, and whether it reached its
+// upstream.
+func (c *plainCall) recordFailure(result *sendResult) {
+	if result.unsent && errors.Is(result.err, client.ErrDial) {
+		c.unreached = true
+	}
+	if !result.notRun && !result.unsent {
+		c.mayHaveRunCount++
+		c.lastResult = result
+	}
+	if c.lastResult == nil {
+		c.lastResult = result
+	}
+}
+
 func (c *plainCall) finalReply(result *sendResult) Reply {
 	reply := *result.response
 	reply.SendCount = len(c.sentTo)
