--- a/internal/fleet/mesh/peer.go
+++ b/internal/fleet/mesh/peer.go
@@ -77,32 +77,26 @@
 // dropUnresponsive drops the instances from which no more messages arrive.
 func (l *Logic) dropUnresponsive(now time.Duration) {
 	lastSync, index := time.Duration(-1), 0
-	var alive, linked []spec.InstanceID
-	var neighbors []Neighbor
+	var alive []spec.InstanceID
 	for _, p := range l.peersByID() {
 		if p.alive && now-p.lastSeen >= peerTimeout {
-			p.alive = false
+			p.alive, p.linksLost = false, false
 			p.load = nil
 			l.Receiver.PeerLost(p.id)
 		}
 		if p.id < l.ID {
 			index++
 		}
-		if p.url != "" && !p.linksLost && (p.alive || !l.layout.isFlat() && !l.inCell(p.id)) {
-			neighbors = append(neighbors, Neighbor{ID: p.id, DataCentre: p.centre, URL: p.url})
-		}
 		if !p.alive {
 			continue
 		}
 		lastSync = max(lastSync, p.lastSync)
 		if l.layout.isFlat() || p.isHead {
 			alive = append(alive, p.id)
-			if !p.linksLost {
-				linked = append(linked, p.id)
-			}
 		}
 	}
-	count, expected := l.countInstances(now)-1, l.expectedPeers(now)
+	count, expected, neighbors := l.countInstances(now)-1, l.expectedPeers(now), l.linkedNeighbors()
+	linked := slices.DeleteFunc(slices.Clone(alive), func(id spec.InstanceID) bool { return l.peers[id].linksLost })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.maxPeers, l.index = expected, index
@@ -110,6 +104,18 @@
 	l.start, l.neighbors = l.Now().Add(-now), neighbors
 }
 
+// linkedNeighbors returns the instances that requests may be passed on to. Those of other cells
+// send this one no messages, so all that are in the roster count.
+func (l *Logic) linkedNeighbors() (out []Neighbor) {
+	for _, p := range l.peersByID() {
+		isRunning := p.alive || !l.layout.isFlat() && !l.inCell(p.id)
+		if p.url != "" && isRunning && !p.linksLost {
+			out = append(out, Neighbor{ID: p.id, DataCentre: p.centre, URL: p.url})
+		}
+	}
+	return out
+}
+
 // expectedPeers returns how many other instances there may be while this one is too
 // young to have received a message from each.
 func (l *Logic) expectedPeers(now time.Duration) int {
