--- a/internal/app/edge/links_test.go
+++ b/internal/app/edge/links_test.go
@@ -246,3 +246,35 @@
 		}
 	}
 }
+
+// Guards against engines that are declared dead, and crashes that are put down to requests, because
+// an instance lost its own links: copies of a request run through it each time its connections break.
+func TestLostLinksAreNoCrashes(t *testing.T) {
+	for _, class := range []string{"safe", "stream"} {
+		t.Run(class, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				core, logs := observer.New(zap.InfoLevel)
+				f := newFixtureFrom(t, &depot.Depot{Instances: 4, Log: zap.New(core)})
+				defer f.close()
+				path, tokens := "/look/hot", ""
+				if class == "stream" {
+					path, tokens = "/write/hot", "300,300"
+				}
+				for round := range 4 {
+					time.AfterFunc(500*time.Millisecond, func() { f.site.CutInstance("edge-0", inmem.CutReset) })
+					time.AfterFunc(2*time.Second, func() { f.site.HealInstance("edge-0") })
+					f.sendWave(http.MethodGet, path, tokens, round)
+					time.Sleep(2 * time.Second)
+				}
+				if got := f.sendWave(http.MethodGet, path, tokens, 4); got != waveCopies {
+					t.Errorf("got %d of %d copies served after the cuts, want all", got, waveCopies)
+				}
+				for _, message := range []string{"edge: engine does not answer", "edge: upstream crashed under a request"} {
+					if got := logs.FilterMessage(message).Len(); got != 0 {
+						t.Errorf("got %d lines %q, want none", got, message)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/fleet/mesh/cell_test.go
+++ b/internal/fleet/mesh/cell_test.go
@@ -219,3 +219,29 @@
 		}
 	}
 }
+
+// Guards against instances of a large fleet that know none of another data centre to pass requests
+// on to, or one that reaches no upstream itself.
+func TestNeighborsSpanDataCentres(t *testing.T) {
+	f := newFleet(large)
+	ids := f.ids()
+	f.members[ids[1]].logic.LinksLost = func() bool { return true }
+	f.run(0, 4*time.Second)
+	for _, id := range ids {
+		logic, others := f.members[id].logic, 0
+		for _, n := range logic.Neighbors() {
+			if n.DataCentre != logic.DataCentre {
+				others++
+			}
+			if n.URL == "" || n.ID == id {
+				t.Errorf("%s: got the neighbor %+v, want another instance with a URL", id, n)
+			}
+		}
+		if others == 0 {
+			t.Errorf("%s: got no neighbor in another data centre, want some", id)
+		}
+	}
+	if got := f.members[ids[1]].logic.UpstreamDutyRank("plan"); got != 3 {
+		t.Errorf("got rank %d for an instance without links, want it no candidate", got)
+	}
+}
