Edge, peer: refusals after a lost response, headers and former versions of passed requests

A safe request whose response was lost with one instance and that the next one refused was told that it had not run: it ends with 502 now. A passed request or response with more than 64 headers was dropped as a bad frame, and its caller waited until the deadline: the limit is 1,024 and checked before sending. Instances say in the mesh whether they take passed requests, so that neither former versions, which ignore them, nor stopping ones are asked. In the store, a clearance removes no verdict, and a known verdict is not written again by each instance that reaches it.

--- a/internal/app/edge/culprit.go
+++ b/internal/app/edge/culprit.go
@@ -186,18 +186,19 @@
 	return err
 }
 
-// write writes a change into the row of a request. A row only becomes stricter, unless the
-// request was cleared; on a conflict, another instance writes the same.
+// write writes a change into the row of a request. A row only becomes stricter, unless a
+// quarantined request is cleared; on a conflict, another instance writes the same.
 func (c *culpritTable) write(ctx context.Context, change culpritChange, found time.Time) error {
 	row, version, err := c.get(ctx, change.fingerprint)
 	if err != nil {
 		return err
 	}
-	isQuarantine := change.standing == crash.StandingQuarantined
+	isQuarantine, isClearance := change.standing == crash.StandingQuarantined, change.standing == crash.StandingFree
+	isVerdictKnown := row.FoundMs != 0 && !row.IsQuarantine
 	switch {
-	case change.standing == crash.StandingFree && version == 0, isQuarantine && row.FoundMs != 0:
+	case isVerdictKnown, isClearance && version == 0, isQuarantine && row.FoundMs != 0:
 		return nil
-	case change.standing == crash.StandingFree:
+	case isClearance:
 		_, err = c.store.Commit(ctx, []store.Write{store.Remove(culpritKey(change.fingerprint), version)})
 	default:
 		err = c.put(ctx, change.fingerprint, version, culpritRow{FoundMs: found.UnixMilli(), IsQuarantine: isQuarantine, Trials: row.Trials, LastTrialMs: row.LastTrialMs})
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -87,6 +87,7 @@
 	i.watcher.onDead = i.mesh.addDead
 	i.mesh.initHub()
 	i.mesh.logic.LinksLost = i.links.areLost
+	i.mesh.logic.TakesRequests = func() bool { return !i.drainer.Stopping() }
 	i.router.instanceCount = i.mesh.logic.Count
 	i.router.retryBudgetSharers = i.mesh.logic.BudgetShares
 	i.router.limits.Share = i.mesh.logic.LimitShare
--- a/internal/fleet/mesh/cell_test.go
+++ b/internal/fleet/mesh/cell_test.go
@@ -225,6 +225,9 @@
 func TestNeighborsSpanDataCentres(t *testing.T) {
 	f := newFleet(large)
 	ids := f.ids()
+	for _, id := range ids {
+		f.members[id].logic.TakesRequests = func() bool { return true }
+	}
 	f.members[ids[1]].logic.LinksLost = func() bool { return true }
 	f.run(0, 4*time.Second)
 	for _, id := range ids {
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -50,6 +50,9 @@
 	Receiver   Receiver
 	// LinksLost reports whether this instance reaches no upstream; nil if it always does.
 	LinksLost func() bool
+	// TakesRequests reports whether this instance serves requests that others pass on; nil if
+	// it never does.
+	TakesRequests func() bool
 	// Now is the clock for callers outside of the ticks, such as SkipsStoreReads.
 	Now func() time.Time
 
@@ -197,7 +200,8 @@
 		p.alive, p.nextLoadAt = true, 0
 		l.Receiver.PeerJoined(p.id)
 	}
-	p.isHead, p.initiates, p.digest, p.linksLost = m.Head, !m.Reply, m.RosterDigest, m.LinksLost
+	p.isHead, p.initiates, p.digest = m.Head, !m.Reply, m.RosterDigest
+	p.linksLost, p.takesRequests = m.LinksLost, m.TakesRequests
 	l.setDataCentre(p, m.DataCentre)
 	for _, member := range m.Roster {
 		l.updateMember(member, false)
--- a/internal/fleet/mesh/message.go
+++ b/internal/fleet/mesh/message.go
@@ -54,6 +54,9 @@
 	RateLimits map[spec.UpstreamID]limit.Statement `cbor:"19,keyasint,omitempty"`
 	// LinksLost means that the sender reaches no upstream.
 	LinksLost bool `cbor:"20,keyasint,omitempty"`
+	// TakesRequests means that the sender serves requests that others pass on. Former
+	// versions do not.
+	TakesRequests bool `cbor:"21,keyasint,omitempty"`
 }
 
 // Scope is the set of instances whose requests a message describes.
--- a/internal/fleet/mesh/peer.go
+++ b/internal/fleet/mesh/peer.go
@@ -39,6 +39,8 @@
 	rosterSentAt time.Duration
 	// linksLost means that the peer reports that it reaches no upstream.
 	linksLost bool
+	// takesRequests means that the peer serves passed requests.
+	takesRequests bool
 	// isHead means that the peer reports itself as a head of its cell.
 	isHead bool
 	// initiates means that the peer sends messages on its own, not only replies.
@@ -80,7 +82,7 @@
 	var alive []spec.InstanceID
 	for _, p := range l.peersByID() {
 		if p.alive && now-p.lastSeen >= peerTimeout {
-			p.alive, p.linksLost = false, false
+			p.alive = false
 			p.load = nil
 			l.Receiver.PeerLost(p.id)
 		}
@@ -108,8 +110,11 @@
 // send this one no messages, so all that are in the roster count.
 func (l *Logic) linkedNeighbors() (out []Neighbor) {
 	for _, p := range l.peersByID() {
-		isRunning := p.alive || !l.layout.isFlat() && !l.inCell(p.id)
-		if p.url != "" && isRunning && !p.linksLost {
+		mayTake := p.takesRequests && !p.linksLost
+		if !p.alive {
+			mayTake = !l.layout.isFlat() && !l.inCell(p.id)
+		}
+		if p.url != "" && mayTake {
 			out = append(out, Neighbor{ID: p.id, DataCentre: p.centre, URL: p.url})
 		}
 	}
--- a/internal/wire/peer/frame.go
+++ b/internal/wire/peer/frame.go
@@ -14,6 +14,8 @@
 	MaxBytes = 8 << 20
 	maxName  = 255
 	maxCount = 1 << 20
+	// maxHeaderNames limits the headers of a passed request and of its response.
+	maxHeaderNames = 1 << 10
 	// maxHops is the number of times that a request may be forwarded.
 	maxHops = 1
 	// snapshotChunk is the number of snapshot bytes in one frame. It is small,
@@ -119,7 +121,7 @@
 func newDecoder() cbor.DecMode {
 	m, err := cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden,
-		TagsMd: cbor.TagsForbidden, MaxNestedLevels: 6, MaxArrayElements: 1 << 16, MaxMapPairs: 64,
+		TagsMd: cbor.TagsForbidden, MaxNestedLevels: 6, MaxArrayElements: 1 << 16, MaxMapPairs: maxHeaderNames,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/internal/wire/peer/proxy.go
+++ b/internal/wire/peer/proxy.go
@@ -35,7 +35,7 @@
 }
 
 func (r *Request) valid() bool {
-	return r.Method != "" && len(r.Method) <= maxName && r.URI != "" && r.LeftMs > 0 && r.LastEvent >= 0
+	return r.Method != "" && len(r.Method) <= maxName && r.URI != "" && r.LeftMs > 0 && r.LastEvent >= 0 && len(r.Header) <= maxHeaderNames
 }
 
 // head is the status and the headers of the response to a Request.
@@ -61,6 +61,9 @@
 // The request is cancelled there when ctx ends or the body is closed before its end.
 func (h *Hub) RoundTrip(ctx context.Context, to node.Peer, r Request) (*http.Response, error) {
 	h.init()
+	if !r.valid() {
+		return nil, errors.Wrap(ErrRefused, "request out of range")
+	}
 	c, err := h.connect(ctx, to.ID, to.URL)
 	if err != nil {
 		return nil, err
--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -47,11 +47,12 @@
 		}
 		if err == nil {
 			var reply Reply
-			if reply, err = readReply(resp); err == nil {
+			if reply, err = readReply(resp); err == nil && (pass == 1 || reply.MayHaveRun) {
 				return reply, true
 			}
 		}
-		if ctx.Err() != nil || !c.Route.Retryable() || pass == maxPasses || !p.RetryBudget.AllowRetry(c.Service.Name) {
+		// A refusal after a response was lost says nothing of the instance that lost it.
+		if err == nil || ctx.Err() != nil || !c.Route.Retryable() || pass == maxPasses || !p.RetryBudget.AllowRetry(c.Service.Name) {
 			return lostReply(ctx), true
 		}
 	}
