Crash: keep the standing of a suspect instead of working it out at each look

A suspect kept two flags from which, with the ended runs, its standing was worked out anew at each check, each count and each eviction, by comparing all runs with each other; the flags already held the result of the last event. The standing is kept now and changes with events and completed runs only. Rows of the table of culprits are parsed in one place instead of two. No change of behaviour meant; no test was changed.

--- a/internal/app/edge/culprit.go
+++ b/internal/app/edge/culprit.go
@@ -145,11 +145,19 @@
 	return nil
 }
 
+func parseCulpritRow(data []byte) (culpritRow, error) {
+	var row culpritRow
+	if err := cbor.Unmarshal(data, &row); err != nil {
+		return culpritRow{}, errors.Wrap(err, "edge: decode culprit row")
+	}
+	return row, nil
+}
+
 // decodeCulprit returns what a row says of a request.
 func decodeCulprit(r feed.Row, now time.Time) (crash.Event, error) {
-	var row culpritRow
-	if err := cbor.Unmarshal(r.Value, &row); err != nil {
-		return crash.Event{}, errors.Wrap(err, "edge: decode culprit row")
+	row, err := parseCulpritRow(r.Value)
+	if err != nil {
+		return crash.Event{}, err
 	}
 	fingerprint, err := strconv.ParseUint(r.Key, 16, 64)
 	if err != nil {
@@ -167,8 +175,8 @@
 	if err != nil {
 		return culpritRow{}, 0, err
 	}
-	if err := cbor.Unmarshal(stored.Value(), &row); err != nil {
-		return culpritRow{}, 0, errors.Wrap(err, "edge: decode culprit row")
+	if row, err = parseCulpritRow(stored.Value()); err != nil {
+		return culpritRow{}, 0, err
 	}
 	if time.Since(time.UnixMilli(row.FoundMs)) > crash.RestrictionTTL {
 		row = culpritRow{}
--- a/internal/route/crash/suspect.go
+++ b/internal/route/crash/suspect.go
@@ -22,8 +22,9 @@
 	// ended holds one run for each upstream process that ended.
 	ended     []endedRun
 	lastCrash time.Duration
-	// quarantined and convicted mean that a quarantine or a verdict was recorded.
-	quarantined, convicted bool
+	// standing is how far the request may be sent. Only a run that began after the last crash
+	// lifts a restriction.
+	standing Standing
 	// restrictedAt is when the last crash came before the quarantine.
 	restrictedAt time.Duration
 	// own means that this instance sent the request when an upstream crashed.
@@ -34,12 +35,13 @@
 	nextTrialAt time.Duration
 }
 
-func (s suspect) standing() Standing {
+// evidence returns the standing that follows from the ended runs alone.
+func (s suspect) evidence() Standing {
 	strong, all := s.countCauses()
 	switch {
-	case s.convicted || strong >= culpritCrashes || all >= maxCrashes:
+	case strong >= culpritCrashes || all >= maxCrashes:
 		return StandingCulprit
-	case s.quarantined || s.strongEnds() >= culpritCrashes || len(s.ended) >= maxCrashes:
+	case s.strongEnds() >= culpritCrashes || len(s.ended) >= maxCrashes:
 		return StandingQuarantined
 	}
 	return StandingFree
@@ -47,7 +49,7 @@
 
 // ttl returns how long after the last crash a suspect is kept.
 func (s suspect) ttl() time.Duration {
-	if s.standing() > StandingFree {
+	if s.standing > StandingFree {
 		return RestrictionTTL
 	}
 	return suspectTTL
@@ -85,29 +87,28 @@
 // apply records an event other than a clearance and reports whether it is news.
 func (s *suspect) apply(now time.Duration, e Event) bool {
 	at := now - time.Duration(e.AgeMs)*time.Millisecond
-	before, news := s.standing(), false
+	before, news := s.standing, false
 	if before == StandingFree && len(s.ended) == 0 {
 		s.lastCrash = at
 	}
 	s.own = s.own || e.Own
 	switch e.Kind {
 	case EventVerdict:
-		s.convicted = true
+		s.standing = StandingCulprit
 	case EventQuarantine:
-		s.quarantined = true
+		s.standing = max(s.standing, StandingQuarantined)
 	default:
-		news = s.add(newEndedRun(now, e))
+		if news = s.add(newEndedRun(now, e)); news {
+			s.standing = max(s.standing, s.evidence())
+		}
 	}
 	if news || e.Kind != EventCrash {
 		s.lastCrash = max(s.lastCrash, at)
 	}
-	after := s.standing()
-	if before == StandingFree && after > before {
+	if before == StandingFree && s.standing > before {
 		s.restrictedAt = s.lastCrash
 	}
-	// Only a run that began after the last crash lifts a restriction.
-	s.quarantined, s.convicted = after >= StandingQuarantined, after == StandingCulprit
-	return news || after > before
+	return news || s.standing > before
 }
 
 // add adds an ended run and reports whether that is news: an upstream that was not counted, or
@@ -123,7 +124,9 @@
 	if len(s.ended) >= maxEndedRuns {
 		return false
 	}
-	s.convicted = s.convicted || s.failedTrial(run)
+	if s.failedTrial(run) {
+		s.standing = StandingCulprit
+	}
 	s.ended = append(slices.Clone(s.ended), run)
 	return true
 }
@@ -131,15 +134,15 @@
 // failedTrial reports whether a run began after the request was quarantined and crashed its
 // upstream, without another explanation.
 func (s *suspect) failedTrial(run endedRun) bool {
-	return s.standing() == StandingQuarantined && !run.weak && run.started >= s.restrictedAt && !slices.ContainsFunc(s.ended, run.sharesCause)
+	return s.standing == StandingQuarantined && !run.weak && run.started >= s.restrictedAt && !slices.ContainsFunc(s.ended, run.sharesCause)
 }
 
 // clear forgets what happened before a time, and reports whether it lifts a restriction.
 func (s *suspect) clear(began time.Duration) bool {
-	before := s.standing()
+	before := s.standing
 	s.ended = slices.DeleteFunc(slices.Clone(s.ended), func(run endedRun) bool { return run.ended <= began })
 	if s.lastCrash <= began {
-		s.quarantined, s.convicted, s.trials = false, false, 0
+		s.standing, s.trials = StandingFree, 0
 	}
-	return before > StandingFree && s.standing() == StandingFree
+	return before > s.standing
 }
--- a/internal/route/crash/tracker.go
+++ b/internal/route/crash/tracker.go
@@ -64,17 +64,15 @@
 // longest.
 func (t *Tracker) evictOldest() {
 	keys := make([]uint64, 0, len(t.suspects))
-	standings := make(map[uint64]Standing, len(t.suspects))
-	for key, s := range t.suspects {
+	for key := range t.suspects {
 		keys = append(keys, key)
-		standings[key] = s.standing()
 	}
 	sort.Slice(keys, func(i, j int) bool {
-		a, b := keys[i], keys[j]
-		if standings[a] != standings[b] {
-			return standings[a] < standings[b]
+		a, b := t.suspects[keys[i]], t.suspects[keys[j]]
+		if a.standing != b.standing {
+			return a.standing < b.standing
 		}
-		return t.suspects[a].lastCrash < t.suspects[b].lastCrash
+		return a.lastCrash < b.lastCrash
 	})
 	for _, key := range keys[:len(keys)/2] {
 		delete(t.suspects, key)
@@ -87,9 +85,9 @@
 	var out []Event
 	for fingerprint := range t.suspects {
 		s := t.unexpired(now, fingerprint)
-		switch standing := s.standing(); {
-		case standing > StandingFree:
-			out = append(out, Event{Fingerprint: fingerprint, Kind: standing.event(), AgeMs: (now - s.lastCrash).Milliseconds()})
+		switch {
+		case s.standing > StandingFree:
+			out = append(out, Event{Fingerprint: fingerprint, Kind: s.standing.event(), AgeMs: (now - s.lastCrash).Milliseconds()})
 		case len(s.ended) >= culpritCrashes-1:
 			for _, run := range s.ended {
 				out = append(out, Event{
@@ -114,7 +112,7 @@
 // Restriction returns the event that reports the present restriction of a request.
 func (t *Tracker) Restriction(now time.Duration, fingerprint uint64) Event {
 	s := t.unexpired(now, fingerprint)
-	return Event{Fingerprint: fingerprint, Kind: s.standing().event(), AgeMs: (now - s.lastCrash).Milliseconds()}
+	return Event{Fingerprint: fingerprint, Kind: s.standing.event(), AgeMs: (now - s.lastCrash).Milliseconds()}
 }
 
 // Clear records that an upstream completed a run of a request that began at a time. It returns
@@ -125,7 +123,7 @@
 	}
 	s := t.unexpired(now, fingerprint)
 	lifted := s.clear(began)
-	if len(s.ended) == 0 && s.standing() == StandingFree {
+	if len(s.ended) == 0 && s.standing == StandingFree {
 		delete(t.suspects, fingerprint)
 	} else {
 		t.suspects[fingerprint] = s
@@ -136,10 +134,10 @@
 // Check returns why a request must not be sent now, or nil. One with a trial may be sent.
 func (t *Tracker) Check(now time.Duration, fingerprint uint64) error {
 	s := t.unexpired(now, fingerprint)
-	switch standing := s.standing(); {
-	case standing == StandingCulprit:
+	switch {
+	case s.standing == StandingCulprit:
 		return ErrCulprit
-	case standing == StandingQuarantined && s.trials == 0:
+	case s.standing == StandingQuarantined && s.trials == 0:
 		return ErrQuarantined
 	}
 	return nil
@@ -157,7 +155,7 @@
 // It returns true once in TrialInterval.
 func (t *Tracker) NeedsTrial(now time.Duration, fingerprint uint64) bool {
 	s := t.unexpired(now, fingerprint)
-	if s.standing() != StandingQuarantined || s.trials > 0 || now < s.nextTrialAt {
+	if s.standing != StandingQuarantined || s.trials > 0 || now < s.nextTrialAt {
 		return false
 	}
 	s.nextTrialAt = now + TrialInterval
@@ -167,7 +165,7 @@
 
 // GrantTrial records that this instance may send a quarantined request once.
 func (t *Tracker) GrantTrial(now time.Duration, fingerprint uint64) {
-	if s := t.unexpired(now, fingerprint); s.standing() == StandingQuarantined {
+	if s := t.unexpired(now, fingerprint); s.standing == StandingQuarantined {
 		s.trials = 1
 		t.suspects[fingerprint] = s
 	}
@@ -187,7 +185,7 @@
 
 // Standing returns how far a request may be sent.
 func (t *Tracker) Standing(now time.Duration, fingerprint uint64) Standing {
-	return t.unexpired(now, fingerprint).standing()
+	return t.unexpired(now, fingerprint).standing
 }
 
 // IsOwn reports whether this instance sent a request when one of the upstreams crashed.
