--- a/internal/app/edge/crash.go
+++ b/internal/app/edge/crash.go
@@ -129,7 +129,7 @@
 	if count.isNews && count.ended == 1 || c.Kind != crash.EventCrash && !count.isNews {
 		return
 	}
-	i.Log.Info("edge: upstream crashed under a request", zap.String("fingerprint", formatFingerprint(c.Fingerprint)), zap.Stringer("event", c.Kind),
+	i.Log.Info("edge: upstream crashed under a request", zap.String("fingerprint", formatFingerprint(c.Fingerprint)), zap.Strings("parts", formatFingerprints(c.Parts)), zap.Stringer("event", c.Kind),
 		zap.String("upstream", string(c.Upstream)), zap.Int64("incarnation", c.Incarnation), zap.Int64("ran ms", c.RanMs),
 		zap.Bool("counted", count.isNews), zap.Int("ended", count.ended), zap.Int("crashes", count.causes), zap.Stringer("standing", count.standing))
 }
--- a/internal/app/edge/culprit.go
+++ b/internal/app/edge/culprit.go
@@ -247,3 +247,10 @@
 }
 
 func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
+func formatFingerprints(fingerprints []uint64) (out []string) {
+	for _, f := range fingerprints {
+		out = append(out, formatFingerprint(f))
+	}
+	return out
+}
--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -195,7 +195,7 @@
 			since = t.movedAt
 		}
 		r.recordCrash(crash.Event{
-			Fingerprint: run.Fingerprint, Upstream: up.ID, Incarnation: up.Born, RanMs: time.Since(since).Milliseconds(),
+			Fingerprint: run.Fingerprint, Parts: run.Parts, Upstream: up.ID, Incarnation: up.Born, RanMs: time.Since(since).Milliseconds(),
 			IsWeak: t.deliveredOn(up.ID, run) && svc.model.StreamCount(up.ID) > 1,
 		})
 	}
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -83,7 +83,7 @@
 	run := relay.NewRun(chain, svc.model.Hops(chain))
 	r.crashBook.Begin(r.now(), c.Fingerprint())
 	run.Request, run.Service, run.Route, run.Demand = c.ParsedHeader.ID, svc.name, c.Route.Name, demand
-	run.Resumable, run.Fingerprint, run.HasSpareAttempt = c.Route.Resumable, c.Fingerprint(), o.HasSpareAttempt
+	run.Resumable, run.Fingerprint, run.Parts, run.HasSpareAttempt = c.Route.Resumable, c.Fingerprint(), c.Parts(), o.HasSpareAttempt
 	svc.model.Begin(chain, demand)
 	svc.model.RecordTransfer(r.now(), chain, demand)
 	r.takeStages(chain)
@@ -202,7 +202,7 @@
 	}
 	if up, ok := svc.model.Upstream(chain[0].Engine()); ok {
 		weak := run.EventCount() > 1 && svc.model.StreamCount(up.ID) > 1
-		r.addLostAnswer(up, crash.Event{Fingerprint: run.Fingerprint, RanMs: time.Since(run.Start).Milliseconds(), IsWeak: weak})
+		r.addLostAnswer(up, crash.Event{Fingerprint: run.Fingerprint, Parts: run.Parts, RanMs: time.Since(run.Start).Milliseconds(), IsWeak: weak})
 	}
 }
 
--- a/internal/base/site/header.go
+++ b/internal/base/site/header.go
@@ -24,8 +24,15 @@
 	LengthHint int
 	// LastEventID is the ID of the last event that the caller received; zero means none.
 	LastEventID int
+	// PromptParts holds the IDs of the parts of the prompt in order. Requests share parts; the
+	// last one belongs to the request or to its session. It is empty if the header is missing
+	// or malformed.
+	PromptParts []string
 }
 
+// SharedParts returns the IDs of the parts of the prompt that other requests may share.
+func (h RequestHeader) SharedParts() []string { return h.PromptParts[:max(0, len(h.PromptParts)-1)] }
+
 // ForwardHeader holds the values that the router adds to the headers of a request to an
 // upstream.
 type ForwardHeader struct {
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -24,6 +24,7 @@
 import (
 	"hash/fnv"
 	"io"
+	"strconv"
 	"time"
 
 	"fulmarwick/internal/base/spec"
@@ -77,6 +78,17 @@
 	return h.Sum64()
 }
 
+// PartFingerprint returns the fingerprint of a part of a prompt: its ID, or a hash of an ID that is
+// no number of up to 16 hexadecimal digits.
+func PartFingerprint(id string) uint64 {
+	if n, err := strconv.ParseUint(id, 16, 64); err == nil {
+		return n
+	}
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, id)
+	return h.Sum64()
+}
+
 // EventKind is what an Event reports.
 type EventKind int
 
@@ -107,6 +119,9 @@
 	// answer on the upstream, which ran others as well.
 	IsWeak bool      `cbor:"7,keyasint,omitempty"`
 	Kind   EventKind `cbor:"8,keyasint,omitempty"`
+	// Parts holds the fingerprints of the parts of the prompt that the request shares with
+	// others. It is set for crashes only.
+	Parts []uint64 `cbor:"9,keyasint,omitempty"`
 	// Own means that this instance sent the request.
 	Own bool `cbor:"-"`
 }
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -9,6 +9,7 @@
 	"context"
 	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"fulmarwick/internal/base/site"
@@ -55,6 +56,23 @@
 	Deadline time.Time
 
 	fingerprint uint64
+	parts       []uint64
+}
+
+// maxParts limits the parts of a prompt that are told apart. Prompts have a few; a caller that
+// sends a list of thousands must not fill the messages between instances.
+const maxParts = 32
+
+// Parts returns the fingerprints of the parts of the prompt that other requests may share.
+func (c *Call) Parts() []uint64 {
+	if c.parts == nil {
+		for _, id := range c.ParsedHeader.SharedParts() {
+			if f := crash.PartFingerprint(id); len(c.parts) < maxParts && !slices.Contains(c.parts, f) {
+				c.parts = append(c.parts, f)
+			}
+		}
+	}
+	return c.parts
 }
 
 // Fingerprint returns the fingerprint that identifies the request when it is sent again.
--- a/internal/wire/relay/run.go
+++ b/internal/wire/relay/run.go
@@ -20,6 +20,8 @@
 	Demand path.Demand
 	// Fingerprint is the fingerprint of the request.
 	Fingerprint uint64
+	// Parts holds the fingerprints of the parts of the prompt that other requests may share.
+	Parts []uint64
 	// Resumable means that another run may continue the answer where this run ends.
 	Resumable bool
 	// HasSpareAttempt means that another run may start at a different engine while
