--- a/internal/fakes/inmem/cut.go
+++ b/internal/fakes/inmem/cut.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -113,6 +114,8 @@
 
 	mu     sync.Mutex
 	silent bool
+	// reset means that the server's close is a reset.
+	reset bool
 }
 
 // Close closes the connection.
@@ -133,10 +136,25 @@
 	return c.silent
 }
 
+func (c *clientConn) setReset(reset bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reset = reset
+}
+
+func (c *clientConn) isReset() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reset
+}
+
 // Read reads what the server sent, unless the connection is silent.
 func (c *clientConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		if err == io.EOF && c.isReset() {
+			err = syscall.ECONNRESET
+		}
 		if err != nil || !c.isSilent() {
 			return n, err
 		}
--- a/internal/fakes/inmem/net.go
+++ b/internal/fakes/inmem/net.go
@@ -55,7 +55,7 @@
 		}
 		pipe, server := net.Pipe()
 		client := &clientConn{Conn: pipe, address: address, onClose: func() {}}
-		c, err := n.connect(ctx, address, client, namedConn{Conn: server, name: name})
+		c, err := n.connect(ctx, address, client, namedConn{Conn: server, name: name, client: client})
 		if err == nil {
 			n.remember(name, client)
 		}
@@ -66,7 +66,14 @@
 // namedConn is the server's side of a connection of a client with a name.
 type namedConn struct {
 	net.Conn
-	name string
+	name   string
+	client *clientConn
+}
+
+// SetLinger makes Close reset the connection if seconds is zero, like that of net.TCPConn.
+func (c namedConn) SetLinger(seconds int) error {
+	c.client.setReset(seconds == 0)
+	return nil
 }
 
 // RemoteAddr returns the name of the client.
