Edge: pass no requests on while all links are sound, and ask less often in vain

Cause: a request for whose layers no engine is found is passed on, whatever the reason. When all instances start, no engine has layers for seconds, and each instance asks up to four others three times a second for each service. None of its own connections has failed then, so that the others reach no more than it.

Now an instance asks others only if a connection to an upstream failed in the last 5 s, and each time that none takes a request it waits twice as long, 0.3 to 4.8 s, until one does.

The tests of instances that are cut off pass as before.

--- a/internal/app/edge/links.go
+++ b/internal/app/edge/links.go
@@ -69,6 +69,13 @@
 	return l.tracker.IsCut()
 }
 
+// areSound reports whether all connections to upstreams were accepted of late.
+func (l *linkWatcher) areSound() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tracker.IsSound(time.Since(l.start))
+}
+
 // confirmLost reports whether the links to all upstreams are lost. While they are in doubt, it
 // waits for a check.
 func (l *linkWatcher) confirmLost(ctx context.Context) bool {
--- a/internal/app/edge/links_test.go
+++ b/internal/app/edge/links_test.go
@@ -278,3 +278,54 @@
 		})
 	}
 }
+
+// notPassedTime is how long requests are sent that no instance can serve.
+const notPassedTime = 10 * time.Second
+
+// countNotPassed makes all engines unusable and returns how often the instances asked others in
+// vain to take a request.
+func countNotPassed(t *testing.T, disable func(s *stand.Site, e *stand.Engine)) int {
+	core, logs := observer.New(zap.InfoLevel)
+	f := newFixtureFrom(t, &depot.Depot{Instances: 4, Log: zap.New(core)})
+	defer f.close()
+	for _, e := range f.site.Engines() {
+		disable(f.site, e)
+	}
+	time.Sleep(time.Second)
+	var callers sync.WaitGroup
+	for n := range int(notPassedTime / cutInterval) {
+		for k := range f.clients {
+			callers.Go(func() { f.sendMixed(k, fmt.Sprintf("r%d-%d", k, n), 0) })
+		}
+		time.Sleep(cutInterval)
+	}
+	callers.Wait()
+	return logs.FilterMessage("edge: request not passed on").Len()
+}
+
+// Guards against instances that reach the upstreams and ask others to take the requests for which
+// no engine has layers: at a start of many instances that is most of what they do.
+func TestRequestsStayWhereNoLinkFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if got := countNotPassed(t, (*stand.Site).DrainEngine); got != 0 {
+			t.Errorf("got %d requests for which others were asked in vain, want none", got)
+		}
+	})
+}
+
+// Guards against instances that go on asking others at the same rate while none takes a request.
+func TestOthersAreAskedLessOftenWhileNoneTakesARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := 0
+		crashHalf := func(s *stand.Site, e *stand.Engine) {
+			if n++; n%2 == 0 {
+				s.Crash(e)
+			} else {
+				s.DrainEngine(e)
+			}
+		}
+		if got, most := countNotPassed(t, crashHalf), 4*8; got > most {
+			t.Errorf("got %d requests for which others were asked in vain in %s, want %d at most", got, notPassedTime, most)
+		}
+	})
+}
--- a/internal/app/edge/pass.go
+++ b/internal/app/edge/pass.go
@@ -29,8 +29,11 @@
 	// either, or that is stopping, is not asked again.
 	unreachedTime = time.Second
 	// unreachedPause is how long requests of a service are not passed on after no instance took
-	// one: the fault is not in the links then.
-	unreachedPause = 300 * time.Millisecond
+	// one: the fault is not in the links then. It doubles each time up to maxUnreachedPause.
+	// When all instances start, none has anything to give, and the questions of hundreds take
+	// the time that they need to start.
+	unreachedPause    = 300 * time.Millisecond
+	maxUnreachedPause = 16 * unreachedPause
 )
 
 // passer passes requests on to other instances while this one does not reach the upstreams, and
@@ -50,6 +53,8 @@
 	// unreached holds the instances that are not asked for a service, with the time until then.
 	// An entry without an instance holds for all.
 	unreached map[unreachedKey]time.Time
+	// pauses holds the next pause of each service of which no instance took a request.
+	pauses map[string]time.Duration
 	// passed holds the number of requests that each instance serves for this one.
 	passed map[spec.InstanceID]int
 }
@@ -60,14 +65,18 @@
 }
 
 func newPasser(centre string, log *zap.Logger, meters *metrics.Set) *passer {
-	return &passer{centre: spec.DataCentre(centre), log: log, meters: meters, unreached: map[unreachedKey]time.Time{}, passed: map[spec.InstanceID]int{}}
+	return &passer{centre: spec.DataCentre(centre), log: log, meters: meters, unreached: map[unreachedKey]time.Time{}, pauses: map[string]time.Duration{}, passed: map[spec.InstanceID]int{}}
 }
 
 // LinksLost reports whether this instance has lost its links to all upstreams.
 func (p *passer) LinksLost() bool { return p.links.areLost() }
 
-// Pass passes a call on to an instance that reaches the upstreams.
+// Pass passes a call on to an instance that reaches the upstreams. It asks none while all links of
+// this instance are sound: the others reach no more then.
 func (p *passer) Pass(ctx context.Context, c *relay.Call, lastEventID int) (*http.Response, error) {
+	if p.links.areSound() {
+		return nil, relay.ErrNoPeer
+	}
 	request := peer.Request{
 		Method: c.Method, URI: c.Path, Host: c.Host, Header: c.Header, Body: c.Body, LeftMs: max(1, time.Until(c.Deadline).Milliseconds()),
 		LastEvent: lastEventID, Config: c.ConfigVersion, Counted: c.Counted,
@@ -88,10 +97,11 @@
 			p.log.Info("edge: passed request lost", zap.String("request", c.ParsedHeader.ID), zap.String("peer", string(to.ID)), zap.Error(err))
 			return nil, errors.Wrap(relay.ErrPeerLost, err.Error())
 		}
+		p.setTaken(c.Service.Name)
 		return resp, nil
 	}
 	if len(tried) > 0 {
-		p.avoid(unreachedKey{service: c.Service.Name}, unreachedPause)
+		p.pause(c.Service.Name)
 		p.log.Info("edge: request not passed on", zap.String("request", c.ParsedHeader.ID), zap.Int("asked", len(tried)))
 	}
 	return nil, relay.ErrNoPeer
@@ -164,10 +174,36 @@
 	}
 }
 
+// setTaken records that an instance took a request of a service.
+func (p *passer) setTaken(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pauses, service)
+}
+
+// pause keeps requests of a service from being passed on, after no instance took one.
+func (p *passer) pause(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := unreachedKey{service: service}
+	if time.Now().Before(p.unreached[key]) {
+		// Requests that were asked for at the same time are one failure.
+		return
+	}
+	pause := max(unreachedPause, p.pauses[service])
+	p.pauses[service] = min(2*pause, maxUnreachedPause)
+	p.setUnreached(key, pause)
+}
+
 // avoid keeps requests from being passed on for a while.
 func (p *passer) avoid(key unreachedKey, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.setUnreached(key, d)
+}
+
+// setUnreached is avoid; p.mu is held.
+func (p *passer) setUnreached(key unreachedKey, d time.Duration) {
 	now := time.Now()
 	for other, until := range p.unreached {
 		if now.After(until) {
--- a/internal/route/reach/reach.go
+++ b/internal/route/reach/reach.go
@@ -24,6 +24,9 @@
 	sampleSize = 5
 	// checkInterval is the interval between two checks.
 	checkInterval = 300 * time.Millisecond
+	// soundTime is how long after the last failed attempt the links count as sound. Upstreams
+	// that are held to be dead are tried more often than that.
+	soundTime = 5 * time.Second
 	// restoreChecks is how many checks in a row must succeed before the links count as
 	// restored: links that come back may be lost again.
 	restoreChecks = 2
@@ -34,6 +37,9 @@
 	// failures holds the addresses that accepted no connection since the last success, with
 	// the time of the newest attempt.
 	failures map[string]time.Duration
+	// lastFailure is when an attempt last failed, if hasFailed is set.
+	lastFailure time.Duration
+	hasFailed   bool
 	// listed is the number of upstreams that can be tried.
 	listed    int
 	lastCheck time.Duration
@@ -54,6 +60,7 @@
 		t.failures = map[string]time.Duration{}
 	}
 	t.failures[address] = now
+	t.lastFailure, t.hasFailed = now, true
 	for other, at := range t.failures {
 		if now-at > evidenceWindow {
 			delete(t.failures, other)
@@ -67,6 +74,11 @@
 // IsCut reports whether the links to all upstreams are lost.
 func (t *Tracker) IsCut() bool { return t.isCut }
 
+// IsSound reports whether no upstream failed to accept a connection of late.
+func (t *Tracker) IsSound(now time.Duration) bool {
+	return !t.isCut && (!t.hasFailed || now-t.lastFailure > soundTime)
+}
+
 // InDoubt reports whether an upstream accepted no connection since the last success.
 func (t *Tracker) InDoubt() bool { return !t.isCut && len(t.failures) > 0 }
 
--- a/internal/route/reach/reach_test.go
+++ b/internal/route/reach/reach_test.go
@@ -80,3 +80,21 @@
 		}
 	}
 }
+
+// Guards against requests that are passed on although no link has failed, and against ones that
+// are not while an upstream that others reach refuses connections.
+func TestLinksAreSoundWithoutFailure(t *testing.T) {
+	tracker := &reach.Tracker{}
+	tracker.SetListed(36)
+	if !tracker.IsSound(time.Second) {
+		t.Error("got links in doubt before any failed, want them sound")
+	}
+	tracker.RecordFailure(time.Second, "u0")
+	tracker.RecordSuccess()
+	if tracker.IsSound(3 * time.Second) {
+		t.Error("got sound links two seconds after a failure, want them in doubt")
+	}
+	if !tracker.IsSound(7 * time.Second) {
+		t.Error("got links in doubt six seconds after the last failure, want them sound")
+	}
+}
