--- a/internal/fakes/inmem/cut.go
+++ b/internal/fakes/inmem/cut.go
@@ -152,7 +152,7 @@
 func (c *clientConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		if err == io.EOF && c.isReset() {
+		if errors.Is(err, io.EOF) && c.isReset() {
 			err = syscall.ECONNRESET
 		}
 		if err != nil || !c.isSilent() {
