Relay, edge: pass requests on whose instance has used up its part of rate limits

What callers saw: while most new connections go to one instance and upstreams name rate limits, most of them are refused, though the limits leave room.

Cause: a limit is shared by slots, one in n for each of n instances, and slots of instances without callers are lost (known and accepted in rate-limit.md, when callers were spread). Class: a resource of the fleet split evenly among instances whose load is not even. Looked for elsewhere: the retry budget has a pool beside its parts; room for requests is counted by use, not by parts; nothing else is split.

Now such a request goes to another instance, one step, like one whose upstreams are not reached; that instance sends it in a slot of its own, so that the limit holds. While none takes one the pauses grow (0.05 to 0.4 s). A plain request that limits keep off all upstreams is refused with that reason now.

--- a/internal/app/edge/pass.go
+++ b/internal/app/edge/pass.go
@@ -34,6 +34,11 @@
 	// the time that they need to start.
 	unreachedPause    = 300 * time.Millisecond
 	maxUnreachedPause = 16 * unreachedPause
+	// limitedTime, limitedPause and maxLimitedPause are the same for instances that have used up
+	// their parts of rate limits: they get more several times a second.
+	limitedTime     = 100 * time.Millisecond
+	limitedPause    = 50 * time.Millisecond
+	maxLimitedPause = 8 * limitedPause
 )
 
 // passer passes requests on to other instances while this one does not reach the upstreams, and
@@ -50,40 +55,54 @@
 	meters    *metrics.Set
 
 	mu sync.Mutex
-	// unreached holds the instances that are not asked for a service, with the time until then.
-	// An entry without an instance holds for all.
-	unreached map[unreachedKey]time.Time
-	// pauses holds the next pause of each service of which no instance took a request.
-	pauses map[string]time.Duration
+	// refusals holds the instances that are not asked, with the time until then. An entry
+	// without an instance holds for all.
+	refusals map[refusalKey]time.Time
+	// pauses holds the next pause after no instance took a request; its keys have no instance.
+	pauses map[refusalKey]time.Duration
 	// passed holds the number of requests that each instance serves for this one.
 	passed map[spec.InstanceID]int
 }
 
-type unreachedKey struct {
+// refusalKey is for what requests an instance is not asked.
+type refusalKey struct {
 	service  string
+	cause    relay.PassCause
 	instance spec.InstanceID
 }
 
+// refusalTimes are how long instances are not asked: one that refused a request, and all after none
+// took it, at first and at most.
+type refusalTimes struct{ one, first, most time.Duration }
+
+func (k refusalKey) times() refusalTimes {
+	if k.cause == relay.PassLimited {
+		return refusalTimes{one: limitedTime, first: limitedPause, most: maxLimitedPause}
+	}
+	return refusalTimes{one: unreachedTime, first: unreachedPause, most: maxUnreachedPause}
+}
+
 func newPasser(centre string, log *zap.Logger, meters *metrics.Set) *passer {
-	return &passer{centre: spec.DataCentre(centre), log: log, meters: meters, unreached: map[unreachedKey]time.Time{}, pauses: map[string]time.Duration{}, passed: map[spec.InstanceID]int{}}
+	return &passer{centre: spec.DataCentre(centre), log: log, meters: meters, refusals: map[refusalKey]time.Time{}, pauses: map[refusalKey]time.Duration{}, passed: map[spec.InstanceID]int{}}
 }
 
 // LinksLost reports whether this instance has lost its links to all upstreams.
 func (p *passer) LinksLost() bool { return p.links.areLost() }
 
-// Pass passes a call on to an instance that reaches the upstreams. It asks none while all links of
-// this instance are sound: the others reach no more then.
-func (p *passer) Pass(ctx context.Context, c *relay.Call, lastEventID int) (*http.Response, error) {
-	if p.links.areSound() {
+// Pass passes a call on to an instance that can run it. While all links of this instance are sound,
+// the others reach no more upstreams than it does.
+func (p *passer) Pass(ctx context.Context, c *relay.Call, cause relay.PassCause, lastEventID int) (*http.Response, error) {
+	if cause == relay.PassUnreached && p.links.areSound() {
 		return nil, relay.ErrNoPeer
 	}
 	request := peer.Request{
 		Method: c.Method, URI: c.Path, Host: c.Host, Header: c.Header, Body: c.Body, LeftMs: max(1, time.Until(c.Deadline).Milliseconds()),
 		LastEvent: lastEventID, Config: c.ConfigVersion, Counted: c.Counted,
 	}
+	key := refusalKey{service: c.Service.Name, cause: cause}
 	var tried []spec.InstanceID
 	for len(tried) < maxPassTries && ctx.Err() == nil {
-		to, ok := p.choose(c.Service.Name, tried)
+		to, ok := p.choose(key, tried)
 		if !ok {
 			break
 		}
@@ -91,17 +110,17 @@
 		resp, err := p.ask(ctx, to, request)
 		switch {
 		case errors.Is(err, peer.ErrRefused):
-			p.avoid(unreachedKey{service: c.Service.Name, instance: to.ID}, unreachedTime)
+			p.avoid(refusalKey{service: key.service, cause: cause, instance: to.ID})
 			continue
 		case err != nil:
 			p.log.Info("edge: passed request lost", zap.String("request", c.ParsedHeader.ID), zap.String("peer", string(to.ID)), zap.Error(err))
 			return nil, errors.Wrap(relay.ErrPeerLost, err.Error())
 		}
-		p.setTaken(c.Service.Name)
+		p.setTaken(key)
 		return resp, nil
 	}
 	if len(tried) > 0 {
-		p.pause(c.Service.Name)
+		p.pause(key)
 		p.log.Info("edge: request not passed on", zap.String("request", c.ParsedHeader.ID), zap.Int("asked", len(tried)))
 	}
 	return nil, relay.ErrNoPeer
@@ -135,11 +154,11 @@
 // choose returns the instance to ask next and counts a request for it: one of the own data
 // centre first, then of others, since the instances of a data centre may lose their links
 // together. Among equals it is the one that serves the fewest requests for this one.
-func (p *passer) choose(service string, tried []spec.InstanceID) (mesh.Neighbor, bool) {
+func (p *passer) choose(key refusalKey, tried []spec.InstanceID) (mesh.Neighbor, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if now.Before(p.unreached[unreachedKey{service: service}]) {
+	if now.Before(p.refusals[key]) {
 		return mesh.Neighbor{}, false
 	}
 	var best mesh.Neighbor
@@ -147,7 +166,7 @@
 	neighbors := p.neighbors()
 	for _, i := range rand.Perm(len(neighbors)) {
 		n := neighbors[i]
-		if slices.Contains(tried, n.ID) || now.Before(p.unreached[unreachedKey{service: service, instance: n.ID}]) {
+		if slices.Contains(tried, n.ID) || now.Before(p.refusals[refusalKey{service: key.service, cause: key.cause, instance: n.ID}]) {
 			continue
 		}
 		cost := 2 * p.passed[n.ID]
@@ -174,43 +193,43 @@
 	}
 }
 
-// setTaken records that an instance took a request of a service.
-func (p *passer) setTaken(service string) {
+// setTaken records that an instance took a request.
+func (p *passer) setTaken(key refusalKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.pauses, service)
+	delete(p.pauses, key)
 }
 
-// pause keeps requests of a service from being passed on, after no instance took one.
-func (p *passer) pause(service string) {
+// pause keeps requests from being passed on, after no instance took one.
+func (p *passer) pause(key refusalKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	key := unreachedKey{service: service}
-	if time.Now().Before(p.unreached[key]) {
+	if time.Now().Before(p.refusals[key]) {
 		// Requests that were asked for at the same time are one failure.
 		return
 	}
-	pause := max(unreachedPause, p.pauses[service])
-	p.pauses[service] = min(2*pause, maxUnreachedPause)
-	p.setUnreached(key, pause)
+	times := key.times()
+	pause := max(times.first, p.pauses[key])
+	p.pauses[key] = min(2*pause, times.most)
+	p.refuse(key, pause)
 }
 
-// avoid keeps requests from being passed on for a while.
-func (p *passer) avoid(key unreachedKey, d time.Duration) {
+// avoid keeps an instance that refused a request from being asked for a while.
+func (p *passer) avoid(key refusalKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.setUnreached(key, d)
+	p.refuse(key, key.times().one)
 }
 
-// setUnreached is avoid; p.mu is held.
-func (p *passer) setUnreached(key unreachedKey, d time.Duration) {
+// refuse keeps requests from being passed on for a while; p.mu is held.
+func (p *passer) refuse(key refusalKey, d time.Duration) {
 	now := time.Now()
-	for other, until := range p.unreached {
+	for other, until := range p.refusals {
 		if now.After(until) {
-			delete(p.unreached, other)
+			delete(p.refusals, other)
 		}
 	}
-	p.unreached[key] = now.Add(d)
+	p.refusals[key] = now.Add(d)
 }
 
 // passedBody is the body of a response from another instance.
--- a/internal/app/edge/plain.go
+++ b/internal/app/edge/plain.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/ewma"
+	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/wire/relay"
 )
 
@@ -21,13 +23,21 @@
 	}
 	up, ok := r.service(service).plain.Pick(r.now(), avoid)
 	if !ok {
-		return site.Upstream{}, relay.ErrNoUpstream
+		return site.Upstream{}, r.noUpstream(service)
 	}
 	r.crashBook.Begin(r.now(), suspects)
 	r.limits.Take(time.Now(), up.ID)
 	return up, nil
 }
 
+// noUpstream returns why a plain service has no upstream for a request; r.mu is held.
+func (r *router) noUpstream(service string) error {
+	if slices.ContainsFunc(r.service(service).upstreams, func(up site.Upstream) bool { return up.State == site.StateReady && r.isLimited(up.ID) }) {
+		return path.ErrRateLimited
+	}
+	return relay.ErrNoUpstream
+}
+
 // RecordOutcome records how a request to an upstream ended. An answer that was lost may
 // have been lost in a crash, so its request is remembered.
 func (r *router) RecordOutcome(up site.Upstream, suspects []crash.Key, took time.Duration, outcome ewma.Outcome) {
--- a/internal/app/edge/skew_test.go
+++ b/internal/app/edge/skew_test.go
@@ -18,7 +18,7 @@
 const (
 	// spreadTime is how long new connections are spread over the instances, skewTime how long
 	// most go to one of them then.
-	spreadTime = 6 * time.Second
+	spreadTime = 10 * time.Second
 	skewTime   = 10 * time.Second
 	// skewInterval is the time between two requests.
 	skewInterval = 10 * time.Millisecond
@@ -103,7 +103,7 @@
 }
 
 // sendOnNewConn sends a stream, a look-up or a booking on a connection of its own. read is false if
-// no instance read it.
+// no instance read it. No booking may run twice, or run although the answer says that it did not.
 func (f *fixture) sendOnNewConn(k int, id string, n int) (served, read bool) {
 	transport := &http.Transport{DialContext: f.site.Dial, DisableKeepAlives: true}
 	client := &http.Client{Transport: transport}
@@ -127,5 +127,8 @@
 	defer func() { _ = resp.Body.Close() }()
 	a := callerResponse{status: resp.StatusCode}
 	a.readEvents(resp.Body, time.Now())
+	if runs := f.site.Runs(id); n%5 == 1 && (runs > 1 || runs > 0 && a.status == http.StatusServiceUnavailable) {
+		f.t.Errorf("got status %d after %d runs of booking %s, want one at most, and none if it is refused", a.status, runs, id)
+	}
 	return a.status == http.StatusOK && a.err == nil, true
 }
--- a/internal/wire/front/pass_test.go
+++ b/internal/wire/front/pass_test.go
@@ -18,7 +18,7 @@
 
 func (p peers) LinksLost() bool { return p.lost }
 
-func (p peers) Pass(context.Context, *relay.Call, int) (*http.Response, error) {
+func (p peers) Pass(context.Context, *relay.Call, relay.PassCause, int) (*http.Response, error) {
 	return nil, relay.ErrNoPeer
 }
 
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -193,7 +193,7 @@
 func (c *modelCall) run() Reply {
 	for {
 		if c.linksLost() {
-			if reply, done := c.passOn(); done {
+			if reply, done := c.passOn(PassUnreached); done {
 				return reply
 			}
 		}
@@ -223,8 +223,8 @@
 // handleNoRun handles that no run could be started. done is false if the request has to be tried
 // again.
 func (c *modelCall) handleNoRun(err error) (reply Reply, done bool) {
-	if errors.Is(err, path.ErrNoPath) {
-		if reply, done := c.passOn(); done {
+	if cause, ok := passCause(err); ok {
+		if reply, done := c.passOn(cause); done {
 			return reply, true
 		}
 	}
@@ -234,11 +234,20 @@
 	return c.refusedReply(err), true
 }
 
+// passCause returns why a request for which no run could be started is passed on; false if it is
+// not.
+func passCause(err error) (PassCause, bool) {
+	if errors.Is(err, path.ErrRateLimited) {
+		return PassLimited, true
+	}
+	return PassUnreached, errors.Is(err, path.ErrNoPath)
+}
+
 // giveUp returns the reply after the last run failed. A request that has not run, since engines
 // accepted no connection, is passed on.
 func (c *modelCall) giveUp(err error) Reply {
 	if c.unreached && !c.mayHaveRun {
-		if reply, done := c.passOn(); done {
+		if reply, done := c.passOn(PassUnreached); done {
 			return reply
 		}
 	}
--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -22,26 +22,57 @@
 	ErrPeerLost = errors.New("relay: instance with the request lost")
 )
 
-// Peers passes calls on to other instances, for an instance that does not reach the upstreams.
+// PassCause is why a call is passed on.
+type PassCause int
+
+//go:generate stringer -type=PassCause -linecomment -output=passcause_string.go
+
+// Causes why a call is passed on.
+const (
+	// PassUnreached means that this instance does not reach the upstreams that the call needs.
+	PassUnreached PassCause = iota // unreached
+	// PassLimited means that this instance has used up its part of the upstreams' rate limits.
+	// Others have theirs, which they may not need.
+	PassLimited // limited
+)
+
+// Peers passes calls on to other instances, for an instance that can't run them itself.
 type Peers interface {
 	// LinksLost reports whether this instance has lost its links to all upstreams.
 	LinksLost() bool
-	// Pass passes a call on to an instance that reaches its upstreams and returns the
-	// response. The caller has the events up to lastEventID. The error is ErrNoPeer or
-	// ErrPeerLost.
-	Pass(ctx context.Context, c *Call, lastEventID int) (*http.Response, error)
+	// Pass passes a call on to an instance that can run it and returns the response. The
+	// caller has the events up to lastEventID. The error is ErrNoPeer or ErrPeerLost.
+	Pass(ctx context.Context, c *Call, cause PassCause, lastEventID int) (*http.Response, error)
 }
 
 // mayPass reports whether a call may be passed on: it is, once at most.
 func (c *Call) mayPass(peers Peers) bool { return peers != nil && !c.Passed }
 
+// cause returns why another instance may be able to run a call that was not run here; false if none
+// may.
+func (r Reply) cause() (PassCause, bool) {
+	switch {
+	case r.MayHaveRun:
+		return 0, false
+	case r.Unreached:
+		return PassUnreached, true
+	}
+	return PassLimited, r.Reason == ReasonRateLimited
+}
+
+// IsRunElsewhere reports whether another instance may be able to run a call that was not run here.
+func (r Reply) IsRunElsewhere() bool {
+	_, ok := r.cause()
+	return ok
+}
+
 // unreachedReply is the reply to a call that was passed on to an instance without links itself.
 func unreachedReply() Reply { return Reply{Reason: ReasonNoUpstream, Unreached: true} }
 
 // passOn passes the call on; false if no other instance took it.
-func (p *PlainRunner) passOn(ctx context.Context, c *Call) (Reply, bool) {
+func (p *PlainRunner) passOn(ctx context.Context, c *Call, cause PassCause) (Reply, bool) {
 	for pass := 1; ; pass++ {
-		resp, err := p.Peers.Pass(ctx, c, 0) //nolint:bodyclose // readReply closes it.
+		resp, err := p.Peers.Pass(ctx, c, cause, 0) //nolint:bodyclose // readReply closes it.
 		if errors.Is(err, ErrNoPeer) {
 			return Reply{Reason: ReasonResponseLost, MayHaveRun: true}, pass > 1
 		}
@@ -82,11 +113,11 @@
 
 // passOn passes the request on to another instance, from the last event that the caller has.
 // done is false if the request has to be run here, or passed on again.
-func (c *modelCall) passOn() (reply Reply, done bool) {
+func (c *modelCall) passOn(cause PassCause) (reply Reply, done bool) {
 	if !c.call.mayPass(c.runner.Peers) || c.passes >= maxPasses {
 		return Reply{}, false
 	}
-	resp, err := c.runner.Peers.Pass(c.ctx, c.call, c.lastEventID) //nolint:bodyclose // readPassed closes it.
+	resp, err := c.runner.Peers.Pass(c.ctx, c.call, cause, c.lastEventID) //nolint:bodyclose // readPassed closes it.
 	if errors.Is(err, ErrNoPeer) {
 		return Reply{}, false
 	}
--- a/internal/wire/relay/plain.go
+++ b/internal/wire/relay/plain.go
@@ -9,6 +9,7 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/ewma"
+	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/wire/client"
 
 	"github.com/go-faster/errors"
@@ -18,7 +19,8 @@
 // outcomes of earlier requests.
 type UpstreamSelector interface {
 	// Pick selects an upstream that is not in avoid for a request with these suspects. The
-	// error is ErrNoUpstream if there is none, or that of CrashTracker.AllowSend.
+	// error is ErrNoUpstream if there is none, path.ErrRateLimited if rate limits leave none, or
+	// that of CrashTracker.AllowSend.
 	Pick(service string, suspects []crash.Key, avoid []spec.UpstreamID) (site.Upstream, error)
 	// RecordOutcome records how a request with these suspects ended.
 	RecordOutcome(up site.Upstream, suspects []crash.Key, took time.Duration, outcome ewma.Outcome)
@@ -102,15 +104,15 @@
 		if c.Passed {
 			return unreachedReply()
 		}
-		if reply, ok := p.passOn(ctx, c); ok {
+		if reply, ok := p.passOn(ctx, c, PassUnreached); ok {
 			return reply
 		}
 	}
 	c.countRequest(p.RetryBudget)
 	pc := &plainCall{runner: p, call: c, ctx: ctx, results: make(chan *sendResult, maxSends)}
 	reply := pc.run()
-	if reply.Unreached && c.mayPass(p.Peers) {
-		if passed, ok := p.passOn(ctx, c); ok {
+	if cause, ok := reply.cause(); ok && c.mayPass(p.Peers) {
+		if passed, ok := p.passOn(ctx, c, cause); ok {
 			return passed
 		}
 	}
@@ -182,7 +184,11 @@
 	if reply, ok := restrictedReply(err); ok {
 		return reply
 	}
-	return Reply{Reason: ReasonNoUpstream, RetryAfter: c.retryAfter()}
+	r := Reply{Reason: ReasonNoUpstream, RetryAfter: c.retryAfter()}
+	if errors.Is(err, path.ErrRateLimited) {
+		r.Reason = ReasonRateLimited
+	}
+	return r
 }
 
 // sendNext sends the call to the next upstream.
