Crash, edge: bounds on what is kept and told of suspects

Rows of suspects were removed only when an instance started, so that a table of instances that run for long only grew; an instance that starts was told of all suspects, up to 4,096 by each of the others.

TestOldRowsOfCulpritsAreRemoved: one row after 45 minutes without the second read, none with it. A crash under 192 requests with three parts each is reported in less than 100 bytes a request.

--- a/internal/app/edge/crash_test.go
+++ b/internal/app/edge/crash_test.go
@@ -209,6 +209,25 @@
 	})
 }
 
+// Guards against rows of requests that crashed engines staying in the store for good.
+func TestOldRowsOfCulpritsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		defer f.close()
+		p := &stand.Poison{Path: "/write/poison", Delay: crashDelay}
+		f.site.AddPoison(p)
+		f.sendCopies(p.Path, 6, apart)
+		f.checkCrashes(p, maxCrashes)
+		if got := f.site.Store.RowCount("culprits"); got == 0 {
+			t.Error("got no row after the crashes, want one")
+		}
+		time.Sleep(45 * time.Minute)
+		if got := f.site.Store.RowCount("culprits"); got != 0 {
+			t.Errorf("got %d rows after 45 minutes, want none", got)
+		}
+	})
+}
+
 // waveClasses are the kinds of requests that crash upstreams in the tests of waves.
 var waveClasses = map[string]struct{ method, path, tokens string }{
 	"safe":   {http.MethodGet, "/look/poison", ""},
--- a/internal/app/edge/culprit.go
+++ b/internal/app/edge/culprit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -26,6 +27,10 @@
 	// maxCulpritRemovals is how many rows are removed at once: a call to the store changes
 	// a hundred at most.
 	maxCulpritRemovals = 100
+	// culpritSweepInterval is the shortest time between two reads of the table, which remove the
+	// rows that no longer hold. Each instance waits up to twice as long, so that the instances
+	// do not read it together.
+	culpritSweepInterval = crash.RestrictionTTL
 	// trialTimeout limits how long a request waits for the store to grant a trial.
 	trialTimeout = 250 * time.Millisecond
 )
@@ -89,13 +94,18 @@
 	}
 }
 
-// run reads the table once and writes what is added until ctx ends.
+// run reads the table, now and seldom later, and writes what is added until ctx ends.
 func (c *culpritTable) run(ctx context.Context) {
 	c.retry(ctx, "read requests that crash upstreams", c.load)
+	sweep := time.NewTimer(sweepDelay())
+	defer sweep.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-sweep.C:
+			c.retry(ctx, "read requests that crash upstreams", c.load)
+			sweep.Reset(sweepDelay())
 		case change := <-c.pending:
 			found := time.Now()
 			c.retry(ctx, "store a request that crashes upstreams", func(ctx context.Context) error { return c.write(ctx, change, found) })
@@ -103,6 +113,9 @@
 	}
 }
 
+// sweepDelay returns the time until the table is read again.
+func sweepDelay() time.Duration { return culpritSweepInterval + rand.N(culpritSweepInterval) }
+
 // retry calls a function until it succeeds or ctx ends.
 func (c *culpritTable) retry(ctx context.Context, what string, call func(context.Context) error) {
 	for ctx.Err() == nil {
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -83,6 +83,9 @@
 	settleTime = SurvivalTime + 200*time.Millisecond
 	// maxSuspects is the maximum number of suspects in memory.
 	maxSuspects = 4096
+	// maxKnown is the maximum number of events for an instance that starts. Hundreds may start
+	// at once, and each is told by all others.
+	maxKnown = 512
 )
 
 // Key identifies a suspect: a request, or a part of a prompt that requests share.
--- a/internal/route/crash/part_test.go
+++ b/internal/route/crash/part_test.go
@@ -8,6 +8,7 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 )
 
@@ -253,3 +254,32 @@
 		}
 	}
 }
+
+// Guards against messages between instances that grow with what callers send: the crash of a full
+// engine, and what an instance is told that starts.
+func TestReportsAreBounded(t *testing.T) {
+	b := &book{}
+	var events []crash.Event
+	for n := range uint64(192) {
+		e := crash.NewCrash(b.prompt(shared, 1000+n%24, 2000+n))
+		e.Upstream, e.Incarnation, e.RanMs, e.AgeMs = "i-0123456789", 1791563508834, 230, 12
+		events = append(events, e)
+	}
+	data, err := cbor.Marshal(events)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// All requests of an engine are reported once by each instance that sent some of them.
+	if got, most := len(data), 192*100; got > most {
+		t.Errorf("got %d bytes for a crash under 192 requests, want %d at most", got, most)
+	}
+	for n := range uint64(2000) {
+		for range 3 {
+			b.crash(time.Second, b.prompt(10000+n))
+		}
+	}
+	b.Settle(2 * time.Second)
+	if got := len(b.Known(2 * time.Second)); got == 0 || got > 512 {
+		t.Errorf("got %d events for an instance that starts, want some and 512 at most", got)
+	}
+}
