Edge, path: pass requests on only for engines out of reach, one first

Two changes to the same cause, instances asking where none has anything: a request without a path is passed on only if the engines cover all layers once those count that this instance does not reach; and unless an instance took a request in the last 5 s, one goes first and the others wait for its outcome, 0.15 s at most. Layers that nobody holds are ErrNoPath, engines out of reach ErrUnreached.

TestMissingLayersAreNotOutOfReach.

--- a/internal/app/edge/pass.go
+++ b/internal/app/edge/pass.go
@@ -39,6 +39,11 @@
 	limitedTime     = 100 * time.Millisecond
 	limitedPause    = 50 * time.Millisecond
 	maxLimitedPause = 8 * limitedPause
+	// takenTime is how long after an instance took a request others may be asked for many at
+	// once. Otherwise one request goes first, and the others wait for its outcome, but not
+	// longer than firstPassTime.
+	takenTime     = 5 * time.Second
+	firstPassTime = 150 * time.Millisecond
 )
 
 // passer passes requests on to other instances while this one does not reach the upstreams, and
@@ -60,6 +65,10 @@
 	refusals map[refusalKey]time.Time
 	// pauses holds the next pause after no instance took a request; its keys have no instance.
 	pauses map[refusalKey]time.Duration
+	// taken holds when an instance last took a request, and first the requests that go first,
+	// each closed at its end.
+	taken map[refusalKey]time.Time
+	first map[refusalKey]chan struct{}
 	// passed holds the number of requests that each instance serves for this one.
 	passed map[spec.InstanceID]int
 }
@@ -83,7 +92,7 @@
 }
 
 func newPasser(centre string, log *zap.Logger, meters *metrics.Set) *passer {
-	return &passer{centre: spec.DataCentre(centre), log: log, meters: meters, refusals: map[refusalKey]time.Time{}, pauses: map[refusalKey]time.Duration{}, passed: map[spec.InstanceID]int{}}
+	return &passer{centre: spec.DataCentre(centre), log: log, meters: meters, refusals: map[refusalKey]time.Time{}, pauses: map[refusalKey]time.Duration{}, taken: map[refusalKey]time.Time{}, first: map[refusalKey]chan struct{}{}, passed: map[spec.InstanceID]int{}}
 }
 
 // LinksLost reports whether this instance has lost its links to all upstreams.
@@ -95,11 +104,12 @@
 	if cause == relay.PassUnreached && p.links.areSound() {
 		return nil, relay.ErrNoPeer
 	}
+	key := refusalKey{service: c.Service.Name, cause: cause}
+	defer p.goFirst(ctx, key)()
 	request := peer.Request{
 		Method: c.Method, URI: c.Path, Host: c.Host, Header: c.Header, Body: c.Body, LeftMs: max(1, time.Until(c.Deadline).Milliseconds()),
 		LastEvent: lastEventID, Config: c.ConfigVersion, Counted: c.Counted,
 	}
-	key := refusalKey{service: c.Service.Name, cause: cause}
 	var tried []spec.InstanceID
 	for len(tried) < maxPassTries && ctx.Err() == nil {
 		to, ok := p.choose(key, tried)
@@ -193,11 +203,43 @@
 	}
 }
 
+// goFirst returns once a request may be passed on, and a function to call at the end. Unless an
+// instance took one of late, requests go one by one: none may take any, and the questions of all
+// would hold up those that start.
+func (p *passer) goFirst(ctx context.Context, key refusalKey) (end func()) {
+	p.mu.Lock()
+	other := p.first[key]
+	if time.Since(p.taken[key]) < takenTime {
+		p.mu.Unlock()
+		return func() {}
+	}
+	if other == nil {
+		own := make(chan struct{})
+		p.first[key] = own
+		p.mu.Unlock()
+		return func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			delete(p.first, key)
+			close(own)
+		}
+	}
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, firstPassTime)
+	defer cancel()
+	select {
+	case <-other:
+	case <-ctx.Done():
+	}
+	return func() {}
+}
+
 // setTaken records that an instance took a request.
 func (p *passer) setTaken(key refusalKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.pauses, key)
+	p.taken[key] = time.Now()
 }
 
 // pause keeps requests from being passed on, after no instance took one.
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -21,6 +21,10 @@
 // ErrNoPath means that no usable engines cover all layers.
 var ErrNoPath = errors.New("path: no engines cover all layers")
 
+// ErrUnreached is an ErrNoPath: engines cover all layers, but this instance does not reach all of
+// them.
+var ErrUnreached = errors.Wrap(ErrNoPath, "path: engines out of reach")
+
 const (
 	// remoteEntryMs is the cost in milliseconds of a first engine in another data
 	// centre. The traffic of the answer between data centres is charged for.
@@ -160,12 +164,32 @@
 			return ErrRateLimited
 		}
 	}
-	if lacksMemory {
+	switch {
+	case lacksMemory:
 		return ErrNoMemory
+	case t.isCoveredOutOfReach(q):
+		return ErrUnreached
 	}
 	return ErrNoPath
 }
 
+// isCoveredOutOfReach reports whether the engines cover all layers of a query if those count that
+// this instance does not reach: they are dead to it, or a connection failed.
+func (t *Table) isCoveredOutOfReach(q Query) bool {
+	covered := make([]bool, q.To-q.From)
+	for _, e := range t.engines {
+		isSuspect := e.refusalCooldown == 0 && q.Now < e.cooldownUntil
+		if e.upstream.State != site.StateReady || !e.dead && !isSuspect && !t.usable(q.Now, e) {
+			continue
+		}
+		held := e.upstream.Held.Layers
+		for at := max(held.From(), q.From); at < min(held.To(), q.To); at++ {
+			covered[at-q.From] = true
+		}
+	}
+	return !slices.Contains(covered, false)
+}
+
 // extendPath finds the cheapest way to append e to one of the steps, or to use it as
 // the first engine. lacksMemory is set if e has too little free KV memory, or if the
 // link to it is too busy.
--- a/internal/route/path/path_test.go
+++ b/internal/route/path/path_test.go
@@ -503,3 +503,18 @@
 		})
 	}
 }
+
+// Guards against instances that take layers which no engine holds for engines out of their reach,
+// and ask others for them.
+func TestMissingLayersAreNotOutOfReach(t *testing.T) {
+	tab := table(engine("a", "a100", "east", 0, 40), engine("b", "a100", "east", 40, 80))
+	tab.MarkDead("b", 1)
+	if _, err := tab.Choose(0, typicalDemand, nil); !errors.Is(err, path.ErrUnreached) || !errors.Is(err, path.ErrNoPath) {
+		t.Errorf("got %v with a dead engine, want ErrUnreached, which is an ErrNoPath", err)
+	}
+	tab = table(engine("a", "a100", "east", 0, 40), engine("b", "a100", "east", 50, 80))
+	tab.MarkDead("b", 1)
+	if _, err := tab.Choose(0, typicalDemand, nil); !errors.Is(err, path.ErrNoPath) || errors.Is(err, path.ErrUnreached) {
+		t.Errorf("got %v with layers that no engine holds, want ErrNoPath", err)
+	}
+}
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -240,7 +240,7 @@
 	if errors.Is(err, path.ErrRateLimited) {
 		return PassLimited, true
 	}
-	return PassUnreached, errors.Is(err, path.ErrNoPath)
+	return PassUnreached, errors.Is(err, path.ErrUnreached)
 }
 
 // giveUp returns the reply after the last run failed. A request that has not run, since engines
