--- a/internal/route/crash/tracker.go
+++ b/internal/route/crash/tracker.go
@@ -31,39 +31,6 @@
 	settleDue bool
 }
 
-// Change is a change of the standing of a suspect that follows from what was recorded here.
-type Change struct {
-	Key      Key
-	Kind     EventKind
-	Standing Standing
-	// Own means that this instance is to report the change: it sent a request of the suspect
-	// when an upstream crashed, or cleared the suspect.
-	Own bool
-	// Lifted means that the change lifts a restriction. Otherwise a clearance keeps other
-	// instances from one.
-	Lifted bool
-	// Ended is the number of upstreams that ended under the suspect.
-	Ended int
-	// At is when the last one ended, or the time before which crashes are cleared.
-	At time.Duration
-}
-
-// TakeChanges returns the changes since the last call.
-func (t *Tracker) TakeChanges() []Change {
-	out := t.changes
-	t.changes = nil
-	return out
-}
-
-func (t *Tracker) recordChange(key Key, s suspect) {
-	t.changes = append(t.changes, Change{Key: key, Kind: s.standing.event(), Standing: s.standing, Own: s.own, Lifted: s.standing == StandingFree, Ended: len(s.ended), At: s.lastCrash})
-}
-
-// Event returns the event that reports the change to other instances.
-func (c Change) Event(now time.Duration) Event {
-	return Event{Fingerprint: c.Key.Fingerprint, IsPart: c.Key.IsPart, Kind: c.Kind, AgeMs: (now - c.At).Milliseconds()}
-}
-
 // Record records an event. It returns false if the event is no news.
 func (t *Tracker) Record(now time.Duration, e Event) (news bool) {
 	if e.Kind == EventCrash && e.Upstream == "" {
@@ -182,56 +149,6 @@
 	}
 }
 
-// Known returns what an instance has to know that starts: the restrictions, and the crashes of
-// suspects that may be restricted after the next one. If that is much, those that would do most
-// harm come first.
-func (t *Tracker) Known(now time.Duration) []Event {
-	var keys []Key
-	for key := range t.suspects {
-		if s := t.unexpired(now, key); s.standing > StandingFree || len(s.ended) >= culpritCrashes-1 {
-			keys = append(keys, key)
-		}
-	}
-	slices.SortFunc(keys, func(a, b Key) int {
-		x, y := t.suspects[a], t.suspects[b]
-		return cmp.Or(cmpBool(b.IsPart, a.IsPart), cmp.Compare(y.standing, x.standing), cmp.Compare(x.lastCrash, y.lastCrash))
-	})
-	var out []Event
-	for _, key := range keys {
-		out = append(out, t.knownOf(now, key)...)
-	}
-	return out[:min(maxKnown, len(out))]
-}
-
-// knownOf returns what an instance has to know of a suspect that starts.
-func (t *Tracker) knownOf(now time.Duration, key Key) (out []Event) {
-	s := t.suspects[key]
-	if isNear(key, s) && t.delivered.has(key) {
-		out = append(out, Change{Key: key, Kind: EventDelivery, At: now}.Event(now))
-	}
-	if s.standing > StandingFree {
-		return append(out, Change{Key: key, Kind: s.standing.event(), At: s.lastCrash}.Event(now))
-	}
-	for _, run := range s.ended {
-		out = append(out, Event{
-			Fingerprint: key.Fingerprint, IsPart: key.IsPart, Upstream: run.upstream, Incarnation: run.incarnation,
-			RanMs: (run.ended - run.started).Milliseconds(), AgeMs: (now - run.ended).Milliseconds(), IsWeak: run.weak,
-		})
-	}
-	return out
-}
-
-// event returns the kind of event that reports a standing.
-func (s Standing) event() EventKind {
-	switch s {
-	case StandingCulprit:
-		return EventVerdict
-	case StandingQuarantined:
-		return EventQuarantine
-	}
-	return EventClearance
-}
-
 // Clear records that an upstream completed a run that began at a time, of a request with these
 // suspects. It reports whether that lifts a restriction.
 func (t *Tracker) Clear(now time.Duration, keys []Key, began time.Duration) bool {
@@ -273,73 +190,6 @@
 	return lifted, wasNear && !isNear(key, s)
 }
 
-// Check returns why a request with these suspects must not be sent now, or nil. One with a trial
-// for each of those that are quarantined may be sent.
-func (t *Tracker) Check(now time.Duration, keys []Key) error {
-	var err error
-	for _, key := range keys {
-		s := t.unexpired(now, key)
-		switch {
-		case s.standing == StandingCulprit:
-			return ErrCulprit
-		case s.standing == StandingQuarantined && s.trials == 0:
-			err = ErrQuarantined
-		}
-	}
-	return err
-}
-
-// Begin records that a request is sent that Check allows. Trials are used up by that.
-func (t *Tracker) Begin(now time.Duration, keys []Key) {
-	for _, key := range keys {
-		if s := t.unexpired(now, key); s.trials > 0 {
-			s.trials--
-			t.suspects[key] = s
-		}
-	}
-}
-
-// NeedTrials returns the quarantined suspects of a request for which this instance should ask for
-// trials now, all at once. It returns them once in TrialInterval or in JointTrialInterval.
-func (t *Tracker) NeedTrials(now time.Duration, keys []Key) []Key {
-	if !errors.Is(t.Check(now, keys), ErrQuarantined) {
-		return nil
-	}
-	var out []Key
-	for _, key := range keys {
-		if s := t.unexpired(now, key); s.standing == StandingQuarantined && s.trials == 0 {
-			out = append(out, key)
-		}
-	}
-	isJoint := len(out) > 1
-	for _, key := range out {
-		s := t.suspects[key]
-		if !isJoint && now < s.nextTrialAt || isJoint && now < s.nextJointAt {
-			return nil
-		}
-	}
-	for _, key := range out {
-		s := t.suspects[key]
-		if isJoint {
-			s.nextJointAt = now + JointTrialInterval
-		} else {
-			s.nextTrialAt = now + TrialInterval
-		}
-		t.suspects[key] = s
-	}
-	return out
-}
-
-// GrantTrials records that this instance may send a request with these quarantined suspects once.
-func (t *Tracker) GrantTrials(now time.Duration, keys []Key) {
-	for _, key := range keys {
-		if s := t.unexpired(now, key); s.standing == StandingQuarantined {
-			s.trials = 1
-			t.suspects[key] = s
-		}
-	}
-}
-
 // Count returns how many crashes with separate causes count against a suspect, weak ones
 // included.
 func (t *Tracker) Count(now time.Duration, key Key) int {
--- /dev/null
+++ b/internal/route/crash/trial.go
@@ -0,0 +1,74 @@
+package crash
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Check returns why a request with these suspects must not be sent now, or nil. One with a trial
+// for each of those that are quarantined may be sent.
+func (t *Tracker) Check(now time.Duration, keys []Key) error {
+	var err error
+	for _, key := range keys {
+		s := t.unexpired(now, key)
+		switch {
+		case s.standing == StandingCulprit:
+			return ErrCulprit
+		case s.standing == StandingQuarantined && s.trials == 0:
+			err = ErrQuarantined
+		}
+	}
+	return err
+}
+
+// Begin records that a request is sent that Check allows. Trials are used up by that.
+func (t *Tracker) Begin(now time.Duration, keys []Key) {
+	for _, key := range keys {
+		if s := t.unexpired(now, key); s.trials > 0 {
+			s.trials--
+			t.suspects[key] = s
+		}
+	}
+}
+
+// NeedTrials returns the quarantined suspects of a request for which this instance should ask for
+// trials now, all at once. It returns them once in TrialInterval or in JointTrialInterval.
+func (t *Tracker) NeedTrials(now time.Duration, keys []Key) []Key {
+	if !errors.Is(t.Check(now, keys), ErrQuarantined) {
+		return nil
+	}
+	var out []Key
+	for _, key := range keys {
+		if s := t.unexpired(now, key); s.standing == StandingQuarantined && s.trials == 0 {
+			out = append(out, key)
+		}
+	}
+	isJoint := len(out) > 1
+	for _, key := range out {
+		s := t.suspects[key]
+		if !isJoint && now < s.nextTrialAt || isJoint && now < s.nextJointAt {
+			return nil
+		}
+	}
+	for _, key := range out {
+		s := t.suspects[key]
+		if isJoint {
+			s.nextJointAt = now + JointTrialInterval
+		} else {
+			s.nextTrialAt = now + TrialInterval
+		}
+		t.suspects[key] = s
+	}
+	return out
+}
+
+// GrantTrials records that this instance may send a request with these quarantined suspects once.
+func (t *Tracker) GrantTrials(now time.Duration, keys []Key) {
+	for _, key := range keys {
+		if s := t.unexpired(now, key); s.standing == StandingQuarantined {
+			s.trials = 1
+			t.suspects[key] = s
+		}
+	}
+}
