--- a/internal/app/edge/crash.go
+++ b/internal/app/edge/crash.go
@@ -31,7 +31,7 @@
 func (r *router) applyCrash(c crash.Event) bool {
 	now := r.now()
 	news := r.crashBook.Record(now, c)
-	key := crash.Key{Fingerprint: c.Fingerprint, IsPart: c.IsPart}
+	key := c.Key()
 	r.onCrash(c, crashCount{isNews: news, ended: r.crashBook.EndedCount(now, key), causes: r.crashBook.Count(now, key), standing: r.crashBook.Standing(now, key)})
 	r.applyStandings()
 	return news
@@ -154,7 +154,7 @@
 	if count.isNews && count.ended == 1 || c.Kind != crash.EventCrash && !count.isNews {
 		return
 	}
-	i.Log.Info("edge: upstream crashed under a request", zap.String("fingerprint", formatFingerprint(c.Fingerprint)), zap.Strings("parts", formatFingerprints(c.Parts)), zap.Stringer("event", c.Kind),
+	i.Log.Info("edge: upstream crashed under a request", zap.Stringer("fingerprint", c.Key()), zap.Stringers("parts", c.PartKeys()), zap.Stringer("event", c.Kind),
 		zap.String("upstream", string(c.Upstream)), zap.Int64("incarnation", c.Incarnation), zap.Int64("ran ms", c.RanMs),
 		zap.Bool("counted", count.isNews), zap.Int("ended", count.ended), zap.Int("crashes", count.causes), zap.Stringer("standing", count.standing))
 }
--- a/internal/app/edge/culprit.go
+++ b/internal/app/edge/culprit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"fulmarwick/internal/route/crash"
@@ -282,12 +281,3 @@
 }
 
 func culpritKey(key crash.Key) string { return culpritTableName + "/" + key.String() }
-
-func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
-
-func formatFingerprints(fingerprints []uint64) (out []string) {
-	for _, f := range fingerprints {
-		out = append(out, formatFingerprint(f))
-	}
-	return out
-}
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -24,7 +24,7 @@
 // Parts are judged in the same way, with three differences, since requests that do no harm
 // share most of them. Any run that delivers clears its parts. The evidence is weighed a moment
 // after it came, when such runs have shown which parts are sound, and each crash counts against
-// the least common part that explains it. Only a trial makes a part a culprit, and the crashes
+// the part that explains the crashes best. Only a trial makes a part a culprit, and the crashes
 // that it explains count against nothing else from then on.
 package crash
 
@@ -197,9 +197,12 @@
 	return e
 }
 
-// keys returns the keys of the suspects that the event is about.
-func (e Event) keys() []Key {
-	out := []Key{{Fingerprint: e.Fingerprint, IsPart: e.IsPart}}
+// Key returns the key of the request or the part that the event is about.
+func (e Event) Key() Key { return Key{Fingerprint: e.Fingerprint, IsPart: e.IsPart} }
+
+// PartKeys returns the keys of the parts of the request's prompt.
+func (e Event) PartKeys() []Key {
+	out := make([]Key, 0, len(e.Parts))
 	for _, part := range e.Parts {
 		out = append(out, Key{Fingerprint: part, IsPart: true})
 	}
--- a/internal/route/crash/tracker.go
+++ b/internal/route/crash/tracker.go
@@ -37,7 +37,7 @@
 		// Former versions report verdicts like this.
 		return false
 	}
-	for _, key := range e.keys() {
+	for _, key := range append(e.PartKeys(), e.Key()) {
 		if t.record(now, key, e) {
 			news = true
 		}
