--- a/internal/app/edge/links.go
+++ b/internal/app/edge/links.go
@@ -27,6 +27,8 @@
 	// onLost is called once the links are lost.
 	onLost func()
 	log    *zap.Logger
+	// doubtful gets a value when a connection fails. Its buffer holds one.
+	doubtful chan struct{}
 
 	mu      sync.Mutex
 	tracker reach.Tracker
@@ -45,6 +47,10 @@
 		l.tracker.RecordSuccess()
 	case !l.isBusy():
 		l.update(func() { l.tracker.RecordFailure(time.Since(l.start), address) })
+		select {
+		case l.doubtful <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -90,9 +96,20 @@
 
 // run checks the links while they are in doubt, until ctx ends.
 func (l *linkWatcher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.doubtful:
+		}
+		l.checkWhileDoubtful(ctx)
+	}
+}
+
+func (l *linkWatcher) checkWhileDoubtful(ctx context.Context) {
 	ticker := time.NewTicker(linkCheckInterval)
 	defer ticker.Stop()
-	for {
+	for l.isDoubtful() {
 		select {
 		case <-ctx.Done():
 			return
@@ -107,6 +124,13 @@
 	}
 }
 
+// isDoubtful reports whether the links are in doubt or lost.
+func (l *linkWatcher) isDoubtful() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tracker.IsCut() || l.tracker.InDoubt()
+}
+
 // check tries a sample of the upstreams, or waits for the check that is running.
 func (l *linkWatcher) check(ctx context.Context) {
 	addresses := l.addresses()
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -54,7 +54,7 @@
 		id: spec.InstanceID(s.Instance.Name), centre: spec.DataCentre(s.Instance.DataCentre), url: "http://" + s.Listen.Mesh,
 		store: i.store, state: i.state, router: i.router, log: i.Log, dial: i.Dial, meters: i.meters, countBehind: i.counter(`fulmarwick_behind_total`),
 	}
-	i.links = &linkWatcher{start: time.Now(), addresses: i.router.readyAddresses, open: i.pool.Open, isBusy: i.watcher.isBusy, log: i.Log}
+	i.links = &linkWatcher{start: time.Now(), addresses: i.router.readyAddresses, open: i.pool.Open, isBusy: i.watcher.isBusy, log: i.Log, doubtful: make(chan struct{}, 1)}
 	i.links.onLost = func() { i.pool.CloseUnused(nil) }
 	i.watcher.links, i.router.linksLost = i.links, i.links.confirmLost
 	i.links.register(i.meters)
--- a/internal/app/edge/refusal.go
+++ b/internal/app/edge/refusal.go
@@ -27,8 +27,8 @@
 }
 
 // goFirst returns once a request may be passed on, and a function to call at the end. Unless an
-// instance took one of late, requests go one by one: none may take any, and the questions of all
-// would hold up those that start.
+// instance took one of late, one request goes first, as in a half-open circuit breaker: none may
+// take any, and the questions of all would hold up those that start.
 func (p *passer) goFirst(ctx context.Context, key refusalKey) (end func()) {
 	p.mu.Lock()
 	other := p.first[key]
--- a/internal/wire/front/reply.go
+++ b/internal/wire/front/reply.go
@@ -26,7 +26,7 @@
 	if !reply.MayHaveRun {
 		after = reply.RetryAfter
 	}
-	if reply.IsRunElsewhere() && passedFrom(r.Context()) != nil {
+	if reply.CanRunElsewhere() && passedFrom(r.Context()) != nil {
 		w.Header().Set(unreachedHeader, "1")
 	}
 	writeRefusal(w, status, reply.Reason.String(), after)
--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -60,8 +60,8 @@
 	return PassLimited, r.Reason == ReasonRateLimited
 }
 
-// IsRunElsewhere reports whether another instance may be able to run a call that was not run here.
-func (r Reply) IsRunElsewhere() bool {
+// CanRunElsewhere reports whether another instance may be able to run a call that was not run here.
+func (r Reply) CanRunElsewhere() bool {
 	_, ok := r.cause()
 	return ok
 }
