Edge: parts that were sound first, and cases drawn at random, of parts that crash engines; known red: several at once

Cases drawn from a seed vary parts, place, rate, delay, queue, crash before the head, together, and what happens beside.

A part whose trial crashed an upstream is convicted only if fewer runs had it than the parts beside it: with several bad parts at once the part that all share was made a culprit (seed 11).

--- a/internal/app/edge/part_test.go
+++ b/internal/app/edge/part_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"testing"
@@ -29,6 +30,9 @@
 	parts int
 	// place is the index of the part in the prompt.
 	place int
+	// isSoundFirst means that the parts crash nothing in the calm time, in which requests have
+	// them as well.
+	isSoundFirst bool
 	// interval is the time between two sound requests, and between two that crash engines.
 	interval time.Duration
 	// later is when the first event happens, from the start of the bad requests on, and event
@@ -52,6 +56,8 @@
 	add("seldom", func(c *partCase) { c.interval = 400 * time.Millisecond })
 	add("first part", func(c *partCase) { c.place = 0 })
 	add("third part", func(c *partCase) { c.place = 2 })
+	add("sound first", func(c *partCase) { c.isSoundFirst = true })
+	add("sound first, seldom", func(c *partCase) { c.isSoundFirst, c.interval = true, 400*time.Millisecond })
 	add("three parts", func(c *partCase) { c.parts = 3 })
 	add("without head", func(c *partCase) { c.poison.NoHead = true })
 	add("late", func(c *partCase) { c.poison.Delay = 200 * time.Millisecond })
@@ -65,6 +71,25 @@
 	return cases
 }
 
+// drawnPartCases is the number of cases that are drawn at random.
+const drawnPartCases = 60
+
+// drawPartCase returns a case drawn from a seed.
+func drawPartCase(seed uint64) partCase {
+	r := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // The seed repeats the case.
+	ms := func(from, to int) time.Duration { return time.Duration(from+r.IntN(to-from)) * time.Millisecond }
+	c := partCase{parts: 1 + r.IntN(3), place: r.IntN(3), isSoundFirst: r.IntN(3) == 0, interval: ms(60, 400), later: ms(0, 8000)}
+	c.poison.Delay, c.poison.NoHead = ms(20, 250), r.IntN(2) == 0
+	if r.IntN(3) == 0 {
+		c.poison.Queue = ms(50, 800)
+	}
+	if r.IntN(4) == 0 {
+		c.poison.Together = ms(100, 400)
+	}
+	c.event = []func(*fixture, []*process){nil, restartInTurn, restartAll, cutAndHeal, storeOutage}[r.IntN(5)]
+	return c
+}
+
 // restartInTurn restarts one instance after the other.
 func restartInTurn(_ *fixture, processes []*process) {
 	for _, p := range processes {
@@ -104,20 +129,29 @@
 // them. The site fails if too many such requests reach engines or too few sound ones begin.
 func TestRequestsWithCrashingPartAreGivenUp(t *testing.T) {
 	for name, c := range partCases() {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f, processes := newProcessFixture(t, 4)
-				defer time.Sleep(inmem.ConnectTimeout)
-				defer f.close()
-				c.run(f, processes)
-				for _, process := range processes {
-					process.end()
-				}
-			})
-		})
+		t.Run(name, c.test)
 	}
 }
 
+// Guards against the same in cases that are drawn at random, each from its seed.
+func TestDrawnRequestsWithCrashingPartAreGivenUp(t *testing.T) {
+	for seed := range uint64(drawnPartCases) {
+		t.Run(fmt.Sprint(seed), drawPartCase(seed).test)
+	}
+}
+
+func (c partCase) test(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, processes := newProcessFixture(t, 4)
+		defer time.Sleep(inmem.ConnectTimeout)
+		defer f.close()
+		c.run(f, processes)
+		for _, process := range processes {
+			process.end()
+		}
+	})
+}
+
 // run sends sound requests, and after a while those that crash engines beside them.
 func (c partCase) run(f *fixture, processes []*process) {
 	var callers sync.WaitGroup
@@ -125,8 +159,12 @@
 	for n := range c.parts {
 		p := c.poison
 		p.Part = fmt.Sprintf("bad%d", n)
-		f.site.AddPoison(&p)
 		poisons = append(poisons, &p)
+		if c.isSoundFirst {
+			time.AfterFunc(calmTime, func() { f.site.AddPoison(&p) })
+		} else {
+			f.site.AddPoison(&p)
+		}
 	}
 	start := time.Now()
 	if c.event != nil {
@@ -137,7 +175,7 @@
 	}
 	for n := 0; time.Since(start) < calmTime+badTime; n++ {
 		callers.Go(func() { f.sendWithParts(n, "sound", c.soundParts(n)) })
-		if time.Since(start) > calmTime {
+		if c.isSoundFirst || time.Since(start) > calmTime {
 			callers.Go(func() { f.sendWithParts(n, "bad", c.badParts(n)) })
 		}
 		time.Sleep(c.interval)
--- a/internal/route/crash/part.go
+++ b/internal/route/crash/part.go
@@ -82,10 +82,10 @@
 	})
 }
 
-// isSoundBeside reports whether runs delivered a part of late that crashed no upstream without
-// another one.
+// isSoundBeside reports whether a part merely ran beside another one: runs delivered it of late, it
+// crashed no upstream without the other, and more runs had it.
 func (t *Tracker) isSoundBeside(key, part Key) bool {
-	return t.delivered.has(part) && !slices.ContainsFunc(t.suspects[part].ended, func(run endedRun) bool { return !t.suspects[key].hasEnded(run.process) })
+	return t.delivered.has(part) && t.suspects[part].runs > t.suspects[key].runs && !slices.ContainsFunc(t.suspects[part].ended, func(run endedRun) bool { return !t.suspects[key].hasEnded(run.process) })
 }
 
 func (s suspect) hasEnded(p process) bool {
