Crash: parts that most requests of a route have are not quarantined

Cause: of several bad parts each explains some crashes, and the part that all requests of the route share explains all. It was quarantined, requests with a bad part used up its three trials, and without it nothing is served.

TestCommonPartIsNotQuarantined.

--- a/internal/app/edge/crash.go
+++ b/internal/app/edge/crash.go
@@ -97,6 +97,13 @@
 	return r.crashBook.IsCulprit(r.now(), suspects)
 }
 
+// CountRequest counts a request of a route.
+func (r *router) CountRequest(route string, suspects []crash.Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashBook.CountRequest(route, suspects)
+}
+
 // AllowSend returns why a request must not be sent now, or nil. If some of its suspects are
 // quarantined, it asks for a trial.
 func (r *router) AllowSend(ctx context.Context, suspects []crash.Key) error {
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -24,8 +24,9 @@
 // Parts are judged in the same way, with three differences, since requests that do no harm
 // share most of them. Any run that delivers clears its parts. The evidence is weighed a moment
 // after it came, when such runs have shown which parts are sound, and each crash counts against
-// the part that explains the crashes best. Only a trial makes a part a culprit, and the crashes
-// that it explains count against nothing else from then on.
+// the part that explains the crashes best, but not one that most requests of a route have.
+// Only a trial makes a part a culprit, and the crashes that it explains count against nothing
+// else from then on.
 package crash
 
 import (
--- a/internal/route/crash/part.go
+++ b/internal/route/crash/part.go
@@ -103,7 +103,7 @@
 	}
 	for _, key := range parts {
 		s := t.suspects[key]
-		if s.standing > StandingFree || !x.leavesEnough(s) {
+		if s.standing > StandingFree || !x.leavesEnough(s) || t.common.has(key) {
 			continue
 		}
 		s.standing, s.restrictedAt = StandingQuarantined, now
--- a/internal/route/crash/part_test.go
+++ b/internal/route/crash/part_test.go
@@ -242,6 +242,26 @@
 	}
 }
 
+// Guards against the part that all requests of a route share being quarantined as it explains the
+// crashes of several others, with all that the route serves.
+func TestCommonPartIsNotQuarantined(t *testing.T) {
+	b := &book{}
+	for n := range uint64(60) {
+		b.CountRequest("route", b.prompt(shared, 1000+n))
+	}
+	for n := range time.Duration(2) {
+		b.crash(n*200*time.Millisecond, b.prompt(shared, bad))
+		b.crash(n*200*time.Millisecond, b.prompt(shared, otherBad))
+	}
+	if got := b.standing(settle, shared); got != crash.StandingFree {
+		t.Errorf("got %s for a part that all requests of the route have, want free", got)
+	}
+	b.crash(time.Second, b.prompt(shared, bad))
+	if b.standing(2*time.Second, bad) != crash.StandingQuarantined || b.Standing(2*time.Second, part(shared)) != crash.StandingFree {
+		t.Error("got the part with three crashes free or the one that all share restricted, want only the first quarantined")
+	}
+}
+
 func TestParseKey(t *testing.T) {
 	for text, want := range map[string]crash.Key{"5c1e07a2": {Fingerprint: 0x5c1e07a2}, "part-5c1e07a2": part(0x5c1e07a2)} {
 		if got, err := crash.ParseKey(text); err != nil || got != want || got.String() != text {
--- a/internal/route/crash/tracker.go
+++ b/internal/route/crash/tracker.go
@@ -25,6 +25,7 @@
 	suspects  map[Key]suspect
 	delivered deliveredParts
 	explained explainedProcesses
+	common    commonParts
 	changes   []Change
 	// settleAt is when Settle is due, if settleDue is set.
 	settleAt  time.Duration
@@ -105,6 +106,14 @@
 	return key.IsPart && strongEnds(s.ended) >= culpritCrashes-1
 }
 
+// CountRequest counts a request of a route that a caller sent, with these suspects.
+func (t *Tracker) CountRequest(route string, keys []Key) {
+	if t.common == nil {
+		t.common = commonParts{}
+	}
+	t.common.add(route, keys)
+}
+
 // store stores a suspect. The number of suspects stays bounded.
 func (t *Tracker) store(key Key, s suspect) {
 	if t.suspects == nil {
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -95,6 +95,7 @@
 func (u singleUpstream) BackoffLeft(string) time.Duration                  { return 0 }
 
 func (u singleUpstream) IsCulprit([]crash.Key) bool                       { return false }
+func (u singleUpstream) CountRequest(string, []crash.Key)                 {}
 func (u singleUpstream) Survive([]crash.Key, time.Time)                   {}
 func (u singleUpstream) Clear([]crash.Key, time.Time)                     {}
 func (u singleUpstream) AllowSend(context.Context, []crash.Key) error     { return nil }
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -100,6 +100,8 @@
 	// IsCulprit reports whether a request crashed upstreams and must not be sent
 	// any more.
 	IsCulprit(suspects []crash.Key) bool
+	// CountRequest counts a request of a route.
+	CountRequest(route string, suspects []crash.Key)
 	// AllowSend returns why a request must not be sent now, or nil: crash.ErrCulprit, or
 	// crash.ErrQuarantined if upstreams ended under it and it got no trial. It may wait for
 	// the store.
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -110,6 +110,7 @@
 func (m *ModelRunner) Do(ctx context.Context, c *Call, sink Sink) Reply {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
+	m.CrashTracker.CountRequest(c.Route.Name, c.Suspects())
 	if m.CrashTracker.IsCulprit(c.Suspects()) {
 		return Reply{Reason: ReasonPoison}
 	}
