Edge: log and count that the store came back from an older copy

Sight before any change of logic. Now a line when the era of the store rises, a gauge fulmarwick_store_era, and a line for each table that is older than the local copy.

--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -17,6 +17,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 )
 
 // ensureInit creates the parts once: a signal may arrive before Run did it.
@@ -33,7 +34,8 @@
 		retryBounds: s.Retry, services: map[string]*serviceState{}, peerRetries: map[spec.InstanceID]peerRetryReport{},
 	}
 	i.pool = &client.Pool{DialTimeout: dialTimeout, Dial: i.Dial, OnDial: i.counter(`fulmarwick_connections_total`)}
-	i.store = &platform.Store{BaseURL: s.Platform.Table, HTTP: newHTTP(i.Dial, dialTimeout), UserAgent: s.Instance.Name, OnCall: i.countStoreCall}
+	i.store = &platform.Store{BaseURL: s.Platform.Table, HTTP: newHTTP(i.Dial, dialTimeout), UserAgent: s.Instance.Name, OnCall: i.countStoreCall, OnEra: i.logStoreEra}
+	i.meters.NewGauge(`fulmarwick_store_era`, func() float64 { return float64(i.store.Era()) })
 	calls := &platform.EngineClient{HTTP: newHTTP(i.dialUpstream, 0), OnNotice: i.router.recordNoticeAt, OnCall: i.router.takeCallAt}
 	owner := uuid.NewString()
 	i.lease = &lease.Lease{Table: i.store, Duty: planLeaseName, Owner: owner, Duration: leaseDuration, Margin: leaseMargin, Meters: i.meters}
@@ -132,6 +134,11 @@
 	i.meters.GetOrCreateCounter(`fulmarwick_store_calls_total{call="` + call + `",end="` + outcome + `"}`).Inc()
 }
 
+// logStoreEra logs that the store came back from an older copy.
+func (i *Instance) logStoreEra(era uint64) {
+	i.Log.Warn("edge: store was restored from an older copy", zap.Uint64("era", era))
+}
+
 // newHTTP returns an HTTP client for calls that are answered at once; long polls of the
 // store set their own timeouts. timeout limits the time to connect if dial is nil.
 func newHTTP(dial func(ctx context.Context, network, address string) (net.Conn, error), timeout time.Duration) *http.Client {
--- a/internal/state/feed/follow.go
+++ b/internal/state/feed/follow.go
@@ -103,6 +103,9 @@
 			return false, err
 		}
 		f.needSnapshot = false
+		if known := f.Sink.Version(f.Table); page.Version < known {
+			f.Log.Warn("feed: table read is older than the local copy, ignored", zap.String("table", f.Table), zap.Uint64("version", page.Version), zap.Uint64("local", known))
+		}
 		f.Sink.ApplySnapshot(f.Table, page)
 		return true, nil
 	}
