--- a/internal/app/edge/norace_test.go
+++ b/internal/app/edge/norace_test.go
@@ -23,3 +23,6 @@
 
 // startedFleetSize is how many instances start at the same time.
 const startedFleetSize = 60
+
+// restoreFleetSizes lists how many instances follow a store that comes back from a copy.
+var restoreFleetSizes = []int{1, 4, 16, 33}
