Feed, mesh: one order of revisions, the store's era first

What callers saw: after the store came back from an older copy, keys that had been dropped were let in, routes went by old configurations, and upstreams that had said that they leave got requests, until the store's counter had passed the old one, and for rows under versions that were given out again until somebody wrote them anew.

Cause: all that is compared is ordered by the store's version alone, which was taken for one that only rises. A whole table with a lower version was a stale read and was dropped; after each 410 it was read again, 16 to 18 times a second; then the feed went on after the old version.

Now a revision (spec.Revision) is the store's era and the version in it, in one number that compares as before, so pages, rows, checkpoints, deleted rows and their floor, messages between instances, claims and lags are all ordered by it. platform reads the era from each answer: a feed answered in another era than its version's has lost its history, an answer of an earlier era than the latest known one isn't used, and whichever call sees a new era first has both tables read. Instances of the former version are told no digests, so that neither side relies on the other for reading the store.

What was acknowledged holds although the copy no longer has it: a row goes back to no earlier stage that its writer had passed (a configuration's own version; ready, then draining, of one process), and a row that its process removed is not taken up again from the copy. Both are kept as of the new revision, so instances that took the copy's row learn of it. Upstreams that the copy lacks get the grace period of an outage. Five seconds after a new era the table is read once more, as dead rows have expired by then.

--- a/internal/app/edge/culprit.go
+++ b/internal/app/edge/culprit.go
@@ -142,7 +142,7 @@
 		}
 		if time.Duration(event.AgeMs)*time.Millisecond > crash.RestrictionTTL {
 			if len(expired) < maxCulpritRemovals {
-				expired = append(expired, store.Remove(culpritTableName+"/"+r.Key, r.Version))
+				expired = append(expired, store.Remove(culpritTableName+"/"+r.Key, uint64(r.Version)))
 			}
 			continue
 		}
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -113,11 +113,13 @@
 
 // TakeChangedVersions returns the version of the last change of each table that was read
 // from the store since the last call.
-func (m *meshNode) TakeChangedVersions() map[string]uint64 { return m.state.takeChangedVersions() }
+func (m *meshNode) TakeChangedVersions() map[string]spec.Revision {
+	return m.state.takeChangedVersions()
+}
 
 // ChangesSince returns the changes of a table after a version, or the whole table for
 // version 0.
-func (m *meshNode) ChangesSince(table string, version uint64) (since uint64, p feed.Page) {
+func (m *meshNode) ChangesSince(table string, version spec.Revision) (since spec.Revision, p feed.Page) {
 	return m.state.Since(table, version)
 }
 
@@ -157,7 +159,7 @@
 }
 
 // ReceiveRows applies changed rows that another instance sent.
-func (m *meshNode) ReceiveRows(table string, since uint64, rows []feed.Row, checkpoint feed.Checkpoint, from spec.InstanceID) {
+func (m *meshNode) ReceiveRows(table string, since spec.Revision, rows []feed.Row, checkpoint feed.Checkpoint, from spec.InstanceID) {
 	m.state.ApplyPeerChanges(table, since, rows, checkpoint, from)
 }
 
@@ -168,8 +170,8 @@
 
 // ReportLag counts and logs that another instance has a newer version of a table and did
 // not send it, so that this instance reads the store.
-func (m *meshNode) ReportLag(table string, known, peerVersion uint64) {
-	m.log.Warn("edge: peers have a newer version, reading the store", zap.String("table", table), zap.Uint64("version", known), zap.Uint64("theirs", peerVersion))
+func (m *meshNode) ReportLag(table string, known, peerVersion spec.Revision) {
+	m.log.Warn("edge: peers have a newer version, reading the store", zap.String("table", table), zap.Stringer("version", known), zap.Stringer("theirs", peerVersion))
 	m.countBehind()
 }
 
--- a/internal/app/edge/state.go
+++ b/internal/app/edge/state.go
@@ -46,13 +46,14 @@
 	lastRead map[string]time.Time
 	// changedVersions is the version of the last change of each table that was read from
 	// the store since the last call of takeChangedVersions.
-	changedVersions map[string]uint64
+	changedVersions map[string]spec.Revision
 }
 
 func newStateView(log *zap.Logger) *stateView {
 	return &stateView{
-		log: log, readyCh: make(chan struct{}), tables: map[string]*feed.View{platform.TableConfig: {}, platform.TableUpstreams: {Fingerprint: fingerprintUpstream}},
-		upstreams: map[string]site.Upstream{}, missing: map[string]time.Time{}, malformed: map[string]bool{}, lastRead: map[string]time.Time{}, changedVersions: map[string]uint64{},
+		log: log, readyCh: make(chan struct{}),
+		tables:    map[string]*feed.View{platform.TableConfig: {Stage: configStage}, platform.TableUpstreams: {Fingerprint: fingerprintUpstream, Stage: upstreamStage}},
+		upstreams: map[string]site.Upstream{}, missing: map[string]time.Time{}, malformed: map[string]bool{}, lastRead: map[string]time.Time{}, changedVersions: map[string]spec.Revision{},
 	}
 }
 
@@ -101,14 +102,14 @@
 }
 
 // Version returns the version up to which a table is known.
-func (s *stateView) Version(table string) uint64 {
+func (s *stateView) Version(table string) spec.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.tables[table].Version()
 }
 
 // Since returns the changes of a table after a version, or the whole table for version 0.
-func (s *stateView) Since(table string, version uint64) (since uint64, p feed.Page) {
+func (s *stateView) Since(table string, version spec.Revision) (since spec.Revision, p feed.Page) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.tables[table].ChangesSince(version)
@@ -118,10 +119,11 @@
 func (s *stateView) ApplySnapshot(table string, p feed.Page) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	first := s.tables[table].Version() == 0
+	known := s.tables[table].Version()
 	changed := s.tables[table].ApplySnapshot(p)
+	s.noteRestore(table, known)
 	s.lastRead[table] = time.Now()
-	if !first {
+	if known != 0 {
 		// The first snapshot after a start is not announced: instances that run know it
 		// or read it themselves.
 		s.recordChanges(table, changed)
@@ -132,7 +134,7 @@
 }
 
 // ApplyChanges applies changes of a table read from the store.
-func (s *stateView) ApplyChanges(table string, since uint64, p feed.Page) {
+func (s *stateView) ApplyChanges(table string, since spec.Revision, p feed.Page) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastRead[table] = time.Now()
@@ -143,13 +145,15 @@
 }
 
 // ApplyPeerChanges applies changes of a table sent by another instance.
-func (s *stateView) ApplyPeerChanges(table string, since uint64, rows []feed.Row, checkpoint feed.Checkpoint, from spec.InstanceID) {
+func (s *stateView) ApplyPeerChanges(table string, since spec.Revision, rows []feed.Row, checkpoint feed.Checkpoint, from spec.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.tables[table] == nil {
 		return
 	}
+	known := s.tables[table].Version()
 	changed := s.tables[table].ApplyPeerChanges(since, rows, checkpoint)
+	s.noteRestore(table, known)
 	s.upstreamsKnown = s.upstreamsKnown || table == platform.TableUpstreams && since == 0 && len(rows) > 0
 	s.applyRows(table, changed, string(from))
 	s.openIfReady()
@@ -178,6 +182,26 @@
 	}
 }
 
+// noteRestore gives upstreams that are missing in a store which was restored from a copy a grace period:
+// they were not removed, and write their rows again. known is the version of the table before the
+// change that was just applied; s.mu is held.
+func (s *stateView) noteRestore(table string, known spec.Revision) {
+	version := s.tables[table].Version()
+	if known == 0 || version.Era() <= known.Era() {
+		return
+	}
+	s.log.Warn("edge: table follows a restored store", zap.String("table", table), zap.Stringer("version", version), zap.Stringer("before", known))
+	if table == platform.TableUpstreams {
+		s.keepMissingUntil = time.Now().Add(missingUpstreamGrace)
+	}
+}
+
+// configStage orders configurations by their own version.
+func configStage(key string, value []byte) feed.Stage {
+	version, ok := platform.ParseConfigVersion(key, value)
+	return feed.Stage{Known: ok, Step: int64(version)}
+}
+
 // age returns how long ago the store was last read for the table read least recently. It is
 // negative if a table was never read.
 func (s *stateView) age() time.Duration {
@@ -204,14 +228,14 @@
 
 // takeChangedVersions returns the version of the last change of each table that was read
 // from the store since the last call.
-func (s *stateView) takeChangedVersions() map[string]uint64 {
+func (s *stateView) takeChangedVersions() map[string]spec.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.changedVersions) == 0 {
 		return nil
 	}
 	versions := s.changedVersions
-	s.changedVersions = map[string]uint64{}
+	s.changedVersions = map[string]spec.Revision{}
 	return versions
 }
 
@@ -251,7 +275,7 @@
 	}
 	c, ok, err := platform.ParseConfig(r.Key, r.Value)
 	if err != nil {
-		s.log.Error("edge: invalid configuration, keeping the previous one", zap.String("source", source), zap.Uint64("row", r.Version), zap.Error(err))
+		s.log.Error("edge: invalid configuration, keeping the previous one", zap.String("source", source), zap.Stringer("row", r.Version), zap.Error(err))
 		return
 	}
 	old := s.config.Load()
@@ -259,7 +283,7 @@
 		return
 	}
 	s.config.Store(c)
-	s.log.Info("edge: configuration applied", zap.Uint64("version", c.Version), zap.Uint64("row", r.Version),
+	s.log.Info("edge: configuration applied", zap.Uint64("version", c.Version), zap.Stringer("row", r.Version),
 		zap.String("source", source), zap.Int("routes", len(c.Routes)), zap.Int("teams", len(c.Teams)))
 	s.onConfig(c)
 }
--- a/internal/app/edge/upstreams.go
+++ b/internal/app/edge/upstreams.go
@@ -29,6 +29,20 @@
 	return xxhash.Sum64String(fmt.Sprintf("%+v", u))
 }
 
+// upstreamStage orders the values that a process of an upstream writes: it is ready first, then it
+// leaves for good.
+func upstreamStage(key string, value []byte) feed.Stage {
+	u, err := platform.ParseUpstream(key, 0, value)
+	if err != nil || u.Born == 0 {
+		return feed.Stage{}
+	}
+	stage := feed.Stage{Known: true, Writer: u.Born}
+	if u.State == site.StateDraining {
+		stage.Step = 1
+	}
+	return stage
+}
+
 // applyUpstream applies a changed row of the list of upstreams; s.mu is held.
 func (s *stateView) applyUpstream(r feed.Row, source string) {
 	old, had := s.upstreams[r.Key]
@@ -37,7 +51,7 @@
 			until := s.missingUntil()
 			s.missing[r.Key] = until
 			s.log.Info("edge: upstream removed from the list", zap.String("upstream", r.Key), zap.String("source", source),
-				zap.Uint64("row", r.Version), zap.Time("kept until", until))
+				zap.Stringer("row", r.Version), zap.Time("kept until", until))
 		}
 		return
 	}
@@ -59,7 +73,7 @@
 	s.upstreams[r.Key] = u
 	if !had || old.State != u.State || old.Held != u.Held || old.Born != u.Born || old.Address != u.Address {
 		s.log.Info("edge: upstream changed", zap.String("upstream", r.Key), zap.String("service", u.Service), zap.String("address", u.Address),
-			zap.Stringer("state", u.State), zap.Stringer("layers", u.Held.Layers), zap.String("source", source), zap.Uint64("row", r.Version))
+			zap.Stringer("state", u.State), zap.Stringer("layers", u.Held.Layers), zap.String("source", source), zap.Stringer("row", r.Version))
 	}
 }
 
--- a/internal/base/site/site.go
+++ b/internal/base/site/site.go
@@ -193,7 +193,7 @@
 	// ID but another Born is a new process that kept no layers, requests or other state.
 	Born int64
 	// Row is the version of the row from which this value was decoded.
-	Row uint64
+	Row spec.Revision
 }
 
 // Report is the status that an engine reports. It is a few hundred milliseconds old.
--- a/internal/fleet/mesh/cell_test.go
+++ b/internal/fleet/mesh/cell_test.go
@@ -168,7 +168,7 @@
 	for k, id := range ids {
 		var peers []node.Peer
 		for _, other := range ids[:k+1] {
-			peers = append(peers, node.Peer{ID: other, DataCentre: centreOf(other), URL: "http://" + string(other), Version: uint64(len(other))})
+			peers = append(peers, node.Peer{ID: other, DataCentre: centreOf(other), URL: "http://" + string(other), Version: spec.Revision(len(other))})
 		}
 		f.inbox[id] = []node.Event{node.DiscoveryList{Peers: peers}}
 	}
--- a/internal/fleet/mesh/lag.go
+++ b/internal/fleet/mesh/lag.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "time"
+import (
+	"time"
+
+	"fulmarwick/internal/base/spec"
+)
 
 // lagTimeout is how long an instance that lags behind another one waits for an update
 // before it reads the store itself. It exceeds the interval between two reads by the
@@ -11,7 +15,7 @@
 // lag records that other instances know a table up to a version that this instance has
 // not reached.
 type lag struct {
-	version  uint64
+	version  spec.Revision
 	since    time.Duration
 	reported bool
 }
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -71,7 +71,7 @@
 	rosterReceived bool
 	// version is the version of this instance's row in the roster. rosterDigest is the
 	// digest of all known instances; zero if it has to be computed.
-	version      uint64
+	version      spec.Revision
 	rosterDigest uint64
 	// sums is the load of other cells or of all other instances. cellCounts is how many
 	// instances these are. failuresToForward are failure reports that a head has to
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -38,7 +38,7 @@
 	// changedVersions are the table versions that the store changed. lastPoll is the
 	// time of the last read. lastSync is the time of the last sync that is reported to
 	// others; zero for none.
-	changedVersions    map[string]uint64
+	changedVersions    map[string]spec.Revision
 	lastPoll, lastSync time.Duration
 	fleet              *fleet
 }
@@ -49,7 +49,7 @@
 const tickInterval = 50 * time.Millisecond
 
 func (m *member) HasUrgent() bool { return len(m.unreportedDead) > 0 }
-func (m *member) TakeChangedVersions() map[string]uint64 {
+func (m *member) TakeChangedVersions() map[string]spec.Revision {
 	changed := m.changedVersions
 	m.changedVersions = nil
 	return changed
@@ -87,7 +87,7 @@
 	return m.fleet.now - m.lastSync
 }
 
-func (m *member) ChangesSince(_ string, v uint64) (since uint64, p feed.Page) {
+func (m *member) ChangesSince(_ string, v spec.Revision) (since spec.Revision, p feed.Page) {
 	return m.view.ChangesSince(v)
 }
 
@@ -110,13 +110,13 @@
 	m.requestsFrom[from] = retries["s"].Requests
 }
 func (m *member) ReceiveSlowdowns(spec.InstanceID, map[spec.UpstreamID]float64) {}
-func (m *member) ReceiveRows(_ string, since uint64, rows []feed.Row, checkpoint feed.Checkpoint, _ spec.InstanceID) {
+func (m *member) ReceiveRows(_ string, since spec.Revision, rows []feed.Row, checkpoint feed.Checkpoint, _ spec.InstanceID) {
 	m.tablesReceived++
 	m.view.ApplyPeerChanges(since, rows, checkpoint)
 }
 
-func (m *member) ReceiveCheckpoint(_ string, c feed.Checkpoint) { m.view.ConfirmVersion(c) }
-func (m *member) ReportLag(string, uint64, uint64)              {}
+func (m *member) ReceiveCheckpoint(_ string, c feed.Checkpoint)  { m.view.ConfirmVersion(c) }
+func (m *member) ReportLag(string, spec.Revision, spec.Revision) {}
 func (m *member) ReceiveDead(from spec.InstanceID, _ []spec.UpstreamID) {
 	m.deadReportsFrom = append(m.deadReportsFrom, from)
 }
--- a/internal/fleet/mesh/message.go
+++ b/internal/fleet/mesh/message.go
@@ -19,8 +19,8 @@
 	Usage map[string]map[spec.UpstreamID]path.Usage `cbor:"2,keyasint,omitempty"`
 	// Versions is the version up to which the sender knows each table. Digests are the
 	// digests of their contents.
-	Versions map[string]uint64 `cbor:"3,keyasint,omitempty"`
-	Digests  map[string]uint64 `cbor:"9,keyasint,omitempty"`
+	Versions map[string]spec.Revision `cbor:"3,keyasint,omitempty"`
+	Digests  map[string]uint64        `cbor:"22,keyasint,omitempty"`
 	// SyncAgeMs is how long ago the sender was last in sync with the store for all
 	// tables, in milliseconds; negative if never.
 	SyncAgeMs int64 `cbor:"4,keyasint"`
@@ -75,11 +75,11 @@
 // Table is the changes of a table since a version, or the whole table since 0. Version
 // and Digest are those of its sender.
 type Table struct {
-	Name    string     `cbor:"1,keyasint"`
-	Since   uint64     `cbor:"2,keyasint"`
-	Version uint64     `cbor:"3,keyasint"`
-	Rows    []feed.Row `cbor:"4,keyasint"`
-	Digest  uint64     `cbor:"5,keyasint,omitempty"`
+	Name    string        `cbor:"1,keyasint"`
+	Since   spec.Revision `cbor:"2,keyasint"`
+	Version spec.Revision `cbor:"3,keyasint"`
+	Rows    []feed.Row    `cbor:"4,keyasint"`
+	Digest  uint64        `cbor:"5,keyasint,omitempty"`
 	// RelayTo are instances to which the receiver has to relay the changes.
 	RelayTo []spec.InstanceID `cbor:"6,keyasint,omitempty"`
 }
@@ -98,7 +98,7 @@
 	HasUrgent() bool
 	// TakeChangedVersions returns, for each table that the store has changed since the
 	// last call, the version of its last change.
-	TakeChangedVersions() map[string]uint64
+	TakeChangedVersions() map[string]spec.Revision
 	Usage() map[string]map[spec.UpstreamID]path.Usage
 	// Checkpoints returns how much of each table is known.
 	Checkpoints() map[string]feed.Checkpoint
@@ -109,7 +109,7 @@
 	Retries() map[string]resend.Usage
 	RateLimits() map[spec.UpstreamID]limit.Statement
 	// ChangesSince returns the changes since a version, or the whole table since 0.
-	ChangesSince(table string, version uint64) (since uint64, p feed.Page)
+	ChangesSince(table string, version spec.Revision) (since spec.Revision, p feed.Page)
 	// TakeFailures returns, since the last call, the engines found dead and the crashes
 	// of upstreams with the requests that they ran.
 	TakeFailures() (dead []spec.UpstreamID, crashes []crash.Event)
@@ -126,12 +126,12 @@
 	ReceiveRetries(from spec.InstanceID, retries map[string]resend.Usage)
 	// ReceiveRateLimits receives what another instance knows of the rate limits of upstreams.
 	ReceiveRateLimits(limits map[spec.UpstreamID]limit.Statement)
-	ReceiveRows(table string, since uint64, rows []feed.Row, checkpoint feed.Checkpoint, from spec.InstanceID)
+	ReceiveRows(table string, since spec.Revision, rows []feed.Row, checkpoint feed.Checkpoint, from spec.InstanceID)
 	// ReceiveCheckpoint receives how much of a table another instance knows.
 	ReceiveCheckpoint(table string, checkpoint feed.Checkpoint)
 	// ReportLag is called when another instance has known a later version of a table
 	// for so long that this one reads the store.
-	ReportLag(table string, known, remote uint64)
+	ReportLag(table string, known, remote spec.Revision)
 	ReceiveDead(from spec.InstanceID, engines []spec.UpstreamID)
 	ReceiveCrashes(from spec.InstanceID, crashes []crash.Event)
 	// PeerJoined is called when messages from an instance begin to arrive, PeerLost
--- a/internal/fleet/mesh/peer.go
+++ b/internal/fleet/mesh/peer.go
@@ -24,7 +24,7 @@
 	// peer, and when. assignedVersions is the version up to which this instance has to
 	// see that the peer is updated. behindSince is since when the peer lags behind.
 	sentUpdates      map[string]sentUpdate
-	assignedVersions map[string]uint64
+	assignedVersions map[string]spec.Revision
 	behindSince      map[string]time.Duration
 	// lastSync is when the peer was last in sync with the store for all tables;
 	// negative if never.
@@ -34,7 +34,7 @@
 	// version is the version of the peer's row in the roster. digest is the digest of
 	// the instances that the peer knows. rosterSentAt is when the roster was last sent
 	// to it.
-	version      uint64
+	version      spec.Revision
 	digest       uint64
 	rosterSentAt time.Duration
 	// linksLost means that the peer reports that it reaches no upstream.
@@ -57,7 +57,7 @@
 func (l *Logic) ensurePeer(id spec.InstanceID) *peer {
 	p := l.peers[id]
 	if p == nil {
-		p = &peer{id: id, sentUpdates: map[string]sentUpdate{}, assignedVersions: map[string]uint64{}, behindSince: map[string]time.Duration{}, lastSync: -1}
+		p = &peer{id: id, sentUpdates: map[string]sentUpdate{}, assignedVersions: map[string]spec.Revision{}, behindSince: map[string]time.Duration{}, lastSync: -1}
 		l.peers[id] = p
 		l.cellsAssigned, l.rosterDigest = false, 0
 	}
@@ -66,8 +66,8 @@
 
 // aheadVersion returns the highest version up to which another instance knows a table
 // while its content differs from the local one; zero if there is none.
-func (l *Logic) aheadVersion(table string, local feed.Checkpoint) uint64 {
-	version := uint64(0)
+func (l *Logic) aheadVersion(table string, local feed.Checkpoint) spec.Revision {
+	version := spec.Revision(0)
 	for _, p := range l.peersByID() {
 		if remote, ok := p.checkpoints[table]; ok && remote.Digest != local.Digest && remote.Version > max(local.Version, version) {
 			version = remote.Version
--- a/internal/fleet/mesh/roster.go
+++ b/internal/fleet/mesh/roster.go
@@ -19,7 +19,7 @@
 	URL        string          `cbor:"2,keyasint"`
 	DataCentre spec.DataCentre `cbor:"3,keyasint,omitempty"`
 	// Version is the version of the member's row in the roster.
-	Version uint64 `cbor:"4,keyasint,omitempty"`
+	Version spec.Revision `cbor:"4,keyasint,omitempty"`
 }
 
 // handleRoster records the addresses of instances from the store. An instance that
@@ -68,11 +68,11 @@
 	return l.rosterDigest
 }
 
-func rowDigest(id spec.InstanceID, version uint64) uint64 {
+func rowDigest(id spec.InstanceID, version spec.Revision) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(string(id))
-	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, version))
+	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(version)))
 	return d.Sum64()
 }
 
--- a/internal/fleet/mesh/spread.go
+++ b/internal/fleet/mesh/spread.go
@@ -32,7 +32,7 @@
 
 // sentUpdate records the update of a table that was sent to an instance.
 type sentUpdate struct {
-	version uint64
+	version spec.Revision
 	sentAt  time.Duration
 }
 
@@ -40,7 +40,7 @@
 // that it just read from the store, if no other instance knows it yet. changed is the
 // version of the last change of each table. An instance that reads later finds others
 // that know the change, and one of them has taken the responsibility.
-func (l *Logic) claimChanges(changed map[string]uint64, checkpoints map[string]feed.Checkpoint) {
+func (l *Logic) claimChanges(changed map[string]spec.Revision, checkpoints map[string]feed.Checkpoint) {
 	for name, version := range changed {
 		known := l.isKnownElsewhere(name, version, checkpoints[name])
 		for _, p := range l.peersByID() {
@@ -83,7 +83,7 @@
 
 // forwardChange makes a head update its members with a change, and also the heads of
 // other cells if the change came from one of its members.
-func (l *Logic) forwardChange(from *peer, table string, version uint64) {
+func (l *Logic) forwardChange(from *peer, table string, version spec.Revision) {
 	if l.layout.isFlat() || !l.isHead() {
 		return
 	}
@@ -99,7 +99,7 @@
 // isKnownElsewhere reports whether another instance knows a change and has the same
 // content of the table. An equal digest at a version from before the change proves
 // nothing, since the content may have changed by now.
-func (l *Logic) isKnownElsewhere(table string, version uint64, local feed.Checkpoint) bool {
+func (l *Logic) isKnownElsewhere(table string, version spec.Revision, local feed.Checkpoint) bool {
 	for _, p := range l.peersByID() {
 		if remote, ok := p.checkpoints[table]; ok && p.alive && remote.Digest == local.Digest && remote.Version >= version {
 			return true
--- a/internal/fleet/mesh/spread_test.go
+++ b/internal/fleet/mesh/spread_test.go
@@ -49,18 +49,18 @@
 	s.put(fmt.Sprintf("row-%d", len(s.log)%heartbeatRows), "same")
 }
 
-func (s *fakeStore) put(key, value string) uint64 {
-	version := uint64(len(s.log) + 1)
+func (s *fakeStore) put(key, value string) spec.Revision {
+	version := spec.Revision(len(s.log) + 1)
 	s.log = append(s.log, feed.Row{Key: key, Version: version, Value: []byte(value)})
 	return version
 }
 
-func (s *fakeStore) since(version uint64) feed.Page {
+func (s *fakeStore) since(version spec.Revision) feed.Page {
 	newest := map[string]feed.Row{}
 	for _, row := range s.log[version:] {
 		newest[row.Key] = row
 	}
-	p := feed.Page{Version: uint64(len(s.log))}
+	p := feed.Page{Version: spec.Revision(len(s.log))}
 	for _, row := range newest {
 		p.Rows = append(p.Rows, row)
 	}
@@ -68,7 +68,7 @@
 }
 
 // hasChange reports whether a member knows the changed row at a version or later.
-func (m *member) hasChange(version uint64) bool {
+func (m *member) hasChange(version spec.Revision) bool {
 	for _, row := range m.view.Rows() {
 		if row.Key == changedKey {
 			return row.Version >= version
@@ -91,7 +91,7 @@
 	started := m.view.Version() == 0
 	for _, row := range m.view.ApplyChanges(m.view.Version(), p) {
 		if !started {
-			m.changedVersions = map[string]uint64{table: max(m.changedVersions[table], row.Version)}
+			m.changedVersions = map[string]spec.Revision{table: max(m.changedVersions[table], row.Version)}
 		}
 	}
 }
@@ -121,7 +121,7 @@
 }
 
 // membersBehind returns the live members that do not know a version.
-func (f *fleet) membersBehind(version uint64) []spec.InstanceID {
+func (f *fleet) membersBehind(version spec.Revision) []spec.InstanceID {
 	var out []spec.InstanceID
 	for id, m := range f.members {
 		if !f.frozen[id] && !m.hasChange(version) {
@@ -260,7 +260,7 @@
 
 // allHold reports whether all members know the table up to a version, with the given
 // value in the changed row.
-func (f *fleet) allHold(version uint64, value string) bool {
+func (f *fleet) allHold(version spec.Revision, value string) bool {
 	for _, m := range f.members {
 		if m.view.Version() < version {
 			return false
@@ -284,7 +284,7 @@
 	if f.reader() == "i0" {
 		m = f.members["i1"]
 	}
-	old, err := cbor.Marshal(mesh.Message{URL: "http://old", Versions: map[string]uint64{table: 3}, SyncAgeMs: 100})
+	old, err := cbor.Marshal(mesh.Message{URL: "http://old", Versions: map[string]spec.Revision{table: 3}, SyncAgeMs: 100})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/node/api.go
+++ b/internal/fleet/node/api.go
@@ -20,7 +20,7 @@
 	URL string
 	// Version is the version of its row in the roster, or zero if it has
 	// none.
-	Version uint64
+	Version spec.Revision
 	// Passive reports that the instance accepts no duties and no forwarded
 	// requests, because it is still catching up or is stopping. Only
 	// Members sets it.
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/state/feed"
 
 	"github.com/go-faster/errors"
@@ -19,8 +20,8 @@
 // changeLog holds all changes of a table, ordered by version.
 type changeLog []feed.Row
 
-func (l changeLog) changesSince(version uint64) feed.Page {
-	p := feed.Page{Version: uint64(len(l))}
+func (l changeLog) changesSince(version spec.Revision) feed.Page {
+	p := feed.Page{Version: spec.Revision(len(l))}
 	newest := map[string]feed.Row{}
 	for _, r := range l {
 		newest[r.Key] = r
@@ -33,7 +34,7 @@
 	return p
 }
 
-func (l changeLog) snapshot(version uint64) feed.Page {
+func (l changeLog) snapshot(version spec.Revision) feed.Page {
 	p := feed.Page{Version: version}
 	for _, r := range l[:version].changesSince(0).Rows {
 		if !r.Deleted {
@@ -68,7 +69,7 @@
 			// Rows are rewritten with one of two values, so that many stay the same.
 			values = 2
 		}
-		seen := []map[string]uint64{{}, {}, {}}
+		seen := []map[string]spec.Revision{{}, {}, {}}
 		check := func(i int, changed []feed.Row) {
 			for _, r := range changed {
 				if r.Version < seen[i][r.Key] {
@@ -85,7 +86,7 @@
 			peer := views[(i+rapid.IntRange(1, 2).Draw(t, "other"))%3]
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
-				r := feed.Row{Key: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key")), Version: uint64(len(l) + 1)}
+				r := feed.Row{Key: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key")), Version: spec.Revision(len(l) + 1)}
 				r.Deleted = rapid.Bool().Draw(t, "gone")
 				if !r.Deleted {
 					r.Value = []byte(fmt.Sprint(rapid.IntRange(0, values-1).Draw(t, "value")))
@@ -95,10 +96,10 @@
 				since := views[i].Version()
 				check(i, views[i].ApplyChanges(since, l.changesSince(since)))
 			case 3:
-				since, p := peer.ChangesSince(uint64(rapid.IntRange(0, len(l)).Draw(t, "since")))
+				since, p := peer.ChangesSince(spec.Revision(rapid.IntRange(0, len(l)).Draw(t, "since")))
 				check(i, views[i].ApplyPeerChanges(since, p.Rows, peer.Checkpoint()))
 			case 4:
-				at := uint64(rapid.IntRange(0, len(l)).Draw(t, "moment"))
+				at := spec.Revision(rapid.IntRange(0, len(l)).Draw(t, "moment"))
 				check(i, views[i].ApplySnapshot(l.snapshot(at)))
 			case 5:
 				views[i].ConfirmVersion(peer.Checkpoint())
@@ -107,7 +108,7 @@
 		}
 		for _, v := range views {
 			v.ApplyChanges(v.Version(), l.changesSince(v.Version()))
-			if want := l.snapshot(uint64(len(l))).Rows; !equalRows(v.Rows(), sortedRows(want)) {
+			if want := l.snapshot(spec.Revision(len(l))).Rows; !equalRows(v.Rows(), sortedRows(want)) {
 				t.Fatalf("got %v, want %v", v.Rows(), want)
 			}
 		}
@@ -196,6 +197,8 @@
 	snapshotReads int
 }
 
+func (s *scriptedSource) Era() uint64 { return 0 }
+
 func (s *scriptedSource) nextError() error {
 	if len(s.errs) == 0 {
 		return nil
@@ -209,10 +212,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.snapshotReads++
-	return s.log.snapshot(uint64(len(s.log))), s.nextError()
+	return s.log.snapshot(spec.Revision(len(s.log))), s.nextError()
 }
 
-func (s *scriptedSource) ReadChanges(ctx context.Context, _ string, since uint64, wait time.Duration) (feed.Page, error) {
+func (s *scriptedSource) ReadChanges(ctx context.Context, _ string, since spec.Revision, wait time.Duration) (feed.Page, error) {
 	s.mu.Lock()
 	err := s.nextError()
 	s.mu.Unlock()
@@ -234,10 +237,10 @@
 	reachable []bool
 }
 
-func (s *recordingSink) Version(string) uint64               { return s.view.Version() }
+func (s *recordingSink) Version(string) spec.Revision        { return s.view.Version() }
 func (s *recordingSink) ApplySnapshot(_ string, p feed.Page) { s.view.ApplySnapshot(p) }
 
-func (s *recordingSink) ApplyChanges(_ string, since uint64, p feed.Page) {
+func (s *recordingSink) ApplyChanges(_ string, since spec.Revision, p feed.Page) {
 	s.view.ApplyChanges(since, p)
 }
 
--- a/internal/state/feed/follow.go
+++ b/internal/state/feed/follow.go
@@ -5,25 +5,32 @@
 	"math/rand/v2"
 	"time"
 
+	"fulmarwick/internal/base/spec"
+
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 )
 
+// errOldTable means that a whole table is of an earlier era than the local copy of it.
+var errOldTable = errors.New("feed: table read is of an earlier era")
+
 // Source is the part of the platform's store that a Follower reads.
 type Source interface {
+	// Era returns the latest era of the store that is known, from any call.
+	Era() uint64
 	// ReadTable returns all rows of a table.
 	ReadTable(ctx context.Context, table string) (Page, error)
 	// ReadChanges returns the changes after version since; the store may hold the
 	// call for up to wait if there are none.
-	ReadChanges(ctx context.Context, table string, since uint64, wait time.Duration) (Page, error)
+	ReadChanges(ctx context.Context, table string, since spec.Revision, wait time.Duration) (Page, error)
 }
 
 // Sink receives what a Follower reads. Its version also rises with changes that peers
 // send.
 type Sink interface {
-	Version(table string) uint64
+	Version(table string) spec.Revision
 	ApplySnapshot(table string, p Page)
-	ApplyChanges(table string, since uint64, p Page)
+	ApplyChanges(table string, since spec.Revision, p Page)
 	// SetReachable reports whether the store is reachable, each time this changes. While
 	// other instances read the store for this one, it is.
 	SetReachable(table string, reachable bool)
@@ -39,6 +46,11 @@
 // passivePollInterval is the pause between two calls of IsPassive.
 const passivePollInterval = 100 * time.Millisecond
 
+// restoreSettleTime is how long after a new era began the whole table is read once more. By then
+// live upstreams have written their rows again, and those of dead ones have expired: what the view
+// held against the store until then is decided.
+const restoreSettleTime = 5 * time.Second
+
 // Follower follows one table of the store. Set the exported fields before Run.
 type Follower struct {
 	Table  string
@@ -55,7 +67,13 @@
 	IsPassive func() bool
 	Log       *zap.Logger
 
-	needSnapshot     bool
+	needSnapshot bool
+	// era is the era of the sink's version when it was last looked at, eraKnown whether the table had
+	// been read by then. settleAt is when the table is read once more after a new era began; zero if
+	// it need not be.
+	era              uint64
+	eraKnown         bool
+	settleAt         time.Time
 	reachedOnce      bool
 	unreachable      bool
 	unreachableSince time.Time
@@ -66,7 +84,8 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.needSnapshot = true
 	for ctx.Err() == nil {
-		if !f.needSnapshot && f.IsPassive != nil && f.IsPassive() {
+		f.followEra()
+		if !f.needSnapshot && f.isPassive() {
 			f.recordSuccess()
 			if !Sleep(ctx, passivePollInterval) {
 				return
@@ -80,7 +99,7 @@
 			return
 		case errors.Is(err, ErrHistoryLost):
 			f.needSnapshot = true
-			f.Log.Warn("feed: change history lost, reading the whole table", zap.String("table", f.Table), zap.Uint64("since", f.Sink.Version(f.Table)))
+			f.Log.Warn("feed: change history lost, reading the whole table", zap.String("table", f.Table), zap.Stringer("since", f.Sink.Version(f.Table)))
 			pause = 0
 		case err != nil:
 			pause = f.recordFailure(err)
@@ -96,16 +115,33 @@
 	}
 }
 
+// followEra has the whole table read when the store has begun a new era that this instance has not
+// learned from others, and once more when its rows have settled.
+func (f *Follower) followEra() {
+	era := f.Sink.Version(f.Table).Era()
+	if era > f.era && f.eraKnown {
+		f.settleAt = time.Now().Add(restoreSettleTime)
+	}
+	f.era, f.eraKnown = era, f.reachedOnce
+	isSettled := !f.settleAt.IsZero() && !time.Now().Before(f.settleAt) && !f.isPassive()
+	if isSettled {
+		f.settleAt = time.Time{}
+	}
+	f.needSnapshot = f.needSnapshot || isSettled || f.Source.Era() > era
+}
+
+func (f *Follower) isPassive() bool { return f.IsPassive != nil && f.IsPassive() }
+
 func (f *Follower) poll(ctx context.Context) (changed bool, err error) {
 	if f.needSnapshot {
 		page, err := f.Source.ReadTable(ctx, f.Table)
 		if err != nil {
 			return false, err
 		}
-		f.needSnapshot = false
-		if known := f.Sink.Version(f.Table); page.Version < known {
-			f.Log.Warn("feed: table read is older than the local copy, ignored", zap.String("table", f.Table), zap.Uint64("version", page.Version), zap.Uint64("local", known))
+		if known := f.Sink.Version(f.Table); page.Version.Era() < known.Era() {
+			return false, errors.Wrapf(errOldTable, "version %s, local %s", page.Version, known)
 		}
+		f.needSnapshot = false
 		f.Sink.ApplySnapshot(f.Table, page)
 		return true, nil
 	}
@@ -122,7 +158,7 @@
 	if !f.unreachable {
 		f.unreachable = true
 		f.unreachableSince = time.Now()
-		f.Log.Warn("feed: store unreachable", zap.String("table", f.Table), zap.Uint64("version", f.Sink.Version(f.Table)), zap.Error(err))
+		f.Log.Warn("feed: store unreachable", zap.String("table", f.Table), zap.Stringer("version", f.Sink.Version(f.Table)), zap.Error(err))
 		f.Sink.SetReachable(f.Table, false)
 	}
 	f.backoff = min(maxBackoff, max(minBackoff, 2*f.backoff))
@@ -132,7 +168,7 @@
 func (f *Follower) recordSuccess() {
 	f.backoff = 0
 	if f.unreachable || !f.reachedOnce {
-		f.Log.Info("feed: store reachable", zap.String("table", f.Table), zap.Uint64("version", f.Sink.Version(f.Table)), zap.Duration("lost", f.outageDuration()))
+		f.Log.Info("feed: store reachable", zap.String("table", f.Table), zap.Stringer("version", f.Sink.Version(f.Table)), zap.Duration("lost", f.outageDuration()))
 		f.Sink.SetReachable(f.Table, true)
 	}
 	f.unreachable = false
--- a/internal/state/feed/view.go
+++ b/internal/state/feed/view.go
@@ -10,6 +10,8 @@
 	"encoding/binary"
 	"sort"
 
+	"fulmarwick/internal/base/spec"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 )
@@ -20,16 +22,16 @@
 
 // Row is a row of a table as of a version. A deleted row has no value.
 type Row struct {
-	Key     string `cbor:"1,keyasint"`
-	Version uint64 `cbor:"2,keyasint"`
-	Value   []byte `cbor:"3,keyasint,omitempty"`
-	Deleted bool   `cbor:"4,keyasint,omitempty"`
+	Key     string        `cbor:"1,keyasint"`
+	Version spec.Revision `cbor:"2,keyasint"`
+	Value   []byte        `cbor:"3,keyasint,omitempty"`
+	Deleted bool          `cbor:"4,keyasint,omitempty"`
 }
 
 // Page holds rows and the version up to which they are complete.
 type Page struct {
 	Rows    []Row
-	Version uint64
+	Version spec.Revision
 }
 
 // maxTombstones limits the deleted rows that a view keeps. Above it the older half is
@@ -40,37 +42,61 @@
 // Digest is a hash of its live rows. Two views with the same digest hold the same
 // rows.
 type Checkpoint struct {
-	Version uint64
+	Version spec.Revision
 	Digest  uint64
 }
 
+// Stage orders the values of a row by what they say themselves. Of two values from the same
+// writer, the one of the higher step was written later. The zero value says nothing.
+type Stage struct {
+	Known  bool
+	Writer int64
+	Step   int64
+}
+
+// precedes reports whether a value was written before another one by the same writer.
+func (s Stage) precedes(other Stage) bool {
+	return s.sameWriter(other) && s.Step < other.Step
+}
+
+func (s Stage) sameWriter(other Stage) bool {
+	return s.Known && other.Known && s.Writer == other.Writer
+}
+
 // View is the local copy of one table. The newest version of each row wins, no matter
-// who sent it, so a late or duplicate message changes nothing. It is not safe for
-// concurrent use.
+// who sent it, so a late or duplicate message changes nothing. A store that was restored
+// from an older copy has lost values that it acknowledged. They are kept until their
+// writers write them again: a row goes back to no earlier stage, and a row that was
+// removed is not taken up again from the copy. It is not safe for concurrent use.
 type View struct {
 	// Fingerprint hashes the significant part of a row's value, in the same way on all
 	// instances, so that a heartbeat is not a change; nil hashes the whole value.
 	Fingerprint func(key string, value []byte) uint64
+	// Stage returns how far the writer of a row had come when it wrote a value, as the value
+	// itself says; nil means that values do not say so.
+	Stage func(key string, value []byte) Stage
 
 	rows       map[string]entry
-	version    uint64
+	version    spec.Revision
 	digest     uint64
 	tombstones int
 	// tombstoneFloor is the version below which some deleted rows are not known.
-	tombstoneFloor uint64
+	tombstoneFloor spec.Revision
 }
 
 // entry is a row as a view stores it.
 type entry struct {
 	Row
 	hash uint64
+	// stage is that of the value, or of the last value of a deleted row.
+	stage Stage
 	// contentVersion is the version in which the content last changed; the row may
 	// have been rewritten with the same content since.
-	contentVersion uint64
+	contentVersion spec.Revision
 }
 
 // Version returns the version up to which all changes are known.
-func (v *View) Version() uint64 { return v.version }
+func (v *View) Version() spec.Revision { return v.version }
 
 // Checkpoint returns the version and the digest of the view.
 func (v *View) Checkpoint() Checkpoint { return Checkpoint{Version: v.version, Digest: v.digest} }
@@ -99,7 +125,7 @@
 // the rows that changed; all changes since 0 are the whole table. Rows newer than the
 // view are always applied. The version rises only if there is no gap between the
 // version of the view and since.
-func (v *View) ApplyChanges(since uint64, p Page) []Row {
+func (v *View) ApplyChanges(since spec.Revision, p Page) []Row {
 	if since == 0 {
 		return v.ApplySnapshot(p)
 	}
@@ -114,7 +140,7 @@
 // checkpoint sent. The version rises only if both views then hold the same rows: the
 // peer may not know of a row that was deleted before the peer started, or of a change
 // that was reverted before the peer read the table.
-func (v *View) ApplyPeerChanges(since uint64, rows []Row, peer Checkpoint) []Row {
+func (v *View) ApplyPeerChanges(since spec.Revision, rows []Row, peer Checkpoint) []Row {
 	p := Page{Rows: rows, Version: peer.Version}
 	var changed []Row
 	if since == 0 && peer.Version >= v.version {
@@ -132,7 +158,7 @@
 func (v *View) merge(p Page) []Row {
 	var changed []Row
 	for _, r := range p.Rows {
-		if r.Version > v.version && v.putIfNewer(r) {
+		if r.Version > v.version && v.putIfNewer(r, p.Version) {
 			changed = append(changed, r)
 		}
 	}
@@ -152,7 +178,11 @@
 			// content of the row.
 			r.Version = p.Version
 		}
-		if v.putIfNewer(r) {
+		if ok && v.isLeftover(r, old, p.Version) {
+			v.keep(old, p.Version)
+			continue
+		}
+		if v.putIfNewer(r, p.Version) {
 			changed = append(changed, r)
 		}
 	}
@@ -162,7 +192,7 @@
 			continue
 		}
 		deleted := Row{Key: key, Version: p.Version, Deleted: true}
-		v.putIfNewer(deleted)
+		v.putIfNewer(deleted, p.Version)
 		changed = append(changed, deleted)
 	}
 	// Rows that were deleted earlier and never stored here are not known: the changes
@@ -171,8 +201,10 @@
 	return changed
 }
 
-// putIfNewer stores a row if it is newer and reports whether its content changed.
-func (v *View) putIfNewer(r Row) bool {
+// putIfNewer stores a row of a page that is complete up to a version if it is newer, and reports
+// whether its content changed. A held value of a later stage stays, as of the page's version, so
+// that instances which took the earlier one learn of it.
+func (v *View) putIfNewer(r Row, complete spec.Revision) bool {
 	old, found := v.rows[r.Key]
 	if found && old.Version >= r.Version {
 		return false
@@ -182,8 +214,17 @@
 	}
 	e := entry{Row: r, hash: v.rowHash(r), contentVersion: r.Version}
 	same := found && old.Deleted == r.Deleted && old.hash == e.hash
-	if same {
-		e.contentVersion = old.contentVersion
+	switch {
+	case same:
+		e.contentVersion, e.stage = old.contentVersion, old.stage
+	case r.Deleted:
+		e.stage = old.stage
+	default:
+		e.stage = v.stageOf(r)
+	}
+	if found && !old.Deleted && !r.Deleted && e.stage.precedes(old.stage) {
+		v.keep(old, complete)
+		return false
 	}
 	v.rows[r.Key] = e
 	v.digest ^= old.hash ^ e.hash
@@ -194,6 +235,26 @@
 	return !same
 }
 
+// isLeftover reports whether a row of a whole table was removed in an earlier era by the process that
+// wrote it. It comes from the copy from which the store was restored.
+func (v *View) isLeftover(r Row, old entry, complete spec.Revision) bool {
+	return old.Deleted && old.Version.Era() < complete.Era() && v.stageOf(r).sameWriter(old.stage)
+}
+
+// keep holds an entry against the store's row, as of a version.
+func (v *View) keep(e entry, version spec.Revision) {
+	e.Version, e.contentVersion = max(e.Version, version), max(e.contentVersion, version)
+	v.rows[e.Key] = e
+}
+
+// stageOf returns the stage of a row's value.
+func (v *View) stageOf(r Row) Stage {
+	if v.Stage == nil || r.Deleted {
+		return Stage{}
+	}
+	return v.Stage(r.Key, r.Value)
+}
+
 func countDeleted(deleted bool) int {
 	if deleted {
 		return 1
@@ -235,7 +296,7 @@
 
 // ChangesSince returns all changes after a version. If some of them are not known it
 // returns the whole table, which is all changes since 0.
-func (v *View) ChangesSince(version uint64) (since uint64, p Page) {
+func (v *View) ChangesSince(version spec.Revision) (since spec.Revision, p Page) {
 	if version < v.tombstoneFloor {
 		version = 0
 	}
