Lease: one holder and rising fencing tokens across a restore of the table

What could happen, as read in the code and shown in a test: after the store comes back from an older copy the holder's renewals conflict, its read shows a lower version, and it took the store for unavailable and went on; others saw a row that stands still, or one that an earlier holder had released, or none, and acquired the lease beside it. The next token was the row's plus one, so that a token was given out twice, or was below one that engines had seen, which refuse all orders then.

Now the row of a restored table says nothing about who holds the lease. For one lease duration after an instance has seen the new era only the holder may write the row; it drops its token and acquires the lease anew, whatever the row says, if its lease has not expired. A row that was written in an earlier era than it is read in, which its token shows, is nobody's for a whole lease duration. Tokens carry the table's era in their upper bits, so they rise.

Left: an instance that starts after a return to a copy without any lease row takes the lease at once, beside a holder that goes on for up to a third of the lease's duration. serve's table has no eras.

--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -10,6 +10,11 @@
 // monotonic clock, and takes over only if the row has not changed since. The
 // holder's commit comes before the contender's read, so the holder's lease
 // expires first, as long as both clocks run at about the same rate.
+//
+// A table that was restored from an older copy says nothing about who holds the
+// lease. For one lease duration only the holder may write the row, and takes a
+// new fencing token: tokens carry the table's era, so that they rise across
+// restores.
 package lease
 
 import (
@@ -73,6 +78,11 @@
 	mu       sync.Mutex
 	holding  holdState
 	observed observation
+	// era is the latest era of the table that is known, eraKnown whether any is. restoredAt is when
+	// a later one was first seen.
+	era        uint64
+	eraKnown   bool
+	restoredAt time.Time
 	// storeFailedAt is when the table was last unavailable.
 	storeFailedAt time.Time
 }
--- a/internal/state/lease/renew.go
+++ b/internal/state/lease/renew.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/state/store"
 
 	"github.com/fxamacker/cbor/v2"
@@ -58,6 +59,9 @@
 	if version < h.version {
 		return errors.Wrap(ErrStoreUnavailable, "stale read")
 	}
+	if eraOf(version) > eraOf(h.version) {
+		return l.reacquire(ctx, h, version, r)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r.Owner == l.Owner && r.Fence == h.row.Fence && !r.Released {
@@ -69,6 +73,19 @@
 	return nil
 }
 
+// reacquire acquires the lease anew after the table was restored, whatever its row says. If it had
+// expired, another instance may hold it.
+func (l *Lease) reacquire(ctx context.Context, h holdState, version uint64, r row) error {
+	l.mu.Lock()
+	l.holding = holdState{}
+	l.observed = observation{version: version, firstSeen: l.now()}
+	l.mu.Unlock()
+	if !l.now().Before(h.expiresAt) {
+		return nil
+	}
+	return l.acquire(ctx, version, nextFence(version, max(r.Fence, h.row.Fence)))
+}
+
 // contend acquires the lease if it is free, or if its row has not changed for a whole
 // lease duration since this instance first saw that version.
 func (l *Lease) contend(ctx context.Context) error {
@@ -76,10 +93,13 @@
 	if err != nil {
 		return err
 	}
+	isFromCopy := eraOf(r.Fence) < eraOf(version)
 	switch {
-	case version == 0 || r.Released:
-		return l.acquire(ctx, version, r.Fence+1)
-	case r.Owner == l.Owner:
+	case l.mayBeHeldByFormer():
+		return nil
+	case spec.Revision(version).Version() == 0, r.Released && !isFromCopy:
+		return l.acquire(ctx, version, nextFence(version, r.Fence))
+	case r.Owner == l.Owner && !isFromCopy:
 		// The response of an earlier acquire was lost. The row belongs to this
 		// incarnation, but it is not known when the commit took effect. The
 		// lease duration starts with a renewal.
@@ -87,9 +107,38 @@
 	case !l.hasExpired(version):
 		return nil
 	}
-	return l.acquire(ctx, version, r.Fence+1)
+	return l.acquire(ctx, version, nextFence(version, r.Fence))
+}
+
+// eraOf returns the era of the table in which a version was read or a fencing token was given.
+func eraOf(version uint64) uint64 { return spec.Revision(version).Era() }
+
+// nextFence returns the token after an earlier one, in the era of the version of the row.
+func nextFence(version, fence uint64) uint64 {
+	return max(fence, uint64(spec.NewRevision(eraOf(version), 0))) + 1
 }
 
+// mayBeHeldByFormer reports whether the holder from before a restore of the table may still hold the
+// lease.
+func (l *Lease) mayBeHeldByFormer() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.restoredAt.IsZero() && l.now().Sub(l.restoredAt) < l.expiry()
+}
+
+// noteEra records the era of the table.
+func (l *Lease) noteEra(era uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.eraKnown && era > l.era {
+		l.restoredAt = l.now()
+	}
+	l.era, l.eraKnown = max(l.era, era), true
+}
+
+// expiry is how long a contender waits until a lease that is not renewed has expired.
+func (l *Lease) expiry() time.Duration { return l.duration() + l.duration()/driftDivisor }
+
 // hasExpired reports whether the row has had this version for long enough that the
 // lease has expired.
 func (l *Lease) hasExpired(version uint64) bool {
@@ -100,7 +149,7 @@
 		l.observed = observation{version: version, firstSeen: now}
 		return false
 	}
-	return now.Sub(l.observed.firstSeen) >= l.duration()+l.duration()/driftDivisor
+	return now.Sub(l.observed.firstSeen) >= l.expiry()
 }
 
 // acquire writes the next fencing token on the condition that the row is unchanged.
@@ -135,16 +184,17 @@
 	l.holding.expiresAt = start.Add(l.duration())
 }
 
-// read returns the version and the content of the row; version 0 means that there is
-// no row.
+// read returns the version and the content of the row; version 0 of an era means that there
+// is no row.
 func (l *Lease) read(ctx context.Context) (uint64, row, error) {
 	var r row
 	got, err := l.Table.Get(ctx, l.key())
-	if errors.Is(err, store.ErrNotFound) {
-		return 0, r, nil
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return 0, r, errors.Wrap(ErrStoreUnavailable, err.Error())
 	}
+	l.noteEra(eraOf(got.Version()))
 	if err != nil {
-		return 0, r, errors.Wrap(ErrStoreUnavailable, err.Error())
+		return got.Version(), r, nil
 	}
 	if err := cbor.Unmarshal(got.Value(), &r); err != nil {
 		return 0, r, errors.Wrap(ErrStoreUnavailable, err.Error())
