Edge: roster rows and verdicts that a restored store has lost are written again

What the instances write is not written again by anybody else. After a return to a copy from before, a request known to crash upstreams crashed 8 engines, 4 at most are allowed, once all instances restarted; and an instance that started before another one's roster row was back met 3 of 4, for good in fleets without cells.

TestCulpritsSurviveRestoreOfStore and TestInstancesMeetAfterRestoreOfStore failed before and pass. Left: how many trials a quarantined request has had is counted in its row alone and starts anew if that is lost; one failed trial is a verdict, so it takes lost trials to exceed the count.

--- a/internal/app/edge/crash.go
+++ b/internal/app/edge/crash.go
@@ -174,6 +174,6 @@
 	}
 	i.Log.Info("edge: standing of a suspect changed", zap.Stringer("suspect", c.Key), zap.Stringer("standing", c.Standing), zap.Int("ended", c.Ended), zap.Bool("own", c.Own))
 	if c.Own {
-		i.culprits.add(c.Key, c.Standing)
+		i.culprits.add(c.Key, c.Standing, time.Now())
 	}
 }
--- a/internal/app/edge/culprit.go
+++ b/internal/app/edge/culprit.go
@@ -68,6 +68,8 @@
 type culpritChange struct {
 	key      crash.Key
 	standing crash.Standing
+	// found is when the standing was reached.
+	found time.Time
 }
 
 // culpritTable keeps the suspects that are quarantined or known to crash upstreams in the store.
@@ -85,9 +87,9 @@
 
 // add queues a change to be written. It never blocks: without the row, an instance that starts
 // learns of the request from the others.
-func (c *culpritTable) add(key crash.Key, standing crash.Standing) {
+func (c *culpritTable) add(key crash.Key, standing crash.Standing, found time.Time) {
 	select {
-	case c.pending <- culpritChange{key: key, standing: standing}:
+	case c.pending <- culpritChange{key: key, standing: standing, found: found}:
 	default:
 		c.log.Warn("edge: too many requests that crash upstreams, one not stored", zap.Stringer("suspect", key))
 	}
@@ -106,8 +108,7 @@
 			c.retry(ctx, "read requests that crash upstreams", c.load)
 			sweep.Reset(sweepDelay())
 		case change := <-c.pending:
-			found := time.Now()
-			c.retry(ctx, "store a request that crashes upstreams", func(ctx context.Context) error { return c.write(ctx, change, found) })
+			c.retry(ctx, "store a request that crashes upstreams", func(ctx context.Context) error { return c.write(ctx, change) })
 		}
 	}
 }
@@ -208,7 +209,7 @@
 
 // write writes a change into the row of a suspect. A row only becomes stricter, unless a
 // quarantined suspect is cleared; on a conflict, another instance writes the same.
-func (c *culpritTable) write(ctx context.Context, change culpritChange, found time.Time) error {
+func (c *culpritTable) write(ctx context.Context, change culpritChange) error {
 	row, version, err := c.get(ctx, change.key)
 	if err != nil {
 		return err
@@ -222,7 +223,7 @@
 	case isClearance:
 		w = store.Remove(culpritKey(change.key), version)
 	default:
-		w, err = putRow(change.key, version, culpritRow{FoundMs: found.UnixMilli(), IsQuarantine: isQuarantine, Trials: row.Trials, LastTrialMs: row.LastTrialMs})
+		w, err = putRow(change.key, version, culpritRow{FoundMs: change.found.UnixMilli(), IsQuarantine: isQuarantine, Trials: row.Trials, LastTrialMs: row.LastTrialMs})
 		if err != nil {
 			return err
 		}
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmarwick/internal/base/spec"
@@ -51,6 +52,8 @@
 	rosterWritten bool
 	// rosterRead is set once the rows of the others were read after that.
 	rosterRead bool
+	// rosterInDoubt is set when the store was restored from a copy that may lack the own row.
+	rosterInDoubt atomic.Bool
 
 	mu sync.Mutex
 	// unreportedDead holds engines found dead that were not yet reported to the others.
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -17,7 +17,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
-	"go.uber.org/zap"
 )
 
 // ensureInit creates the parts once: a signal may arrive before Run did it.
@@ -34,7 +33,7 @@
 		retryBounds: s.Retry, services: map[string]*serviceState{}, peerRetries: map[spec.InstanceID]peerRetryReport{},
 	}
 	i.pool = &client.Pool{DialTimeout: dialTimeout, Dial: i.Dial, OnDial: i.counter(`fulmarwick_connections_total`)}
-	i.store = &platform.Store{BaseURL: s.Platform.Table, HTTP: newHTTP(i.Dial, dialTimeout), UserAgent: s.Instance.Name, OnCall: i.countStoreCall, OnEra: i.logStoreEra}
+	i.store = &platform.Store{BaseURL: s.Platform.Table, HTTP: newHTTP(i.Dial, dialTimeout), UserAgent: s.Instance.Name, OnCall: i.countStoreCall, OnEra: i.handleStoreEra}
 	i.meters.NewGauge(`fulmarwick_store_era`, func() float64 { return float64(i.store.Era()) })
 	calls := &platform.EngineClient{HTTP: newHTTP(i.dialUpstream, 0), OnNotice: i.router.recordNoticeAt, OnCall: i.router.takeCallAt}
 	owner := uuid.NewString()
@@ -74,6 +73,7 @@
 	i.router.isDead = i.watcher.isDead
 	i.router.connect = func(up site.Upstream) error { return i.pool.Open(ctx, up.Address) }
 	i.state.onConfig = i.router.setConfig
+	i.state.onRestore = i.rewriteStored
 	i.router.onNotice = i.recordNotice
 	i.router.onRateLimit = i.logRateLimit
 	i.router.onCrash = i.logCrash
@@ -134,11 +134,6 @@
 	i.meters.GetOrCreateCounter(`fulmarwick_store_calls_total{call="` + call + `",end="` + outcome + `"}`).Inc()
 }
 
-// logStoreEra logs that the store came back from an older copy.
-func (i *Instance) logStoreEra(era uint64) {
-	i.Log.Warn("edge: store was restored from an older copy", zap.Uint64("era", era))
-}
-
 // newHTTP returns an HTTP client for calls that are answered at once; long polls of the
 // store set their own timeouts. timeout limits the time to connect if dial is nil.
 func newHTTP(dial func(ctx context.Context, network, address string) (net.Conn, error), timeout time.Duration) *http.Client {
--- /dev/null
+++ b/internal/app/edge/restore.go
@@ -0,0 +1,53 @@
+package edge
+
+import (
+	"time"
+
+	"fulmarwick/internal/route/crash"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// culpritDuty is the duty of writing what is known of suspects again after the store was
+	// restored. All instances know the same.
+	culpritDuty = "culprits"
+	// maxCulpritWriters is how many instances do so.
+	maxCulpritWriters = 2
+)
+
+// handleStoreEra handles that a call shows a new era of the store.
+func (i *Instance) handleStoreEra(era uint64) {
+	i.Log.Warn("edge: store was restored from an older copy", zap.Uint64("era", era))
+	i.rewriteStored()
+}
+
+// rewriteStored has written again what instances keep in the store, which may have lost it. The planning
+// lease is acquired anew by its holder.
+func (i *Instance) rewriteStored() {
+	i.mesh.rosterInDoubt.Store(true)
+	if i.mesh.logic.DutyRank(culpritDuty) < maxCulpritWriters {
+		go i.rewriteCulprits()
+	}
+}
+
+// rewriteCulprits stores the suspects again that are quarantined or held to crash upstreams. A row that the
+// store still has is changed only if it is less strict.
+func (i *Instance) rewriteCulprits() {
+	for _, e := range i.router.knownCrashes() {
+		age := time.Duration(e.AgeMs) * time.Millisecond
+		switch e.Kind {
+		case crash.EventQuarantine:
+			i.culprits.add(e.Key(), crash.StandingQuarantined, time.Now().Add(-age))
+		case crash.EventVerdict:
+			i.culprits.add(e.Key(), crash.StandingCulprit, time.Now().Add(-age))
+		}
+	}
+}
+
+// knownCrashes returns what is known of suspects.
+func (r *router) knownCrashes() []crash.Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashBook.Known(r.now())
+}
--- a/internal/app/edge/roster.go
+++ b/internal/app/edge/roster.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -54,12 +55,19 @@
 // instances the one that writes later discovers the other. A connection to one instance
 // doesn't replace that read, as it doesn't make all others known. While no instance is
 // connected, the rows are read again.
+//
+// After the store was restored from a copy that lacks the own row, both are done again: an instance
+// that started in between has found no row.
 func (m *meshNode) syncRoster(ctx context.Context) error {
+	if m.rosterInDoubt.Swap(false) {
+		m.rosterWritten = false
+	}
 	if !m.rosterWritten {
-		if err := m.writeRosterRow(ctx); err != nil {
+		wasMissing, err := m.writeRosterRow(ctx)
+		if err != nil {
 			return err
 		}
-		m.rosterWritten = true
+		m.rosterWritten, m.rosterRead = true, m.rosterRead && !wasMissing
 	}
 	if m.rosterRead && m.hasPeers() {
 		return nil
@@ -76,23 +84,23 @@
 // rosterKey returns the key of the own row.
 func (m *meshNode) rosterKey() string { return rosterTable + "/" + string(m.id) }
 
-// writeRosterRow writes the own row. Most instances start for the first time, so the row of
-// a former process is read only if the write conflicts with it.
-func (m *meshNode) writeRosterRow(ctx context.Context) error {
+// writeRosterRow writes the own row and reports whether there was none. Most instances start for
+// the first time, so the row of a former process is read only if the write conflicts with it.
+func (m *meshNode) writeRosterRow(ctx context.Context) (wasMissing bool, err error) {
 	data, err := cbor.Marshal(rosterRow{URL: m.url, DataCentre: m.centre})
 	if err != nil {
-		return errors.Wrap(err, "edge: encode roster row")
+		return false, errors.Wrap(err, "edge: encode roster row")
 	}
 	_, err = m.store.Commit(ctx, []store.Write{store.Put(m.rosterKey(), 0, data)})
 	if !errors.Is(err, store.ErrConflict) {
-		return err
+		return err == nil, err
 	}
 	row, err := m.store.Get(ctx, m.rosterKey())
-	if err != nil {
-		return err
+	if err != nil || bytes.Equal(row.Value(), data) {
+		return false, err
 	}
 	_, err = m.store.Commit(ctx, []store.Write{store.Put(m.rosterKey(), row.Version(), data)})
-	return err
+	return false, err
 }
 
 // decodeRoster returns the instances listed in the roster, without malformed rows.
--- a/internal/app/edge/state.go
+++ b/internal/app/edge/state.go
@@ -20,7 +20,9 @@
 	log *zap.Logger
 	// onConfig and onList are called after a change, one call at a time.
 	onConfig func(*site.Config)
-	onList   func([]site.Upstream)
+	// onRestore is called when a table follows a store that was restored from a copy.
+	onRestore func()
+	onList    func([]site.Upstream)
 
 	config atomic.Pointer[site.Config]
 
@@ -190,6 +192,7 @@
 	if known == 0 || version.Era() <= known.Era() {
 		return
 	}
+	s.onRestore()
 	s.log.Warn("edge: table follows a restored store", zap.String("table", table), zap.Stringer("version", version), zap.Stringer("before", known))
 	if table == platform.TableUpstreams {
 		s.keepMissingUntil = time.Now().Add(missingUpstreamGrace)
