Edge, mesh: an instance that starts after a restore asks its peers before it serves

An instance that started after the store came back from an older copy, and before the operator and the upstreams had written again, served by the copy for one to three seconds: keys that had been dropped, upstreams that had left. Its tables had later revisions than those of its peers, which know better, so nobody sent it anything.

Whether a return happened lately it learns from the roster, which it reads before it writes its own row: a row says in which era it was written, and whether its instance has seen the store begin an era. Else the instance says in its messages that it starts; two of those that serve and hold something else send their whole tables, which it adopts, also older ones, but for values of a later stage; deleted rows carry who had written them, so that the copy's rows of upstreams that left stay out. It serves once another instance holds the same, or after 1.2 s.

Tried before and dropped: deciding after the second read of the roster.

One read of the roster more a start.

--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -54,6 +54,9 @@
 	rosterRead bool
 	// rosterInDoubt is set when the store was restored from a copy that may lack the own row.
 	rosterInDoubt atomic.Bool
+	// sawRestore means that this instance has seen the store begin an era. Only maintainRoster uses
+	// it.
+	sawRestore bool
 
 	mu sync.Mutex
 	// unreportedDead holds engines found dead that were not yet reported to the others.
@@ -65,7 +68,7 @@
 // initHub creates the mesh logic and the hub that holds the connections.
 func (m *meshNode) initHub() {
 	m.livePeers = map[spec.InstanceID]bool{}
-	m.logic = &mesh.Logic{ID: m.id, DataCentre: m.centre, URL: m.url, Local: m, Receiver: m, Now: time.Now}
+	m.logic = &mesh.Logic{ID: m.id, DataCentre: m.centre, URL: m.url, Local: m, Receiver: m, Starting: m.state.Starting, Now: time.Now}
 	m.hub = &peer.Hub{Self: node.Peer{ID: m.id, URL: m.url}, Logic: m.logic, ReadTimeout: meshIdleTimeout, Dial: m.dial, Log: m.log, Meters: m.meters}
 }
 
@@ -171,6 +174,9 @@
 	m.state.ConfirmVersion(table, checkpoint)
 }
 
+// ReceiveDigests applies the digests of the tables of another instance that serves.
+func (m *meshNode) ReceiveDigests(digests map[string]uint64) { m.state.confirmDigests(digests) }
+
 // ReportLag counts and logs that another instance has a newer version of a table and did
 // not send it, so that this instance reads the store.
 func (m *meshNode) ReportLag(table string, known, peerVersion spec.Revision) {
--- a/internal/app/edge/restore.go
+++ b/internal/app/edge/restore.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"fulmarwick/internal/route/crash"
+	"fulmarwick/internal/state/feed"
 
 	"go.uber.org/zap"
 )
@@ -14,8 +16,53 @@
 	culpritDuty = "culprits"
 	// maxCulpritWriters is how many instances do so.
 	maxCulpritWriters = 2
+	// peersTimeout limits how long a started instance waits for the roster, which says whether it
+	// needs the tables of others, and for these. They are sent within two rounds of messages, and once
+	// more after 600 ms.
+	peersTimeout = 1200 * time.Millisecond
 )
 
+// isStarting reports whether this instance waits for the tables of others; s.mu is held.
+func (s *stateView) isStarting() bool { return s.awaitsPeers && !s.isReady }
+
+// limitStart ends the wait for the tables of others after a time.
+func (s *stateView) limitStart(ctx context.Context) {
+	if feed.Sleep(ctx, peersTimeout) {
+		s.setAwaitsPeers(false)
+	}
+}
+
+// Starting is isStarting for other goroutines.
+func (s *stateView) Starting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isStarting()
+}
+
+// setAwaitsPeers makes an instance that starts wait for the tables of others, or end that wait.
+func (s *stateView) setAwaitsPeers(awaits bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.awaitsPeers = awaits
+	s.openIfReady()
+}
+
+// confirmDigests ends the wait for the tables of others if another instance, which serves, holds the same.
+func (s *stateView) confirmDigests(digests map[string]uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isStarting() {
+		return
+	}
+	for name, v := range s.tables {
+		if digest, ok := digests[name]; !ok || digest != v.Checkpoint().Digest {
+			return
+		}
+	}
+	s.awaitsPeers = false
+	s.openIfReady()
+}
+
 // handleStoreEra handles that a call shows a new era of the store.
 func (i *Instance) handleStoreEra(era uint64) {
 	i.Log.Warn("edge: store was restored from an older copy", zap.Uint64("era", era))
--- a/internal/app/edge/roster.go
+++ b/internal/app/edge/roster.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"time"
 
 	"fulmarwick/internal/base/spec"
@@ -29,6 +30,10 @@
 type rosterRow struct {
 	URL        string          `cbor:"1,keyasint"`
 	DataCentre spec.DataCentre `cbor:"2,keyasint,omitempty"`
+	// Era is the era of the store in which the row was written. Restored means that the instance has
+	// seen the store begin an era.
+	Era      uint64 `cbor:"3,keyasint,omitempty"`
+	Restored bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // maintainRoster writes the own row of the roster and discovers the other instances by
@@ -60,7 +65,7 @@
 // that started in between has found no row.
 func (m *meshNode) syncRoster(ctx context.Context) error {
 	if m.rosterInDoubt.Swap(false) {
-		m.rosterWritten = false
+		m.rosterWritten, m.sawRestore = false, true
 	}
 	if !m.rosterWritten {
 		wasMissing, err := m.writeRosterRow(ctx)
@@ -84,31 +89,55 @@
 // rosterKey returns the key of the own row.
 func (m *meshNode) rosterKey() string { return rosterTable + "/" + string(m.id) }
 
-// writeRosterRow writes the own row and reports whether there was none. Most instances start for
-// the first time, so the row of a former process is read only if the write conflicts with it.
+// writeRosterRow writes the own row and reports whether there was none. Before its first row an instance
+// learns from the rows of the others whether it needs their tables.
 func (m *meshNode) writeRosterRow(ctx context.Context) (wasMissing bool, err error) {
-	data, err := cbor.Marshal(rosterRow{URL: m.url, DataCentre: m.centre})
+	page, err := m.store.ReadTable(ctx, rosterTable)
+	if err != nil {
+		return false, err
+	}
+	if !m.rosterRead && !m.needsPeers(page) {
+		m.state.setAwaitsPeers(false)
+	}
+	old := feed.Row{Version: spec.NewRevision(page.Version.Era(), 0)}
+	if n := slices.IndexFunc(page.Rows, func(r feed.Row) bool { return r.Key == string(m.id) }); n >= 0 {
+		old = page.Rows[n]
+	}
+	data, err := cbor.Marshal(rosterRow{URL: m.url, DataCentre: m.centre, Era: page.Version.Era(), Restored: m.sawRestore})
 	if err != nil {
 		return false, errors.Wrap(err, "edge: encode roster row")
 	}
-	_, err = m.store.Commit(ctx, []store.Write{store.Put(m.rosterKey(), 0, data)})
-	if !errors.Is(err, store.ErrConflict) {
-		return err == nil, err
+	if bytes.Equal(old.Value, data) {
+		return false, nil
 	}
-	row, err := m.store.Get(ctx, m.rosterKey())
-	if err != nil || bytes.Equal(row.Value(), data) {
-		return false, err
+	_, err = m.store.Commit(ctx, []store.Write{store.Put(m.rosterKey(), uint64(old.Version), data)})
+	return old.Key == "", err
+}
+
+// needsPeers reports whether an instance that starts must not rely on the store alone: another one wrote its
+// row in an earlier era, or has lived through a restore of the store.
+func (m *meshNode) needsPeers(page feed.Page) bool {
+	return slices.ContainsFunc(page.Rows, func(r feed.Row) bool {
+		row, err := parseRosterRow(r)
+		return err == nil && r.Key != string(m.id) && (row.Era < page.Version.Era() || row.Restored)
+	})
+}
+
+// parseRosterRow decodes a row of the roster.
+func parseRosterRow(r feed.Row) (rosterRow, error) {
+	var row rosterRow
+	if err := cbor.Unmarshal(r.Value, &row); err != nil {
+		return rosterRow{}, errors.Wrap(err, "edge: decode roster row")
 	}
-	_, err = m.store.Commit(ctx, []store.Write{store.Put(m.rosterKey(), row.Version(), data)})
-	return false, err
+	return row, nil
 }
 
 // decodeRoster returns the instances listed in the roster, without malformed rows.
 func (m *meshNode) decodeRoster(page feed.Page) []node.Peer {
 	var out []node.Peer
 	for _, r := range page.Rows {
-		var row rosterRow
-		if err := cbor.Unmarshal(r.Value, &row); err != nil {
+		row, err := parseRosterRow(r)
+		if err != nil {
 			m.log.Warn("edge: malformed roster row skipped", zap.String("instance", r.Key), zap.Error(err))
 			continue
 		}
--- a/internal/app/edge/state.go
+++ b/internal/app/edge/state.go
@@ -44,6 +44,9 @@
 	// readyCh is closed once enough is known to serve callers.
 	readyCh chan struct{}
 	isReady bool
+	// awaitsPeers is set while an instance that starts asks others for their tables before it serves:
+	// the store may have been restored from a copy that lacks what they know.
+	awaitsPeers bool
 	// lastRead is when each table was last read from the store.
 	lastRead map[string]time.Time
 	// changedVersions is the version of the last change of each table that was read from
@@ -53,7 +56,7 @@
 
 func newStateView(log *zap.Logger) *stateView {
 	return &stateView{
-		log: log, readyCh: make(chan struct{}),
+		log: log, readyCh: make(chan struct{}), awaitsPeers: true,
 		tables:    map[string]*feed.View{platform.TableConfig: {Stage: configStage}, platform.TableUpstreams: {Fingerprint: fingerprintUpstream, Stage: upstreamStage}},
 		upstreams: map[string]site.Upstream{}, missing: map[string]time.Time{}, malformed: map[string]bool{}, lastRead: map[string]time.Time{}, changedVersions: map[string]spec.Revision{},
 	}
@@ -82,7 +85,7 @@
 // openIfReady marks the instance as ready once a configuration and the upstreams are
 // known; s.mu is held.
 func (s *stateView) openIfReady() {
-	if !s.isReady && s.upstreamsKnown && s.config.Load() != nil {
+	if !s.isReady && !s.awaitsPeers && s.upstreamsKnown && s.config.Load() != nil {
 		s.isReady = true
 		close(s.readyCh)
 	}
@@ -154,7 +157,14 @@
 		return
 	}
 	known := s.tables[table].Version()
-	changed := s.tables[table].ApplyPeerChanges(since, rows, checkpoint)
+	var changed []feed.Row
+	if s.isStarting() && since == 0 {
+		changed = s.tables[table].Adopt(rows, checkpoint)
+		// What others hold as removed gets no grace period.
+		s.keepMissingUntil = time.Time{}
+	} else {
+		changed = s.tables[table].ApplyPeerChanges(since, rows, checkpoint)
+	}
 	s.noteRestore(table, known)
 	s.upstreamsKnown = s.upstreamsKnown || table == platform.TableUpstreams && since == 0 && len(rows) > 0
 	s.applyRows(table, changed, string(from))
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -53,6 +53,9 @@
 	// TakesRequests reports whether this instance serves requests that others pass on; nil if
 	// it never does.
 	TakesRequests func() bool
+	// Starting reports whether this instance waits for the tables of others before it serves;
+	// nil if it never does.
+	Starting func() bool
 	// Now is the clock for callers outside of the ticks, such as SkipsStoreReads.
 	Now func() time.Time
 
@@ -201,7 +204,8 @@
 		l.Receiver.PeerJoined(p.id)
 	}
 	p.isHead, p.initiates, p.digest = m.Head, !m.Reply, m.RosterDigest
-	p.linksLost, p.takesRequests = m.LinksLost, m.TakesRequests
+	p.linksLost, p.takesRequests, p.isStarting = m.LinksLost, m.TakesRequests, m.Starting
+	l.relayPending = l.relayPending || m.Starting
 	l.setDataCentre(p, m.DataCentre)
 	for _, member := range m.Roster {
 		l.updateMember(member, false)
@@ -225,4 +229,9 @@
 			l.Receiver.ReceiveCheckpoint(name, checkpoint)
 		}
 	}
+	if !m.Starting {
+		l.Receiver.ReceiveDigests(m.Digests)
+	}
 }
+
+func (l *Logic) isStarting() bool { return l.Starting != nil && l.Starting() }
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -116,6 +116,7 @@
 }
 
 func (m *member) ReceiveCheckpoint(_ string, c feed.Checkpoint)  { m.view.ConfirmVersion(c) }
+func (m *member) ReceiveDigests(map[string]uint64)               {}
 func (m *member) ReportLag(string, spec.Revision, spec.Revision) {}
 func (m *member) ReceiveDead(from spec.InstanceID, _ []spec.UpstreamID) {
 	m.deadReportsFrom = append(m.deadReportsFrom, from)
--- a/internal/fleet/mesh/message.go
+++ b/internal/fleet/mesh/message.go
@@ -57,6 +57,9 @@
 	// TakesRequests means that the sender serves requests that others pass on. Former
 	// versions do not.
 	TakesRequests bool `cbor:"21,keyasint,omitempty"`
+	// Starting means that the sender does not serve yet and wants each table that differs from
+	// the receiver's.
+	Starting bool `cbor:"23,keyasint,omitempty"`
 }
 
 // Scope is the set of instances whose requests a message describes.
@@ -129,6 +132,9 @@
 	ReceiveRows(table string, since spec.Revision, rows []feed.Row, checkpoint feed.Checkpoint, from spec.InstanceID)
 	// ReceiveCheckpoint receives how much of a table another instance knows.
 	ReceiveCheckpoint(table string, checkpoint feed.Checkpoint)
+	// ReceiveDigests receives the digests of all tables of an instance that serves, after its
+	// rows and checkpoints.
+	ReceiveDigests(digests map[string]uint64)
 	// ReportLag is called when another instance has known a later version of a table
 	// for so long that this one reads the store.
 	ReportLag(table string, known, remote spec.Revision)
--- a/internal/fleet/mesh/spread.go
+++ b/internal/fleet/mesh/spread.go
@@ -175,6 +175,10 @@
 // yet. Overdue ones should know it by now.
 func (l *Logic) peersToUpdate(now time.Duration, name string, local feed.Checkpoint) (due, overdue []*peer) {
 	for _, p := range l.peersByID() {
+		if l.wantsTable(now, p, name, local) {
+			overdue = append(overdue, p)
+			continue
+		}
 		if !p.isBehind(now, name, local) || !p.alive || p.url == "" {
 			continue
 		}
@@ -190,6 +194,17 @@
 	return due, overdue
 }
 
+// wantsTable reports whether this instance has to send a table to a peer that starts: the peer holds
+// something else, however late its version, since the store may have been restored before it read it.
+func (l *Logic) wantsTable(now time.Duration, p *peer, name string, local feed.Checkpoint) bool {
+	remote, ok := p.checkpoints[name]
+	if !p.isStarting || l.isStarting() || !ok || !p.alive || p.url == "" || remote.Digest == local.Digest {
+		return false
+	}
+	sent := p.sentUpdates[name]
+	return (sent.version == 0 || now-sent.sentAt >= resendInterval) && l.isUpdaterOf(p, name, local)
+}
+
 // isBehind reports whether a peer lags behind this instance in a table, and records
 // since when.
 func (p *peer) isBehind(now time.Duration, name string, local feed.Checkpoint) bool {
@@ -219,7 +234,7 @@
 // reported. Updates sent to it later may never have arrived.
 func (l *Logic) tableFor(now time.Duration, p *peer, name string, local feed.Checkpoint) Table {
 	since, sent := p.checkpoints[name].Version, p.sentUpdates[name]
-	if sent.version > since && now-sent.sentAt >= resendInterval {
+	if p.isStarting || sent.version > since && now-sent.sentAt >= resendInterval {
 		// A change that was reverted before this instance read the store is not among
 		// the changes: only the whole table helps.
 		since = 0
--- a/internal/state/feed/view.go
+++ b/internal/state/feed/view.go
@@ -26,6 +26,8 @@
 	Version spec.Revision `cbor:"2,keyasint"`
 	Value   []byte        `cbor:"3,keyasint,omitempty"`
 	Deleted bool          `cbor:"4,keyasint,omitempty"`
+	// Writer is who had written a deleted row, as far as its values say so.
+	Writer int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Page holds rows and the version up to which they are complete.
@@ -152,6 +154,33 @@
 	return changed
 }
 
+// Adopt replaces the whole view by a table of another instance, also by an older one, and returns the
+// rows that changed. Values of a later stage stay.
+func (v *View) Adopt(rows []Row, peer Checkpoint) []Row {
+	own := *v
+	*v = View{Fingerprint: own.Fingerprint, Stage: own.Stage}
+	v.replaceAll(Page{Rows: rows, Version: peer.Version})
+	v.version = peer.Version
+	var changed []Row
+	for _, key := range own.sortedKeys() {
+		old, e := own.rows[key], v.rows[key]
+		switch isLive := e.Key != "" && !e.Deleted; {
+		case old.Deleted:
+		case isLive && e.stage.precedes(old.stage):
+			v.digest ^= e.hash ^ old.hash
+			v.keep(old, peer.Version)
+		case !isLive:
+			changed = append(changed, Row{Key: key, Version: peer.Version, Deleted: true})
+		}
+	}
+	for _, r := range v.Rows() {
+		if old, ok := own.rows[r.Key]; !ok || old.Deleted || old.hash != v.rows[r.Key].hash {
+			changed = append(changed, r)
+		}
+	}
+	return changed
+}
+
 // merge applies the newer rows and returns the rows whose content changed. Rows up to
 // the view's own version are skipped because their changes are known already: such a
 // row that the view lacks was deleted since.
@@ -217,8 +246,10 @@
 	switch {
 	case same:
 		e.contentVersion, e.stage = old.contentVersion, old.stage
+	case r.Deleted && r.Writer != 0:
+		e.stage = Stage{Known: true, Writer: r.Writer}
 	case r.Deleted:
-		e.stage = old.stage
+		e.stage, e.Writer = old.stage, old.stage.Writer
 	default:
 		e.stage = v.stageOf(r)
 	}
