--- a/internal/app/edge/restore.go
+++ b/internal/app/edge/restore.go
@@ -1,11 +1,12 @@
 package edge
 
 import (
-	"context"
 	"time"
 
+	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/state/feed"
+	"fulmarwick/platform"
 
 	"go.uber.org/zap"
 )
@@ -16,51 +17,27 @@
 	culpritDuty = "culprits"
 	// maxCulpritWriters is how many instances do so.
 	maxCulpritWriters = 2
-	// peersTimeout limits how long a started instance waits for the roster, which says whether it
-	// needs the tables of others, and for these. They are sent within two rounds of messages, and once
-	// more after 600 ms.
-	peersTimeout = 1200 * time.Millisecond
 )
 
-// isStarting reports whether this instance waits for the tables of others; s.mu is held.
-func (s *stateView) isStarting() bool { return s.awaitsPeers && !s.isReady }
-
-// limitStart ends the wait for the tables of others after a time.
-func (s *stateView) limitStart(ctx context.Context) {
-	if feed.Sleep(ctx, peersTimeout) {
-		s.setAwaitsPeers(false)
-	}
-}
-
-// Starting is isStarting for other goroutines.
-func (s *stateView) Starting() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.isStarting()
-}
-
-// setAwaitsPeers makes an instance that starts wait for the tables of others, or end that wait.
-func (s *stateView) setAwaitsPeers(awaits bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.awaitsPeers = awaits
-	s.openIfReady()
-}
-
-// confirmDigests ends the wait for the tables of others if another instance, which serves, holds the same.
-func (s *stateView) confirmDigests(digests map[string]uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.isStarting() {
+// noteRestore gives upstreams that are missing in a store which was restored from a copy a grace period:
+// they were not removed, and write their rows again. known is the version of the table before the
+// change that was just applied; s.mu is held.
+func (s *stateView) noteRestore(table string, known spec.Revision) {
+	version := s.tables[table].Version()
+	if known == 0 || version.Era() <= known.Era() {
 		return
 	}
-	for name, v := range s.tables {
-		if digest, ok := digests[name]; !ok || digest != v.Checkpoint().Digest {
-			return
-		}
+	s.onRestore()
+	s.log.Warn("edge: table follows a restored store", zap.String("table", table), zap.Stringer("version", version), zap.Stringer("before", known))
+	if table == platform.TableUpstreams {
+		s.keepMissingUntil = time.Now().Add(missingUpstreamGrace)
 	}
-	s.awaitsPeers = false
-	s.openIfReady()
+}
+
+// configStage orders configurations by their own version.
+func configStage(key string, value []byte) feed.Stage {
+	version, ok := platform.ParseConfigVersion(key, value)
+	return feed.Stage{Known: ok, Step: int64(version)}
 }
 
 // handleStoreEra handles that a call shows a new era of the store.
--- a/internal/app/edge/roster.go
+++ b/internal/app/edge/roster.go
@@ -97,7 +97,7 @@
 		return false, err
 	}
 	if !m.rosterRead && !m.needsPeers(page) {
-		m.state.setAwaitsPeers(false)
+		m.state.endStart()
 	}
 	old := feed.Row{Version: spec.NewRevision(page.Version.Era(), 0)}
 	if n := slices.IndexFunc(page.Rows, func(r feed.Row) bool { return r.Key == string(m.id) }); n >= 0 {
--- a/internal/app/edge/state.go
+++ b/internal/app/edge/state.go
@@ -194,27 +194,6 @@
 	}
 }
 
-// noteRestore gives upstreams that are missing in a store which was restored from a copy a grace period:
-// they were not removed, and write their rows again. known is the version of the table before the
-// change that was just applied; s.mu is held.
-func (s *stateView) noteRestore(table string, known spec.Revision) {
-	version := s.tables[table].Version()
-	if known == 0 || version.Era() <= known.Era() {
-		return
-	}
-	s.onRestore()
-	s.log.Warn("edge: table follows a restored store", zap.String("table", table), zap.Stringer("version", version), zap.Stringer("before", known))
-	if table == platform.TableUpstreams {
-		s.keepMissingUntil = time.Now().Add(missingUpstreamGrace)
-	}
-}
-
-// configStage orders configurations by their own version.
-func configStage(key string, value []byte) feed.Stage {
-	version, ok := platform.ParseConfigVersion(key, value)
-	return feed.Stage{Known: ok, Step: int64(version)}
-}
-
 // age returns how long ago the store was last read for the table read least recently. It is
 // negative if a table was never read.
 func (s *stateView) age() time.Duration {
