--- a/internal/app/edge/random_faults_test.go
+++ b/internal/app/edge/random_faults_test.go
@@ -26,6 +26,8 @@
 	// removed is how many engines crashed, stopped responding, left or changed their
 	// layers.
 	removed, added, version int
+	// restoresStore means that the store may come back from an older copy.
+	restoresStore bool
 	// frozenUntil is when each engine's last freeze ends. Freezes are shorter than the
 	// time after which an engine counts as cut off.
 	frozenUntil map[*stand.Engine]time.Time
@@ -70,6 +72,9 @@
 			f.site.Store.SetFault(func(*http.Request) stand.Fault { return nextFault() })
 		},
 	}
+	if inj.restoresStore {
+		disturbances = append(disturbances, inj.restoreStore, inj.restoreStore)
+	}
 	if inj.random.IntN(3) == 0 && inj.removed < maxRemovedEngines {
 		inj.removed++
 		removals[inj.random.IntN(len(removals))]()
@@ -89,6 +94,14 @@
 	})
 }
 
+// restoreStore has the store come back from a copy of up to six seconds ago. The operator and the
+// upstreams write again soon.
+func (inj *faultInjector) restoreStore() {
+	store := inj.fixture.site.Store
+	lost := store.Restore(time.Duration(inj.random.IntN(6000)) * time.Millisecond)
+	time.AfterFunc(time.Duration(inj.random.IntN(1500))*time.Millisecond, func() { store.Rewrite(lost) })
+}
+
 // changeConfig writes a configuration with another API key.
 func (inj *faultInjector) changeConfig() {
 	inj.version++
@@ -120,18 +133,27 @@
 func TestStreamsUnderRandomFaults(t *testing.T) {
 	for seed := range uint64(faultSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { testStreamsUnderFaults(t, seed) })
+			synctest.Test(t, func(t *testing.T) { testStreamsUnderFaults(t, seed, false) })
+		})
+	}
+}
+
+// Guards against the same where the store also comes back from older copies.
+func TestStreamsUnderRandomFaultsAndRestores(t *testing.T) {
+	for seed := range uint64(faultSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testStreamsUnderFaults(t, 100+seed, true) })
 		})
 	}
 }
 
-func testStreamsUnderFaults(t *testing.T, seed uint64) {
+func testStreamsUnderFaults(t *testing.T, seed uint64, restoresStore bool) {
 	random := rand.New(rand.NewPCG(seed, 2))
 	retry := setup.Retry{Ratio: 0.2, Allowance: []float64{4, 40, 196}[random.IntN(3)], Window: 10 * time.Second}
 	core, logs := observer.New(zap.WarnLevel)
 	f := newFixtureFrom(t, &depot.Depot{Instances: 2, Retry: retry, Log: zap.New(core)})
 	defer f.close()
-	inj := &faultInjector{fixture: f, random: random, frozenUntil: map[*stand.Engine]time.Time{}}
+	inj := &faultInjector{fixture: f, random: random, restoresStore: restoresStore, frozenUntil: map[*stand.Engine]time.Time{}}
 	const streams = 120
 	var callers sync.WaitGroup
 	for n := range streams {
