--- a/internal/app/edge/roster.go
+++ b/internal/app/edge/roster.go
@@ -89,29 +89,46 @@
 // rosterKey returns the key of the own row.
 func (m *meshNode) rosterKey() string { return rosterTable + "/" + string(m.id) }
 
-// writeRosterRow writes the own row and reports whether there was none. Before its first row an instance
-// learns from the rows of the others whether it needs their tables.
+// writeRosterRow writes the own row and reports whether there was none.
 func (m *meshNode) writeRosterRow(ctx context.Context) (wasMissing bool, err error) {
-	page, err := m.store.ReadTable(ctx, rosterTable)
+	version, old, err := m.readOwnRow(ctx)
 	if err != nil {
 		return false, err
 	}
-	if !m.rosterRead && !m.needsPeers(page) {
-		m.state.endStart()
-	}
-	old := feed.Row{Version: spec.NewRevision(page.Version.Era(), 0)}
-	if n := slices.IndexFunc(page.Rows, func(r feed.Row) bool { return r.Key == string(m.id) }); n >= 0 {
-		old = page.Rows[n]
-	}
-	data, err := cbor.Marshal(rosterRow{URL: m.url, DataCentre: m.centre, Era: page.Version.Era(), Restored: m.sawRestore})
+	data, err := cbor.Marshal(rosterRow{URL: m.url, DataCentre: m.centre, Era: version.Era(), Restored: m.sawRestore})
 	if err != nil {
 		return false, errors.Wrap(err, "edge: encode roster row")
 	}
-	if bytes.Equal(old.Value, data) {
+	if bytes.Equal(old, data) {
 		return false, nil
 	}
-	_, err = m.store.Commit(ctx, []store.Write{store.Put(m.rosterKey(), uint64(old.Version), data)})
-	return old.Key == "", err
+	_, err = m.store.Commit(ctx, []store.Write{store.Put(m.rosterKey(), uint64(version), data)})
+	return old == nil, err
+}
+
+// readOwnRow returns the version and the value of the own row; nil if there is none. Before its first
+// row an instance reads those of the others too, and learns from them whether it needs their tables.
+func (m *meshNode) readOwnRow(ctx context.Context) (version spec.Revision, value []byte, err error) {
+	if m.rosterRead {
+		row, err := m.store.Get(ctx, m.rosterKey())
+		if errors.Is(err, store.ErrNotFound) {
+			err = nil
+		}
+		return spec.Revision(row.Version()), row.Value(), err
+	}
+	page, err := m.store.ReadTable(ctx, rosterTable)
+	if err != nil {
+		return 0, nil, err
+	}
+	if !m.needsPeers(page) {
+		m.state.endStart()
+	}
+	for _, r := range page.Rows {
+		if r.Key == string(m.id) {
+			return r.Version, r.Value, nil
+		}
+	}
+	return spec.NewRevision(page.Version.Era(), 0), nil, nil
 }
 
 // needsPeers reports whether an instance that starts must not rely on the store alone: another one wrote its
