--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -222,6 +222,11 @@
 	}
 	l.queueFailures(p, m)
 	l.handleTables(p, m.Tables)
+	l.handleCheckpoints(p, m)
+}
+
+// handleCheckpoints records how much of each table another instance knows.
+func (l *Logic) handleCheckpoints(p *peer, m Message) {
 	p.checkpoints = make(map[string]feed.Checkpoint, len(m.Versions))
 	for name := range m.Versions {
 		if checkpoint, ok := m.checkpoint(name); ok {
--- a/internal/state/feed/stage.go
+++ b/internal/state/feed/stage.go
@@ -38,30 +38,3 @@
 	}
 	return v.Stage(r.Key, r.Value)
 }
-
-// Adopt replaces the whole view by a table of another instance, also by an older one, and returns the
-// rows that changed. Values of a later stage stay.
-func (v *View) Adopt(rows []Row, peer Checkpoint) []Row {
-	own := *v
-	*v = View{Fingerprint: own.Fingerprint, Stage: own.Stage}
-	v.replaceAll(Page{Rows: rows, Version: peer.Version})
-	v.version = peer.Version
-	var changed []Row
-	for _, key := range own.sortedKeys() {
-		old, e := own.rows[key], v.rows[key]
-		switch isLive := e.Key != "" && !e.Deleted; {
-		case old.Deleted:
-		case isLive && e.stage.precedes(old.stage):
-			v.digest ^= e.hash ^ old.hash
-			v.keep(old, peer.Version)
-		case !isLive:
-			changed = append(changed, Row{Key: key, Version: peer.Version, Deleted: true})
-		}
-	}
-	for _, r := range v.Rows() {
-		if old, ok := own.rows[r.Key]; !ok || old.Deleted || old.hash != v.rows[r.Key].hash {
-			changed = append(changed, r)
-		}
-	}
-	return changed
-}
--- a/internal/state/feed/view.go
+++ b/internal/state/feed/view.go
@@ -94,18 +94,6 @@
 	}
 }
 
-// ApplySnapshot applies a page with all rows of the table and returns the rows that
-// changed.
-func (v *View) ApplySnapshot(p Page) []Row {
-	if p.Version < v.version {
-		// A stale read lacks changes that were applied already.
-		return nil
-	}
-	changed := v.replaceAll(p)
-	v.version = p.Version
-	return changed
-}
-
 // ApplyChanges applies a page of the store with all changes after since and returns
 // the rows that changed; all changes since 0 are the whole table. Rows newer than the
 // view are always applied. The version rises only if there is no gap between the
@@ -150,46 +138,6 @@
 	return changed
 }
 
-// replaceAll replaces all rows by those of a whole table, except for rows that are
-// newer, and returns the rows that changed.
-func (v *View) replaceAll(p Page) []Row {
-	var changed []Row
-	present := make(map[string]bool, len(p.Rows))
-	for _, r := range p.Rows {
-		present[r.Key] = !r.Deleted
-		old, ok := v.rows[r.Key]
-		if ok && old.Version <= p.Version && old.Version > r.Version {
-			// The sender of the page missed versions in between, but has the final
-			// content of the row.
-			r.Version = p.Version
-		}
-		if ok && v.isLeftover(r, old, p.Version) {
-			v.keep(old, p.Version)
-			continue
-		}
-		if v.putIfNewer(r, p.Version) {
-			changed = append(changed, r)
-		}
-	}
-	for _, key := range v.sortedKeys() {
-		old := v.rows[key]
-		if old.Deleted || present[key] || old.Version > p.Version {
-			continue
-		}
-		deleted := Row{Key: key, Version: p.Version, Deleted: true}
-		v.putIfNewer(deleted, p.Version)
-		changed = append(changed, deleted)
-	}
-	// Rows that were deleted earlier and never stored here are not known: the changes
-	// since an older version would omit their deletion. A restored table is compared with
-	// what all instances held before, so that few miss anything; those are sent the whole
-	// table next.
-	if v.version == 0 || v.version.Era() == p.Version.Era() {
-		v.tombstoneFloor = max(v.tombstoneFloor, p.Version)
-	}
-	return changed
-}
-
 // putIfNewer stores a row of a page that is complete up to a version if it is newer, and reports
 // whether its content changed. A held value of a later stage stays, as of the page's version, so
 // that instances which took the earlier one learn of it.
@@ -201,19 +149,8 @@
 	if v.rows == nil {
 		v.rows = map[string]entry{}
 	}
-	e := entry{Row: r, hash: v.rowHash(r), contentVersion: r.Version}
-	same := found && old.Deleted == r.Deleted && old.hash == e.hash
-	switch {
-	case same:
-		e.contentVersion, e.stage = old.contentVersion, old.stage
-	case r.Deleted && r.Writer != 0:
-		e.stage = Stage{Known: true, Writer: r.Writer}
-	case r.Deleted:
-		e.stage, e.Writer = old.stage, old.stage.Writer
-	default:
-		e.stage = v.stageOf(r)
-	}
-	if found && !old.Deleted && !r.Deleted && e.stage.precedes(old.stage) {
+	e, same := v.newEntry(r, old, found)
+	if found && !old.Deleted && !e.Deleted && e.stage.precedes(old.stage) {
 		v.keep(old, complete)
 		return false
 	}
@@ -226,6 +163,23 @@
 	return !same
 }
 
+// newEntry returns the entry of a row in place of an old one, and whether the content is the same.
+func (v *View) newEntry(r Row, old entry, found bool) (e entry, same bool) {
+	e = entry{Row: r, hash: v.rowHash(r), contentVersion: r.Version}
+	same = found && old.Deleted == r.Deleted && old.hash == e.hash
+	switch {
+	case same:
+		e.contentVersion, e.stage = old.contentVersion, old.stage
+	case r.Deleted && r.Writer != 0:
+		e.stage = Stage{Known: true, Writer: r.Writer}
+	case r.Deleted:
+		e.stage, e.Writer = old.stage, old.stage.Writer
+	default:
+		e.stage = v.stageOf(r)
+	}
+	return e, same
+}
+
 func countDeleted(deleted bool) int {
 	if deleted {
 		return 1
--- a/internal/state/lease/renew.go
+++ b/internal/state/lease/renew.go
@@ -189,11 +189,12 @@
 func (l *Lease) read(ctx context.Context) (uint64, row, error) {
 	var r row
 	got, err := l.Table.Get(ctx, l.key())
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
+	isMissing := errors.Is(err, store.ErrNotFound)
+	if err != nil && !isMissing {
 		return 0, r, errors.Wrap(ErrStoreUnavailable, err.Error())
 	}
 	l.noteEra(eraOf(got.Version()))
-	if err != nil {
+	if isMissing {
 		return got.Version(), r, nil
 	}
 	if err := cbor.Unmarshal(got.Value(), &r); err != nil {
