Relay, edge: a request that is passed on brings the engines that it has been sent to

Suspected then and shown now: the instance that a request is passed on to began to count anew; what it used up was not counted by the first one; and an instance that had lost its links took a leaving engine for gone because the connection had broken, or for dead because it could not reach it.

Now a passed request names the engines that may have run it; a response that is lost counts as an attempt at an engine that is not known; and without links only engines that were declared dead before count as gone.

--- a/internal/app/edge/links_test.go
+++ b/internal/app/edge/links_test.go
@@ -329,3 +329,43 @@
 		}
 	})
 }
+
+// Guards against a stream that runs on more engines than its route allows because the instance that it is
+// passed on to does not know of those that it ran on before.
+func TestPassedStreamStaysWithinAttemptLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		defer f.close()
+		var callers sync.WaitGroup
+		callers.Go(func() { f.request(0, http.MethodPost, "/write/long", "long", "400,3000") })
+		time.Sleep(500 * time.Millisecond)
+		first := f.runningEngine(nil)
+		f.site.CutInstance("edge-0", inmem.CutReset)
+		f.site.DrainEngine(first)
+		var second *stand.Engine
+		for start := time.Now(); second == nil && time.Since(start) < 2*time.Second; time.Sleep(10 * time.Millisecond) {
+			second = f.runningEngine(first)
+		}
+		if second == nil {
+			t.Fatal("got no second engine, want the stream to go on over the other instance")
+		}
+		time.Sleep(300 * time.Millisecond)
+		f.site.DrainEngine(second)
+		f.site.Freeze(second, time.Second)
+		callers.Wait()
+		f.site.HealInstance("edge-0")
+		if n := f.site.LiveProducers("long"); n > 2 {
+			t.Errorf("got the stream run on %d engines that are alive, want 2 at most", n)
+		}
+	})
+}
+
+// runningEngine returns an engine other than one that runs a stream as its first engine, or nil.
+func (f *fixture) runningEngine(other *stand.Engine) *stand.Engine {
+	for _, e := range f.site.Engines() {
+		if e != other && e.Running() > 0 {
+			return e
+		}
+	}
+	return nil
+}
--- a/internal/app/edge/pass.go
+++ b/internal/app/edge/pass.go
@@ -90,7 +90,7 @@
 	defer p.goFirst(ctx, key)()
 	request := peer.Request{
 		Method: c.Method, URI: c.Path, Host: c.Host, Header: c.Header, Body: c.Body, LeftMs: max(1, time.Until(c.Deadline).Milliseconds()),
-		LastEvent: lastEventID, Config: c.ConfigVersion, Counted: c.Counted,
+		LastEvent: lastEventID, Config: c.ConfigVersion, Counted: c.Counted, Attempted: c.Attempted,
 	}
 	var tried []spec.InstanceID
 	for len(tried) < maxPassTries && ctx.Err() == nil {
@@ -205,6 +205,6 @@
 		return
 	}
 	p.server.ServePassed(ctx, w, front.Passed{
-		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, LastEvent: r.LastEvent, Config: r.Config, Counted: r.Counted,
+		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, LastEvent: r.LastEvent, Config: r.Config, Counted: r.Counted, Attempted: r.Attempted,
 	})
 }
--- a/internal/wire/front/pass.go
+++ b/internal/wire/front/pass.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 
+	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/wire/relay"
 )
 
@@ -24,6 +25,8 @@
 	Config uint64
 	// Counted means that the request is counted in the retry budget already.
 	Counted bool
+	// Attempted are the engines that may have begun to run the request.
+	Attempted []spec.UpstreamID
 }
 
 type passedKey struct{}
@@ -66,7 +69,7 @@
 
 // apply sets what a call that was passed on has besides its headers.
 func (p *Passed) apply(ctx context.Context, c *relay.Call) {
-	c.Passed, c.Counted = true, p.Counted
+	c.Passed, c.Counted, c.Attempted = true, p.Counted, p.Attempted
 	c.ParsedHeader.LastEventID = max(c.ParsedHeader.LastEventID, p.LastEvent)
 	if deadline, ok := ctx.Deadline(); ok && deadline.Before(c.Deadline) {
 		c.Deadline = deadline
--- a/internal/wire/peer/proxy.go
+++ b/internal/wire/peer/proxy.go
@@ -17,6 +17,9 @@
 // detection messages on the same connection are not delayed.
 const maxChunk = 64 << 10
 
+// maxAttempted is the number of engines that a passed request may have been sent to before.
+const maxAttempted = 64
+
 // Request is a caller's request that is passed on to another instance as it came.
 type Request struct {
 	Method string      `cbor:"1,keyasint"`
@@ -32,10 +35,12 @@
 	Config uint64 `cbor:"8,keyasint,omitempty"`
 	// Counted means that the retry budget counts the request already.
 	Counted bool `cbor:"9,keyasint,omitempty"`
+	// Attempted are the engines that may have begun to run the request.
+	Attempted []spec.UpstreamID `cbor:"10,keyasint,omitempty"`
 }
 
 func (r *Request) valid() bool {
-	return r.Method != "" && len(r.Method) <= maxName && r.URI != "" && r.LeftMs > 0 && r.LastEvent >= 0 && len(r.Header) <= maxHeaderNames
+	return r.Method != "" && len(r.Method) <= maxName && r.URI != "" && r.LeftMs > 0 && r.LastEvent >= 0 && len(r.Header) <= maxHeaderNames && len(r.Attempted) <= maxAttempted
 }
 
 // head is the status and the headers of the response to a Request.
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -49,6 +49,9 @@
 	// Counted means that the request is counted in the retry budget, here or by the instance
 	// that passed it on.
 	Counted bool
+	// Attempted are the engines that may have begun to run the request for the instance that
+	// passed it on, and have not exited as far as it knows.
+	Attempted []spec.UpstreamID
 
 	// Start is when the request was received.
 	Start time.Time
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -118,6 +118,9 @@
 		return unreachedReply()
 	}
 	mc := &modelCall{runner: m, call: c, ctx: ctx, sink: sink, lastEventID: c.ParsedHeader.LastEventID}
+	for _, engine := range c.Attempted {
+		mc.attempts = append(mc.attempts, attempt{engine: engine})
+	}
 	r := mc.timing.addTo(mc.run())
 	r.Upstreams = mc.firstEngines
 	return r
--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -117,6 +117,7 @@
 	if !c.call.mayPass(c.runner.Peers) || c.passes >= maxPasses {
 		return Reply{}, false
 	}
+	c.call.Attempted = c.attemptedEngines()
 	resp, err := c.runner.Peers.Pass(c.ctx, c.call, cause, c.lastEventID) //nolint:bodyclose // readPassed closes it.
 	if errors.Is(err, ErrNoPeer) {
 		return Reply{}, false
@@ -130,6 +131,12 @@
 	c.passes++
 	c.mayHaveRun = true
 	c.noRetryReason = ReasonResponseLost
+	// The engine is not known that ran the request for the other instance.
+	c.attempts = append(c.attempts, attempt{})
+	if !c.hasAttemptLeft() {
+		c.noRetryReason = ReasonAttemptsExhausted
+		return c.failedReply(err), true
+	}
 	if c.ctx.Err() != nil || errors.Is(err, errCallerGone) || !c.call.Route.Retryable() || !c.takeRetry() {
 		return c.failedReply(err), true
 	}
--- a/internal/wire/relay/retry.go
+++ b/internal/wire/relay/retry.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// attemptedEngines returns the engines that count as attempts.
+func (c *modelCall) attemptedEngines() (out []spec.UpstreamID) {
+	for _, a := range c.attempts {
+		out = append(out, a.engine)
+	}
+	return out
+}
+
 // hasAttemptLeft reports whether an attempt is left. Engines that have exited do not
 // count. The engines are probed only if the limit is reached.
 func (c *modelCall) hasAttemptLeft() bool {
@@ -58,7 +66,7 @@
 	exited := make([]bool, len(c.attempts))
 	var probes sync.WaitGroup
 	for i, a := range c.attempts {
-		probes.Go(func() { exited[i] = c.runner.Paths.ConfirmExited(c.ctx, c.call.Service.Name, a.engine, a.brokeRunOff) })
+		probes.Go(func() { exited[i] = c.hasExited(a) })
 	}
 	probes.Wait()
 	var left []attempt
@@ -71,6 +79,15 @@
 	return len(c.attempts) < c.call.Route.MaxAttempts
 }
 
+// hasExited reports whether the engine of an attempt has exited. An instance without links can't probe it,
+// and its run may have ended with the links.
+func (c *modelCall) hasExited(a attempt) bool {
+	if c.linksLost() {
+		return c.runner.Paths.IsDead(c.call.Service.Name, a.engine)
+	}
+	return c.runner.Paths.ConfirmExited(c.ctx, c.call.Service.Name, a.engine, a.brokeRunOff)
+}
+
 // shouldRetry reports whether the request may run again. If the caller already has a
 // part of the answer, it waits until a retry is allowed.
 func (c *modelCall) shouldRetry(run *Run, err error) bool {
