--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -48,7 +48,8 @@
 	renewalsPerLease = 3
 )
 
-// Table is the part of the platform's table that leases need.
+// Table is the part of the platform's table that leases need. A table with eras returns, together with
+// store.ErrNotFound, the version of a missing row in the current era.
 type Table interface {
 	Get(ctx context.Context, key string) (store.Row, error)
 	Commit(ctx context.Context, writes []store.Write) (uint64, error)
