Mesh, edge: an instance that knows nothing sends none of it to one that starts

Found by reading: an instance whose wait for others had ended with no table, since the store was away, counted as one that knows better, and its empty table would have replaced what a starting instance had read. TestStartingInstanceIsSentWhatDiffers failed before (4 tables sent).

--- a/internal/app/edge/state.go
+++ b/internal/app/edge/state.go
@@ -158,7 +158,7 @@
 	}
 	known := s.tables[table].Version()
 	var changed []feed.Row
-	if s.isStarting() && since == 0 {
+	if s.isStarting() && since == 0 && checkpoint.Version > 0 {
 		changed = s.tables[table].Adopt(rows, checkpoint)
 		// What others hold as removed gets no grace period.
 		s.keepMissingUntil = time.Time{}
--- a/internal/fleet/mesh/restore_test.go
+++ b/internal/fleet/mesh/restore_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/state/feed"
 )
 
 const (
@@ -79,3 +80,34 @@
 		}
 	}
 }
+
+// Guards against an instance that starts with a table of the store's copy and is not sent what others
+// know, however late its version, or is sent a table by one that knows nothing.
+func TestStartingInstanceIsSentWhatDiffers(t *testing.T) {
+	page := func(version uint64, value string) feed.Page {
+		row := feed.Row{Key: changedKey, Version: spec.NewRevision(1, version), Value: []byte(value)}
+		return feed.Page{Rows: []feed.Row{row}, Version: row.Version}
+	}
+	for _, test := range []struct {
+		name string
+		held string
+		// want is the least and the most tables that the starting instance is sent in a second.
+		want [2]int
+	}{{"other content", "newer", [2]int{1, 4}}, {"same content", "copy", [2]int{0, 0}}, {"nothing", "", [2]int{0, 0}}} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(4)
+			starting := f.members["i3"]
+			starting.logic.Starting = func() bool { return true }
+			starting.view.ApplySnapshot(page(9, "copy"))
+			for _, id := range []spec.InstanceID{"i0", "i1", "i2"} {
+				if test.held != "" {
+					f.members[id].view.ApplySnapshot(page(5, test.held))
+				}
+			}
+			f.run(0, time.Second)
+			if got := starting.tablesReceived; got < test.want[0] || got > test.want[1] {
+				t.Errorf("got %d tables, want %d to %d", got, test.want[0], test.want[1])
+			}
+		})
+	}
+}
--- a/internal/fleet/mesh/spread.go
+++ b/internal/fleet/mesh/spread.go
@@ -198,7 +198,7 @@
 // something else, however late its version, since the store may have been restored before it read it.
 func (l *Logic) wantsTable(now time.Duration, p *peer, name string, local feed.Checkpoint) bool {
 	remote, ok := p.checkpoints[name]
-	if !p.isStarting || l.isStarting() || !ok || !p.alive || p.url == "" || remote.Digest == local.Digest {
+	if !p.isStarting || l.isStarting() || local.Version == 0 || !ok || !p.alive || p.url == "" || remote.Digest == local.Digest {
 		return false
 	}
 	sent := p.sentUpdates[name]
