--- a/internal/app/edge/start.go
+++ b/internal/app/edge/start.go
@@ -12,7 +12,7 @@
 // 600 ms.
 const peersTimeout = 1200 * time.Millisecond
 
-// isStarting reports whether this instance waits for the tables of others; s.mu is held.
+// isStarting is Starting with s.mu held.
 func (s *stateView) isStarting() bool { return s.awaitsPeers && !s.isReady }
 
 // limitStart ends the wait for the tables of others after a time.
@@ -22,7 +22,7 @@
 	}
 }
 
-// Starting is isStarting for other goroutines.
+// Starting reports whether this instance waits for the tables of others before it serves.
 func (s *stateView) Starting() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -117,10 +117,7 @@
 	if c.Passed && m.Peers != nil && m.Peers.LinksLost() {
 		return unreachedReply()
 	}
-	mc := &modelCall{runner: m, call: c, ctx: ctx, sink: sink, lastEventID: c.ParsedHeader.LastEventID}
-	for _, engine := range c.Attempted {
-		mc.attempts = append(mc.attempts, attempt{engine: engine})
-	}
+	mc := &modelCall{runner: m, call: c, ctx: ctx, sink: sink, lastEventID: c.ParsedHeader.LastEventID, attempts: attemptsAt(c.Attempted)}
 	r := mc.timing.addTo(mc.run())
 	r.Upstreams = mc.firstEngines
 	return r
--- a/internal/wire/relay/retry.go
+++ b/internal/wire/relay/retry.go
@@ -49,6 +49,15 @@
 	}
 }
 
+// attemptsAt returns the attempts that another instance made at engines.
+func attemptsAt(engines []spec.UpstreamID) []attempt {
+	out := make([]attempt, 0, len(engines))
+	for _, engine := range engines {
+		out = append(out, attempt{engine: engine})
+	}
+	return out
+}
+
 // attemptedEngines returns the engines that count as attempts.
 func (c *modelCall) attemptedEngines() (out []spec.UpstreamID) {
 	for _, a := range c.attempts {
