Mesh: only instances that join are told what the others know of crashes

Cause: whenever an instance joined, each instance that saw it told all others up to 512 events again, and heads of cells told them on. While 42 of 118 instances are restarted one by one, each instance takes 20,000 to 40,000 such events a second (the lines 'left out' at 29 to 32 s); messages are seconds late, instances are lost and met again, and each time all is told once more. A request that was passed on arrived a second after its client had left.

--- a/internal/app/edge/crash.go
+++ b/internal/app/edge/crash.go
@@ -19,14 +19,6 @@
 	}
 }
 
-// reportRestrictions keeps what is known of suspects for the other instances: one of them has
-// joined, and may have been started or cut off when it was reported.
-func (r *router) reportRestrictions() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.restrictionsDue = true
-}
-
 // applyCrash records an event and reports whether it is news; r.mu is held.
 func (r *router) applyCrash(c crash.Event) bool {
 	now := r.now()
@@ -74,10 +66,6 @@
 	defer r.mu.Unlock()
 	out := r.unreportedCrashes
 	r.unreportedCrashes = nil
-	if r.restrictionsDue {
-		r.restrictionsDue = false
-		out = append(out, r.crashBook.Known(r.now())...)
-	}
 	return out
 }
 
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -138,6 +138,9 @@
 	return dead, m.router.takeCrashes()
 }
 
+// Known returns what an instance that joins has to know of crashes and restrictions.
+func (m *meshNode) Known() []crash.Event { return m.router.knownCrashes() }
+
 // RateLimits returns what is known of the rate limits of upstreams.
 func (m *meshNode) RateLimits() map[spec.UpstreamID]limit.Statement { return m.router.rateLimits() }
 
@@ -199,7 +202,6 @@
 
 // PeerJoined records an instance that joined the mesh.
 func (m *meshNode) PeerJoined(id spec.InstanceID) {
-	m.router.reportRestrictions()
 	m.log.Info("edge: instance met", zap.String("peer", string(id)))
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -96,8 +96,6 @@
 	// unreportedCrashes holds crashes seen by this instance, each with the request
 	// that the upstream ran, that were not yet sent to the other instances.
 	unreportedCrashes []crash.Event
-	// restrictionsDue means that what is known of suspects has to be sent to the others again.
-	restrictionsDue bool
 }
 
 func (r *router) now() time.Duration { return time.Since(r.start) }
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -14,6 +14,7 @@
 package mesh
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -200,7 +201,7 @@
 		p.lastSync = max(0, now-time.Duration(m.SyncAgeMs)*time.Millisecond)
 	}
 	if !p.alive {
-		p.alive, p.nextLoadAt = true, 0
+		p.alive, p.hasJoined, p.nextLoadAt = true, true, 0
 		l.Receiver.PeerJoined(p.id)
 	}
 	p.isHead, p.initiates, p.digest = m.Head, !m.Reply, m.RosterDigest
@@ -217,8 +218,8 @@
 	if len(m.Dead) > 0 {
 		l.Receiver.ReceiveDead(p.id, m.Dead)
 	}
-	if len(m.Crashes) > 0 {
-		l.Receiver.ReceiveCrashes(p.id, m.Crashes)
+	if crashes := slices.Concat(m.Crashes, m.Known); len(crashes) > 0 {
+		l.Receiver.ReceiveCrashes(p.id, crashes)
 	}
 	l.queueFailures(p, m)
 	l.handleTables(p, m.Tables)
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -30,9 +30,12 @@
 	// streams is the number of streams in the last reported loads, by their source.
 	streams map[spec.InstanceID]int
 	// requestsFrom is how many first attempts the sources reported.
-	requestsFrom    map[spec.InstanceID]int
-	joined          map[spec.InstanceID]bool
-	tablesReceived  int
+	requestsFrom   map[spec.InstanceID]int
+	joined         map[spec.InstanceID]bool
+	tablesReceived int
+	// known is what the member tells to those that join. crashesReceived counts what it is told.
+	known           []crash.Event
+	crashesReceived int
 	deadReportsFrom []spec.InstanceID
 
 	// changedVersions are the table versions that the store changed. lastPoll is the
@@ -97,6 +100,8 @@
 	return dead, nil
 }
 
+func (m *member) Known() []crash.Event { return m.known }
+
 func (m *member) ReceiveUsage(from spec.InstanceID, usage map[string]map[spec.UpstreamID]path.Usage) {
 	m.used[from]++
 	m.streams[from] = usage["s"]["e"].Streams
@@ -121,8 +126,11 @@
 func (m *member) ReceiveDead(from spec.InstanceID, _ []spec.UpstreamID) {
 	m.deadReportsFrom = append(m.deadReportsFrom, from)
 }
-func (m *member) ReceiveCrashes(spec.InstanceID, []crash.Event) {}
-func (m *member) PeerJoined(id spec.InstanceID)                 { m.joined[id] = true }
+
+func (m *member) ReceiveCrashes(_ spec.InstanceID, crashes []crash.Event) {
+	m.crashesReceived += len(crashes)
+}
+func (m *member) PeerJoined(id spec.InstanceID) { m.joined[id] = true }
 func (m *member) PeerLost(id spec.InstanceID) {
 	delete(m.joined, id)
 	delete(m.streams, id)
--- a/internal/fleet/mesh/message.go
+++ b/internal/fleet/mesh/message.go
@@ -60,6 +60,9 @@
 	// Starting means that the sender does not serve yet and wants each table that differs from
 	// the receiver's.
 	Starting bool `cbor:"23,keyasint,omitempty"`
+	// Known is what the sender knows of crashes and restrictions, for a receiver that has just
+	// joined. It is not passed on.
+	Known []crash.Event `cbor:"24,keyasint,omitempty"`
 }
 
 // Scope is the set of instances whose requests a message describes.
@@ -116,6 +119,8 @@
 	// TakeFailures returns, since the last call, the engines found dead and the crashes
 	// of upstreams with the requests that they ran.
 	TakeFailures() (dead []spec.UpstreamID, crashes []crash.Event)
+	// Known returns what an instance that joins has to know of crashes and restrictions.
+	Known() []crash.Event
 }
 
 // Receiver receives the state of other instances. It is called on the goroutine that
--- a/internal/fleet/mesh/peer.go
+++ b/internal/fleet/mesh/peer.go
@@ -41,6 +41,8 @@
 	linksLost bool
 	// takesRequests means that the peer serves passed requests.
 	takesRequests bool
+	// hasJoined means that the peer became alive since the last round.
+	hasJoined bool
 	// isStarting means that the peer does not serve yet and wants the tables that differ.
 	isStarting bool
 	// isHead means that the peer reports itself as a head of its cell.
--- a/internal/fleet/mesh/round.go
+++ b/internal/fleet/mesh/round.go
@@ -52,6 +52,7 @@
 	d := l.newRound(now, checkpoints)
 	dead, crashes := l.Local.TakeFailures()
 	tables := l.tablesToSend(now, checkpoints)
+	known := l.knownForJoined(now)
 	forwarded := l.failuresToForward
 	l.failuresToForward = nil
 	var out []node.Command
@@ -67,7 +68,7 @@
 		}
 		m := d.message(scope, p)
 		m.Reply = !partner
-		m.Dead, m.Crashes, m.Tables, m.Roster = dead, crashes, tables[p.id], l.rosterFor(now, p)
+		m.Dead, m.Crashes, m.Known, m.Tables, m.Roster = dead, crashes, known[p.id], tables[p.id], l.rosterFor(now, p)
 		for _, ev := range forwarded {
 			if l.shouldForward(ev, p) {
 				m.Dead, m.Crashes = slices.Concat(m.Dead, ev.dead), slices.Concat(m.Crashes, ev.crashes)
@@ -196,7 +197,7 @@
 	if p.isFormerVersion {
 		return encode(m.withoutTables())
 	}
-	if len(m.Dead)+len(m.Crashes)+len(m.Tables)+len(m.Roster) > 0 || m.Scope == ScopeAllButReceiver || m.Reply {
+	if len(m.Dead)+len(m.Crashes)+len(m.Known)+len(m.Tables)+len(m.Roster) > 0 || m.Scope == ScopeAllButReceiver || m.Reply {
 		return encode(m)
 	}
 	k := encodingKey{scope: m.Scope, syncAgeMs: m.SyncAgeMs}
