Relay, peer: a request is not sent for a caller that has stopped waiting for an event

The callers had left after exactly two seconds without an event; the instance that held the request (0.134 cores) acted on it late.

Cause: an instance learns that a caller has left by a closed connection, or by a message of the instance that passed the request on. Both wait to be read while the instance is late. And the cancellation of a passed request was dropped where the queue of the connection was full.

Ruled out: a missing check before the send; the context is looked at, but not yet cancelled.

A cancellation waits for room in the queue; it can't overtake the frame that opened the stream.

TestPassedRequestOfTimedOutCallerIsNotSent, TestCancellationIsSentOnCongestedConnection; the second got no cancellation on the former code. Not covered: callers that leave earlier than they say, from an instance that is late to read it.

--- a/internal/app/edge/pass.go
+++ b/internal/app/edge/pass.go
@@ -92,6 +92,9 @@
 		Method: c.Method, URI: c.Path, Host: c.Host, Header: c.Header, Body: c.Body, LeftMs: max(1, time.Until(c.Deadline).Milliseconds()),
 		LastEvent: lastEventID, Config: c.ConfigVersion, Counted: c.Counted, Attempted: c.Attempted,
 	}
+	if !c.FirstEventDeadline.IsZero() {
+		request.EventLeftMs = max(1, time.Until(c.FirstEventDeadline).Milliseconds())
+	}
 	var tried []spec.InstanceID
 	for len(tried) < maxPassTries && ctx.Err() == nil {
 		to, ok := p.choose(key, tried)
@@ -206,5 +209,6 @@
 	}
 	p.server.ServePassed(ctx, w, front.Passed{
 		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, LastEvent: r.LastEvent, Config: r.Config, Counted: r.Counted, Attempted: r.Attempted,
+		EventTimeout: time.Duration(r.EventLeftMs) * time.Millisecond,
 	})
 }
--- a/internal/base/site/site.go
+++ b/internal/base/site/site.go
@@ -52,6 +52,9 @@
 	TargetLatency time.Duration
 	// TargetGap is the longest time between two events that gets full credit.
 	TargetGap time.Duration
+	// EventTimeout is how long callers wait for the first or the next event before they leave;
+	// zero means unknown.
+	EventTimeout time.Duration
 	// MaxAttempts is the maximum number of upstreams on which one request may run.
 	MaxAttempts int
 	// Priority is the rank of the requests; 0 is served first.
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -162,6 +162,9 @@
 		return nil, http.StatusServiceUnavailable, "the route's service is not known"
 	}
 	c.Deadline = start.Add(requestTimeout(parsed.Timeout, route.Timeout))
+	if route.EventTimeout > 0 {
+		c.FirstEventDeadline = start.Add(route.EventTimeout)
+	}
 	if passed := passedFrom(r.Context()); passed != nil {
 		passed.apply(r.Context(), c)
 	}
--- a/internal/wire/front/pass.go
+++ b/internal/wire/front/pass.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"time"
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/wire/relay"
@@ -27,6 +28,8 @@
 	Counted bool
 	// Attempted are the engines that may have begun to run the request.
 	Attempted []spec.UpstreamID
+	// EventTimeout is how long the caller still waits for an event; zero means unknown.
+	EventTimeout time.Duration
 }
 
 type passedKey struct{}
@@ -71,6 +74,9 @@
 func (p *Passed) apply(ctx context.Context, c *relay.Call) {
 	c.Passed, c.Counted, c.Attempted = true, p.Counted, p.Attempted
 	c.ParsedHeader.LastEventID = max(c.ParsedHeader.LastEventID, p.LastEvent)
+	if p.EventTimeout > 0 {
+		c.FirstEventDeadline = time.Now().Add(p.EventTimeout)
+	}
 	if deadline, ok := ctx.Deadline(); ok && deadline.Before(c.Deadline) {
 		c.Deadline = deadline
 	}
--- a/internal/wire/front/pass_test.go
+++ b/internal/wire/front/pass_test.go
@@ -5,9 +5,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"fulmarwick/internal/fakes/inmem"
 	"fulmarwick/internal/wire/client"
 	"fulmarwick/internal/wire/front"
 	"fulmarwick/internal/wire/relay"
@@ -66,3 +69,54 @@
 		})
 	}
 }
+
+// slowPaths selects the upstream after a delay, whether or not the caller has left.
+type slowPaths struct {
+	singleUpstream
+	delay time.Duration
+}
+
+func (s slowPaths) StartRun(ctx context.Context, c *relay.Call, o relay.RunOptions) (*relay.Run, error) {
+	time.Sleep(s.delay)
+	return s.singleUpstream.StartRun(ctx, c, o)
+}
+
+// Guards against requests that an instance that is late, or that learns late that a caller has left,
+// sends to an engine after the caller has stopped waiting for the first event.
+func TestPassedRequestOfTimedOutCallerIsNotSent(t *testing.T) {
+	for name, test := range map[string]struct {
+		left, delay time.Duration
+		sent        int32
+	}{
+		"caller waits":      {2 * time.Second, 1900 * time.Millisecond, 1},
+		"caller has left":   {2 * time.Second, 2500 * time.Millisecond, 0},
+		"little time left":  {300 * time.Millisecond, 600 * time.Millisecond, 0},
+		"time left unknown": {0, 4 * time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var sent atomic.Int32
+				listener := inmem.Listen()
+				upstream := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					sent.Add(1)
+					w.Header().Set("Id", r.Header.Get("Id"))
+					w.Header().Set("Seal", "s")
+					writeEvents(w, 1)
+				})}
+				go func() { _ = upstream.Serve(listener) }()
+				defer func() { _ = upstream.Close() }()
+				pool := &client.Pool{DialTimeout: time.Second, Dial: listener.Dial}
+				s := newServer(pool, "upstream")
+				s.ModelRunner.(*relay.ModelRunner).Paths = slowPaths{singleUpstream{address: "upstream"}, test.delay}
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				w := httptest.NewRecorder()
+				s.ServePassed(ctx, w, front.Passed{Method: http.MethodPost, URI: "/s/1", Host: "127.0.0.1", Header: http.Header{"Id": {"r"}}, Config: 1, EventTimeout: test.left})
+				if got := sent.Load(); got != test.sent {
+					t.Errorf("got %d requests at the engine, want %d", got, test.sent)
+				}
+				pool.CloseUnused(nil)
+			})
+		})
+	}
+}
--- a/internal/wire/peer/conn.go
+++ b/internal/wire/peer/conn.go
@@ -215,13 +215,15 @@
 	return c.ws.WriteMessage(websocket.BinaryMessage, data)
 }
 
-// tryEnqueue queues a frame, or drops it if the queue is full.
-func (c *conn) tryEnqueue(data []byte) {
+// tryEnqueue queues a frame, or drops it and returns false if the queue is full.
+func (c *conn) tryEnqueue(data []byte) bool {
 	c.markUsed()
 	select {
 	case c.queue <- data:
+		return true
 	default:
 		c.hub.meter.dropped.Inc()
+		return false
 	}
 }
 
--- a/internal/wire/peer/proxy.go
+++ b/internal/wire/peer/proxy.go
@@ -37,10 +37,13 @@
 	Counted bool `cbor:"9,keyasint,omitempty"`
 	// Attempted are the engines that may have begun to run the request.
 	Attempted []spec.UpstreamID `cbor:"10,keyasint,omitempty"`
+	// EventLeftMs is how long the caller still waits for an event, in milliseconds; zero means
+	// unknown.
+	EventLeftMs int64 `cbor:"11,keyasint,omitempty"`
 }
 
 func (r *Request) valid() bool {
-	return r.Method != "" && len(r.Method) <= maxName && r.URI != "" && r.LeftMs > 0 && r.LastEvent >= 0 && len(r.Header) <= maxHeaderNames && len(r.Attempted) <= maxAttempted
+	return r.Method != "" && len(r.Method) <= maxName && r.URI != "" && r.LeftMs > 0 && r.EventLeftMs >= 0 && r.LastEvent >= 0 && len(r.Header) <= maxHeaderNames && len(r.Attempted) <= maxAttempted
 }
 
 // head is the status and the headers of the response to a Request.
--- a/internal/wire/peer/proxy_test.go
+++ b/internal/wire/peer/proxy_test.go
@@ -146,3 +146,27 @@
 		}
 	})
 }
+
+// Guards against a cancellation that is dropped because the queue of the connection is full: the
+// other instance then goes on with the request of a caller that has left.
+func TestCancellationIsSentOnCongestedConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := &peer.Hub{Self: node.Peer{ID: "a"}, Logic: idleLogic{}}
+		done := make(chan error, 1)
+		go func() { done <- h.Run(ctx) }()
+		queue := h.CancelOnFullQueue()
+		<-queue
+		synctest.Wait()
+		if got := len(queue); got != 1 {
+			t.Errorf("got %d frames after the one that filled the queue, want the cancellation", got)
+		}
+		cancel()
+		<-done
+	})
+}
+
+// idleLogic is fleet logic that does nothing.
+type idleLogic struct{}
+
+func (idleLogic) Tick(time.Duration, []node.Event) []node.Command { return nil }
--- a/internal/wire/peer/stream.go
+++ b/internal/wire/peer/stream.go
@@ -42,9 +42,14 @@
 	if complete {
 		return
 	}
-	if data, err := encode(&frame{Kind: kindCancel, ID: s.id}); err == nil {
-		s.conn.tryEnqueue(data)
+	// A cancellation waits for room in the queue: without it the other side works for a caller that
+	// has left. It must not overtake the frame that opened the stream.
+	cancel := &frame{Kind: kindCancel, ID: s.id}
+	data, err := encode(cancel)
+	if err != nil || s.conn.tryEnqueue(data) {
+		return
 	}
+	s.conn.hub.start(func() { _ = s.conn.enqueue(s.conn.hub.ctx, cancel) })
 }
 
 func (s *outStream) deliver(f *frame) {
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -57,6 +57,8 @@
 	Start time.Time
 	// Deadline is when the caller or the route stops waiting.
 	Deadline time.Time
+	// FirstEventDeadline is when the caller leaves if it has received no event; zero means unknown.
+	FirstEventDeadline time.Time
 
 	suspects []crash.Key
 }
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -38,6 +38,10 @@
 		conn.Close()
 		return errUnsent
 	}
+	if c.hasCallerTimedOut() {
+		conn.Close()
+		return errEventTimeout
+	}
 	defer run.onReroute(nil)
 	forward := site.ForwardHeader{Expect: first, Path: hops, LastEventID: c.lastEventID}
 	if err := conn.WriteRequest(c.call.newRequest(c.runner.Dialect, forward), c.call.Deadline); err != nil {
--- a/internal/wire/relay/final.go
+++ b/internal/wire/relay/final.go
@@ -42,7 +42,7 @@
 	switch {
 	case c.errorReply != nil && !c.started:
 		return *c.errorReply
-	case errors.Is(err, errCallerGone) || errors.Is(c.ctx.Err(), context.Canceled):
+	case errors.Is(err, errCallerGone) || errors.Is(err, errEventTimeout) || errors.Is(c.ctx.Err(), context.Canceled):
 		r.Reason = ReasonCallerLeft
 	case c.ctx.Err() != nil:
 		r.Reason = ReasonTimeout
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -75,6 +75,7 @@
 	errUnsent       = errors.New("relay: request not sent")
 	errRerouted     = errors.New("relay: run rerouted")
 	errCallerGone   = errors.New("relay: caller disconnected")
+	errEventTimeout = errors.New("relay: caller has stopped waiting for an event")
 	errEngineStatus = errors.New("relay: engine returned an error")
 	errStaleConn    = errors.New("relay: idle connection was closed")
 	errTimeout      = errors.New("relay: deadline exceeded")
@@ -251,6 +252,25 @@
 	return c.failedReply(err)
 }
 
+// eventTimeoutMargin is how much later than by this instance's clock a caller may leave: it
+// receives events later than they are read here.
+const eventTimeoutMargin = 250 * time.Millisecond
+
+// eventDeadline returns when the caller leaves unless it receives an event; zero means unknown.
+func (c *modelCall) eventDeadline() time.Time {
+	if c.timing.lastEvent.IsZero() || c.call.Route.EventTimeout == 0 {
+		return c.call.FirstEventDeadline
+	}
+	return c.timing.lastEvent.Add(c.call.Route.EventTimeout)
+}
+
+// hasCallerTimedOut reports whether the caller has left because it received no event, even if this
+// instance has not yet read that the connection was closed, being late or told of it by another one.
+func (c *modelCall) hasCallerTimedOut() bool {
+	deadline := c.eventDeadline()
+	return !deadline.IsZero() && time.Since(deadline) > eventTimeoutMargin
+}
+
 // hasPartialAnswer reports whether the caller has a part of the answer: from this request,
 // or from an earlier one that was broken off. A caller that returns with such a part has
 // no further retry, and loses the whole answer if it is rejected.
--- a/internal/wire/relay/retry.go
+++ b/internal/wire/relay/retry.go
@@ -31,7 +31,7 @@
 
 // recordFailure records which engine may have run the request in a failed run.
 func (c *modelCall) recordFailure(run *Run, err error) {
-	if errors.Is(err, errNotRun) || errors.Is(err, errUnsent) {
+	if errors.Is(err, errNotRun) || errors.Is(err, errUnsent) || errors.Is(err, errEventTimeout) {
 		return
 	}
 	c.mayHaveRun = true
@@ -129,7 +129,7 @@
 // retry.
 func (c *modelCall) retryBlocker(err error, free bool) Reason {
 	switch {
-	case c.ctx.Err() != nil, errors.Is(err, errCallerGone), !free && !c.call.Route.Retryable():
+	case c.ctx.Err() != nil, errors.Is(err, errCallerGone), errors.Is(err, errEventTimeout), !free && !c.call.Route.Retryable():
 		return ReasonResponseLost
 	case c.runner.CrashTracker.IsCulprit(c.call.Suspects()):
 		return ReasonPoison
