Mesh: instances with little processor time or bandwidth leave the work for the fleet to others

Cause: heads of cells are chosen by a hash of their names, so that nearly all of them are instances of 0.134 cores and 14 Mbit/s. Such a head sends a configuration of 350 KB to up to 23 members, 0.2 s each; it is late, so that others take its place, and those that it no longer exchanges messages with count it as lost. A member that hears no head reads the store only 2.4 s after the last report.

Now: settings [limits] cores and link; an instance below 0.25 cores or 25 Mbit/s is constrained, and says so in its row of the roster and in messages. Where only some are, cells are as many as the others can head, these are heads, readers and planners first, and members get everything from them. Rows for constrained instances are compressed, once for all. A constrained instance that was late itself does not count others as silent for that time, reads the store after a second without a head, and after 0.5 s (0.9 s) of a known lag. Nothing changes in fleets without constrained instances.

--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"fulmarwick/internal/app/setup"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/mesh"
 	"fulmarwick/internal/fleet/node"
@@ -27,12 +28,30 @@
 // message; six were due in that time.
 const meshIdleTimeout = 1200 * time.Millisecond
 
+const (
+	// minHeadCores is the processor time below which an instance leaves the work for the fleet to
+	// others: the messages of the head of a cell take up to a tenth of a core.
+	minHeadCores = 0.25
+	// minHeadLink is the same for the bandwidth, in Mbit/s: a head sends a configuration of 64 KiB to
+	// each of two dozen instances within half a second.
+	minHeadLink = 25
+)
+
+// isConstrained reports whether an instance with the given limits leaves work for the fleet to
+// others; unknown limits do not count.
+func isConstrained(l setup.Limits) bool {
+	return l.Cores > 0 && l.Cores < minHeadCores || l.Link > 0 && l.Link < minHeadLink
+}
+
 // meshNode exchanges state with the other instances: it provides what this instance sends
 // and applies what it receives.
 type meshNode struct {
 	id     spec.InstanceID
 	centre spec.DataCentre
 	url    string
+	// constrained means that others should do the work for the fleet.
+	constrained bool
+
 	store  *platform.Store
 	state  *stateView
 	router *router
@@ -68,7 +87,7 @@
 // initHub creates the mesh logic and the hub that holds the connections.
 func (m *meshNode) initHub() {
 	m.livePeers = map[spec.InstanceID]bool{}
-	m.logic = &mesh.Logic{ID: m.id, DataCentre: m.centre, URL: m.url, Local: m, Receiver: m, Starting: m.state.Starting, Now: time.Now}
+	m.logic = &mesh.Logic{ID: m.id, DataCentre: m.centre, URL: m.url, Constrained: m.constrained, Local: m, Receiver: m, Starting: m.state.Starting, Now: time.Now}
 	m.hub = &peer.Hub{Self: node.Peer{ID: m.id, URL: m.url}, Logic: m.logic, ReadTimeout: meshIdleTimeout, Dial: m.dial, Log: m.log, Meters: m.meters}
 }
 
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -52,7 +52,7 @@
 		countOrder: func(kind string) { i.meters.GetOrCreateCounter(`fulmarwick_orders_total{end="` + kind + `"}`).Inc() },
 	}
 	i.mesh = &meshNode{
-		id: spec.InstanceID(s.Instance.Name), centre: spec.DataCentre(s.Instance.DataCentre), url: "http://" + s.Listen.Mesh,
+		id: spec.InstanceID(s.Instance.Name), centre: spec.DataCentre(s.Instance.DataCentre), url: "http://" + s.Listen.Mesh, constrained: isConstrained(s.Limits),
 		store: i.store, state: i.state, router: i.router, log: i.Log, dial: i.Dial, meters: i.meters, countBehind: i.counter(`fulmarwick_behind_total`),
 	}
 	i.links = &linkWatcher{start: time.Now(), addresses: i.router.readyAddresses, open: i.pool.Open, isBusy: i.watcher.isBusy, log: i.Log, doubtful: make(chan struct{}, 1)}
--- a/internal/app/edge/roster.go
+++ b/internal/app/edge/roster.go
@@ -34,6 +34,8 @@
 	// seen the store begin an era.
 	Era      uint64 `cbor:"3,keyasint,omitempty"`
 	Restored bool   `cbor:"4,keyasint,omitempty"`
+	// Constrained means that others should do the work for the fleet.
+	Constrained bool `cbor:"5,keyasint,omitempty"`
 }
 
 // maintainRoster writes the own row of the roster and discovers the other instances by
@@ -95,7 +97,7 @@
 	if err != nil {
 		return false, err
 	}
-	data, err := cbor.Marshal(rosterRow{URL: m.url, DataCentre: m.centre, Era: version.Era(), Restored: m.sawRestore})
+	data, err := cbor.Marshal(rosterRow{URL: m.url, DataCentre: m.centre, Era: version.Era(), Restored: m.sawRestore, Constrained: m.constrained})
 	if err != nil {
 		return false, errors.Wrap(err, "edge: encode roster row")
 	}
@@ -158,7 +160,7 @@
 			m.log.Warn("edge: malformed roster row skipped", zap.String("instance", r.Key), zap.Error(err))
 			continue
 		}
-		out = append(out, node.Peer{ID: spec.InstanceID(r.Key), DataCentre: row.DataCentre, URL: row.URL, Version: r.Version})
+		out = append(out, node.Peer{ID: spec.InstanceID(r.Key), DataCentre: row.DataCentre, URL: row.URL, Version: r.Version, Constrained: row.Constrained})
 	}
 	return out
 }
--- a/internal/app/setup/schema.go
+++ b/internal/app/setup/schema.go
@@ -98,6 +98,8 @@
 		{"buffer", false, size(func(f *Settings) *int64 { return &f.Limits.Buffer }, minBuffer, maxBuffer)},
 		{"queue", false, count(func(f *Settings) *int { return &f.Limits.Queue })},
 		{"memory", false, size(func(f *Settings) *int64 { return &f.Limits.Memory }, minMemory, maxMemory)},
+		{"cores", false, amount(func(f *Settings) *float64 { return &f.Limits.Cores })},
+		{"link", false, amount(func(f *Settings) *float64 { return &f.Limits.Link })},
 	}},
 	{name: "retry", keys: []key{
 		{"ratio", false, fraction(func(f *Settings) *float64 { return &f.Retry.Ratio })},
--- a/internal/fleet/mesh/cell.go
+++ b/internal/fleet/mesh/cell.go
@@ -20,6 +20,9 @@
 	maxCellSize = 24
 	// headsPerCell is how many heads a cell has: one may die without an interruption.
 	headsPerCell = 2
+	// maxMixedCellSize is the same for a cell whose heads are chosen among a few instances that
+	// are not constrained.
+	maxMixedCellSize = 48
 	// headTimeout is how long a head may send no message before the next instance by
 	// rank takes part as a head. A change waits meanwhile for the head that should pass
 	// it on.
@@ -62,7 +65,7 @@
 		centres[p.centre] = append(centres[p.centre], p.id)
 	}
 	for centre, ids := range centres {
-		l.layout.cells = append(l.layout.cells, splitIntoCells(centre, ids)...)
+		l.layout.cells = append(l.layout.cells, l.splitIntoCells(centre, ids)...)
 	}
 	slices.SortFunc(l.layout.cells, func(a, b *cell) int { return cmp.Compare(a.name, b.name) })
 	for _, c := range l.layout.cells {
@@ -73,11 +76,21 @@
 	l.layout.local = l.layout.cellByID[l.ID]
 }
 
-// splitIntoCells splits the instances of a data centre.
-func splitIntoCells(centre spec.DataCentre, ids []spec.InstanceID) []*cell {
+// splitIntoCells splits the instances of a data centre. Where only some of them are constrained, each
+// cell has as many of the others as it has heads.
+func (l *Logic) splitIntoCells(centre spec.DataCentre, ids []spec.InstanceID) []*cell {
+	capable, constrained := l.splitByCapacity(ids)
 	n := (len(ids) + maxCellSize - 1) / maxCellSize
+	if len(capable) > 0 && len(constrained) > 0 {
+		n = max(1, min(n, len(capable)/headsPerCell), (len(ids)+maxMixedCellSize-1)/maxMixedCellSize)
+	} else {
+		capable, constrained = nil, ids
+	}
 	split := make([][]spec.InstanceID, n)
-	for _, id := range ids {
+	for k, id := range rank.Top("cell", capable, len(capable)) {
+		split[k%n] = append(split[k%n], id)
+	}
+	for _, id := range constrained {
 		k := rank.Score("cell", id) % uint64(n)
 		split[k] = append(split[k], id)
 	}
@@ -87,7 +100,7 @@
 			continue
 		}
 		name := fmt.Sprintf("%s/%d", centre, k)
-		out = append(out, &cell{name: name, ranked: rank.Top("head "+name, members, len(members))})
+		out = append(out, &cell{name: name, ranked: l.rankByCapacity("head "+name, members, len(members))})
 	}
 	return out
 }
@@ -175,7 +188,11 @@
 // messages to another instance. The other head sends it only proof that it is alive and
 // the checkpoints of its tables.
 func (l *Logic) isPrimary(id spec.InstanceID) bool {
-	return l.layout.isFlat() || rank.IsFirst(string(id), l.layout.local.heads, l.ID)
+	if l.layout.isFlat() {
+		return true
+	}
+	top := l.rankByCapacity(string(id), l.layout.local.heads, 1)
+	return len(top) == 1 && top[0] == l.ID
 }
 
 // isPartner reports whether this instance exchanges messages with another one.
--- a/internal/fleet/mesh/duty.go
+++ b/internal/fleet/mesh/duty.go
@@ -1,10 +1,10 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"fulmarwick/internal/base/spec"
-	"fulmarwick/internal/fleet/rank"
 )
 
 const (
@@ -17,6 +17,9 @@
 	maxDutyRank = 3
 )
 
+// candidates are the instances that may hold a duty.
+type candidates struct{ capable, constrained []spec.InstanceID }
+
 // DutyRank returns the rank of this instance among the candidates for a duty: 0 is the
 // first. All instances that receive each other's messages agree on it. Only heads hold
 // duties.
@@ -40,12 +43,17 @@
 func (l *Logic) hasLostLinks() bool { return l.LinksLost != nil && l.LinksLost() }
 
 // rankAmong returns the rank of this instance among other candidates; l.mu is held.
-func (l *Logic) rankAmong(duty string, others []spec.InstanceID) int {
+func (l *Logic) rankAmong(duty string, others candidates) int {
 	if l.isFollower {
 		return maxDutyRank
 	}
-	ids := append([]spec.InstanceID{l.ID}, others...)
-	for i, id := range rank.Top(duty, ids, maxDutyRank) {
+	capable, constrained := slices.Clone(others.capable), slices.Clone(others.constrained)
+	if l.Constrained {
+		constrained = append(constrained, l.ID)
+	} else {
+		capable = append(capable, l.ID)
+	}
+	for i, id := range rankGroups(duty, capable, constrained, maxDutyRank) {
 		if id == l.ID {
 			return i
 		}
@@ -67,5 +75,6 @@
 	if place == 0 || l.lastSync < 0 || l.isLagging {
 		return false
 	}
-	return l.Now().Sub(l.start)-l.lastSync < maxReadAge*time.Duration(1+place)
+	now := l.Now().Sub(l.start)
+	return !l.isCutOff(now) && now-l.lastSync < maxReadAge*time.Duration(1+place)
 }
--- a/internal/fleet/mesh/lag.go
+++ b/internal/fleet/mesh/lag.go
@@ -12,6 +12,10 @@
 // and otherwise all instances would read the store whenever one starts.
 const lagTimeout = 900 * time.Millisecond
 
+// constrainedLagTimeout is the same for a constrained instance, which needs longer to read and parse a
+// large row.
+const constrainedLagTimeout = 500 * time.Millisecond
+
 // lag records that other instances know a table up to a version that this instance has
 // not reached.
 type lag struct {
@@ -20,6 +24,13 @@
 	reported bool
 }
 
+func (l *Logic) lagTimeout() time.Duration {
+	if l.Constrained {
+		return constrainedLagTimeout
+	}
+	return lagTimeout
+}
+
 // checkLag records the tables in which this instance lags behind others. That others
 // read the store does not mean that their changes arrived here: the instance that
 // should send them may be frozen, or the message may have been lost.
@@ -38,7 +49,7 @@
 			}
 			continue
 		}
-		if now-known.since < lagTimeout {
+		if now-known.since < l.lagTimeout() {
 			continue
 		}
 		lagging = true
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -57,6 +57,9 @@
 	// Starting reports whether this instance waits for the tables of others before it serves;
 	// nil if it never does.
 	Starting func() bool
+	// Constrained means that this instance has so little processor time or bandwidth that others
+	// should do the work for the fleet.
+	Constrained bool
 	// Now is the clock for callers outside of the ticks, such as SkipsStoreReads.
 	Now func() time.Time
 
@@ -64,6 +67,12 @@
 	sortedPeers []*peer
 	nextRound   time.Duration
 	lags        map[string]lag
+	// lastTick is when the last tick was.
+	lastTick time.Duration
+	// packed holds the packed rows that were last sent, by table.
+	packed map[string]packedRows
+	// hasConstrained means that some instances are constrained.
+	hasConstrained bool
 	// relayPending means that updates have to be relayed before the next round.
 	relayPending bool
 	// lagCheckedAt is when this instance last checked for missing changes.
@@ -90,14 +99,16 @@
 	maxPeers int
 	// isFollower means that this instance is no head and holds no duty.
 	isFollower bool
-	candidates []spec.InstanceID
+	candidates candidates
 	// linked are the candidates that reach upstreams.
-	linked    []spec.InstanceID
+	linked    candidates
 	neighbors []Neighbor
 	// index is the number of known instances whose ID is less than that of this one.
 	index    int
 	start    time.Time
 	lastSync time.Duration
+	// heardAt is when the last message of an instance arrived with which this one exchanges messages.
+	heardAt time.Duration
 	// isLagging means that other instances have known more for longer than lagTimeout.
 	isLagging bool
 }
@@ -146,6 +157,7 @@
 
 // Tick processes events and returns the messages to send.
 func (l *Logic) Tick(now time.Duration, events []node.Event) []node.Command {
+	l.excuseLateness(now)
 	l.handleEvents(now, events)
 	if l.lagCheckedAt == 0 || now-l.lagCheckedAt >= lagCheckInterval {
 		l.lagCheckedAt = now
@@ -197,6 +209,8 @@
 	}
 	p := l.ensurePeer(ev.From)
 	p.url, p.lastSeen, p.lastSync, p.isFormerVersion = m.URL, now, -1, len(m.Digests) == 0
+	p.excused = 0
+	l.setConstrained(p, m.Constrained)
 	if m.SyncAgeMs >= 0 && !p.isFormerVersion {
 		p.lastSync = max(0, now-time.Duration(m.SyncAgeMs)*time.Millisecond)
 	}
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -158,6 +158,8 @@
 	// engines is how many engines the members use together, besides the one that all
 	// use.
 	engines int
+	// network carries messages with a delay; nil delivers them before the next tick.
+	network *slowNetwork
 }
 
 func newFleet(n int) *fleet { return newNamedFleet(n, "i") }
@@ -208,14 +210,21 @@
 // tickAll ticks all members once. Their messages arrive before the next tick of the
 // receiver, in this step or the next one.
 func (f *fleet) tickAll(now time.Duration) {
+	if f.network != nil {
+		f.network.deliver(now)
+	}
 	for _, id := range f.ids() {
 		m := f.members[id]
-		if f.frozen[id] {
+		if f.frozen[id] || f.network != nil && f.network.isBusy(now, id) {
 			continue
 		}
 		events := f.inbox[id]
 		f.inbox[id] = nil
-		for _, c := range m.logic.Tick(now, events) {
+		commands := m.logic.Tick(now, events)
+		if f.network != nil {
+			f.network.work(now, id, events, commands)
+		}
+		for _, c := range commands {
 			s, ok := c.(node.Send)
 			if !ok || f.linkDown != nil && f.linkDown(id, s.To) || f.members[s.To] == nil || f.isDropped(id, s) {
 				continue
@@ -224,6 +233,10 @@
 			f.messagesSent[id]++
 			f.bytesSent[id] += len(s.Data)
 			f.bytesReceived[[2]spec.InstanceID{s.To, id}] += len(s.Data)
+			if f.network != nil {
+				f.network.send(now, id, s)
+				continue
+			}
 			f.inbox[s.To] = append(f.inbox[s.To], node.Received{From: id, Data: s.Data})
 		}
 	}
--- a/internal/fleet/mesh/message.go
+++ b/internal/fleet/mesh/message.go
@@ -63,6 +63,8 @@
 	// Known is what the sender knows of crashes and restrictions, for a receiver that has just
 	// joined. It is not passed on.
 	Known []crash.Event `cbor:"24,keyasint,omitempty"`
+	// Constrained means that the sender should not work for others.
+	Constrained bool `cbor:"25,keyasint,omitempty"`
 }
 
 // Scope is the set of instances whose requests a message describes.
@@ -88,6 +90,8 @@
 	Digest  uint64        `cbor:"5,keyasint,omitempty"`
 	// RelayTo are instances to which the receiver has to relay the changes.
 	RelayTo []spec.InstanceID `cbor:"6,keyasint,omitempty"`
+	// Packed replaces Rows where they are large and the receiver is constrained.
+	Packed []byte `cbor:"7,keyasint,omitempty"`
 }
 
 // checkpoint returns how much of a table the sender of a message knows; false if the
--- a/internal/fleet/mesh/peer.go
+++ b/internal/fleet/mesh/peer.go
@@ -49,6 +49,10 @@
 	isHead bool
 	// initiates means that the peer sends messages on its own, not only replies.
 	initiates bool
+	// isConstrained means that the peer should leave work for the fleet to others.
+	isConstrained bool
+	// excused is how much of its silence was put down to lateness of this instance.
+	excused time.Duration
 	// probedSince is since when the peer has been probed without a message from it.
 	probedSince time.Duration
 	// load is the last reported load of the peer's own requests; nil if it does not
@@ -84,6 +88,7 @@
 func (l *Logic) dropUnresponsive(now time.Duration) {
 	lastSync, index := time.Duration(-1), 0
 	var alive []spec.InstanceID
+	l.hasConstrained = l.Constrained || slices.ContainsFunc(l.peersByID(), func(p *peer) bool { return p.isConstrained })
 	for _, p := range l.peersByID() {
 		if p.alive && now-p.lastSeen >= peerTimeout {
 			p.alive = false
@@ -97,16 +102,21 @@
 			continue
 		}
 		lastSync = max(lastSync, p.lastSync)
-		if l.layout.isFlat() || p.isHead {
+		if (l.layout.isFlat() || p.isHead) && l.mayHoldDuties(now, p) {
 			alive = append(alive, p.id)
 		}
 	}
 	count, expected, neighbors := l.countInstances(now)-1, l.expectedPeers(now), l.linkedNeighbors()
 	linked := slices.DeleteFunc(slices.Clone(alive), func(id spec.InstanceID) bool { return l.peers[id].linksLost })
+	var all, reachUpstreams candidates
+	all.capable, all.constrained = l.splitByCapacity(alive)
+	reachUpstreams.capable, reachUpstreams.constrained = l.splitByCapacity(linked)
+	heardAt := l.lastHeard()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.maxPeers, l.index = expected, index
-	l.peerCount, l.candidates, l.linked, l.lastSync, l.isFollower = count, alive, linked, lastSync, !l.isHead()
+	l.peerCount, l.candidates, l.linked, l.lastSync, l.isFollower = count, all, reachUpstreams, lastSync, !l.isHead()
+	l.heardAt = heardAt
 	l.start, l.neighbors = l.Now().Add(-now), neighbors
 }
 
--- a/internal/fleet/mesh/roster.go
+++ b/internal/fleet/mesh/roster.go
@@ -20,6 +20,8 @@
 	DataCentre spec.DataCentre `cbor:"3,keyasint,omitempty"`
 	// Version is the version of the member's row in the roster.
 	Version spec.Revision `cbor:"4,keyasint,omitempty"`
+	// Constrained means that the member should leave work for the fleet to others.
+	Constrained bool `cbor:"5,keyasint,omitempty"`
 }
 
 // handleRoster records the addresses of instances from the store. An instance that
@@ -27,7 +29,7 @@
 func (l *Logic) handleRoster(ev node.DiscoveryList) {
 	l.rosterReceived = true
 	for _, p := range ev.Peers {
-		l.updateMember(Member{ID: p.ID, URL: p.URL, DataCentre: p.DataCentre, Version: p.Version}, true)
+		l.updateMember(Member{ID: p.ID, URL: p.URL, DataCentre: p.DataCentre, Version: p.Version, Constrained: p.Constrained}, true)
 	}
 }
 
@@ -46,6 +48,7 @@
 	}
 	p.url, p.version = m.URL, m.Version
 	l.setDataCentre(p, m.DataCentre)
+	l.setConstrained(p, m.Constrained)
 }
 
 // setDataCentre records the data centre of an instance.
@@ -84,10 +87,10 @@
 		return nil
 	}
 	p.rosterSentAt = now
-	out := []Member{{ID: l.ID, URL: l.URL, DataCentre: l.DataCentre, Version: l.version}}
+	out := []Member{{ID: l.ID, URL: l.URL, DataCentre: l.DataCentre, Version: l.version, Constrained: l.Constrained}}
 	for _, other := range l.peersByID() {
 		if other.url != "" {
-			out = append(out, Member{ID: other.id, URL: other.url, DataCentre: other.centre, Version: other.version})
+			out = append(out, Member{ID: other.id, URL: other.url, DataCentre: other.centre, Version: other.version, Constrained: other.isConstrained})
 		}
 	}
 	return out
--- a/internal/fleet/mesh/round.go
+++ b/internal/fleet/mesh/round.go
@@ -135,7 +135,7 @@
 
 func (l *Logic) newRound(now time.Duration, checkpoints map[string]feed.Checkpoint) *round {
 	m := Message{
-		LinksLost: l.hasLostLinks(), TakesRequests: l.TakesRequests != nil && l.TakesRequests(), Starting: l.isStarting(),
+		LinksLost: l.hasLostLinks(), TakesRequests: l.TakesRequests != nil && l.TakesRequests(), Starting: l.isStarting(), Constrained: l.Constrained,
 		URL: l.URL, DataCentre: l.DataCentre, Versions: map[string]spec.Revision{}, Digests: map[string]uint64{},
 		SyncAgeMs: l.Local.SyncAge().Milliseconds(), RosterDigest: l.digest(), RateLimits: l.Local.RateLimits(),
 	}
--- a/internal/fleet/mesh/spread.go
+++ b/internal/fleet/mesh/spread.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"fulmarwick/internal/base/spec"
-	"fulmarwick/internal/fleet/rank"
 	"fulmarwick/internal/state/feed"
 )
 
@@ -70,6 +69,10 @@
 	checkpoints := l.Local.Checkpoints()
 	for _, t := range tables {
 		before := checkpoints[t.Name]
+		if err := t.unpack(); err != nil {
+			// Rows of a faulty sender are not applied. This instance then lags behind and reads the store.
+			continue
+		}
 		l.Receiver.ReceiveRows(t.Name, t.Since, t.Rows, feed.Checkpoint{Version: t.Version, Digest: t.Digest}, from.id)
 		checkpoints = l.Local.Checkpoints()
 		if len(t.RelayTo) > 0 {
@@ -135,7 +138,7 @@
 			out[p.id] = append(out[p.id], l.tableFor(now, p, name, checkpoints[name]))
 		}
 		for _, group := range splitEvenly(due, fanout) {
-			relay := slices.MaxFunc(group, byLastSeen)
+			relay := slices.MaxFunc(group, byFitness)
 			t := l.tableFor(now, relay, name, checkpoints[name])
 			for _, p := range group {
 				if p != relay {
@@ -165,10 +168,18 @@
 	return relays, direct
 }
 
-// byLastSeen orders instances by their last message. The instance with the latest one
-// relays changes: a frozen or just ended instance sends nothing, and those that depend
-// on it would wait until they are updated again.
-func byLastSeen(a, b *peer) int { return cmp.Compare(a.lastSeen, b.lastSeen) }
+// byFitness orders instances by whether they are constrained, then by their last message. The
+// instance with the latest one relays changes: a frozen or just ended instance sends nothing, and
+// those that depend on it would wait until they are updated again.
+func byFitness(a, b *peer) int {
+	if a.isConstrained != b.isConstrained {
+		if a.isConstrained {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.lastSeen, b.lastSeen)
+}
 
 // peersToUpdate returns the instances that have to be updated for a table. For due
 // ones, neither this instance nor one that it asked to relay has sent the last change
@@ -241,7 +252,11 @@
 	}
 	since, page := l.Local.ChangesSince(name, since)
 	p.sentUpdates[name] = sentUpdate{version: local.Version, sentAt: now}
-	return Table{Name: name, Since: since, Version: local.Version, Digest: local.Digest, Rows: page.Rows}
+	t := Table{Name: name, Since: since, Version: local.Version, Digest: local.Digest, Rows: page.Rows}
+	if p.isConstrained {
+		l.pack(&t)
+	}
+	return t
 }
 
 // isUpdaterOf reports whether this instance is among the instances with the same
@@ -253,7 +268,7 @@
 			ids = append(ids, other.id)
 		}
 	}
-	return slices.Contains(rank.Top(string(p.id), ids, maxUpdaters), l.ID)
+	return slices.Contains(l.rankByCapacity(string(p.id), ids, maxUpdaters), l.ID)
 }
 
 // exchangesWith reports whether another instance exchanges messages with p.
--- a/internal/fleet/mesh/spread_test.go
+++ b/internal/fleet/mesh/spread_test.go
@@ -84,8 +84,11 @@
 	return p
 }
 
-// countRead counts a call and its rows.
-func (s *fakeStore) countRead(p feed.Page) {
+// countRead counts a call of a member and its rows.
+func (s *fakeStore) countRead(m *member, p feed.Page) {
+	if m.fleet.network != nil {
+		m.fleet.network.read(m.fleet.now, m.logic.ID, p)
+	}
 	s.reads++
 	for _, row := range p.Rows {
 		s.bytesRead += len(row.Value)
@@ -111,7 +114,7 @@
 	if !store.hasHistory(m.view.Version()) {
 		m.lastPoll, m.lastSync = now, now
 		p := store.since(0)
-		store.countRead(p)
+		store.countRead(m, p)
 		for _, row := range m.view.ApplySnapshot(p) {
 			m.changedVersions = map[string]spec.Revision{table: max(m.changedVersions[table], row.Version)}
 		}
@@ -122,7 +125,7 @@
 		return
 	}
 	m.lastPoll, m.lastSync = now, now
-	store.countRead(p)
+	store.countRead(m, p)
 	started := m.view.Version() == 0
 	for _, row := range m.view.ApplyChanges(m.view.Version(), p) {
 		if !started {
@@ -138,7 +141,8 @@
 		f.now = now
 		store.heartbeat()
 		for id, m := range f.members {
-			if !f.frozen[id] && f.storeAnswers(id) {
+			isBusy := f.network != nil && f.network.isBusy(now, id)
+			if !f.frozen[id] && !isBusy && f.storeAnswers(id) {
 				m.pollStore(now, store)
 			}
 		}
--- a/internal/fleet/node/api.go
+++ b/internal/fleet/node/api.go
@@ -25,6 +25,9 @@
 	// requests, because it is still catching up or is stopping. Only
 	// Members sets it.
 	Passive bool
+	// Constrained reports that the instance has too little processor time or bandwidth to work
+	// for others.
+	Constrained bool
 }
 
 // Event is an input of the logic.
