Wire: bytes without end of upstreams are bounded, in heads, skipped bodies, events and in sum

What was seen: a server that sends 64 MiB where a head is due is read to the end in 5 of 6 ways (header lines, one header, status line, no protocol, a body that is skipped). An instance of 136 MB is ended by its platform then. Events without an ID, or repeated ones, keep a stream until its deadline; a plain body may take 8 MiB for each request.

Cause: http.ReadResponse and Body.Close read as long as bytes come.

Now: package bound. A head has 64 KiB, also from peers, the store and engines' reports; a skipped body 1 MiB; an error body of an engine 1 MiB; events without an ID 64 KiB between two with one; a run may repeat what the caller has, once. Bodies in memory take a tenth of [limits] memory together (fulmarwick_body_bytes). The connection is closed, and the request ends as after a broken one.

Ruled out: a time limit alone; at 200 Mbit/s the second that a caller has is 25 MB.

Bodies of the store (4 MiB) and reports (1 MiB) had bounds already.

--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -10,6 +10,7 @@
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/state/lease"
+	"fulmarwick/internal/wire/bound"
 	"fulmarwick/internal/wire/client"
 	"fulmarwick/internal/wire/front"
 	"fulmarwick/internal/wire/relay"
@@ -66,6 +67,10 @@
 	i.connectParts()
 }
 
+// bodyMemoryShare is the part of the process's memory that bodies of upstreams may take together: one
+// tenth, so that upstreams whose bodies have no end can't use up the memory of a small instance.
+const bodyMemoryShare = 10
+
 // connectParts sets the callbacks between the parts.
 func (i *Instance) connectParts() {
 	ctx := context.Background()
@@ -97,10 +102,12 @@
 	i.passer.hub, i.passer.neighbors = i.mesh.hub, i.mesh.logic.Neighbors
 	i.mesh.hub.RequestServer = i.passer
 	codec := platform.HeaderCodec{}
+	memory := &bound.Memory{Max: i.Settings.Limits.Memory / bodyMemoryShare}
+	i.meters.NewGauge(`fulmarwick_body_bytes`, func() float64 { return float64(memory.Used()) })
 	i.server = &front.Server{
 		Dialect: codec, ConfigSource: i.state, LastCall: i.drainer.LastCall(), OnRequestEnd: i.recordEnd, OnReject: i.recordRejected, OnPanic: i.recordPanic,
-		PlainRunner: &relay.PlainRunner{Dialect: codec, Pool: i.pool, Upstreams: i.router, RetryBudget: i.router, Notices: i.router, CrashTracker: i.router, Peers: i.passer},
-		ModelRunner: &relay.ModelRunner{Dialect: codec, Pool: i.pool, Paths: i.router, RetryBudget: i.router, Notices: i.router, CrashTracker: i.router, Peers: i.passer},
+		PlainRunner: &relay.PlainRunner{Dialect: codec, Pool: i.pool, Upstreams: i.router, RetryBudget: i.router, Notices: i.router, CrashTracker: i.router, Peers: i.passer, Memory: memory},
+		ModelRunner: &relay.ModelRunner{Dialect: codec, Pool: i.pool, Paths: i.router, RetryBudget: i.router, Notices: i.router, CrashTracker: i.router, Peers: i.passer, Memory: memory},
 	}
 	i.passer.server = i.server
 }
@@ -143,9 +150,10 @@
 	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dial,
-			MaxIdleConnsPerHost: 4,
-			IdleConnTimeout:     10 * time.Second,
+			DialContext:            dial,
+			MaxIdleConnsPerHost:    4,
+			IdleConnTimeout:        10 * time.Second,
+			MaxResponseHeaderBytes: bound.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/wire/client/conn.go
+++ b/internal/wire/client/conn.go
@@ -2,7 +2,7 @@
 // Each request is written once and never retried automatically, and a response is
 // accepted only if it belongs to the request.
 //
-// It imports the standard library. Packages relay and edge use it for plain services
+// It imports wire/bound. Packages relay and edge use it for plain services
 // and for engines.
 package client
 
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"fulmarwick/internal/wire/bound"
+
 	"github.com/go-faster/errors"
 )
 
@@ -37,13 +39,15 @@
 	// maxSkippedResponses is how many responses to other requests are skipped on one
 	// connection before the connection is abandoned.
 	maxSkippedResponses = 3
+	// maxSkippedBytes limits the body of a response that is skipped.
+	maxSkippedBytes = 1 << 20
 )
 
 // Conn is a connection to an upstream. It serves one request at a time.
 type Conn struct {
 	Address string
 
-	conn      net.Conn
+	conn      *bound.Conn
 	reader    *bufio.Reader
 	reused    bool
 	idleSince time.Time
@@ -98,9 +102,11 @@
 
 // ReadResponse reads the status and headers of the response that accept returns true
 // for. A second response to an earlier request may precede the expected response; it is
-// skipped.
+// skipped. Bytes without end are ErrRead.
 func (c *Conn) ReadResponse(method string, accept func(*http.Response) bool) (*http.Response, error) {
+	defer c.conn.Unlimit()
 	for range maxSkippedResponses {
+		c.conn.Limit(bound.MaxHeadBytes)
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, errors.Wrap(ErrRead, err.Error())
@@ -114,6 +120,7 @@
 		if closesConn(resp) {
 			break
 		}
+		c.conn.Limit(maxSkippedBytes)
 		if err := resp.Body.Close(); err != nil {
 			break
 		}
@@ -132,7 +139,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	syscallConn, ok := c.conn.(syscall.Conn)
+	syscallConn, ok := c.conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -162,5 +169,6 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
-	return &Conn{Address: address, conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), idleSince: time.Now()}, nil
+	limited := &bound.Conn{Conn: conn}
+	return &Conn{Address: address, conn: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), idleSince: time.Now()}, nil
 }
--- a/internal/wire/events/events.go
+++ b/internal/wire/events/events.go
@@ -27,6 +27,10 @@
 // maxEventBytes limits the size of one event in bytes.
 const maxEventBytes = 64 << 10
 
+// maxUnnumberedBytes limits the events without an ID between two that have one, such as comments that
+// keep a connection open.
+const maxUnnumberedBytes = 64 << 10
+
 // Reader reads complete events from a stream.
 type Reader struct {
 	source *bufio.Reader
@@ -34,13 +38,17 @@
 	lastID int
 	// eventsRead is how many events were read, including skipped duplicates.
 	eventsRead int
+	// maxRepeated is how many events the run may still repeat: those that earlier runs delivered.
+	maxRepeated int
+	// unnumbered is how many bytes of events without an ID came since the last one with an ID.
+	unnumbered int
 	event      []byte
 }
 
 // NewReader returns a reader for the stream of one run. Events up to lastID are
 // skipped; size is the size of the buffer in bytes.
 func NewReader(body io.Reader, size, lastID int) *Reader {
-	return &Reader{source: bufio.NewReaderSize(body, size), lastID: lastID}
+	return &Reader{source: bufio.NewReaderSize(body, size), lastID: lastID, maxRepeated: lastID + 1}
 }
 
 // LastID returns the ID of the last event returned by Next.
@@ -71,10 +79,17 @@
 		}
 		r.eventsRead++
 		if !ok {
+			if r.unnumbered += len(r.event); r.unnumbered > maxUnnumberedBytes {
+				return nil, errors.Wrapf(ErrMalformed, "more than %d bytes of events without id", maxUnnumberedBytes)
+			}
 			return r.event, nil
 		}
+		r.unnumbered = 0
 		switch {
+		case id <= r.lastID && r.maxRepeated == 0:
+			return nil, errors.Wrapf(ErrMalformed, "event %d is repeated again", id)
 		case id <= r.lastID:
+			r.maxRepeated--
 			continue
 		case id > r.lastID+1:
 			return nil, errors.Wrapf(ErrOutOfOrder, "event %d after %d", id, r.lastID)
--- a/internal/wire/events/events_test.go
+++ b/internal/wire/events/events_test.go
@@ -99,3 +99,33 @@
 		}
 	})
 }
+
+// Guards against a stream of events that never goes on: events without an ID, or events that were
+// delivered before, keep a request and its caller for all of the time that they have.
+func TestStreamThatNeverGoesOnIsMalformed(t *testing.T) {
+	for name, test := range map[string]struct {
+		event  string
+		lastID int
+	}{
+		"no id":         {"data: x\n\n", 0},
+		"comments":      {": ping\n\n", 3},
+		"empty lines":   {"\n", 0},
+		"repeated":      {"id: 2\ndata: x\n\n", 3},
+		"repeated, new": {"id: 0\ndata: x\n\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := strings.NewReader(strings.Repeat(test.event, 100_000))
+			r := events.NewReader(source, 2<<10, test.lastID)
+			var err error
+			for err == nil {
+				_, err = r.Next()
+			}
+			if !errors.Is(err, events.ErrMalformed) {
+				t.Errorf("got %v, want malformed", err)
+			}
+			if read := int(source.Size()) - source.Len(); read > 72<<10 {
+				t.Errorf("got %d bytes read, want 72 KiB at most", read)
+			}
+		})
+	}
+}
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -10,6 +10,7 @@
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/wire/bound"
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/websocket"
@@ -200,7 +201,18 @@
 		return nil, errors.Wrap(ErrRefused, err.Error())
 	}
 	address.Scheme = "ws"
-	d := websocket.Dialer{Subprotocols: protocols(h.Low, h.High), NetDialContext: h.dialer()}
+	var limited *bound.Conn
+	dial := h.dialer()
+	d := websocket.Dialer{Subprotocols: protocols(h.Low, h.High), NetDialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		// The address may belong to another server by now, whose response has no end.
+		limited = &bound.Conn{Conn: conn}
+		limited.Limit(bound.MaxHeadBytes)
+		return limited, nil
+	}}
 	if h.client != nil {
 		address.Scheme = "wss"
 		d.TLSClientConfig = h.client.Clone()
@@ -223,6 +235,7 @@
 		_ = ws.Close()
 		return nil, errors.Wrapf(ErrRefused, "unsupported protocol %q", ws.Subprotocol())
 	}
+	limited.Unlimit()
 	return ws, nil
 }
 
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -119,7 +119,8 @@
 	if head.NotExecuted {
 		return errNotRun
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainBodyBytes))
+	body, release, err := c.runner.Memory.ReadAll(resp.Body, maxErrorBodyBytes)
+	context.AfterFunc(c.ctx, release)
 	if err != nil || !head.Sealed {
 		return errors.Wrap(client.ErrRead, "error response without complete body or seal")
 	}
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -9,6 +9,7 @@
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/state/feed"
+	"fulmarwick/internal/wire/bound"
 	"fulmarwick/internal/wire/client"
 
 	"github.com/go-faster/errors"
@@ -89,6 +90,8 @@
 	maxRefusalsPerRequest = 8
 	// eventBufferBytes is the size of the read buffer in bytes; it holds a few events.
 	eventBufferBytes = 2 << 10
+	// maxErrorBodyBytes limits the body of an engine's error response.
+	maxErrorBodyBytes = 1 << 20
 )
 
 // ModelRunner runs model requests. Set the exported fields before use.
@@ -102,6 +105,8 @@
 	CrashTracker CrashTracker
 	// Peers passes calls on that reach no engine from here; nil passes none on.
 	Peers Peers
+	// Memory limits the bodies that are in memory together; nil means no limit.
+	Memory *bound.Memory
 }
 
 // Do runs the call and forwards the answer to sink.
--- a/internal/wire/relay/plain.go
+++ b/internal/wire/relay/plain.go
@@ -9,6 +9,7 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
+	"fulmarwick/internal/wire/bound"
 	"fulmarwick/internal/wire/client"
 
 	"github.com/go-faster/errors"
@@ -66,6 +67,8 @@
 	CrashTracker CrashTracker
 	// Peers passes calls on that reach no upstream from here; nil passes none on.
 	Peers Peers
+	// Memory limits the bodies that are in memory together; nil means no limit.
+	Memory *bound.Memory
 }
 
 // ErrNoUpstream means that no upstream of a service can be used.
--- a/internal/wire/relay/send.go
+++ b/internal/wire/relay/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -63,13 +62,13 @@
 		result.err = err
 		return result
 	}
-	result.response, result.notRun, result.err = p.readResponse(conn, c, up, sentAt)
+	result.response, result.notRun, result.err = p.readResponse(ctx, conn, c, up, sentAt)
 	return result
 }
 
 // readResponse reads a response. The connection is reused if the response ended
-// properly.
-func (p *PlainRunner) readResponse(conn *client.Conn, c *Call, up site.Upstream, sentAt time.Time) (reply *Reply, notRun bool, err error) {
+// properly. The body counts as memory in use until ctx ends.
+func (p *PlainRunner) readResponse(ctx context.Context, conn *client.Conn, c *Call, up site.Upstream, sentAt time.Time) (reply *Reply, notRun bool, err error) {
 	resp, head, err := c.readResponse(p.Dialect, p.Notices, conn, up.ID, sentAt)
 	if err != nil {
 		conn.Close()
@@ -77,10 +76,11 @@
 	}
 	// If a part of the body is unread here, the connection is closed already.
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainBodyBytes+1))
-	if err != nil || len(body) > maxPlainBodyBytes {
+	body, release, err := p.Memory.ReadAll(resp.Body, maxPlainBodyBytes)
+	context.AfterFunc(ctx, release)
+	if err != nil {
 		conn.Close()
-		return nil, false, errors.Wrap(client.ErrRead, "response truncated or too long")
+		return nil, false, errors.Wrap(client.ErrRead, err.Error())
 	}
 	p.Pool.Release(conn, resp)
 	if head.Load != nil {
