Shed, edge: less urgent requests are refused while more urgent ones begin late

Ruled out: a share kept for each rank by its expected need. The late answers come before memory is short (277 late in seconds 8 and 9, none refused): engines are slow, not full; and such a share stays idle whenever a rank asks for less.

Now: package route/shed. A gate per model service counts, by rank, the requests whose answers began or did not begin within six tenths of their target. While more than one in ten of the more urgent ones are late it closes to the least urgent rank, within 0.75 s, then to the next, down to a quarter of each rank; it opens again in three seconds. Refused callers are told to return after 3 to 6 s, each at its own time. All instances see the same engines, so no message passes. Active only where the routes of a service, or teams, differ in rank. Metrics fulmarwick_gate_closed and fulmarwick_edge_requests_total{reason="more urgent requests are late"}; a log line when it closes and when it is open.

--- a/internal/app/edge/endpoints.go
+++ b/internal/app/edge/endpoints.go
@@ -166,7 +166,7 @@
 // scarcestLayerField returns a log field with the layer that has the least free KV memory,
 // for a request that was rejected for lack of capacity.
 func (i *Instance) scarcestLayerField(c *relay.Call, r relay.Reply) zap.Field {
-	if r.Reason != relay.ReasonNoCapacity && r.Reason != relay.ReasonReserved {
+	if r.Reason != relay.ReasonNoCapacity && r.Reason != relay.ReasonReserved && r.Reason != relay.ReasonLessUrgent {
 		return zap.Skip()
 	}
 	layer, free := i.router.scarcestLayer(c.Service.Name)
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -27,6 +27,7 @@
 func (i *Instance) initParts() {
 	s := i.Settings
 	i.meters = metrics.NewSet()
+	i.closedGates = map[string]bool{}
 	i.drainer = &halt.Drainer{Grace: s.Times.Grace, MaxAccept: maxAcceptAfterStop, KillAfter: s.Times.Kill, AfterClose: front.StoppingHandler{}, Log: i.Log}
 	i.state = newStateView(i.Log)
 	i.router = &router{
--- a/internal/app/edge/queue.go
+++ b/internal/app/edge/queue.go
@@ -7,6 +7,7 @@
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/queue"
+	"fulmarwick/internal/route/shed"
 	"fulmarwick/internal/wire/relay"
 
 	"github.com/go-faster/errors"
@@ -99,6 +100,9 @@
 		return nil, nil, nil, path.ErrNoPath
 	}
 	now := r.now()
+	if o.Kind == relay.RunFirst && !svc.gate.Admit(now, c.Urgency) {
+		return nil, nil, nil, shed.ErrLessUrgent
+	}
 	w := &waiter{call: c, options: o, lastErr: path.ErrNoMemory, result: make(chan admission, 1)}
 	if svc.queue.Len() == 0 || w.hasPartialAnswer() {
 		if run, ok := r.tryStart(svc, w); ok {
@@ -113,6 +117,7 @@
 		t.Urgency = resumedUrgency
 	}
 	if !svc.queue.Join(now, t, svc.teams.InFlight) {
+		svc.gate.RecordRefusal(now, c.Urgency)
 		return nil, nil, nil, w.lastErr
 	}
 	svc.waiters[t] = w
@@ -167,6 +172,7 @@
 		}
 	}
 	for _, t := range svc.queue.RemoveExpired(r.now(), svc.teams.InFlight) {
+		svc.gate.RecordRefusal(r.now(), svc.waiters[t].call.Urgency)
 		svc.resolve(t, admission{err: svc.waiters[t].lastErr})
 	}
 }
@@ -196,7 +202,12 @@
 func (r *router) RetryAfter(c *relay.Call) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.service(c.Service.Name).queue.RetryAfter(r.now(), time.Until(c.Deadline))
+	svc := r.service(c.Service.Name)
+	if svc.gate.Share(c.Urgency) < 1 {
+		// Callers take no longer time than a third of what they have left.
+		return min(svc.gate.RetryAfter(), time.Until(c.Deadline)/3)
+	}
+	return svc.queue.RetryAfter(r.now(), time.Until(c.Deadline))
 }
 
 // scarcestLayer returns the layer of a service with the least free KV memory, and the
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -19,6 +19,8 @@
 	"fulmarwick/internal/route/queue"
 	"fulmarwick/internal/route/resend"
 	"fulmarwick/internal/route/share"
+	"fulmarwick/internal/route/shed"
+	"fulmarwick/internal/wire/front"
 	"fulmarwick/internal/wire/relay"
 )
 
@@ -38,6 +40,8 @@
 	// runs holds the active runs of model requests.
 	runs  map[*relay.Run]*runState
 	teams share.Teams
+	// gate refuses less urgent requests while more urgent ones are late.
+	gate shed.Gate
 	// queue holds the requests that wait for capacity.
 	queue queue.Queue
 	// waiters maps the tickets in queue to their requests.
@@ -144,6 +148,7 @@
 		if s.Model == nil {
 			continue
 		}
+		svc.gate.SetRanks(front.Ranks(c, s.Name))
 		if svc.model == nil {
 			svc.model = &path.Table{Centre: r.centre, Random: rand.Float64, InBackoff: r.notices.InBackoff, IsLimited: r.isLimited, PeerCount: func() int { return r.retryBudgetSharers() - 1 }}
 		}
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -10,13 +10,16 @@
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/share"
+	"fulmarwick/internal/route/shed"
 	"fulmarwick/internal/wire/relay"
 )
 
 // runState holds how a run is currently counted in the table of engines.
 type runState struct {
-	team  string
-	chain spec.Chain
+	team string
+	// pending is the request of the run for the gate.
+	pending *shed.Pending
+	chain   spec.Chain
 	// born are the start times of the processes on chain.
 	born               []int64
 	awaitingFirstEvent bool
@@ -105,11 +108,16 @@
 	svc.model.Begin(chain, demand)
 	svc.model.RecordTransfer(r.now(), chain, demand)
 	r.takeStages(chain)
-	svc.runs[run] = &runState{team: c.Team, chain: chain, born: svc.startTimes(chain), awaitingFirstEvent: true}
+	svc.runs[run] = &runState{team: c.Team, pending: r.await(svc, c), chain: chain, born: svc.startTimes(chain), awaitingFirstEvent: true}
 	svc.teams.Begin(c.Team)
 	return run, nil
 }
 
+// await has the gate of a service watch whether the answer to a request begins in time; r.mu is held.
+func (r *router) await(svc *serviceState, c *relay.Call) *shed.Pending {
+	return svc.gate.Await(r.now()-time.Since(c.Start), c.Urgency, c.Route.TargetLatency)
+}
+
 // avoidFilter matches the engines on which a request failed before, whether as first
 // engine or not: any of them may be the cause.
 func avoidFilter(avoid []spec.UpstreamID) func(spec.UpstreamID) bool {
@@ -126,6 +134,7 @@
 	svc := r.service(run.Service)
 	if t := svc.runs[run]; t != nil && t.awaitingFirstEvent {
 		t.awaitingFirstEvent = false
+		svc.gate.RecordBegin(r.now(), t.pending)
 		svc.model.PrefillDone(t.chain, run.Demand)
 		svc.firstLatency += time.Duration(firstLatencyWeight * float64(time.Since(run.Start)-svc.firstLatency))
 	}
--- a/internal/app/edge/sweep.go
+++ b/internal/app/edge/sweep.go
@@ -6,6 +6,8 @@
 
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/state/feed"
+
+	"go.uber.org/zap"
 )
 
 // planLeaseDelay is how long after its start an instance does not contend for the planning
@@ -47,8 +49,40 @@
 			i.state.dropExpired(now)
 			i.router.dropUnusedEngines()
 			i.pool.CloseUnused(i.router.upstreamAddresses())
+			i.reportGates()
+		}
+	}
+}
+
+// reportGates updates the metrics of the gates, and logs each that begins to refuse less urgent
+// requests or is open again.
+func (i *Instance) reportGates() {
+	for _, g := range i.router.gates() {
+		i.meters.GetOrCreateGauge(`fulmarwick_gate_closed{service="`+g.service+`"}`, nil).Set(g.closed)
+		if isClosed := g.closed > 0; isClosed != i.closedGates[g.service] {
+			i.closedGates[g.service] = isClosed
+			i.Log.Info("edge: gate for less urgent requests", zap.String("service", g.service), zap.Bool("closing", isClosed), zap.Int("refused", g.refused))
+		}
+	}
+}
+
+// gateState is how far the gate of a service is closed, and how many requests it has refused.
+type gateState struct {
+	service string
+	closed  float64
+	refused int
+}
+
+// gates returns the states of the gates of services whose requests differ in rank.
+func (r *router) gates() (out []gateState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, svc := range r.services {
+		if svc.gate.IsActive() {
+			out = append(out, gateState{service: name, closed: svc.gate.Closed(r.now()), refused: svc.gate.Refused()})
 		}
 	}
+	return out
 }
 
 // readyAddresses returns the addresses of the upstreams that are ready.
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"fulmarwick/internal/base/site"
@@ -171,6 +172,22 @@
 	return c, 0, ""
 }
 
+// Ranks returns the ranks of the requests that a configuration sends to a service.
+func Ranks(config *site.Config, service string) []int {
+	var out []int
+	for _, route := range config.Routes {
+		if slices.ContainsFunc(route.Split, func(s site.Share) bool { return s.Service == service }) {
+			out = append(out, urgency(route.Priority))
+		}
+	}
+	for _, team := range config.Teams {
+		if team.Priority != nil {
+			out = append(out, urgency(*team.Priority))
+		}
+	}
+	return out
+}
+
 func urgency(priority int) int { return min(maxUrgency, max(0, priority)) }
 
 // requestTimeout returns the timeout of a request: that of the caller or of the route,
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -163,6 +163,7 @@
 	ReasonStopping                        // instance stops
 	ReasonRateLimited                     // rate limits of upstreams
 	ReasonQuarantined                     // upstreams ended under the request
+	ReasonLessUrgent                      // more urgent requests are late
 )
 
 // Reply is the final response to a call.
--- a/internal/wire/relay/final.go
+++ b/internal/wire/relay/final.go
@@ -5,6 +5,7 @@
 
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/share"
+	"fulmarwick/internal/route/shed"
 
 	"github.com/go-faster/errors"
 )
@@ -29,6 +30,8 @@
 		r.Reason = ReasonRateLimited
 	case errors.Is(err, share.ErrReserved):
 		r.Reason = ReasonReserved
+	case errors.Is(err, shed.ErrLessUrgent):
+		r.Reason = ReasonLessUrgent
 	}
 	if !r.MayHaveRun && r.Reason != ReasonCallerLeft {
 		r.RetryAfter = c.runner.Paths.RetryAfter(c.call)
--- a/internal/wire/relay/reason_string.go
+++ b/internal/wire/relay/reason_string.go
@@ -21,11 +21,12 @@
 	_ = x[ReasonStopping-10]
 	_ = x[ReasonRateLimited-11]
 	_ = x[ReasonQuarantined-12]
+	_ = x[ReasonLessUrgent-13]
 }
 
-const _Reason_name = "answeredno roomno upstreamrefused by upstreamsanswer losttimeoutcaller leftrequest crashes upstreamsroom kept for other teamsattempts used upinstance stopsrate limits of upstreamsupstreams ended under the request"
+const _Reason_name = "answeredno roomno upstreamrefused by upstreamsanswer losttimeoutcaller leftrequest crashes upstreamsroom kept for other teamsattempts used upinstance stopsrate limits of upstreamsupstreams ended under the requestmore urgent requests are late"
 
-var _Reason_index = [...]uint8{0, 8, 15, 26, 46, 57, 64, 75, 100, 125, 141, 155, 179, 212}
+var _Reason_index = [...]uint8{0, 8, 15, 26, 46, 57, 64, 75, 100, 125, 141, 155, 179, 212, 241}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
