Ahead, path: engines are chosen also by what other instances have probably sent since they reported

The operators' wish: what is known of an engine's load is a little old, and many instances choose at the same moment; engines are overrun in turns while others idle.

Switched by [balance] load = expected; the default is as before. No report more is read or sent.

--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fulmarwick/internal/app/halt"
+	"fulmarwick/internal/app/setup"
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/state/lease"
@@ -32,7 +33,7 @@
 	i.state = newStateView(i.Log)
 	i.router = &router{
 		centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
-		retryBounds: s.Retry, services: map[string]*serviceState{}, peerRetries: map[spec.InstanceID]peerRetryReport{}, stopped: make(chan struct{}),
+		retryBounds: s.Retry, expectLoad: s.Balance.Load == setup.LoadExpected, services: map[string]*serviceState{}, peerRetries: map[spec.InstanceID]peerRetryReport{}, stopped: make(chan struct{}),
 	}
 	i.pool = &client.Pool{DialTimeout: dialTimeout, Dial: i.Dial, OnDial: i.counter(`fulmarwick_connections_total`)}
 	i.store = &platform.Store{BaseURL: s.Platform.Table, HTTP: newHTTP(i.Dial, dialTimeout), UserAgent: s.Instance.Name, OnCall: i.countStoreCall, OnEra: i.handleStoreEra}
--- a/internal/app/edge/peers.go
+++ b/internal/app/edge/peers.go
@@ -31,6 +31,7 @@
 	defer r.mu.Unlock()
 	for name, svc := range r.services {
 		if svc.model != nil {
+			svc.model.RecordReport(r.now(), from, usage == nil)
 			svc.model.SetPeerUsage(from, usage[name])
 		}
 	}
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -91,6 +91,10 @@
 	// isDead probes a suspect engine again and reports whether it is dead.
 	isDead func(context.Context, site.Upstream) bool
 
+	// expectLoad means that engines are chosen also by what other instances are expected to have
+	// sent.
+	expectLoad bool
+
 	mu          sync.Mutex
 	retryBounds setup.Retry
 	services    map[string]*serviceState
@@ -150,7 +154,7 @@
 		}
 		svc.gate.SetRanks(front.Ranks(c, s.Name))
 		if svc.model == nil {
-			svc.model = &path.Table{Centre: r.centre, Random: rand.Float64, InBackoff: r.notices.InBackoff, IsLimited: r.isLimited, PeerCount: func() int { return r.retryBudgetSharers() - 1 }}
+			svc.model = &path.Table{Centre: r.centre, Random: rand.Float64, InBackoff: r.notices.InBackoff, IsLimited: r.isLimited, PeerCount: func() int { return r.retryBudgetSharers() - 1 }, ExpectLoad: r.expectLoad}
 		}
 		if s.Model.Equal(svc.model.Model) {
 			// Most changes don't affect the model. A new model makes the planner place
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -106,6 +106,7 @@
 	run.Request, run.Service, run.Route, run.Demand = c.ParsedHeader.ID, svc.name, c.Route.Name, demand
 	run.Resumable, run.Suspects, run.Deadline, run.HasSpareAttempt = c.Route.Resumable, c.Suspects(), c.Deadline, o.HasSpareAttempt
 	svc.model.Begin(chain, demand)
+	svc.model.RecordSent(r.now(), chain, demand)
 	svc.model.RecordTransfer(r.now(), chain, demand)
 	r.takeStages(chain)
 	svc.runs[run] = &runState{team: c.Team, pending: r.await(svc, c), chain: chain, born: svc.startTimes(chain), awaitingFirstEvent: true}
--- a/internal/app/setup/value.go
+++ b/internal/app/setup/value.go
@@ -178,6 +178,16 @@
 	return fmt.Sprintf("%q is none of datacentre, region", value)
 }
 
+func loadChoice(p *parser, value string) string {
+	for l := LoadReported; l <= LoadExpected; l++ {
+		if l.String() == value {
+			p.out.Balance.Load = l
+			return ""
+		}
+	}
+	return fmt.Sprintf("%q is none of reported, expected", value)
+}
+
 func goalChoice(p *parser, value string) string {
 	for g := GoalThroughput; g <= GoalRecovery; g++ {
 		if g.String() == value {
--- a/internal/route/path/choose.go
+++ b/internal/route/path/choose.go
@@ -7,6 +7,7 @@
 
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/ahead"
 
 	"github.com/go-faster/errors"
 )
@@ -72,13 +73,41 @@
 
 // Choose returns the path over all layers with the lowest predicted cost.
 func (t *Table) Choose(now time.Duration, d Demand, avoid func(spec.UpstreamID) bool) (spec.Chain, error) {
-	c, err := t.Find(Query{Demand: d, Now: now, To: t.Model.Layers, Avoid: avoid, CentreBefore: t.Centre, CentreAfter: t.Centre})
+	q := Query{Demand: d, Now: now, To: t.Model.Layers, Avoid: avoid, CentreBefore: t.Centre, CentreAfter: t.Centre}
+	c, err := t.findAmongSome(q)
+	if err != nil {
+		c, err = t.Find(q)
+	}
 	if err == nil && !d.Resumed && t.PredictFirstEvent(c, d) > maxFirstEventLatency {
 		return nil, ErrOverloaded
 	}
 	return c, err
 }
 
+// errAllNeeded means that a path is to be searched among all engines.
+var errAllNeeded = errors.New("path: all engines are needed")
+
+// findAmongSome searches a path without some engines left out at random, so that instances with the same
+// reports choose differently. A stream that continues is not limited in its choice.
+func (t *Table) findAmongSome(q Query) (spec.Chain, error) {
+	if !t.ExpectLoad || q.Resumed || t.Random == nil {
+		return nil, errAllNeeded
+	}
+	left := map[spec.UpstreamID]bool{}
+	for _, e := range t.engines {
+		if t.Random() < ahead.LeaveOutShare {
+			left[e.upstream.ID] = true
+		}
+	}
+	avoid := q.Avoid
+	q.Avoid = func(id spec.UpstreamID) bool { return left[id] || avoid != nil && avoid(id) }
+	c, err := t.Find(q)
+	if err == nil && t.PredictFirstEvent(c, q.Demand) > maxFirstEventLatency {
+		return nil, errAllNeeded
+	}
+	return c, err
+}
+
 // allows reports whether an engine may be part of the path of a query.
 func (t *Table) allows(q *Query, e *engine) bool {
 	held := e.upstream.Held.Layers
--- a/internal/route/path/cost.go
+++ b/internal/route/path/cost.go
@@ -108,6 +108,9 @@
 	if peak > limit {
 		return 0, false
 	}
+	// Whether a request fits is decided by what is known. What is expected only makes other engines
+	// preferable.
+	current.add(t.expected(now, e))
 	share := float64(layers) / float64(t.Model.Layers)
 	generate := float64(d.Answer) * t.passTime(e, current, 1)
 	pendingPrefill := current.PendingPrefill + t.unreportedPrefill(now, e)
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -12,6 +12,7 @@
 
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/ahead"
 )
 
 // engine is a row of the table.
@@ -38,6 +39,8 @@
 	// retryPrefill is the part of local.PendingPrefill that is read again for resumed
 	// streams.
 	retryPrefill int
+	// sent is what this instance has sent to the engine of late.
+	sent ahead.Sent
 	// remote is the usage by requests of other instances.
 	remote   Usage
 	leftover leftover
@@ -68,7 +71,11 @@
 	// IsLimited reports whether the rate limit of an engine leaves no room for a request at
 	// present; nil means that none has a limit.
 	IsLimited func(id spec.UpstreamID) bool
+	// ExpectLoad adds what other instances are expected to have sent to engines since they
+	// reported, and leaves out some engines at random.
+	ExpectLoad bool
 
+	reports       ahead.Reports
 	engines       []*engine
 	byID          map[spec.UpstreamID]*engine
 	peerUsage     map[spec.InstanceID]map[spec.UpstreamID]Usage
@@ -133,6 +140,11 @@
 	return t.PeerCount()
 }
 
+// RecordReport records that another instance reported its usage, or that it is gone.
+func (t *Table) RecordReport(now time.Duration, from spec.InstanceID, gone bool) {
+	t.reports.Record(now, from, gone)
+}
+
 // SetPeerUsage sets the usage by requests of another instance; nil removes it.
 func (t *Table) SetPeerUsage(from spec.InstanceID, usages map[spec.UpstreamID]Usage) {
 	if t.peerUsage == nil {
--- a/internal/route/path/usage.go
+++ b/internal/route/path/usage.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"time"
 
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/ahead"
 )
 
 // Usage is what requests occupy on an engine.
@@ -79,6 +81,29 @@
 // Begin adds the usage of a request that still reads its prompt on a chain.
 func (t *Table) Begin(c spec.Chain, d Demand) { t.adjustUsage(c, d, true, 1) }
 
+// RecordSent records that this instance sends a request over a chain, so that it expects others to do
+// the same.
+func (t *Table) RecordSent(now time.Duration, c spec.Chain, d Demand) {
+	if !t.ExpectLoad {
+		return
+	}
+	for _, s := range c {
+		if e := t.byID[s.Engine()]; e != nil {
+			u := d.usage(s.Layers().Len(), true)
+			e.sent.Add(now, t.reports.Interval(), ahead.Load{Streams: float64(u.Streams), Cells: float64(u.Cells), Prefill: float64(u.PendingPrefill)})
+		}
+	}
+}
+
+// expected returns the usage of an engine that other instances have not reported yet.
+func (t *Table) expected(now time.Duration, e *engine) Usage {
+	if !t.ExpectLoad {
+		return Usage{}
+	}
+	l := e.sent.ByOthers(now, t.reports.Interval(), t.peerCount())
+	return Usage{Streams: int(l.Streams), Cells: int(l.Cells), PendingPrefill: int(l.Prefill)}
+}
+
 // PrefillDone records that the prompt of a request has been read.
 func (t *Table) PrefillDone(c spec.Chain, d Demand) {
 	t.adjustUsage(c, d, true, -1)
--- a/internal/route/shed/shed.go
+++ b/internal/route/shed/shed.go
@@ -30,19 +30,19 @@
 	bucketTime    = 250 * time.Millisecond
 	// minSamples is how many more urgent requests must have begun in the window to judge them.
 	minSamples = 4
-	// maxLateShare is the share of late ones among more urgent requests above which a gate closes.
-	// Callers are promised nine in ten.
-	maxLateShare = 0.1
+	// maxLateShare is the share of late ones among more urgent requests above which a gate closes. A
+	// few are late after each death of an engine, which no refusal of others mends.
+	maxLateShare = 0.2
 	// openLateShare is the share below which it opens: the gap keeps it from swinging with single
 	// requests.
-	openLateShare = 0.04
+	openLateShare = 0.1
 	// lateFraction is the fraction of its target after which a request whose answer has not begun
 	// counts as late: the gate has to close before callers are served late.
-	lateFraction = 0.6
+	lateFraction = 0.5
 	// closeStep and openStep are by how much of a rank a gate closes and opens in a bucket. It closes
 	// within a second, as answers of a flood take several, and opens more slowly than answers end.
 	closeStep = 0.34
-	openStep  = 0.08
+	openStep  = 0.16
 	// minShare is the share of a rank that is always admitted, so that its callers are not starved.
 	minShare = 0.25
 	// minRetryAfter and maxRetryAfter limit the time after which callers return: a rank is open again
