--- a/internal/wire/peer/proxy_test.go
+++ b/internal/wire/peer/proxy_test.go
@@ -162,7 +162,9 @@
 			t.Errorf("got %d frames after the one that filled the queue, want the cancellation", got)
 		}
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			t.Errorf("got %v at the end, want none", err)
+		}
 	})
 }
 
