Site, front: the priority of a route decides among requests of teams with the same priority

Now: where the stream routes of a model service differ in priority, requests are ranked by the team's priority first, then by the route's; engines get that rank as urgency. The gate refuses by the route's priority, and requests of teams that take precedence last. Where the routes have one priority, as in all earlier deployments, urgency is as before and the gate is off.

--- a/internal/app/edge/queue.go
+++ b/internal/app/edge/queue.go
@@ -100,7 +100,7 @@
 		return nil, nil, nil, path.ErrNoPath
 	}
 	now := r.now()
-	if o.Kind == relay.RunFirst && !svc.gate.Admit(now, c.Urgency) {
+	if o.Kind == relay.RunFirst && !svc.gate.Admit(now, c.ShedRank) {
 		return nil, nil, nil, shed.ErrLessUrgent
 	}
 	w := &waiter{call: c, options: o, lastErr: path.ErrNoMemory, result: make(chan admission, 1)}
@@ -117,7 +117,7 @@
 		t.Urgency = resumedUrgency
 	}
 	if !svc.queue.Join(now, t, svc.teams.InFlight) {
-		svc.gate.RecordRefusal(now, c.Urgency)
+		svc.gate.RecordRefusal(now, c.ShedRank)
 		return nil, nil, nil, w.lastErr
 	}
 	svc.waiters[t] = w
@@ -172,7 +172,7 @@
 		}
 	}
 	for _, t := range svc.queue.RemoveExpired(r.now(), svc.teams.InFlight) {
-		svc.gate.RecordRefusal(r.now(), svc.waiters[t].call.Urgency)
+		svc.gate.RecordRefusal(r.now(), svc.waiters[t].call.ShedRank)
 		svc.resolve(t, admission{err: svc.waiters[t].lastErr})
 	}
 }
@@ -203,7 +203,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	svc := r.service(c.Service.Name)
-	if svc.gate.Share(c.Urgency) < 1 {
+	if svc.gate.Share(c.ShedRank) < 1 {
 		// Callers take no longer time than a third of what they have left.
 		return min(svc.gate.RetryAfter(), time.Until(c.Deadline)/3)
 	}
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -20,7 +20,6 @@
 	"fulmarwick/internal/route/resend"
 	"fulmarwick/internal/route/share"
 	"fulmarwick/internal/route/shed"
-	"fulmarwick/internal/wire/front"
 	"fulmarwick/internal/wire/relay"
 )
 
@@ -152,7 +151,7 @@
 		if s.Model == nil {
 			continue
 		}
-		svc.gate.SetRanks(front.Ranks(c, s.Name))
+		svc.gate.SetRanks(c.ShedRanks(s.Name))
 		if svc.model == nil {
 			svc.model = &path.Table{Centre: r.centre, Random: rand.Float64, InBackoff: r.notices.InBackoff, IsLimited: r.isLimited, PeerCount: func() int { return r.retryBudgetSharers() - 1 }, ExpectLoad: r.expectLoad}
 		}
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -116,7 +116,7 @@
 
 // await has the gate of a service watch whether the answer to a request begins in time; r.mu is held.
 func (r *router) await(svc *serviceState, c *relay.Call) *shed.Pending {
-	return svc.gate.Await(r.now()-time.Since(c.Start), c.Urgency, c.Route.TargetLatency)
+	return svc.gate.Await(r.now()-time.Since(c.Start), c.ShedRank, c.Route.TargetLatency)
 }
 
 // avoidFilter matches the engines on which a request failed before, whether as first
--- a/internal/base/site/site.go
+++ b/internal/base/site/site.go
@@ -110,6 +110,8 @@
 	routesByHost   map[string][]*Route
 	servicesByName map[string]*Service
 	teamsByKey     map[string]*Team
+	// ranks holds the ranks of the requests to model services whose routes differ in priority.
+	ranks map[string]*ranks
 }
 
 // Index builds the lookup tables for Match, Service and TeamByKey. It must be called once,
@@ -126,8 +128,16 @@
 	for _, routes := range c.routesByHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	c.ranks = map[string]*ranks{}
 	for i := range c.Services {
-		c.servicesByName[c.Services[i].Name] = &c.Services[i]
+		s := &c.Services[i]
+		c.servicesByName[s.Name] = s
+		if s.Model == nil {
+			continue
+		}
+		if k := c.newRanks(s.Name); k != nil {
+			c.ranks[s.Name] = k
+		}
 	}
 	for i := range c.Teams {
 		for _, key := range c.Teams[i].Keys {
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -9,7 +9,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"fulmarwick/internal/base/site"
@@ -57,8 +56,6 @@
 	firstConfigTimeout = 400 * time.Millisecond
 	// bodyReadTimeout limits the time for reading a body.
 	bodyReadTimeout = 15 * time.Second
-	// maxUrgency is the highest rank number that engines accept, the least urgent.
-	maxUrgency = 9
 )
 
 // Server is the HTTP handler for callers. Set the exported fields before use.
@@ -147,21 +144,19 @@
 	if err != nil {
 		return nil, http.StatusBadRequest, err.Error()
 	}
-	c = &relay.Call{ParsedHeader: parsed, Route: route, Start: start, ConfigVersion: config.Version, Urgency: urgency(route.Priority)}
+	c = &relay.Call{ParsedHeader: parsed, Route: route, Start: start, ConfigVersion: config.Version}
+	var team *site.Team
 	if config.RequiresKey() && !route.AuthExempt {
-		team := config.TeamByKey(parsed.Key)
-		if team == nil {
+		if team = config.TeamByKey(parsed.Key); team == nil {
 			return nil, http.StatusUnauthorized, "unknown key"
 		}
 		c.Team = team.Name
-		if team.Priority != nil {
-			c.Urgency = urgency(*team.Priority)
-		}
 	}
 	c.Service = config.Service(pickService(route.Split))
 	if c.Service == nil {
 		return nil, http.StatusServiceUnavailable, "the route's service is not known"
 	}
+	c.Urgency, c.ShedRank = config.Urgency(c.Service.Name, route, team), config.ShedRank(c.Service.Name, route, team)
 	c.Deadline = start.Add(requestTimeout(parsed.Timeout, route.Timeout))
 	if route.EventTimeout > 0 {
 		c.FirstEventDeadline = start.Add(route.EventTimeout)
@@ -172,24 +167,6 @@
 	return c, 0, ""
 }
 
-// Ranks returns the ranks of the requests that a configuration sends to a service.
-func Ranks(config *site.Config, service string) []int {
-	var out []int
-	for _, route := range config.Routes {
-		if slices.ContainsFunc(route.Split, func(s site.Share) bool { return s.Service == service }) {
-			out = append(out, urgency(route.Priority))
-		}
-	}
-	for _, team := range config.Teams {
-		if team.Priority != nil {
-			out = append(out, urgency(*team.Priority))
-		}
-	}
-	return out
-}
-
-func urgency(priority int) int { return min(maxUrgency, max(0, priority)) }
-
 // requestTimeout returns the timeout of a request: that of the caller or of the route,
 // whichever is shorter.
 func requestTimeout(callerTimeout, routeTimeout time.Duration) time.Duration {
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -35,6 +35,9 @@
 	Team         string
 	// Urgency is the priority rank of the request; 0 is the most urgent.
 	Urgency int
+	// ShedRank is the rank by which the request may be refused in favour of more urgent ones; 0 is
+	// refused last.
+	ShedRank int
 
 	Method string
 	Path   string
