Events, stand-in: events without an ID reach callers only with the next one that has an ID

What was seen: the stand-in learns answers without end (FramingEndless).

Now: on routes that may be resumed, where events have IDs, they are held back until the next event with one or the end of the stream, and dropped if the stream breaks off.

--- a/internal/app/edge/framing_test.go
+++ b/internal/app/edge/framing_test.go
@@ -79,3 +79,23 @@
 	}
 	return a.status == http.StatusOK && a.err == nil
 }
+
+// Guards against upstreams that send bytes without end in a body or a stream: their callers must get true
+// answers, and the instance must not read all of it.
+func TestEndlessAnswersAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 4)
+		defer time.Sleep(inmem.ConnectTimeout)
+		defer f.close()
+		var answers atomic.Int64
+		f.site.SetFraming(func() stand.Framing {
+			if answers.Add(1)%10 == 0 {
+				return stand.FramingEndless
+			}
+			return stand.FramingChunked
+		})
+		if whole, sent := f.sendFramed(); whole < sent*9/10 {
+			t.Errorf("got %d of %d requests served, want nine in ten", whole, sent)
+		}
+	})
+}
--- a/internal/wire/events/events.go
+++ b/internal/wire/events/events.go
@@ -33,6 +33,10 @@
 
 // Reader reads complete events from a stream.
 type Reader struct {
+	// HoldUnnumbered has events without an ID returned only with the next event that has one, or at
+	// the end of a complete stream: what comes before a stream breaks off may be no part of it.
+	HoldUnnumbered bool
+
 	source *bufio.Reader
 	// lastID is the ID of the last event returned.
 	lastID int
@@ -42,7 +46,9 @@
 	maxRepeated int
 	// unnumbered is how many bytes of events without an ID came since the last one with an ID.
 	unnumbered int
-	event      []byte
+	// held are the events that are held back.
+	held  []byte
+	event []byte
 }
 
 // NewReader returns a reader for the stream of one run. Events up to lastID are
@@ -71,19 +77,24 @@
 func (r *Reader) Next() ([]byte, error) {
 	for {
 		if err := r.readEvent(); err != nil {
-			return nil, err
+			return r.release(err)
 		}
 		id, ok, err := eventID(r.event)
 		if err != nil {
 			return nil, err
 		}
-		r.eventsRead++
 		if !ok {
 			if r.unnumbered += len(r.event); r.unnumbered > maxUnnumberedBytes {
 				return nil, errors.Wrapf(ErrMalformed, "more than %d bytes of events without id", maxUnnumberedBytes)
 			}
+			if r.HoldUnnumbered {
+				r.held = append(r.held, r.event...)
+				continue
+			}
+			r.eventsRead++
 			return r.event, nil
 		}
+		r.eventsRead++
 		r.unnumbered = 0
 		switch {
 		case id <= r.lastID && r.maxRepeated == 0:
@@ -95,10 +106,24 @@
 			return nil, errors.Wrapf(ErrOutOfOrder, "event %d after %d", id, r.lastID)
 		}
 		r.lastID = id
+		if len(r.held) > 0 {
+			r.event = append(r.held, r.event...)
+			r.held = nil
+		}
 		return r.event, nil
 	}
 }
 
+// release returns the events that are held back at the end of a complete stream, and err otherwise.
+func (r *Reader) release(err error) ([]byte, error) {
+	if !errors.Is(err, io.EOF) || len(r.held) == 0 {
+		return nil, err
+	}
+	held := r.held
+	r.held = nil
+	return held, nil
+}
+
 func (r *Reader) readEvent() error {
 	r.event = r.event[:0]
 	for {
--- a/internal/wire/events/events_test.go
+++ b/internal/wire/events/events_test.go
@@ -129,3 +129,30 @@
 		})
 	}
 }
+
+// Guards against bytes that are no part of a stream and come before it breaks off: they must not be
+// forwarded. Events without an ID inside a complete stream must be.
+func TestUnnumberedEventsAreHeldBack(t *testing.T) {
+	for name, test := range map[string]struct {
+		stream, want string
+		complete     bool
+	}{
+		"between": {newEvent(1) + ": ping\n\n" + newEvent(2), newEvent(1) + ": ping\n\n" + newEvent(2), true},
+		"last":    {newEvent(1) + "data: end\n\n", newEvent(1) + "data: end\n\n", true},
+		"broken":  {newEvent(1) + "data: x\n\ndata: y", newEvent(1), false},
+		"endless": {newEvent(1) + strings.Repeat("data: x\n\n", 20_000), newEvent(1), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := events.NewReader(strings.NewReader(test.stream), bufferBytes, 0)
+			r.HoldUnnumbered = true
+			var got strings.Builder
+			event, err := r.Next()
+			for ; err == nil; event, err = r.Next() {
+				got.Write(event)
+			}
+			if got.String() != test.want || errors.Is(err, io.EOF) != test.complete {
+				t.Errorf("got %q and %v, want %q, complete %t", got.String(), err, test.want, test.complete)
+			}
+		})
+	}
+}
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -132,6 +132,7 @@
 // forwardEvents forwards the events of a run to the caller.
 func (c *modelCall) forwardEvents(run *Run, resp *http.Response) error {
 	r := events.NewReader(resp.Body, eventBufferBytes, c.lastEventID)
+	r.HoldUnnumbered = c.call.Route.Resumable
 	survived := false
 	for {
 		event, err := r.Next()
