--- a/internal/route/shed/shed.go
+++ b/internal/route/shed/shed.go
@@ -43,8 +43,9 @@
 	// within a second, as answers of a flood take several, and opens more slowly than answers end.
 	closeStep = 0.34
 	openStep  = 0.16
-	// minShare is the share of a rank that is always admitted, so that its callers are not starved.
-	minShare = 0.25
+	// minShare is the share of a rank that is always admitted: callers of no rank may be served less than
+	// a quarter as often as all, and some of these fail for other reasons.
+	minShare = 0.33
 	// minRetryAfter and maxRetryAfter limit the time after which callers return: a rank is open again
 	// after about three seconds at the earliest.
 	minRetryAfter = 3 * time.Second
