--- a/internal/fleet/mesh/slow_test.go
+++ b/internal/fleet/mesh/slow_test.go
@@ -7,8 +7,11 @@
 	"time"
 
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/fleet/mesh"
 	"fulmarwick/internal/fleet/node"
 	"fulmarwick/internal/state/feed"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Resources of the instances of a fleet in which most are small: share of a core that callers'
@@ -212,3 +215,46 @@
 		}
 	}
 }
+
+// Guards against a small instance that takes others for lost after it was late itself, while their
+// messages wait to be read. One that hears nothing for longer must still notice.
+func TestOwnLatenessIsNotSilenceOfOthers(t *testing.T) {
+	for _, constrained := range []bool{false, true} {
+		f := newFleet(3)
+		m := f.members["i0"]
+		m.logic.Constrained = constrained
+		f.run(0, time.Second)
+		f.linkDown = func(_, to spec.InstanceID) bool { return to == "i0" }
+		f.frozen["i0"] = true
+		f.run(time.Second, 2600*time.Millisecond)
+		f.frozen["i0"] = false
+		f.run(2600*time.Millisecond, 2700*time.Millisecond)
+		if got := len(m.joined) == 2; got != constrained {
+			t.Errorf("constrained %t: got %d others joined after a pause of 1.6s, want all only if it is constrained", constrained, len(m.joined))
+		}
+		f.run(2700*time.Millisecond, 6*time.Second)
+		if len(m.joined) != 0 {
+			t.Errorf("constrained %t: got %d others joined after 3.4s without a message, want none", constrained, len(m.joined))
+		}
+	}
+}
+
+// Guards against packed rows that are applied in part or take the memory of an instance.
+func TestBadPackedRowsAreIgnored(t *testing.T) {
+	f := newFleet(2)
+	f.run(0, time.Second)
+	m := f.members["i0"]
+	for name, packed := range map[string][]byte{"not compressed": []byte("rows"), "cut": {0x4b, 0x04}} {
+		data, err := cbor.Marshal(mesh.Message{
+			URL: "http://i1", Digests: map[string]uint64{table: 1}, Versions: map[string]spec.Revision{table: 9},
+			Tables: []mesh.Table{{Name: table, Version: 9, Digest: 1, Packed: packed}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.logic.Tick(f.now, []node.Event{node.Received{From: "i1", Data: data}})
+		if got := m.view.Version(); got != 0 || m.tablesReceived != 0 {
+			t.Errorf("%s: got version %d and %d tables, want none", name, got, m.tablesReceived)
+		}
+	}
+}
