Shed: requests of long ago do not close a gate; a quarter of a rank is always admitted again

The counts of the last two seconds stayed after a time without any request, and closed the gate at the next one (TestOldRequestsDoNotCloseGate fails on the former code).

--- a/internal/route/shed/shed.go
+++ b/internal/route/shed/shed.go
@@ -44,8 +44,8 @@
 	closeStep = 0.34
 	openStep  = 0.16
 	// minShare is the share of a rank that is always admitted: callers of no rank may be served less than
-	// a quarter as often as all, and some of these fail for other reasons.
-	minShare = 0.33
+	// a quarter as often as all.
+	minShare = 0.25
 	// minRetryAfter and maxRetryAfter limit the time after which callers return: a rank is open again
 	// after about three seconds at the earliest.
 	minRetryAfter = 3 * time.Second
@@ -167,8 +167,9 @@
 func (g *Gate) advance(now time.Duration) {
 	newest := int64(now / bucketTime)
 	if skipped := newest - g.current - windowBuckets; skipped > 0 {
-		g.closed = max(0, g.closed-openStep*float64(skipped))
-		g.current += skipped
+		g.closed = max(0, g.closed-openStep*float64(skipped+windowBuckets))
+		g.current = newest
+		clear(g.buckets[:])
 	}
 	for g.current < newest {
 		g.adjust()
--- a/internal/route/shed/shed_test.go
+++ b/internal/route/shed/shed_test.go
@@ -181,3 +181,17 @@
 		}
 	}
 }
+
+// Guards against a gate that closes on requests of long ago, after a time without any.
+func TestOldRequestsDoNotCloseGate(t *testing.T) {
+	var g shed.Gate
+	g.SetRanks([]int{0, 2})
+	for range 20 {
+		g.RecordRefusal(time.Second, 0)
+	}
+	for now := time.Minute; now < 65*time.Second; now += 50 * time.Millisecond {
+		if !g.Admit(now, 2) {
+			t.Fatalf("got a request refused at %s, want all admitted a minute after the last late one", now)
+		}
+	}
+}
