--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -33,7 +33,7 @@
 	i.state = newStateView(i.Log)
 	i.router = &router{
 		centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
-		retryBounds: s.Retry, expectLoad: s.Balance.Load == setup.LoadExpected, services: map[string]*serviceState{}, peerRetries: map[spec.InstanceID]peerRetryReport{}, stopped: make(chan struct{}),
+		retryBounds: s.Retry, services: map[string]*serviceState{}, peerRetries: map[spec.InstanceID]peerRetryReport{}, stopped: make(chan struct{}),
 	}
 	i.pool = &client.Pool{DialTimeout: dialTimeout, Dial: i.Dial, OnDial: i.counter(`fulmarwick_connections_total`)}
 	i.store = &platform.Store{BaseURL: s.Platform.Table, HTTP: newHTTP(i.Dial, dialTimeout), UserAgent: s.Instance.Name, OnCall: i.countStoreCall, OnEra: i.handleStoreEra}
@@ -100,6 +100,10 @@
 	i.mesh.logic.TakesRequests = func() bool { return !i.drainer.Stopping() }
 	i.router.instanceCount = i.mesh.logic.Count
 	i.router.retryBudgetSharers = i.mesh.logic.BudgetShares
+	i.router.expectsLoad = func() bool {
+		source := i.Settings.Balance.Load
+		return source == setup.LoadExpected || source == setup.LoadAuto && i.mesh.logic.HasConstrained()
+	}
 	i.router.limits.Share = i.mesh.logic.LimitShare
 	i.passer.hub, i.passer.neighbors = i.mesh.hub, i.mesh.logic.Neighbors
 	i.mesh.hub.RequestServer = i.passer
--- a/internal/app/edge/peers.go
+++ b/internal/app/edge/peers.go
@@ -27,10 +27,12 @@
 
 // applyPeerUsage sets the usage by the requests of another instance; nil removes it.
 func (r *router) applyPeerUsage(from spec.InstanceID, usage map[string]map[spec.UpstreamID]path.Usage) {
+	expects := r.expectsLoad()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, svc := range r.services {
 		if svc.model != nil {
+			svc.model.ExpectLoad = expects
 			svc.model.RecordReport(r.now(), from, usage == nil)
 			svc.model.SetPeerUsage(from, usage[name])
 		}
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -90,9 +90,9 @@
 	// isDead probes a suspect engine again and reports whether it is dead.
 	isDead func(context.Context, site.Upstream) bool
 
-	// expectLoad means that engines are chosen also by what other instances are expected to have
-	// sent.
-	expectLoad bool
+	// expectsLoad reports whether engines are chosen also by what other instances are expected to
+	// have sent.
+	expectsLoad func() bool
 
 	mu          sync.Mutex
 	retryBounds setup.Retry
@@ -153,7 +153,7 @@
 		}
 		svc.gate.SetRanks(c.ShedRanks(s.Name))
 		if svc.model == nil {
-			svc.model = &path.Table{Centre: r.centre, Random: rand.Float64, InBackoff: r.notices.InBackoff, IsLimited: r.isLimited, PeerCount: func() int { return r.retryBudgetSharers() - 1 }, ExpectLoad: r.expectLoad}
+			svc.model = &path.Table{Centre: r.centre, Random: rand.Float64, InBackoff: r.notices.InBackoff, IsLimited: r.isLimited, PeerCount: func() int { return r.retryBudgetSharers() - 1 }}
 		}
 		if s.Model.Equal(svc.model.Model) {
 			// Most changes don't affect the model. A new model makes the planner place
--- a/internal/app/setup/loadsource_string.go
+++ b/internal/app/setup/loadsource_string.go
@@ -8,13 +8,14 @@
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
-	_ = x[LoadReported-0]
-	_ = x[LoadExpected-1]
+	_ = x[LoadAuto-0]
+	_ = x[LoadReported-1]
+	_ = x[LoadExpected-2]
 }
 
-const _LoadSource_name = "reportedexpected"
+const _LoadSource_name = "autoreportedexpected"
 
-var _LoadSource_index = [...]uint8{0, 8, 16}
+var _LoadSource_index = [...]uint8{0, 4, 12, 20}
 
 func (i LoadSource) String() string {
 	idx := int(i) - 0
--- a/internal/app/setup/value.go
+++ b/internal/app/setup/value.go
@@ -179,13 +179,13 @@
 }
 
 func loadChoice(p *parser, value string) string {
-	for l := LoadReported; l <= LoadExpected; l++ {
+	for l := LoadAuto; l <= LoadExpected; l++ {
 		if l.String() == value {
 			p.out.Balance.Load = l
 			return ""
 		}
 	}
-	return fmt.Sprintf("%q is none of reported, expected", value)
+	return fmt.Sprintf("%q is none of auto, reported, expected", value)
 }
 
 func goalChoice(p *parser, value string) string {
--- a/internal/fleet/mesh/capacity.go
+++ b/internal/fleet/mesh/capacity.go
@@ -54,11 +54,9 @@
 	return out
 }
 
-// mayHoldDuties reports whether a live instance counts for duties. Where some instances need long to put
-// a change into force, one that reads the store for all is replaced as soon as a silent head is.
-func (l *Logic) mayHoldDuties(now time.Duration, p *peer) bool {
-	return !l.hasConstrained || now-p.lastSeen < headTimeout
-}
+// mayHoldDuties reports whether a live instance counts for duties where some instances need long to put a
+// change into force: one that reads the store for all is replaced as soon as a silent head is.
+func mayHoldDuties(now time.Duration, p *peer) bool { return now-p.lastSeen < headTimeout }
 
 // setConstrained records whether a peer is constrained, which decides about cells and heads.
 func (l *Logic) setConstrained(p *peer, constrained bool) {
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -71,8 +71,6 @@
 	lastTick time.Duration
 	// packed holds the packed rows that were last sent, by table.
 	packed map[string]packedRows
-	// hasConstrained means that some instances are constrained.
-	hasConstrained bool
 	// relayPending means that updates have to be relayed before the next round.
 	relayPending bool
 	// lagCheckedAt is when this instance last checked for missing changes.
@@ -107,6 +105,8 @@
 	index    int
 	start    time.Time
 	lastSync time.Duration
+	// hasConstrained means that some instances are constrained.
+	hasConstrained bool
 	// heardAt is when the last message of an instance arrived with which this one exchanges messages.
 	heardAt time.Duration
 	// isLagging means that other instances have known more for longer than lagTimeout.
@@ -120,6 +120,13 @@
 	return 1 + l.peerCount
 }
 
+// HasConstrained reports whether some instances of the fleet are constrained.
+func (l *Logic) HasConstrained() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hasConstrained
+}
+
 // Neighbor is another instance that requests may be passed on to.
 type Neighbor struct {
 	ID         spec.InstanceID
--- a/internal/fleet/mesh/peer.go
+++ b/internal/fleet/mesh/peer.go
@@ -88,7 +88,7 @@
 func (l *Logic) dropUnresponsive(now time.Duration) {
 	lastSync, index := time.Duration(-1), 0
 	var alive []spec.InstanceID
-	l.hasConstrained = l.Constrained || slices.ContainsFunc(l.peersByID(), func(p *peer) bool { return p.isConstrained })
+	hasConstrained := l.Constrained || slices.ContainsFunc(l.peersByID(), func(p *peer) bool { return p.isConstrained })
 	for _, p := range l.peersByID() {
 		if p.alive && now-p.lastSeen >= peerTimeout {
 			p.alive = false
@@ -102,7 +102,7 @@
 			continue
 		}
 		lastSync = max(lastSync, p.lastSync)
-		if (l.layout.isFlat() || p.isHead) && l.mayHoldDuties(now, p) {
+		if (l.layout.isFlat() || p.isHead) && (!hasConstrained || mayHoldDuties(now, p)) {
 			alive = append(alive, p.id)
 		}
 	}
@@ -116,7 +116,7 @@
 	defer l.mu.Unlock()
 	l.maxPeers, l.index = expected, index
 	l.peerCount, l.candidates, l.linked, l.lastSync, l.isFollower = count, all, reachUpstreams, lastSync, !l.isHead()
-	l.heardAt = heardAt
+	l.heardAt, l.hasConstrained = heardAt, hasConstrained
 	l.start, l.neighbors = l.Now().Add(-now), neighbors
 }
 
