Shed: the gate closes when more than a third of the more urgent requests begin late

Cause: the death of an engine makes up to a quarter of the requests late for a second; refusing others mends none of that. The gate closed above a fifth.

--- a/internal/route/shed/shed.go
+++ b/internal/route/shed/shed.go
@@ -30,12 +30,12 @@
 	bucketTime    = 250 * time.Millisecond
 	// minSamples is how many more urgent requests must have begun in the window to judge them.
 	minSamples = 4
-	// maxLateShare is the share of late ones among more urgent requests above which a gate closes. A
-	// few are late after each death of an engine, which no refusal of others mends.
-	maxLateShare = 0.2
+	// maxLateShare is the share of late ones among more urgent requests above which a gate closes. Up
+	// to a quarter are late for a second after the death of an engine, which no refusal of others mends.
+	maxLateShare = 0.35
 	// openLateShare is the share below which it opens: the gap keeps it from swinging with single
 	// requests.
-	openLateShare = 0.1
+	openLateShare = 0.15
 	// lateFraction is the fraction of its target after which a request whose answer has not begun
 	// counts as late: the gate has to close before callers are served late.
 	lateFraction = 0.5
