Relay: only requests whose answer has not begun end when their callers have stopped waiting

Cause: counted from the last event too. Callers with a part of their answer have no further retry and may wait longer than a caller whose answer has not begun; GONE was seen for the latter alone.

Now the deadline is that of the first event, and a caller with a part of its answer is served until it is known to have left.

--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -117,7 +117,7 @@
 	if !c.call.mayPass(c.runner.Peers) || c.passes >= maxPasses {
 		return Reply{}, false
 	}
-	c.call.Attempted, c.call.FirstEventDeadline = c.attemptedEngines(), c.eventDeadline()
+	c.call.Attempted = c.attemptedEngines()
 	resp, err := c.runner.Peers.Pass(c.ctx, c.call, cause, c.lastEventID) //nolint:bodyclose // readPassed closes it.
 	if errors.Is(err, ErrNoPeer) {
 		return Reply{}, false
--- a/internal/wire/relay/timing.go
+++ b/internal/wire/relay/timing.go
@@ -33,21 +33,15 @@
 	return r
 }
 
-// eventTimeoutMargin is how much later than by this instance's clock a caller may leave: it
-// receives events later than they are read here.
-const eventTimeoutMargin = 250 * time.Millisecond
-
-// eventDeadline returns when the caller leaves unless it receives an event; zero means unknown.
-func (c *modelCall) eventDeadline() time.Time {
-	if c.timing.lastEvent.IsZero() || c.call.Route.EventTimeout == 0 {
-		return c.call.FirstEventDeadline
-	}
-	return c.timing.lastEvent.Add(c.call.Route.EventTimeout)
-}
-
-// hasCallerTimedOut reports whether the caller has left because it received no event, even if this
-// instance has not yet read that the connection was closed, being late or told of it by another one.
+// firstEventMargin is how much later than by this instance's clock a caller may leave: it receives events
+// later than they are read here.
+const firstEventMargin = 250 * time.Millisecond
+
+// hasCallerTimedOut reports whether the caller has left because its answer did not begin, even if this
+// instance has not yet read that the connection was closed, being late or told of it by another one. A
+// caller with a part of its answer is served for as long as it is not known to have left: it has no
+// further retry.
 func (c *modelCall) hasCallerTimedOut() bool {
-	deadline := c.eventDeadline()
-	return !deadline.IsZero() && time.Since(deadline) > eventTimeoutMargin
+	deadline := c.call.FirstEventDeadline
+	return !c.hasPartialAnswer() && !deadline.IsZero() && time.Since(deadline) > firstEventMargin
 }
