Path: reports are not timed where expected load is off

Each report of another instance updated a map and a mean that only expected load reads, also in fleets where it is off. No change of what is chosen there; where it is on, as before (tests of path pass).

--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -142,7 +142,9 @@
 
 // RecordReport records that another instance reported its usage, or that it is gone.
 func (t *Table) RecordReport(now time.Duration, from spec.InstanceID, gone bool) {
-	t.reports.Record(now, from, gone)
+	if t.ExpectLoad {
+		t.reports.Record(now, from, gone)
+	}
 }
 
 // SetPeerUsage sets the usage by requests of another instance; nil removes it.
