Crash: a quarantined request is no culprit while its last trials may still be answered

Traced with logs: all callers send the same prompt, four engines end at one moment under it, it is quarantined, and its three trials begin within 6 s. Each delivers events, but an answer takes 9 to 13 s here; the next instance to ask for a trial found them used up and took that for a verdict. All waiting streams were given up 1.3 s before the first trial was answered and cleared the request.

Now trials are over 10 s after the last one.

--- a/internal/app/edge/culprit.go
+++ b/internal/app/edge/culprit.go
@@ -54,11 +54,13 @@
 	return row.IsQuarantine && row.Trials < crash.MaxTrials && !isTooSoon
 }
 
-// event returns what the row says of a suspect. Of trials of a part some may have crashed upstreams
-// for another part of their requests, so that it stays quarantined after the last one.
+// event returns what the row says of a suspect. After the last trial a request stays quarantined
+// until its outcome is due. Of trials of a part some may have crashed upstreams for another part of
+// their requests, so that it stays quarantined.
 func (row culpritRow) event(key crash.Key, now time.Time) crash.Event {
 	e := crash.Event{Fingerprint: key.Fingerprint, IsPart: key.IsPart, Kind: crash.EventVerdict, AgeMs: max(0, now.UnixMilli()-row.FoundMs)}
-	if row.IsQuarantine && (key.IsPart || row.Trials < crash.MaxTrials) {
+	sinceTrial := time.Duration(now.UnixMilli()-row.LastTrialMs) * time.Millisecond
+	if row.IsQuarantine && (key.IsPart || !crash.AreTrialsOver(row.Trials, sinceTrial)) {
 		e.Kind = crash.EventQuarantine
 	}
 	return e
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -73,6 +73,9 @@
 	// MaxTrials is how many trials a quarantined request gets. One settles the matter unless
 	// its caller leaves or its answer is lost on the way.
 	MaxTrials = 3
+	// trialTimeout is how long the outcome of the last trial is waited for. Long answers take
+	// that long, and one that completes clears the request.
+	trialTimeout = 10 * time.Second
 	// JointTrialInterval is the time between two trials of suspects that a request has in
 	// common. A request with a single one proves more, so that it goes first.
 	JointTrialInterval = 2 * TrialInterval
--- a/internal/route/crash/crash_test.go
+++ b/internal/route/crash/crash_test.go
@@ -295,3 +295,23 @@
 		t.Error("got the oldest suspect or not the newest, want only the newest kept")
 	}
 }
+
+// Guards against giving up requests as culprits while answers under their last trials are
+// still delivered: all trials begin within six seconds, long answers take ten.
+func TestTrialsAreOverOnceOutcomesAreDue(t *testing.T) {
+	for _, c := range []struct {
+		trials    int
+		sinceLast time.Duration
+		want      bool
+	}{
+		{trials: crash.MaxTrials, sinceLast: crash.TrialInterval},
+		{trials: crash.MaxTrials, sinceLast: 9 * time.Second},
+		{trials: crash.MaxTrials, sinceLast: 10 * time.Second, want: true},
+		{trials: crash.MaxTrials - 1, sinceLast: time.Minute},
+		{trials: crash.MaxTrials, sinceLast: -time.Second},
+	} {
+		if got := crash.AreTrialsOver(c.trials, c.sinceLast); got != c.want {
+			t.Errorf("got %t after %d trials, the last one %s ago, want %t", got, c.trials, c.sinceLast, c.want)
+		}
+	}
+}
--- a/internal/route/crash/trial.go
+++ b/internal/route/crash/trial.go
@@ -83,3 +83,10 @@
 		}
 	}
 }
+
+// AreTrialsOver reports whether a quarantined request of which so many trials were granted, the last
+// one so long ago, is a culprit although no crash is known under a trial: no trial is left, and none
+// can still have an outcome that clears the request.
+func AreTrialsOver(trials int, sinceLast time.Duration) bool {
+	return trials >= MaxTrials && sinceLast >= trialTimeout
+}
