Share, mesh: teams may share the engines by the requests of all instances

With [balance] teams = fleet, teams above an even share of all requests in flight leave a part of the engines' memory while smaller ones find none. Cause: each instance orders its queue by its own requests, and with tens of them the room that becomes free goes to whichever sees it first, mostly one where only the large team waits.

Ruled out: the order in the queue, which puts the small teams first already.

The default is instance, which behaves as before.

--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -16,6 +16,7 @@
 	"fulmarwick/internal/route/limit"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/resend"
+	"fulmarwick/internal/route/share"
 	"fulmarwick/internal/state/feed"
 	"fulmarwick/internal/wire/peer"
 	"fulmarwick/platform"
@@ -181,6 +182,14 @@
 // Retries returns the retry usage of this instance, by service.
 func (m *meshNode) Retries() map[string]resend.Usage { return m.router.localRetries() }
 
+// Teams returns what the requests of this instance say of teams, by service.
+func (m *meshNode) Teams() map[string]share.Usage { return m.router.localTeams() }
+
+// ReceiveTeams applies what the requests of other instances say of teams.
+func (m *meshNode) ReceiveTeams(from spec.InstanceID, teams map[string]share.Usage) {
+	m.router.applyPeerTeams(from, teams)
+}
+
 // ReceiveRetries applies the retry usage of other instances.
 func (m *meshNode) ReceiveRetries(from spec.InstanceID, retries map[string]resend.Usage) {
 	m.router.applyPeerRetries(from, retries)
@@ -234,6 +243,7 @@
 	m.router.applyPeerUsage(id, nil)
 	m.router.applyPeerSlowdowns(id, nil)
 	m.router.applyPeerRetries(id, nil)
+	m.router.applyPeerTeams(id, nil)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.livePeers, id)
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -28,12 +28,12 @@
 func (i *Instance) initParts() {
 	s := i.Settings
 	i.meters = metrics.NewSet()
-	i.closedGates = map[string]bool{}
+	i.closedGates, i.reserves = map[string]bool{}, map[string]bool{}
 	i.drainer = &halt.Drainer{Grace: s.Times.Grace, MaxAccept: maxAcceptAfterStop, KillAfter: s.Times.Kill, AfterClose: front.StoppingHandler{}, Log: i.Log}
 	i.state = newStateView(i.Log)
 	i.router = &router{
 		centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
-		retryBounds: s.Retry, services: map[string]*serviceState{}, peerRetries: map[spec.InstanceID]peerRetryReport{}, stopped: make(chan struct{}),
+		retryBounds: s.Retry, services: map[string]*serviceState{}, peerRetries: map[spec.InstanceID]peerRetryReport{}, sharesTeams: s.Balance.Teams == setup.TeamsFleet, stopped: make(chan struct{}),
 	}
 	i.pool = &client.Pool{DialTimeout: dialTimeout, Dial: i.Dial, OnDial: i.counter(`fulmarwick_connections_total`)}
 	i.store = &platform.Store{BaseURL: s.Platform.Table, HTTP: newHTTP(i.Dial, dialTimeout), UserAgent: s.Instance.Name, OnCall: i.countStoreCall, OnEra: i.handleStoreEra}
--- a/internal/app/edge/queue.go
+++ b/internal/app/edge/queue.go
@@ -112,15 +112,17 @@
 	if w.isRefused() {
 		return nil, nil, nil, w.lastErr
 	}
+	svc.recordUnserved(now, w)
 	t := &queue.Ticket{Team: c.Team, Urgency: c.Urgency, Deadline: r.waitDeadline(svc, c, o.Kind, w.lastErr), Begun: w.hasPartialAnswer()}
 	if w.hasPartialAnswer() {
 		t.Urgency = resumedUrgency
 	}
-	if !svc.queue.Join(now, t, svc.teams.InFlight) {
+	if !svc.queue.Join(now, t, svc.inFlight) {
 		svc.gate.RecordRefusal(now, c.ShedRank)
 		return nil, nil, nil, w.lastErr
 	}
 	svc.waiters[t] = w
+	r.startShared(svc, t)
 	return w, t, nil, nil
 }
 
@@ -158,7 +160,7 @@
 // can no longer be served in time; r.mu is held.
 func (r *router) admit(svc *serviceState) {
 	failed := 0
-	for _, t := range svc.queue.Ordered(svc.teams.InFlight) {
+	for _, t := range svc.queue.Ordered(svc.inFlight) {
 		w := svc.waiters[t]
 		if run, ok := r.tryStart(svc, w); ok {
 			svc.resolve(t, admission{run: run})
@@ -171,7 +173,7 @@
 			break
 		}
 	}
-	for _, t := range svc.queue.RemoveExpired(r.now(), svc.teams.InFlight) {
+	for _, t := range svc.queue.RemoveExpired(r.now(), svc.inFlight) {
 		svc.gate.RecordRefusal(r.now(), svc.waiters[t].call.ShedRank)
 		svc.resolve(t, admission{err: svc.waiters[t].lastErr})
 	}
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -38,7 +38,9 @@
 	retryBudget   resend.Budget
 	// runs holds the active runs of model requests.
 	runs  map[*relay.Run]*runState
-	teams share.Teams
+	teams share.Fleet
+	// sharesTeams means that teams share capacity by the requests of all instances.
+	sharesTeams bool
 	// gate refuses less urgent requests while more urgent ones are late.
 	gate shed.Gate
 	// queue holds the requests that wait for capacity.
@@ -90,6 +92,9 @@
 	// isDead probes a suspect engine again and reports whether it is dead.
 	isDead func(context.Context, site.Upstream) bool
 
+	// sharesTeams means that teams share the capacity of model services by the requests of all
+	// instances.
+	sharesTeams bool
 	// expectsLoad reports whether engines are chosen also by what other instances are expected to
 	// have sent.
 	expectsLoad func() bool
@@ -116,7 +121,7 @@
 func (r *router) service(name string) *serviceState {
 	svc := r.services[name]
 	if svc == nil {
-		svc = &serviceState{name: name, runs: map[*relay.Run]*runState{}, waiters: map[*queue.Ticket]*waiter{}, checks: map[spec.UpstreamID]time.Duration{}, firstLatency: initialFirstLatency}
+		svc = &serviceState{name: name, runs: map[*relay.Run]*runState{}, waiters: map[*queue.Ticket]*waiter{}, checks: map[spec.UpstreamID]time.Duration{}, sharesTeams: r.sharesTeams, firstLatency: initialFirstLatency}
 		svc.plain.DataCentre, svc.plain.InBackoff, svc.plain.IsLimited = r.centre, r.notices.InBackoff, r.isLimited
 		svc.setRetryBounds(r.retryBounds)
 		r.services[name] = svc
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -89,7 +89,7 @@
 // startRun chooses a path and registers a run on it; r.mu is held.
 func (r *router) startRun(svc *serviceState, c *relay.Call, o relay.RunOptions) (*relay.Run, error) {
 	resumed := o.Kind == relay.RunResume
-	if !resumed && svc.queue.IsStalled(r.now()) && !svc.teams.Allow(c.Team, func() float64 { return svc.model.MaxUtilization(r.now()) }) {
+	if !resumed && r.isReserved(svc, c) {
 		return nil, share.ErrReserved
 	}
 	if err := r.crashBook.Check(r.now(), c.Suspects()); err != nil {
@@ -110,7 +110,7 @@
 	svc.model.RecordTransfer(r.now(), chain, demand)
 	r.takeStages(chain)
 	svc.runs[run] = &runState{team: c.Team, pending: r.await(svc, c), chain: chain, born: svc.startTimes(chain), awaitingFirstEvent: true}
-	svc.teams.Begin(c.Team)
+	svc.teams.Own().Begin(c.Team)
 	return run, nil
 }
 
@@ -155,7 +155,7 @@
 	if t := svc.runs[run]; t != nil {
 		r.recordRunEnd(svc, run, t, end)
 		delete(svc.runs, run)
-		svc.teams.End(t.team)
+		svc.teams.Own().End(t.team)
 		svc.model.AdjustRetryPrefill(t.rereading, run.Demand, -1)
 		svc.model.End(t.chain, run.Demand, t.awaitingFirstEvent)
 		svc.queue.RecordCompletion(r.now())
--- a/internal/app/edge/sweep.go
+++ b/internal/app/edge/sweep.go
@@ -50,6 +50,7 @@
 			i.router.dropUnusedEngines()
 			i.pool.CloseUnused(i.router.upstreamAddresses())
 			i.reportGates()
+			i.reportReserves()
 		}
 	}
 }
--- a/internal/app/setup/schema.go
+++ b/internal/app/setup/schema.go
@@ -123,7 +123,7 @@
 		{"url", false, baseURL(func(f *Settings) *string { return &f.Trace.URL })},
 		{"part", false, fraction(func(f *Settings) *float64 { return &f.Trace.SampleRatio })},
 	}},
-	{name: "balance", keys: []key{{"load", false, loadChoice}}},
+	{name: "balance", keys: []key{{"load", false, loadChoice}, {"teams", false, teamsChoice}}},
 	{name: "goal", keys: []key{{"weigh", false, goalChoice}}},
 	{name: "fencing", anyKey: fencingKey},
 }
--- a/internal/app/setup/value.go
+++ b/internal/app/setup/value.go
@@ -188,6 +188,16 @@
 	return fmt.Sprintf("%q is none of auto, reported, expected", value)
 }
 
+func teamsChoice(p *parser, value string) string {
+	for s := TeamsInstance; s <= TeamsFleet; s++ {
+		if s.String() == value {
+			p.out.Balance.Teams = s
+			return ""
+		}
+	}
+	return fmt.Sprintf("%q is none of instance, fleet", value)
+}
+
 func goalChoice(p *parser, value string) string {
 	for g := GoalThroughput; g <= GoalRecovery; g++ {
 		if g.String() == value {
--- a/internal/fakes/depot/depot.go
+++ b/internal/fakes/depot/depot.go
@@ -37,6 +37,8 @@
 	Deployment stand.Deployment
 	// Retry is the retry budget; the zero value keeps that of Settings.
 	Retry setup.Retry
+	// Balance is by what instances choose; the zero value is the default.
+	Balance setup.Balance
 	// Kill is how long after a stop signal an instance is killed; zero means never.
 	Kill time.Duration
 	// Handshake is how long an engine takes to accept a connection.
@@ -102,6 +104,7 @@
 	if d.Retry != (setup.Retry{}) {
 		s.Retry = d.Retry
 	}
+	s.Balance = d.Balance
 	s.Times.Kill = d.Kill
 	i := &edge.Instance{Settings: s, Log: d.Log, Dial: d.site.DialFrom(s.Instance.Name), Listen: d.site.Net.Listen}
 	d.instances = append(d.instances, i)
--- a/internal/fakes/depot/workload_test.go
+++ b/internal/fakes/depot/workload_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"fulmarwick/internal/app/setup"
 	"fulmarwick/internal/fakes/depot"
 	"fulmarwick/internal/fakes/drive"
 	"fulmarwick/platform/stand"
@@ -117,7 +118,19 @@
 // send 0.7 each. At least nine tenths of the small teams' requests are served, and
 // at least a fifth of the heavy team's.
 func TestSmallTeamsBesideHeavyOne(t *testing.T) {
-	got := runWorkload(t, nil, func(w *drive.Workload) {
+	testSmallTeams(t, &depot.Depot{Instances: 4})
+}
+
+// TestSmallTeamsBesideHeavyOneOverManyInstances guards against the same over many instances,
+// each of which has few requests of a small team: the capacity that becomes free goes to
+// the heavy team at whichever instance sees it first.
+func TestSmallTeamsBesideHeavyOneOverManyInstances(t *testing.T) {
+	testSmallTeams(t, &depot.Depot{Instances: 24, Balance: setup.Balance{Teams: setup.TeamsFleet}})
+}
+
+func testSmallTeams(t *testing.T, d *depot.Depot) {
+	t.Helper()
+	got := runOn(t, d, func(w *drive.Workload) {
 		w.Duration = 10 * time.Second
 		heavy := w.Classes[0]
 		heavy.Rate, heavy.Retries = 300, 0
--- a/internal/fleet/mesh/cell_test.go
+++ b/internal/fleet/mesh/cell_test.go
@@ -38,6 +38,13 @@
 		for _, sent := range m.requestsFrom {
 			requests += sent
 		}
+		teams := 0
+		for _, inFlight := range m.teamsFrom {
+			teams += inFlight
+		}
+		if teams != n-1 {
+			t.Errorf("%s: got %d requests of a team at other instances, want %d", id, teams, n-1)
+		}
 		if requests != 2*(n-1) {
 			t.Errorf("%s: got %d requests of other instances, want %d", id, requests, 2*(n-1))
 		}
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -14,6 +14,7 @@
 	"fulmarwick/internal/route/limit"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/resend"
+	"fulmarwick/internal/route/share"
 	"fulmarwick/internal/state/feed"
 
 	"github.com/fxamacker/cbor/v2"
@@ -30,7 +31,9 @@
 	// streams is the number of streams in the last reported loads, by their source.
 	streams map[spec.InstanceID]int
 	// requestsFrom is how many first attempts the sources reported.
-	requestsFrom   map[spec.InstanceID]int
+	requestsFrom map[spec.InstanceID]int
+	// teamsFrom is how many requests of a team they reported.
+	teamsFrom      map[spec.InstanceID]int
 	joined         map[spec.InstanceID]bool
 	tablesReceived int
 	// known is what the member tells to those that join. crashesReceived counts what it is told.
@@ -114,6 +117,14 @@
 func (m *member) ReceiveRetries(from spec.InstanceID, retries map[string]resend.Usage) {
 	m.requestsFrom[from] = retries["s"].Requests
 }
+
+func (m *member) Teams() map[string]share.Usage {
+	return map[string]share.Usage{"s": {InFlight: map[string]int{"t": 1}, Unserved: map[int]int{0: 1}}}
+}
+
+func (m *member) ReceiveTeams(from spec.InstanceID, teams map[string]share.Usage) {
+	m.teamsFrom[from] = teams["s"].InFlight["t"]
+}
 func (m *member) ReceiveSlowdowns(spec.InstanceID, map[spec.UpstreamID]float64) {}
 func (m *member) ReceiveRows(_ string, since spec.Revision, rows []feed.Row, checkpoint feed.Checkpoint, _ spec.InstanceID) {
 	m.tablesReceived++
@@ -135,6 +146,7 @@
 	delete(m.joined, id)
 	delete(m.streams, id)
 	delete(m.requestsFrom, id)
+	delete(m.teamsFrom, id)
 }
 
 // fleet is a set of instances that tick together. linkDown and dropMessage lose
@@ -190,7 +202,7 @@
 
 // newMember returns an instance that has just started.
 func (f *fleet) newMember(id spec.InstanceID) *member {
-	m := &member{used: map[spec.InstanceID]int{}, streams: map[spec.InstanceID]int{}, requestsFrom: map[spec.InstanceID]int{}, joined: map[spec.InstanceID]bool{}, fleet: f}
+	m := &member{used: map[spec.InstanceID]int{}, streams: map[spec.InstanceID]int{}, requestsFrom: map[spec.InstanceID]int{}, teamsFrom: map[spec.InstanceID]int{}, joined: map[spec.InstanceID]bool{}, fleet: f}
 	clock := func() time.Time { return time.Unix(0, 0).Add(f.now) }
 	m.logic = &mesh.Logic{ID: id, DataCentre: centreOf(id), URL: "http://" + string(id), Local: m, Receiver: m, Now: clock}
 	return m
--- a/internal/fleet/mesh/message.go
+++ b/internal/fleet/mesh/message.go
@@ -8,6 +8,7 @@
 	"fulmarwick/internal/route/limit"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/resend"
+	"fulmarwick/internal/route/share"
 	"fulmarwick/internal/state/feed"
 )
 
@@ -37,7 +38,7 @@
 	DataCentre spec.DataCentre `cbor:"10,keyasint,omitempty"`
 	Cell       string          `cbor:"11,keyasint,omitempty"`
 	Head       bool            `cbor:"12,keyasint,omitempty"`
-	// Scope is whose requests Usage, Slowdowns and Retries describe. Count is how many
+	// Scope is whose requests Usage, Slowdowns, Retries and Teams describe. Count is how many
 	// instances these are.
 	Scope Scope `cbor:"13,keyasint,omitempty"`
 	Count int   `cbor:"14,keyasint,omitempty"`
@@ -65,6 +66,9 @@
 	Known []crash.Event `cbor:"24,keyasint,omitempty"`
 	// Constrained means that the sender should not work for others.
 	Constrained bool `cbor:"25,keyasint,omitempty"`
+	// Teams is what the requests say of the teams of each service that share capacity over all
+	// instances.
+	Teams map[string]share.Usage `cbor:"26,keyasint,omitempty"`
 }
 
 // Scope is the set of instances whose requests a message describes.
@@ -117,6 +121,7 @@
 	SyncAge() time.Duration
 	Slowdowns() map[spec.UpstreamID]float64
 	Retries() map[string]resend.Usage
+	Teams() map[string]share.Usage
 	RateLimits() map[spec.UpstreamID]limit.Statement
 	// ChangesSince returns the changes since a version, or the whole table since 0.
 	ChangesSince(table string, version spec.Revision) (since spec.Revision, p feed.Page)
@@ -136,6 +141,8 @@
 	ReceiveUsage(from spec.InstanceID, uses map[string]map[spec.UpstreamID]path.Usage)
 	ReceiveSlowdowns(from spec.InstanceID, slowdowns map[spec.UpstreamID]float64)
 	ReceiveRetries(from spec.InstanceID, retries map[string]resend.Usage)
+	// ReceiveTeams receives what these requests say of teams.
+	ReceiveTeams(from spec.InstanceID, teams map[string]share.Usage)
 	// ReceiveRateLimits receives what another instance knows of the rate limits of upstreams.
 	ReceiveRateLimits(limits map[spec.UpstreamID]limit.Statement)
 	ReceiveRows(table string, since spec.Revision, rows []feed.Row, checkpoint feed.Checkpoint, from spec.InstanceID)
--- a/internal/fleet/mesh/round.go
+++ b/internal/fleet/mesh/round.go
@@ -163,7 +163,7 @@
 		d.computeSums()
 		sent, m.Count = d.fleetLoad.without(p.load), d.fleetCount
 	}
-	m.Usage, m.Slowdowns, m.Retries = sent.usage, sent.slowdowns, sent.retries
+	m.Usage, m.Slowdowns, m.Retries, m.Teams = sent.usage, sent.slowdowns, sent.retries, sent.teams
 	if scope == ScopeNone && d.logic.layout.isFlat() {
 		// The pool of the retry budget counts on a report in each round.
 		m.Retries = d.local().retries
--- a/internal/fleet/mesh/sum.go
+++ b/internal/fleet/mesh/sum.go
@@ -7,6 +7,7 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/resend"
+	"fulmarwick/internal/route/share"
 )
 
 const (
@@ -31,12 +32,13 @@
 	cellSourcePrefix = "cell:"
 )
 
-// load is the usage, slowdowns and retries of requests, as reported by one or
+// load is the usage, slowdowns, retries and teams of requests, as reported by one or
 // several instances.
 type load struct {
 	usage     usage
 	slowdowns map[spec.UpstreamID]float64
 	retries   map[string]resend.Usage
+	teams     map[string]share.Usage
 }
 
 // usage is how much requests use, by service and engine.
@@ -67,7 +69,7 @@
 		}
 		return
 	}
-	reported := load{usage: m.Usage, slowdowns: m.Slowdowns, retries: m.Retries}
+	reported := load{usage: m.Usage, slowdowns: m.Slowdowns, retries: m.Retries, teams: m.Teams}
 	if m.Scope == ScopeSender && l.isCountedAlone(p) {
 		p.load = &reported
 		l.reportLoad(p.id, reported)
@@ -99,6 +101,7 @@
 	l.Receiver.ReceiveUsage(from, reported.usage)
 	l.Receiver.ReceiveSlowdowns(from, reported.slowdowns)
 	l.Receiver.ReceiveRetries(from, reported.retries)
+	l.Receiver.ReceiveTeams(from, reported.teams)
 }
 
 // fleetCountKey is the key in cellCounts for the count of all instances that a head
@@ -138,7 +141,7 @@
 
 // localLoad returns the load of this instance.
 func (l *Logic) localLoad() load {
-	return load{usage: l.Local.Usage(), slowdowns: l.Local.Slowdowns(), retries: l.Local.Retries()}
+	return load{usage: l.Local.Usage(), slowdowns: l.Local.Slowdowns(), retries: l.Local.Retries(), teams: l.Local.Teams()}
 }
 
 // cellLoad returns the load of the local cell.
@@ -188,7 +191,7 @@
 }
 
 func newLoad() load {
-	return load{usage: usage{}, slowdowns: map[spec.UpstreamID]float64{}, retries: map[string]resend.Usage{}}
+	return load{usage: usage{}, slowdowns: map[spec.UpstreamID]float64{}, retries: map[string]resend.Usage{}, teams: map[string]share.Usage{}}
 }
 
 // add adds the load of other instances.
@@ -200,6 +203,9 @@
 	for service, counts := range o.retries {
 		d.retries[service] = d.retries[service].Plus(counts)
 	}
+	for service, teams := range o.teams {
+		d.teams[service] = d.teams[service].Plus(teams)
+	}
 }
 
 // without returns the load without that of one instance. The highest slowdown of an
@@ -208,10 +214,13 @@
 	if o == nil {
 		return d
 	}
-	out := load{usage: d.usage.without(o.usage), slowdowns: d.slowdowns, retries: maps.Clone(d.retries)}
+	out := load{usage: d.usage.without(o.usage), slowdowns: d.slowdowns, retries: maps.Clone(d.retries), teams: maps.Clone(d.teams)}
 	for service, counts := range o.retries {
 		out.retries[service] = out.retries[service].Minus(counts)
 	}
+	for service, teams := range o.teams {
+		out.teams[service] = out.teams[service].Minus(teams)
+	}
 	return out
 }
 
