Share: one rule of the even share, one sum; nothing is done for reports of teams where the setting is instance

The rule of the even share stood in Teams and again in Fleet, and the sum of teams in Plus and again in Minus. Each report of another instance took the router's lock and went through all services although teams do not share over all instances. No change of behaviour.

--- a/internal/app/edge/teams.go
+++ b/internal/app/edge/teams.go
@@ -68,8 +68,12 @@
 	return out
 }
 
-// applyPeerTeams sets what the requests of other instances say of teams; nil removes it.
+// applyPeerTeams sets what the requests of other instances say of teams; nil removes it. It does
+// nothing unless teams share capacity over all instances.
 func (r *router) applyPeerTeams(from spec.InstanceID, teams map[string]share.Usage) {
+	if !r.sharesTeams {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, svc := range r.services {
@@ -89,14 +93,17 @@
 	}
 }
 
-// teamReserves returns the share of the capacity that large teams leave, of each model service whose
-// teams share it over all instances.
+// teamReserves returns the share of the capacity that large teams leave, by model service; nothing
+// unless teams share capacity over all instances.
 func (r *router) teamReserves() map[string]float64 {
+	if !r.sharesTeams {
+		return nil
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := map[string]float64{}
 	for name, svc := range r.services {
-		if svc.sharesTeams && svc.model != nil {
+		if svc.model != nil {
 			out[name] = svc.teams.Reserve(r.now())
 		}
 	}
--- a/internal/route/share/fleet.go
+++ b/internal/route/share/fleet.go
@@ -35,18 +35,12 @@
 
 // Plus returns the sum of both usages.
 func (u Usage) Plus(o Usage) Usage {
-	return Usage{InFlight: sum(u.InFlight, o.InFlight), Unserved: sumRanks(u.Unserved, o.Unserved, 1)}
+	return Usage{InFlight: sumTeams(u.InFlight, o.InFlight, 1), Unserved: sumRanks(u.Unserved, o.Unserved, 1)}
 }
 
 // Minus returns u without o, which is a part of it.
 func (u Usage) Minus(o Usage) Usage {
-	out := Usage{InFlight: maps.Clone(u.InFlight), Unserved: sumRanks(u.Unserved, o.Unserved, -1)}
-	for team, n := range o.InFlight {
-		if out.InFlight[team] -= n; out.InFlight[team] <= 0 {
-			delete(out.InFlight, team)
-		}
-	}
-	return out
+	return Usage{InFlight: sumTeams(u.InFlight, o.InFlight, -1), Unserved: sumRanks(u.Unserved, o.Unserved, -1)}
 }
 
 // unserved is a request of a small team that found no capacity.
@@ -143,16 +137,13 @@
 // IsWithinShare reports whether a team would have at most an even share of all requests in flight
 // with one more.
 func (f *Fleet) IsWithinShare(team string) bool {
-	teams, own := len(f.elsewhere), f.InFlight(team)
+	teams := len(f.elsewhere)
 	for other := range f.own.inFlight {
 		if f.elsewhere[other] == 0 {
 			teams++
 		}
 	}
-	if own == 0 {
-		teams++
-	}
-	return teams < 2 || (own+1)*teams <= f.own.total+f.elsewhereTotal+1
+	return isWithinEvenShare(f.InFlight(team), teams, f.own.total+f.elsewhereTotal)
 }
 
 // isContested reports whether requests of a rank, or of more urgent ones, found no capacity.
@@ -212,16 +203,19 @@
 	f.recent = f.recent[n:]
 }
 
-func sum(a, b map[string]int) map[string]int {
+// sumTeams returns a plus b times a sign, without teams that have none.
+func sumTeams(a, b map[string]int, sign int) map[string]int {
 	out := make(map[string]int, len(a))
 	maps.Copy(out, a)
-	for k, n := range b {
-		out[k] += n
+	for team, n := range b {
+		if out[team] += sign * n; out[team] <= 0 {
+			delete(out, team)
+		}
 	}
 	return out
 }
 
-// sumRanks returns a plus b times a sign, without ranks that have none.
+// sumRanks is the same for ranks.
 func sumRanks(a, b map[int]int, sign int) map[int]int {
 	out := make(map[int]int, len(a))
 	maps.Copy(out, a)
--- a/internal/route/share/share.go
+++ b/internal/route/share/share.go
@@ -59,10 +59,16 @@
 // withinEvenShare reports whether a team would have at most an even share in flight
 // with one more request.
 func (t *Teams) withinEvenShare(team string) bool {
-	teams := len(t.inFlight)
-	if t.inFlight[team] == 0 {
+	return isWithinEvenShare(t.inFlight[team], len(t.inFlight), t.total)
+}
+
+// isWithinEvenShare reports whether a team with so many requests in flight would have at most an even
+// share with one more. teams is the number of teams with requests in flight, total that of all
+// requests.
+func isWithinEvenShare(inFlight, teams, total int) bool {
+	if inFlight == 0 {
 		teams++
 	}
 	// The new request counts too: a team alone may use the whole capacity.
-	return teams < 2 || (t.inFlight[team]+1)*teams <= t.total+1
+	return teams < 2 || (inFlight+1)*teams <= total+1
 }
