--- a/internal/app/edge/norace_test.go
+++ b/internal/app/edge/norace_test.go
@@ -15,6 +15,9 @@
 // probingFleetSize is how many instances detect the death of the same engine.
 const probingFleetSize = 118
 
+// pauseSeeds is how many random sequences of pauses of engines are tested.
+const pauseSeeds = 6
+
 // faultSeeds is how many random sequences of faults are tested.
 const faultSeeds = 12
 
--- a/internal/app/edge/race_test.go
+++ b/internal/app/edge/race_test.go
@@ -17,6 +17,9 @@
 // probingFleetSize is how many instances detect the death of the same engine.
 const probingFleetSize = 8
 
+// pauseSeeds is how many random sequences of pauses of engines are tested.
+const pauseSeeds = 1
+
 // faultSeeds is how many random sequences of faults are tested.
 const faultSeeds = 3
 
