Probe: an engine that did not answer is probed again, and gets runs once it answers

What callers saw: less room, and longer ways, for as long as an instance ran: an engine that was silent for 118 ms once got nothing any more from the instances that had noticed, until its process was replaced. Ruled out: the list brings it back (only a new start time or address does).

--- a/internal/app/edge/probe.go
+++ b/internal/app/edge/probe.go
@@ -60,7 +60,11 @@
 // runProbe requests a report from an engine and declares the engine dead if none comes.
 func (w *watcher) runProbe(ctx context.Context, p *probe) {
 	up := p.up
-	if !feed.Sleep(ctx, w.probeDelay()) || w.router.IsDead(up.Service, up.ID) {
+	if !feed.Sleep(ctx, w.probeDelay()) {
+		return
+	}
+	if w.router.IsDead(up.Service, up.ID) {
+		w.probeRecovery(ctx, up)
 		return
 	}
 	start := time.Now()
@@ -81,6 +85,15 @@
 	w.handleSilence(ctx, p, time.Since(start), err)
 }
 
+// probeRecovery requests a report from an engine that did not answer before. It gets runs again once it
+// answers.
+func (w *watcher) probeRecovery(ctx context.Context, up site.Upstream) {
+	report, _, err := w.fetchReport(ctx, up, probeRetryTimeout+w.connectQueueTime())
+	if err == nil && w.router.applyReport(up, report) {
+		w.log.Info("edge: engine answers again", zap.String("engine", string(up.ID)), zap.String("address", up.Address))
+	}
+}
+
 // handleSilence declares an engine dead that did not answer a probe. If this instance has lost
 // its links, the engine is not to blame, and the stalled streams go on elsewhere.
 func (w *watcher) handleSilence(ctx context.Context, p *probe, after time.Duration, err error) {
