Open runs: an upstream that answers no connection for less than 1.5 s has not ended

What callers saw: 503 "upstreams ended under the request" for a look-up, after the upstreams of its service had paused. Cause: a connection attempt without an answer in 250 ms counted as a refused one. Two of them in a row, 510 ms, were the end of the process, and each run that was open on it counted as one that had crashed it. Now a refused connection and one without an answer are told apart (client.ErrDialTimeout): the first says within 10 ms that the process has ended, the second after 1.5 s. Evidence: TestPausedPlainUpstreamsConvictNoRequest: quarantined after three upstreams of a service paused for 1.2 s before, served now.

--- a/internal/app/edge/open.go
+++ b/internal/app/edge/open.go
@@ -8,7 +8,10 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/route/path"
+	"fulmarwick/internal/wire/client"
 	"fulmarwick/internal/wire/relay"
+
+	"github.com/go-faster/errors"
 )
 
 // endChecks are the pauses before the attempts to connect to an upstream that may have ended. A
@@ -126,7 +129,7 @@
 		r.mu.Lock()
 		requestedAt := svc.checks[up.ID]
 		r.mu.Unlock()
-		hasEnded := r.refusesConnections(up)
+		hasEnded := r.hasEnded(up)
 		r.mu.Lock()
 		if hasEnded {
 			r.endProcess(up)
@@ -146,23 +149,38 @@
 	}
 }
 
-// refusesConnections reports whether an upstream refuses two connections in a row, while this instance
-// has its links.
-func (r *router) refusesConnections(up site.Upstream) bool {
+// hasEnded reports whether an upstream has ended: it refuses two connections in a row, or answers none for
+// cutOffAfter, while this instance has its links. One that answers none for less may have paused.
+func (r *router) hasEnded(up site.Upstream) bool {
+	var silentSince time.Time
 	for _, pause := range endChecks {
 		if !r.pause(pause) {
 			return false
 		}
-		if r.connect(up) == nil {
+		start := time.Now()
+		err := r.connect(up)
+		if !errors.Is(err, client.ErrDialTimeout) {
+			silentSince = time.Time{}
+			if err != nil && r.pause(endConfirmDelay) && r.refusesConnection(up) {
+				return !r.linksLost(context.Background())
+			}
 			continue
 		}
-		if r.pause(endConfirmDelay) && r.connect(up) != nil {
+		if silentSince.IsZero() {
+			silentSince = start
+		}
+		if time.Since(silentSince) >= cutOffAfter {
 			return !r.linksLost(context.Background())
 		}
 	}
 	return false
 }
 
+func (r *router) refusesConnection(up site.Upstream) bool {
+	err := r.connect(up)
+	return err != nil && !errors.Is(err, client.ErrDialTimeout)
+}
+
 func (r *router) isStopped() bool {
 	select {
 	case <-r.stopped:
--- a/internal/app/edge/silence_test.go
+++ b/internal/app/edge/silence_test.go
@@ -154,3 +154,40 @@
 		time.Sleep(pauseRound)
 	}
 }
+
+// Guards against sound requests that are refused as ones under which upstreams end, since the upstreams of
+// their service paused while they ran and accepted no connection for that time.
+func TestPausedPlainUpstreamsConvictNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, logs := observer.New(zap.InfoLevel)
+		f := newFixtureFrom(t, &depot.Depot{Instances: 2, Log: zap.New(core)})
+		defer f.close()
+		for round := range 4 {
+			var callers sync.WaitGroup
+			send := func(prefix string) {
+				for k := range 6 {
+					callers.Go(func() {
+						crashClasses["safe"].send(f, k%2, fmt.Sprintf("%s%d-%d", prefix, round, k), 100*time.Millisecond)
+					})
+				}
+			}
+			send("early")
+			time.Sleep(10 * time.Millisecond)
+			for _, u := range f.site.PlainUpstreams() {
+				f.site.PausePlainUpstream(u, 1200*time.Millisecond)
+			}
+			for range 5 {
+				time.Sleep(150 * time.Millisecond)
+				f.request(round%2, http.MethodGet, "/look/other", fmt.Sprintf("other%d-%d", round, time.Now().UnixNano()), "")
+			}
+			callers.Wait()
+			time.Sleep(3 * time.Second)
+		}
+		if a := crashClasses["safe"].send(f, 0, "last", 0); a.status != http.StatusOK {
+			t.Errorf("got %d %q, want the request served", a.status, a.body)
+		}
+		if l := logs.FilterMessage("edge: standing of a suspect changed").All(); len(l) > 0 {
+			t.Errorf("got %d changes of standings, the first %v, want none", len(l), l[0].ContextMap())
+		}
+	})
+}
--- a/internal/fakes/inmem/net.go
+++ b/internal/fakes/inmem/net.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -23,6 +24,8 @@
 type host struct {
 	listener *Listener
 	conns    []net.Conn
+	// pausedUntil is when it accepts connections again after Pause.
+	pausedUntil time.Time
 }
 
 // Listen opens a listener at an address. It fails if the address is in use.
@@ -96,6 +99,9 @@
 	if h == nil {
 		return nil, errors.Wrap(syscall.ECONNREFUSED, address)
 	}
+	if err := n.awaitPause(ctx, h); err != nil {
+		return nil, err
+	}
 	c, err := h.listener.connect(ctx, client, server)
 	if err != nil {
 		return nil, err
@@ -106,6 +112,31 @@
 	return c, nil
 }
 
+// Pause makes an address answer no attempts to connect for d. They are accepted after that.
+func (n *Net) Pause(address string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if h := n.hosts[address]; h != nil {
+		h.pausedUntil = time.Now().Add(d)
+	}
+}
+
+// awaitPause waits while a host is paused. It returns an error if ctx ends first.
+func (n *Net) awaitPause(ctx context.Context, h *host) error {
+	n.mu.Lock()
+	left := time.Until(h.pausedUntil)
+	n.mu.Unlock()
+	if left <= 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(left):
+		return nil
+	}
+}
+
 // Reset closes all connections made to an address.
 func (n *Net) Reset(address string) {
 	n.mu.Lock()
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -25,7 +25,7 @@
 	slowdown         float64
 	reportedSlowdown float64
 	reportedAt       time.Duration
-	health Health
+	health           Health
 	// cooldownUntil is the time until which the engine gets no new requests.
 	// refusalCooldown is the length of the cooldown for its last refusal; zero once it
 	// has served a run since.
--- a/internal/wire/client/conn.go
+++ b/internal/wire/client/conn.go
@@ -25,6 +25,8 @@
 var (
 	// ErrDial means that no connection was established: the request was not sent.
 	ErrDial = errors.New("client: no connection")
+	// ErrDialTimeout is an ErrDial: the address neither accepted nor refused the connection in time.
+	ErrDialTimeout = errors.Wrap(ErrDial, "no answer in time")
 	// ErrWrite means that the connection broke while the request was written: a part
 	// of the request, or all of it, may have arrived.
 	ErrWrite = errors.New("client: request not fully written")
@@ -166,6 +168,9 @@
 		dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
 	conn, err := dial(ctx, "tcp", address)
+	if err != nil && ctx.Err() != nil {
+		return nil, errors.Wrap(ErrDialTimeout, err.Error())
+	}
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
