Plan: a silent engine keeps its layers in the plan

What callers saw: refusals for lack of room after engines had paused: spare engines dropped their layers and loaded those of the paused engine, which was back before they had. Cause: an engine that did not answer was missing in the plan at once; after 0.6 s the moves of others were ordered. It checks now that no order is given.

--- a/internal/app/edge/plan.go
+++ b/internal/app/edge/plan.go
@@ -9,6 +9,7 @@
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/layout"
+	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/state/lease"
 
 	"go.uber.org/zap"
@@ -197,11 +198,12 @@
 }
 
 // layoutEngines returns the usable engines of a service as input for a plan. An engine
-// with a recent order counts as if it held the ordered layers.
+// with a recent order counts as if it held the ordered layers. A silent one keeps its
+// layers: it may have paused, and others would drop theirs to replace them.
 func (p *planner) layoutEngines(svc *serviceState, now time.Time) (out []layout.Engine, anyLoaded bool) {
 	for _, up := range svc.model.Engines() {
 		card, ok := svc.model.Model.Card(up.Card)
-		if !ok || up.State != site.StateReady || !svc.model.Answers(up.ID) {
+		if !ok || up.State != site.StateReady || svc.model.Health(up.ID) == path.HealthDead {
 			continue
 		}
 		e := layout.Engine{ID: up.ID, Centre: up.Centre, Card: card, Held: up.Held.Layers.Within(svc.model.Model.Layers)}
--- a/internal/app/edge/silence_test.go
+++ b/internal/app/edge/silence_test.go
@@ -96,8 +96,8 @@
 	return a
 }
 
-// Guards against streams that are cut, and sound requests that get an error or are held to crash
-// engines, while engines pause and go on and the configuration changes.
+// Guards against streams that are cut, sound requests that get an error or are held to crash engines,
+// and layers that are placed anew, while engines pause and go on and the configuration changes.
 func TestDrawnPausesOfEnginesLoseNoRequest(t *testing.T) {
 	for seed := range uint64(pauseSeeds) {
 		for _, engines := range []int{2, 6} {
@@ -114,6 +114,8 @@
 	core, logs := observer.New(zap.InfoLevel)
 	f := newFixtureFrom(t, &depot.Depot{Instances: 4, Log: zap.New(core)})
 	defer f.close()
+	countOrders := func() int { return logs.FilterMessage("edge: load order").Len() }
+	ordersBefore := countOrders()
 	inj := &faultInjector{fixture: f, random: rand.New(rand.NewPCG(seed, 3)), frozenUntil: map[*stand.Engine]time.Time{}}
 	var all sync.WaitGroup
 	all.Go(func() { inj.pauseEngines(engines) })
@@ -162,7 +164,9 @@
 	if 10*(refused+left) > len(answers) {
 		t.Errorf("got %d of %d requests refused and %d callers that left, want a tenth at most", refused, len(answers), left)
 	}
-	t.Logf("%d refused, %d left", refused, left)
+	if n := countOrders() - ordersBefore; n > 0 {
+		t.Errorf("got %d orders to load layers, want none: no engine was lost", n)
+	}
 }
 
 // pauseEngines pauses some engines in each round, half of them the busiest at that time, and none
