--- a/internal/app/edge/open.go
+++ b/internal/app/edge/open.go
@@ -7,7 +7,11 @@
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
+	"fulmarwick/internal/route/path"
+	"fulmarwick/internal/wire/client"
 	"fulmarwick/internal/wire/relay"
+
+	"github.com/go-faster/errors"
 )
 
 // endChecks are the pauses before the attempts to connect to an upstream that may have ended. A
@@ -52,6 +56,18 @@
 	}
 }
 
+// keepOpenOn records a run that is about to leave a silent engine on which it may have just begun; r.mu is
+// held.
+func (r *router) keepOpenOn(svc *serviceState, run *relay.Run, t *runState, up site.Upstream) {
+	if t.isCounted(up.ID) || !t.isNewOn(up.ID, run) {
+		return
+	}
+	event := r.crashOn(svc, run, t, up.ID)
+	event.Incarnation = up.Born
+	t.counted = append(t.counted, up.ID)
+	r.keepOpen(event, crash.Process{Upstream: t.chain[0].Engine(), Incarnation: t.born[0]}, run.Deadline)
+}
+
 // maxCrashDelay is how long after its first event on an engine a run may crash it.
 const maxCrashDelay = time.Second
 
@@ -61,7 +77,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	svc := r.service(up.Service)
-	if svc.model == nil || !svc.model.ListedDead(up.ID) {
+	if svc.model == nil || svc.model.Health(up.ID) != path.HealthDead {
 		return
 	}
 	r.endProcess(up)
@@ -113,7 +129,7 @@
 		r.mu.Lock()
 		requestedAt := svc.checks[up.ID]
 		r.mu.Unlock()
-		hasEnded := r.refusesConnections(up)
+		hasEnded := r.hasEnded(up)
 		r.mu.Lock()
 		if hasEnded {
 			r.endProcess(up)
@@ -133,23 +149,38 @@
 	}
 }
 
-// refusesConnections reports whether an upstream refuses two connections in a row, while this instance
-// has its links.
-func (r *router) refusesConnections(up site.Upstream) bool {
+// hasEnded reports whether an upstream has ended: it refuses two connections in a row, or answers none for
+// cutOffAfter, while this instance has its links. One that answers none for less may have paused.
+func (r *router) hasEnded(up site.Upstream) bool {
+	var silentSince time.Time
 	for _, pause := range endChecks {
 		if !r.pause(pause) {
 			return false
 		}
-		if r.connect(up) == nil {
+		start := time.Now()
+		err := r.connect(up)
+		if !errors.Is(err, client.ErrDialTimeout) {
+			silentSince = time.Time{}
+			if err != nil && r.pause(endConfirmDelay) && r.refusesConnection(up) {
+				return !r.linksLost(context.Background())
+			}
 			continue
 		}
-		if r.pause(endConfirmDelay) && r.connect(up) != nil {
+		if silentSince.IsZero() {
+			silentSince = start
+		}
+		if time.Since(silentSince) >= cutOffAfter {
 			return !r.linksLost(context.Background())
 		}
 	}
 	return false
 }
 
+func (r *router) refusesConnection(up site.Upstream) bool {
+	err := r.connect(up)
+	return err != nil && !errors.Is(err, client.ErrDialTimeout)
+}
+
 func (r *router) isStopped() bool {
 	select {
 	case <-r.stopped:
