Silence: counted from the first probe without an answer; only a refused connection or another process shows an end at once

TestHungEngineWithoutRunsIsDead: not dead before, now. - Any error of a report request, such as a reset or status 503, was the end of the engine at once. Now two refused connections or another process are; the rest is silence. - Runs that were sent to an engine that did not answer by then no longer count as ones that may have crashed it. - The long wait for room is for requests that may have run only, and not where the caller's patience is unknown: that overflowed and refused at once. - A run without an attempt left reserves no room elsewhere; an engine that is known is not told again. The tests of pauses also bound the longest pause by 2 s, after which callers leave.

--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -185,7 +185,7 @@
 			}
 			changes = append(changes, r.movePath(svc, run, chain, demand))
 		case !run.Resumable:
-		case health == path.HealthSilent && (isRestricted || !planned.reserve(svc.model, r.now(), demand)):
+		case health == path.HealthSilent && (isRestricted || !t.hasSpareAttempt() || !planned.reserve(svc.model, r.now(), demand)):
 			kept++
 		default:
 			restarts = append(restarts, run)
--- a/internal/app/edge/fleet.go
+++ b/internal/app/edge/fleet.go
@@ -41,7 +41,7 @@
 	switch {
 	case !used:
 	case w.isLargeFleet() && confirmed && !w.isBusy() && w.areStreamsStalled(up, time.Now()):
-		w.declareSilent(ctx, up, "told", 0, nil)
+		w.declareSilent(ctx, up, "told", time.Now(), nil)
 		w.startProbe(ctx, up, true)
 	default:
 		w.startProbe(ctx, up, confirmed)
--- a/internal/app/edge/queue.go
+++ b/internal/app/edge/queue.go
@@ -113,7 +113,7 @@
 		return nil, nil, nil, w.lastErr
 	}
 	svc.recordUnserved(now, w)
-	t := &queue.Ticket{Team: c.Team, Urgency: c.Urgency, Deadline: r.waitDeadline(svc, c, o.Kind, w.lastErr), Begun: w.hasPartialAnswer()}
+	t := &queue.Ticket{Team: c.Team, Urgency: c.Urgency, Deadline: r.waitDeadline(svc, c, o, w.lastErr), Begun: w.hasPartialAnswer()}
 	if w.hasPartialAnswer() {
 		t.Urgency = resumedUrgency
 	}
@@ -139,20 +139,21 @@
 }
 
 // waitDeadline returns the time after which a waiting request could no longer be
-// answered in time. A retry waits until its caller leaves, and gets the whole target
-// again at least: an earlier attempt may have run, so its caller can't send the
-// request again. A resumed answer waits until the deadline of its caller, as the
-// caller already has a part of it.
-func (r *router) waitDeadline(svc *serviceState, c *relay.Call, how relay.RunKind, err error) time.Duration {
+// answered in time. A retry gets the whole target again, and one that may have run
+// waits until its caller leaves, who can't send it again. A resumed answer waits until
+// the deadline of its caller, as the caller already has a part of it.
+func (r *router) waitDeadline(svc *serviceState, c *relay.Call, o relay.RunOptions, err error) time.Duration {
 	now := r.now()
 	target := c.Route.TargetLatency
 	switch {
-	case how == relay.RunResume:
+	case o.Kind == relay.RunResume:
 		return now + time.Until(c.Deadline)
-	case how == relay.RunRetry:
+	case o.MayHaveRun && !c.FirstEventDeadline.IsZero():
 		return now + max(target, time.Until(c.FirstEventDeadline)-svc.firstLatency)
 	case errors.Is(err, path.ErrNoPath):
 		return now + target/noEngineWaitDivisor
+	case o.Kind == relay.RunRetry:
+		return now + target
 	}
 	return now - time.Since(c.Start) + target - svc.firstLatency
 }
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -23,6 +23,8 @@
 	// born are the start times of the processes on chain.
 	born               []int64
 	awaitingFirstEvent bool
+	// hasSpareAttempt is HasSpareAttempt of the run for callers that hold router.mu.
+	hasSpareAttempt func() bool
 	// formerChain is the path that the run still uses while its engines have not accepted
 	// chain.
 	formerChain spec.Chain
@@ -55,6 +57,14 @@
 	return run.ProducingTime() <= maxCrashDelay || t.joined.Uses(id) && run.LastEvent().Sub(t.movedAt) <= maxCrashDelay
 }
 
+// beganOn returns when a run was sent to an engine of its path.
+func (t *runState) beganOn(id spec.UpstreamID, run *relay.Run) time.Time {
+	if t.joined.Uses(id) {
+		return t.movedAt
+	}
+	return run.Start
+}
+
 // isCounted reports whether the crash of an engine is counted against the request.
 func (t *runState) isCounted(id spec.UpstreamID) bool { return slices.Contains(t.counted, id) }
 
@@ -105,26 +115,31 @@
 	r.crashBook.Begin(r.now(), c.Suspects())
 	run.Request, run.Service, run.Route, run.Demand = c.ParsedHeader.ID, svc.name, c.Route.Name, demand
 	run.Resumable, run.Suspects, run.Deadline = c.Route.Resumable, c.Suspects(), c.Deadline
-	run.HasSpareAttempt = func() bool { return r.hasSpareAttempt(c, o.Attempted, chain[0].Engine()) }
+	hasSpareAttempt := func() bool { return svc.hasSpareAttempt(c.Route.MaxAttempts, o.Attempted, chain[0].Engine()) }
+	run.HasSpareAttempt = func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return hasSpareAttempt()
+	}
 	svc.model.Begin(chain, demand)
 	svc.model.RecordSent(r.now(), chain, demand)
 	svc.model.RecordTransfer(r.now(), chain, demand)
 	r.takeStages(chain)
-	svc.runs[run] = &runState{team: c.Team, pending: r.await(svc, c), chain: chain, born: svc.startTimes(chain), awaitingFirstEvent: true}
+	svc.runs[run] = &runState{team: c.Team, pending: r.await(svc, c), chain: chain, born: svc.startTimes(chain), awaitingFirstEvent: true, hasSpareAttempt: hasSpareAttempt}
 	svc.teams.Own().Begin(c.Team)
 	return run, nil
 }
 
-// hasSpareAttempt reports whether a call may run on an engine besides first and those that it ran on
-// before. Engines that are dead do not count.
-func (r *router) hasSpareAttempt(c *relay.Call, attempted []spec.UpstreamID, first spec.UpstreamID) bool {
+// hasSpareAttempt reports whether a request may run on an engine besides first and those that it ran on
+// before. Engines that are dead do not count. router.mu is held.
+func (svc *serviceState) hasSpareAttempt(maxAttempts int, attempted []spec.UpstreamID, first spec.UpstreamID) bool {
 	n := 1
 	for _, id := range attempted {
-		if id != first && !r.IsDead(c.Service.Name, id) {
+		if id != first && svc.model.Health(id) != path.HealthDead {
 			n++
 		}
 	}
-	return n < c.Route.MaxAttempts
+	return n < maxAttempts
 }
 
 // await has the gate of a service watch whether the answer to a request begins in time; r.mu is held.
--- a/internal/app/edge/silence.go
+++ b/internal/app/edge/silence.go
@@ -7,7 +7,10 @@
 	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/path"
+	"fulmarwick/internal/state/feed"
+	"fulmarwick/platform"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 )
 
@@ -17,17 +20,21 @@
 // they made, and counts against the requests that may have caused it.
 
 const (
-	// confirmProbeTimeout limits each report request to a silent engine.
-	confirmProbeTimeout = 400 * time.Millisecond
+	// confirmProbeTimeout limits each report request to a silent engine. One that paused answers the
+	// request as it goes on, so that few are needed; a second one shows that the first was not lost.
+	confirmProbeTimeout = 700 * time.Millisecond
 	// cutOffAfter is how long a silent engine must not answer to count as dead: longer than
 	// engines pause, and short enough that a stream goes on elsewhere before its caller
 	// leaves.
 	cutOffAfter = 1500 * time.Millisecond
+	// errorPause is the pause after a report request that failed at once.
+	errorPause = 50 * time.Millisecond
 )
 
-// handleNoReport handles that an engine did not answer a probe. If this instance has lost its links, the
-// engine is not to blame, and its stalled streams go on elsewhere. It returns whether the engine is silent.
-func (w *watcher) handleNoReport(ctx context.Context, p *probe, late bool, after time.Duration, err error) bool {
+// handleNoReport handles that an engine did not answer a probe that began at start. If this instance has
+// lost its links, the engine is not to blame, and its stalled streams go on elsewhere. It returns whether
+// the engine is silent.
+func (w *watcher) handleNoReport(ctx context.Context, p *probe, start time.Time, err error) bool {
 	w.links.recordDial(p.up.Address, err)
 	if w.links.confirmLost(ctx) {
 		w.resumeStalled(p.up)
@@ -37,60 +44,83 @@
 	if p.isConfirmed() {
 		evidence = "silence of many"
 	}
-	if late {
-		w.declareSilent(ctx, p.up, evidence, after, err)
-	} else {
-		w.declareDead(ctx, p.up, after, err)
+	isGone := w.isGone(ctx, p.up, err)
+	if isGone && w.declareDead(ctx, p.up, start, isGone, err) || !isGone && w.declareSilent(ctx, p.up, evidence, start, err) {
+		w.onSilent(p.up.ID)
 	}
-	w.onSilent(p.up.ID)
-	return late
+	return !isGone
 }
 
-// declareSilent marks an engine as silent and starts to move its runs.
-func (w *watcher) declareSilent(ctx context.Context, up site.Upstream, evidence string, after time.Duration, err error) {
-	if !w.router.degrade(up, path.HealthSilent) {
-		return
+// isGone reports whether the outcome of a report request shows that a process has ended: another one
+// answered, or the address refuses connections.
+func (w *watcher) isGone(ctx context.Context, up site.Upstream, err error) bool {
+	if err == nil {
+		return true
+	}
+	if !errors.Is(err, platform.ErrRefused) || !feed.Sleep(ctx, endConfirmDelay) {
+		return false
+	}
+	_, _, err = w.fetchReport(ctx, up, probeRetryTimeout)
+	return errors.Is(err, platform.ErrRefused)
+}
+
+// declareSilent marks an engine as silent and starts to move its runs. It returns false if that is known.
+func (w *watcher) declareSilent(ctx context.Context, up site.Upstream, evidence string, since time.Time, err error) bool {
+	if !w.router.degrade(up, path.HealthSilent, since) {
+		return false
 	}
 	w.log.Warn("edge: engine does not answer", zap.String("engine", string(up.ID)), zap.String("address", up.Address),
-		zap.String("evidence", evidence), zap.Duration("after", after), zap.Error(err))
+		zap.String("evidence", evidence), zap.Duration("after", time.Since(since)), zap.Error(err))
 	// Runs in the background, as the engine must be probed meanwhile: it may recover.
 	go w.evacuate(ctx, up, path.HealthSilent)
+	return true
 }
 
 // declareDead marks an engine as dead, counts its end against the requests that may have caused it, and
-// starts to move its runs.
-func (w *watcher) declareDead(ctx context.Context, up site.Upstream, after time.Duration, err error) {
-	if !w.router.degrade(up, path.HealthDead) {
-		return
+// starts to move its runs. isGone means that its process has ended for certain. It returns false if that is
+// known.
+func (w *watcher) declareDead(ctx context.Context, up site.Upstream, since time.Time, isGone bool, err error) bool {
+	if !w.router.degrade(up, path.HealthDead, since) {
+		return false
 	}
-	w.log.Warn("edge: engine is dead", zap.String("engine", string(up.ID)), zap.String("address", up.Address), zap.Duration("after", after), zap.Error(err))
+	w.log.Warn("edge: engine is dead", zap.String("engine", string(up.ID)), zap.String("address", up.Address), zap.Bool("gone", isGone),
+		zap.Duration("after", time.Since(since)), zap.Error(err))
 	w.countSilence("dead")
 	w.router.recordCrashesOf(up)
 	go w.evacuate(ctx, up, path.HealthDead)
+	return true
 }
 
-// awaitRecovery probes an engine that is silent or dead. While runs wait for it, or somebody asks whether
-// it is dead, it goes on until the engine answers or is known to be dead: its address refuses connections,
-// another process answers there, or it has not answered for cutOffAfter.
-func (w *watcher) awaitRecovery(ctx context.Context, p *probe, start time.Time) {
+// awaitRecovery probes an engine that does not answer. While runs wait for it, or somebody asks whether it
+// is dead, it goes on until the engine answers or is known to be dead: its process has ended, or it has not
+// answered for cutOffAfter.
+func (w *watcher) awaitRecovery(ctx context.Context, p *probe) {
 	for {
-		left := max(probeTimeout, min(confirmProbeTimeout, cutOffAfter-w.runningSince(start)))
-		report, late, err := w.fetchReport(ctx, p.up, left+w.connectQueueTime())
-		after := w.runningSince(start)
+		since, isSilent := w.router.silentSince(p.up)
+		if !isSilent {
+			return
+		}
+		limit := min(confirmProbeTimeout, cutOffAfter-w.runningSince(since))
+		report, late, err := w.fetchReport(ctx, p.up, max(probeRetryTimeout, limit)+w.connectQueueTime())
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil && w.router.applyReport(p.up, report):
-			w.log.Info("edge: engine answers again", zap.String("engine", string(p.up.ID)), zap.String("address", p.up.Address), zap.Duration("after", after))
+			w.log.Info("edge: engine answers again", zap.String("engine", string(p.up.ID)), zap.String("address", p.up.Address), zap.Duration("after", time.Since(since)))
 			w.countSilence("answered")
 			return
-		case w.links.confirmLost(ctx):
+		case w.router.health(p.up) == path.HealthDead, w.links.confirmLost(ctx):
 			return
-		case !late || after >= cutOffAfter:
-			w.declareDead(ctx, p.up, after, err)
+		}
+		isGone := w.isGone(ctx, p.up, err)
+		switch {
+		case isGone || w.runningSince(since) >= cutOffAfter:
+			w.declareDead(ctx, p.up, since, isGone, err)
 			return
 		case !p.awaited.Load() && !w.router.isInUse(p.up):
 			return
+		case !late && !feed.Sleep(ctx, errorPause):
+			return
 		}
 	}
 }
@@ -108,7 +138,7 @@
 		if w.router.health(up) == path.HealthDead {
 			return true
 		}
-		p := w.startProbe(context.WithoutCancel(ctx), up, false)
+		p := w.startProbe(context.Background(), up, false)
 		p.awaited.Store(true)
 		select {
 		case <-p.done:
@@ -121,13 +151,25 @@
 	return w.router.health(up) == path.HealthDead
 }
 
-// degrade marks an engine as silent or dead. It returns false if that is known already, or if the engine
-// is another process by now.
-func (r *router) degrade(up site.Upstream, to path.Health) bool {
+// degrade marks an engine as silent or dead, which has not answered since a time. It returns false if that
+// is known already, or if the engine is another process by now.
+func (r *router) degrade(up site.Upstream, to path.Health, since time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	svc := r.service(up.Service)
-	return svc.model != nil && svc.model.Degrade(up.ID, up.Born, to)
+	return svc.model != nil && svc.model.Degrade(up.ID, up.Born, to, since.Sub(r.start))
+}
+
+// silentSince returns since when an engine has not answered; false if it did when it was last probed.
+func (r *router) silentSince(up site.Upstream) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	svc := r.service(up.Service)
+	if svc.model == nil {
+		return time.Time{}, false
+	}
+	since, ok := svc.model.SilentSince(up.ID)
+	return r.start.Add(since), ok
 }
 
 // health returns the health of an engine.
--- a/internal/app/edge/silence_test.go
+++ b/internal/app/edge/silence_test.go
@@ -35,6 +35,9 @@
 				if a.body != wholeAnswer("long", 600) {
 					t.Errorf("got %d with %d events (%v, reason %q), want all 600", a.status, a.events, a.err, loggedReason(logs, "long"))
 				}
+				if a.longestGap > callerPatience {
+					t.Errorf("got a pause of %s, want %s at most: callers leave then", a.longestGap, callerPatience)
+				}
 				if n := f.site.LiveProducers("long"); n > 2 {
 					t.Errorf("got the stream run on %d engines, want 2 at most", n)
 				}
@@ -72,7 +75,7 @@
 	pausedStreams = 600
 )
 
-// callerPatience is how long a caller waits for the first event before it leaves.
+// callerPatience is how long a caller waits for an event before it leaves.
 const callerPatience = 2 * time.Second
 
 // sendPatient sends a request whose caller leaves if its answer does not begin in time.
@@ -145,7 +148,7 @@
 			refused++
 		case a.status != http.StatusOK:
 			failed++
-		case a.body != wholeAnswer(id, 60):
+		case a.body != wholeAnswer(id, 60) || a.longestGap > callerPatience:
 			cut++
 		}
 		if n := f.site.LiveProducers(id); n > 2 {
@@ -227,3 +230,25 @@
 		}
 	})
 }
+
+// Guards against an engine that hangs for good and is never held dead, since all of its runs have left it:
+// nothing would replace its layers, and a stream that ran on it would have no attempt left.
+func TestHungEngineWithoutRunsIsDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, logs := observer.New(zap.WarnLevel)
+		f := newFixtureFrom(t, &depot.Depot{Instances: 1, Log: zap.New(core)})
+		defer f.close()
+		var hung *stand.Engine
+		a := f.runLongStream(1, 2500*time.Millisecond, func(int) {
+			time.Sleep(2 * time.Second)
+			hung = f.busiestEngine()
+			f.site.StopResponding(hung)
+		})
+		if a.body != wholeAnswer("long", 600) {
+			t.Errorf("got %d with %d events (%v), want all 600", a.status, a.events, a.err)
+		}
+		if logs.FilterMessage("edge: engine is dead").FilterField(zap.String("engine", hung.ID)).Len() == 0 {
+			t.Errorf("got %s not held dead, want it dead 1.5s after it fell silent", hung.ID)
+		}
+	})
+}
--- a/internal/route/path/health.go
+++ b/internal/route/path/health.go
@@ -88,18 +88,31 @@
 	t.recompute()
 }
 
-// Degrade marks an engine as silent or dead. It gets no requests until it reports again.
-// Degrade returns false if the engine isn't listed, is known to be in that state or a
-// worse one, or has another start time.
-func (t *Table) Degrade(id spec.UpstreamID, startTime int64, to Health) bool {
+// Degrade marks an engine as silent or dead, which has not answered since a time. It gets
+// no requests until it reports again. Degrade returns false if the engine isn't listed,
+// is known to be in that state or a worse one, or has another start time.
+func (t *Table) Degrade(id spec.UpstreamID, startTime int64, to Health, since time.Duration) bool {
 	e := t.byID[id]
 	if e == nil || e.health >= to || e.upstream.Born != startTime {
 		return false
 	}
+	if e.health == HealthUp {
+		e.silentSince = since
+	}
 	e.health = to
 	return true
 }
 
+// SilentSince returns since when an engine has not answered; false if it did when it was last
+// probed.
+func (t *Table) SilentSince(id spec.UpstreamID) (time.Duration, bool) {
+	e := t.byID[id]
+	if e == nil || e.health == HealthUp {
+		return 0, false
+	}
+	return e.silentSince, true
+}
+
 // StartCooldown gives an engine no new requests until the given time, or until its present
 // cooldown ends if that is later.
 func (t *Table) StartCooldown(id spec.UpstreamID, until time.Duration) {
--- a/internal/route/path/path_test.go
+++ b/internal/route/path/path_test.go
@@ -104,11 +104,11 @@
 	if c := choose(t, tab); c.Uses("e2") {
 		t.Errorf("got %s, want no slow engine", c)
 	}
-	tab.Degrade("w2", 1, path.HealthDead)
+	tab.Degrade("w2", 1, path.HealthDead, 0)
 	if c := choose(t, tab); !c.Uses("e2") {
 		t.Errorf("got %s, want the slow engine for the dead one", c)
 	}
-	tab.Degrade("e2", 1, path.HealthSilent)
+	tab.Degrade("e2", 1, path.HealthSilent, 0)
 	if _, err := tab.Choose(0, typicalDemand, nil); !errors.Is(err, path.ErrNoPath) {
 		t.Errorf("got %v with no engine for a range, want ErrNoPath", err)
 	}
@@ -508,12 +508,12 @@
 // and ask others for them.
 func TestMissingLayersAreNotOutOfReach(t *testing.T) {
 	tab := table(engine("a", "a100", "east", 0, 40), engine("b", "a100", "east", 40, 80))
-	tab.Degrade("b", 1, path.HealthDead)
+	tab.Degrade("b", 1, path.HealthDead, 0)
 	if _, err := tab.Choose(0, typicalDemand, nil); !errors.Is(err, path.ErrUnreached) || !errors.Is(err, path.ErrNoPath) {
 		t.Errorf("got %v with a dead engine, want ErrUnreached, which is an ErrNoPath", err)
 	}
 	tab = table(engine("a", "a100", "east", 0, 40), engine("b", "a100", "east", 50, 80))
-	tab.Degrade("b", 1, path.HealthDead)
+	tab.Degrade("b", 1, path.HealthDead, 0)
 	if _, err := tab.Choose(0, typicalDemand, nil); !errors.Is(err, path.ErrNoPath) || errors.Is(err, path.ErrUnreached) {
 		t.Errorf("got %v with layers that no engine holds, want ErrNoPath", err)
 	}
--- a/internal/route/path/table.go
+++ b/internal/route/path/table.go
@@ -26,6 +26,8 @@
 	reportedSlowdown float64
 	reportedAt       time.Duration
 	health           Health
+	// silentSince is when the engine first did not answer; it holds unless health is HealthUp.
+	silentSince time.Duration
 	// cooldownUntil is the time until which the engine gets no new requests.
 	// refusalCooldown is the length of the cooldown for its last refusal; zero once it
 	// has served a run since.
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -40,6 +40,9 @@
 	Avoid []spec.UpstreamID
 	// Attempted are the first engines of earlier runs that count as attempts.
 	Attempted []spec.UpstreamID
+	// MayHaveRun means that an earlier run may have begun, so that the caller can't be promised
+	// that the request has not run.
+	MayHaveRun bool
 }
 
 // PathSelector selects the engines for model requests and tracks their runs.
@@ -252,7 +255,7 @@
 	case c.runs > 0:
 		kind = RunRetry
 	}
-	return c.runner.Paths.StartRun(c.ctx, c.call, RunOptions{Kind: kind, Avoid: c.avoid, Attempted: c.attemptedEngines()})
+	return c.runner.Paths.StartRun(c.ctx, c.call, RunOptions{Kind: kind, Avoid: c.avoid, Attempted: c.attemptedEngines(), MayHaveRun: c.mayHaveRun})
 }
 
 // execute runs the request on the path of a run and ends the run, also in a panic.
