--- a/internal/app/edge/silence.go
+++ b/internal/app/edge/silence.go
@@ -27,8 +27,8 @@
 	// engines pause, and short enough that a stream goes on elsewhere before its caller
 	// leaves.
 	cutOffAfter = 1500 * time.Millisecond
-	// errorPause is the pause after a report request that failed at once.
-	errorPause = 50 * time.Millisecond
+	// confirmPause is the pause before the next one.
+	confirmPause = 50 * time.Millisecond
 )
 
 // handleNoReport handles that an engine did not answer a probe that began at start. If this instance has
@@ -92,39 +92,43 @@
 }
 
 // awaitRecovery probes an engine that does not answer. While runs wait for it, or somebody asks whether it
-// is dead, it goes on until the engine answers or is known to be dead: its process has ended, or it has not
-// answered for cutOffAfter.
+// is dead, it goes on until the engine answers or is known to be dead.
 func (w *watcher) awaitRecovery(ctx context.Context, p *probe) {
 	for {
 		since, isSilent := w.router.silentSince(p.up)
-		if !isSilent {
+		if !isSilent || w.probeSilent(ctx, p.up, since) {
 			return
 		}
-		limit := min(confirmProbeTimeout, cutOffAfter-w.runningSince(since))
-		report, late, err := w.fetchReport(ctx, p.up, max(probeRetryTimeout, limit)+w.connectQueueTime())
-		switch {
-		case ctx.Err() != nil:
-			return
-		case err == nil && w.router.applyReport(p.up, report):
-			w.log.Info("edge: engine answers again", zap.String("engine", string(p.up.ID)), zap.String("address", p.up.Address), zap.Duration("after", time.Since(since)))
-			w.countSilence("answered")
-			return
-		case w.router.health(p.up) == path.HealthDead, w.links.confirmLost(ctx):
-			return
-		}
-		isGone := w.isGone(ctx, p.up, err)
-		switch {
-		case isGone || w.runningSince(since) >= cutOffAfter:
-			w.declareDead(ctx, p.up, since, isGone, err)
-			return
-		case !p.awaited.Load() && !w.router.isInUse(p.up):
-			return
-		case !late && !feed.Sleep(ctx, errorPause):
+		if !p.awaited.Load() && !w.router.isInUse(p.up) || !feed.Sleep(ctx, confirmPause) {
 			return
 		}
 	}
 }
 
+// probeSilent probes an engine that has not answered since a time. It returns false if the engine has to
+// be probed again: it does not answer, but its process is not known to have ended, and cutOffAfter is not
+// over.
+func (w *watcher) probeSilent(ctx context.Context, up site.Upstream, since time.Time) bool {
+	limit := max(probeRetryTimeout, min(confirmProbeTimeout, cutOffAfter-w.runningSince(since)))
+	report, _, err := w.fetchReport(ctx, up, limit+w.connectQueueTime())
+	switch {
+	case ctx.Err() != nil:
+		return true
+	case err == nil && w.router.applyReport(up, report):
+		w.log.Info("edge: engine answers again", zap.String("engine", string(up.ID)), zap.String("address", up.Address), zap.Duration("after", time.Since(since)))
+		w.countSilence("answered")
+		return true
+	case w.router.health(up) == path.HealthDead, w.links.confirmLost(ctx):
+		return true
+	}
+	isGone := w.isGone(ctx, up, err)
+	if !isGone && w.runningSince(since) < cutOffAfter {
+		return false
+	}
+	w.declareDead(ctx, up, since, isGone, err)
+	return true
+}
+
 // runningSince returns the time for which this process has run since a moment. In a pause it can read no
 // answer.
 func (w *watcher) runningSince(start time.Time) time.Duration {
