--- a/internal/app/edge/evacuate.go
+++ b/internal/app/edge/evacuate.go
@@ -98,7 +98,7 @@
 	hops     []site.Hop
 }
 
-// initialEvacuateRetryDelay is the first delay before the move of runs off a dead engine
+// initialEvacuateRetryDelay is the first delay before the move of runs off an engine
 // is retried for those that could not be moved: by then some of the runs that use the
 // capacity of other engines have ended. Each delay is twice the one before, since
 // orders to engines have a cost.
--- a/internal/app/edge/fleet.go
+++ b/internal/app/edge/fleet.go
@@ -13,7 +13,7 @@
 // probeDelay returns how long this instance waits before it probes an engine. The streams
 // of all instances stall at the same moment, and an engine accepts their connections one
 // after another. Probed by a whole large fleet at once, healthy engines would answer too
-// late and be declared dead.
+// late and be declared silent.
 func (w *watcher) probeDelay() time.Duration {
 	if !w.isLargeFleet() {
 		return 0
@@ -30,14 +30,14 @@
 // isLargeFleet reports whether there are more instances than may probe an engine at once.
 func (w *watcher) isLargeFleet() bool { return w.router.instanceCount() > maxConcurrentProbers }
 
-// handleReportedDead handles an engine that another instance reported dead. The engine is
+// handleReportedSilent handles an engine that another instance reported silent. The engine is
 // probed only if streams of this instance use it: probes by dozens of instances would keep
 // all of them busy. In a large fleet a single report is not trusted, since one wrong
 // instance would mislead all others. Reports of several instances are accepted without a
 // probe if the streams of this instance stall as well.
-func (w *watcher) handleReportedDead(ctx context.Context, id spec.UpstreamID) {
+func (w *watcher) handleReportedSilent(ctx context.Context, id spec.UpstreamID) {
 	up, used := w.router.avoidSuspect(id)
-	confirmed := !w.isLargeFleet() || w.addDeadReport(id)
+	confirmed := !w.isLargeFleet() || w.addSilenceReport(id)
 	switch {
 	case !used:
 	case w.isLargeFleet() && confirmed && !w.isBusy() && w.areStreamsStalled(up, time.Now()):
@@ -48,29 +48,29 @@
 	}
 }
 
-// deadReport counts the reports that an engine is dead since a time.
-type deadReport struct {
+// silenceReport counts the reports that an engine is silent since a time.
+type silenceReport struct {
 	count int
 	since time.Time
 }
 
-// addDeadReport counts one more report that an engine is dead, and returns whether there
+// addSilenceReport counts one more report that an engine is silent, and returns whether there
 // are enough of them.
-func (w *watcher) addDeadReport(id spec.UpstreamID) bool {
+func (w *watcher) addSilenceReport(id spec.UpstreamID) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for other, report := range w.deadReports {
-		if time.Since(report.since) >= deadReportWindow {
-			delete(w.deadReports, other)
+	for other, report := range w.silenceReports {
+		if time.Since(report.since) >= silenceReportWindow {
+			delete(w.silenceReports, other)
 		}
 	}
-	report, known := w.deadReports[id]
+	report, known := w.silenceReports[id]
 	if !known {
 		report.since = time.Now()
 	}
 	report.count++
-	w.deadReports[id] = report
-	return report.count >= minDeadReports
+	w.silenceReports[id] = report
+	return report.count >= minSilenceReports
 }
 
 // areStreamsStalled reports whether all streams on an engine have been without an event for
--- a/internal/app/edge/mesh.go
+++ b/internal/app/edge/mesh.go
@@ -62,10 +62,10 @@
 	// countBehind counts how often other instances had a newer version of a table and
 	// did not send it.
 	countBehind func()
-	// onReportedDead is called for each engine that another instance reported dead.
-	onReportedDead func(id spec.UpstreamID)
-	logic          *mesh.Logic
-	hub            *peer.Hub
+	// onReportedSilent is called for each engine that another instance reported silent.
+	onReportedSilent func(id spec.UpstreamID)
+	logic            *mesh.Logic
+	hub              *peer.Hub
 
 	// rosterWritten is set once the own row of the roster was written. Only maintainRoster
 	// uses it and rosterRead.
@@ -79,8 +79,8 @@
 	sawRestore bool
 
 	mu sync.Mutex
-	// unreportedDead holds engines found dead that were not yet reported to the others.
-	unreportedDead []spec.UpstreamID
+	// unreportedSilent holds engines found silent that were not yet reported to the others.
+	unreportedSilent []spec.UpstreamID
 	// livePeers holds the instances that are connected.
 	livePeers map[spec.InstanceID]bool
 }
@@ -109,11 +109,11 @@
 	return len(m.livePeers) > 0
 }
 
-// addDead queues an engine that was found dead to be reported to the other instances.
-func (m *meshNode) addDead(id spec.UpstreamID) {
+// addSilent queues an engine that was found silent to be reported to the other instances.
+func (m *meshNode) addSilent(id spec.UpstreamID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.unreportedDead = append(m.unreportedDead, id)
+	m.unreportedSilent = append(m.unreportedSilent, id)
 }
 
 // Usage returns the usage of the engines by the requests of this instance.
@@ -129,12 +129,12 @@
 // Slowdowns returns the slowdown factors that slow engines reported to this instance.
 func (m *meshNode) Slowdowns() map[spec.UpstreamID]float64 { return m.router.localSlowdowns() }
 
-// HasUrgent reports whether engines were found dead or crashes were recorded since the
+// HasUrgent reports whether engines were found silent or crashes were recorded since the
 // last TakeFailures.
 func (m *meshNode) HasUrgent() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.unreportedDead) > 0 || m.router.hasUnreportedCrashes()
+	return len(m.unreportedSilent) > 0 || m.router.hasUnreportedCrashes()
 }
 
 // TakeChangedVersions returns the version of the last change of each table that was read
@@ -149,13 +149,13 @@
 	return m.state.Since(table, version)
 }
 
-// TakeFailures returns the dead engines and the crashes found since the last call.
-func (m *meshNode) TakeFailures() (dead []spec.UpstreamID, crashes []crash.Event) {
+// TakeFailures returns the silent engines and the crashes found since the last call.
+func (m *meshNode) TakeFailures() (silent []spec.UpstreamID, crashes []crash.Event) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	dead = m.unreportedDead
-	m.unreportedDead = nil
-	return dead, m.router.takeCrashes()
+	silent = m.unreportedSilent
+	m.unreportedSilent = nil
+	return silent, m.router.takeCrashes()
 }
 
 // Known returns what an instance that joins has to know of crashes and restrictions.
@@ -215,10 +215,10 @@
 	m.countBehind()
 }
 
-// ReceiveDead handles engines that another instance reported dead.
-func (m *meshNode) ReceiveDead(_ spec.InstanceID, engines []spec.UpstreamID) {
+// ReceiveSilent handles engines that another instance reported silent.
+func (m *meshNode) ReceiveSilent(_ spec.InstanceID, engines []spec.UpstreamID) {
 	for _, id := range engines {
-		m.onReportedDead(id)
+		m.onReportedSilent(id)
 	}
 }
 
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -94,8 +94,8 @@
 		i.planner.noteListSize(list)
 		i.watcher.updateLeaving(list)
 	}
-	i.mesh.onReportedDead = func(id spec.UpstreamID) { i.watcher.handleReportedDead(ctx, id) }
-	i.watcher.onSilent = i.mesh.addDead
+	i.mesh.onReportedSilent = func(id spec.UpstreamID) { i.watcher.handleReportedSilent(ctx, id) }
+	i.watcher.onSilent = i.mesh.addSilent
 	i.mesh.initHub()
 	i.mesh.logic.LinksLost = i.links.areLost
 	i.mesh.logic.TakesRequests = func() bool { return !i.drainer.Stopping() }
--- a/internal/app/edge/probe.go
+++ b/internal/app/edge/probe.go
@@ -107,8 +107,8 @@
 }
 
 // retryReport requests a second report with more time from an engine that did not answer.
-// If this process is not short of CPU time, it stops as soon as the death is confirmed by
-// other evidence: streams of a dead engine must not wait for the second answer then.
+// If this process is not short of CPU time, it stops as soon as the silence is confirmed by
+// other evidence: the streams of the engine must not wait for the second answer then.
 func (w *watcher) retryReport(ctx context.Context, p *probe) (site.Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -142,7 +142,7 @@
 
 // withRunningTimeout returns a context with a timeout that counts only the time in which
 // this process ran. A plain timer expires at the end of a process pause, before an answer
-// that arrived during the pause is read, so that healthy engines seem dead.
+// that arrived during the pause is read, so that healthy engines seem silent.
 func (w *watcher) withRunningTimeout(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	start := time.Now()
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -25,7 +25,7 @@
 	// probeRetryTimeout limits the second report request, which is sent if the first
 	// timeout proves little: few streams were stalled, or this process itself was short
 	// of CPU time. Without it, the death of one engine under load makes all instances
-	// declare most engines dead, and the moves that follow keep the instances busy.
+	// declare most engines silent, and the moves that follow keep the instances busy.
 	probeRetryTimeout = 90 * time.Millisecond
 	// maxProbeWallTime limits a report request in wall time, even if this process does
 	// not run meanwhile.
@@ -39,13 +39,13 @@
 	// connectTimePerInstance is how much longer a probe waits for an answer for each
 	// instance above maxConcurrentProbers.
 	connectTimePerInstance = time.Millisecond
-	// minDeadReports is how many instances of a large fleet must have reported an engine
-	// dead within deadReportWindow before the report counts as confirmed.
-	minDeadReports = 3
-	// deadReportWindow is how long dead reports are counted together.
-	deadReportWindow = time.Second
+	// minSilenceReports is how many instances of a large fleet must have reported an engine
+	// silent within silenceReportWindow before the report counts as confirmed.
+	minSilenceReports = 3
+	// silenceReportWindow is how long such reports are counted together.
+	silenceReportWindow = time.Second
 	// minStallTime is the least time without an event after which a stream confirms a
-	// dead report.
+	// report of a silent engine.
 	minStallTime = 40 * time.Millisecond
 	// minStallGaps is the same in mean inter-event gaps of the stream; the longer time
 	// counts.
@@ -55,8 +55,8 @@
 	busyTickDelay = 12 * time.Millisecond
 	// busyDuration is how long the process counts as such after a delayed tick.
 	busyDuration = 250 * time.Millisecond
-	// suspectCooldown is how long an engine that another instance reported dead gets no
-	// new runs, until this instance knows whether it is dead.
+	// suspectCooldown is how long an engine that another instance reported silent gets no
+	// new runs, until this instance knows whether it is.
 	suspectCooldown = 400 * time.Millisecond
 	// repathTimeout limits the wait for an engine to accept another path.
 	repathTimeout = 60 * time.Millisecond
@@ -78,8 +78,8 @@
 	// leaveDelay is how long the streams of a leaving engine stay on it: it serves for at
 	// least two seconds more, and most answers end within one.
 	leaveDelay = 1200 * time.Millisecond
-	// deadProbeInterval is the interval between two probes of engines that are silent or dead.
-	deadProbeInterval = 500 * time.Millisecond
+	// silentProbeInterval is the interval between two probes of engines that are silent or dead.
+	silentProbeInterval = 500 * time.Millisecond
 )
 
 // engineClient requests reports from engines and sends them orders.
@@ -89,7 +89,7 @@
 	Repath(ctx context.Context, address string, r site.Repath) error
 }
 
-// watcher detects dead engines by the streams that stall on them, and moves the streams to
+// watcher detects silent engines by the streams that stall on them, and moves the streams to
 // other engines.
 type watcher struct {
 	router  *router
@@ -117,20 +117,20 @@
 	// stallDetectors holds a detector for each service.
 	stallDetectors map[string]*stall.Detector
 	// probes holds the running probes.
-	probes        map[spec.UpstreamID]*probe
-	lastDeadProbe time.Time
-	lastLagCheck  time.Time
+	probes          map[spec.UpstreamID]*probe
+	lastSilentProbe time.Time
+	lastLagCheck    time.Time
 	// surveyed is set once the engines were asked for what they hold.
 	surveyed bool
-	// deadReports counts, by engine, the recent reports of other instances that found it
-	// dead.
-	deadReports map[spec.UpstreamID]deadReport
+	// silenceReports counts, by engine, the recent reports of other instances that found it
+	// silent.
+	silenceReports map[spec.UpstreamID]silenceReport
 	// leaving holds the leaving engines with the time at which their streams move.
 	leaving map[spec.UpstreamID]departure
 }
 
 func newWatcher(r *router, e engineClient, log *zap.Logger) *watcher {
-	return &watcher{router: r, engines: e, log: log, stallDetectors: map[string]*stall.Detector{}, probes: map[spec.UpstreamID]*probe{}, deadReports: map[spec.UpstreamID]deadReport{}, leaving: map[spec.UpstreamID]departure{}, newTicker: newRealTicker, clock: pause.Detector{TickInterval: checkInterval, MinPause: busyTickDelay}}
+	return &watcher{router: r, engines: e, log: log, stallDetectors: map[string]*stall.Detector{}, probes: map[spec.UpstreamID]*probe{}, silenceReports: map[spec.UpstreamID]silenceReport{}, leaving: map[spec.UpstreamID]departure{}, newTicker: newRealTicker, clock: pause.Detector{TickInterval: checkInterval, MinPause: busyTickDelay}}
 }
 
 // newRealTicker returns a ticker of the real clock.
@@ -176,7 +176,7 @@
 	}
 }
 
-// check runs the periodic checks: for stalled streams, leaving, dead and slow engines.
+// check runs the periodic checks: for stalled streams, leaving, silent and slow engines.
 func (w *watcher) check(ctx context.Context, now time.Time) {
 	w.router.admitAll()
 	if !w.surveyed {
@@ -189,8 +189,8 @@
 		// Path changes wait for the answers of engines; the next check must not wait.
 		go w.evacuate(ctx, up, path.HealthUp)
 	}
-	if now.Sub(w.lastDeadProbe) >= deadProbeInterval {
-		w.lastDeadProbe = now
+	if now.Sub(w.lastSilentProbe) >= silentProbeInterval {
+		w.lastSilentProbe = now
 		for _, up := range w.router.unansweringEngines() {
 			if w.router.isSampled(maxConcurrentProbers) {
 				w.startProbe(ctx, up, false)
@@ -207,13 +207,13 @@
 	}
 }
 
-// suspectEngine is an engine that may be dead.
+// suspectEngine is an engine that may be silent.
 type suspectEngine struct {
 	up          site.Upstream
 	manyStreams bool
 }
 
-// findSuspects returns the engines that may be dead because their streams stall.
+// findSuspects returns the engines that may be silent because their streams stall.
 func (w *watcher) findSuspects(now time.Time) []suspectEngine {
 	r := w.router
 	r.mu.Lock()
--- a/internal/fleet/mesh/cell_test.go
+++ b/internal/fleet/mesh/cell_test.go
@@ -128,13 +128,13 @@
 	f := newFleet(large)
 	f.run(0, 4*time.Second)
 	for _, finder := range f.ids()[:12] {
-		f.members[finder].unreportedDead = []spec.UpstreamID{"e"}
+		f.members[finder].unreportedSilent = []spec.UpstreamID{"e"}
 		f.run(f.now+tickInterval, f.now+5*tickInterval)
 		for id, m := range f.members {
-			if got := len(m.deadReportsFrom); id != finder && got != 1 {
+			if got := len(m.silenceReportsFrom); id != finder && got != 1 {
 				t.Errorf("found by %s: %s received the report %d times, want once", finder, id, got)
 			}
-			m.deadReportsFrom = nil
+			m.silenceReportsFrom = nil
 		}
 	}
 }
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -1,6 +1,6 @@
 // Package mesh is the deterministic logic by which an instance exchanges state with the
 // others: it sends them how much of the engines its requests use, which engines it
-// found dead, and which changes it read from the store that they lack.
+// found silent, and which changes it read from the store that they lack.
 //
 // In fleets of up to a few dozen instances, each exchanges messages with each. In
 // larger fleets the instances of a data centre form cells. The heads of a cell sum up
@@ -236,8 +236,8 @@
 	if len(m.RateLimits) > 0 {
 		l.Receiver.ReceiveRateLimits(m.RateLimits)
 	}
-	if len(m.Dead) > 0 {
-		l.Receiver.ReceiveDead(p.id, m.Dead)
+	if len(m.Silent) > 0 {
+		l.Receiver.ReceiveSilent(p.id, m.Silent)
 	}
 	if crashes := slices.Concat(m.Crashes, m.Known); len(crashes) > 0 {
 		l.Receiver.ReceiveCrashes(p.id, crashes)
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -22,10 +22,10 @@
 
 // member is one instance and the state that its logic reads and writes.
 type member struct {
-	logic          *mesh.Logic
-	view           feed.View
-	unreportedDead []spec.UpstreamID
-	limits         limit.Limiter
+	logic            *mesh.Logic
+	view             feed.View
+	unreportedSilent []spec.UpstreamID
+	limits           limit.Limiter
 
 	used map[spec.InstanceID]int
 	// streams is the number of streams in the last reported loads, by their source.
@@ -37,9 +37,9 @@
 	joined         map[spec.InstanceID]bool
 	tablesReceived int
 	// known is what the member tells to those that join. crashesReceived counts what it is told.
-	known           []crash.Event
-	crashesReceived int
-	deadReportsFrom []spec.InstanceID
+	known              []crash.Event
+	crashesReceived    int
+	silenceReportsFrom []spec.InstanceID
 
 	// changedVersions are the table versions that the store changed. lastPoll is the
 	// time of the last read. lastSync is the time of the last sync that is reported to
@@ -54,7 +54,7 @@
 // tickInterval is the interval between two ticks of the logic.
 const tickInterval = 50 * time.Millisecond
 
-func (m *member) HasUrgent() bool { return len(m.unreportedDead) > 0 }
+func (m *member) HasUrgent() bool { return len(m.unreportedSilent) > 0 }
 func (m *member) TakeChangedVersions() map[string]spec.Revision {
 	changed := m.changedVersions
 	m.changedVersions = nil
@@ -98,8 +98,8 @@
 }
 
 func (m *member) TakeFailures() ([]spec.UpstreamID, []crash.Event) {
-	dead := m.unreportedDead
-	m.unreportedDead = nil
+	dead := m.unreportedSilent
+	m.unreportedSilent = nil
 	return dead, nil
 }
 
@@ -134,8 +134,8 @@
 func (m *member) ReceiveCheckpoint(_ string, c feed.Checkpoint)  { m.view.ConfirmVersion(c) }
 func (m *member) ReceiveDigests(map[string]uint64)               {}
 func (m *member) ReportLag(string, spec.Revision, spec.Revision) {}
-func (m *member) ReceiveDead(from spec.InstanceID, _ []spec.UpstreamID) {
-	m.deadReportsFrom = append(m.deadReportsFrom, from)
+func (m *member) ReceiveSilent(from spec.InstanceID, _ []spec.UpstreamID) {
+	m.silenceReportsFrom = append(m.silenceReportsFrom, from)
 }
 
 func (m *member) ReceiveCrashes(_ spec.InstanceID, crashes []crash.Event) {
@@ -293,9 +293,9 @@
 func TestDeadEngineIsReportedAtNextTick(t *testing.T) {
 	f := newFleet(2)
 	f.run(0, time.Second)
-	f.members["i0"].unreportedDead = []spec.UpstreamID{"e"}
+	f.members["i0"].unreportedSilent = []spec.UpstreamID{"e"}
 	f.run(time.Second, 1100*time.Millisecond)
-	if got := f.members["i1"].deadReportsFrom; len(got) != 1 {
+	if got := f.members["i1"].silenceReportsFrom; len(got) != 1 {
 		t.Errorf("got reports from %v, want one report of the dead engine within 100ms", got)
 	}
 }
--- a/internal/fleet/mesh/message.go
+++ b/internal/fleet/mesh/message.go
@@ -25,8 +25,8 @@
 	// SyncAgeMs is how long ago the sender was last in sync with the store for all
 	// tables, in milliseconds; negative if never.
 	SyncAgeMs int64 `cbor:"4,keyasint"`
-	// Dead are engines that did not answer the sender.
-	Dead []spec.UpstreamID `cbor:"5,keyasint,omitempty"`
+	// Silent are engines that did not answer the sender.
+	Silent []spec.UpstreamID `cbor:"5,keyasint,omitempty"`
 	// Tables are rows that the receiver lacks.
 	Tables []Table `cbor:"6,keyasint,omitempty"`
 	// Crashes are upstreams that died, with the requests that they ran.
@@ -125,9 +125,9 @@
 	RateLimits() map[spec.UpstreamID]limit.Statement
 	// ChangesSince returns the changes since a version, or the whole table since 0.
 	ChangesSince(table string, version spec.Revision) (since spec.Revision, p feed.Page)
-	// TakeFailures returns, since the last call, the engines found dead and the crashes
+	// TakeFailures returns, since the last call, the engines found silent and the crashes
 	// of upstreams with the requests that they ran.
-	TakeFailures() (dead []spec.UpstreamID, crashes []crash.Event)
+	TakeFailures() (silent []spec.UpstreamID, crashes []crash.Event)
 	// Known returns what an instance that joins has to know of crashes and restrictions.
 	Known() []crash.Event
 }
@@ -154,7 +154,7 @@
 	// ReportLag is called when another instance has known a later version of a table
 	// for so long that this one reads the store.
 	ReportLag(table string, known, remote spec.Revision)
-	ReceiveDead(from spec.InstanceID, engines []spec.UpstreamID)
+	ReceiveSilent(from spec.InstanceID, engines []spec.UpstreamID)
 	ReceiveCrashes(from spec.InstanceID, crashes []crash.Event)
 	// PeerJoined is called when messages from an instance begin to arrive, PeerLost
 	// when none have arrived for peerTimeout.
--- a/internal/fleet/mesh/round.go
+++ b/internal/fleet/mesh/round.go
@@ -16,7 +16,7 @@
 // a head.
 type failures struct {
 	from    *peer
-	dead    []spec.UpstreamID
+	silent  []spec.UpstreamID
 	crashes []crash.Event
 }
 
@@ -24,13 +24,13 @@
 // through this head: failures found by a member for all, those found by another cell
 // for the head's own members. Of the heads that receive a report one passes it on.
 func (l *Logic) queueFailures(p *peer, m Message) {
-	if l.layout.isFlat() || !l.isHead() || len(m.Dead)+len(m.Crashes) == 0 {
+	if l.layout.isFlat() || !l.isHead() || len(m.Silent)+len(m.Crashes) == 0 {
 		return
 	}
 	if l.inCell(p.id) && (l.isHeadOf(p.id) || !l.isPrimary(p.id)) {
 		return
 	}
-	l.failuresToForward = append(l.failuresToForward, failures{from: p, dead: m.Dead, crashes: m.Crashes})
+	l.failuresToForward = append(l.failuresToForward, failures{from: p, silent: m.Silent, crashes: m.Crashes})
 }
 
 // shouldForward reports whether a failure report is passed on to an instance.
@@ -50,7 +50,7 @@
 func (l *Logic) sendRound(now time.Duration) []node.Command {
 	checkpoints := l.Local.Checkpoints()
 	d := l.newRound(now, checkpoints)
-	dead, crashes := l.Local.TakeFailures()
+	silent, crashes := l.Local.TakeFailures()
 	tables := l.tablesToSend(now, checkpoints)
 	known := l.knownForJoined(now)
 	forwarded := l.failuresToForward
@@ -68,10 +68,10 @@
 		}
 		m := d.message(scope, p)
 		m.Reply = !partner
-		m.Dead, m.Crashes, m.Known, m.Tables, m.Roster = dead, crashes, known[p.id], tables[p.id], l.rosterFor(now, p)
+		m.Silent, m.Crashes, m.Known, m.Tables, m.Roster = silent, crashes, known[p.id], tables[p.id], l.rosterFor(now, p)
 		for _, ev := range forwarded {
 			if l.shouldForward(ev, p) {
-				m.Dead, m.Crashes = slices.Concat(m.Dead, ev.dead), slices.Concat(m.Crashes, ev.crashes)
+				m.Silent, m.Crashes = slices.Concat(m.Silent, ev.silent), slices.Concat(m.Crashes, ev.crashes)
 			}
 		}
 		data := d.encode(m, p)
@@ -197,7 +197,7 @@
 	if p.isFormerVersion {
 		return encode(m.withoutTables())
 	}
-	if len(m.Dead)+len(m.Crashes)+len(m.Known)+len(m.Tables)+len(m.Roster) > 0 || m.Scope == ScopeAllButReceiver || m.Reply {
+	if len(m.Silent)+len(m.Crashes)+len(m.Known)+len(m.Tables)+len(m.Roster) > 0 || m.Scope == ScopeAllButReceiver || m.Reply {
 		return encode(m)
 	}
 	k := encodingKey{scope: m.Scope, syncAgeMs: m.SyncAgeMs}
