Watch: silence of an engine is no death in serve

What callers saw: beside engines that fell silent for 0.8 to 1.5 s and went on, streams were cut ("retries", "no-engine" and "poison"), and requests counted as ones that crash engines, waited for an engine of their own, up to a minute. Cause: two watchers that each missed two polls of 300 ms agreed that the engine is dead, 0.7 s after its last answer. Its connections were closed, so that each request on it lost its stage as broken; each counted a crash of that engine, and the second such engine made it a culprit. Now an engine whose polls time out is silent: it gets no new work until its next report, and keeps its connections and its layers. It is dead if a poll is refused, if it restarted, or after 1.5 s of missed polls. A run that left a silent engine counts if the engine is found dead within 5 s, so that a request that makes engines hang is still found.

The fake engine waits in Freeze on a condition instead of its mutex, so that virtual time goes on.

--- a/internal/base/news/news.go
+++ b/internal/base/news/news.go
@@ -121,12 +121,14 @@
 		Engine string `cbor:"1,keyasint"`
 		Misses int    `cbor:"2,keyasint,omitempty"`
 	}
-	// EngineDead reports that an engine is dead. Reports of Incarnation with a Seq up
-	// to Seq are older than its death, so no instance marks it live because of them.
+	// EngineDead reports that an engine is dead, or that it does not answer if Silent
+	// is set. Reports of Incarnation with a Seq up to Seq are older than that, so no
+	// instance marks it live because of them.
 	EngineDead struct {
 		Engine      string `cbor:"1,keyasint"`
 		Incarnation uint64 `cbor:"2,keyasint,omitempty"`
 		Seq         uint64 `cbor:"3,keyasint"`
+		Silent      bool   `cbor:"4,keyasint,omitempty"`
 	}
 	// Reachability reports whether a gateway can reach the data centre that the item's key
 	// names.
--- a/internal/fakes/stage/cache.go
+++ b/internal/fakes/stage/cache.go
@@ -72,7 +72,7 @@
 		http.Error(w, "parameter since must be a number", http.StatusBadRequest)
 		return
 	}
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	writeJSON(w, e.eventsSince(since))
 }
--- a/internal/fakes/stage/kv.go
+++ b/internal/fakes/stage/kv.go
@@ -21,7 +21,7 @@
 		http.Error(w, "parameters from and to must be layer numbers", http.StatusBadRequest)
 		return
 	}
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	for k, sess := range e.sessions {
 		if k.req != query.Get("req") {
@@ -44,7 +44,7 @@
 		return
 	}
 	state, ok := layer.Import(kv.From, kv.To, kv.Pos, kv.Data)
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	depth, loaded := e.findLoaded(kv.Model, kv.From, kv.To)
 	if !ok || !loaded {
--- a/internal/fakes/stage/link.go
+++ b/internal/fakes/stage/link.go
@@ -47,7 +47,7 @@
 		ws: ws, done: make(chan struct{}),
 		out: make(chan timedFrame, linkReplies), in: make(chan timedFrame, linkSteps),
 	}
-	e.mu.Lock()
+	e.lock()
 	e.links[l] = true
 	e.mu.Unlock()
 	go e.writeReplies(l)
--- a/internal/fakes/stage/order.go
+++ b/internal/fakes/stage/order.go
@@ -44,7 +44,7 @@
 		http.Error(w, "body is not a valid order", http.StatusBadRequest)
 		return
 	}
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	if e.Fenced && order.Fence < e.fence {
 		http.Error(w, "fencing number too old", http.StatusConflict)
@@ -73,7 +73,7 @@
 		return
 	}
 	time.AfterFunc(delay, func() {
-		e.mu.Lock()
+		e.lock()
 		defer e.mu.Unlock()
 		if e.orderCount == order && e.epoch == epoch {
 			e.loaded = slices.Clone(want)
--- a/internal/fakes/stage/queue.go
+++ b/internal/fakes/stage/queue.go
@@ -59,7 +59,7 @@
 		e.Kill()
 		return
 	}
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	if !e.links[l] {
 		return
@@ -114,7 +114,7 @@
 // serve runs waiting work in one slot until the queue is empty.
 func (e *Engine) serve() {
 	for {
-		e.mu.Lock()
+		e.lock()
 		if len(e.waiting) == 0 {
 			e.running--
 			e.mu.Unlock()
@@ -124,7 +124,7 @@
 		e.busy[w] = true
 		e.mu.Unlock()
 		e.runWork(w)
-		e.mu.Lock()
+		e.lock()
 		delete(e.busy, w)
 		e.mu.Unlock()
 	}
@@ -152,7 +152,7 @@
 // yield puts a run back into the queue if more urgent work waits, and reports
 // whether it did.
 func (e *Engine) yield(w *work) bool {
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	if len(e.waiting) == 0 || e.waiting[0].step.Prio >= w.step.Prio {
 		return false
--- a/internal/fakes/stage/stage.go
+++ b/internal/fakes/stage/stage.go
@@ -72,6 +72,8 @@
 
 	once       sync.Once
 	mu         sync.Mutex
+	frozen     bool
+	thawed     *sync.Cond
 	epoch      uint64
 	loaded     []frame.LoadedLayers
 	fence      uint64
@@ -104,7 +106,7 @@
 // Sessions returns the number of request states that the engine keeps.
 func (e *Engine) Sessions() int {
 	e.init()
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	e.expire()
 	return len(e.sessions)
@@ -114,7 +116,7 @@
 func (e *Engine) Kill() {
 	e.init()
 	e.dead.Store(true)
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	e.epoch++
 	e.seq = 0
@@ -129,7 +131,7 @@
 // Cut drops all connections and keeps the states, like a broken link.
 func (e *Engine) Cut() {
 	e.init()
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	for l := range e.links {
 		_ = l.ws.Close()
@@ -141,10 +143,26 @@
 func (e *Engine) Freeze() {
 	e.init()
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.frozen = true
 }
 
 // Thaw ends a Freeze.
-func (e *Engine) Thaw() { e.mu.Unlock() }
+func (e *Engine) Thaw() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.frozen = false
+	e.thawed.Broadcast()
+}
+
+// lock locks the engine. While it is frozen, it waits for Thaw first, on a condition rather than
+// on the mutex, so that the virtual time of testing/synctest goes on.
+func (e *Engine) lock() {
+	e.mu.Lock()
+	for e.frozen {
+		e.thawed.Wait()
+	}
+}
 
 // Dead reports whether the engine was killed and not revived.
 func (e *Engine) Dead() bool { return e.dead.Load() }
@@ -164,6 +182,7 @@
 		e.loaded = slices.Clone(e.Holds)
 		e.role = e.Role
 		e.epoch = 1
+		e.thawed = sync.NewCond(&e.mu)
 	})
 }
 
@@ -194,7 +213,7 @@
 // ReportLag old.
 func (e *Engine) Report() frame.Engine {
 	e.init()
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	e.expire()
 	if now := time.Now(); e.load.at.IsZero() || now.Sub(e.load.at) >= e.ReportLag {
@@ -216,7 +235,7 @@
 }
 
 func (e *Engine) incarnationHeader() string {
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	return strconv.FormatUint(e.epoch, 10)
 }
--- a/internal/fakes/stage/state.go
+++ b/internal/fakes/stage/state.go
@@ -41,7 +41,7 @@
 // It returns nil if the reply is no longer needed. The second result reports
 // whether w has further steps.
 func (e *Engine) apply(w *work) (*frame.Reply, bool) {
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	if w.canceled || w.epoch != e.epoch {
 		return nil, false
@@ -184,7 +184,7 @@
 
 // orphan starts the grace period for the sessions of a broken link.
 func (e *Engine) orphan(l *link) {
-	e.mu.Lock()
+	e.lock()
 	defer e.mu.Unlock()
 	delete(e.links, l)
 	now := time.Now()
@@ -194,7 +194,7 @@
 		}
 	}
 	time.AfterFunc(e.grace(), func() {
-		e.mu.Lock()
+		e.lock()
 		defer e.mu.Unlock()
 		e.expire()
 	})
--- a/internal/route/core/core.go
+++ b/internal/route/core/core.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"fulmarwick/internal/base/spec"
@@ -169,17 +170,15 @@
 		return
 	}
 	l.suspects.HandleStageLoss(r)
-	if ev.Cause != domain.CauseBroken && !l.lostToDeadEngine(ev) {
-		return
-	}
-	l.prefixCache.RemoveEngine(ev.Engine)
-	if l.AdmitAll {
-		return
-	}
-	for _, e := range r.Plan().NewEngines {
-		if e == ev.Engine {
+	isNew := !l.AdmitAll && slices.Contains(r.Plan().NewEngines, ev.Engine)
+	switch {
+	case ev.Cause == domain.CauseBroken || l.lostToDeadEngine(ev):
+		l.prefixCache.RemoveEngine(ev.Engine)
+		if isNew {
 			l.suspects.RecordCrash(state, r, ev.Engine)
 		}
+	case ev.Cause == domain.CauseTimeout && isNew:
+		l.suspects.RecordTimeout(state.Now(), r, ev.Engine)
 	}
 }
 
--- a/internal/route/core/poison_test.go
+++ b/internal/route/core/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -178,6 +179,32 @@
 	}
 }
 
+// Guards against silence that counts against the requests of an engine, and against requests that make
+// engines hang being sent on since they left before the engines were known to be dead.
+func TestOnlyDeathAfterSilenceCounts(t *testing.T) {
+	for _, dies := range []bool{false, true} {
+		h := newHarness(t, lenientTarget(), newEngine("e1", 0, 8), newEngine("e2", 0, 8))
+		a := h.newRequest("big")
+		s := h.mustStart(a)
+		engine := s.Chain[0].Engine()
+		cs := h.tick(domain.EngineSilent{Engine: engine}, domain.StageLost{Request: a.Request, Attempt: s.Attempt, Engine: engine, Cause: domain.CauseTimeout, Tokens: 3})
+		if _, ok := findStart(cs, a.Request); !ok {
+			t.Fatalf("got %v, want a start on the other engine", cs)
+		}
+		cs = append(cs, h.tickFor(time.Second)...)
+		if dies {
+			cs = append(cs, h.tick(domain.EngineDead{Engine: engine})...)
+		}
+		counted := slices.ContainsFunc(cs, func(c domain.Command) bool {
+			_, ok := c.(domain.ReportSuspect)
+			return ok
+		})
+		if counted != dies {
+			t.Errorf("got a crash counted: %v, want %v (whether the engine died)", counted, dies)
+		}
+	}
+}
+
 // startsOf returns the starts among commands.
 func startsOf(cs []domain.Command) (out []domain.Start) {
 	for _, c := range cs {
--- a/internal/route/domain/apply.go
+++ b/internal/route/domain/apply.go
@@ -30,6 +30,10 @@
 		state.applyEngineReport(ev)
 	case EngineDead:
 		state.engines.setState(state.now, ev.Engine, StateDead)
+	case EngineSilent:
+		if e := state.engines.Get(ev.Engine); e != nil {
+			e.silent = true
+		}
 	case EngineLeaving:
 		state.engines.setState(state.now, ev.Engine, StateLeaving)
 	case EngineRemoved:
--- a/internal/route/domain/engine.go
+++ b/internal/route/domain/engine.go
@@ -49,6 +49,10 @@
 	Seq uint64
 
 	state State
+	// silent is set from a notice that the engine does not answer until its
+	// next report. It keeps its place in the index, since its layers are not
+	// lost.
+	silent bool
 	// localRequests is the number of requests of this instance that run on
 	// the engine.
 	localRequests int
@@ -69,7 +73,7 @@
 
 // Usable reports whether new work may go to the engine at now.
 func (e *Engine) Usable(now time.Duration) bool {
-	return e.state == StateServing && now >= e.cooldown.until
+	return e.state == StateServing && !e.silent && now >= e.cooldown.until
 }
 
 // FindLoaded returns the engine's loaded range that covers the layers of the
--- a/internal/route/domain/event.go
+++ b/internal/route/domain/event.go
@@ -75,12 +75,17 @@
 	Engine Engine
 }
 
-// EngineDead reports that an engine does not answer or that it died and lost
-// its state.
+// EngineDead reports that an engine died and lost its state.
 type EngineDead struct {
 	Engine spec.UpstreamID
 }
 
+// EngineSilent reports that an engine does not answer. It may go on later with
+// what it runs.
+type EngineSilent struct {
+	Engine spec.UpstreamID
+}
+
 // EngineLeaving reports that an engine accepts no new work.
 type EngineLeaving struct {
 	Engine spec.UpstreamID
@@ -181,6 +186,7 @@
 func (RequestCanceled) event() {}
 func (EngineReport) event()    {}
 func (EngineDead) event()      {}
+func (EngineSilent) event()    {}
 func (EngineLeaving) event()   {}
 func (EngineRemoved) event()   {}
 func (HopMeasured) event()     {}
--- a/internal/route/poison/poison.go
+++ b/internal/route/poison/poison.go
@@ -40,9 +40,9 @@
 	probationFactor = 6
 	// maxSuspects bounds the number of fingerprints kept.
 	maxSuspects = 4096
-	// abandonedTTL is how long after its caller left a request that had generated no token counts
-	// if an engine dies on which it had begun. The engine may go on with it, and is found dead a
-	// moment later.
+	// abandonedTTL is how long after its end a run that had generated no token, or that was taken
+	// from a silent engine, counts if the engine dies on which it had begun. The engine may go on
+	// with it, and is found dead a moment later.
 	abandonedTTL = 5 * time.Second
 	// maxAbandoned is the maximum number of such requests in memory.
 	maxAbandoned = 4096
@@ -69,11 +69,12 @@
 	insertionOrder    []uint64
 	probationByEngine map[spec.UpstreamID]*domain.Request
 	probations        []*probation
-	// abandoned are requests whose callers left before the first token, oldest first.
+	// abandoned are runs whose callers left before the first token, or whose engine did not answer
+	// in time, oldest first.
 	abandoned []abandonedRun
 }
 
-// abandonedRun is a run for which nobody waits any more.
+// abandonedRun is a run on engines for which nobody waits any more.
 type abandonedRun struct {
 	fingerprint uint64
 	engines     []spec.UpstreamID
@@ -115,13 +116,22 @@
 	if r.Arrival().Fingerprint == 0 || len(r.Plan().NewEngines) == 0 || r.Tokens() > r.TokensAtStart() {
 		return
 	}
+	t.abandon(now, r, r.Plan().NewEngines)
+}
+
+// RecordTimeout records that engine did not answer a request in time, in case it died under it. Like
+// RecordCrash, call it only for a stage that was new in the attempt.
+func (t *Tracker) RecordTimeout(now time.Duration, r *domain.Request, engine spec.UpstreamID) {
+	t.abandon(now, r, []spec.UpstreamID{engine})
+}
+
+func (t *Tracker) abandon(now time.Duration, r *domain.Request, engines []spec.UpstreamID) {
 	t.dropAbandoned(now)
-	t.abandoned = append(t.abandoned, abandonedRun{fingerprint: r.Arrival().Fingerprint, engines: r.Plan().NewEngines, leftAt: now})
+	t.abandoned = append(t.abandoned, abandonedRun{fingerprint: r.Arrival().Fingerprint, engines: engines, leftAt: now})
 	t.abandoned = t.abandoned[max(0, len(t.abandoned)-maxAbandoned):]
 }
 
-// RecordDeadEngine counts the death of an engine against the requests that it may have run for callers
-// that left.
+// RecordDeadEngine counts the death of an engine against the requests that it may still have run.
 func (t *Tracker) RecordDeadEngine(state *domain.RoutingState, engine spec.UpstreamID) {
 	t.dropAbandoned(state.Now())
 	for _, run := range t.abandoned {
--- a/internal/wire/watch/evaluate.go
+++ b/internal/wire/watch/evaluate.go
@@ -30,11 +30,12 @@
 // handleMiss records a poll that got no answer.
 func (t *tracker) handleMiss(now time.Duration, e *engineState, refused bool) {
 	if e.missScore == 0 {
-		e.missingSince = now
+		e.missingSince, e.refused = now, false
 	}
 	before := e.missScore
 	if refused {
 		e.missScore += refusedWeight
+		e.refused = true
 	} else {
 		e.missScore += missWeight
 	}
@@ -46,10 +47,10 @@
 	t.evaluate(now, e)
 }
 
-// evaluate decides whether an engine that does not answer this watcher is dead.
-// It is dead if another watcher also misses its answers. It is alive if another
-// watcher has a newer report; then only the network path from here is broken.
-// If the other watcher reports nothing, a higher miss score is required.
+// evaluate decides whether an engine that does not answer this watcher is dead
+// or silent. It is neither if another watcher has a newer report; then only the
+// network path from here is broken. If the other watcher reports nothing, a
+// higher miss score is required.
 func (t *tracker) evaluate(now time.Duration, e *engineState) {
 	if e.missScore < confirmWeight || e.declaredDead || !e.watched {
 		return
@@ -62,6 +63,13 @@
 	case e.missScore < soloWeight || now-e.missingSince < soloDelay:
 		return
 	}
+	if !e.refused && now-e.missingSince < deadAfterSilence {
+		if !e.declaredSilent {
+			t.declareSilent(e)
+			t.publishSilence(e)
+		}
+		return
+	}
 	t.declareDead(e)
 	t.publishDeath(e)
 }
@@ -88,6 +96,12 @@
 	t.post(domain.EngineDead{Engine: e.id})
 }
 
+// declareSilent posts that an engine does not answer.
+func (t *tracker) declareSilent(e *engineState) {
+	e.declaredSilent = true
+	t.post(domain.EngineSilent{Engine: e.id})
+}
+
 // markLeaving posts that an engine takes no new work. If publish is set, it
 // also publishes this once to the other instances.
 func (t *tracker) markLeaving(e *engineState, publish bool) {
--- a/internal/wire/watch/items.go
+++ b/internal/wire/watch/items.go
@@ -42,6 +42,12 @@
 	t.publishItem(news.KindDown, string(e.id), itemTTL, news.EngineDead{Engine: string(e.id), Incarnation: e.deathInc, Seq: e.deathSeq})
 }
 
+func (t *tracker) publishSilence(e *engineState) {
+	t.publishItem(news.KindDown, string(e.id), itemTTL, news.EngineDead{
+		Engine: string(e.id), Incarnation: e.row.Incarnation, Seq: e.row.Seq, Silent: true,
+	})
+}
+
 func (t *tracker) publishDoubt(e *engineState, weight int) {
 	t.publishItem(news.KindDoubt, string(e.id), itemTTL, news.MissedPolls{Engine: string(e.id), Misses: weight})
 }
@@ -139,8 +145,8 @@
 	t.evaluate(now, e)
 }
 
-// handleDeath applies a death that the watchers agreed on, unless a newer
-// report arrived in the meantime.
+// handleDeath applies a death or silence that the watchers agreed on, unless a
+// newer report arrived in the meantime.
 func (t *tracker) handleDeath(item news.Item) {
 	var body news.EngineDead
 	if news.Decode(item, &body) != nil {
@@ -153,6 +159,12 @@
 	if e.known && (e.row.Incarnation != body.Incarnation || e.row.Seq > body.Seq) {
 		return
 	}
+	if body.Silent {
+		if !e.declaredSilent {
+			t.declareSilent(e)
+		}
+		return
+	}
 	t.declareDead(e)
 	e.deathInc, e.deathSeq = body.Incarnation, body.Seq
 }
--- a/internal/wire/watch/tracker.go
+++ b/internal/wire/watch/tracker.go
@@ -26,6 +26,10 @@
 	// declares an engine dead on its own. The first miss makes the other
 	// watcher poll at once, so it has reported by then if it can.
 	soloDelay = 500 * time.Millisecond
+	// deadAfterSilence is how long an engine must have missed polls to count as
+	// dead if none was refused: longer than a sound engine may be silent. A
+	// connection to a dead process is refused at once.
+	deadAfterSilence = 1500 * time.Millisecond
 	// doubtTTL is the time for which a doubt of another watcher counts.
 	doubtTTL = 3 * time.Second
 	// primaryTimeout is the time without a message from the primary watcher
@@ -54,9 +58,10 @@
 	// watched and primary are set by the fleet's Watch command.
 	watched, primary bool
 	// missScore is the weight of the consecutive misses, missingSince the time
-	// of the first of them.
+	// of the first of them. refused is set if one of them was refused.
 	missScore    int
 	missingSince time.Duration
+	refused      bool
 	doubts       []doubt
 	// newerReportAt is when a report of another watcher arrived that is newer
 	// than the misses here.
@@ -68,6 +73,8 @@
 	levelSent    time.Duration
 	peerReportAt time.Duration
 	declaredDead bool
+	// declaredSilent is set from the notice of a silence until the next report.
+	declaredSilent bool
 	// deathInc and deathSeq identify the last report before the last death.
 	deathInc, deathSeq     uint64
 	hasDied                bool
@@ -157,7 +164,7 @@
 	if e.hasDied && row.Incarnation == e.deathInc && row.Seq <= e.deathSeq && row.Incarnation != 0 {
 		return
 	}
-	e.declaredDead, e.hasDied = false, false
+	e.declaredDead, e.declaredSilent, e.hasDied = false, false, false
 	e.row, e.body, e.known = row, body, true
 	e.lastAnswer = max(e.lastAnswer, now)
 	t.post(domain.EngineReport{Engine: row})
