Retry, chain: a request without a retry left waits for a silent engine

What callers saw: beside engines that fell silent for 0.8 to 1.5 s and went on, streams were cut as "retries". Cause: a step without an answer in time (0.75 s in a class with a gap target) takes a retry from the budget of its class. Once that is spent, the next timeout refused the request, although its engine went on a moment later. Now such a request waits once more for its engine, with a longer timeout, and the step is sent again under its sequence number: that adds no load, so the budget is as strict as before. It ends if the engine is dead, or still does not answer.

--- a/internal/app/daemon/silence_test.go
+++ b/internal/app/daemon/silence_test.go
@@ -291,7 +291,7 @@
 // neither cut a stream, nor refuse a request, nor hold one back, nor count against it as a crash.
 func TestDrawnSilencesOfEnginesLoseNoRequest(t *testing.T) {
 	for seed := range uint64(4) {
-		for _, c := range []struct{ copies, silent, streams int }{{3, 1, 8}, {3, 2, 8}, {4, 3, 40}} {
+		for _, c := range []struct{ copies, silent, streams int }{{3, 1, 8}, {3, 2, 8}, {4, 3, 80}} {
 			t.Run(fmt.Sprintf("seed %d, %d of %d engines", seed, c.silent, 2*c.copies), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					s := newSilentSite(t, c.copies)
--- a/internal/fakes/bench/instance.go
+++ b/internal/fakes/bench/instance.go
@@ -42,6 +42,8 @@
 	switch cmd := cmd.(type) {
 	case domain.Start:
 		i.requests[cmd.Request].applyStart(cmd)
+	case domain.Wait:
+		i.requests[cmd.Request].applyWait(cmd)
 	case domain.Refuse:
 		r := i.requests[cmd.Request]
 		r.reason = cmd.Reason
--- a/internal/fakes/bench/run.go
+++ b/internal/fakes/bench/run.go
@@ -83,6 +83,16 @@
 	r.advance()
 }
 
+// applyWait sends the step that was not done in time again.
+func (r *run) applyWait(wait domain.Wait) {
+	if r.outcome != OutcomeOpen {
+		return
+	}
+	r.awaitingStart = false
+	r.start.StepTimeout, r.start.PrefillTimeout = wait.StepTimeout, wait.PrefillTimeout
+	r.submit(r.step.stage)
+}
+
 // reuseStage removes the wanted stage from old and returns it if its state is
 // usable. Otherwise it returns a new stage.
 func (r *run) reuseStage(old *[]*stage, want spec.Stage) *stage {
--- a/internal/route/core/core_test.go
+++ b/internal/route/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -263,3 +264,46 @@
 		t.Errorf("requests: got %d, want 0", got)
 	}
 }
+
+// Guards against a request that ends because its engine was silent: without a retry left, it waits for
+// the engine once more after each token, and ends only if the engine is dead or still does not answer.
+func TestLastAttemptOutlivesSilence(t *testing.T) {
+	h := newHarness(t, lenientTarget(), newEngine("e1", 0, 8))
+	a := h.newRequest("big")
+	s := h.mustStart(a)
+	for n := range 7 {
+		cs := h.tick(domain.StageLost{Request: a.Request, Attempt: s.Attempt, Engine: "e1", Cause: domain.CauseStateLost, Tokens: n})
+		var ok bool
+		if s, ok = findStart(cs, a.Request); !ok {
+			t.Fatalf("loss %d: got %v, want a start", n, cs)
+		}
+	}
+	timeout := domain.StageLost{Request: a.Request, Attempt: s.Attempt, Engine: "e1", Cause: domain.CauseTimeout, Tokens: 7}
+	for n := range 3 {
+		timeout.Tokens++
+		cs := h.tick(timeout)
+		if !slices.ContainsFunc(cs, func(c domain.Command) bool {
+			w, ok := c.(domain.Wait)
+			return ok && w.Request == a.Request && w.Attempt == s.Attempt && 3*w.StepTimeout >= 1500*time.Millisecond
+		}) {
+			t.Fatalf("silence %d: got %v, want a wait of 1.5s at least", n, cs)
+		}
+	}
+	if r, ok := findRefusal(h.tick(timeout), a.Request); !ok || r.Reason != domain.ReasonRetriesExhausted {
+		t.Errorf("got %+v (%v) without a token in between, want a refusal", r, ok)
+	}
+}
+
+// Guards against a request without a retry left that waits for a dead engine.
+func TestLastAttemptEndsWithItsEngine(t *testing.T) {
+	h := newHarness(t, lenientTarget(), newEngine("e1", 0, 8))
+	a := h.newRequest("big")
+	s := h.mustStart(a)
+	for n := range 7 {
+		s, _ = findStart(h.tick(domain.StageLost{Request: a.Request, Attempt: s.Attempt, Engine: "e1", Cause: domain.CauseStateLost, Tokens: n}), a.Request)
+	}
+	cs := h.tick(domain.EngineDead{Engine: "e1"}, domain.StageLost{Request: a.Request, Attempt: s.Attempt, Engine: "e1", Cause: domain.CauseTimeout, Tokens: 8})
+	if r, ok := findRefusal(cs, a.Request); !ok || r.Reason != domain.ReasonRetriesExhausted {
+		t.Errorf("got %+v (%v), want a refusal", r, ok)
+	}
+}
--- a/internal/route/core/resume.go
+++ b/internal/route/core/resume.go
@@ -39,6 +39,11 @@
 func (l *Logic) decideResumed(r *domain.Request) {
 	state := &l.state
 	if r.Attempt() > 0 && !l.retryBudget.AllowRetry(r) {
+		if l.mayStillAnswer(r) {
+			timeouts := l.timeouts.Timeouts(r, r.Plan())
+			state.Wait(r, timeouts.Step, timeouts.Prefill)
+			return
+		}
 		state.Refuse(r, domain.ReasonRetriesExhausted, l.retryAfter(r))
 		return
 	}
@@ -48,6 +53,18 @@
 	}
 }
 
+// mayStillAnswer reports whether a request that has no retry left should wait
+// for the engine that did not answer it in time: the engine may be silent for a
+// moment and go on. A request waits once without a token in between.
+func (l *Logic) mayStillAnswer(r *domain.Request) bool {
+	failed := r.FailedEngines()
+	if r.LossCause() != domain.CauseTimeout || len(failed) == 0 || r.HasWaited() {
+		return false
+	}
+	e := l.state.Engines().Get(failed[len(failed)-1])
+	return e != nil && e.State() != domain.StateDead
+}
+
 func (l *Logic) retryAfter(r *domain.Request) time.Duration {
 	return max(time.Second, r.Plan().FirstTokenTime)
 }
--- a/internal/route/domain/command.go
+++ b/internal/route/domain/command.go
@@ -28,6 +28,17 @@
 	PrefillTimeout time.Duration
 }
 
+// Wait lets a request wait longer for the stage that it lost because its engine
+// did not answer in time. The request keeps its chain, and the step is sent
+// again.
+type Wait struct {
+	Request spec.RequestID
+	Attempt uint32
+	// StepTimeout and PrefillTimeout replace those of the Start.
+	StepTimeout    time.Duration
+	PrefillTimeout time.Duration
+}
+
 // Refuse ends a request with a refusal as its final answer. Nothing runs for
 // the request afterwards.
 type Refuse struct {
@@ -91,6 +102,7 @@
 }
 
 func (Start) command()          {}
+func (Wait) command()           {}
 func (Refuse) command()         {}
 func (LoadLayers) command()     {}
 func (ReportSuspect) command()  {}
--- a/internal/route/domain/domain.go
+++ b/internal/route/domain/domain.go
@@ -77,7 +77,7 @@
 func (state *RoutingState) Start(r *Request, plan Plan, priority int, stepTimeout, prefillTimeout time.Duration) {
 	state.releaseEngines(r)
 	r.attempt++
-	r.awaitsRestart = false
+	r.awaitsRestart, r.waited = false, false
 	r.plan = plan
 	r.startedAt = state.now
 	r.tokensAtStart = r.tokens
@@ -88,6 +88,15 @@
 	})
 }
 
+// Wait settles a request whose engine did not answer in time by letting it wait
+// for that engine again. The engine does not count as failed.
+func (state *RoutingState) Wait(r *Request, stepTimeout, prefillTimeout time.Duration) {
+	r.awaitsRestart, r.waited = false, true
+	r.tokensAtWait = r.tokens
+	r.failedEngines = r.failedEngines[:len(r.failedEngines)-1]
+	state.Emit(Wait{Request: r.arrival.Request, Attempt: r.attempt, StepTimeout: stepTimeout, PrefillTimeout: prefillTimeout})
+}
+
 // Refuse settles a request with a final refusal and removes it.
 func (state *RoutingState) Refuse(r *Request, reason Reason, retryAfter time.Duration) {
 	state.Emit(Refuse{Request: r.arrival.Request, Reason: reason, RetryAfter: retryAfter, Ran: r.attempt > 0})
--- a/internal/route/domain/request.go
+++ b/internal/route/domain/request.go
@@ -21,6 +21,10 @@
 	tokensAtStart int
 	// awaitsRestart is set from the loss of a stage until the next start.
 	awaitsRestart bool
+	// waited is set if the request waited for an engine again since the last
+	// Start, tokensAtWait the number of tokens generated before that.
+	waited       bool
+	tokensAtWait int
 	// due is set while the request waits for a decision.
 	due   bool
 	ended bool
@@ -121,6 +125,10 @@
 // again since.
 func (r *Request) AwaitsRestart() bool { return r.awaitsRestart }
 
+// HasWaited reports whether the request waited for an engine again and has
+// generated no token since.
+func (r *Request) HasWaited() bool { return r.waited && r.tokens == r.tokensAtWait }
+
 // FailedOn reports whether the engine failed while running this request.
 func (r *Request) FailedOn(id spec.UpstreamID) bool {
 	for _, failed := range r.failedEngines {
--- a/internal/wire/chain/adopt.go
+++ b/internal/wire/chain/adopt.go
@@ -40,6 +40,15 @@
 	return nil
 }
 
+// waitAgain keeps the chain although a stage was lost. The pending step is sent
+// again under its sequence number.
+func (j *run) waitAgain(c domain.Wait) {
+	j.stepTimeout, j.prefillTimeout = c.StepTimeout, c.PrefillTimeout
+	for _, s := range j.stages {
+		s.lost, s.stalls = false, 0
+	}
+}
+
 func (j *run) reuseStage(old *[]*stage, want spec.Stage) *stage {
 	for i, s := range *old {
 		if s.spec == want && !s.lost {
--- a/internal/wire/chain/run.go
+++ b/internal/wire/chain/run.go
@@ -184,6 +184,11 @@
 				if c.Attempt > j.attempt {
 					return j.adopt(ctx, c)
 				}
+			case domain.Wait:
+				if c.Attempt == j.attempt {
+					j.waitAgain(c)
+					return nil
+				}
 			default:
 				return errors.Errorf("chain: unexpected command %T", c)
 			}
--- a/internal/wire/loop/loop.go
+++ b/internal/wire/loop/loop.go
@@ -240,6 +240,8 @@
 	switch c := c.(type) {
 	case domain.Start:
 		return c.Request, true
+	case domain.Wait:
+		return c.Request, true
 	case domain.Refuse:
 		return c.Request, true
 	case domain.Forward:
