--- a/internal/route/core/resume.go
+++ b/internal/route/core/resume.go
@@ -39,6 +39,11 @@
 func (l *Logic) decideResumed(r *domain.Request) {
 	state := &l.state
 	if r.Attempt() > 0 && !l.retryBudget.AllowRetry(r) {
+		if l.mayStillAnswer(r) {
+			timeouts := l.timeouts.Timeouts(r, r.Plan())
+			state.Wait(r, timeouts.Step, timeouts.Prefill)
+			return
+		}
 		state.Refuse(r, domain.ReasonRetriesExhausted, l.retryAfter(r))
 		return
 	}
@@ -48,6 +53,17 @@
 	}
 }
 
+// mayStillAnswer reports whether a request that has no retry left should wait
+// for the engine that did not answer it in time: the engine may be silent for a
+// moment and go on. A request waits once without a token in between.
+func (l *Logic) mayStillAnswer(r *domain.Request) bool {
+	if r.LossCause() != domain.CauseTimeout || r.HasWaited() {
+		return false
+	}
+	e := l.state.Engines().Get(r.LastFailed())
+	return e != nil && e.State() != domain.StateDead
+}
+
 func (l *Logic) retryAfter(r *domain.Request) time.Duration {
 	return max(time.Second, r.Plan().FirstTokenTime)
 }
@@ -86,6 +102,10 @@
 	if !ok && verdict == poison.VerdictIsolate {
 		return l.refuseAfterWait(r, waited, maxSuspectWait)
 	}
+	if !ok && l.chooseRemoteCentre(r, 0) == nil {
+		query.AllowsSilent = true
+		choice, ok = l.Chooser.Choose(state, r, query)
+	}
 	if !ok {
 		return l.handleUncovered(r, waited)
 	}
