--- a/internal/app/daemon/silence_test.go
+++ b/internal/app/daemon/silence_test.go
@@ -182,7 +182,7 @@
 		i.site.mu.Unlock()
 	}
 	time.AfterFunc(newsDelay, func() {
-		i.other().loop.Post(domain.SuspectReported{Fingerprint: suspect.Fingerprint, Crashes: suspect.Crashes, Engine: suspect.Engine})
+		i.other().loop.Post(domain.SuspectReported(suspect))
 	})
 }
 
--- a/internal/route/domain/apply.go
+++ b/internal/route/domain/apply.go
@@ -31,17 +31,26 @@
 	case EngineDead:
 		state.engines.setState(state.now, ev.Engine, StateDead)
 	case EngineSilent:
-		if e := state.engines.Get(ev.Engine); e != nil {
-			e.setSilent(state.now)
-		}
+		state.engines.setSilent(state.now, ev.Engine)
 	case EngineLeaving:
 		state.engines.setState(state.now, ev.Engine, StateLeaving)
 	case EngineRemoved:
 		state.removeEngine(ev.Engine)
 	case HopMeasured:
-		if e := state.engines.Get(ev.Engine); e != nil {
-			e.applyHopTimes(ev)
-		}
+		state.applyHopMeasured(ev)
+	default:
+		state.applyPeer(ev)
+	}
+}
+
+func (state *RoutingState) applyHopMeasured(ev HopMeasured) {
+	if e := state.engines.Get(ev.Engine); e != nil {
+		e.applyHopTimes(ev)
+	}
+}
+
+func (state *RoutingState) applyPeer(ev Event) {
+	switch ev := ev.(type) {
 	case PeersChanged:
 		state.applyPeers(ev)
 	case PeerLoad:
--- a/internal/route/domain/engine.go
+++ b/internal/route/domain/engine.go
@@ -86,12 +86,6 @@
 // WasSilent reports whether the engine is silent or dead, and was so at then.
 func (e *Engine) WasSilent(then time.Duration) bool { return e.silent && e.silentAt <= then }
 
-func (e *Engine) setSilent(now time.Duration) {
-	if !e.silent {
-		e.silent, e.silentAt = true, now
-	}
-}
-
 // FindLoaded returns the engine's loaded range that covers the layers of the
 // model version.
 func (e *Engine) FindLoaded(model spec.ModelName, version string, layers spec.Layers) (LoadedRange, bool) {
--- a/internal/route/domain/engines.go
+++ b/internal/route/domain/engines.go
@@ -100,6 +100,12 @@
 	t.rows = append(t.rows[:at], t.rows[at+1:]...)
 }
 
+func (t *Engines) setSilent(now time.Duration, id spec.UpstreamID) {
+	if e := t.byID[id]; e != nil && !e.silent {
+		e.silent, e.silentAt = true, now
+	}
+}
+
 func (t *Engines) setState(now time.Duration, id spec.UpstreamID, state State) {
 	e := t.byID[id]
 	if e == nil {
