--- a/internal/app/edge/silence.go
+++ b/internal/app/edge/silence.go
@@ -14,10 +14,9 @@
 	"go.uber.org/zap"
 )
 
-// Silence of an engine takes back nothing that its runs may still need: it gets no new runs, and its runs
-// move as far as other engines take them over and attempts are left. An engine that has only paused goes on
-// with the others. Only the death of an engine ends runs that have no attempt left, frees the attempt that
-// they made, and counts against the requests that may have caused it.
+// A silent engine may have paused and go on with its runs. It gets no new ones, and those that it has move
+// as far as other engines take them over and attempts are left. Only its death ends runs without an attempt
+// left, frees the attempts that were made on it, and counts against the requests that may have caused it.
 
 const (
 	// confirmProbeTimeout limits each report request to a silent engine. One that paused answers the
@@ -27,7 +26,7 @@
 	// engines pause, and short enough that a stream goes on elsewhere before its caller
 	// leaves.
 	cutOffAfter = 1500 * time.Millisecond
-	// confirmPause is the pause before the next one.
+	// confirmPause is the pause between two of these requests.
 	confirmPause = 50 * time.Millisecond
 )
 
