--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+root="$(cd "$(dirname "$0")/../.." && pwd)" || exit 2
+cd "$root" || exit 2
+exec review/bin/stand gate "$root" "$root/review/1"
