Attempts: a log line and a counter for each engine that no longer counts as an attempt; no change of behaviour

A stream may run on as many engines as its route allows; engines that have exited do not count. No line said which engine was let off and why, so that a leaving engine that broke a run off, a dead one and one that answered again later could not be told apart.

--- a/internal/app/edge/endpoints.go
+++ b/internal/app/edge/endpoints.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/wire/relay"
 
 	"github.com/go-faster/errors"
@@ -140,6 +141,12 @@
 		zap.Duration("left", time.Until(c.Deadline)), zap.Any("upstreams", r.Upstreams), zap.Uint64("config", i.state.Config().Version), zap.Duration("list age", i.state.age()), i.scarcestLayerField(c, r))
 }
 
+// logAttemptReleased counts and logs an engine that does not count as an attempt of a request any more.
+func (i *Instance) logAttemptReleased(c *relay.Call, id spec.UpstreamID, evidence string) {
+	i.meters.GetOrCreateCounter(`fulmarwick_attempts_released_total{evidence="` + evidence + `"}`).Inc()
+	i.Log.Info("edge: attempt released", zap.String("request", c.ParsedHeader.ID), zap.String("engine", string(id)), zap.String("evidence", evidence))
+}
+
 // recordRejected counts and logs a request that was rejected before it was read whole,
 // because there was no configuration, route or key. The logged path is the URL path that
 // the caller sent.
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -87,6 +87,7 @@
 	i.router.onCrash = i.logCrash
 	i.router.onSuspectRun = i.logSuspectRun
 	i.router.onStanding = i.changeStanding
+	i.router.onAttemptReleased = i.logAttemptReleased
 	i.router.takeTrials = i.culprits.takeTrials
 	i.state.onList = func(list []site.Upstream) {
 		list = i.router.applyNotices(list)
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -81,6 +81,9 @@
 	// takeTrials asks for a trial of a request with these quarantined suspects and reports
 	// whether it is granted.
 	takeTrials func(ctx context.Context, suspects []crash.Key) bool
+	// onAttemptReleased is called for each engine that does not count as an attempt of a request any more,
+	// with the evidence that it has exited.
+	onAttemptReleased func(c *relay.Call, id spec.UpstreamID, evidence string)
 	// linksLost reports whether this instance has lost its links to all upstreams. It may wait
 	// for a check.
 	linksLost func(context.Context) bool
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -303,10 +303,15 @@
 
 // ConfirmExited reports whether the process of an engine has ended. An engine that is
 // not listed can't be probed; it has ended if it broke off its runs.
-func (r *router) ConfirmExited(ctx context.Context, service string, id spec.UpstreamID, brokeOff bool) bool {
-	up, listed := r.upstream(service, id)
+func (r *router) ConfirmExited(ctx context.Context, c *relay.Call, id spec.UpstreamID, brokeOff bool) bool {
+	up, listed := r.upstream(c.Service.Name, id)
 	if brokeOff && (!listed || up.State != site.StateReady) {
+		r.onAttemptReleased(c, id, "left")
 		return true
 	}
-	return listed && r.isDead(ctx, up)
+	if !listed || !r.isDead(ctx, up) {
+		return false
+	}
+	r.onAttemptReleased(c, id, "dead")
+	return true
 }
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -103,7 +103,7 @@
 func (u singleUpstream) ReportConnFailure(string, spec.UpstreamID)        {}
 func (u singleUpstream) RecordRefusal(*relay.Run, string) spec.UpstreamID { return "u" }
 func (u singleUpstream) IsDead(string, spec.UpstreamID) bool              { return false }
-func (u singleUpstream) ConfirmExited(context.Context, string, spec.UpstreamID, bool) bool {
+func (u singleUpstream) ConfirmExited(context.Context, *relay.Call, spec.UpstreamID, bool) bool {
 	return false
 }
 
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -69,7 +69,7 @@
 	// ConfirmExited probes an engine on which a run began and reports whether the
 	// engine has exited. An engine that broke off its run has exited if it was
 	// leaving.
-	ConfirmExited(ctx context.Context, service string, id spec.UpstreamID, brokeRunOff bool) bool
+	ConfirmExited(ctx context.Context, c *Call, id spec.UpstreamID, brokeRunOff bool) bool
 }
 
 // Errors with which a run ends.
--- a/internal/wire/relay/retry.go
+++ b/internal/wire/relay/retry.go
@@ -94,7 +94,7 @@
 	if c.linksLost() {
 		return c.runner.Paths.IsDead(c.call.Service.Name, a.engine)
 	}
-	return c.runner.Paths.ConfirmExited(c.ctx, c.call.Service.Name, a.engine, a.brokeRunOff)
+	return c.runner.Paths.ConfirmExited(c.ctx, c.call, a.engine, a.brokeRunOff)
 }
 
 // shouldRetry reports whether the request may run again. If the caller already has a
