Attempts: a leaving engine that breaks a run off has not exited

Callers saw nothing wrong; the engines ran a stream three and more times where its route allows two, and each further run is a repeat for the service.

Cause: ConfirmExited took an engine that had broken off a run and was draining, or not listed any more, for one that had exited, without asking it. Such an engine may live: its connections were reset, a later engine of the path died, or it lost an answer. The attempt was then given back for good.

Now an engine of an attempt has exited only if a probe shows it, or if another process has its ID. So that one that is not listed any more can be probed, the table of engines keeps it until the requests that ran on it have ended, like those that runs still use. No attempt is forgotten: each decision asks anew, so that an engine that did not answer for a while and answers again counts again.

Ruled out: the two runs at a leaving engine that freezes (TestLeavingFrozenEnginesCountAsAttempts passes before and after).

--- a/internal/app/edge/random_faults_test.go
+++ b/internal/app/edge/random_faults_test.go
@@ -28,6 +28,8 @@
 	removed, added, version int
 	// restoresStore means that the store may come back from an older copy.
 	restoresStore bool
+	// resetsConns means that connections to engines may be reset.
+	resetsConns bool
 	// frozenUntil is when each engine's last freeze ends. Freezes are shorter than the
 	// time after which an engine counts as cut off.
 	frozenUntil map[*stand.Engine]time.Time
@@ -75,6 +77,10 @@
 	if inj.restoresStore {
 		disturbances = append(disturbances, inj.restoreStore, inj.restoreStore)
 	}
+	if inj.resetsConns {
+		reset := func() { f.site.Net.Reset(e.Address) }
+		disturbances = append(disturbances, reset, reset, reset)
+	}
 	if inj.random.IntN(3) == 0 && inj.removed < maxRemovedEngines {
 		inj.removed++
 		removals[inj.random.IntN(len(removals))]()
@@ -133,7 +139,7 @@
 func TestStreamsUnderRandomFaults(t *testing.T) {
 	for seed := range uint64(faultSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { testStreamsUnderFaults(t, seed, false) })
+			synctest.Test(t, func(t *testing.T) { testStreamsUnderFaults(t, seed, faultInjector{}) })
 		})
 	}
 }
@@ -142,18 +148,28 @@
 func TestStreamsUnderRandomFaultsAndRestores(t *testing.T) {
 	for seed := range uint64(faultSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { testStreamsUnderFaults(t, 100+seed, true) })
+			synctest.Test(t, func(t *testing.T) { testStreamsUnderFaults(t, 100+seed, faultInjector{restoresStore: true}) })
+		})
+	}
+}
+
+// Guards against the same where connections to engines, also to those that leave, are reset too.
+func TestStreamsUnderRandomFaultsAndResets(t *testing.T) {
+	for seed := range uint64(faultSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testStreamsUnderFaults(t, 200+seed, faultInjector{resetsConns: true}) })
 		})
 	}
 }
 
-func testStreamsUnderFaults(t *testing.T, seed uint64, restoresStore bool) {
+// testStreamsUnderFaults injects faults of a kind: those that every injector has, and what it has besides.
+func testStreamsUnderFaults(t *testing.T, seed uint64, kind faultInjector) {
 	random := rand.New(rand.NewPCG(seed, 2))
 	retry := setup.Retry{Ratio: 0.2, Allowance: []float64{4, 40, 196}[random.IntN(3)], Window: 10 * time.Second}
 	core, logs := observer.New(zap.WarnLevel)
 	f := newFixtureFrom(t, &depot.Depot{Instances: 2, Retry: retry, Log: zap.New(core)})
 	defer f.close()
-	inj := &faultInjector{fixture: f, random: random, restoresStore: restoresStore, frozenUntil: map[*stand.Engine]time.Time{}}
+	inj := &faultInjector{fixture: f, random: random, restoresStore: kind.restoresStore, resetsConns: kind.resetsConns, frozenUntil: map[*stand.Engine]time.Time{}}
 	const streams = 120
 	var callers sync.WaitGroup
 	for n := range streams {
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -36,6 +36,8 @@
 	// and the lengths observed.
 	answerLengths length.Estimator
 	retryBudget   resend.Budget
+	// attempted counts, by engine, the runs that began at it of requests that have not ended.
+	attempted map[spec.UpstreamID]int
 	// runs holds the active runs of model requests.
 	runs  map[*relay.Run]*runState
 	teams share.Fleet
@@ -124,7 +126,7 @@
 func (r *router) service(name string) *serviceState {
 	svc := r.services[name]
 	if svc == nil {
-		svc = &serviceState{name: name, runs: map[*relay.Run]*runState{}, waiters: map[*queue.Ticket]*waiter{}, checks: map[spec.UpstreamID]time.Duration{}, sharesTeams: r.sharesTeams, firstLatency: initialFirstLatency}
+		svc = &serviceState{name: name, attempted: map[spec.UpstreamID]int{}, runs: map[*relay.Run]*runState{}, waiters: map[*queue.Ticket]*waiter{}, checks: map[spec.UpstreamID]time.Duration{}, sharesTeams: r.sharesTeams, firstLatency: initialFirstLatency}
 		svc.plain.DataCentre, svc.plain.InBackoff, svc.plain.IsLimited = r.centre, r.notices.InBackoff, r.isLimited
 		svc.setRetryBounds(r.retryBounds)
 		r.services[name] = svc
@@ -198,8 +200,8 @@
 }
 
 // syncModel passes the listed engines to the model's table. Engines that are no longer listed
-// stay in it as leaving ones while runs use them, so that their death is noticed; router.mu
-// is held.
+// stay in it as leaving ones while runs use them, or requests that ran on them go on elsewhere, so
+// that their death is noticed; router.mu is held.
 func (svc *serviceState) syncModel() {
 	listed := map[spec.UpstreamID]bool{}
 	for _, up := range svc.upstreams {
@@ -208,7 +210,7 @@
 	engines := slices.Clone(svc.upstreams)
 	svc.unlisted = nil
 	for _, up := range svc.model.Engines() {
-		if listed[up.ID] || !svc.isUsed(up.ID) {
+		if listed[up.ID] || !svc.isKept(up.ID) {
 			continue
 		}
 		up.State = site.StateDraining
@@ -228,12 +230,17 @@
 	return false
 }
 
-// dropUnusedEngines removes the engines that are neither listed nor used any more.
+// isKept reports whether the table keeps an engine that is not listed; router.mu is held.
+func (svc *serviceState) isKept(id spec.UpstreamID) bool {
+	return svc.attempted[id] > 0 || svc.isUsed(id)
+}
+
+// dropUnusedEngines removes the engines that are neither listed nor kept any more.
 func (r *router) dropUnusedEngines() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, svc := range r.services {
-		if slices.ContainsFunc(svc.unlisted, func(id spec.UpstreamID) bool { return !svc.isUsed(id) }) {
+		if slices.ContainsFunc(svc.unlisted, func(id spec.UpstreamID) bool { return !svc.isKept(id) }) {
 			svc.syncModel()
 		}
 	}
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -113,6 +113,7 @@
 	}
 	run := relay.NewRun(chain, svc.model.Hops(chain))
 	r.crashBook.Begin(r.now(), c.Suspects())
+	svc.attempted[chain[0].Engine()]++
 	run.Request, run.Service, run.Route, run.Demand = c.ParsedHeader.ID, svc.name, c.Route.Name, demand
 	run.Resumable, run.Suspects, run.Deadline = c.Route.Resumable, c.Suspects(), c.Deadline
 	hasSpareAttempt := func() bool { return svc.hasSpareAttempt(c.Route.MaxAttempts, o.Attempted, chain[0].Engine()) }
@@ -125,17 +126,20 @@
 	svc.model.RecordSent(r.now(), chain, demand)
 	svc.model.RecordTransfer(r.now(), chain, demand)
 	r.takeStages(chain)
-	svc.runs[run] = &runState{team: c.Team, pending: r.await(svc, c), chain: chain, born: svc.startTimes(chain), awaitingFirstEvent: true, hasSpareAttempt: hasSpareAttempt}
+	born := svc.startTimes(chain)
+	run.First = crash.Process{Upstream: chain[0].Engine(), Incarnation: born[0]}
+	svc.runs[run] = &runState{team: c.Team, pending: r.await(svc, c), chain: chain, born: born, awaitingFirstEvent: true, hasSpareAttempt: hasSpareAttempt}
 	svc.teams.Own().Begin(c.Team)
 	return run, nil
 }
 
 // hasSpareAttempt reports whether a request may run on an engine besides first and those that it ran on
-// before. Engines that are dead do not count. router.mu is held.
-func (svc *serviceState) hasSpareAttempt(maxAttempts int, attempted []spec.UpstreamID, first spec.UpstreamID) bool {
+// before. Engines that have exited do not count. router.mu is held.
+func (svc *serviceState) hasSpareAttempt(maxAttempts int, attempted []crash.Process, first spec.UpstreamID) bool {
 	n := 1
-	for _, id := range attempted {
-		if id != first && svc.model.Health(id) != path.HealthDead {
+	for _, p := range attempted {
+		up, known := svc.model.Upstream(p.Upstream)
+		if p.Upstream != first && !(known && (isReplaced(up, p) || svc.model.Health(p.Upstream) == path.HealthDead)) {
 			n++
 		}
 	}
@@ -301,17 +305,37 @@
 	return chain[0].Engine()
 }
 
-// ConfirmExited reports whether the process of an engine has ended. An engine that is
-// not listed can't be probed; it has ended if it broke off its runs.
-func (r *router) ConfirmExited(ctx context.Context, c *relay.Call, id spec.UpstreamID, brokeOff bool) bool {
-	up, listed := r.upstream(c.Service.Name, id)
-	if brokeOff && (!listed || up.State != site.StateReady) {
-		r.onAttemptReleased(c, id, "left")
-		return true
-	}
-	if !listed || !r.isDead(ctx, up) {
+// ConfirmExited reports whether the process of an engine has ended. That an engine leaves and breaks its
+// runs off shows nothing: its connections may have been reset.
+func (r *router) ConfirmExited(ctx context.Context, c *relay.Call, p crash.Process) bool {
+	up, known := r.upstream(c.Service.Name, p.Upstream)
+	switch {
+	case !known:
+		return false
+	case isReplaced(up, p):
+		r.onAttemptReleased(c, p.Upstream, "replaced")
+	case r.isDead(ctx, up):
+		r.onAttemptReleased(c, p.Upstream, "dead")
+	default:
 		return false
 	}
-	r.onAttemptReleased(c, id, "dead")
 	return true
 }
+
+// isReplaced reports whether the row of an engine describes a later process than one of unknown or known
+// incarnation.
+func isReplaced(up site.Upstream, p crash.Process) bool {
+	return p.Incarnation != 0 && up.Born != p.Incarnation
+}
+
+// EndRequest drops the engines of a request from those that the table keeps for it.
+func (r *router) EndRequest(service string, engines []spec.UpstreamID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	svc := r.service(service)
+	for _, id := range engines {
+		if svc.attempted[id]--; svc.attempted[id] <= 0 {
+			delete(svc.attempted, id)
+		}
+	}
+}
--- a/internal/app/edge/watch.go
+++ b/internal/app/edge/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -268,14 +269,20 @@
 	return false
 }
 
-// unansweringEngines returns the listed engines that are silent or dead.
+// unansweringEngines returns the engines that are silent or dead, without those that are kept for requests
+// that go on elsewhere.
 func (r *router) unansweringEngines() []site.Upstream {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []site.Upstream
 	for _, svc := range r.services {
-		if svc.model != nil {
-			out = append(out, svc.model.UnansweringEngines()...)
+		if svc.model == nil {
+			continue
+		}
+		for _, up := range svc.model.UnansweringEngines() {
+			if !slices.Contains(svc.unlisted, up.ID) || svc.isUsed(up.ID) {
+				out = append(out, up)
+			}
 		}
 	}
 	return out
--- a/internal/wire/front/front_test.go
+++ b/internal/wire/front/front_test.go
@@ -98,12 +98,13 @@
 func (u singleUpstream) Survive([]crash.Key, time.Time)                   {}
 func (u singleUpstream) AllowSend(context.Context, []crash.Key) error     { return nil }
 func (u singleUpstream) RecordFirstEvent(*relay.Run)                      {}
+func (u singleUpstream) EndRequest(string, []spec.UpstreamID)             {}
 func (u singleUpstream) EndRun(*relay.Run, relay.RunEnd, bool)            {}
 func (u singleUpstream) ReportBrokenRun(*relay.Run)                       {}
 func (u singleUpstream) ReportConnFailure(string, spec.UpstreamID)        {}
 func (u singleUpstream) RecordRefusal(*relay.Run, string) spec.UpstreamID { return "u" }
 func (u singleUpstream) IsDead(string, spec.UpstreamID) bool              { return false }
-func (u singleUpstream) ConfirmExited(context.Context, *relay.Call, spec.UpstreamID, bool) bool {
+func (u singleUpstream) ConfirmExited(context.Context, *relay.Call, crash.Process) bool {
 	return false
 }
 
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -38,8 +38,8 @@
 	Kind RunKind
 	// Avoid lists engines that must not be on the path.
 	Avoid []spec.UpstreamID
-	// Attempted are the first engines of earlier runs that count as attempts.
-	Attempted []spec.UpstreamID
+	// Attempted are the first engines of earlier runs that may have begun.
+	Attempted []crash.Process
 	// MayHaveRun means that an earlier run may have begun, so that the caller can't be promised
 	// that the request has not run.
 	MayHaveRun bool
@@ -66,10 +66,11 @@
 	RecordRefusal(run *Run, address string) spec.UpstreamID
 	// IsDead reports whether an engine is known to be dead.
 	IsDead(service string, id spec.UpstreamID) bool
-	// ConfirmExited probes an engine on which a run began and reports whether the
-	// engine has exited. An engine that broke off its run has exited if it was
-	// leaving.
-	ConfirmExited(ctx context.Context, c *Call, id spec.UpstreamID, brokeRunOff bool) bool
+	// ConfirmExited reports whether the first engine of an earlier run has exited. It may probe it.
+	ConfirmExited(ctx context.Context, c *Call, p crash.Process) bool
+	// EndRequest records that a request with runs on these first engines has ended, so that nobody
+	// asks any more whether they have exited.
+	EndRequest(service string, engines []spec.UpstreamID)
 }
 
 // Errors with which a run ends.
@@ -122,7 +123,8 @@
 	if c.Passed && m.Peers != nil && m.Peers.LinksLost() {
 		return unreachedReply()
 	}
-	mc := &modelCall{runner: m, call: c, ctx: ctx, sink: sink, lastEventID: c.ParsedHeader.LastEventID, attempts: attemptsAt(c.Attempted)}
+	mc := &modelCall{runner: m, call: c, ctx: ctx, sink: sink, lastEventID: c.ParsedHeader.LastEventID, attempts: processesOf(c.Attempted)}
+	defer func() { m.Paths.EndRequest(c.Service.Name, mc.firstEngines) }()
 	r := mc.timing.addTo(mc.run())
 	r.Upstreams = mc.firstEngines
 	return r
@@ -144,8 +146,8 @@
 	// had a part of the answer.
 	refusals       int
 	resumeRefusals int
-	// attempts are the first engines of runs that may have begun.
-	attempts []attempt
+	// attempts are the first engines of runs that may have begun. Those that have exited do not count.
+	attempts []crash.Process
 	// mayHaveRun means that a run may have begun, so that the caller cannot be
 	// promised that the request has not run.
 	mayHaveRun bool
@@ -255,7 +257,7 @@
 	case c.runs > 0:
 		kind = RunRetry
 	}
-	return c.runner.Paths.StartRun(c.ctx, c.call, RunOptions{Kind: kind, Avoid: c.avoid, Attempted: c.attemptedEngines(), MayHaveRun: c.mayHaveRun})
+	return c.runner.Paths.StartRun(c.ctx, c.call, RunOptions{Kind: kind, Avoid: c.avoid, Attempted: c.attempts, MayHaveRun: c.mayHaveRun})
 }
 
 // execute runs the request on the path of a run and ends the run, also in a panic.
--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/state/feed"
 	"fulmarwick/internal/wire/client"
 
@@ -132,7 +133,7 @@
 	c.mayHaveRun = true
 	c.noRetryReason = ReasonResponseLost
 	// The engine is not known that ran the request for the other instance.
-	c.attempts = append(c.attempts, attempt{})
+	c.attempts = append(c.attempts, crash.Process{})
 	if !c.hasAttemptLeft() {
 		c.noRetryReason = ReasonAttemptsExhausted
 		return c.failedReply(err), true
--- a/internal/wire/relay/retry.go
+++ b/internal/wire/relay/retry.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/state/feed"
 
 	"github.com/go-faster/errors"
@@ -20,15 +22,6 @@
 	maxRetryBackoff = 400 * time.Millisecond
 )
 
-// attempt is an engine that ran the request as the first engine of a path, or may
-// have run it.
-type attempt struct {
-	engine spec.UpstreamID
-	// brokeRunOff means that the engine broke off the run: if it was leaving, it has
-	// exited.
-	brokeRunOff bool
-}
-
 // recordFailure records which engine may have run the request in a failed run.
 func (c *modelCall) recordFailure(run *Run, err error) {
 	if errors.Is(err, errNotRun) || errors.Is(err, errUnsent) || errors.Is(err, errEventTimeout) {
@@ -40,28 +33,28 @@
 	if errors.Is(err, errStaleConn) && run.EventCount() == 0 && !c.runner.Paths.IsDead(c.call.Service.Name, first) {
 		return
 	}
-	broke := !run.isRerouted() && !errors.Is(err, errEngineStatus)
-	index := slices.IndexFunc(c.attempts, func(a attempt) bool { return a.engine == first })
-	if index < 0 {
-		c.attempts = append(c.attempts, attempt{engine: first, brokeRunOff: broke})
-	} else {
-		c.attempts[index].brokeRunOff = broke
+	// Of an engine that another instance told of, the incarnation is not known.
+	known := func(p crash.Process) bool {
+		return p == run.First || p == crash.Process{Upstream: first}
+	}
+	if !slices.ContainsFunc(c.attempts, known) {
+		c.attempts = append(c.attempts, run.First)
 	}
 }
 
-// attemptsAt returns the attempts that another instance made at engines.
-func attemptsAt(engines []spec.UpstreamID) []attempt {
-	out := make([]attempt, 0, len(engines))
+// processesOf returns the processes of engines that another instance told of.
+func processesOf(engines []spec.UpstreamID) []crash.Process {
+	out := make([]crash.Process, 0, len(engines))
 	for _, engine := range engines {
-		out = append(out, attempt{engine: engine})
+		out = append(out, crash.Process{Upstream: engine})
 	}
 	return out
 }
 
-// attemptedEngines returns the engines that count as attempts.
+// attemptedEngines returns the engines on which runs may have begun.
 func (c *modelCall) attemptedEngines() (out []spec.UpstreamID) {
-	for _, a := range c.attempts {
-		out = append(out, a.engine)
+	for _, p := range c.attempts {
+		out = append(out, p.Upstream)
 	}
 	return out
 }
@@ -72,29 +65,17 @@
 	if len(c.attempts) < c.call.Route.MaxAttempts {
 		return true
 	}
-	exited := make([]bool, len(c.attempts))
+	var exited atomic.Int32
 	var probes sync.WaitGroup
-	for i, a := range c.attempts {
-		probes.Go(func() { exited[i] = c.hasExited(a) })
+	for _, p := range c.attempts {
+		probes.Go(func() {
+			if c.runner.Paths.ConfirmExited(c.ctx, c.call, p) {
+				exited.Add(1)
+			}
+		})
 	}
 	probes.Wait()
-	var left []attempt
-	for i, a := range c.attempts {
-		if !exited[i] {
-			left = append(left, a)
-		}
-	}
-	c.attempts = left
-	return len(c.attempts) < c.call.Route.MaxAttempts
-}
-
-// hasExited reports whether the engine of an attempt has exited. An instance without links can't probe it,
-// and its run may have ended with the links.
-func (c *modelCall) hasExited(a attempt) bool {
-	if c.linksLost() {
-		return c.runner.Paths.IsDead(c.call.Service.Name, a.engine)
-	}
-	return c.runner.Paths.ConfirmExited(c.ctx, c.call, a.engine, a.brokeRunOff)
+	return len(c.attempts)-int(exited.Load()) < c.call.Route.MaxAttempts
 }
 
 // shouldRetry reports whether the request may run again. If the caller already has a
--- a/internal/wire/relay/run.go
+++ b/internal/wire/relay/run.go
@@ -28,6 +28,8 @@
 	// of the request. If it is nil, none may.
 	HasSpareAttempt func() bool
 	Start           time.Time
+	// First is the process of the first engine.
+	First crash.Process
 	// Deadline is when the engines stop to work on the request.
 	Deadline time.Time
 
