Attempts: a passed request makes one attempt at the instance that takes it

Callers saw streams that went on; the engines ran them more often than their routes allow while an instance had lost its links.

Now an instance that takes a passed request makes one attempt (engines that have exited do not count), and the one that passes it on counts one for each response that was lost, broken off or a failure. While attempts and retries are left it passes the request on again, also before the first event, where a failure went to the caller at once.

--- a/internal/app/edge/attempt_test.go
+++ b/internal/app/edge/attempt_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"fulmarwick/internal/fakes/inmem"
 	"fulmarwick/platform/stand"
 )
 
@@ -63,3 +64,48 @@
 		}
 	}
 }
+
+// passedStreams is how many streams are passed on in each way: the engines are chosen at random.
+const passedStreams = 8
+
+// Guards against a stream that runs on more engines than its attempts allow, since the attempts of the
+// instances to which it was passed on are not counted: their engines break it off, or fail it.
+func TestPassedStreamsStayWithinAttemptLimit(t *testing.T) {
+	// An engine that leaves is not chosen again.
+	breakOff := func(f *fixture) {
+		e := f.busiestEngine()
+		f.site.DrainEngine(e)
+		f.site.Net.Reset(e.Address)
+	}
+	tests := map[string]struct {
+		// cutFirst means that the links are cut before the stream begins.
+		cutFirst bool
+		fail     func(f *fixture)
+	}{
+		"broken off":        {true, breakOff},
+		"broken off, begun": {false, breakOff},
+		"failed, begun":     {false, func(f *fixture) { f.site.FailRuns(true) }},
+	}
+	for name, test := range tests {
+		for n := range passedStreams {
+			t.Run(fmt.Sprintf("%s %d", name, n), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFixture(t, 4)
+					defer f.close()
+					if test.cutFirst {
+						f.site.CutInstance("edge-0", inmem.CutReset)
+						time.Sleep(time.Second)
+					}
+					f.runLongStream(4, 700*time.Millisecond, func(int) {
+						test.fail(f)
+						f.site.CutInstance("edge-0", inmem.CutReset)
+						time.AfterFunc(600*time.Millisecond, func() { f.site.FailRuns(false) })
+					})
+					if n := f.site.LiveProducers("long"); n > 2 {
+						t.Errorf("got runs on %d engines that are alive, want 2 at most", n)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -227,8 +227,11 @@
 // accepted no connection, is passed on.
 func (c *modelCall) giveUp(err error) Reply {
 	if c.unreached && !c.mayHaveRun {
-		if reply, done := c.passOn(PassUnreached); done {
-			return reply
+		for before := -1; before < c.passes; {
+			before = c.passes
+			if reply, done := c.passOn(PassUnreached); done {
+				return reply
+			}
 		}
 	}
 	return c.failedReply(err)
--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -132,7 +132,7 @@
 	c.passes++
 	c.mayHaveRun = true
 	c.noRetryReason = ReasonResponseLost
-	// The engine is not known that ran the request for the other instance.
+	// The other instance made one attempt at most, at an engine that is not known here.
 	c.attempts = append(c.attempts, crash.Process{})
 	if !c.hasAttemptLeft() {
 		c.noRetryReason = ReasonAttemptsExhausted
@@ -144,8 +144,11 @@
 	return Reply{}, false
 }
 
-// readPassed forwards the response of another instance. If the caller has a part of the answer, a
-// refusal is not passed to it.
+// errPassedFailed means that another instance took the request and could not complete the answer.
+var errPassedFailed = errors.New("relay: passed request failed")
+
+// readPassed forwards the response of another instance. A failure is one of an attempt. If the caller
+// has a part of the answer, a refusal is not passed to it.
 func (c *modelCall) readPassed(resp *http.Response) (reply Reply, done bool, err error) {
 	defer func() { _ = resp.Body.Close() }()
 	head := c.runner.Dialect.ParseResponse(resp.StatusCode, resp.Header)
@@ -161,6 +164,11 @@
 	switch {
 	case err != nil:
 		return Reply{}, false, err
+	case reply.MayHaveRun && reply.Status >= http.StatusInternalServerError:
+		if head.Sealed {
+			c.errorReply = &reply
+		}
+		return Reply{}, false, errPassedFailed
 	case c.hasPartialAnswer():
 		feed.Sleep(c.ctx, maxRetryBackoff)
 		return Reply{}, false, nil
--- a/internal/wire/relay/retry.go
+++ b/internal/wire/relay/retry.go
@@ -62,12 +62,22 @@
 // hasAttemptLeft reports whether an attempt is left. Engines that have exited do not
 // count. The engines are probed only if the limit is reached.
 func (c *modelCall) hasAttemptLeft() bool {
-	if len(c.attempts) < c.call.Route.MaxAttempts {
-		return true
+	own := c.attempts[len(c.call.Attempted):]
+	if c.call.Passed && c.reaches(own, 1) {
+		// The instance that passed the request on counts one attempt for it.
+		return false
+	}
+	return !c.reaches(c.attempts, c.call.Route.MaxAttempts)
+}
+
+// reaches reports whether at least limit of the engines have not exited.
+func (c *modelCall) reaches(attempts []crash.Process, limit int) bool {
+	if len(attempts) < limit {
+		return false
 	}
 	var exited atomic.Int32
 	var probes sync.WaitGroup
-	for _, p := range c.attempts {
+	for _, p := range attempts {
 		probes.Go(func() {
 			if c.runner.Paths.ConfirmExited(c.ctx, c.call, p) {
 				exited.Add(1)
@@ -75,7 +85,7 @@
 		})
 	}
 	probes.Wait()
-	return len(c.attempts)-int(exited.Load()) < c.call.Route.MaxAttempts
+	return len(attempts)-int(exited.Load()) >= limit
 }
 
 // shouldRetry reports whether the request may run again. If the caller already has a
