Attempts: a passed look-up makes one attempt at each instance that takes it

Callers saw nothing; upstreams ran a look-up up to six times where its route allows two, while an instance had lost its links and the instances to which it passed the look-up on were lost one after the other.

Cause: the instance that takes a passed call made as many attempts as the route allows, a hedged one among them, and the one that passes it on counted none: it passed the call on up to three times.

Now a pass is one attempt, as for streams. A failure of an attempt is passed on again while attempts and retries are left; the first failure went to the caller before. Hedged attempts are left out for passed calls.

--- a/internal/app/edge/attempt_test.go
+++ b/internal/app/edge/attempt_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,6 +70,9 @@
 // passedStreams is how many streams are passed on in each way: the engines are chosen at random.
 const passedStreams = 8
 
+// passedLookUps is how many look-ups are passed on together.
+const passedLookUps = 5
+
 // Guards against a stream that runs on more engines than its attempts allow, since the attempts of the
 // instances to which it was passed on are not counted: their engines break it off, or fail it.
 func TestPassedStreamsStayWithinAttemptLimit(t *testing.T) {
@@ -109,3 +114,37 @@
 		}
 	}
 }
+
+// Guards against a look-up that runs more often than its attempts allow, since instances to which it was
+// passed on are lost after they made several attempts.
+func TestPassedLookUpsStayWithinAttemptLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, processes := newProcessFixture(t, 4)
+		defer time.Sleep(inmem.ConnectTimeout)
+		defer f.close()
+		for _, u := range f.site.PlainUpstreams() {
+			u.ChooseOutcome = func(*http.Request) stand.Outcome { return stand.OutcomeHang }
+		}
+		f.site.CutInstance("edge-0", inmem.CutReset)
+		time.Sleep(time.Second)
+		var callers sync.WaitGroup
+		for n := range passedLookUps {
+			callers.Go(func() { f.request(0, http.MethodGet, "/look/1", fmt.Sprintf("look%d", n), "") })
+		}
+		for range 3 {
+			time.Sleep(700 * time.Millisecond)
+			for _, p := range processes[1:] {
+				f.site.Net.Reset(p.settings.Listen.Mesh)
+			}
+		}
+		callers.Wait()
+		for n := range passedLookUps {
+			if runs := f.site.Runs(fmt.Sprintf("look%d", n)); runs > 2 {
+				t.Errorf("got %d runs of look-up %d, want 2 at most", runs, n)
+			}
+		}
+		for _, p := range processes {
+			p.end()
+		}
+	})
+}
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -117,7 +117,9 @@
 	run.Request, run.Service, run.Route, run.Demand = c.ParsedHeader.ID, svc.name, c.Route.Name, demand
 	run.Resumable, run.Suspects, run.Deadline = c.Route.Resumable, c.Suspects(), c.Deadline
 	// For a passed request, the instance that passed it on counts one attempt.
-	hasSpareAttempt := func() bool { return !c.Passed && svc.hasSpareAttempt(c.Route.MaxAttempts, o.Attempted, chain[0].Engine()) }
+	hasSpareAttempt := func() bool {
+		return !c.Passed && svc.hasSpareAttempt(c.Route.MaxAttempts, o.Attempted, chain[0].Engine())
+	}
 	run.HasSpareAttempt = func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -70,22 +70,33 @@
 // unreachedReply is the reply to a call that was passed on to an instance without links itself.
 func unreachedReply() Reply { return Reply{Reason: ReasonNoUpstream, Unreached: true} }
 
-// passOn passes the call on; false if no other instance took it.
+// passOn passes the call on; false if no other instance took it. The instance that takes it makes one
+// attempt.
 func (p *PlainRunner) passOn(ctx context.Context, c *Call, cause PassCause) (Reply, bool) {
+	var failed Reply
 	for pass := 1; ; pass++ {
 		resp, err := p.Peers.Pass(ctx, c, cause, 0) //nolint:bodyclose // readReply closes it.
 		if errors.Is(err, ErrNoPeer) {
-			return Reply{Reason: ReasonResponseLost, MayHaveRun: true}, pass > 1
+			return failed, pass > 1
 		}
+		var reply Reply
 		if err == nil {
-			var reply Reply
-			if reply, err = readReply(resp); err == nil && (pass == 1 || reply.MayHaveRun) {
-				return reply, true
-			}
+			reply, err = readReply(resp)
 		}
-		// A refusal after a response was lost says nothing of the instance that lost it.
-		if err == nil || ctx.Err() != nil || !c.Route.Retryable() || pass == maxPasses || !p.RetryBudget.AllowRetry(c.Service.Name) {
-			return lostReply(ctx), true
+		switch {
+		case err != nil:
+			reply = lostReply(ctx)
+		case reply.Status < http.StatusInternalServerError, !reply.MayHaveRun && pass == 1:
+			return reply, true
+		case !reply.MayHaveRun:
+			// It says nothing of the attempts before.
+			return failed, true
+		}
+		if pass == 1 || err == nil {
+			failed = reply
+		}
+		if ctx.Err() != nil || !c.Route.Retryable() || pass >= min(maxPasses, c.Route.MaxAttempts) || !p.RetryBudget.AllowRetry(c.Service.Name) {
+			return failed, true
 		}
 	}
 }
--- a/internal/wire/relay/plain.go
+++ b/internal/wire/relay/plain.go
@@ -169,11 +169,20 @@
 }
 
 func (c *plainCall) canRetry() bool {
-	return c.call.Route.Retryable() && c.mayHaveRunCount+c.inFlight < c.call.Route.MaxAttempts
+	return c.call.Route.Retryable() && c.mayHaveRunCount+c.inFlight < c.maxAttempts()
+}
+
+// maxAttempts returns how many upstreams may run the call. For a passed call, the instance that passed it
+// on counts one.
+func (c *plainCall) maxAttempts() int {
+	if c.call.Passed {
+		return 1
+	}
+	return c.call.Route.MaxAttempts
 }
 
 func (c *plainCall) hedgeDelay() time.Duration {
-	if !c.call.Route.Retryable() || c.call.Route.MaxAttempts < 2 {
+	if !c.call.Route.Retryable() || c.maxAttempts() < 2 {
 		return time.Until(c.call.Deadline) + time.Second
 	}
 	return max(minHedgeDelay, hedgeLatencyFactor*c.runner.Upstreams.ExpectedLatency(c.sentTo[0]))
