Gate: requests that were admitted by other ranks do not count after a change of ranks

Callers on kept connections saw them closed without a byte, though the engine ran their streams.

Cause: a configuration that leaves one priority among the streaming routes of a model service resets the gate to no ranks. The first event of a stream that was admitted before then advanced the gate, which read the rank after the most urgent one (index out of range).

Now SetRanks marks the requests that it drops as counted, and a request that is counted changes nothing as it begins: neither without ranks nor with others.

--- a/internal/route/shed/shed.go
+++ b/internal/route/shed/shed.go
@@ -61,7 +61,7 @@
 type Pending struct {
 	rank   int
 	lateAt time.Duration
-	// counted means that the request is counted.
+	// counted means that the request is counted, or does not count any more.
 	counted bool
 }
 
@@ -85,10 +85,14 @@
 	refused int
 }
 
-// SetRanks sets the ranks of the service's requests. With fewer than two the gate admits all.
+// SetRanks sets the ranks of the service's requests. With fewer than two the gate admits all. The requests
+// that were admitted by other ranks do not count any more.
 func (g *Gate) SetRanks(ranks []int) {
 	sorted := slices.Compact(slices.Sorted(slices.Values(ranks)))
 	if !slices.Equal(sorted, g.ranks) {
+		for _, p := range g.pending {
+			p.counted = true
+		}
 		*g = Gate{ranks: sorted, credit: map[int]float64{}, refused: g.refused}
 	}
 }
@@ -121,7 +125,7 @@
 
 // RecordBegin counts a request whose answer begins, if it is not counted as late yet.
 func (g *Gate) RecordBegin(now time.Duration, p *Pending) {
-	if p == nil {
+	if p == nil || p.counted {
 		return
 	}
 	g.advance(now)
--- a/internal/route/shed/shed_test.go
+++ b/internal/route/shed/shed_test.go
@@ -195,3 +195,48 @@
 		}
 	}
 }
+
+// Guards against answers that panic as they begin, since their requests were admitted before a configuration
+// left one rank: their streams were cut.
+func TestAnswersBeginAfterRanksChanged(t *testing.T) {
+	sets := [][]int{{0, 1, 2}, {1}, {0, 2}, nil, {1, 2}}
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var g shed.Gate
+		var pending []*shed.Pending
+		for now := time.Duration(0); now < 20*time.Second; now += time.Duration(random.IntN(200)) * time.Millisecond {
+			switch random.IntN(8) {
+			case 0:
+				g.SetRanks(sets[random.IntN(len(sets))])
+			case 1:
+				g.RecordRefusal(now, random.IntN(3))
+			case 2, 3, 4:
+				if rank := random.IntN(3); g.Admit(now, rank) {
+					pending = append(pending, g.Await(now, rank, 500*time.Millisecond))
+				}
+			default:
+				if n := len(pending); n > 0 {
+					k := random.IntN(n)
+					g.RecordBegin(now, pending[k])
+					pending[k] = pending[n-1]
+					pending = pending[:n-1]
+				}
+			}
+		}
+	}
+}
+
+// Guards against a gate that closes by requests which were admitted when other ranks were set.
+func TestRequestsOfFormerRanksDoNotCloseGate(t *testing.T) {
+	var g shed.Gate
+	g.SetRanks([]int{0, 1})
+	for range 20 {
+		g.Await(0, 0, 500*time.Millisecond)
+	}
+	g.SetRanks([]int{0, 2})
+	for now := time.Duration(0); now < 4*time.Second; now += 50 * time.Millisecond {
+		if !g.Admit(now, 2) {
+			t.Fatalf("got a request refused at %s, want all admitted: nothing was late since the ranks changed", now)
+		}
+	}
+}
