Attempts: a run that is lost before its first event counts, and goes on at the same engine

Callers saw nothing; engines ran a stream on three engines where its route allows two, if the first one lost the connection after it had begun the run and before its first event.

Cause: such a run on a reused connection was taken for an idle connection that the engine had closed, and not counted, whereupon another engine might be chosen.

Now the request is sent once more over the same path on a new connection, as the same attempt, and the engine counts if the first request was written whole, whatever happens to the second one.

--- a/internal/app/edge/attempt_test.go
+++ b/internal/app/edge/attempt_test.go
@@ -89,7 +89,7 @@
 	}{
 		"broken off":        {true, breakOff},
 		"broken off, begun": {false, breakOff},
-		"failed, begun":     {false, func(f *fixture) { f.site.FailRuns(true) }},
+		"failed, begun":     {false, func(f *fixture) { f.site.FailRuns(stand.RunError) }},
 	}
 	for name, test := range tests {
 		for n := range passedStreams {
@@ -104,7 +104,7 @@
 					f.runLongStream(4, 700*time.Millisecond, func(int) {
 						test.fail(f)
 						f.site.CutInstance("edge-0", inmem.CutReset)
-						time.AfterFunc(600*time.Millisecond, func() { f.site.FailRuns(false) })
+						time.AfterFunc(600*time.Millisecond, func() { f.site.FailRuns(stand.RunServed) })
 					})
 					if n := f.site.LiveProducers("long"); n > 2 {
 						t.Errorf("got runs on %d engines that are alive, want 2 at most", n)
@@ -148,3 +148,38 @@
 		}
 	})
 }
+
+// Guards against a stream that runs on more engines than its attempts allow, since engines that begin it lose
+// the connection before its first event, which looks like an idle connection that was closed.
+func TestRunsLostBeforeTheirFirstEventCountAsAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		defer f.close()
+		f.sendStreams(100, func() {})
+		var callers sync.WaitGroup
+		time.AfterFunc(500*time.Millisecond, func() { f.site.FailRuns(stand.RunLost) })
+		for n := range 100 {
+			callers.Go(func() { f.request(0, http.MethodPost, "/write/1", fmt.Sprintf("lost%d", n), "300,60") })
+			time.Sleep(20 * time.Millisecond)
+		}
+		callers.Wait()
+		for n := range 100 {
+			if n := f.site.LiveProducers(fmt.Sprintf("lost%d", n)); n > 2 {
+				t.Errorf("got runs on %d engines that are alive, want 2 at most", n)
+			}
+		}
+	})
+}
+
+// Guards against a stream that is refused or cut since its engine had closed the idle connections.
+func TestClosedIdleConnectionsCostNoStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		defer f.close()
+		f.sendStreams(60, func() {})
+		for _, e := range f.site.Engines() {
+			f.site.Net.Reset(e.Address)
+		}
+		f.sendStreams(60, func() {})
+	})
+}
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -77,6 +77,9 @@
 		// The engine may merely have closed the idle connection. A new connection
 		// shows whether the engine is alive.
 		c.forceNewConn = true
+		if errors.Is(err, client.ErrWrite) {
+			return errUnwritten
+		}
 		return errStaleConn
 	}
 	chain, _ := run.Chain()
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -64,8 +64,6 @@
 	// RecordRefusal records that the engine at an address of the path refused the
 	// run, and returns that engine. An empty address means the first engine.
 	RecordRefusal(run *Run, address string) spec.UpstreamID
-	// IsDead reports whether an engine is known to be dead.
-	IsDead(service string, id spec.UpstreamID) bool
 	// ConfirmExited reports whether the first engine of an earlier run has exited. It may probe it.
 	ConfirmExited(ctx context.Context, c *Call, p crash.Process) bool
 	// EndRequest records that a request with runs on these first engines has ended, so that nobody
@@ -82,6 +80,7 @@
 	errEventTimeout = errors.New("relay: caller has stopped waiting for an event")
 	errEngineStatus = errors.New("relay: engine returned an error")
 	errStaleConn    = errors.New("relay: idle connection was closed")
+	errUnwritten    = errors.Wrap(errStaleConn, "request not written whole")
 	errTimeout      = errors.New("relay: deadline exceeded")
 )
 
@@ -275,6 +274,25 @@
 		c.runner.Paths.EndRun(run, modelRunEnd(err), complete && c.runs == 1 && c.call.ParsedHeader.LastEventID == 0)
 	}()
 	err = c.runOnce(run)
+	if errors.Is(err, errStaleConn) && c.mayResend() {
+		err = c.resend(run, errors.Is(err, errUnwritten))
+	}
 	complete = err == nil
 	return err
 }
+
+// mayResend reports whether a request whose connection was closed may be sent to the same engine again.
+func (c *modelCall) mayResend() bool {
+	c.mayHaveRun = true
+	return c.ctx.Err() == nil && c.runner.CrashTracker.AllowSend(c.ctx, c.call.Suspects()) == nil && c.takeRetry()
+}
+
+// resend sends the request over the path of a run again, on a new connection. Unless the first one was
+// unwritten, the engine may have begun to run it, whatever happens to the second one.
+func (c *modelCall) resend(run *Run, unwritten bool) error {
+	err := c.runOnce(run)
+	if !unwritten && (errors.Is(err, errUnsent) || errors.Is(err, errNotRun)) {
+		return errStaleConn
+	}
+	return err
+}
--- a/internal/wire/relay/retry.go
+++ b/internal/wire/relay/retry.go
@@ -24,18 +24,13 @@
 
 // recordFailure records which engine may have run the request in a failed run.
 func (c *modelCall) recordFailure(run *Run, err error) {
-	if errors.Is(err, errNotRun) || errors.Is(err, errUnsent) || errors.Is(err, errEventTimeout) {
+	if errors.Is(err, errNotRun) || errors.Is(err, errUnsent) || errors.Is(err, errUnwritten) || errors.Is(err, errEventTimeout) {
 		return
 	}
 	c.mayHaveRun = true
-	chain, _ := run.Chain()
-	first := chain[0].Engine()
-	if errors.Is(err, errStaleConn) && run.EventCount() == 0 && !c.runner.Paths.IsDead(c.call.Service.Name, first) {
-		return
-	}
 	// Of an engine that another instance told of, the incarnation is not known.
 	known := func(p crash.Process) bool {
-		return p == run.First || p == crash.Process{Upstream: first}
+		return p == run.First || p == crash.Process{Upstream: run.First.Upstream}
 	}
 	if !slices.ContainsFunc(c.attempts, known) {
 		c.attempts = append(c.attempts, run.First)
