Attempts: the instance that takes a passed request tells which engines may have run it

Callers whose stream was passed on saw it cut though one engine had run it: it broke off under two instances one after the other, and counted twice, as an engine that is not known.

Now the response to a passed request ends with the engines that may have run it, as a trailer, also if it is broken off. One that is lost counts as one attempt, as before: the instance that takes it makes no more.

--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -267,6 +267,9 @@
 	r, endSpan := s.startSpan(r, c)
 	reply := s.run(w, r, c)
 	status := s.writeReply(w, r, reply)
+	if passedFrom(r.Context()) != nil {
+		setAttempted(w.Header(), reply.Attempted)
+	}
 	endSpan(reply, status)
 	if s.OnRequestEnd != nil {
 		s.OnRequestEnd(c, reply, status, time.Since(c.Start))
--- a/internal/wire/front/pass.go
+++ b/internal/wire/front/pass.go
@@ -82,6 +82,15 @@
 	}
 }
 
+// setAttempted tells the instance that passed a request on which engines may have begun to run it.
+func setAttempted(h http.Header, engines []spec.UpstreamID) {
+	names := []string{}
+	for _, id := range engines {
+		names = append(names, string(id))
+	}
+	h[http.TrailerPrefix+relay.TrailerAttempted] = names
+}
+
 // RefuseUnreached refuses a passed request so that it is passed to another instance.
 func RefuseUnreached(w http.ResponseWriter, reason string) {
 	w.Header().Set(unreachedHeader, "1")
--- a/internal/wire/peer/frame.go
+++ b/internal/wire/peer/frame.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"net/http"
+
 	"fulmarwick/internal/base/spec"
 
 	"github.com/fxamacker/cbor/v2"
@@ -101,6 +103,8 @@
 	Stop  bool `cbor:"2,keyasint,omitempty"`
 	// Fault is the reason why the answer ended early, nil if it is complete.
 	Fault *Fault `cbor:"3,keyasint,omitempty"`
+	// Trailer holds the trailers of the response to a Request, also of one that is broken off.
+	Trailer http.Header `cbor:"4,keyasint,omitempty"`
 }
 
 // Fault is the final answer of the instance that a request was forwarded to.
--- a/internal/wire/peer/proxy.go
+++ b/internal/wire/peer/proxy.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"fulmarwick/internal/base/spec"
@@ -81,7 +83,7 @@
 		return nil, errors.Wrap(ErrRefused, "connection closed")
 	}
 	h.meter.forwarded.Inc()
-	body := &responseBody{ctx: ctx, stream: s}
+	body := &responseBody{ctx: ctx, stream: s, trailer: http.Header{}}
 	if err := c.enqueue(ctx, &frame{Kind: kindRequest, ID: s.id, Request: &r}); err != nil {
 		_ = body.Close()
 		return nil, errors.Wrap(ErrRefused, err.Error())
@@ -91,7 +93,7 @@
 		_ = body.Close()
 		return nil, err
 	}
-	return &http.Response{StatusCode: first.Status, Header: first.Header, Body: body}, nil
+	return &http.Response{StatusCode: first.Status, Header: first.Header, Body: body, Trailer: body.trailer}, nil
 }
 
 // responseBody reads the body of a response from the frames of a stream.
@@ -99,6 +101,8 @@
 	ctx    context.Context
 	stream *outStream
 	frames []*frame
+	// trailer holds the trailers once the response has ended, whole or not.
+	trailer http.Header
 	// chunk is the unread part of the last chunk.
 	chunk []byte
 	err   error
@@ -149,6 +153,9 @@
 
 func (b *responseBody) readFrame() {
 	f, err := b.nextFrame()
+	if err == nil && f.Kind == kindEnd {
+		maps.Copy(b.trailer, f.End.Trailer)
+	}
 	switch {
 	case err != nil:
 		b.err = err
@@ -232,7 +239,7 @@
 	header := w.header.Clone()
 	for name, values := range header {
 		// The front sets a header to nil to keep net/http from adding it.
-		if values == nil {
+		if values == nil || strings.HasPrefix(name, http.TrailerPrefix) {
 			delete(header, name)
 		}
 	}
@@ -256,7 +263,7 @@
 
 // finish ends the response.
 func (w *responseWriter) finish(complete bool) {
-	end := &End{}
+	end := &End{Trailer: w.trailer()}
 	if !complete {
 		end.Fault = &Fault{Code: "broken-off", Ran: "unsure"}
 	} else {
@@ -265,6 +272,17 @@
 	w.send(&frame{Kind: kindEnd, ID: w.id, End: end})
 }
 
+// trailer returns the headers that the handler set as trailers.
+func (w *responseWriter) trailer() http.Header {
+	out := http.Header{}
+	for name, values := range w.header {
+		if trailer, ok := strings.CutPrefix(name, http.TrailerPrefix); ok {
+			out[trailer] = values
+		}
+	}
+	return out
+}
+
 func (w *responseWriter) send(f *frame) {
 	// After ctx ends the other side wants no more frames; the end of the response must not
 	// wait for room in the queue.
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -191,6 +191,9 @@
 	Started bool
 	// SendCount is how many upstreams the call was sent to.
 	SendCount int
+	// Attempted lists the engines that may have begun to run a model request, here or at instances to which
+	// it was passed on.
+	Attempted []spec.UpstreamID
 	// Upstreams lists the upstreams that the call was sent to.
 	Upstreams []spec.UpstreamID
 	// FirstEventLatency is the time from Start of the call to the first event of a
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -125,7 +125,7 @@
 	mc := &modelCall{runner: m, call: c, ctx: ctx, sink: sink, lastEventID: c.ParsedHeader.LastEventID, attempts: processesOf(c.Attempted)}
 	defer func() { m.Paths.EndRequest(c.Service.Name, mc.firstEngines) }()
 	r := mc.timing.addTo(mc.run())
-	r.Upstreams = mc.firstEngines
+	r.Upstreams, r.Attempted = mc.firstEngines, mc.attemptedEngines()
 	return r
 }
 
--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 
+	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/state/feed"
 	"fulmarwick/internal/wire/client"
@@ -143,8 +145,7 @@
 	c.passes++
 	c.mayHaveRun = true
 	c.noRetryReason = ReasonResponseLost
-	// The other instance made one attempt at most, at an engine that is not known here.
-	c.attempts = append(c.attempts, crash.Process{})
+	c.recordPassed(resp)
 	if !c.hasAttemptLeft() {
 		c.noRetryReason = ReasonAttemptsExhausted
 		return c.failedReply(err), true
@@ -155,6 +156,25 @@
 	return Reply{}, false
 }
 
+// TrailerAttempted names the engines that may have begun to run a passed request. It does not leave the
+// instances.
+const TrailerAttempted = "Fulmarwick-Attempted"
+
+// recordPassed records the attempts of another instance whose response was lost or is a failure: those that
+// it tells, else the one that it makes at most, at an engine that is not known here.
+func (c *modelCall) recordPassed(resp *http.Response) {
+	if resp == nil || resp.Trailer[TrailerAttempted] == nil {
+		c.attempts = append(c.attempts, crash.Process{})
+		return
+	}
+	for _, engine := range resp.Trailer[TrailerAttempted] {
+		id := spec.UpstreamID(engine)
+		if !slices.ContainsFunc(c.attempts, func(p crash.Process) bool { return p.Upstream == id }) {
+			c.attempts = append(c.attempts, crash.Process{Upstream: id})
+		}
+	}
+}
+
 // errPassedFailed means that another instance took the request and could not complete the answer.
 var errPassedFailed = errors.New("relay: passed request failed")
 
