List of instances: a malformed entry hides no other

Reported by another operator: an entry of another writer in the list of engines, nested very deeply or with a number too large, and the machines stopped following the list. In serve it happened: the list was decoded as one JSON value, so that one such entry, or one with a number where a text is expected, made all of it unreadable, and instances kept the list that they had read before it.

Now the entries are decoded one by one. A malformed one is skipped and logged, at most one line a minute.

An address with a port out of range fails no request before and after (app/daemon TestOddAddressInListFailsNoRequest).

--- a/internal/app/daemon/build.go
+++ b/internal/app/daemon/build.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"time"
 
 	"fulmarwick/internal/app/halt"
 	"fulmarwick/internal/app/meters"
@@ -27,6 +28,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 )
 
 // parts holds the components of an instance.
@@ -146,10 +148,27 @@
 	return sender
 }
 
+const (
+	// maxLoggedEntry limits how much of a malformed entry of the list is logged, in bytes.
+	maxLoggedEntry = 200
+	// malformedLogInterval is the time between two log lines of malformed entries: the list is read anew
+	// every few seconds.
+	malformedLogInterval = time.Minute
+)
+
+// logFirst returns a function that passes on one call in each malformedLogInterval.
+func logFirst(log func(entry []byte, err error)) func(entry []byte, err error) {
+	allowed := rate.Sometimes{Interval: malformedLogInterval}
+	return func(entry []byte, err error) { allowed.Do(func() { log(entry, err) }) }
+}
+
 func (d *Daemon) buildWatch(sender *plain.Sender) {
 	p := &d.parts
 	p.interceptor = &interceptor{Daemon: d}
 	lister := &store.Client{BaseURL: d.Settings.Platform.List, HTTP: store.NewHTTPClient()}
+	lister.OnMalformed = logFirst(func(entry []byte, err error) {
+		d.Log.Warn("watch: malformed entry of the instance list skipped", zap.ByteString("entry", entry[:min(len(entry), maxLoggedEntry)]), zap.Error(err))
+	})
 	if lister.BaseURL == "" {
 		lister.BaseURL = d.Settings.Platform.Table
 	}
--- a/internal/app/daemon/daemon_test.go
+++ b/internal/app/daemon/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,10 +13,12 @@
 
 	"fulmarwick/internal/app/daemon"
 	"fulmarwick/internal/app/setup"
+	"fulmarwick/internal/base/frame"
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/fakes/layer"
 	"fulmarwick/internal/fakes/trial"
 	"fulmarwick/internal/state/config"
+	"fulmarwick/internal/state/store"
 	"fulmarwick/internal/wire/admin"
 
 	"go.uber.org/zap"
@@ -201,3 +204,21 @@
 		}
 	}
 }
+
+// Guards against calls and answers that fail since another writer left an entry with an odd address in the list.
+func TestOddAddressInListFailsNoRequest(t *testing.T) {
+	site, base := start(t)
+	for n, url := range []string{"http://127.0.0.1:99999", "http://127.0.0.1:-1", "127.0.0.1:1", "http://[::1", "", "http://127.0.0.1:1/%zz"} {
+		for _, role := range []string{store.RoleService, store.RoleEngine, store.RoleEntry} {
+			site.List(store.ListedBody{ID: fmt.Sprintf("odd-%s-%d", role, n), Role: role, Service: trial.Service, URL: url, DataCentre: trial.Centre, State: frame.StateLive})
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	for n := range 20 {
+		status, text := post(t, base+"/v1/calls/payment", fmt.Sprintf("odd-%d", n), `{"amount":1}`)
+		if status != http.StatusOK {
+			t.Errorf("got %d %s, want the payment made", status, text)
+		}
+		answer(t, base, `{"model":"levy-13b","max_tokens":5,"messages":[{"role":"user","content":"hello"}]}`)
+	}
+}
--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -30,6 +30,8 @@
 	BaseURL string
 	// HTTP makes the calls; see NewHTTPClient.
 	HTTP *http.Client
+	// OnMalformed, if not nil, is called for each entry of the list that can't be decoded and is skipped.
+	OnMalformed func(entry []byte, err error)
 }
 
 // NewHTTPClient returns a client with its own transport. Connections are reused:
@@ -52,7 +54,7 @@
 
 func (c *Client) getRow(ctx context.Context, path, key string) (Row, error) {
 	var b RowBody
-	if err := c.read(ctx, path+"?key="+url.QueryEscape(key), &b); err != nil {
+	if err := c.read(ctx, path+"?key="+url.QueryEscape(key), asJSON(&b)); err != nil {
 		return Row{}, err
 	}
 	return NewRow(b.Key, b.Version, b.Value), nil
@@ -66,7 +68,7 @@
 	q.Set("since", strconv.FormatUint(since, 10))
 	q.Set("limit", strconv.Itoa(limit))
 	var b ScanBody
-	if err := c.read(ctx, "/v1/table?"+q.Encode(), &b); err != nil {
+	if err := c.read(ctx, "/v1/table?"+q.Encode(), asJSON(&b)); err != nil {
 		return nil, err
 	}
 	rows := make([]Row, 0, len(b.Rows))
@@ -87,7 +89,7 @@
 		return 0, errors.Wrap(err, "store: encode")
 	}
 	var done CommitDone
-	if err := c.call(ctx, http.MethodPost, "/v1/commit", data, &done); err != nil {
+	if err := c.call(ctx, http.MethodPost, "/v1/commit", data, asJSON(&done)); err != nil {
 		return 0, err
 	}
 	return done.Version, nil
@@ -106,7 +108,7 @@
 		return 0, errors.Wrap(err, "store: encode")
 	}
 	var done CommitDone
-	if err := c.call(ctx, http.MethodPost, "/v1/object", data, &done); err != nil {
+	if err := c.call(ctx, http.MethodPost, "/v1/object", data, asJSON(&done)); err != nil {
 		return 0, err
 	}
 	return done.Version, nil
@@ -116,7 +118,11 @@
 // behind the actual state.
 func (c *Client) ListInstances(ctx context.Context) ([]ListedBody, error) {
 	var out []ListedBody
-	if err := c.read(ctx, "/v1/instances", &out); err != nil {
+	decode := func(body io.Reader) (err error) {
+		out, err = decodeList(body, c.OnMalformed)
+		return err
+	}
+	if err := c.read(ctx, "/v1/instances", decode); err != nil {
 		return nil, err
 	}
 	return out, nil
@@ -124,15 +130,15 @@
 
 // read makes a call without side effects. A lost response is therefore reported as
 // ErrUnavailable.
-func (c *Client) read(ctx context.Context, path string, into any) error {
-	err := c.call(ctx, http.MethodGet, path, nil, into)
+func (c *Client) read(ctx context.Context, path string, decode decoder) error {
+	err := c.call(ctx, http.MethodGet, path, nil, decode)
 	if errors.Is(err, ErrOutcomeUnknown) {
 		return errors.Wrap(ErrUnavailable, err.Error())
 	}
 	return err
 }
 
-func (c *Client) call(ctx context.Context, method, path string, data []byte, into any) error {
+func (c *Client) call(ctx context.Context, method, path string, data []byte, decode decoder) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	connected := false
@@ -157,10 +163,18 @@
 		return errors.Wrap(ErrOutcomeUnknown, err.Error())
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return decodeResponse(resp, into)
+	return decodeResponse(resp, decode)
+}
+
+// decoder decodes the body of a response.
+type decoder func(body io.Reader) error
+
+// asJSON returns a decoder of a JSON value.
+func asJSON(into any) decoder {
+	return func(body io.Reader) error { return json.NewDecoder(body).Decode(into) }
 }
 
-func decodeResponse(resp *http.Response, into any) error {
+func decodeResponse(resp *http.Response, decode decoder) error {
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotFound:
@@ -172,7 +186,7 @@
 	default:
 		return errors.Wrapf(ErrOutcomeUnknown, "status %d", resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(into); err != nil {
+	if err := decode(io.LimitReader(resp.Body, maxBodyBytes)); err != nil {
 		return errors.Wrap(ErrOutcomeUnknown, err.Error())
 	}
 	return nil
--- a/internal/state/store/client_test.go
+++ b/internal/state/store/client_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -131,3 +132,54 @@
 		t.Errorf("got %d rows %v, want 7", len(seen), err)
 	}
 }
+
+// Guards against instances that read the list no longer, since another writer left a malformed entry in it.
+func TestMalformedEntryHidesNoOther(t *testing.T) {
+	deep := strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
+	tests := map[string]struct {
+		entry     string
+		malformed int
+	}{
+		"deep":              {deep, 1},
+		"deep field":        {`{"id":"x","other":` + deep + `}`, 1},
+		"number as URL":     {`{"id":"x","role":"engine","url":99999}`, 1},
+		"large number":      {`{"id":1e400}`, 1},
+		"large, other":      {`{"id":"x","other":1e400}`, 0},
+		"state an object":   {`{"id":"x","state":{"a":[1,{}]}}`, 1},
+		"brackets in text":  {`{"id":"],[}{\\\"]"}`, 0},
+		"no object":         {`"],["`, 1},
+		"no JSON":           {`{"id":}`, 1},
+		"null":              {`null`, 0},
+		"nothing":           {``, 0},
+		"other, same names": {`{"ID":"x","id":"y"}`, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			list := ` [ {"id":"a","role":"engine","url":"http://a"} , ` + test.entry + `, {"id":"b","role":"entry"} ] `
+			if test.entry == "" {
+				list = strings.Replace(list, ", ,", ",", 1)
+			}
+			malformed := 0
+			base := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, list) }))
+			c := &store.Client{BaseURL: base, HTTP: store.NewHTTPClient(), OnMalformed: func([]byte, error) { malformed++ }}
+			got, err := c.ListInstances(t.Context())
+			if err != nil || len(got) < 2 || got[0].ID != "a" || got[0].URL != "http://a" || got[len(got)-1].ID != "b" {
+				t.Errorf("got %v and %v, want the first and the last entry", got, err)
+			}
+			if malformed != test.malformed {
+				t.Errorf("got %d malformed entries, want %d", malformed, test.malformed)
+			}
+		})
+	}
+}
+
+// Guards against a list that is cut off, or no list, and is taken for one without entries.
+func TestListThatIsNoneIsAnError(t *testing.T) {
+	for _, body := range []string{"", "{}", `[{"id":"a"}`, `[{"id":"a"},`, "x", `"[]"`} {
+		base := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+		c := &store.Client{BaseURL: base, HTTP: store.NewHTTPClient()}
+		if got, err := c.ListInstances(t.Context()); err == nil {
+			t.Errorf("got %v for %q, want an error", got, body)
+		}
+	}
+}
