Tests of heads that are cut off: no answer is made of them

Reported by another operator: an engine stopped in the middle of the head of its answer and closed, and clients got a 200 with an empty or short body, framed as whole. It does not happen here: streams, look-ups and bookings, served by an instance itself and passed on, with and without a length in the head, cut off at places all over it (app/edge TestAnswersThatEndWithTheirConnectionAreWhole), and calls in serve at each byte of three heads (wire/plain TestHeadThatIsCutOffIsNoAnswer).

--- a/internal/app/edge/framing_test.go
+++ b/internal/app/edge/framing_test.go
@@ -15,10 +15,10 @@
 )
 
 // Guards against answers that look complete and are not, where an answer has no length and ends
-// with its connection: inside an event, or by a reset. Instances serve callers themselves, and one
+// with its connection: inside an event, by a reset, or inside its head. Instances serve callers themselves, and one
 // passes its requests on.
 func TestAnswersThatEndWithTheirConnectionAreWhole(t *testing.T) {
-	for _, framing := range []stand.Framing{stand.FramingNone, stand.FramingBroken} {
+	for _, framing := range []stand.Framing{stand.FramingNone, stand.FramingBroken, stand.FramingCutHead} {
 		t.Run(fmt.Sprint(framing), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t, 4)
--- a/internal/wire/plain/plain_test.go
+++ b/internal/wire/plain/plain_test.go
@@ -285,3 +285,23 @@
 		t.Errorf("got %q for another team, want an error", a.Body())
 	}
 }
+
+// Guards against an answer whose head is cut off and that is taken for one with an empty or short body.
+func TestHeadThatIsCutOffIsNoAnswer(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load: 1\r\n\r\n", "HTTP/1.0 200 OK\r\nServer: s\r\n\r\n"} {
+		for n := range len(head) {
+			base := server(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				_, _ = io.Copy(io.Discard, req.Body)
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				_, _ = io.WriteString(conn, head[:n])
+				_ = conn.Close()
+			}))
+			if a, err := sender(base).Send(t.Context(), payment("k1")); err == nil || errors.Is(err, ledger.ErrNotSent) {
+				t.Errorf("got %d %q and %v for the head %q, want an error that leaves the outcome open", a.Status(), a.Body(), err, head[:n])
+			}
+		}
+	}
+}
