--- a/internal/app/edge/attempt_test.go
+++ b/internal/app/edge/attempt_test.go
@@ -183,3 +183,32 @@
 		f.sendStreams(60, func() {})
 	})
 }
+
+// Guards against a stream that runs on more engines than its attempts allow, since an engine that did not answer
+// for a while, and answers again, is no attempt any more.
+func TestEngineThatAnswersAgainCountsAsAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		defer f.close()
+		var first *stand.Engine
+		actions := []func(){
+			func() {
+				first = f.busiestEngine()
+				f.site.Freeze(first, 2500*time.Millisecond)
+				time.Sleep(1300 * time.Millisecond)
+			},
+			func() {
+				second := f.busiestEngineOf(func(e *stand.Engine) bool { return e != first })
+				f.site.DrainEngine(second)
+				f.site.Net.Reset(second.Address)
+				time.Sleep(time.Second)
+				f.site.DrainEngine(first)
+			},
+			func() { f.site.Crash(f.busiestEngineOf(func(e *stand.Engine) bool { return e != first })) },
+		}
+		f.runLongStream(len(actions), 0, func(n int) { actions[n]() })
+		if n := f.site.LiveProducers("long"); n > 2 {
+			t.Errorf("got runs on %d engines that are alive, want 2 at most", n)
+		}
+	})
+}
