--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -141,14 +141,19 @@
 func (svc *serviceState) hasSpareAttempt(maxAttempts int, attempted []crash.Process, first spec.UpstreamID) bool {
 	n := 1
 	for _, p := range attempted {
-		up, known := svc.model.Upstream(p.Upstream)
-		if p.Upstream != first && !(known && (isReplaced(up, p) || svc.model.Health(p.Upstream) == path.HealthDead)) {
+		if p.Upstream != first && !svc.hasExited(p) {
 			n++
 		}
 	}
 	return n < maxAttempts
 }
 
+// hasExited reports whether a process of an engine is known to have exited; router.mu is held.
+func (svc *serviceState) hasExited(p crash.Process) bool {
+	up, known := svc.model.Upstream(p.Upstream)
+	return known && (isReplaced(up, p) || svc.model.Health(p.Upstream) == path.HealthDead)
+}
+
 // await has the gate of a service watch whether the answer to a request begins in time; r.mu is held.
 func (r *router) await(svc *serviceState, c *relay.Call) *shed.Pending {
 	return svc.gate.Await(r.now()-time.Since(c.Start), c.ShedRank, c.Route.TargetLatency)
--- a/internal/state/store/list.go
+++ b/internal/state/store/list.go
@@ -38,29 +38,18 @@
 // splitArray returns the elements of a JSON array undecoded. encoding/json refuses the whole array if one
 // element is nested too deeply.
 func splitArray(data []byte) ([][]byte, error) {
+	data = bytes.TrimSpace(data)
+	if len(data) == 0 || data[0] != '[' {
+		return nil, errNoArray
+	}
 	var out [][]byte
-	depth, begin := 0, 0
-	inString := false
-	for at := 0; at < len(data); at++ {
-		c := data[at]
-		switch {
-		case inString:
-			if c == '\\' {
-				at++
-			} else if c == '"' {
-				inString = false
-			}
-			continue
-		case depth == 0 && c != '[' && !isSpace(c):
-			return nil, errNoArray
-		}
-		switch c {
+	depth, begin := 1, 1
+	for at := 1; at < len(data); at++ {
+		switch data[at] {
 		case '"':
-			inString = true
+			at = endOfString(data, at)
 		case '[', '{':
-			if depth++; depth == 1 {
-				begin = at + 1
-			}
+			depth++
 		case ']', '}':
 			if depth--; depth == 0 {
 				return appendElement(out, data[begin:at]), nil
@@ -74,14 +63,21 @@
 	return nil, errors.Wrap(errNoArray, "cut off")
 }
 
-// appendElement appends an element of an array unless it is blank, as in an empty array.
-func appendElement(out [][]byte, element []byte) [][]byte {
-	for _, c := range element {
-		if !isSpace(c) {
-			return append(out, element)
+// endOfString returns the index of the quote that ends the string which begins at a quote, or the length of
+// data if none does.
+func endOfString(data []byte, at int) int {
+	for at++; at < len(data) && data[at] != '"'; at++ {
+		if data[at] == '\\' {
+			at++
 		}
 	}
-	return out
+	return at
 }
 
-func isSpace(c byte) bool { return c == ' ' || c == '\n' || c == '\r' || c == '\t' }
+// appendElement appends an element of an array unless it is blank, as in an empty array.
+func appendElement(out [][]byte, element []byte) [][]byte {
+	if element = bytes.TrimSpace(element); len(element) == 0 {
+		return out
+	}
+	return append(out, element)
+}
--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -77,18 +77,11 @@
 func (p *PlainRunner) passOn(ctx context.Context, c *Call, cause PassCause) (Reply, bool) {
 	var failed Reply
 	for pass := 1; ; pass++ {
-		resp, err := p.Peers.Pass(ctx, c, cause, 0) //nolint:bodyclose // readReply closes it.
-		if errors.Is(err, ErrNoPeer) {
-			return failed, pass > 1
-		}
-		var reply Reply
-		if err == nil {
-			reply, err = readReply(resp)
-		}
+		reply, err := p.passOnce(ctx, c, cause)
 		switch {
-		case err != nil:
-			reply = lostReply(ctx)
-		case reply.Status < http.StatusInternalServerError, !reply.MayHaveRun && pass == 1:
+		case errors.Is(err, ErrNoPeer):
+			return failed, pass > 1
+		case reply.isFinal(), !reply.MayHaveRun && pass == 1:
 			return reply, true
 		case !reply.MayHaveRun:
 			// It says nothing of the attempts before.
@@ -103,6 +96,24 @@
 	}
 }
 
+// passOnce passes the call on to one instance and returns the reply, also if it was lost.
+func (p *PlainRunner) passOnce(ctx context.Context, c *Call, cause PassCause) (Reply, error) {
+	resp, err := p.Peers.Pass(ctx, c, cause, 0) //nolint:bodyclose // readReply closes it.
+	if err != nil {
+		return lostReply(ctx), err
+	}
+	reply, err := readReply(resp)
+	if err != nil {
+		return lostReply(ctx), err
+	}
+	return reply, nil
+}
+
+// isFinal reports whether a reply of an upstream needs no retry.
+func (r Reply) isFinal() bool {
+	return r.Reason == ReasonNone && r.Status < http.StatusInternalServerError
+}
+
 // lostReply returns the reply to a call whose response was lost or did not come in time.
 func lostReply(ctx context.Context) Reply {
 	r := Reply{Reason: ReasonResponseLost, MayHaveRun: true}
--- a/internal/wire/relay/plain.go
+++ b/internal/wire/relay/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"fulmarwick/internal/base/site"
@@ -90,7 +89,7 @@
 
 // succeeded reports whether the response needs no retry.
 func (r *sendResult) succeeded() bool {
-	return r.response != nil && !r.notRun && r.response.Status < http.StatusInternalServerError
+	return r.response != nil && !r.notRun && r.response.isFinal()
 }
 
 // Do runs the call and returns the final reply.
