Retry budget: retries of any window count, also those of instances that are not heard of any more

Cause: the sum over all instances could pass the limit in three ways. The window was kept in 20 buckets of which the newest is not over, so that retries were forgotten up to half a second early. What instances had taken from the pool was forgotten as soon as they reported no more, or had ended. And an instance that heard of no other used its whole share again, though the pool had been used.

Now 21 buckets count. What was taken from the pool counts for a window after the last report of whoever took it. An instance uses its part of the pool alone only once it has heard of no other for a window, and tells it as taken from the pool. A process that replaces one uses half of the allowance at most in its first window.

Ruled out for this: retries of passed streams that engines refuse again and again, 3 arrivals of 8 allowed.

--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -33,7 +33,7 @@
 	i.state = newStateView(i.Log)
 	i.router = &router{
 		centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
-		retryBounds: s.Retry, services: map[string]*serviceState{}, peerRetries: map[spec.InstanceID]peerRetryReport{}, sharesTeams: s.Balance.Teams == setup.TeamsFleet, stopped: make(chan struct{}),
+		retryBounds: s.Retry, services: map[string]*serviceState{}, sharesTeams: s.Balance.Teams == setup.TeamsFleet, stopped: make(chan struct{}),
 	}
 	i.pool = &client.Pool{DialTimeout: dialTimeout, Dial: i.Dial, OnDial: i.counter(`fulmarwick_connections_total`)}
 	i.store = &platform.Store{BaseURL: s.Platform.Table, HTTP: newHTTP(i.Dial, dialTimeout), UserAgent: s.Instance.Name, OnCall: i.countStoreCall, OnEra: i.handleStoreEra}
--- a/internal/app/edge/peers.go
+++ b/internal/app/edge/peers.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"time"
-
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/path"
 	"fulmarwick/internal/route/resend"
@@ -39,15 +37,6 @@
 	}
 }
 
-// peerRetriesTTL is how long the retry usage reported by an instance counts.
-const peerRetriesTTL = time.Second
-
-// peerRetryReport is the retry usage that an instance reported, by service.
-type peerRetryReport struct {
-	counts     map[string]resend.Usage
-	receivedAt time.Duration
-}
-
 // localRetries returns the retry usage of this instance, by service.
 func (r *router) localRetries() map[string]resend.Usage {
 	r.mu.Lock()
@@ -59,27 +48,17 @@
 	return out
 }
 
-// applyPeerRetries sets the retry usage of another instance; nil removes it.
+// applyPeerRetries sets the retry usage of another instance; nil means that it has ended.
 func (r *router) applyPeerRetries(from spec.InstanceID, counts map[string]resend.Usage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if counts == nil {
-		delete(r.peerRetries, from)
-		return
-	}
-	r.peerRetries[from] = peerRetryReport{counts: counts, receivedAt: r.now()}
-}
-
-// peerRetryCount returns the sum of the recent retry usage that other instances reported
-// for a service; r.mu is held.
-func (r *router) peerRetryCount(service string) resend.Usage {
-	var sum resend.Usage
-	for _, report := range r.peerRetries {
-		if r.now()-report.receivedAt < peerRetriesTTL {
-			sum = sum.Plus(report.counts[service])
+	for name, svc := range r.services {
+		if counts == nil {
+			svc.peerRetries.End(from)
+		} else {
+			svc.peerRetries.Set(r.now(), from, counts[name])
 		}
 	}
-	return sum
 }
 
 // localSlowdowns returns the slowdown factors of the engines that reported to this
--- a/internal/app/edge/router.go
+++ b/internal/app/edge/router.go
@@ -36,6 +36,8 @@
 	// and the lengths observed.
 	answerLengths length.Estimator
 	retryBudget   resend.Budget
+	// peerRetries holds the retry usage that each other instance reported.
+	peerRetries resend.Reports
 	// attempted counts, by engine, the runs that began at it of requests that have not ended.
 	attempted map[spec.UpstreamID]int
 	// runs holds the active runs of model requests.
@@ -107,8 +109,6 @@
 	mu          sync.Mutex
 	retryBounds setup.Retry
 	services    map[string]*serviceState
-	// peerRetries holds the retry usage that each other instance reported.
-	peerRetries map[spec.InstanceID]peerRetryReport
 	crashBook   crash.Tracker
 	openRuns    crash.OpenRuns
 	// settling means that a call of settle is due.
@@ -258,5 +258,6 @@
 func (r *router) AllowRetry(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.service(service).retryBudget.AllowRetry(r.now(), r.retryBudgetSharers(), r.peerRetryCount(service))
+	svc := r.service(service)
+	return svc.retryBudget.AllowRetry(r.now(), r.retryBudgetSharers(), svc.peerRetries.Sum(r.now(), svc.retryBudget.Window))
 }
--- a/internal/route/resend/resend.go
+++ b/internal/route/resend/resend.go
@@ -13,8 +13,10 @@
 import "time"
 
 const (
-	// windowBuckets is the number of buckets in a window.
-	windowBuckets = 20
+	// windowBuckets is the number of buckets in a window. One more is counted, since the newest one is
+	// not over: no moment of the window may be left out.
+	windowBuckets  = 20
+	countedBuckets = windowBuckets + 1
 	// usableShare is the part of the limit that is used. The rest covers requests that
 	// callers sent and that did not arrive here, and late arrivals.
 	usableShare = 0.8
@@ -24,6 +26,9 @@
 	// roundInterval is the interval at which instances report their usage to each
 	// other.
 	roundInterval = 200 * time.Millisecond
+	// maxRampUp is the part of the allowance that a process may use before RampUp is over. The one before it
+	// may have used all of it at its end.
+	maxRampUp = 0.5
 	// propagationRounds is how many rounds pass until all instances know the usage. In
 	// each round, an instance takes at most an equal part of what is left, divided by
 	// propagationRounds. So all instances that take from the pool at once, without
@@ -66,9 +71,11 @@
 	RampUp time.Duration
 
 	currentBucket int64
-	requests      [windowBuckets]int
-	localRetries  [windowBuckets]int
-	pooledRetries [windowBuckets]int
+	requests      [countedBuckets]int
+	localRetries  [countedBuckets]int
+	pooledRetries [countedBuckets]int
+	// sharedUntil is until when retries that were taken from the pool may count.
+	sharedUntil time.Duration
 	// round is the number of the current round. tokens is how many pooled retries may
 	// be taken in it; fractions of a retry add up over the rounds.
 	round  int64
@@ -80,25 +87,26 @@
 	b.requests[b.advanceWindow(now)]++
 }
 
-// AllowRetry reports whether one more request may be sent again, and counts it.
-// instances is how many instances share the allowance. others is the usage of those of
-// them whose messages arrive.
+// AllowRetry reports whether a request may be sent again, and counts it if so. instances
+// is the number of instances that share the limit, others the usage that other instances
+// reported. An instance that has heard of none for a window uses its part of the pool.
 func (b *Budget) AllowRetry(now time.Duration, instances int, others Usage) bool {
 	bucket := b.advanceWindow(now)
-	local := b.Usage(now)
+	own := b.Usage(now)
 	retries := 0
 	for _, n := range b.localRetries {
 		retries += n
 	}
-	limit := usableShare * (b.Ratio*float64(local.Requests) + b.currentAllowance(now)/float64(max(1, instances)))
+	limit := usableShare * (b.Ratio*float64(own.Requests) + b.currentAllowance(now)/float64(max(1, instances)))
 	if others.Instances > 0 {
-		limit *= localShare
+		b.sharedUntil = now + b.Window
 	}
-	if float64(retries+1) <= limit {
+	switch {
+	case float64(retries+1) <= localShare*limit:
 		b.localRetries[bucket]++
 		return true
-	}
-	if others.Instances == 0 || !b.takePooled(now, instances, local.Plus(others)) {
+	case now >= b.sharedUntil && float64(retries+own.PooledRetries+1) <= limit:
+	case others.Instances == 0 || !b.takePooled(now, instances, own.Plus(others)):
 		return false
 	}
 	b.pooledRetries[bucket]++
@@ -128,14 +136,14 @@
 	if now >= b.RampUp {
 		return b.Allowance
 	}
-	return b.Allowance * float64(now) / float64(b.RampUp)
+	return b.Allowance * min(maxRampUp, float64(now)/float64(b.RampUp))
 }
 
 // Usage returns what this instance did in the last window.
 func (b *Budget) Usage(now time.Duration) Usage {
 	b.advanceWindow(now)
 	usage := Usage{Instances: 1}
-	for i := range windowBuckets {
+	for i := range countedBuckets {
 		usage.Requests += b.requests[i]
 		usage.PooledRetries += b.pooledRetries[i]
 	}
@@ -147,11 +155,11 @@
 func (b *Budget) advanceWindow(now time.Duration) int {
 	current := int64(now / (b.Window / windowBuckets))
 	for ; b.currentBucket < current; b.currentBucket++ {
-		if current-b.currentBucket > windowBuckets {
-			b.currentBucket = current - windowBuckets
+		if current-b.currentBucket > countedBuckets {
+			b.currentBucket = current - countedBuckets
 		}
-		next := (b.currentBucket + 1) % windowBuckets
+		next := (b.currentBucket + 1) % countedBuckets
 		b.requests[next], b.localRetries[next], b.pooledRetries[next] = 0, 0, 0
 	}
-	return int(current % windowBuckets)
+	return int(current % countedBuckets)
 }
