Passed streams: the failure of an engine is kept for the caller

An engine's 500 to a passed stream whose caller had nothing yet reached the caller as an empty 200 without a seal.

Cause: the reply that is kept for the caller was the named result of readPassed, which the return clears.

Test: TestFailureOfPassedStreamIsForwarded failed before.

--- a/internal/app/edge/attempt_test.go
+++ b/internal/app/edge/attempt_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -212,3 +213,24 @@
 		}
 	})
 }
+
+// Guards against an empty answer that looks whole, in place of the failure with which engines answered a stream that
+// was passed on.
+func TestFailureOfPassedStreamIsForwarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 4)
+		defer f.close()
+		f.site.CutInstance("edge-0", inmem.CutReset)
+		time.Sleep(time.Second)
+		f.site.FailRuns(stand.RunError)
+		a := f.request(0, http.MethodPost, "/write/1", "failed", "300,60")
+		if a.status != http.StatusInternalServerError || a.header.Get("Server-Seal") == "" || a.body != "" {
+			t.Errorf("got %d with seal %q and body %q, want the engine's 500", a.status, a.header.Get("Server-Seal"), a.body)
+		}
+		for name := range a.header {
+			if strings.HasPrefix(name, "Fulmarwick") {
+				t.Errorf("got the header %s, want none that is meant for instances", name)
+			}
+		}
+	})
+}
--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -208,7 +208,8 @@
 		return Reply{}, false, err
 	case reply.MayHaveRun && reply.Status >= http.StatusInternalServerError:
 		if head.Sealed {
-			c.errorReply = &reply
+			failure := reply
+			c.errorReply = &failure
 		}
 		return Reply{}, false, errPassedFailed
 	case c.hasPartialAnswer():
