Runs that are lost before their first event: no wait for a retry while the run holds its room

A run whose connection was closed is sent again at once or ends; it waited for the retry budget before, with its room on the engines taken and its crash evidence held back. Follows from reading the change; no failure seen.

--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -281,10 +281,11 @@
 	return err
 }
 
-// mayResend reports whether a request whose connection was closed may be sent to the same engine again.
+// mayResend reports whether a request whose connection was closed may be sent to the same engine again at
+// once. It does not wait for a retry, since the run holds its room on the engines.
 func (c *modelCall) mayResend() bool {
 	c.mayHaveRun = true
-	return c.ctx.Err() == nil && c.runner.CrashTracker.AllowSend(c.ctx, c.call.Suspects()) == nil && c.takeRetry()
+	return c.ctx.Err() == nil && c.runner.CrashTracker.AllowSend(c.ctx, c.call.Suspects()) == nil && c.runner.RetryBudget.AllowRetry(c.call.Service.Name)
 }
 
 // resend sends the request over the path of a run again, on a new connection. Unless the first one was
