--- a/internal/app/edge/peers.go
+++ b/internal/app/edge/peers.go
@@ -48,7 +48,7 @@
 	return out
 }
 
-// applyPeerRetries sets the retry usage of another instance; nil means that it has ended.
+// applyPeerRetries sets the retry usage of another instance; nil means that it reports none any more.
 func (r *router) applyPeerRetries(from spec.InstanceID, counts map[string]resend.Usage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/app/edge/runs.go
+++ b/internal/app/edge/runs.go
@@ -330,8 +330,8 @@
 	return true
 }
 
-// isReplaced reports whether the row of an engine describes a later process than one of unknown or known
-// incarnation.
+// isReplaced reports whether the row of an engine is that of another process. It is not if the incarnation of p
+// is unknown.
 func isReplaced(up site.Upstream, p crash.Process) bool {
 	return p.Incarnation != 0 && up.Born != p.Incarnation
 }
--- a/internal/route/resend/reports.go
+++ b/internal/route/resend/reports.go
@@ -14,7 +14,7 @@
 // empty.
 type Reports struct {
 	latest map[spec.InstanceID]report
-	// ended holds the last reports of instances that have ended.
+	// ended holds the last reports of instances that report no more.
 	ended []report
 }
 
@@ -31,7 +31,7 @@
 	r.latest[from] = report{usage: usage, at: now}
 }
 
-// End records that an instance has ended. Another process may report under its ID.
+// End records that an instance reports no more. Another process may report under its ID.
 func (r *Reports) End(from spec.InstanceID) {
 	if last, ok := r.latest[from]; ok && last.usage.PooledRetries > 0 {
 		r.ended = append(r.ended, last)
--- a/internal/route/resend/resend.go
+++ b/internal/route/resend/resend.go
@@ -1,13 +1,14 @@
 // Package resend limits how many requests of a service are sent more than once.
 //
-// It imports the standard library. Package relay asks it, by way of app/edge, before it
+// It imports base/spec. Package relay asks it, by way of app/edge, before it
 // sends a request to a second upstream. It does no I/O and reads no clock.
 //
 // The limit holds for all instances together: each may use the share that its own
 // requests allow and an equal part of the allowance, so their sum stays below the limit
 // even while they cannot reach each other. While they receive each other's messages,
 // each keeps half of that for itself, and the other halves form a pool for instances
-// whose requests are refused: faults affect a few instances at a time.
+// whose requests are refused: faults affect a few instances at a time. What was taken from
+// the pool counts for a window, whoever is heard of meanwhile.
 package resend
 
 import "time"
