--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,9 @@
 # Go's race detector lets two processors use one context of a synctest bubble and crashes
 # (docs/notes/race-detector.md): under it bubbles get one, and all of them without it.
 BUBBLES := $(call dirs,$(shell $(TESTS) | xargs grep -l '"testing/synctest"'))
-OTHERS := $(filter-out $(BUBBLES),$(call dirs,$(shell find internal platform -name '*.go')))
+# Tests that bound the memory and descriptors of processes run by themselves.
+CROWDS := ./internal/app/crowd/
+OTHERS := $(filter-out $(BUBBLES) $(CROWDS),$(call dirs,$(shell find internal platform -name '*.go')))
 ONE := -exec 'env GOMAXPROCS=1'
 SEEDED := -rapid.seed=1 -rapid.nofailfile
 # On one processor with the race detector a package may need more than twenty minutes.
@@ -30,6 +32,7 @@
 	$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
 
 test:
+	$(GOTEST) $(SKIP) $(CROWDS)
 	$(GOTEST) $(SKIP) $(filter-out $(RAPID),$(BUBBLES))
 	$(GOTEST) $(SKIP) $(filter $(RAPID),$(BUBBLES)) $(SEEDED)
 	$(GOTEST) -race $(SKIP) $(filter-out $(RAPID),$(OTHERS))
