Logs: cut long texts, whose size callers choose

Lines wait in a queue of 1024. The path, the host and the ID of a request that was turned away stand in a line as they came, up to the limit of a head: a crowd of such requests beside a slow reader of the log could keep 16 MiB or more there, and wrote as much a second. A text in a line is now 512 bytes at most, but for stack traces. TestLongTextsAreCut: a line of 2 MiB before.

--- a/internal/app/lines/lines.go
+++ b/internal/app/lines/lines.go
@@ -31,6 +31,9 @@
 	// warnBudget is lineBudget for warnings and errors. It is higher because
 	// they report failures.
 	warnBudget = 240
+	// maxTextBytes limits a text in a line, except for a stack trace, which has the key stackKey.
+	maxTextBytes = 512
+	stackKey     = "stack"
 )
 
 // Writer writes log lines within budgets. Set the exported fields before
@@ -152,7 +155,7 @@
 // With returns a core that adds fields to each line.
 func (c *core) With(fields []zapcore.Field) zapcore.Core {
 	clone := &core{writer: c.writer, encoder: c.encoder.Clone()}
-	for _, f := range errorsAsText(fields) {
+	for _, f := range shortTexts(fields) {
 		f.AddTo(clone.encoder)
 	}
 	return clone
@@ -175,7 +178,7 @@
 	if !ok {
 		return nil
 	}
-	return c.encode(e, errorsAsText(fields))
+	return c.encode(e, shortTexts(fields))
 }
 
 // logDropped logs the counts of dropped lines: those over budget by kind, and
@@ -210,14 +213,18 @@
 // Sync does nothing, because lines are written without delay.
 func (c *core) Sync() error { return nil }
 
-// errorsAsText replaces error fields with their messages. The stack traces that
-// the errors library adds would make up most of the log volume.
-func errorsAsText(fields []zapcore.Field) []zapcore.Field {
+// shortTexts replaces error fields with their messages and cuts texts that are too long. The stack traces that
+// the errors library adds would make up most of the log volume, and callers choose the length of their paths.
+func shortTexts(fields []zapcore.Field) []zapcore.Field {
 	out := append([]zapcore.Field(nil), fields...)
 	for i, f := range out {
 		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
-			out[i] = zap.String(f.Key, err.Error())
+			f = zap.String(f.Key, err.Error())
 		}
+		if f.Type == zapcore.StringType && f.Key != stackKey && len(f.String) > maxTextBytes {
+			f.String = f.String[:maxTextBytes]
+		}
+		out[i] = f
 	}
 	return out
 }
--- a/internal/app/lines/lines_test.go
+++ b/internal/app/lines/lines_test.go
@@ -85,6 +85,17 @@
 	return len(p), nil
 }
 
+// Guards against lines whose size callers choose, which fill the queue of lines with their paths.
+func TestLongTextsAreCut(t *testing.T) {
+	var out bytes.Buffer
+	w := &lines.Writer{Out: &out, Level: zapcore.InfoLevel}
+	zap.New(w.Core()).Info("turned away", zap.String("path", strings.Repeat("x", 1<<20)), zap.Error(errors.New(strings.Repeat("y", 1<<20))))
+	w.Close()
+	if got := out.Len(); got > 2<<10 || count(out.String(), "turned away") != 1 {
+		t.Errorf("got a line of %d bytes, want a short one", got)
+	}
+}
+
 // The reader of the log stops. Calls to the log must return without waiting.
 // Lines beyond the buffer are lost and counted.
 func TestStoppedReaderCostsNoTime(t *testing.T) {
