Answers count as memory in use until they were written

The body of a plain upstream's answer counted in the memory of upstreams' bodies until the runner returned, before it was written. Callers who do not read their answers kept up to 8 MiB each that nothing counted; answers of passed requests were not counted at all. Both count now until the handler ends. Reading a body with a limit of memory is one function, bound.ReadAll.

--- a/internal/wire/bound/bound.go
+++ b/internal/wire/bound/bound.go
@@ -80,25 +80,37 @@
 // called also after an error. It returns ErrTooLong if the body or all bodies together are too long.
 func (m *Memory) ReadAll(body io.Reader, maxBytes int) (data []byte, release func(), err error) {
 	taken := int64(0)
-	release = func() { m.release(taken) }
+	data, err = ReadAll(body, maxBytes, func(n int64) bool {
+		ok := m.take(n)
+		if ok {
+			taken += n
+		}
+		return ok
+	})
+	return data, func() { m.release(taken) }, err
+}
+
+// ReadAll reads a body of at most maxBytes. It calls take before it takes more memory. It returns ErrTooLong
+// if the body is too long or take returns false.
+func ReadAll(body io.Reader, maxBytes int, take func(n int64) bool) ([]byte, error) {
+	var data []byte
 	for {
 		if len(data) == cap(data) {
 			grown := min(max(minBuffer, 2*cap(data)), maxBytes+1)
-			if !m.take(int64(grown - cap(data))) {
-				return nil, release, errors.Wrapf(ErrTooLong, "no memory for more than %d bytes", len(data))
+			if !take(int64(grown - cap(data))) {
+				return nil, errors.Wrapf(ErrTooLong, "no memory for more than %d bytes", len(data))
 			}
-			taken += int64(grown - cap(data))
 			data = append(make([]byte, 0, grown), data...)
 		}
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		switch {
 		case len(data) > maxBytes:
-			return nil, release, errors.Wrapf(ErrTooLong, "more than %d bytes", maxBytes)
+			return nil, errors.Wrapf(ErrTooLong, "more than %d bytes", maxBytes)
 		case errors.Is(err, io.EOF):
-			return data, release, nil
+			return data, nil
 		case err != nil:
-			return nil, release, err
+			return nil, err
 		}
 	}
 }
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -238,10 +238,8 @@
 var errStopping = errors.New("front: instance is stopping")
 
 // run runs the call. If the process is about to be killed and the answer has not begun, the
-// call is ended, so that its caller gets an answer of the router at least.
-func (s *Server) run(w http.ResponseWriter, r *http.Request, c *relay.Call) relay.Reply {
-	ctx, cancel := context.WithCancelCause(r.Context())
-	defer cancel(nil)
+// call is ended with cancel, so that its caller gets an answer of the router at least.
+func (s *Server) run(ctx context.Context, cancel context.CancelCauseFunc, w http.ResponseWriter, c *relay.Call) relay.Reply {
 	sink := &callerSink{w: w}
 	if s.LastCall != nil {
 		defer context.AfterFunc(s.LastCall, func() {
@@ -265,7 +263,10 @@
 
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, c *relay.Call) {
 	r, endSpan := s.startSpan(r, c)
-	reply := s.run(w, r, c)
+	// The answer is in memory until it is written.
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	reply := s.run(ctx, cancel, w, c)
 	status := s.writeReply(w, r, reply)
 	if passedFrom(r.Context()) != nil {
 		setAttempted(w.Header(), reply.Attempted)
--- a/internal/wire/relay/call.go
+++ b/internal/wire/relay/call.go
@@ -64,8 +64,13 @@
 	FirstEventDeadline time.Time
 
 	suspects []crash.Key
+	// lifetime ends once the answer was written.
+	lifetime context.Context
 }
 
+// holdMemory keeps memory of an answer counted until the answer was written.
+func (c *Call) holdMemory(release func()) { context.AfterFunc(c.lifetime, release) }
+
 // maxParts limits the parts of a prompt that are told apart. Prompts have a few; a caller that
 // sends a list of thousands must not fill the messages between instances.
 const maxParts = 32
--- a/internal/wire/relay/exchange.go
+++ b/internal/wire/relay/exchange.go
@@ -123,7 +123,7 @@
 		return errNotRun
 	}
 	body, release, err := c.runner.Memory.ReadAll(resp.Body, maxErrorBodyBytes)
-	context.AfterFunc(c.ctx, release)
+	c.call.holdMemory(release)
 	if err != nil || !head.Sealed {
 		return errors.Wrap(client.ErrRead, "error response without complete body or seal")
 	}
--- a/internal/wire/relay/model.go
+++ b/internal/wire/relay/model.go
@@ -113,6 +113,7 @@
 
 // Do runs the call and forwards the answer to sink.
 func (m *ModelRunner) Do(ctx context.Context, c *Call, sink Sink) Reply {
+	c.lifetime = ctx
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	m.CrashTracker.CountRequest(c.Route.Name, c.Suspects())
--- a/internal/wire/relay/pass.go
+++ b/internal/wire/relay/pass.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/crash"
 	"fulmarwick/internal/state/feed"
+	"fulmarwick/internal/wire/bound"
 	"fulmarwick/internal/wire/client"
 
 	"github.com/go-faster/errors"
@@ -102,7 +102,7 @@
 	if err != nil {
 		return lostReply(ctx), err
 	}
-	reply, err := readReply(resp)
+	reply, err := c.readReply(p.Memory, resp)
 	if err != nil {
 		return lostReply(ctx), err
 	}
@@ -127,10 +127,11 @@
 }
 
 // readReply reads the whole response of another instance.
-func readReply(resp *http.Response) (Reply, error) {
+func (c *Call) readReply(memory *bound.Memory, resp *http.Response) (Reply, error) {
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainBodyBytes+1))
-	if err != nil || len(body) > maxPlainBodyBytes {
+	body, release, err := memory.ReadAll(resp.Body, maxPlainBodyBytes)
+	c.holdMemory(release)
+	if err != nil {
 		return Reply{}, errors.Wrap(client.ErrRead, "response truncated or too long")
 	}
 	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: body, MayHaveRun: resp.StatusCode != http.StatusServiceUnavailable, SendCount: 1}, nil
@@ -202,7 +203,7 @@
 		}
 		return Reply{SendCount: c.runs + c.passes, MayHaveRun: true}, true, nil
 	}
-	reply, err = readReply(resp)
+	reply, err = c.call.readReply(c.runner.Memory, resp)
 	switch {
 	case err != nil:
 		return Reply{}, false, err
--- a/internal/wire/relay/plain.go
+++ b/internal/wire/relay/plain.go
@@ -92,8 +92,9 @@
 	return r.response != nil && !r.notRun && r.response.isFinal()
 }
 
-// Do runs the call and returns the final reply.
+// Do runs the call and returns the final reply. Its body counts as memory in use until ctx ends.
 func (p *PlainRunner) Do(ctx context.Context, c *Call) Reply {
+	c.lifetime = ctx
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	if p.CrashTracker.IsCulprit(c.Suspects()) {
--- a/internal/wire/relay/send.go
+++ b/internal/wire/relay/send.go
@@ -62,13 +62,13 @@
 		result.err = err
 		return result
 	}
-	result.response, result.notRun, result.err = p.readResponse(ctx, conn, c, up, sentAt)
+	result.response, result.notRun, result.err = p.readResponse(conn, c, up, sentAt)
 	return result
 }
 
 // readResponse reads a response. The connection is reused if the response ended
-// properly. The body counts as memory in use until ctx ends.
-func (p *PlainRunner) readResponse(ctx context.Context, conn *client.Conn, c *Call, up site.Upstream, sentAt time.Time) (reply *Reply, notRun bool, err error) {
+// properly. The body counts as memory in use until the answer was written.
+func (p *PlainRunner) readResponse(conn *client.Conn, c *Call, up site.Upstream, sentAt time.Time) (reply *Reply, notRun bool, err error) {
 	resp, head, err := c.readResponse(p.Dialect, p.Notices, conn, up.ID, sentAt)
 	if err != nil {
 		conn.Close()
@@ -77,7 +77,7 @@
 	// If a part of the body is unread here, the connection is closed already.
 	defer func() { _ = resp.Body.Close() }()
 	body, release, err := p.Memory.ReadAll(resp.Body, maxPlainBodyBytes)
-	context.AfterFunc(ctx, release)
+	c.holdMemory(release)
 	if err != nil {
 		conn.Close()
 		return nil, false, errors.Wrap(client.ErrRead, err.Error())
