One account of what callers hold: connections, heads and bodies

What callers saw: an instance with 64 MiB that 200 callers sent parts of bodies or heads to took 174 to 1702 MiB and would have been killed, and one to which 1500 connections were opened had no descriptor left and answered nobody.

Cause: nobody counted. Each body could grow to its limit and stayed as long as its request ran, a head could grow to 1 MB (edge checks the configuration's limit once the head is whole) and took many times its size where its lines were short, and connections were accepted until descriptors ran out. In serve streams and teams count a request only once its body is read.

Now package guard keeps one account, derived from the memory (a quarter) and the descriptors (half of those for sockets). Connections, heads by size and lines, and bodies, also of requests that run, wait or were passed on, hold claims on it. A claim may hold as much as is free after it, so that large requests leave room for small ones. Where it is full, the caller goes that holds most and is behind the longest; one that sends at 64 KiB a second is not behind. What it held is given out again once it is given back. Requests that run are never given up. Refusals are 503 with Retry-After (408 for a body that stopped, 400 before): not run, and the caller may come again. Heads are cut off at the configuration's limit as they come, with a 431 that is not lost to a reset.

--- a/internal/app/daemon/build.go
+++ b/internal/app/daemon/build.go
@@ -20,6 +20,7 @@
 	"fulmarwick/internal/wire/chain"
 	"fulmarwick/internal/wire/engine"
 	"fulmarwick/internal/wire/entry"
+	"fulmarwick/internal/wire/guard"
 	"fulmarwick/internal/wire/loop"
 	"fulmarwick/internal/wire/plain"
 	"fulmarwick/internal/wire/watch"
@@ -34,9 +35,11 @@
 // parts holds the components of an instance.
 type parts struct {
 	// owner identifies this incarnation of the instance in leases and records.
-	owner      string
-	drainer    *halt.Drainer
-	metrics    *metrics.Set
+	owner   string
+	drainer *halt.Drainer
+	metrics *metrics.Set
+	// account is what callers hold of the memory and descriptors.
+	account    *guard.Account
 	attainment *meters.Recorder
 	spans      *spans.Sender
 	active     *config.Active
@@ -94,6 +97,8 @@
 	p.owner = d.Settings.Instance.Name + "/" + uuid.NewString()
 	p.drainer = &halt.Drainer{Grace: d.Settings.Times.Grace, Log: d.Log}
 	p.metrics = metrics.NewSet()
+	p.account = guard.NewMachineAccount(d.Settings.Limits.Memory, d.Settings.Limits.Descriptors)
+	p.account.Register(p.metrics)
 	p.metrics.RegisterMetricsWriter(d.gauges)
 	p.attainment = &meters.Recorder{Meters: p.metrics}
 	p.spans = &spans.Sender{
--- a/internal/app/daemon/endpoints.go
+++ b/internal/app/daemon/endpoints.go
@@ -10,6 +10,7 @@
 	"fulmarwick/internal/app/setup"
 	"fulmarwick/internal/wire/admin"
 	"fulmarwick/internal/wire/certs"
+	"fulmarwick/internal/wire/guard"
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
@@ -77,6 +78,7 @@
 	if e.callers, err = open(ctx, "callers", server, d.Listener, s.Listen.Callers); err != nil {
 		return nil, err
 	}
+	e.callers.listener = d.callersGuard().Attach(server, e.callers.listener)
 	if d.Operators != nil || s.Listen.Operators != "" {
 		if e.operators, err = d.open(ctx, "operators", d.operators(), s.TLS.Operators, d.Operators, s.Listen.Operators); err != nil {
 			return nil, err
@@ -119,6 +121,14 @@
 	return endpoint{name: name, server: server, listener: l}, nil
 }
 
+// callersGuard limits the connections and requests of callers. Their timeouts are those of the server.
+func (d *Daemon) callersGuard() *guard.Guard {
+	return &guard.Guard{
+		Account: d.parts.account, Refuse: http.HandlerFunc(d.parts.callers.RefuseNoRoom),
+		Limits: func() guard.Limits { return guard.Limits{} },
+	}
+}
+
 // tlsConfig returns the TLS configuration of an endpoint, or nil if the
 // endpoint does not use TLS.
 func (d *Daemon) tlsConfig(p setup.Pair) (*tls.Config, error) {
--- a/internal/app/edge/endpoints.go
+++ b/internal/app/edge/endpoints.go
@@ -10,7 +10,10 @@
 	"strconv"
 	"time"
 
+	"fulmarwick/internal/base/site"
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/wire/bound"
+	"fulmarwick/internal/wire/guard"
 	"fulmarwick/internal/wire/relay"
 
 	"github.com/go-faster/errors"
@@ -75,7 +78,7 @@
 		}
 	}
 	var endpoints []*endpoint
-	add := func(name, address string, h http.Handler) error {
+	add := func(name, address string, h http.Handler, g *guard.Guard) error {
 		if address == "" {
 			return nil
 		}
@@ -83,21 +86,22 @@
 		if err != nil {
 			return errors.Wrapf(err, "edge: listen for %s", name)
 		}
-		endpoints = append(endpoints, &endpoint{name: name, listener: listener, server: &http.Server{
-			Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: maxIdleTimeout, ErrorLog: discardLog,
-		}})
+		server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: maxIdleTimeout, ErrorLog: discardLog}
+		if g != nil {
+			listener = g.Attach(server, listener)
+		}
+		endpoints = append(endpoints, &endpoint{name: name, listener: listener, server: server})
 		return nil
 	}
-	err := add("callers", l.Callers, i.drainer.Handler(i.server))
+	err := add("callers", l.Callers, i.drainer.Handler(i.server), i.callersGuard())
 	if err == nil {
-		(&connLimiter{limits: i.state.limits}).attach(endpoints[0])
-		err = add("ready", l.Ready, i.readinessHandler())
+		err = add("ready", l.Ready, i.readinessHandler(), nil)
 	}
 	if err == nil {
-		err = add("mesh", l.Mesh, i.mesh.handler())
+		err = add("mesh", l.Mesh, i.mesh.handler(), nil)
 	}
 	if err == nil {
-		err = add("metrics", l.Metrics, i.metricsHandler())
+		err = add("metrics", l.Metrics, i.metricsHandler(), nil)
 	}
 	if err != nil {
 		for _, e := range endpoints {
@@ -108,6 +112,35 @@
 	return endpoints, nil
 }
 
+// callersGuard limits the connections of callers as the configuration in force says.
+func (i *Instance) callersGuard() *guard.Guard {
+	return &guard.Guard{
+		Account: i.account, Refuse: http.HandlerFunc(i.server.RefuseNoRoom),
+		Limits: func() guard.Limits { return connLimits(i.state.Config()) },
+	}
+}
+
+// connLimits returns the limits of a caller's connection by a configuration; nil if none is known yet.
+func connLimits(config *site.Config) guard.Limits {
+	limits := site.Limits{MaxHeaderBytes: bound.MaxHeadBytes}
+	if config != nil {
+		limits = config.Limits
+	}
+	return guard.Limits{
+		HeadBytes: limits.MaxHeaderBytes, HeadTimeout: capTimeout(limits.HeaderTimeout, headerTimeout),
+		IdleTimeout: max(minIdleTimeout, limits.IdleTimeout),
+	}
+}
+
+// capTimeout returns a configured timeout, limited to maxTimeout, or maxTimeout if none is
+// configured.
+func capTimeout(d, maxTimeout time.Duration) time.Duration {
+	if d <= 0 {
+		return maxTimeout
+	}
+	return min(d, maxTimeout)
+}
+
 // readinessHandler answers the readiness checks of the balancer. It accepts any path, since
 // the platform decides which one is requested.
 func (i *Instance) readinessHandler() http.Handler {
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -14,6 +14,7 @@
 	"fulmarwick/internal/wire/bound"
 	"fulmarwick/internal/wire/client"
 	"fulmarwick/internal/wire/front"
+	"fulmarwick/internal/wire/guard"
 	"fulmarwick/internal/wire/relay"
 	"fulmarwick/platform"
 
@@ -30,6 +31,8 @@
 	i.meters = metrics.NewSet()
 	i.closedGates, i.reserves = map[string]bool{}, map[string]bool{}
 	i.drainer = &halt.Drainer{Grace: s.Times.Grace, MaxAccept: maxAcceptAfterStop, KillAfter: s.Times.Kill, AfterClose: front.StoppingHandler{}, Log: i.Log}
+	i.account = guard.NewMachineAccount(s.Limits.Memory, s.Limits.Descriptors)
+	i.account.Register(i.meters)
 	i.state = newStateView(i.Log)
 	i.router = &router{
 		centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
@@ -113,7 +116,7 @@
 	memory := &bound.Memory{Max: i.Settings.Limits.Memory / bodyMemoryShare}
 	i.meters.NewGauge(`fulmarwick_body_bytes`, func() float64 { return float64(memory.Used()) })
 	i.server = &front.Server{
-		Dialect: codec, ConfigSource: i.state, LastCall: i.drainer.LastCall(), OnRequestEnd: i.recordEnd, OnReject: i.recordRejected, OnPanic: i.recordPanic,
+		Dialect: codec, ConfigSource: i.state, Account: i.account, LastCall: i.drainer.LastCall(), OnRequestEnd: i.recordEnd, OnReject: i.recordRejected, OnPanic: i.recordPanic,
 		PlainRunner: &relay.PlainRunner{Dialect: codec, Pool: i.pool, Upstreams: i.router, RetryBudget: i.router, Notices: i.router, CrashTracker: i.router, Peers: i.passer, Memory: memory},
 		ModelRunner: &relay.ModelRunner{Dialect: codec, Pool: i.pool, Paths: i.router, RetryBudget: i.router, Notices: i.router, CrashTracker: i.router, Peers: i.passer, Memory: memory},
 	}
--- a/internal/app/edge/state.go
+++ b/internal/app/edge/state.go
@@ -91,14 +91,6 @@
 	}
 }
 
-// limits returns the limits in force; all are zero before a configuration is known.
-func (s *stateView) limits() site.Limits {
-	if c := s.config.Load(); c != nil {
-		return c.Limits
-	}
-	return site.Limits{}
-}
-
 // ready reports whether enough is known to serve callers.
 func (s *stateView) ready() bool {
 	s.mu.Lock()
--- a/internal/app/setup/schema.go
+++ b/internal/app/setup/schema.go
@@ -98,6 +98,7 @@
 		{"buffer", false, size(func(f *Settings) *int64 { return &f.Limits.Buffer }, minBuffer, maxBuffer)},
 		{"queue", false, count(func(f *Settings) *int { return &f.Limits.Queue })},
 		{"memory", false, size(func(f *Settings) *int64 { return &f.Limits.Memory }, minMemory, maxMemory)},
+		{"descriptors", false, count(func(f *Settings) *int { return &f.Limits.Descriptors })},
 		{"cores", false, amount(func(f *Settings) *float64 { return &f.Limits.Cores })},
 		{"link", false, amount(func(f *Settings) *float64 { return &f.Limits.Link })},
 	}},
--- a/internal/wire/bound/bound.go
+++ b/internal/wire/bound/bound.go
@@ -1,8 +1,8 @@
 // Package bound limits how many bytes are read where the sender alone decides when they end: the head of
-// a response, or a body that is skipped or kept in memory. A faulty upstream may send without end.
+// a response, or a body that is skipped or kept in memory. A faulty upstream or caller may send without end.
 //
-// It imports the standard library and the errors library. Packages client, peer and relay read
-// through it.
+// It imports the standard library and the errors library. Packages client, guard, peer and relay
+// read through it.
 package bound
 
 import (
--- a/internal/wire/entry/chat.go
+++ b/internal/wire/entry/chat.go
@@ -9,6 +9,7 @@
 	"fulmarwick/internal/base/spec"
 	"fulmarwick/internal/route/domain"
 	"fulmarwick/internal/wire/chain"
+	"fulmarwick/internal/wire/guard"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -20,6 +21,8 @@
 	// bytesPerToken is the average used to estimate the number of tokens of a
 	// prompt.
 	bytesPerToken = 4
+	// parsedShare is what a parsed body and its prompt take besides the body itself, in sizes of the body.
+	parsedShare = 2
 	// defaultMaxTokens is the token limit of requests that set none.
 	defaultMaxTokens = 256
 )
@@ -74,6 +77,9 @@
 	if err != nil {
 		return chatRequest{}, err
 	}
+	if !guard.Grow(req, parsedShare*int64(len(data))) {
+		return chatRequest{}, noRoomFault()
+	}
 	body, err := parseChat(data)
 	if err != nil {
 		return chatRequest{}, err
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -1,17 +1,17 @@
 // Package front is the HTTP server for callers: it finds the route and the team of a
 // request, reads the request completely, passes it to a runner and forwards the response.
 //
-// It imports base/site and wire/relay. Package app/edge serves its Server.
+// It imports base/site, wire/guard and wire/relay. Package app/edge serves its Server.
 package front
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"fulmarwick/internal/base/site"
+	"fulmarwick/internal/wire/guard"
 	"fulmarwick/internal/wire/relay"
 
 	"github.com/go-faster/errors"
@@ -56,6 +56,9 @@
 	firstConfigTimeout = 400 * time.Millisecond
 	// bodyReadTimeout limits the time for reading a body.
 	bodyReadTimeout = 15 * time.Second
+	// noRoomRetryAfter is the Retry-After of requests that there is no memory for: another instance may
+	// have some.
+	noRoomRetryAfter = 200 * time.Millisecond
 )
 
 // Server is the HTTP handler for callers. Set the exported fields before use.
@@ -64,6 +67,8 @@
 	ConfigSource ConfigSource
 	PlainRunner  PlainRunner
 	ModelRunner  ModelRunner
+	// Account is what callers hold; requests that other instances pass on count in it too. It may be nil.
+	Account *guard.Account
 	// LastCall ends shortly before the process is killed; nil means that it never is.
 	LastCall context.Context
 	// TracerProvider creates a span for each request; nil creates none.
@@ -93,12 +98,25 @@
 		return
 	}
 	if status, reason := s.readRequest(config, w, r, c); status != 0 {
-		s.reject(w, r, status, reason, 0)
+		s.reject(w, r, status, reason, retryAfterOf(status))
 		return
 	}
 	s.forward(w, r, c)
 }
 
+// retryAfterOf returns the Retry-After of a request that was not read whole.
+func retryAfterOf(status int) time.Duration {
+	if status == http.StatusServiceUnavailable {
+		return noRoomRetryAfter
+	}
+	return 0
+}
+
+// RefuseNoRoom refuses a request that there is no memory for.
+func (s *Server) RefuseNoRoom(w http.ResponseWriter, r *http.Request) {
+	s.reject(w, r, http.StatusServiceUnavailable, "no memory for the request", noRoomRetryAfter)
+}
+
 // reportPanic reports a panic that is in progress and lets it continue, so that net/http
 // closes the connection. It must be called directly by a deferred call.
 func (s *Server) reportPanic(r *http.Request) {
@@ -210,21 +228,17 @@
 	if r.ContentLength > maxBodyBytes {
 		return http.StatusRequestEntityTooLarge, "body is too large"
 	}
-	if r.ContentLength != 0 {
-		// A caller that stops sending its body must not hold the connection
-		// forever. SetReadDeadline fails only for writers without deadlines, as in
-		// tests.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-		var tooLarge *http.MaxBytesError
-		switch {
-		case errors.As(err, &tooLarge):
-			return http.StatusRequestEntityTooLarge, "body is too large"
-		case err != nil:
-			return http.StatusBadRequest, "body is cut"
+	if passed := passedFrom(r.Context()); passed != nil {
+		c.Body = passed.Body
+	} else if r.ContentLength != 0 {
+		deadline := time.Now().Add(bodyReadTimeout)
+		if c.Deadline.Before(deadline) {
+			deadline = c.Deadline
+		}
+		var err error
+		if c.Body, err = (guard.Body{MaxBytes: maxBodyBytes, Deadline: deadline}).Read(w, r); err != nil {
+			return bodyRefusal(err)
 		}
-		c.Body = body
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 	c.Method, c.Path, c.Host = r.Method, r.RequestURI, r.Host
 	c.Header = r.Header
@@ -233,6 +247,20 @@
 	return 0, ""
 }
 
+// bodyRefusal returns the status and the reason of the refusal of a request whose body was not read. Except
+// for a malformed or cut body, they promise that the request was not run.
+func bodyRefusal(err error) (status int, reason string) {
+	switch {
+	case errors.Is(err, guard.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge, "body is too large"
+	case errors.Is(err, guard.ErrNoRoom):
+		return http.StatusServiceUnavailable, "no memory for the body"
+	case errors.Is(err, guard.ErrStalled):
+		return http.StatusRequestTimeout, "body stopped coming"
+	}
+	return http.StatusBadRequest, "body is cut"
+}
+
 // errStopping is the cancellation cause of requests that are ended before the process is
 // killed.
 var errStopping = errors.New("front: instance is stopping")
--- a/internal/wire/front/pass.go
+++ b/internal/wire/front/pass.go
@@ -1,13 +1,13 @@
 package front
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"net/url"
 	"time"
 
 	"fulmarwick/internal/base/spec"
+	"fulmarwick/internal/wire/guard"
 	"fulmarwick/internal/wire/relay"
 )
 
@@ -58,18 +58,15 @@
 		Method: p.Method, URL: target, Host: p.Host, RequestURI: p.URI, Header: p.Header, Body: http.NoBody,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(p.Body)),
 	}).WithContext(context.WithValue(ctx, passedKey{}, &p))
-	if len(p.Body) > 0 {
-		r.Body = readCloser{bytes.NewReader(p.Body)}
+	claim := s.Account.Open(false, func() {})
+	defer claim.Close()
+	if !claim.Grow(guard.HeadCost(r) + int64(len(p.Body))) {
+		RefuseUnreached(w, "no memory for the request")
+		return
 	}
 	s.ServeHTTP(w, r)
 }
 
-// readCloser is a reader with a Close method that does nothing.
-type readCloser struct{ *bytes.Reader }
-
-// Close does nothing.
-func (readCloser) Close() error { return nil }
-
 // apply sets what a call that was passed on has besides its headers.
 func (p *Passed) apply(ctx context.Context, c *relay.Call) {
 	c.Passed, c.Counted, c.Attempted = true, p.Counted, p.Attempted
--- /dev/null
+++ b/internal/wire/guard/account.go
@@ -0,0 +1,182 @@
+// Package guard limits what callers take of the memory and descriptors of a process: their connections,
+// and the heads and bodies of their requests.
+//
+// It imports package bound and the errors and metrics libraries. The servers for callers, front and entry, read
+// bodies through it; app/edge and app/daemon attach a Guard to their addresses.
+//
+// What a caller holds is a Claim on an Account. Where an account is full, the claim goes whose caller holds
+// most and has owed the most time: a caller that is silent, or stops inside a head or a body. Requests that run are never given up for others.
+package guard
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+//go:generate stringer -type=Wait -linecomment -output=wait_string.go
+
+// Wait is what the process waits for at a caller.
+type Wait int
+
+// What a process may wait for.
+const (
+	WaitNone Wait = iota // none
+	WaitHead             // head
+	WaitBody             // body
+	WaitIdle             // idle
+)
+
+const (
+	// minRate is the rate, in bytes a second, above which a caller that sends owes nothing.
+	minRate = 64 << 10
+	// idleWeight divides what an idle caller owes: it was promised an idle time.
+	idleWeight = 16
+)
+
+// minLags is how long a caller must be behind before others may take its room. Bodies of sound callers may
+// pause while packets are sent again.
+var minLags = map[Wait]time.Duration{WaitBody: 500 * time.Millisecond}
+
+// Account is what callers may hold together. A nil Account has no limits.
+type Account struct {
+	mu sync.Mutex
+	// maxBytes and maxConns are the limits; zero means none.
+	maxBytes int64
+	maxConns int
+	// bytes and conns are what the claims hold. leaving is what evicted claims still hold; freed is closed
+	// when one of them is evicted or closed.
+	bytes, leaving int64
+	conns          int
+	freed          chan struct{}
+	claims         map[*Claim]struct{}
+	// evictions counts the claims that were evicted.
+	evictions map[Wait]int64
+}
+
+// NewAccount returns an account of so many bytes and connections; zero means no limit.
+func NewAccount(maxBytes int64, maxConns int) *Account {
+	return &Account{maxBytes: maxBytes, maxConns: maxConns, freed: make(chan struct{}), claims: map[*Claim]struct{}{}, evictions: map[Wait]int64{}}
+}
+
+// SetMaxBytes changes the limit of bytes.
+func (a *Account) SetMaxBytes(maxBytes int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.maxBytes = maxBytes
+}
+
+// Register registers the metrics of the account.
+func (a *Account) Register(meters *metrics.Set) {
+	meters.NewGauge(`fulmarwick_callers_bytes`, func() float64 { return a.read(func() int64 { return a.bytes }) })
+	meters.NewGauge(`fulmarwick_callers_connections`, func() float64 { return a.read(func() int64 { return int64(a.conns) }) })
+	for _, w := range []Wait{WaitHead, WaitBody, WaitIdle} {
+		meters.NewGauge(`fulmarwick_callers_evicted_total{wait="`+w.String()+`"}`, func() float64 { return a.read(func() int64 { return a.evictions[w] }) })
+	}
+}
+
+func (a *Account) read(value func() int64) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return float64(value())
+}
+
+// Open returns a new claim that holds nothing. evict makes its caller go; it is called at most once, and not
+// after Close. ofConn means that a connection ends with the claim.
+func (a *Account) Open(ofConn bool, evict func()) *Claim {
+	if a == nil {
+		return nil
+	}
+	c := &Claim{account: a, evict: evict, ofConn: ofConn}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.claims[c] = struct{}{}
+	return c
+}
+
+// OpenConn returns the claim of a new connection, which holds bytes. It returns nil if there is no room.
+func (a *Account) OpenConn(bytes int64, evict func()) *Claim {
+	c := a.Open(true, evict)
+	if c == nil {
+		return nil
+	}
+	a.mu.Lock()
+	c.isConn = true
+	a.conns++
+	var victim *Claim
+	room := a.maxConns <= 0 || a.conns <= a.maxConns
+	if !room {
+		victim = a.worst(c, true)
+		room = victim != nil
+		a.remove(victim)
+	}
+	a.mu.Unlock()
+	victim.runEvict()
+	if room && c.overdraw(bytes) {
+		return c
+	}
+	c.Close()
+	return nil
+}
+
+// fits reports whether a claim may hold n bytes more while others hold leaving bytes besides those of the
+// account; a.mu is held. A claim may hold as much as is free after it, so that large ones leave room for small
+// ones.
+func (a *Account) fits(c *Claim, n, leaving int64) bool {
+	return a.maxBytes <= 0 || c.held+n <= a.maxBytes-a.bytes-leaving-n
+}
+
+// worst returns the claim whose caller is to go first, other than c; nil if none may. With ofConn a
+// connection must end with it. a.mu is held.
+func (a *Account) worst(c *Claim, ofConn bool) *Claim {
+	now := time.Now()
+	var worst *Claim
+	most := 0.0
+	for other := range a.claims {
+		if other == c || ofConn && !other.ofConn {
+			continue
+		}
+		if debt := other.debt(now); debt > most {
+			worst, most = other, debt
+		}
+	}
+	return worst
+}
+
+// remove takes what a claim holds off the account, before its caller is made to go; a.mu is held.
+func (a *Account) remove(c *Claim) {
+	if c == nil || c.gone {
+		return
+	}
+	wait, _ := c.lag(time.Now())
+	a.evictions[wait]++
+	a.leaving += c.held
+	a.forget(c)
+}
+
+// forget takes a claim off the account; a.mu is held.
+func (a *Account) forget(c *Claim) {
+	c.gone = true
+	a.bytes -= c.held
+	if c.isConn {
+		a.conns--
+	}
+	delete(a.claims, c)
+	close(a.freed)
+	a.freed = make(chan struct{})
+}
+
+// close ends a claim, which holds nothing any more.
+func (a *Account) close(c *Claim) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !c.gone {
+		a.forget(c)
+		return
+	}
+	a.leaving -= c.held
+	c.held = 0
+	close(a.freed)
+	a.freed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/wire/guard/machine.go
@@ -0,0 +1,61 @@
+package guard
+
+import "syscall"
+
+const (
+	// callersShare is the part of the memory that callers may hold. The rest is for the process itself,
+	// for the bodies of upstreams and for what the garbage collector has not freed yet.
+	callersShare = 4
+	// connsShare is the part of the descriptors for callers: a request that runs needs another one to its
+	// upstream, and the store, other instances and the readiness check need some too.
+	connsShare = 2
+	// fileDescriptors are the descriptors that sockets must leave to files.
+	fileDescriptors = 200
+	// minConns is the least number of connections of callers.
+	minConns = 16
+)
+
+// NewMachineAccount returns the account of the callers of a process that may use so many bytes of memory and
+// so many descriptors. Zero means what the machine and the system allow.
+func NewMachineAccount(memory int64, descriptors int) *Account {
+	return NewAccount(CallersBytes(memory), callersConns(descriptors))
+}
+
+// CallersBytes returns what the callers of a process may hold that may use so many bytes of memory; zero
+// means that of the machine.
+func CallersBytes(memory int64) int64 {
+	if memory <= 0 {
+		memory = machineMemory()
+	}
+	return memory / callersShare
+}
+
+// callersConns returns how many connections callers may open.
+func callersConns(descriptors int) int {
+	if system := maxDescriptors(); descriptors <= 0 || system > 0 && system < descriptors {
+		descriptors = system
+	}
+	if descriptors <= 0 {
+		return 0
+	}
+	return max(minConns, (descriptors-fileDescriptors)/connsShare)
+}
+
+// machineMemory returns the memory of the machine in bytes; zero if it is not known.
+func machineMemory() int64 {
+	var info syscall.Sysinfo_t
+	if err := syscall.Sysinfo(&info); err != nil {
+		return 0
+	}
+	return int64(info.Totalram) * int64(info.Unit)
+}
+
+// maxDescriptors returns how many descriptors the process may open; zero if it is not known.
+func maxDescriptors() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	// The limit may be "infinity", the largest number.
+	return int(min(limit.Cur, 1<<30))
+}
