The heap's limit leaves room for the program, and holds in serve too

The heap of edge was kept below eight tenths of the memory. With 64 MiB that leaves 13 for code, data and threads, which take 15 to 20. serve had no limit of its heap. It is now 20 MiB below the memory where that is less, in both.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -11,6 +11,7 @@
 
 	"fulmarwick/internal/app/setup"
 	"fulmarwick/internal/fleet/node"
+	"fulmarwick/internal/wire/guard"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -57,6 +58,7 @@
 		return err
 	}
 	p := &d.parts
+	guard.LimitHeap(d.Settings.Limits.Memory)
 	defer p.pool.Close()
 	if err := p.spans.Open(ctx); err != nil {
 		return err
--- a/internal/app/edge/endpoints.go
+++ b/internal/app/edge/endpoints.go
@@ -40,9 +40,7 @@
 // bytes; 0 sets no memory limit.
 func limitMemory(maxBytes int64) {
 	debug.SetGCPercent(gcPercent)
-	if maxBytes > 0 {
-		debug.SetMemoryLimit(maxBytes / 10 * 8)
-	}
+	guard.LimitHeap(maxBytes)
 }
 
 // endpoint is an address with the server that listens on it.
--- a/internal/wire/guard/machine.go
+++ b/internal/wire/guard/machine.go
@@ -1,6 +1,9 @@
 package guard
 
-import "syscall"
+import (
+	"runtime/debug"
+	"syscall"
+)
 
 const (
 	// callersShare is the part of the memory that callers may hold. The rest is for the process itself,
@@ -11,6 +14,8 @@
 	connsShare = 2
 	// fileDescriptors are the descriptors that sockets must leave to files.
 	fileDescriptors = 200
+	// programBytes is what the program takes outside of its heap: its code, data and threads.
+	programBytes = 20 << 20
 	// minConns is the least number of connections of callers.
 	minConns = 16
 )
@@ -41,6 +46,14 @@
 	return max(minConns, (descriptors-fileDescriptors)/connsShare)
 }
 
+// LimitHeap makes the garbage collector keep the heap of a process that may use so many bytes of memory below
+// them; zero sets no limit.
+func LimitHeap(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(max(memory/4, min(memory/10*8, memory-programBytes)))
+	}
+}
+
 // machineMemory returns the memory of the machine in bytes; zero if it is not known.
 func machineMemory() int64 {
 	var info syscall.Sysinfo_t
