A refusal does not wait for a body that does not come

Callers whose requests were refused before their bodies were read (401, 404, 503 of a stopping instance) and who sent no body got no answer, and kept their connections, and a stopping process, for good: net/http reads the rest of the body before it answers, and no deadline was set. Now it waits a second at most, after which the refusal is sent and the connection closed.

--- a/internal/wire/guard/conn.go
+++ b/internal/wire/guard/conn.go
@@ -23,6 +23,9 @@
 	// bufferBytes is the size of the buffers of net/http: so much of a body or of the next request may be
 	// read together with a head.
 	bufferBytes = 4 << 10
+	// unreadTimeout limits the wait for the rest of a body that is not read, after which its connection
+	// can be used for the next request.
+	unreadTimeout = time.Second
 	// lingerTime is how long a connection stays open after a refusal while the caller still sends: closed
 	// with unread bytes, it would be reset and the refusal lost.
 	lingerTime = 500 * time.Millisecond
@@ -89,6 +92,11 @@
 			c.startRequest()
 		}
 		control := http.NewResponseController(w)
+		if r.ContentLength != 0 && r.ProtoMajor == 1 {
+			// A refusal must not wait for a body that does not come. Reading the body sets
+			// another deadline.
+			_ = control.SetReadDeadline(time.Now().Add(unreadTimeout))
+		}
 		claim := g.Account.Open(r.ProtoMajor == 1, func() { _ = control.SetReadDeadline(time.Now()) })
 		defer claim.Close()
 		if !claim.Grow(HeadCost(r)) {
--- a/internal/wire/guard/guard_test.go
+++ b/internal/wire/guard/guard_test.go
@@ -183,3 +183,12 @@
 		})
 	}
 }
+
+// Guards against refusals of requests whose bodies are not read that wait for those bodies.
+func TestRefusalDoesNotWaitForBody(t *testing.T) {
+	g := &guard.Guard{Limits: func() guard.Limits { return guard.Limits{} }}
+	address := serve(t, g, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnauthorized) })
+	if got := exchange(t, address, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n"); got != "401" {
+		t.Errorf("got %s, want status 401", got)
+	}
+}
