A stop does not wait for callers that do not send their requests

A stopping process waited for each request whose body had not come: 15 s in edge, by when the platform has killed it, and as long as a byte came now and then in serve, where the least rate was 1 KiB in 15 s. While it waits for the last requests it now closes what is behind for 5 s (a sound body may pause for 2.5 s, TestLowerLimitsCloseNoConnectionInUse): connections that say nothing, heads, and bodies, which get a 503. Shortly before the kill edge refuses all requests that were not read whole.

--- a/internal/app/daemon/build.go
+++ b/internal/app/daemon/build.go
@@ -99,6 +99,7 @@
 	p.metrics = metrics.NewSet()
 	p.account = guard.NewMachineAccount(d.Settings.Limits.Memory, d.Settings.Limits.Descriptors)
 	p.account.Register(p.metrics)
+	p.drainer.OnWait = p.account.EvictStalled
 	p.metrics.RegisterMetricsWriter(d.gauges)
 	p.attainment = &meters.Recorder{Meters: p.metrics}
 	p.spans = &spans.Sender{
--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -33,6 +33,8 @@
 	i.drainer = &halt.Drainer{Grace: s.Times.Grace, MaxAccept: maxAcceptAfterStop, KillAfter: s.Times.Kill, AfterClose: front.StoppingHandler{}, Log: i.Log}
 	i.account = guard.NewMachineAccount(s.Limits.Memory, s.Limits.Descriptors)
 	i.account.Register(i.meters)
+	i.drainer.OnWait = i.account.EvictStalled
+	context.AfterFunc(i.drainer.LastCall(), i.account.EvictReaders)
 	i.state = newStateView(i.Log)
 	i.router = &router{
 		centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
--- a/internal/app/halt/halt.go
+++ b/internal/app/halt/halt.go
@@ -26,6 +26,9 @@
 // a stopping instance still waits for.
 const progressInterval = time.Second
 
+// waitInterval is the interval between two calls of Drainer.OnWait.
+const waitInterval = 250 * time.Millisecond
+
 // lastCallMargin is how long before the process is killed LastCall ends: time to write the
 // answers of all requests in progress.
 const lastCallMargin = 500 * time.Millisecond
@@ -42,6 +45,9 @@
 	// that still arrive on keep-alive connections. If it is nil, the handler serves
 	// them like any other.
 	AfterClose http.Handler
+	// OnWait is called again and again while the last requests are awaited, every waitInterval; it may be
+	// nil.
+	OnWait func()
 	// KillAfter is how long after Begin the process is killed; zero means never.
 	KillAfter time.Duration
 	Log       *zap.Logger
@@ -177,6 +183,9 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	go d.logProgress(ended)
+	if d.OnWait != nil {
+		go d.callOnWait(ended)
+	}
 	for _, s := range servers {
 		// No deadline: an answer that takes hours must be completed.
 		if err := s.Shutdown(context.WithoutCancel(ctx)); err != nil {
@@ -187,6 +196,20 @@
 	return nil
 }
 
+// callOnWait calls OnWait until ended is closed.
+func (d *Drainer) callOnWait(ended <-chan struct{}) {
+	ticker := time.NewTicker(waitInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case <-ticker.C:
+			d.OnWait()
+		}
+	}
+}
+
 // logProgress logs how many requests are still in progress until ended is closed. If the
 // process is killed, the last line tells how many it cut.
 func (d *Drainer) logProgress(ended <-chan struct{}) {
--- a/internal/wire/guard/account.go
+++ b/internal/wire/guard/account.go
@@ -39,6 +39,10 @@
 // pause while packets are sent again.
 var minLags = map[Wait]time.Duration{WaitBody: 500 * time.Millisecond}
 
+// stopLag is how long a stopping process waits for a caller that does not move. It is above the pauses of sound
+// callers.
+const stopLag = 5 * time.Second
+
 // Account is what callers may hold together. A nil Account has no limits.
 type Account struct {
 	mu sync.Mutex
@@ -180,3 +184,37 @@
 	close(a.freed)
 	a.freed = make(chan struct{})
 }
+
+// EvictStalled makes the callers go that a stopping process does not wait for. Idle connections are closed by
+// net/http.
+func (a *Account) EvictStalled() {
+	a.evictAll(func(wait Wait, lag time.Duration) bool {
+		return wait != WaitNone && wait != WaitIdle && lag >= stopLag
+	})
+}
+
+// EvictReaders makes the callers go whose requests were not read whole.
+func (a *Account) EvictReaders() {
+	a.evictAll(func(wait Wait, _ time.Duration) bool { return wait == WaitHead || wait == WaitBody })
+}
+
+func (a *Account) evictAll(must func(wait Wait, lag time.Duration) bool) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	var victims []*Claim
+	now := time.Now()
+	for c := range a.claims {
+		if must(c.lag(now)) {
+			victims = append(victims, c)
+		}
+	}
+	for _, c := range victims {
+		a.remove(c)
+	}
+	a.mu.Unlock()
+	for _, c := range victims {
+		c.runEvict()
+	}
+}
