Callers who take nothing of their answers are let go, on all paths

edge set no deadline for the answers of plain services and its own refusals: a caller who read nothing kept its connection, the answer and a stopping process for good. The connection now sets one for each piece of 64 KiB that it writes (10 s in edge, as streams had; [times] write in serve), so that no path can forget it. While a write hangs the caller is behind: after a second others may take its room, after five a stop does not wait for it.

--- a/internal/app/daemon/endpoints.go
+++ b/internal/app/daemon/endpoints.go
@@ -121,11 +121,13 @@
 	return endpoint{name: name, server: server, listener: l}, nil
 }
 
-// callersGuard limits the connections and requests of callers. Their timeouts are those of the server.
+// callersGuard limits the connections and requests of callers. The timeouts of heads and idle connections are
+// those of the server.
 func (d *Daemon) callersGuard() *guard.Guard {
+	limits := guard.Limits{WriteTimeout: d.Settings.Times.Write}
 	return &guard.Guard{
 		Account: d.parts.account, Refuse: http.HandlerFunc(d.parts.callers.RefuseNoRoom),
-		Limits: func() guard.Limits { return guard.Limits{} },
+		Limits: func() guard.Limits { return limits },
 	}
 }
 
--- a/internal/app/edge/endpoints.go
+++ b/internal/app/edge/endpoints.go
@@ -31,6 +31,9 @@
 	minIdleTimeout = time.Minute
 	// maxIdleTimeout limits the idle timeout that a configuration may set.
 	maxIdleTimeout = 10 * time.Minute
+	// writeTimeout is how long a caller may take nothing of its answer before its connection is closed:
+	// far longer than a caller waits for an event.
+	writeTimeout = 10 * time.Second
 	// gcPercent is below the default of 100: it saves memory, which is billed by its
 	// peak, at the cost of CPU time for the garbage collector.
 	gcPercent = 50
@@ -126,7 +129,7 @@
 	}
 	return guard.Limits{
 		HeadBytes: limits.MaxHeaderBytes, HeadTimeout: capTimeout(limits.HeaderTimeout, headerTimeout),
-		IdleTimeout: max(minIdleTimeout, limits.IdleTimeout),
+		IdleTimeout: max(minIdleTimeout, limits.IdleTimeout), WriteTimeout: writeTimeout,
 	}
 }
 
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -281,7 +281,6 @@
 		reply = s.PlainRunner.Do(ctx, c)
 	} else {
 		reply = s.ModelRunner.Do(ctx, c, sink)
-		sink.extendDeadline()
 	}
 	if reply.Reason == relay.ReasonCallerLeft && errors.Is(context.Cause(ctx), errStopping) {
 		reply.Reason, reply.RetryAfter = relay.ReasonStopping, stoppingRetryAfter
--- a/internal/wire/front/sink.go
+++ b/internal/wire/front/sink.go
@@ -3,13 +3,8 @@
 import (
 	"net/http"
 	"sync/atomic"
-	"time"
 )
 
-// eventWriteTimeout is how long a caller may read nothing of its response before the
-// stream is abandoned: far longer than a caller waits for an event.
-const eventWriteTimeout = 10 * time.Second
-
 // callerSink writes the events of a response to the caller.
 type callerSink struct {
 	w          http.ResponseWriter
@@ -26,18 +21,8 @@
 	s.w.WriteHeader(status)
 }
 
-// extendDeadline gives the caller time to read what is written next. A stream may be
-// silent for longer than eventWriteTimeout.
-func (s *callerSink) extendDeadline() {
-	if s.controller != nil {
-		// SetWriteDeadline fails only for writers without deadlines, as in tests.
-		_ = s.controller.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
-	}
-}
-
 // WriteEvent writes one event; flush means that no other event follows immediately.
 func (s *callerSink) WriteEvent(event []byte, flush bool) error {
-	s.extendDeadline()
 	if _, err := s.w.Write(event); err != nil {
 		return err
 	}
--- a/internal/wire/guard/account.go
+++ b/internal/wire/guard/account.go
@@ -5,7 +5,8 @@
 // bodies through it; app/edge and app/daemon attach a Guard to their addresses.
 //
 // What a caller holds is a Claim on an Account. Where an account is full, the claim goes whose caller holds
-// most and has owed the most time: a caller that is silent, or stops inside a head or a body. Requests that run are never given up for others.
+// most and has owed the most time: a caller that is silent, stops inside a head or a body, or does not read
+// its answer. Requests that run are never given up for others.
 package guard
 
 import (
@@ -22,10 +23,11 @@
 
 // What a process may wait for.
 const (
-	WaitNone Wait = iota // none
-	WaitHead             // head
-	WaitBody             // body
-	WaitIdle             // idle
+	WaitNone  Wait = iota // none
+	WaitHead              // head
+	WaitBody              // body
+	WaitIdle              // idle
+	WaitWrite             // write
 )
 
 const (
@@ -35,9 +37,9 @@
 	idleWeight = 16
 )
 
-// minLags is how long a caller must be behind before others may take its room. Bodies of sound callers may
-// pause while packets are sent again.
-var minLags = map[Wait]time.Duration{WaitBody: 500 * time.Millisecond}
+// minLags is how long a caller must be behind before others may take its room. Bodies and answers of sound
+// callers may pause while packets are sent again.
+var minLags = map[Wait]time.Duration{WaitBody: 500 * time.Millisecond, WaitWrite: time.Second}
 
 // stopLag is how long a stopping process waits for a caller that does not move. It is above the pauses of sound
 // callers.
@@ -75,7 +77,7 @@
 func (a *Account) Register(meters *metrics.Set) {
 	meters.NewGauge(`fulmarwick_callers_bytes`, func() float64 { return a.read(func() int64 { return a.bytes }) })
 	meters.NewGauge(`fulmarwick_callers_connections`, func() float64 { return a.read(func() int64 { return int64(a.conns) }) })
-	for _, w := range []Wait{WaitHead, WaitBody, WaitIdle} {
+	for _, w := range []Wait{WaitHead, WaitBody, WaitIdle, WaitWrite} {
 		meters.NewGauge(`fulmarwick_callers_evicted_total{wait="`+w.String()+`"}`, func() float64 { return a.read(func() int64 { return a.evictions[w] }) })
 	}
 }
--- a/internal/wire/guard/claim.go
+++ b/internal/wire/guard/claim.go
@@ -28,6 +28,8 @@
 	// behindSince is when the process began to wait for the caller, later by what the caller has sent at
 	// minRate since then.
 	behindSince time.Time
+	// writingSince is when a write to the caller began; zero if there is none.
+	writingSince time.Time
 }
 
 // maxFreeTime limits the wait for what evicted claims hold.
@@ -135,6 +137,21 @@
 	}
 }
 
+// StartWrite says that a write to the caller begins, and EndWrite that it ended.
+func (c *Claim) StartWrite() { c.setWriting(time.Now()) }
+
+// EndWrite says that a write to the caller ended.
+func (c *Claim) EndWrite() { c.setWriting(time.Time{}) }
+
+func (c *Claim) setWriting(since time.Time) {
+	if c == nil {
+		return
+	}
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.writingSince = since
+}
+
 // Evicted reports whether the caller must go.
 func (c *Claim) Evicted() bool {
 	if c == nil {
@@ -170,6 +187,9 @@
 
 // lag returns what the process waits for and how long the caller is behind; account.mu is held.
 func (c *Claim) lag(now time.Time) (Wait, time.Duration) {
+	if !c.writingSince.IsZero() {
+		return WaitWrite, now.Sub(c.writingSince)
+	}
 	return c.wait, now.Sub(c.behindSince)
 }
 
--- a/internal/wire/guard/conn.go
+++ b/internal/wire/guard/conn.go
@@ -23,12 +23,14 @@
 	// bufferBytes is the size of the buffers of net/http: so much of a body or of the next request may be
 	// read together with a head.
 	bufferBytes = 4 << 10
-	// unreadTimeout limits the wait for the rest of a body that is not read, after which its connection
-	// can be used for the next request.
-	unreadTimeout = time.Second
+	// pieceBytes is how much of an answer a caller must take within the write timeout.
+	pieceBytes = 64 << 10
 	// lingerTime is how long a connection stays open after a refusal while the caller still sends: closed
 	// with unread bytes, it would be reset and the refusal lost.
 	lingerTime = 500 * time.Millisecond
+	// unreadTimeout limits the wait for the rest of a body that is not read, after which its connection
+	// can be used for the next request.
+	unreadTimeout = time.Second
 )
 
 // headTooLarge is the answer to a head over the limit.
@@ -43,6 +45,8 @@
 	HeadTimeout time.Duration
 	// IdleTimeout limits the time between two requests.
 	IdleTimeout time.Duration
+	// WriteTimeout limits the time in which a caller takes a piece of an answer.
+	WriteTimeout time.Duration
 }
 
 // Guard applies limits to the connections and requests of an address. Set the exported fields before Attach.
@@ -237,6 +241,23 @@
 	return http.ErrNotSupported
 }
 
+// Write writes to the connection. The caller must take each piece within the write timeout.
+func (c *conn) Write(p []byte) (n int, err error) {
+	timeout := c.guard.Limits().WriteTimeout
+	for {
+		if timeout > 0 {
+			_ = c.SetWriteDeadline(time.Now().Add(timeout))
+		}
+		c.claim.StartWrite()
+		m, err := c.Conn.Write(p[n:min(len(p), n+pieceBytes)])
+		c.claim.EndWrite()
+		n += m
+		if err != nil || n == len(p) {
+			return n, err
+		}
+	}
+}
+
 // startRequest ends the wait for a head.
 func (c *conn) startRequest() {
 	c.mu.Lock()
--- a/internal/wire/guard/wait_string.go
+++ b/internal/wire/guard/wait_string.go
@@ -12,11 +12,12 @@
 	_ = x[WaitHead-1]
 	_ = x[WaitBody-2]
 	_ = x[WaitIdle-3]
+	_ = x[WaitWrite-4]
 }
 
-const _Wait_name = "noneheadbodyidle"
+const _Wait_name = "noneheadbodyidlewrite"
 
-var _Wait_index = [...]uint8{0, 4, 8, 12, 16}
+var _Wait_index = [...]uint8{0, 4, 8, 12, 16, 21}
 
 func (i Wait) String() string {
 	idx := int(i) - 0
