Readiness checks and metrics have connections of their own

Connections to the addresses for readiness checks and metrics that say nothing took all descriptors. Each now has 64 connections, the limits of heads and of writes, and closes the one that is silent the longest for a new one.

--- a/internal/app/edge/endpoints.go
+++ b/internal/app/edge/endpoints.go
@@ -34,6 +34,10 @@
 	// writeTimeout is how long a caller may take nothing of its answer before its connection is closed:
 	// far longer than a caller waits for an event.
 	writeTimeout = 10 * time.Second
+	// checkConns limits the connections to the addresses for readiness checks and for metrics, each.
+	checkConns = 64
+	// checkTimeout limits the time for a request to these addresses and for its answer.
+	checkTimeout = 10 * time.Second
 	// gcPercent is below the default of 100: it saves memory, which is billed by its
 	// peak, at the cost of CPU time for the garbage collector.
 	gcPercent = 50
@@ -96,13 +100,13 @@
 	}
 	err := add("callers", l.Callers, i.drainer.Handler(i.server), i.callersGuard())
 	if err == nil {
-		err = add("ready", l.Ready, i.readinessHandler(), nil)
+		err = add("ready", l.Ready, i.readinessHandler(), newCheckGuard())
 	}
 	if err == nil {
 		err = add("mesh", l.Mesh, i.mesh.handler(), nil)
 	}
 	if err == nil {
-		err = add("metrics", l.Metrics, i.metricsHandler(), nil)
+		err = add("metrics", l.Metrics, i.metricsHandler(), newCheckGuard())
 	}
 	if err != nil {
 		for _, e := range endpoints {
@@ -142,6 +146,14 @@
 	return min(d, maxTimeout)
 }
 
+// newCheckGuard returns the limits of an address for readiness checks or metrics.
+func newCheckGuard() *guard.Guard {
+	limits := guard.Limits{HeadBytes: bound.MaxHeadBytes, HeadTimeout: checkTimeout, IdleTimeout: maxIdleTimeout, WriteTimeout: checkTimeout}
+	return &guard.Guard{
+		Account: guard.NewAccount(0, checkConns), Limits: func() guard.Limits { return limits },
+	}
+}
+
 // readinessHandler answers the readiness checks of the balancer. It accepts any path, since
 // the platform decides which one is requested.
 func (i *Instance) readinessHandler() http.Handler {
