HTTP/2 connections have fewer streams where there is little memory

net/http keeps four requests for each stream that a connection may have open if streams are reset before their requests run: at 128 streams 100 such connections took 303 MiB. On machines below 960 MiB the number that serve announces is now such that 64 of them fit into what callers may hold, 8 at least; callers wait for a stream or open another connection. TestStreamsThatAreReset failed before; TestOpenBodiesOnStreams held its bounds since bodies are counted, but took 106 s.

--- a/internal/app/daemon/build.go
+++ b/internal/app/daemon/build.go
@@ -200,7 +200,7 @@
 func entryLimits(s setup.Settings) entry.Limits {
 	return entry.Limits{
 		Body: s.Limits.Body, Header: s.Limits.Header, Tokens: s.Limits.Tokens,
-		Streams: s.Limits.Streams, TeamStreams: s.Limits.Team, ConnectionStreams: s.Limits.Connection, Buffer: s.Limits.Buffer,
+		Streams: s.Limits.Streams, TeamStreams: s.Limits.Team, ConnectionStreams: guard.Streams(s.Limits.Connection, s.Limits.Memory), Buffer: s.Limits.Buffer,
 		HeaderTime: s.Times.Header, BodyTime: s.Times.Body, WriteTime: s.Times.Write,
 		IdleTime: s.Times.Idle, CommentInterval: s.Times.Comment,
 	}
