--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -20,6 +20,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 )
 
 // ensureInit creates the parts once: a signal may arrive before Run did it.
@@ -32,6 +33,7 @@
 	i.closedGates, i.reserves = map[string]bool{}, map[string]bool{}
 	i.drainer = &halt.Drainer{Grace: s.Times.Grace, MaxAccept: maxAcceptAfterStop, KillAfter: s.Times.Kill, AfterClose: front.StoppingHandler{}, Log: i.Log}
 	i.account = guard.NewMachineAccount(s.Limits.Memory, s.Limits.Descriptors)
+	i.account.OnEvict = func(w guard.Wait) { i.Log.Warn("edge: caller evicted", zap.Stringer("wait", w)) }
 	i.account.Register(i.meters)
 	i.drainer.OnWait = i.account.EvictStalled
 	context.AfterFunc(i.drainer.LastCall(), i.account.EvictReaders)
--- a/internal/wire/guard/account.go
+++ b/internal/wire/guard/account.go
@@ -47,23 +47,27 @@
 
 // Account is what callers may hold together. A nil Account has no limits.
 type Account struct {
+	// OnEvict is called for each caller that is made to go, with what the process waited for; it may be nil.
+	// Set it before use.
+	OnEvict func(Wait)
+
 	mu sync.Mutex
 	// maxBytes and maxConns are the limits; zero means none.
 	maxBytes int64
 	maxConns int
-	// bytes and conns are what the claims hold. leaving is what evicted claims still hold; freed is closed
-	// when one of them is evicted or closed.
+	// bytes and conns are what the claims hold, and leaving what evicted ones still hold.
 	bytes, leaving int64
 	conns          int
-	freed          chan struct{}
-	claims         map[*Claim]struct{}
+	// freed is closed when a claim is evicted or closed; nil if nobody waits for it.
+	freed  chan struct{}
+	claims map[*Claim]struct{}
 	// evictions counts the claims that were evicted.
 	evictions map[Wait]int64
 }
 
 // NewAccount returns an account of so many bytes and connections; zero means no limit.
 func NewAccount(maxBytes int64, maxConns int) *Account {
-	return &Account{maxBytes: maxBytes, maxConns: maxConns, freed: make(chan struct{}), claims: map[*Claim]struct{}{}, evictions: map[Wait]int64{}}
+	return &Account{maxBytes: maxBytes, maxConns: maxConns, claims: map[*Claim]struct{}{}, evictions: map[Wait]int64{}}
 }
 
 // SetMaxBytes changes the limit of bytes.
@@ -155,8 +159,8 @@
 	if c == nil || c.gone {
 		return
 	}
-	wait, _ := c.lag(time.Now())
-	a.evictions[wait]++
+	c.evictedFor, _ = c.lag(time.Now())
+	a.evictions[c.evictedFor]++
 	a.leaving += c.held
 	a.forget(c)
 }
@@ -169,8 +173,23 @@
 		a.conns--
 	}
 	delete(a.claims, c)
-	close(a.freed)
-	a.freed = make(chan struct{})
+	a.signalFreed()
+}
+
+// nextFreed returns the channel that is closed when the next claim is evicted or closed; a.mu is held.
+func (a *Account) nextFreed() <-chan struct{} {
+	if a.freed == nil {
+		a.freed = make(chan struct{})
+	}
+	return a.freed
+}
+
+// signalFreed wakes those who wait for room; a.mu is held.
+func (a *Account) signalFreed() {
+	if a.freed != nil {
+		close(a.freed)
+		a.freed = nil
+	}
 }
 
 // close ends a claim, which holds nothing any more.
@@ -183,8 +202,7 @@
 	}
 	a.leaving -= c.held
 	c.held = 0
-	close(a.freed)
-	a.freed = make(chan struct{})
+	a.signalFreed()
 }
 
 // EvictStalled makes the callers go that a stopping process does not wait for. Idle connections are closed by
--- a/internal/wire/guard/claim.go
+++ b/internal/wire/guard/claim.go
@@ -22,6 +22,8 @@
 	held int64
 	// gone means that the claim was evicted or closed.
 	gone bool
+	// evictedFor is what the process waited for when the claim was evicted.
+	evictedFor Wait
 	// growing means that it waits for room.
 	growing bool
 	wait    Wait
@@ -41,8 +43,7 @@
 	if c == nil {
 		return true
 	}
-	timeout := time.NewTimer(maxFreeTime)
-	defer timeout.Stop()
+	var timeout <-chan time.Time
 	for {
 		ok, victim, freed := c.tryGrow(n)
 		if victim != nil {
@@ -52,9 +53,12 @@
 		if freed == nil {
 			return ok
 		}
+		if timeout == nil {
+			timeout = time.After(maxFreeTime)
+		}
 		select {
 		case <-freed:
-		case <-timeout.C:
+		case <-timeout:
 			return false
 		}
 	}
@@ -77,7 +81,7 @@
 		return true, nil, nil
 	case a.fits(c, n, 0):
 		c.growing, c.behindSince = true, time.Now()
-		return false, nil, a.freed
+		return false, nil, a.nextFreed()
 	}
 	victim = a.worst(c, false)
 	a.remove(victim)
@@ -180,8 +184,12 @@
 	}
 	c.evictMu.Lock()
 	defer c.evictMu.Unlock()
-	if !c.closed {
-		c.evict()
+	if c.closed {
+		return
+	}
+	c.evict()
+	if onEvict := c.account.OnEvict; onEvict != nil {
+		onEvict(c.evictedFor)
 	}
 }
 
