--- a/internal/app/edge/parts.go
+++ b/internal/app/edge/parts.go
@@ -32,11 +32,7 @@
 	i.meters = metrics.NewSet()
 	i.closedGates, i.reserves = map[string]bool{}, map[string]bool{}
 	i.drainer = &halt.Drainer{Grace: s.Times.Grace, MaxAccept: maxAcceptAfterStop, KillAfter: s.Times.Kill, AfterClose: front.StoppingHandler{}, Log: i.Log}
-	i.account = guard.NewMachineAccount(s.Limits.Memory, s.Limits.Descriptors)
-	i.account.OnEvict = func(w guard.Wait) { i.Log.Warn("edge: caller evicted", zap.Stringer("wait", w)) }
-	i.account.Register(i.meters)
-	i.drainer.OnWait = i.account.EvictStalled
-	context.AfterFunc(i.drainer.LastCall(), i.account.EvictReaders)
+	i.initAccount()
 	i.state = newStateView(i.Log)
 	i.router = &router{
 		centre: spec.DataCentre(s.Instance.DataCentre), start: time.Now(),
@@ -77,6 +73,15 @@
 	i.connectParts()
 }
 
+// initAccount creates the account of callers. A stop evicts those that it does not wait for.
+func (i *Instance) initAccount() {
+	i.account = guard.NewMachineAccount(i.Settings.Limits.Memory, i.Settings.Limits.Descriptors)
+	i.account.OnEvict = func(w guard.Wait) { i.Log.Warn("edge: caller evicted", zap.Stringer("wait", w)) }
+	i.account.Register(i.meters)
+	i.drainer.OnWait = i.account.EvictStalled
+	context.AfterFunc(i.drainer.LastCall(), i.account.EvictReaders)
+}
+
 // bodyMemoryShare is the part of the process's memory that bodies of upstreams may take together: one
 // tenth, so that upstreams whose bodies have no end can't use up the memory of a small instance.
 const bodyMemoryShare = 10
