--- a/internal/wire/guard/conn.go
+++ b/internal/wire/guard/conn.go
@@ -107,12 +107,12 @@
 			g.Refuse.ServeHTTP(w, r)
 			return
 		}
-		next.ServeHTTP(w, r.WithContext(WithClaim(r.Context(), claim)))
+		next.ServeHTTP(w, r.WithContext(withClaim(r.Context(), claim)))
 	})
 }
 
-// WithClaim returns a context for the request that a claim belongs to.
-func WithClaim(ctx context.Context, c *Claim) context.Context {
+// withClaim returns a context for the request that a claim belongs to.
+func withClaim(ctx context.Context, c *Claim) context.Context {
 	return context.WithValue(ctx, claimKey{}, c)
 }
 
