Callers' share is of the memory that the program leaves; serve's heap stays close to what is in use

Beside load (20 to 25) TestBodiesFarOverTheLimit/serve took 64.0 and 64.9 MiB of 64 in one of two runs: callers' quarter was of the whole memory, and serve's collector let the heap double before it ran. The share is now of what is left besides 20 MiB for the program, and the collector runs at half of that growth where memory is limited, as in edge.

--- a/internal/wire/guard/machine.go
+++ b/internal/wire/guard/machine.go
@@ -6,9 +6,15 @@
 )
 
 const (
-	// callersShare is the part of the memory that callers may hold. The rest is for the process itself,
-	// for the bodies of upstreams and for what the garbage collector has not freed yet.
+	// callersShare is the part of the memory that callers may hold, of what is left besides the program. The
+	// rest is for the process itself, for the bodies of upstreams and for what the garbage collector has
+	// not freed yet.
 	callersShare = 4
+	// minCallersShare is the least part of the whole memory.
+	minCallersShare = 8
+	// gcPercent is below the default of 100: the heap stays closer to what is in use, at the cost of
+	// processor time.
+	gcPercent = 50
 	// connsShare is the part of the descriptors for callers: a request that runs needs another one to its
 	// upstream, and the store, other instances and the readiness check need some too.
 	connsShare = 2
@@ -40,7 +46,7 @@
 	if memory <= 0 {
 		memory = machineMemory()
 	}
-	return memory / callersShare
+	return max(memory/minCallersShare, (memory-programBytes)/callersShare)
 }
 
 // callersConns returns how many connections callers may open.
@@ -65,6 +71,7 @@
 // them; zero sets no limit.
 func LimitHeap(memory int64) {
 	if memory > 0 {
+		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(max(memory/4, min(memory/10*8, memory-programBytes)))
 	}
 }
