--- a/internal/wire/guard/account.go
+++ b/internal/wire/guard/account.go
@@ -4,9 +4,9 @@
 // It imports package bound and the errors and metrics libraries. The servers for callers, front and entry, read
 // bodies through it; app/edge and app/daemon attach a Guard to their addresses.
 //
-// What a caller holds is a Claim on an Account. Where an account is full, the claim goes whose caller holds
-// most and has owed the most time: a caller that is silent, stops inside a head or a body, or does not read
-// its answer. Requests that run are never given up for others.
+// What a caller holds is a Claim on an Account. Where an account is full, the caller is evicted that holds most
+// and is behind the longest: one that is silent, stops inside a head or a body, or does not read its answer.
+// Requests that run are never given up for others.
 package guard
 
 import (
@@ -31,13 +31,13 @@
 )
 
 const (
-	// minRate is the rate, in bytes a second, above which a caller that sends owes nothing.
+	// minRate is the rate, in bytes a second, above which a caller that sends is not behind.
 	minRate = 64 << 10
-	// idleWeight divides what an idle caller owes: it was promised an idle time.
+	// idleWeight divides the debt of an idle caller: it was promised an idle time.
 	idleWeight = 16
 )
 
-// minLags is how long a caller must be behind before others may take its room. Bodies and answers of sound
+// minLags is how long a caller must be behind before it may be evicted for others. Bodies and answers of sound
 // callers may pause while packets are sent again.
 var minLags = map[Wait]time.Duration{WaitBody: 500 * time.Millisecond, WaitWrite: time.Second}
 
@@ -47,7 +47,7 @@
 
 // Account is what callers may hold together. A nil Account has no limits.
 type Account struct {
-	// OnEvict is called for each caller that is made to go, with what the process waited for; it may be nil.
+	// OnEvict is called for each caller that is evicted, with what the process waited for; it may be nil.
 	// Set it before use.
 	OnEvict func(Wait)
 
@@ -92,7 +92,7 @@
 	return float64(value())
 }
 
-// Open returns a new claim that holds nothing. evict makes its caller go; it is called at most once, and not
+// Open returns a new claim that holds nothing. evict ends what it belongs to; it is called at most once, and not
 // after Close. ofConn means that a connection ends with the claim.
 func (a *Account) Open(ofConn bool, evict func()) *Claim {
 	if a == nil {
@@ -137,7 +137,7 @@
 	return a.maxBytes <= 0 || c.held+n <= a.maxBytes-a.bytes-leaving-n
 }
 
-// worst returns the claim whose caller is to go first, other than c; nil if none may. With ofConn a
+// worst returns the claim with the largest debt, other than c; nil if none may be evicted. With ofConn a
 // connection must end with it. a.mu is held.
 func (a *Account) worst(c *Claim, ofConn bool) *Claim {
 	now := time.Now()
@@ -154,7 +154,7 @@
 	return worst
 }
 
-// remove takes what a claim holds off the account, before its caller is made to go; a.mu is held.
+// remove takes an evicted claim off the account; a.mu is held. runEvict must follow.
 func (a *Account) remove(c *Claim) {
 	if c == nil || c.gone {
 		return
@@ -205,7 +205,7 @@
 	a.signalFreed()
 }
 
-// EvictStalled makes the callers go that a stopping process does not wait for. Idle connections are closed by
+// EvictStalled evicts the callers that a stopping process does not wait for. Idle connections are closed by
 // net/http.
 func (a *Account) EvictStalled() {
 	a.evictAll(func(wait Wait, lag time.Duration) bool {
@@ -213,7 +213,7 @@
 	})
 }
 
-// EvictReaders makes the callers go whose requests were not read whole.
+// EvictReaders evicts the callers whose requests were not read whole.
 func (a *Account) EvictReaders() {
 	a.evictAll(func(wait Wait, _ time.Duration) bool { return wait == WaitHead || wait == WaitBody })
 }
--- a/internal/wire/guard/claim.go
+++ b/internal/wire/guard/claim.go
@@ -37,8 +37,8 @@
 // maxFreeTime limits the wait for what evicted claims hold.
 const maxFreeTime = 2 * time.Second
 
-// Grow takes n bytes more. Others that owe more go if there is no room, and Grow waits until they have given
-// back what they hold. It returns false if there is no room, or if the claim was evicted.
+// Grow takes n bytes more. If there is no room, others are evicted, and Grow waits until they have given back
+// what they hold. It returns false if there is none even so, or if the claim was evicted.
 func (c *Claim) Grow(n int64) bool {
 	if c == nil {
 		return true
@@ -156,7 +156,7 @@
 	c.writingSince = since
 }
 
-// Evicted reports whether the caller must go.
+// Evicted reports whether the claim was evicted or closed.
 func (c *Claim) Evicted() bool {
 	if c == nil {
 		return false
@@ -177,7 +177,7 @@
 	c.closed = true
 }
 
-// runEvict makes the caller of an evicted claim go.
+// runEvict ends what an evicted claim belongs to.
 func (c *Claim) runEvict() {
 	if c == nil {
 		return
@@ -201,8 +201,8 @@
 	return c.wait, now.Sub(c.behindSince)
 }
 
-// debt returns by how much the caller is to go before others: what it holds times how long it is behind.
-// Zero means that it must not go. account.mu is held.
+// debt returns what the caller holds times how long it is behind; the largest is evicted first. Zero means that
+// it must not be evicted. account.mu is held.
 func (c *Claim) debt(now time.Time) float64 {
 	wait, lag := c.lag(now)
 	if wait == WaitNone || c.growing || lag < minLags[wait] {
