--- a/internal/app/crowd/system_test.go
+++ b/internal/app/crowd/system_test.go
@@ -177,8 +177,7 @@
 	case largePath:
 		body = strings.Repeat("x", largeAnswer)
 	}
-	w.Header().Set("Request-Id", id)
-	w.Header().Set("Server-Seal", "seal")
+	stand.Seal(w.Header(), r)
 	_, _ = io.WriteString(w, body)
 }
 
--- a/internal/app/halt/halt.go
+++ b/internal/app/halt/halt.go
@@ -182,9 +182,9 @@
 	d.Log.Info("halt: no new requests, waiting for those in progress", zap.Int("running", d.Running()))
 	ended := make(chan struct{})
 	defer close(ended)
-	go d.logProgress(ended)
+	go callEvery(progressInterval, ended, d.logProgress)
 	if d.OnWait != nil {
-		go d.callOnWait(ended)
+		go callEvery(waitInterval, ended, d.OnWait)
 	}
 	for _, s := range servers {
 		// No deadline: an answer that takes hours must be completed.
@@ -196,33 +196,24 @@
 	return nil
 }
 
-// callOnWait calls OnWait until ended is closed.
-func (d *Drainer) callOnWait(ended <-chan struct{}) {
-	ticker := time.NewTicker(waitInterval)
+// callEvery calls a function at an interval until ended is closed.
+func callEvery(interval time.Duration, ended <-chan struct{}, call func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ended:
 			return
 		case <-ticker.C:
-			d.OnWait()
+			call()
 		}
 	}
 }
 
-// logProgress logs how many requests are still in progress until ended is closed. If the
-// process is killed, the last line tells how many it cut.
-func (d *Drainer) logProgress(ended <-chan struct{}) {
-	ticker := time.NewTicker(progressInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ended:
-			return
-		case <-ticker.C:
-			d.Log.Info("halt: still waiting", zap.Int("running", d.Running()))
-		}
-	}
+// logProgress logs how many requests are still in progress. If the process is killed, the last line tells how
+// many it cut.
+func (d *Drainer) logProgress() {
+	d.Log.Info("halt: still waiting", zap.Int("running", d.Running()))
 }
 
 // awaitIdle returns once no request has arrived for Grace, MaxAccept is over, or
--- a/internal/wire/front/front.go
+++ b/internal/wire/front/front.go
@@ -56,9 +56,6 @@
 	firstConfigTimeout = 400 * time.Millisecond
 	// bodyReadTimeout limits the time for reading a body.
 	bodyReadTimeout = 15 * time.Second
-	// noRoomRetryAfter is the Retry-After of requests that there is no memory for: another instance may
-	// have some.
-	noRoomRetryAfter = 200 * time.Millisecond
 )
 
 // Server is the HTTP handler for callers. Set the exported fields before use.
@@ -104,19 +101,6 @@
 	s.forward(w, r, c)
 }
 
-// retryAfterOf returns the Retry-After of a request that was not read whole.
-func retryAfterOf(status int) time.Duration {
-	if status == http.StatusServiceUnavailable {
-		return noRoomRetryAfter
-	}
-	return 0
-}
-
-// RefuseNoRoom refuses a request that there is no memory for.
-func (s *Server) RefuseNoRoom(w http.ResponseWriter, r *http.Request) {
-	s.reject(w, r, http.StatusServiceUnavailable, "no memory for the request", noRoomRetryAfter)
-}
-
 // reportPanic reports a panic that is in progress and lets it continue, so that net/http
 // closes the connection. It must be called directly by a deferred call.
 func (s *Server) reportPanic(r *http.Request) {
@@ -247,20 +231,6 @@
 	return 0, ""
 }
 
-// bodyRefusal returns the status and the reason of the refusal of a request whose body was not read. Except
-// for a malformed or cut body, they promise that the request was not run.
-func bodyRefusal(err error) (status int, reason string) {
-	switch {
-	case errors.Is(err, guard.ErrTooLarge):
-		return http.StatusRequestEntityTooLarge, "body is too large"
-	case errors.Is(err, guard.ErrNoRoom):
-		return http.StatusServiceUnavailable, "no memory for the body"
-	case errors.Is(err, guard.ErrStalled):
-		return http.StatusRequestTimeout, "body stopped coming"
-	}
-	return http.StatusBadRequest, "body is cut"
-}
-
 // errStopping is the cancellation cause of requests that are ended before the process is
 // killed.
 var errStopping = errors.New("front: instance is stopping")
