Connections that came while others were being closed are evicted like others

A connection for which there is room once evicted ones have given theirs back is taken at once; its claim stayed marked as waiting for room, and such claims are not evicted. After a quick crowd no silent connection was left that could be. The mark is now set only by who waits. TestConnectionsOfACrowdGo failed before.

--- a/internal/wire/guard/account.go
+++ b/internal/wire/guard/account.go
@@ -123,7 +123,7 @@
 	}
 	a.mu.Unlock()
 	victim.runEvict()
-	if room && c.overdraw(bytes) {
+	if room && c.grow(bytes, true) {
 		return c
 	}
 	c.Close()
--- a/internal/wire/guard/claim.go
+++ b/internal/wire/guard/claim.go
@@ -39,13 +39,16 @@
 
 // Grow takes n bytes more. If there is no room, others are evicted, and Grow waits until they have given back
 // what they hold. It returns false if there is none even so, or if the claim was evicted.
-func (c *Claim) Grow(n int64) bool {
+func (c *Claim) Grow(n int64) bool { return c.grow(n, false) }
+
+// grow takes n bytes more. With overdraw it does not wait for what evicted claims hold.
+func (c *Claim) grow(n int64, overdraw bool) bool {
 	if c == nil {
 		return true
 	}
 	var timeout <-chan time.Time
 	for {
-		ok, victim, freed := c.tryGrow(n)
+		ok, victim, freed := c.tryGrow(n, overdraw)
 		if victim != nil {
 			victim.runEvict()
 			continue
@@ -66,7 +69,7 @@
 
 // tryGrow takes n bytes more if there is room. Otherwise it returns the claim to evict, or a channel that is
 // closed once evicted claims have given something back. If it returns neither, there is no room.
-func (c *Claim) tryGrow(n int64) (ok bool, victim *Claim, freed <-chan struct{}) {
+func (c *Claim) tryGrow(n int64, overdraw bool) (ok bool, victim *Claim, freed <-chan struct{}) {
 	a := c.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -75,7 +78,7 @@
 	switch {
 	case c.gone:
 		return false, nil, nil
-	case a.fits(c, n, a.leaving):
+	case a.fits(c, n, a.leaving) || overdraw && a.fits(c, n, 0):
 		c.held += n
 		a.bytes += n
 		return true, nil, nil
@@ -88,21 +91,6 @@
 	return false, victim, nil
 }
 
-// overdraw takes n bytes more, also if evicted claims have not given them back yet.
-func (c *Claim) overdraw(n int64) bool {
-	for {
-		ok, victim, freed := c.tryGrow(n)
-		if freed != nil {
-			c.Hold(n)
-			return true
-		}
-		if victim == nil {
-			return ok
-		}
-		victim.runEvict()
-	}
-}
-
 // Hold sets what the claim holds. It may exceed the limit, until others take room.
 func (c *Claim) Hold(n int64) {
 	if c == nil {
--- a/internal/wire/guard/guard_test.go
+++ b/internal/wire/guard/guard_test.go
@@ -123,6 +123,23 @@
 	})
 }
 
+// Guards against silent connections that stay for good since they came while others were being closed.
+func TestConnectionsOfACrowdGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := guard.NewAccount(100<<10, 0)
+		for range 20 {
+			var c *guard.Claim
+			c = a.OpenConn(30<<10, func() { time.AfterFunc(10*time.Millisecond, c.Close) })
+			c.StartWait(guard.WaitHead)
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		if !open(a).Grow(40 << 10) {
+			t.Error("got no room beside silent connections, want some of them closed")
+		}
+	})
+}
+
 // serve serves a guarded address and returns it.
 func serve(t *testing.T, g *guard.Guard, h http.HandlerFunc) string {
 	t.Helper()
