--- a/internal/app/edge/endpoints.go
+++ b/internal/app/edge/endpoints.go
@@ -38,15 +38,12 @@
 	checkConns = 64
 	// checkTimeout limits the time for a request to these addresses and for its answer.
 	checkTimeout = 10 * time.Second
-	// gcPercent is below the default of 100: it saves memory, which is billed by its
-	// peak, at the cost of CPU time for the garbage collector.
-	gcPercent = 50
 )
 
 // limitMemory sets the limits of the garbage collector for a process that may use so many
-// bytes; 0 sets no memory limit.
+// bytes; 0 sets no memory limit. Memory is billed by its peak, also where it has no limit.
 func limitMemory(maxBytes int64) {
-	debug.SetGCPercent(gcPercent)
+	debug.SetGCPercent(guard.GCPercent)
 	guard.LimitHeap(maxBytes)
 }
 
--- a/internal/wire/guard/machine.go
+++ b/internal/wire/guard/machine.go
@@ -12,9 +12,9 @@
 	callersShare = 4
 	// minCallersShare is the least part of the whole memory.
 	minCallersShare = 8
-	// gcPercent is below the default of 100: the heap stays closer to what is in use, at the cost of
+	// GCPercent is below the default of 100: the heap stays closer to what is in use, at the cost of
 	// processor time.
-	gcPercent = 50
+	GCPercent = 50
 	// connsShare is the part of the descriptors for callers: a request that runs needs another one to its
 	// upstream, and the store, other instances and the readiness check need some too.
 	connsShare = 2
@@ -71,7 +71,7 @@
 // them; zero sets no limit.
 func LimitHeap(memory int64) {
 	if memory > 0 {
-		debug.SetGCPercent(gcPercent)
+		debug.SetGCPercent(GCPercent)
 		debug.SetMemoryLimit(max(memory/4, min(memory/10*8, memory-programBytes)))
 	}
 }
