Tests of crowds at the addresses for other instances and for operators

What callers are refused, whoever reaches these addresses could still do. On, x86-64, processes with 64 MiB and 1024 descriptors:

- 1500 silent connections to mesh (edge): 1024 descriptors, an ordinary request gets no answer in 8 s
- the same to operators (serve), then 200 header lines without end: 1024 descriptors, no answer, 309 MiB
- 200 changes of the configuration that stop short of 1 MiB, to operators: 270 MiB

Crowds and bounds are those of the tests that stand.

--- a/internal/app/crowd/crowd_test.go
+++ b/internal/app/crowd/crowd_test.go
@@ -162,6 +162,43 @@
 	s.checkBounds()
 }
 
+// Guards against connections to the address for other instances that take all descriptors or memory.
+func TestCrowdsAtTheMeshAddress(t *testing.T) {
+	s := startEdge(t)
+	s.crowd(s.mesh, 1500, func(net.Conn) {})
+	s.checkServed()
+	s.crowd(s.mesh, 200, func(c net.Conn) { write(c, "GET / HTTP/1.1\r\nX: ", strings.Repeat("x", 1000<<10)) })
+	s.checkServed()
+	s.checkBounds()
+	s.checkStop()
+}
+
+// Guards against connections to the address for operators that take all descriptors or memory.
+func TestCrowdsAtTheOperatorsAddress(t *testing.T) {
+	s := startServe(t)
+	s.crowd(s.operators, 1500, func(net.Conn) {})
+	s.checkServed()
+	s.crowd(s.operators, 200, func(c net.Conn) { write(c, "GET / HTTP/1.1\r\nX: ", strings.Repeat("x", 1000<<10)) })
+	if status, err := get(t, "http://"+s.operators+"/readyz"); status != http.StatusOK {
+		t.Errorf("got status %d and error %v from %s, want 200", status, err, s.operators)
+	}
+	s.checkServed()
+	s.checkBounds()
+	s.checkStop()
+}
+
+// Guards against memory that changes of the configuration take whose bodies stop, and against a stop that waits for
+// them.
+func TestBodiesAtTheOperatorsAddress(t *testing.T) {
+	s := startServe(t)
+	s.crowd(s.operators, 200, func(c net.Conn) {
+		write(c, "POST /v1/config HTTP/1.1\r\nHost: site.example\r\n"+announced+"\r\n", `{"by":"`, strings.Repeat("x", bodyLimit-100))
+	})
+	s.checkServed()
+	s.checkBounds()
+	s.checkStop()
+}
+
 // Guards against memory and descriptors that callers hold who send requests in a row and read nothing.
 func TestAnswersThatAreNotRead(t *testing.T) {
 	onEach(t, func(s *system) {
--- a/internal/app/crowd/system_test.go
+++ b/internal/app/crowd/system_test.go
@@ -33,8 +33,8 @@
 // system is a process with the stand-ins that it needs.
 type system struct {
 	*process
-	// callers, ready and metrics are addresses of the process.
-	callers, ready, metrics string
+	// callers, ready, metrics, mesh and operators are addresses of the process; it has not all of them.
+	callers, ready, metrics, mesh, operators string
 	// path and headers are those of a proper request with a body.
 	path, headers string
 	// release lets the upstream of edge answer requests to heldPath.
@@ -77,8 +77,8 @@
 		"service": site.PlainService, "address": serve(t, http.HandlerFunc(s.answer)), "zone": "a", "version": "v1", "slots": 600, "state": "ready", "sequence": 1, "born": 1,
 	}))
 	callers, ready, metrics, mesh := freePort(t), freePort(t), freePort(t), freePort(t)
-	s.callers, s.ready, s.metrics = loopback(callers), loopback(ready), loopback(metrics)
-	s.process = launch(t, []int{callers, ready, metrics}, "edge", "--settings", writeSettings(t, fmt.Sprintf(`[instance]
+	s.callers, s.ready, s.metrics, s.mesh = loopback(callers), loopback(ready), loopback(metrics), loopback(mesh)
+	s.process = launch(t, []int{callers, ready, metrics, mesh}, "edge", "--settings", writeSettings(t, fmt.Sprintf(`[instance]
 name = edge-1
 datacentre = a
 region = west
@@ -94,7 +94,7 @@
 [times]
 grace = 1s
 kill = %s
-`, s.callers, s.ready, s.metrics, loopback(mesh), serve(t, store), memoryLimit, killAfter)))
+`, s.callers, s.ready, s.metrics, s.mesh, serve(t, store), memoryLimit, killAfter)))
 	s.awaitReady(t, "http://"+s.ready+"/")
 	return s
 }
@@ -109,7 +109,7 @@
 	}
 	t.Cleanup(site.Close)
 	callers, operators := freePort(t), freePort(t)
-	s.callers = loopback(callers)
+	s.callers, s.operators = loopback(callers), loopback(operators)
 	s.process = launch(t, []int{callers, operators}, "serve", "--settings", writeSettings(t, fmt.Sprintf(`[instance]
 name = serve-1
 datacentre = %s
@@ -125,8 +125,8 @@
 header = %d
 [times]
 grace = 1s
-`, trial.Centre, s.callers, loopback(operators), site.URL(), memoryLimit, bodyLimit, headLimit)))
-	s.awaitReady(t, "http://"+loopback(operators)+"/readyz")
+`, trial.Centre, s.callers, s.operators, site.URL(), memoryLimit, bodyLimit, headLimit)))
+	s.awaitReady(t, "http://"+s.operators+"/readyz")
 	return s
 }
 
