An engine that paused is not taken for one behind a slow link

What callers saw: a refusal, though engines with room were there, up to seconds after an engine had paused.

The predicted token takes 0.16 to 0.84 s, 16 ms of it work; the rest is the measured hop to an engine that had paused. The steps that wait for it are all answered at once when it goes on. If it was idle before, they are the whole of the next HopMeasured, whose median then is the pause. While the other engines of these layers pause, the request is refused: its tokens would miss the target of 100 ms. Hops recover by a quarter a second.

Of steps that were under way at the same time one counts now, and a report needs five: a slow link delays each step, a pause delays those under way, once. A link that has become slow is seen as soon as before: it delays the steps one after the other.

--- a/internal/app/daemon/silence_test.go
+++ b/internal/app/daemon/silence_test.go
@@ -62,6 +62,8 @@
 	mu       sync.Mutex
 	crashes  int
 	failures map[string]int
+	// slowestHop is the longest median of hops that was measured.
+	slowestHop time.Duration
 }
 
 // silentInstance is one of the instances.
@@ -107,7 +109,7 @@
 	i := &silentInstance{site: s, id: id}
 	client := &http.Client{Transport: &http.Transport{DialContext: s.net.Dial, DisableKeepAlives: true}}
 	i.loop = &loop.Loop{Logic: &core.Logic{ID: id, Seed: uint64(len(s.instances))}, HandleCommand: i.handleCommand}
-	i.pool = &engine.Pool{HTTP: client, Post: i.loop.Post, Meters: metrics.NewSet(), Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+	i.pool = &engine.Pool{HTTP: client, Post: i.postHops, Meters: metrics.NewSet(), Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 		return s.net.Dial(ctx, network, address)
 	}}
 	i.runner = &chain.Runner{Engines: i.pool, Router: i.loop, KV: i.pool}
@@ -170,6 +172,16 @@
 	i.loop.Post(ev)
 }
 
+// postHops passes measured hops to the routing logic.
+func (i *silentInstance) postHops(ev domain.Event) {
+	if hops, ok := ev.(domain.HopMeasured); ok {
+		i.site.mu.Lock()
+		i.site.slowestHop = max(i.site.slowestHop, hops.P50)
+		i.site.mu.Unlock()
+	}
+	i.loop.Post(ev)
+}
+
 // handleCommand passes suspects to the other instance.
 func (i *silentInstance) handleCommand(c domain.Command) {
 	suspect, ok := c.(domain.ReportSuspect)
@@ -350,6 +362,25 @@
 	}
 }
 
+// Guards against silence taken for a slow link: for seconds after it, requests would be refused as "overload" while
+// other engines are silent.
+func TestSilenceIsNoSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentSite(t, 3, 16)
+		defer s.close()
+		ctx, cancel := context.WithCancel(t.Context())
+		go s.silenceDrawn(ctx, rand.New(rand.NewPCG(1, 0)), 2)
+		s.serve(t.Context(), 8)
+		cancel()
+		s.check(t)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.slowestHop > minSilence/4 {
+			t.Errorf("got %v for a hop, want that of the link", s.slowestHop)
+		}
+	})
+}
+
 // Guards against engines that get nothing any more once they have been silent.
 func TestSilentEngineServesAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/wire/engine/hops.go
+++ b/internal/wire/engine/hops.go
@@ -14,6 +14,9 @@
 	// hopEvery is the minimum time between two HopMeasured events of an
 	// engine.
 	hopEvery = time.Second
+	// minHops is the minimum number of hops in a HopMeasured event. With fewer, steps that waited for an engine
+	// that paused would make up the median.
+	minHops = 5
 	// hopMax is the upper bound of the histogram; longer hops are recorded as
 	// hopMax.
 	hopMax           = time.Minute
@@ -31,6 +34,8 @@
 	mu    sync.Mutex
 	hist  *hdrhistogram.Histogram
 	since time.Time
+	// last is when the last hop that counts ended.
+	last time.Time
 }
 
 func newHopRecorder(engine spec.UpstreamID, post func(domain.Event)) *hopRecorder {
@@ -38,11 +43,18 @@
 	return &hopRecorder{engine: engine, post: post, hist: hist, since: time.Now()}
 }
 
-func (h *hopRecorder) record(hop time.Duration) {
+// record counts the hop of a step that was answered now. Of steps that were under way at the same time only one
+// counts: a slow link delays each step, an engine that pauses all of them at once.
+func (h *hopRecorder) record(sentAt time.Time, hop time.Duration) {
 	if h.post == nil {
 		return
 	}
 	h.mu.Lock()
+	if sentAt.Before(h.last) {
+		h.mu.Unlock()
+		return
+	}
+	h.last = time.Now()
 	_ = h.hist.RecordValue(min(max(1, hop.Microseconds()), hopMax.Microseconds()))
 	ev, due := h.due()
 	h.mu.Unlock()
@@ -53,7 +65,7 @@
 
 func (h *hopRecorder) due() (domain.HopMeasured, bool) {
 	now := time.Now()
-	if now.Sub(h.since) < hopEvery {
+	if now.Sub(h.since) < hopEvery || h.hist.TotalCount() < minHops {
 		return domain.HopMeasured{}, false
 	}
 	ev := domain.HopMeasured{
--- a/internal/wire/engine/stream.go
+++ b/internal/wire/engine/stream.go
@@ -154,8 +154,8 @@
 		return
 	}
 	hop := time.Since(s.sentAt) - time.Duration(r.Took)*time.Microsecond
+	s.conn.hops.record(s.sentAt, max(0, hop))
 	s.sentAt = time.Time{}
-	s.conn.hops.record(max(0, hop))
 }
 
 // Leave drops the stream but keeps the state on the engine.
