Addresses for other instances and for operators have limits of their own

Only the addresses for callers, readiness checks and metrics had a guard.

Cause: these servers took as many connections as came, heads up to net/http's 1 MB, and bodies of changes up to 16 MiB each without an end in time. Now each address has a guard of the same kind as readiness and metrics had (guard.NewInternal): 64 connections, of which the one that is behind the longest goes, heads of 64 KiB. A connection that becomes one of an instance is not counted or limited any more, so the mesh runs as before. Bodies of changes count in an account of operators, half of callers', and are read by guard.Body, which ends those that stall; without memory they get a 503, and nothing was applied.

--- a/internal/app/daemon/endpoints.go
+++ b/internal/app/daemon/endpoints.go
@@ -31,6 +31,9 @@
 	listener net.Listener
 }
 
+// attach makes the endpoint apply limits.
+func (e *endpoint) attach(g *guard.Guard) { e.listener = g.Attach(e.server, e.listener) }
+
 // endpoints holds the endpoints of an instance. An endpoint without a server is
 // not served.
 type endpoints struct {
@@ -78,16 +81,20 @@
 	if e.callers, err = open(ctx, "callers", server, d.Listener, s.Listen.Callers); err != nil {
 		return nil, err
 	}
-	e.callers.listener = d.callersGuard().Attach(server, e.callers.listener)
+	e.callers.attach(d.callersGuard())
 	if d.Operators != nil || s.Listen.Operators != "" {
 		if e.operators, err = d.open(ctx, "operators", d.operators(), s.TLS.Operators, d.Operators, s.Listen.Operators); err != nil {
 			return nil, err
 		}
+		e.operators.attach(guard.NewInternal(guard.OperatorsBytes(s.Limits.Memory)))
 	}
 	if d.parts.fleet != nil {
 		if e.peers, err = d.open(ctx, "peers", d.parts.fleet.handler(), s.TLS.Peers, d.Peers, s.Listen.Peers); err != nil {
 			return nil, err
 		}
+		peers := guard.NewInternal(0)
+		peers.Upgrades = true
+		e.peers.attach(peers)
 		d.parts.fleet.hub.Self.URL = d.parts.fleet.scheme() + e.peers.listener.Addr().String()
 		d.parts.fleet.logic.Local = d.parts.fleet.hub.Self
 	}
--- a/internal/app/edge/endpoints.go
+++ b/internal/app/edge/endpoints.go
@@ -34,10 +34,6 @@
 	// writeTimeout is how long a caller may take nothing of its answer before its connection is closed:
 	// far longer than a caller waits for an event.
 	writeTimeout = 10 * time.Second
-	// checkConns limits the connections to the addresses for readiness checks and for metrics, each.
-	checkConns = 64
-	// checkTimeout limits the time for a request to these addresses and for its answer.
-	checkTimeout = 10 * time.Second
 )
 
 // limitMemory sets the limits of the garbage collector for a process that may use so many
@@ -89,21 +85,20 @@
 			return errors.Wrapf(err, "edge: listen for %s", name)
 		}
 		server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: maxIdleTimeout, ErrorLog: discardLog}
-		if g != nil {
-			listener = g.Attach(server, listener)
-		}
-		endpoints = append(endpoints, &endpoint{name: name, listener: listener, server: server})
+		endpoints = append(endpoints, &endpoint{name: name, listener: g.Attach(server, listener), server: server})
 		return nil
 	}
 	err := add("callers", l.Callers, i.drainer.Handler(i.server), i.callersGuard())
 	if err == nil {
-		err = add("ready", l.Ready, i.readinessHandler(), newCheckGuard())
+		err = add("ready", l.Ready, i.readinessHandler(), guard.NewInternal(0))
 	}
 	if err == nil {
-		err = add("mesh", l.Mesh, i.mesh.handler(), nil)
+		mesh := guard.NewInternal(0)
+		mesh.Upgrades = true
+		err = add("mesh", l.Mesh, i.mesh.handler(), mesh)
 	}
 	if err == nil {
-		err = add("metrics", l.Metrics, i.metricsHandler(), newCheckGuard())
+		err = add("metrics", l.Metrics, i.metricsHandler(), guard.NewInternal(0))
 	}
 	if err != nil {
 		for _, e := range endpoints {
@@ -143,14 +138,6 @@
 	return min(d, maxTimeout)
 }
 
-// newCheckGuard returns the limits of an address for readiness checks or metrics.
-func newCheckGuard() *guard.Guard {
-	limits := guard.Limits{HeadBytes: bound.MaxHeadBytes, HeadTimeout: checkTimeout, IdleTimeout: maxIdleTimeout, WriteTimeout: checkTimeout}
-	return &guard.Guard{
-		Account: guard.NewAccount(0, checkConns), Limits: func() guard.Limits { return limits },
-	}
-}
-
 // readinessHandler answers the readiness checks of the balancer. It accepts any path, since
 // the platform decides which one is requested.
 func (i *Instance) readinessHandler() http.Handler {
--- a/internal/wire/admin/server.go
+++ b/internal/wire/admin/server.go
@@ -1,14 +1,18 @@
 // Package admin implements the operators' API and its client.
 //
-// It imports the HTTP router, metrics and log libraries. The daemon serves its
+// It imports package guard and the HTTP router, metrics and log libraries. The daemon serves its
 // Handler at the operators' address; the commands apply, show, status and drain
 // use Client.
 package admin
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
+
+	"fulmarwick/internal/wire/guard"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
@@ -19,6 +23,8 @@
 const (
 	// maxDraft limits the body of a change in bytes.
 	maxDraft = 16 << 20
+	// maxDraftPause limits the pauses of that body.
+	maxDraftPause = 10 * time.Second
 	// defaultHistory is the number of changes listed by default, maxHistory the
 	// maximum.
 	defaultHistory = 20
@@ -71,6 +77,7 @@
 	codeUnsure    = "unsure"
 	codeNotServed = "not-served"
 	codeBad       = "bad-request"
+	codeBusy      = "busy"
 	codeInternal  = "internal"
 )
 
@@ -139,8 +146,12 @@
 		s.notServed(w)
 		return
 	}
-	var body draftBody
-	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxDraft)).Decode(&body); err != nil {
+	body, err := readDraft(w, req)
+	if errors.Is(err, guard.ErrNoRoom) {
+		write(w, http.StatusServiceUnavailable, fault{Code: codeBusy, Text: "this instance has no memory for the change"})
+		return
+	}
+	if err != nil {
 		write(w, http.StatusBadRequest, fault{Code: codeBad, Text: "the body is not the JSON expected: " + err.Error()})
 		return
 	}
@@ -156,6 +167,21 @@
 	s.answer(w, applied, err)
 }
 
+// readDraft reads the body of a change.
+func readDraft(w http.ResponseWriter, req *http.Request) (draftBody, error) {
+	var body draftBody
+	data, err := guard.Body{MaxBytes: maxDraft, MaxPause: maxDraftPause}.Read(w, req)
+	if err != nil {
+		return body, err
+	}
+	// The documents are copies.
+	if !guard.Grow(req, int64(len(data))) {
+		return body, guard.ErrNoRoom
+	}
+	err = json.NewDecoder(bytes.NewReader(data)).Decode(&body)
+	return body, err
+}
+
 // operator returns the name of the operator: the name in the verified client
 // certificate if there is one, otherwise the given name.
 func operator(req *http.Request, given string) string {
--- a/internal/wire/guard/account.go
+++ b/internal/wire/guard/account.go
@@ -1,8 +1,8 @@
 // Package guard limits what callers take of the memory and descriptors of a process: their connections,
 // and the heads and bodies of their requests.
 //
-// It imports package bound and the errors and metrics libraries. The servers for callers, front and entry, read
-// bodies through it; app/edge and app/daemon attach a Guard to their addresses.
+// It imports package bound and the errors and metrics libraries. The servers for callers, front and entry, and that
+// for operators, admin, read bodies through it; app/edge and app/daemon attach a Guard to each address.
 //
 // What a caller holds is a Claim on an Account. Where an account is full, the caller is evicted that holds most
 // and is behind the longest: one that is silent, stops inside a head or a body, or does not read its answer.
--- a/internal/wire/guard/conn.go
+++ b/internal/wire/guard/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -45,7 +46,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if tcp, ok := n.(*net.TCPConn); ok {
+		if tcp, ok := n.(*net.TCPConn); ok && !l.guard.Upgrades {
 			// Without it the system keeps its default.
 			_ = tcp.SetReadBuffer(readBufferBytes)
 		}
@@ -66,6 +67,8 @@
 	net.Conn
 	guard *Guard
 	claim *Claim
+	// upgraded means that the connection does not belong to the server any more.
+	upgraded atomic.Bool
 
 	mu sync.Mutex
 	// reading is set while a head is read, from its first byte on, and running while its request is served.
@@ -89,7 +92,7 @@
 // Read reads from the connection.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 {
+	if n == 0 || c.upgraded.Load() {
 		return n, err
 	}
 	limits := c.guard.Limits()
@@ -147,6 +150,9 @@
 
 // Write writes to the connection. The caller must take each piece within the write timeout.
 func (c *conn) Write(p []byte) (n int, err error) {
+	if c.upgraded.Load() {
+		return c.Conn.Write(p)
+	}
 	timeout := c.guard.Limits().WriteTimeout
 	for {
 		if timeout > 0 {
@@ -190,6 +196,7 @@
 		c.claim.StartWait(WaitIdle)
 		c.closeAfter(c.guard.Limits().IdleTimeout)
 	case http.StateClosed, http.StateHijacked:
+		c.upgraded.Store(s == http.StateHijacked)
 		c.cancelClose()
 		c.claim.Close()
 	}
--- a/internal/wire/guard/guard.go
+++ b/internal/wire/guard/guard.go
@@ -32,6 +32,9 @@
 	Limits func() Limits
 	// Refuse answers a request for whose head there is no room.
 	Refuse http.Handler
+	// Upgrades means that connections are upgraded to another protocol, which needs receive buffers of the usual
+	// size. No limit applies after the upgrade.
+	Upgrades bool
 }
 
 // connKey and claimKey are the context keys of a request's connection and claim.
