A trial begins soon after its grant, or it is asked for again

But an instance that finds no room keeps its trial until there is some.

A trial may begin within a quarter of the interval now. One that did not begin in time does not count against the three that a suspect gets, and the instance asks again. TestTrialBeginsSoonAfterItsGrant fails without the change (the trial is there after 1.5 s).

Other tests of crashes pass.

--- a/internal/app/edge/crash.go
+++ b/internal/app/edge/crash.go
@@ -111,6 +111,13 @@
 	return r.crashBook.Check(r.now(), suspects)
 }
 
+// hasExpiredTrial reports whether a trial of a suspect was granted to this instance that did not begin in time.
+func (r *router) hasExpiredTrial(key crash.Key) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashBook.HasExpiredTrial(r.now(), key)
+}
+
 // checkSend returns why a request must not be sent, and the suspects that need a trial first.
 func (r *router) checkSend(suspects []crash.Key) (untried []crash.Key, err error) {
 	r.mu.Lock()
--- a/internal/app/edge/culprit.go
+++ b/internal/app/edge/culprit.go
@@ -268,6 +268,10 @@
 		if row.FoundMs == 0 {
 			row = culpritRow{FoundMs: now.UnixMilli(), IsQuarantine: true}
 		}
+		if c.router.hasExpiredTrial(key) {
+			// A trial that did not begin, since there was no room for it, does not count.
+			row.Trials = max(0, row.Trials-1)
+		}
 		if !row.grantsTrial(now, interval) {
 			// Another instance may have reached a verdict, or all trials are used up.
 			c.router.applyPeerCrashes([]crash.Event{row.event(key, now)})
--- a/internal/route/crash/crash.go
+++ b/internal/route/crash/crash.go
@@ -70,6 +70,9 @@
 	// TrialInterval is the time between two trials of a quarantined request: a crash under the
 	// first one is known by then.
 	TrialInterval = 2 * time.Second
+	// trialStart is how soon after its grant a trial must begin. The next one is granted TrialInterval after
+	// the grant: by then a crash must have been found and weighed.
+	trialStart = TrialInterval / 4
 	// MaxTrials is how many trials a quarantined request gets. One settles the matter unless
 	// its caller leaves or its answer is lost on the way.
 	MaxTrials = 3
--- a/internal/route/crash/crash_test.go
+++ b/internal/route/crash/crash_test.go
@@ -241,6 +241,33 @@
 	}
 }
 
+// Guards against a trial that waits for room until the next one is granted, so that two run at once.
+func TestTrialBeginsSoonAfterItsGrant(t *testing.T) {
+	tracker := &crash.Tracker{}
+	for n := range 3 {
+		tracker.Record(time.Duration(n)*40*time.Millisecond, crashEvent(1, n))
+	}
+	granted := time.Second
+	tracker.NeedTrials(granted, request(1))
+	tracker.GrantTrials(granted, request(1))
+	if err := tracker.Check(granted+300*time.Millisecond, request(1)); err != nil {
+		t.Errorf("got %v soon after the grant, want none", err)
+	}
+	late := granted + 1500*time.Millisecond
+	if err := tracker.Check(late, request(1)); !errors.Is(err, crash.ErrQuarantined) || !tracker.HasExpiredTrial(late, request(1)[0]) {
+		t.Errorf("got %v 1.5s after the grant, want a quarantine and an expired trial", err)
+	}
+	next := granted + crash.TrialInterval
+	if len(tracker.NeedTrials(next, request(1))) != 1 {
+		t.Error("got no trial to ask for instead of the expired one, want one")
+	}
+	tracker.GrantTrials(next, request(1))
+	tracker.Begin(next, request(1))
+	if err := tracker.Check(next, request(1)); !errors.Is(err, crash.ErrQuarantined) || tracker.HasExpiredTrial(next+time.Minute/2, request(1)[0]) {
+		t.Errorf("got %v after the trial began, want a quarantine and no trial left", err)
+	}
+}
+
 // A trial whose upstream crashes leaves no other explanation, also where another instance ran
 // it. Upstreams that are found to have ended with the others leave one.
 func TestCrashUnderTrialMakesCulprit(t *testing.T) {
--- a/internal/route/crash/suspect.go
+++ b/internal/route/crash/suspect.go
@@ -32,13 +32,18 @@
 	restrictedAt time.Duration
 	// own means that this instance sent the request when an upstream crashed.
 	own bool
-	// trials is how many trials were granted to this instance and have not begun.
-	trials int
+	// trials is how many trials were granted to this instance and have not begun, and startUntil until
+	// when they may.
+	trials     int
+	startUntil time.Duration
 	// nextTrialAt is when this instance may ask for a trial again, nextJointAt when it may do so
 	// for a request with other suspects.
 	nextTrialAt, nextJointAt time.Duration
 }
 
+// mayTry reports whether this instance has a trial that may begin.
+func (s suspect) mayTry(now time.Duration) bool { return s.trials > 0 && now <= s.startUntil }
+
 // evidence returns the standing that follows from the ended runs of a request alone.
 func (s suspect) evidence() Standing {
 	strong, all := s.countCauses()
--- a/internal/route/crash/trial.go
+++ b/internal/route/crash/trial.go
@@ -15,7 +15,7 @@
 		switch {
 		case s.standing == StandingCulprit:
 			return ErrCulprit
-		case s.standing == StandingQuarantined && s.trials == 0:
+		case s.standing == StandingQuarantined && !s.mayTry(now):
 			err = ErrQuarantined
 		}
 	}
@@ -33,11 +33,11 @@
 }
 
 // ReturnTrials records that a request which began at a time was not sent after all. If it was a trial,
-// this instance may send the request once.
+// this instance may send the request once, soon.
 func (t *Tracker) ReturnTrials(now time.Duration, keys []Key, began time.Duration) {
 	for _, key := range keys {
 		if s := t.unexpired(now, key); s.standing == StandingQuarantined && began >= s.restrictedAt {
-			s.trials = 1
+			s.trials, s.startUntil = 1, now+trialStart
 			t.suspects[key] = s
 		}
 	}
@@ -51,7 +51,7 @@
 	}
 	var out []Key
 	for _, key := range keys {
-		if s := t.unexpired(now, key); s.standing == StandingQuarantined && s.trials == 0 {
+		if s := t.unexpired(now, key); s.standing == StandingQuarantined && !s.mayTry(now) {
 			out = append(out, key)
 		}
 	}
@@ -78,12 +78,18 @@
 func (t *Tracker) GrantTrials(now time.Duration, keys []Key) {
 	for _, key := range keys {
 		if s := t.unexpired(now, key); s.standing == StandingQuarantined {
-			s.trials = 1
+			s.trials, s.startUntil = 1, now+trialStart
 			t.suspects[key] = s
 		}
 	}
 }
 
+// HasExpiredTrial reports whether a trial of a suspect was granted to this instance that did not begin in time.
+func (t *Tracker) HasExpiredTrial(now time.Duration, key Key) bool {
+	s := t.unexpired(now, key)
+	return s.trials > 0 && !s.mayTry(now)
+}
+
 // AreTrialsOver reports whether a quarantined request of which so many trials were granted, the last
 // one so long ago, is a culprit although no crash is known under a trial: no trial is left, and none
 // can still have an outcome that clears the request.
