Silence of all holders refuses nothing either: the test allows no "overload" any more

TestSilenceOfAllHoldersLosesNoRequest let requests be refused as overload, since the time of a pause was learned as that of a hop.

--- a/internal/app/daemon/silence_test.go
+++ b/internal/app/daemon/silence_test.go
@@ -324,8 +324,7 @@
 }
 
 // Guards against requests that are cut or refused as "no-engine" since all engines of some layers are silent,
-// although no other engine is better. Streams must outlive that even if there is one engine only. A request
-// whose predicted first token misses the target of its class may be refused as "overload".
+// although no other engine is better. Streams must outlive that even if there is one engine only.
 func TestSilenceOfAllHoldersLosesNoRequest(t *testing.T) {
 	for _, copies := range []int{1, 2, 3} {
 		t.Run(fmt.Sprintf("%d holders", copies), func(t *testing.T) {
@@ -337,7 +336,6 @@
 				start := time.Now()
 				s.serve(t.Context(), 12)
 				cancel()
-				delete(s.failures, "refused: overload")
 				s.check(t)
 				if got := time.Since(start); got > maxServed {
 					t.Errorf("got the last stream after %v, want %v at most", got, maxServed)
