Chats are read one value at a time

What callers saw: chats inside the limits, with a valid key, took the memory of the process: 111 MiB of 64 in TestChatsOfEmptyParts.

Cause: a list of content parts was decoded whole, at 24 bytes a part and twice that while the list grows, though an empty part takes 3 bytes of the body; so were messages and fields. The account of callers holds three times the body.

Why this works: a value is read when its turn comes, and the first wrong one ends the reading. What is kept of a list is the text. The body is checked as JSON before, without allocations. ForEachElement and ForEachMember are compared with encoding/json on drawn values.

Of fields with the same name each is checked now, not the last alone.

--- a/internal/wire/entry/field.go
+++ b/internal/wire/entry/field.go
@@ -37,7 +37,7 @@
 // text would blame the model.
 var fieldReaders = map[string]func(b *chatBody, raw json.RawMessage) error{
 	"model":                 func(b *chatBody, raw json.RawMessage) error { return json.Unmarshal(raw, &b.Model) },
-	"messages":              func(b *chatBody, raw json.RawMessage) error { return json.Unmarshal(raw, &b.Messages) },
+	"messages":              readMessages,
 	"stream":                func(b *chatBody, raw json.RawMessage) error { return json.Unmarshal(raw, &b.Stream) },
 	"stream_options":        func(b *chatBody, raw json.RawMessage) error { return json.Unmarshal(raw, &b.Options) },
 	"max_tokens":            func(b *chatBody, raw json.RawMessage) error { return json.Unmarshal(raw, &b.MaxTokens) },
@@ -95,24 +95,31 @@
 
 // parseChat parses the body of a chat request, field by field.
 func parseChat(data []byte) (chatBody, error) {
-	var raw map[string]json.RawMessage
-	if err := json.Unmarshal(data, &raw); err != nil {
-		return chatBody{}, newFault(http.StatusBadRequest, "bad-json", "The body is not a JSON object: "+err.Error()+".", RanNo)
-	}
 	var b chatBody
-	for name, value := range raw {
-		read, ok := fieldReaders[name]
-		if !ok {
-			return chatBody{}, badField("unknown-field", name, "is not known")
-		}
-		if string(value) == "null" {
-			continue
-		}
-		if err := read(&b, value); err != nil {
-			return chatBody{}, fieldFault(name, err)
-		}
+	var object *struct{}
+	if err := json.Unmarshal(data, &object); err != nil {
+		return b, newFault(http.StatusBadRequest, "bad-json", "The body is not a JSON object: "+err.Error()+".", RanNo)
+	}
+	if object == nil {
+		return b, nil
 	}
-	return b, nil
+	err := forEachMember(data, b.readField)
+	return b, err
+}
+
+// readField reads a field of a chat request.
+func (b *chatBody) readField(name string, value []byte) error {
+	read, ok := fieldReaders[name]
+	if !ok {
+		return badField("unknown-field", name, "is not known")
+	}
+	if string(value) == "null" {
+		return nil
+	}
+	if err := read(b, value); err != nil {
+		return fieldFault(name, err)
+	}
+	return nil
 }
 
 // fieldFault returns the fault for a field whose reader failed.
@@ -136,6 +143,22 @@
 	return newFault(http.StatusBadRequest, code, fmt.Sprintf("The field %q %s.", name, text), RanNo)
 }
 
+// readMessages reads the messages of a chat.
+func readMessages(b *chatBody, raw json.RawMessage) error {
+	if raw[0] != '[' {
+		return errors.New("it is not a list of messages")
+	}
+	b.Messages = nil
+	return forEachElement(raw, func(element []byte) error {
+		var m chatMessage
+		if err := m.UnmarshalJSON(element); err != nil {
+			return err
+		}
+		b.Messages = append(b.Messages, m)
+		return nil
+	})
+}
+
 // UnmarshalJSON parses a message. It rejects unsupported roles and tool calls.
 func (m *chatMessage) UnmarshalJSON(data []byte) error {
 	var in struct {
@@ -169,19 +192,20 @@
 		}
 		return *text, nil
 	}
-	var parts []struct {
-		Type string  `json:"type"`
-		Text *string `json:"text"`
-	}
-	if err := json.Unmarshal(raw, &parts); err != nil {
-		return "", err
-	}
 	var b strings.Builder
-	for _, p := range parts {
-		if p.Type != "text" || p.Text == nil {
-			return "", allowedValuesError{"content of text parts"}
+	err := forEachElement(raw, func(element []byte) error {
+		var part struct {
+			Type string  `json:"type"`
+			Text *string `json:"text"`
 		}
-		b.WriteString(*p.Text)
-	}
-	return b.String(), nil
+		if err := json.Unmarshal(element, &part); err != nil {
+			return err
+		}
+		if part.Type != "text" || part.Text == nil {
+			return allowedValuesError{"content of text parts"}
+		}
+		b.WriteString(*part.Text)
+		return nil
+	})
+	return b.String(), err
 }
