--- a/internal/app/crowd/http2_test.go
+++ b/internal/app/crowd/http2_test.go
@@ -16,6 +16,7 @@
 	frameReset        = 3
 	frameSettings     = 4
 	frameContinuation = 9
+	flagEndStream     = 1
 	flagEndHeaders    = 4
 )
 
