Requests on HTTP/2 streams count until their callers have room for the answers

Cause: a stream counted as its head alone, though each takes a goroutine and buffers. The end of a small answer is written by net/http after the handler has returned, when the claim was closed; only the write timeout of 30 s ended that.

Why this works: the guard flushes the answer before it closes the claim, and says of each write on a stream that it waits. A caller that takes nothing is evicted where room is needed and at a stop, like others; its stream is reset. A refusal for lack of room is a head, which needs no window.

--- a/internal/wire/guard/guard.go
+++ b/internal/wire/guard/guard.go
@@ -73,13 +73,17 @@
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.startRequest()
 		}
+		if r.ProtoMajor == 2 {
+			g.serveStream(w, r, next)
+			return
+		}
 		control := http.NewResponseController(w)
-		if r.ContentLength != 0 && r.ProtoMajor == 1 {
+		if r.ContentLength != 0 {
 			// A refusal must not wait for a body that does not come. Reading the body sets
 			// another deadline.
 			_ = control.SetReadDeadline(time.Now().Add(unreadTimeout))
 		}
-		claim := g.Account.Open(r.ProtoMajor == 1, func() { _ = control.SetReadDeadline(time.Now()) })
+		claim := g.Account.Open(true, func() { _ = control.SetReadDeadline(time.Now()) })
 		defer claim.Close()
 		if !claim.Grow(HeadCost(r)) {
 			g.Refuse.ServeHTTP(w, r)
--- a/internal/wire/guard/machine.go
+++ b/internal/wire/guard/machine.go
@@ -23,9 +23,9 @@
 	// programBytes is what the program takes outside of its heap: its code, data and threads.
 	programBytes = 20 << 20
 	// queuedStreams is how many requests net/http keeps for each stream of an HTTP/2 connection that may be
-	// open: one that runs, and others whose streams were reset before they ran. Each takes streamBytes.
+	// open: one that runs, and others whose streams were reset before they ran. Each takes queuedBytes.
 	queuedStreams = 5
-	streamBytes   = 6 << 10
+	queuedBytes   = 6 << 10
 	// resettingConns is for how many connections all of these fit into what callers may hold.
 	resettingConns = 64
 	// minStreams is the least number of open streams of a connection.
@@ -63,7 +63,7 @@
 // Streams returns how many of at most streams an HTTP/2 connection may have open at once, in a process that
 // may use so many bytes of memory; zero means that of the machine.
 func Streams(streams int, memory int64) int {
-	fitting := CallersBytes(memory) / (resettingConns * queuedStreams * streamBytes)
+	fitting := CallersBytes(memory) / (resettingConns * queuedStreams * queuedBytes)
 	return int(min(int64(streams), max(minStreams, fitting)))
 }
 
