--- a/internal/wire/entry/reply.go
+++ b/internal/wire/entry/reply.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -16,6 +17,9 @@
 func (s *Server) writeBody(w http.ResponseWriter, status int, contentType string, body []byte) {
 	control := http.NewResponseController(w)
 	w.Header().Set("Content-Type", contentType)
+	if len(body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	w.WriteHeader(status)
 	for len(body) > 0 {
 		piece := body[:min(len(body), writePieceBytes)]
--- a/internal/wire/guard/guard_test.go
+++ b/internal/wire/guard/guard_test.go
@@ -147,7 +147,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute, Protocols: protocols}
 	guarded := g.Attach(server, l)
 	go func() { _ = server.Serve(guarded) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -209,3 +212,57 @@
 		t.Errorf("got %s, want status 401", got)
 	}
 }
+
+// Guards against a refusal on an HTTP/2 stream that waits for a window, and against one that announces a body
+// and has none.
+func TestRefusalOnStreamIsAHead(t *testing.T) {
+	answer := func(status int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "4")
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, "text")
+		}
+	}
+	// There is room for a connection and one stream.
+	g := &guard.Guard{
+		Account: guard.NewAccount(66<<10, 0), Limits: func() guard.Limits { return guard.Limits{} },
+		Refuse: answer(http.StatusServiceUnavailable),
+	}
+	running, end := make(chan struct{}), make(chan struct{})
+	address := serve(t, g, func(w http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-end
+		answer(http.StatusOK)(w, r)
+	})
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	get := func() string {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/", nil)
+		if err != nil {
+			return err.Error()
+		}
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			return err.Error()
+		}
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		return fmt.Sprintf("%d %q %v", resp.StatusCode, body, err)
+	}
+	first := make(chan string, 1)
+	go func() { first <- get() }()
+	select {
+	case <-running:
+	case got := <-first:
+		t.Fatalf("got %s from a stream that there is room for, want it to run", got)
+	}
+	if got, want := get(), `503 "" <nil>`; got != want {
+		t.Errorf("got %s beside a stream that runs, want %s", got, want)
+	}
+	close(end)
+	if got, want := <-first, `200 "text" <nil>`; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/internal/wire/guard/stream.go
+++ b/internal/wire/guard/stream.go
@@ -40,6 +40,12 @@
 	http.ResponseWriter
 }
 
+// WriteHeader writes the head.
+func (h headWriter) WriteHeader(status int) {
+	h.Header().Del("Content-Length")
+	h.ResponseWriter.WriteHeader(status)
+}
+
 // Write drops p.
 func (h headWriter) Write(p []byte) (int, error) { return len(p), nil }
 
